--- /dev/null
+++ b/libs/bench/masticquay_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, trace replay and reports."""
--- /dev/null
+++ b/libs/bundles/masticquay_bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Bundle schema, checks, digests, signatures and settings."""
--- /dev/null
+++ b/libs/bundles/masticquay_bundles/settings.py
@@ -0,0 +1,61 @@
+"""Settings files of the processes: defaults, checks and normalisation."""
+
+import pathlib
+import typing
+
+from returns import result
+
+from masticquay_bundles import documents
+from masticquay_bundles import errors
+
+CheckedSettings = result.Result[dict[str, typing.Any], list[errors.Problem]]
+
+
+class Setting:
+    """One key of a settings file.
+
+    :param schema: the JSON schema of its value
+    :param default: the value when the key is absent; ``REQUIRED`` demands it
+    """
+
+    __slots__ = ('name', 'schema', 'default', 'description')
+
+    def __init__(
+        self,
+        name: str,
+        schema: dict[str, typing.Any],
+        default: typing.Any,
+        description: str,
+    ):
+        self.name = name
+        self.schema = schema
+        self.default = default
+        self.description = description
+
+
+REQUIRED = object()
+
+
+def check_file(path: pathlib.Path, known: list[Setting]) -> CheckedSettings:
+    """Reads a settings file and fills in the defaults.
+
+    :returns: every known key with its value, or every fault found
+    """
+    try:
+        document = documents.load_document(path)
+    except errors.DocumentError as cause:
+        return result.Failure(cause.problems)
+    problems = documents.check_schema(document, _schema_of(known))
+    if problems:
+        return result.Failure(problems)
+    defaults = {s.name: s.default for s in known if s.default is not REQUIRED}
+    return result.Success({**defaults, **document.value})
+
+
+def _schema_of(known: list[Setting]) -> dict[str, typing.Any]:
+    return {
+        'type': 'object',
+        'additionalProperties': False,
+        'required': [s.name for s in known if s.default is REQUIRED],
+        'properties': {s.name: s.schema for s in known},
+    }
--- /dev/null
+++ b/libs/consensus/masticquay_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: storage, election, snapshots, replica change."""
--- /dev/null
+++ b/libs/control/masticquay_control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine and its services."""
--- /dev/null
+++ b/libs/entry/masticquay_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Caller HTTP, authentication, dispatch, streaming and drain."""
--- /dev/null
+++ b/libs/membership/masticquay_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Session leases, views, watches and ownership."""
--- /dev/null
+++ b/libs/operator/masticquay_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pools, reservations, fair queue, prefix index and rates."""
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/messages.py
@@ -0,0 +1,309 @@
+"""Messages between entry hosts and the owners of pools and workspaces."""
+
+from masticquay_wire import messages
+from masticquay_wire import records
+
+# Reasons of refusals; each means that the request was not run.
+REASON_OVER_RATE = 'over-rate'
+REASON_QUEUE_FULL = 'queue-full'
+REASON_DEADLINE = 'deadline'
+REASON_NO_ENDPOINT = 'no-endpoint'
+REASON_NOT_OWNER = 'not-owner'
+REASON_WITHDRAWN = 'key-withdrawn'
+REASON_TOO_LARGE = 'too-large'
+
+FINISHED_DONE = 'done'
+FINISHED_CANCELLED = 'cancelled'
+FINISHED_PREFILL_FAILED = 'prefill-failed'
+FINISHED_TRANSFER_FAILED = 'transfer-failed'
+FINISHED_DECODE_FAILED = 'decode-failed'
+
+
+class RequestId(records.Record):
+    """Identifies a request across the fleet."""
+
+    __slots__ = ('host', 'incarnation', 'number')
+
+    def __init__(self, host: str, incarnation: int, number: int):
+        self.host = host
+        self.incarnation = incarnation
+        self.number = number
+
+    def __str__(self) -> str:
+        return f'{self.host}-{self.incarnation}-{self.number}'
+
+
+class Finished(records.Record):
+    """Says that an attempt has ended, so that its place is free.
+
+    :param outcome: one of the ``FINISHED`` constants
+    :param endpoint: the endpoint at fault, empty when none is
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'outcome',
+        'output_tokens',
+        'endpoint',
+        'retry_after_ms',
+    )
+
+    def __init__(
+        self,
+        request: RequestId,
+        attempt: int,
+        outcome: str,
+        output_tokens: int = 0,
+        endpoint: str = '',
+        retry_after_ms: int = 0,
+    ):
+        self.request = request
+        self.attempt = attempt
+        self.outcome = outcome
+        self.output_tokens = output_tokens
+        self.endpoint = endpoint
+        self.retry_after_ms = retry_after_ms
+
+
+@messages.register
+class Admit(messages.Message):
+    """Asks a pool's owner for a placement.
+
+    :param pool: the pool's name
+    :param prefix_hashes: chained hashes of the prompt's full blocks
+    :param first_token_ms: time left until the first token is due
+    :param deadline_ms: time left until the whole answer is due
+    :param max_wait_ms: the longest time in the queue
+    :param excluded: endpoints that failed earlier attempts
+    :param finished: ended attempts, sent along to save messages
+    """
+
+    __slots__ = (
+        'pool',
+        'request',
+        'attempt',
+        'workspace',
+        'class_name',
+        'prefix_hashes',
+        'prompt_tokens',
+        'max_output_tokens',
+        'first_token_ms',
+        'deadline_ms',
+        'max_wait_ms',
+        'excluded',
+        'finished',
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        request: RequestId,
+        attempt: int,
+        workspace: str,
+        class_name: str,
+        prefix_hashes: list[int],
+        prompt_tokens: int,
+        max_output_tokens: int,
+        first_token_ms: int,
+        deadline_ms: int,
+        max_wait_ms: int,
+        excluded: list[str] | None = None,
+        finished: list[Finished] | None = None,
+    ):
+        self.pool = pool
+        self.request = request
+        self.attempt = attempt
+        self.workspace = workspace
+        self.class_name = class_name
+        self.prefix_hashes = prefix_hashes
+        self.prompt_tokens = prompt_tokens
+        self.max_output_tokens = max_output_tokens
+        self.first_token_ms = first_token_ms
+        self.deadline_ms = deadline_ms
+        self.max_wait_ms = max_wait_ms
+        self.excluded = excluded or []
+        self.finished = finished or []
+
+
+@messages.register
+class Placement(messages.Message):
+    """Reserves places on endpoints for one attempt.
+
+    :param prefill_endpoint: empty for a plain service
+    :param decode_endpoint: the decode engine, or the service endpoint
+    :param prefill_timeout_ms: longest time for prefill
+    :param transfer_timeout_ms: longest time from there to the first token
+    :param stall_timeout_ms: longest time between tokens
+    """
+
+    __slots__ = (
+        'pool',
+        'request',
+        'attempt',
+        'prefill_endpoint',
+        'decode_endpoint',
+        'cached_tokens',
+        'prefill_timeout_ms',
+        'transfer_timeout_ms',
+        'stall_timeout_ms',
+        'reserved_tokens',
+        'workspace',
+        'class_name',
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        request: RequestId,
+        attempt: int,
+        prefill_endpoint: str,
+        decode_endpoint: str,
+        cached_tokens: int,
+        prefill_timeout_ms: int,
+        transfer_timeout_ms: int,
+        stall_timeout_ms: int,
+        reserved_tokens: int,
+        workspace: str,
+        class_name: str,
+    ):
+        self.pool = pool
+        self.request = request
+        self.attempt = attempt
+        self.prefill_endpoint = prefill_endpoint
+        self.decode_endpoint = decode_endpoint
+        self.cached_tokens = cached_tokens
+        self.prefill_timeout_ms = prefill_timeout_ms
+        self.transfer_timeout_ms = transfer_timeout_ms
+        self.stall_timeout_ms = stall_timeout_ms
+        self.reserved_tokens = reserved_tokens
+        self.workspace = workspace
+        self.class_name = class_name
+
+
+@messages.register
+class Refused(messages.Message):
+    """Refuses a request that was not run.
+
+    :param retry_after_ms: when to come back, 0 when it makes no sense
+    """
+
+    __slots__ = ('reason', 'retry_after_ms', 'detail')
+
+    def __init__(self, reason: str, retry_after_ms: int = 0, detail: str = ''):
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.detail = detail
+
+
+@messages.register
+class ReportFinished(messages.Message):
+    """Reports ended attempts when no Admit is at hand to carry them."""
+
+    __slots__ = ('pool', 'finished')
+
+    def __init__(self, pool: str, finished: list[Finished]):
+        self.pool = pool
+        self.finished = finished
+
+
+@messages.register
+class PrefillDone(messages.Message):
+    """Says, as a notice, that the prefill stage of an attempt has ended."""
+
+    __slots__ = ('pool', 'request', 'attempt')
+
+    def __init__(self, pool: str, request: RequestId, attempt: int):
+        self.pool = pool
+        self.request = request
+        self.attempt = attempt
+
+
+@messages.register
+class AnnouncePlacements(messages.Message):
+    """Tells a pool's new owner what a host is running there.
+
+    Every host sends one to each new owner of a pool, also when empty.
+    """
+
+    __slots__ = ('pool', 'host', 'incarnation', 'view_number', 'placements')
+
+    def __init__(
+        self,
+        pool: str,
+        host: str,
+        incarnation: int,
+        view_number: int,
+        placements: list[Placement],
+    ):
+        self.pool = pool
+        self.host = host
+        self.incarnation = incarnation
+        self.view_number = view_number
+        self.placements = placements
+
+
+@messages.register
+class RequestGrant(messages.Message):
+    """Reports the use of a host's grant, and asks for more.
+
+    :param sequence: rises with each request of this host for the workspace
+    :param spent_tokens: spent since the last answered request
+    :param held_tokens: what the host still holds unspent
+    :param wanted_tokens: how much more it wants, 0 to only report
+    :param returned_tokens: taken out of what it held, given back
+    """
+
+    __slots__ = (
+        'workspace',
+        'host',
+        'incarnation',
+        'sequence',
+        'spent_tokens',
+        'held_tokens',
+        'wanted_tokens',
+        'returned_tokens',
+    )
+
+    def __init__(
+        self,
+        workspace: str,
+        host: str,
+        incarnation: int,
+        sequence: int,
+        spent_tokens: int,
+        held_tokens: int,
+        wanted_tokens: int,
+        returned_tokens: int,
+    ):
+        self.workspace = workspace
+        self.host = host
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.spent_tokens = spent_tokens
+        self.held_tokens = held_tokens
+        self.wanted_tokens = wanted_tokens
+        self.returned_tokens = returned_tokens
+
+
+@messages.register
+class Grant(messages.Message):
+    """Tokens that a host may spend for a workspace.
+
+    :param valid_ms: how long, from when the request was sent
+    :param retry_after_ms: when tokens wanted but not granted will be there
+    """
+
+    __slots__ = ('sequence', 'granted_tokens', 'valid_ms', 'retry_after_ms')
+
+    def __init__(
+        self,
+        sequence: int,
+        granted_tokens: int,
+        valid_ms: int,
+        retry_after_ms: int,
+    ):
+        self.sequence = sequence
+        self.granted_tokens = granted_tokens
+        self.valid_ms = valid_ms
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/libs/standins/masticquay_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the router."""
--- /dev/null
+++ b/libs/wire/masticquay_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed CBOR messages and authenticated websocket peers."""
--- /dev/null
+++ b/libs/wire/masticquay_wire/clocks.py
@@ -0,0 +1,45 @@
+"""Clocks: the one source of time, so that tests may supply their own."""
+
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """Monotonic time and sleeping."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time in milliseconds."""
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Blocks the calling thread for a duration."""
+
+
+class MonotonicClock:
+    """The clock of the operating system that never jumps."""
+
+    __slots__ = ()
+
+    def now_ms(self) -> int:
+        return time.monotonic_ns() // 1_000_000
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        time.sleep(duration_ms / 1000)
+
+
+class ManualClock:
+    """A clock that moves only when a test moves it."""
+
+    __slots__ = ('_now_ms',)
+
+    def __init__(self, start_ms: int = 0):
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        return self._now_ms
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        self.advance_ms(duration_ms)
+
+    def advance_ms(self, duration_ms: int) -> None:
+        """Moves the time forward."""
+        self._now_ms += duration_ms
