Pool scheduler, rate limiter, their clients and the owner's service

A pool's owner alone reserves slots, pieces, prefill time and link time on its endpoints; requests wait in a weighted fair queue and are refused as soon as their first token cannot come in time. A workspace's owner grants tokens to hosts so that the level and all that hosts may spend never exceed the burst. Hosts follow owners through views, announce what runs to new owners and report ended attempts until acknowledged.

Admit has late_decode: a host that sets it gets a placement without a decode endpoint and asks for it by Pools.await_decode once the prefill is done. RequestGrant reports totals in place of differences, so that a lost answer cannot count anything twice.

Ruled out: websocket calls for each stage; grants that outlive their granter (a successor without its state would have to assume them unspent).

--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/caches.py
@@ -0,0 +1,65 @@
+"""An index of the prefix blocks that an engine is believed to cache."""
+
+import collections
+from collections import abc
+
+from masticquay_scheduling import protocols
+
+MAX_BLOCKS = 65_536
+
+
+class PrefixIndex:
+    """Follows one engine's cache by events that come late and with gaps.
+
+    A gap means that evictions may have been missed, so the whole index is
+    dropped. Blocks of a prefill that was just placed are expected to enter
+    the cache before their events arrive.
+    """
+
+    __slots__ = ('_blocks', 'sequence', 'gap_count')
+
+    def __init__(self) -> None:
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.sequence = 0
+        self.gap_count = 0
+
+    def apply(self, events: abc.Iterable[protocols.CacheEvent]) -> None:
+        """Applies events in the order of their sequence numbers."""
+        for event in events:
+            if event.sequence <= self.sequence:
+                continue
+            if event.sequence != self.sequence + 1:
+                self._blocks.clear()
+                self.gap_count += 1
+            self.sequence = event.sequence
+            if event.stored:
+                self._add(event.block_hash)
+            else:
+                self._blocks.pop(event.block_hash, None)
+
+    def expect(self, hashes: abc.Iterable[int]) -> None:
+        """Takes blocks for cached, since a prefill of them was placed."""
+        for block_hash in hashes:
+            self._add(block_hash)
+
+    def count_cached(self, hashes: list[int]) -> int:
+        """Returns how many leading blocks of a prompt are cached."""
+        count = 0
+        for block_hash in hashes:
+            if block_hash not in self._blocks:
+                break
+            count += 1
+        return count
+
+    def reset(self) -> None:
+        """Forgets everything, for an engine that started anew."""
+        self._blocks.clear()
+        self.sequence = 0
+
+    def _add(self, block_hash: int) -> None:
+        self._blocks[block_hash] = None
+        self._blocks.move_to_end(block_hash)
+        if len(self._blocks) > MAX_BLOCKS:
+            self._blocks.popitem(last=False)
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -0,0 +1,411 @@
+"""How an entry host reaches the owners of pools."""
+
+from concurrent import futures
+import contextlib
+import random as random_module
+import threading
+import typing
+
+from returns import result
+
+from masticquay_membership import messages as membership_messages
+from masticquay_membership import ownership
+from masticquay_membership import protocols as membership_protocols
+from masticquay_scheduling import directories
+from masticquay_scheduling import errors
+from masticquay_scheduling import messages
+from masticquay_scheduling import outstanding
+from masticquay_scheduling import plans
+from masticquay_scheduling import protocols
+from masticquay_scheduling import rate_clients
+from masticquay_scheduling import services
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
+
+ROUND_MS = 10
+RETRY_MS = 50
+ANNOUNCE_TIMEOUT_MS = 1_000
+REPORT_TIMEOUT_MS = 1_000
+ANSWER_MARGIN_MS = 1_000
+RateClient = rate_clients.RateClient
+SPILL_REASONS = frozenset(
+    (
+        messages.REASON_DEADLINE,
+        messages.REASON_QUEUE_FULL,
+        messages.REASON_NO_ENDPOINT,
+    )
+)
+
+
+class PoolClient:
+    """Admits requests at the owners of pools, here or on other hosts.
+
+    It follows owners through view changes, remembers what runs so that a new
+    owner can be told, and reports ended attempts until that is acknowledged.
+    """
+
+    def __init__(
+        self,
+        membership: membership_protocols.Membership,
+        service: services.SchedulingService,
+        directory: directories.Directory,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        settings: scheduling_settings.SchedulingSettings,
+    ):
+        self._membership = membership
+        self._service = service
+        self._directory = directory
+        self._clock = clock
+        self._random = random
+        self._settings = settings
+        self._map = plans.PoolMap(None, settings)
+        self._bundle = None
+        self._view = membership.state().view
+        self._owners: dict[str, membership_messages.Host | None] = {}
+        self._table = outstanding.OutstandingTable()
+        self._announced: dict[str, tuple[str, int]] = {}
+        self._announcing: set[str] = set()
+        self._lock = threading.RLock()
+        self._stopping = threading.Event()
+        self._stack = contextlib.ExitStack()
+
+    def start(self) -> None:
+        """Follows membership, and starts the thread for retries."""
+        self._membership.add_listener(self._follow)
+        state = self._membership.state()
+        self._follow(state, state)
+        thread = threading.Thread(
+            target=self._run, name='pool-client', daemon=True
+        )
+        thread.start()
+        self._stack.callback(thread.join, 2)
+        self._stack.callback(self._stopping.set)
+
+    def close(self) -> None:
+        """Stops; what waits is refused."""
+        self._stack.close()
+        for pending in self._table.take_pending():
+            pending.resolve(messages.Refused(messages.REASON_NO_ENDPOINT))
+
+    # What the entry host asks for.
+
+    def pool_of(self, target: str, place: str) -> str:
+        """Returns the pool for a model or service, near a place.
+
+        Among the shards of a place one is drawn; empty when there is none.
+        """
+        found = self._map.find(target, place)
+        if not found:
+            return ''
+        nearest = [plan for plan in found if plan.place == found[0].place]
+        return self._random.choice(nearest).name
+
+    def admit(self, admit: messages.Admit) -> futures.Future:
+        """Asks the pool's owner for a placement; see ``protocols.Pools``."""
+        pending = outstanding.PendingAdmit(
+            admit, self._clock.now_ms(), self._settings.spill_attempts
+        )
+        self._table.add_pending(pending)
+        self._send_admit(pending)
+        return pending.future
+
+    def await_decode(
+        self,
+        pool: str,
+        request: messages.RequestId,
+        attempt: int,
+        expires_ms: int,
+    ) -> futures.Future:
+        """Asks for the decode endpoint; see ``protocols.Pools``."""
+        future: futures.Future = futures.Future()
+        self._table.end_prefill(request, attempt)
+        pool = self._table.pool_of(request, attempt) or pool
+        message = messages.AwaitDecode(pool, request, attempt, expires_ms)
+
+        def settle(outcome: outstanding.Outcome | None) -> None:
+            if isinstance(outcome, messages.Placement):
+                self._table.complete(outcome)
+                future.set_result(result.Success(outcome))
+                return
+            refused = outcome or messages.Refused(messages.REASON_NO_SLOT)
+            future.set_result(result.Failure(refused))
+
+        self._ask(
+            pool,
+            message,
+            expires_ms,
+            settle,
+            lambda scheduler, reply: scheduler.await_decode(
+                request, attempt, expires_ms, reply
+            ),
+        )
+        return future
+
+    def withdraw(self, pool: str, request: messages.RequestId) -> None:
+        """Takes a request out of its queue; its future ends as refused."""
+        for pending in self._table.pending_of(request):
+            pending.withdrawn = True
+            message = messages.WithdrawRequest(pending.admit.pool, request)
+            self._tell(
+                pending.admit.pool,
+                message,
+                lambda scheduler: scheduler.withdraw(request),
+            )
+            self._resolve(pending, messages.Refused(messages.REASON_WITHDRAWN))
+
+    def report_prefill_done(
+        self, pool: str, request: messages.RequestId, attempt: int
+    ) -> None:
+        """Frees the prefill place of an attempt."""
+        self._table.end_prefill(request, attempt)
+        pool = self._table.pool_of(request, attempt) or pool
+        self._tell(
+            pool,
+            messages.PrefillDone(pool, request, attempt),
+            lambda scheduler: scheduler.prefill_done(request, attempt),
+        )
+
+    def finish(self, pool: str, finished: messages.Finished) -> None:
+        """Frees all places of an attempt; delivered at least once."""
+        pool = self._table.end(finished.request, finished.attempt) or pool
+        try:
+            scheduler = self._local(pool)
+            if scheduler is not None:
+                scheduler.finish(finished)
+                return
+        except errors.NotOwnerError:
+            pass
+        self._table.add_finished(pool, finished)
+
+    # Admission.
+
+    def _send_admit(self, pending: outstanding.PendingAdmit) -> None:
+        now_ms = self._clock.now_ms()
+        admit = pending.refresh(now_ms)
+        if admit is None:
+            self._resolve(pending, messages.Refused(messages.REASON_DEADLINE))
+            return
+        pending.round += 1
+        sent_round = pending.round
+        admit.finished = self._table.take_finished(admit.pool)
+        pending.owner = self._owner_key(admit.pool)
+
+        def settle(outcome: outstanding.Outcome | None) -> None:
+            if outcome is None:
+                for finished in admit.finished:
+                    self._table.add_finished(admit.pool, finished)
+            self._settle_admit(pending, sent_round, outcome)
+
+        self._ask(
+            admit.pool,
+            admit,
+            admit.max_wait_ms + ANSWER_MARGIN_MS,
+            settle,
+            lambda scheduler, reply: scheduler.admit(admit, reply),
+        )
+
+    def _settle_admit(
+        self,
+        pending: outstanding.PendingAdmit,
+        sent_round: int,
+        outcome: outstanding.Outcome | None,
+    ) -> None:
+        if isinstance(outcome, messages.Placement):
+            if pending.round == sent_round and self._resolve(pending, outcome):
+                return
+            self._give_back(outcome)
+            return
+        if pending.round != sent_round or pending.future.done():
+            return
+        if outcome is None or outcome.reason == messages.REASON_NOT_OWNER:
+            pending.retry_ms = self._clock.now_ms() + RETRY_MS
+            return
+        if outcome.reason in SPILL_REASONS and self._spill(pending, outcome):
+            return
+        self._resolve(pending, outcome)
+
+    def _resolve(
+        self,
+        pending: outstanding.PendingAdmit,
+        outcome: outstanding.Outcome,
+    ) -> bool:
+        placed = isinstance(outcome, messages.Placement)
+        return self._table.resolve(pending, outcome, placed)
+
+    def _give_back(self, placement: messages.Placement) -> None:
+        """Frees a placement that came too late for its request."""
+        finished = messages.Finished(
+            placement.request, placement.attempt, messages.FINISHED_CANCELLED
+        )
+        self._table.add_finished(placement.pool, finished)
+
+    def _spill(
+        self, pending: outstanding.PendingAdmit, refused: messages.Refused
+    ) -> bool:
+        """Turns to another pool of the same target, if there is one."""
+        current = self._map.plans.get(pending.admit.pool)
+        if current is None or not pending.spills_left:
+            return False
+        others = [
+            plan
+            for plan in self._map.find(current.target, current.place)
+            if plan.name not in pending.tried
+        ]
+        if not others:
+            return False
+        pending.turn_to(others[0].name)
+        self._send_admit(pending)
+        return True
+
+    # Owners.
+
+    def _follow(
+        self,
+        old: membership_protocols.HostState,
+        new: membership_protocols.HostState,
+    ) -> None:
+        with self._lock:
+            if new.bundle is not None and new.bundle is not self._bundle:
+                self._bundle = new.bundle
+                self._map = plans.PoolMap(new.bundle, self._settings)
+            self._view = new.view
+            # Replaced, not cleared: a concurrent lookup keeps the old one.
+            self._owners = {}
+
+    def _owner(self, pool: str) -> membership_messages.Host | None:
+        owners = self._owners
+        if pool not in owners:
+            plan = self._map.plans.get(pool)
+            place = plan.place if plan else ''
+            owners[pool] = ownership.find_owner(
+                self._view, ownership.KIND_POOL, pool, place
+            )
+        return owners[pool]
+
+    def _owner_key(self, pool: str) -> tuple[str, int] | None:
+        owner = self._owner(pool)
+        return (owner.name, owner.incarnation) if owner else None
+
+    def _local(self, pool: str):
+        """Returns the scheduler when this host is the owner, else None.
+
+        :raises NotOwnerError: when it should be here but is not ready
+        """
+        owner = self._owner(pool)
+        if owner is None or owner.name != self._membership.host.name:
+            return None
+        return self._service.find_pool(pool)
+
+    def _ask(
+        self,
+        pool: str,
+        message,
+        timeout_ms: int,
+        settle: typing.Callable[['outstanding.Outcome | None'], None],
+        run_local: typing.Callable,
+    ) -> None:
+        """Sends a call to the owner; ``settle`` gets None for no answer."""
+        try:
+            scheduler = self._local(pool)
+        except errors.NotOwnerError:
+            settle(None)
+            return
+        if scheduler is not None:
+            run_local(scheduler, settle)
+            return
+        owner = self._owner(pool)
+        if owner is None:
+            settle(None)
+            return
+        peer = self._directory.find(owner.peer_address)
+        future = peer.submit(message, timeout_ms)
+        future.add_done_callback(
+            lambda done: settle(None if done.exception() else done.result())
+        )
+
+    def _tell(self, pool: str, message, run_local: typing.Callable) -> None:
+        """Sends a message whose loss does no harm."""
+        try:
+            scheduler = self._local(pool)
+        except errors.NotOwnerError:
+            return
+        if scheduler is not None:
+            run_local(scheduler)
+            return
+        owner = self._owner(pool)
+        if owner is not None:
+            peer = self._directory.find(owner.peer_address)
+            with contextlib.suppress(wire_errors.WireError):
+                peer.notify(message)
+
+    # The thread.
+
+    def _run(self) -> None:
+        while not self._stopping.wait(ROUND_MS / 1000):
+            self._retry_admits()
+            self._report_finished()
+            self._announce_all()
+
+    def _retry_admits(self) -> None:
+        now_ms = self._clock.now_ms()
+        for pending in self._table.pending():
+            due = pending.retry_ms is not None and pending.retry_ms <= now_ms
+            if due or pending.owner != self._owner_key(pending.admit.pool):
+                pending.retry_ms = None
+                self._send_admit(pending)
+
+    def _report_finished(self) -> None:
+        for pool in self._table.pools_with_finished():
+            finished = self._table.take_finished(pool)
+            if finished:
+                self._report(pool, finished)
+
+    def _report(self, pool: str, finished: list[messages.Finished]) -> None:
+        def settle(outcome) -> None:
+            if outcome is None:
+                self._table.restore_finished(pool, finished)
+
+        def run_local(scheduler, reply) -> None:
+            for ended in finished:
+                scheduler.finish(ended)
+
+        message = messages.ReportFinished(pool, finished)
+        self._ask(pool, message, REPORT_TIMEOUT_MS, settle, run_local)
+
+    def _announce_all(self) -> None:
+        for pool in list(self._map.plans):
+            owner = self._owner(pool)
+            if owner is None or pool in self._announcing:
+                continue
+            key = (owner.name, owner.incarnation)
+            if self._announced.get(pool) != key:
+                self._announce(pool, key)
+
+    def _announce(self, pool: str, key: tuple[str, int]) -> None:
+        host = self._membership.host
+        message = messages.AnnouncePlacements(
+            pool,
+            host.name,
+            host.incarnation,
+            self._view.number,
+            self._table.placements_in(pool),
+        )
+        self._announcing.add(pool)
+
+        def settle(outcome) -> None:
+            if outcome is not None:
+                self._announced[pool] = key
+            self._announcing.discard(pool)
+
+        def run_local(scheduler, reply) -> None:
+            scheduler.announce(message)
+            reply(message)
+
+        self._ask(pool, message, ANNOUNCE_TIMEOUT_MS, settle, run_local)
+
+
+def implements(client: PoolClient) -> protocols.Pools:
+    """Lets a type checker see that the client fits its Protocol."""
+    return client
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/limiters.py
@@ -0,0 +1,224 @@
+"""The owner's side of a workspace's rate: one bucket, granted in parts."""
+
+import threading
+
+from masticquay_bundles import models
+from masticquay_scheduling import errors
+from masticquay_scheduling import messages
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_wire import clocks
+
+
+class HostGrant:
+    """What one host may still spend, as far as the owner knows.
+
+    :param tokens: an upper bound, until the host reports or it expires
+    """
+
+    __slots__ = (
+        'incarnation',
+        'tokens',
+        'expires_ms',
+        'sequence',
+        'spent_total_tokens',
+        'refunded_total_tokens',
+        'answer',
+    )
+
+    def __init__(self, incarnation: int, tokens: int, expires_ms: int):
+        self.incarnation = incarnation
+        self.tokens = tokens
+        self.expires_ms = expires_ms
+        self.sequence = 0
+        self.spent_total_tokens = 0
+        self.refunded_total_tokens = 0
+        self.answer: messages.Grant | None = None
+
+
+class RateLimiter:
+    """Grants a workspace's tokens to hosts.
+
+    The level plus all that hosts may still spend never exceeds the burst, so
+    no delay, loss or death lets hosts together spend more than rate * t +
+    burst. What a host has not reported when its grant expires counts as
+    spent.
+
+    :param level_tokens: what the bucket holds at first
+    :param view_number: requests chosen by an older view are refused
+    """
+
+    def __init__(
+        self,
+        workspace: models.Workspace,
+        clock: clocks.Clock,
+        settings: scheduling_settings.SchedulingSettings,
+        level_tokens: int,
+        view_number: int,
+    ):
+        self._clock = clock
+        self._settings = settings
+        self._workspace = workspace
+        self._view_number = view_number
+        self._level = float(min(level_tokens, workspace.burst_tokens))
+        self._refilled_ms = clock.now_ms()
+        self._grants: dict[str, HostGrant] = {}
+        self._lock = threading.Lock()
+        self._retired = False
+        self.expired_tokens = 0
+
+    @classmethod
+    def take_over(
+        cls,
+        handover: messages.HandOverRate,
+        workspace: models.Workspace,
+        clock: clocks.Clock,
+        settings: scheduling_settings.SchedulingSettings,
+    ) -> 'RateLimiter':
+        """Continues with the state of the old owner."""
+        limiter = cls(
+            workspace,
+            clock,
+            settings,
+            handover.level_tokens,
+            handover.view_number,
+        )
+        now_ms = clock.now_ms()
+        for grant in handover.grants:
+            limiter._grants[grant.host] = HostGrant(
+                grant.incarnation, grant.tokens, now_ms + grant.expires_in_ms
+            )
+        limiter._cap()
+        return limiter
+
+    def update(self, workspace: models.Workspace) -> None:
+        """Takes the rate and burst of a newer bundle."""
+        with self._lock:
+            self._refill()
+            self._workspace = workspace
+            self._cap()
+
+    def request(self, request: messages.RequestGrant) -> messages.Grant:
+        """Takes a host's report, and grants what it may.
+
+        :raises NotOwnerError: when it is not the owner for that request
+        """
+        with self._lock:
+            if self._retired or request.view_number < self._view_number:
+                raise errors.NotOwnerError(request.workspace)
+            self._refill()
+            grant = self._find_grant(request)
+            if grant is None or request.sequence < grant.sequence:
+                return messages.Grant(request.sequence, 0, 0, 0)
+            if request.sequence == grant.sequence:
+                return grant.answer
+            self._settle(grant, request)
+            answer = self._answer(grant, request)
+            grant.sequence = request.sequence
+            grant.answer = answer
+            return answer
+
+    def hand_over(self, view_number: int) -> messages.HandOverRate:
+        """Stops granting, and returns the state for the next owner."""
+        with self._lock:
+            self._refill()
+            self._retired = True
+            now_ms = self._clock.now_ms()
+            grants = [
+                messages.HeldGrant(
+                    host,
+                    grant.incarnation,
+                    grant.tokens,
+                    grant.expires_ms - now_ms,
+                )
+                for host, grant in self._grants.items()
+                if grant.tokens
+            ]
+            return messages.HandOverRate(
+                self._workspace.name, view_number, int(self._level), grants
+            )
+
+    def retire(self) -> None:
+        """Stops granting."""
+        with self._lock:
+            self._retired = True
+
+    def level_tokens(self) -> int:
+        """Returns what may be granted now."""
+        with self._lock:
+            self._refill()
+            return int(self._level)
+
+    def outstanding_tokens(self) -> int:
+        """Returns what hosts may still spend."""
+        return sum(grant.tokens for grant in self._grants.values())
+
+    def _find_grant(self, request: messages.RequestGrant) -> HostGrant | None:
+        grant = self._grants.get(request.host)
+        if grant is not None and grant.incarnation > request.incarnation:
+            return None
+        if grant is None or grant.incarnation < request.incarnation:
+            grant = HostGrant(request.incarnation, 0, 0)
+            self._grants[request.host] = grant
+        return grant
+
+    def _settle(
+        self, grant: HostGrant, request: messages.RequestGrant
+    ) -> None:
+        """Books what a host spent, kept, and gave back."""
+        spent = request.spent_total_tokens - grant.spent_total_tokens
+        refunded = request.refunded_total_tokens - grant.refunded_total_tokens
+        unused = grant.tokens - max(0, spent) - request.held_tokens
+        grant.spent_total_tokens += max(0, spent)
+        grant.refunded_total_tokens += max(0, refunded)
+        grant.tokens = request.held_tokens
+        self._level += max(0, unused) + max(0, refunded)
+        self._cap()
+
+    def _answer(
+        self, grant: HostGrant, request: messages.RequestGrant
+    ) -> messages.Grant:
+        valid_ms = self._settings.grant_valid_ms
+        granted = self._size_grant(request)
+        self._level -= granted
+        grant.tokens += granted
+        grant.expires_ms = (
+            self._clock.now_ms() + valid_ms + self._settings.grant_margin_ms
+        )
+        retry_ms = 0
+        if not granted:
+            retry_ms = self._time_to_ms(request.needed_tokens)
+        return messages.Grant(request.sequence, granted, valid_ms, retry_ms)
+
+    def _size_grant(self, request: messages.RequestGrant) -> int:
+        needed = request.needed_tokens
+        if needed > self._level or request.wanted_tokens <= 0:
+            return 0
+        burst = self._workspace.burst_tokens
+        if self._level < burst * self._settings.scarce_percent / 100:
+            return needed
+        share = int(self._level * self._settings.grant_share_percent / 100)
+        return max(needed, min(request.wanted_tokens, share))
+
+    def _time_to_ms(self, tokens: int) -> int:
+        """Returns when some tokens will be there, 0 for never."""
+        if not tokens or tokens > self._workspace.burst_tokens:
+            return 0
+        rate = max(1, self._workspace.rate_tokens_per_s)
+        missing = max(0.0, tokens - self._level)
+        return max(1, int(-(-missing * 1000 // rate)))
+
+    def _refill(self) -> None:
+        now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - self._refilled_ms
+        self._refilled_ms = now_ms
+        self._level += elapsed_ms * self._workspace.rate_tokens_per_s / 1000
+        # The cap comes before expiry: until then the grants were alive.
+        self._cap()
+        for grant in self._grants.values():
+            if grant.tokens and grant.expires_ms <= now_ms:
+                self.expired_tokens += grant.tokens
+                grant.tokens = 0
+
+    def _cap(self) -> None:
+        free = self._workspace.burst_tokens - self.outstanding_tokens()
+        self._level = min(self._level, free)
--- a/libs/scheduling/masticquay_scheduling/messages.py
+++ b/libs/scheduling/masticquay_scheduling/messages.py
@@ -11,6 +11,10 @@
 REASON_NOT_OWNER = 'not-owner'
 REASON_WITHDRAWN = 'key-withdrawn'
 REASON_TOO_LARGE = 'too-large'
+REASON_NO_SLOT = 'no-slot'
+
+# Codes of messages.Failure that owners answer.
+CODE_NOT_OWNER = 'not-owner'
 
 FINISHED_DONE = 'done'
 FINISHED_CANCELLED = 'cancelled'
@@ -77,6 +81,8 @@
     :param max_wait_ms: the longest time in the queue
     :param excluded: endpoints that failed earlier attempts
     :param finished: ended attempts, sent along to save messages
+    :param late_decode: the host will send AwaitDecode after the prefill, so
+        the placement may come without a decode endpoint
     """
 
     __slots__ = (
@@ -93,6 +99,7 @@
         'max_wait_ms',
         'excluded',
         'finished',
+        'late_decode',
     )
 
     def __init__(
@@ -110,6 +117,7 @@
         max_wait_ms: int,
         excluded: list[str] | None = None,
         finished: list[Finished] | None = None,
+        late_decode: bool = False,
     ):
         self.pool = pool
         self.request = request
@@ -124,6 +132,7 @@
         self.max_wait_ms = max_wait_ms
         self.excluded = excluded or []
         self.finished = finished or []
+        self.late_decode = late_decode
 
 
 @messages.register
@@ -131,7 +140,8 @@
     """Reserves places on endpoints for one attempt.
 
     :param prefill_endpoint: empty for a plain service
-    :param decode_endpoint: the decode engine, or the service endpoint
+    :param decode_endpoint: the decode engine, or the service endpoint; empty
+        when it is to be asked for by AwaitDecode once the prefill is done
     :param prefill_timeout_ms: longest time for prefill
     :param transfer_timeout_ms: longest time from there to the first token
     :param stall_timeout_ms: longest time between tokens
@@ -219,6 +229,38 @@
         self.attempt = attempt
 
 
+@messages.register
+class AwaitDecode(messages.Message):
+    """Says that a prefill has ended, and asks for the decode endpoint.
+
+    The answer is the completed Placement, or Refused when no slot came free
+    before the prefill result expires.
+
+    :param expires_ms: how much longer the engine keeps the prefill result
+    """
+
+    __slots__ = ('pool', 'request', 'attempt', 'expires_ms')
+
+    def __init__(
+        self, pool: str, request: RequestId, attempt: int, expires_ms: int
+    ):
+        self.pool = pool
+        self.request = request
+        self.attempt = attempt
+        self.expires_ms = expires_ms
+
+
+@messages.register
+class WithdrawRequest(messages.Message):
+    """Takes a request out of a pool's queue."""
+
+    __slots__ = ('pool', 'request')
+
+    def __init__(self, pool: str, request: RequestId):
+        self.pool = pool
+        self.request = request
+
+
 @messages.register
 class AnnouncePlacements(messages.Message):
     """Tells a pool's new owner what a host is running there.
@@ -247,22 +289,30 @@
 class RequestGrant(messages.Message):
     """Reports the use of a host's grant, and asks for more.
 
+    A host sends the next sequence only when it got the answer to the one
+    before or will ignore that answer, so all that it may spend is in
+    ``held_tokens``. Totals count from when the host turned to this owner.
+
+    :param view_number: the view by which the host chose the owner
     :param sequence: rises with each request of this host for the workspace
-    :param spent_tokens: spent since the last answered request
+    :param spent_total_tokens: spent in all
+    :param refunded_total_tokens: given back in all by ended requests
     :param held_tokens: what the host still holds unspent
-    :param wanted_tokens: how much more it wants, 0 to only report
-    :param returned_tokens: taken out of what it held, given back
+    :param needed_tokens: the least that is of use, 0 to only report
+    :param wanted_tokens: how much it would like, at least the needed
     """
 
     __slots__ = (
         'workspace',
         'host',
         'incarnation',
+        'view_number',
         'sequence',
-        'spent_tokens',
+        'spent_total_tokens',
+        'refunded_total_tokens',
         'held_tokens',
+        'needed_tokens',
         'wanted_tokens',
-        'returned_tokens',
     )
 
     def __init__(
@@ -270,20 +320,24 @@
         workspace: str,
         host: str,
         incarnation: int,
+        view_number: int,
         sequence: int,
-        spent_tokens: int,
+        spent_total_tokens: int,
+        refunded_total_tokens: int,
         held_tokens: int,
+        needed_tokens: int,
         wanted_tokens: int,
-        returned_tokens: int,
     ):
         self.workspace = workspace
         self.host = host
         self.incarnation = incarnation
+        self.view_number = view_number
         self.sequence = sequence
-        self.spent_tokens = spent_tokens
+        self.spent_total_tokens = spent_total_tokens
+        self.refunded_total_tokens = refunded_total_tokens
         self.held_tokens = held_tokens
+        self.needed_tokens = needed_tokens
         self.wanted_tokens = wanted_tokens
-        self.returned_tokens = returned_tokens
 
 
 @messages.register
@@ -291,7 +345,7 @@
     """Tokens that a host may spend for a workspace.
 
     :param valid_ms: how long, from when the request was sent
-    :param retry_after_ms: when tokens wanted but not granted will be there
+    :param retry_after_ms: when tokens needed but not granted will be there
     """
 
     __slots__ = ('sequence', 'granted_tokens', 'valid_ms', 'retry_after_ms')
@@ -307,3 +361,39 @@
         self.granted_tokens = granted_tokens
         self.valid_ms = valid_ms
         self.retry_after_ms = retry_after_ms
+
+
+class HeldGrant(records.Record):
+    """What an owner knows of one host's grant.
+
+    :param expires_in_ms: when the host can spend it no longer
+    """
+
+    __slots__ = ('host', 'incarnation', 'tokens', 'expires_in_ms')
+
+    def __init__(
+        self, host: str, incarnation: int, tokens: int, expires_in_ms: int
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.tokens = tokens
+        self.expires_in_ms = expires_in_ms
+
+
+@messages.register
+class HandOverRate(messages.Message):
+    """Moves a workspace's rate state from its old owner to the new one."""
+
+    __slots__ = ('workspace', 'view_number', 'level_tokens', 'grants')
+
+    def __init__(
+        self,
+        workspace: str,
+        view_number: int,
+        level_tokens: int,
+        grants: list[HeldGrant],
+    ):
+        self.workspace = workspace
+        self.view_number = view_number
+        self.level_tokens = level_tokens
+        self.grants = grants
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/plans.py
@@ -0,0 +1,126 @@
+"""Which pools a bundle makes, and which endpoints each of them has."""
+
+from masticquay_bundles import models
+from masticquay_scheduling import settings as scheduling_settings
+
+
+class PoolPlan:
+    """The endpoints of one pool.
+
+    :param place: the place near which its owner is chosen
+    :param target: the model or service
+    """
+
+    __slots__ = (
+        'name',
+        'target',
+        'place',
+        'is_service',
+        'endpoints',
+        'kv_bytes_per_token',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        target: str,
+        place: str,
+        is_service: bool,
+        endpoints: list[models.Endpoint],
+        kv_bytes_per_token: int = 0,
+    ):
+        self.name = name
+        self.target = target
+        self.place = place
+        self.is_service = is_service
+        self.endpoints = endpoints
+        self.kv_bytes_per_token = kv_bytes_per_token
+
+
+class PoolMap:
+    """All pools of a bundle.
+
+    The endpoints of a target in a region make one pool, homed in the place
+    that has most of them, as long as they are few: one queue over all of
+    them wastes fewest slots. Above that, each place has a pool of its own,
+    cut into shards.
+    """
+
+    def __init__(
+        self,
+        bundle: models.Bundle | None,
+        settings: scheduling_settings.SchedulingSettings,
+    ):
+        self.plans: dict[str, PoolPlan] = {}
+        self._by_target: dict[str, list[PoolPlan]] = {}
+        if bundle is None:
+            return
+        self._limit = settings.max_pool_endpoints
+        self._regions = {p.name: p.region for p in bundle.places}
+        self._models = {model.name: model for model in bundle.models}
+        groups: dict[tuple[str, str], list[models.Endpoint]] = {}
+        for endpoint in bundle.endpoints:
+            target = endpoint.model or endpoint.service
+            region = self._regions.get(endpoint.place, '')
+            groups.setdefault((target, region), []).append(endpoint)
+        for (target, _), endpoints in sorted(groups.items()):
+            self._plan_region(target, endpoints)
+
+    def find(self, target: str, place: str) -> list[PoolPlan]:
+        """Returns the pools of a target, the nearest first."""
+        plans = self._by_target.get(target, [])
+        if len(plans) < 2:
+            return list(plans)
+        region = self._regions.get(place, '')
+
+        def distance(plan: PoolPlan) -> int:
+            if plan.place == place:
+                return 0
+            return 1 if self._regions.get(plan.place, '') == region else 2
+
+        return sorted(plans, key=distance)
+
+    def _plan_region(
+        self, target: str, endpoints: list[models.Endpoint]
+    ) -> None:
+        by_place: dict[str, list[models.Endpoint]] = {}
+        for endpoint in endpoints:
+            by_place.setdefault(endpoint.place, []).append(endpoint)
+        if len(endpoints) <= self._limit:
+            home = max(sorted(by_place), key=lambda p: len(by_place[p]))
+            self._add(f'{target}@{home}', target, home, endpoints)
+            return
+        for place, members in sorted(by_place.items()):
+            self._plan_place(target, place, members)
+
+    def _plan_place(
+        self, target: str, place: str, endpoints: list[models.Endpoint]
+    ) -> None:
+        if len(endpoints) <= self._limit:
+            self._add(f'{target}@{place}', target, place, endpoints)
+            return
+        count = -(-len(endpoints) // self._limit)
+        # Sorting by role first deals each role evenly to the shards.
+        ordered = sorted(endpoints, key=lambda e: (sorted(e.roles), e.name))
+        for shard in range(count):
+            name = f'{target}@{place}#{shard}'
+            self._add(name, target, place, ordered[shard::count])
+
+    def _add(
+        self,
+        name: str,
+        target: str,
+        place: str,
+        endpoints: list[models.Endpoint],
+    ) -> None:
+        model = self._models.get(target)
+        plan = PoolPlan(
+            name,
+            target,
+            place,
+            endpoints[0].kind == models.KIND_SERVICE,
+            endpoints,
+            model.kv_bytes_per_token if model else 0,
+        )
+        self.plans[name] = plan
+        self._by_target.setdefault(target, []).append(plan)
--- a/libs/scheduling/masticquay_scheduling/protocols.py
+++ b/libs/scheduling/masticquay_scheduling/protocols.py
@@ -31,6 +31,23 @@
     ) -> None:
         """Frees the prefill place of an attempt."""
 
+    def await_decode(
+        self,
+        pool: str,
+        request: messages.RequestId,
+        attempt: int,
+        expires_ms: int,
+    ) -> 'futures.Future[PlacementResult]':
+        """Asks, after the prefill, for the decode endpoint of an attempt.
+
+        Only for a placement without one, which only an Admit with
+        ``late_decode`` gets. It frees the prefill place as well. Refused
+        means that the prefill result will expire first: finish the attempt
+        and admit the next one. The future never fails.
+
+        :param expires_ms: how much longer the prefill result lives
+        """
+
     def finish(self, pool: str, finished: messages.Finished) -> None:
         """Frees all places of an attempt; delivered at least once."""
 
--- /dev/null
+++ b/libs/scheduling/masticquay_scheduling/services.py
@@ -0,0 +1,289 @@
+"""The owner's service: schedulers and limiters as ownership changes."""
+
+from concurrent import futures
+import contextlib
+import logging
+import random as random_module
+import threading
+
+from masticquay_bundles import models
+from masticquay_membership import messages as membership_messages
+from masticquay_membership import ownership
+from masticquay_membership import protocols as membership_protocols
+from masticquay_scheduling import directories
+from masticquay_scheduling import errors
+from masticquay_scheduling import limiters
+from masticquay_scheduling import messages
+from masticquay_scheduling import plans
+from masticquay_scheduling import protocols
+from masticquay_scheduling import rate_owners
+from masticquay_scheduling import schedulers
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_scheduling import watchers
+from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import listeners
+from masticquay_wire import peers
+
+LOG = logging.getLogger(__name__)
+
+TICK_MS = 10
+UPKEEP_MS = 100
+
+
+def host_keys(
+    view: membership_messages.View,
+) -> set[tuple[str, int]]:
+    """Returns names and incarnations of a view's hosts."""
+    return {(host.name, host.incarnation) for host in view.hosts}
+
+
+class SchedulingService:
+    """Runs the pools and rate limiters that this host owns.
+
+    A pool's scheduler begins once the view that made this host its owner is
+    adopted by all live hosts, since the old owner has stopped by then.
+    """
+
+    def __init__(
+        self,
+        membership: membership_protocols.Membership,
+        listener: listeners.Listener,
+        watcher: protocols.EndpointWatcher,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        settings: scheduling_settings.SchedulingSettings,
+        directory: directories.Directory,
+    ):
+        self._membership = membership
+        self._clock = clock
+        self._settings = settings
+        self._lock = threading.RLock()
+        self._pools: dict[str, schedulers.PoolScheduler] = {}
+        self._stopping = threading.Event()
+        self._stack = contextlib.ExitStack()
+        self._watch = watchers.EndpointRounds(watcher, clock, settings)
+        self._rates = rate_owners.RateOwners(
+            membership, directory, clock, settings
+        )
+        self._plans = plans.PoolMap(None, settings)
+        self._bundle: models.Bundle | None = None
+        for message_type, handler in (
+            (messages.Admit, self._handle_admit),
+            (messages.AwaitDecode, self._handle_await_decode),
+            (messages.PrefillDone, self._handle_prefill_done),
+            (messages.ReportFinished, self._handle_finished),
+            (messages.WithdrawRequest, self._handle_withdraw),
+            (messages.AnnouncePlacements, self._handle_announce),
+            (messages.RequestGrant, self._handle_grant),
+            (messages.HandOverRate, self._handle_hand_over),
+        ):
+            listener.handle(message_type, handler)
+
+    def start(self) -> None:
+        """Follows membership, and starts the threads."""
+        self._stack.callback(self._stopping.set)
+        self._membership.add_listener(self._follow)
+        state = self._membership.state()
+        self._follow(state, state)
+        for target in (self._run_ticks, self._run_upkeep):
+            thread = threading.Thread(
+                target=target, name='scheduling', daemon=True
+            )
+            thread.start()
+            self._stack.callback(thread.join, 2)
+        self._watch.start(self._owned_pools)
+        self._stack.callback(self._watch.close)
+
+    def close(self) -> None:
+        """Stops; all that waits is answered as not owned here."""
+        self._stopping.set()
+        with self._lock:
+            pools = list(self._pools.values())
+            self._pools.clear()
+        for pool in pools:
+            pool.retire()
+        self._stack.close()
+
+    def find_pool(self, name: str) -> schedulers.PoolScheduler:
+        """Returns the scheduler of a pool.
+
+        :raises NotOwnerError: when this host is not its owner now
+        """
+        pool = self._pools.get(name)
+        if pool is None or not self._membership.lease_valid():
+            raise errors.NotOwnerError(name)
+        return pool
+
+    def request_grant(self, request: messages.RequestGrant) -> messages.Grant:
+        """Answers a request of a host, possibly of this one.
+
+        :raises NotOwnerError: when this host is not the owner now
+        """
+        if not self._membership.lease_valid():
+            raise errors.NotOwnerError(request.workspace)
+        return self._rates.request(request)
+
+    def pools(self) -> dict[str, schedulers.PoolScheduler]:
+        """Returns the pools owned now, for metrics."""
+        return dict(self._pools)
+
+    def limiters(self) -> dict[str, limiters.RateLimiter]:
+        """Returns the rate limiters owned now, for metrics."""
+        return self._rates.active()
+
+    # Ownership.
+
+    def _follow(
+        self,
+        old: membership_protocols.HostState,
+        new: membership_protocols.HostState,
+    ) -> None:
+        with self._lock:
+            if new.bundle is not None and new.bundle is not self._bundle:
+                self._bundle = new.bundle
+                self._plans = plans.PoolMap(new.bundle, self._settings)
+                self._update_pools()
+            self._change_pools(new)
+            self._rates.follow(old, new)
+
+    def _update_pools(self) -> None:
+        for name, pool in self._pools.items():
+            plan = self._plans.plans.get(name)
+            if plan is not None:
+                pool.update(plan, self._bundle)
+
+    def _change_pools(self, state: membership_protocols.HostState) -> None:
+        owned = self._owned_plans(state.view)
+        for name in [n for n in self._pools if n not in owned]:
+            pool = self._pools.pop(name)
+            pool.retire()
+            LOG.info('pool given up', extra={'pool': name})
+        live_hosts = host_keys(state.view)
+        for pool in self._pools.values():
+            pool.keep_hosts(live_hosts)
+        if state.adopted_view_number < state.view.number:
+            return
+        for name, plan in owned.items():
+            if name in self._pools:
+                continue
+            self._pools[name] = schedulers.PoolScheduler(
+                plan,
+                self._bundle,
+                self._clock,
+                self._settings,
+                unannounced=live_hosts,
+            )
+            LOG.info('pool taken', extra={'pool': name})
+
+    def _owned_plans(
+        self, view: membership_messages.View
+    ) -> dict[str, plans.PoolPlan]:
+        me = self._membership.host.name
+        owned = {}
+        for name, plan in self._plans.plans.items():
+            owner = ownership.find_owner(
+                view, ownership.KIND_POOL, name, plan.place
+            )
+            if owner is not None and owner.name == me:
+                owned[name] = plan
+        return owned
+
+    def _owned_pools(self) -> list[schedulers.PoolScheduler]:
+        return list(self._pools.values())
+
+    # Threads.
+
+    def _run_ticks(self) -> None:
+        while not self._stopping.wait(TICK_MS / 1000):
+            now_ms = self._clock.now_ms()
+            for pool in self._owned_pools():
+                if pool.needs_tick(now_ms):
+                    pool.tick()
+
+    def _run_upkeep(self) -> None:
+        while not self._stopping.wait(UPKEEP_MS / 1000):
+            # An adopted view changes no state that calls the listener.
+            with self._lock:
+                self._change_pools(self._membership.state())
+            self._rates.upkeep()
+            for pool in self._owned_pools():
+                pool.sweep()
+
+    # Handlers.
+
+    def _handle_admit(
+        self, admit: messages.Admit, link: peers.Connection
+    ) -> futures.Future:
+        return self._answer_later(
+            lambda reply: self.find_pool(admit.pool).admit(admit, reply)
+        )
+
+    def _handle_await_decode(
+        self, message: messages.AwaitDecode, link: peers.Connection
+    ) -> futures.Future:
+        return self._answer_later(
+            lambda reply: self.find_pool(message.pool).await_decode(
+                message.request, message.attempt, message.expires_ms, reply
+            )
+        )
+
+    def _handle_prefill_done(
+        self, message: messages.PrefillDone, link: peers.Connection
+    ) -> None:
+        with contextlib.suppress(errors.NotOwnerError):
+            pool = self.find_pool(message.pool)
+            pool.prefill_done(message.request, message.attempt)
+
+    def _handle_finished(
+        self, message: messages.ReportFinished, link: peers.Connection
+    ) -> None:
+        pool = self._find_remote(message.pool)
+        for finished in message.finished:
+            pool.finish(finished)
+
+    def _handle_withdraw(
+        self, message: messages.WithdrawRequest, link: peers.Connection
+    ) -> None:
+        self._find_remote(message.pool).withdraw(message.request)
+
+    def _handle_announce(
+        self, message: messages.AnnouncePlacements, link: peers.Connection
+    ) -> None:
+        self._find_remote(message.pool).announce(message)
+
+    def _handle_grant(
+        self, message: messages.RequestGrant, link: peers.Connection
+    ) -> messages.Grant:
+        try:
+            return self.request_grant(message)
+        except errors.NotOwnerError as cause:
+            raise _not_owner(message.workspace) from cause
+
+    def _handle_hand_over(
+        self, message: messages.HandOverRate, link: peers.Connection
+    ) -> None:
+        try:
+            self._rates.accept(message)
+        except errors.NotOwnerError as cause:
+            raise _not_owner(message.workspace) from cause
+
+    def _find_remote(self, name: str) -> schedulers.PoolScheduler:
+        try:
+            return self.find_pool(name)
+        except errors.NotOwnerError as cause:
+            raise _not_owner(name) from cause
+
+    def _answer_later(self, ask) -> futures.Future:
+        future: futures.Future = futures.Future()
+        try:
+            ask(future.set_result)
+        except errors.NotOwnerError:
+            future.set_result(messages.Refused(messages.REASON_NOT_OWNER))
+        return future
+
+
+def _not_owner(name: str) -> wire_errors.RemoteError:
+    return wire_errors.RemoteError(
+        messages.CODE_NOT_OWNER, f'{name} has another owner'
+    )
--- /dev/null
+++ b/libs/scheduling/tests/test_clients.py
@@ -0,0 +1,171 @@
+"""Tests of hosts that admit and charge over real links."""
+
+import contextlib
+import random
+import time
+import unittest
+
+from returns import pipeline
+
+from masticquay_membership import messages as membership_messages
+from masticquay_membership import ownership
+from masticquay_scheduling import clients
+from masticquay_scheduling import directories
+from masticquay_scheduling import messages
+from masticquay_scheduling import services
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_wire import clocks
+from masticquay_wire import listeners
+from masticquay_wire import peers
+from tests import fakes
+
+SECRET = b'secret'
+
+
+class Node:
+    """One entry host's part in scheduling."""
+
+    def __init__(self, name, stack):
+        self.name = name
+        self.listener = listeners.Listener(
+            peers.Address('127.0.0.1', 0), name, SECRET
+        )
+        self.listener.start()
+        self.host = fakes.make_host(name, self.listener.address)
+        self.watcher = fakes.FakeWatcher()
+        self.stack = stack.enter_context(contextlib.ExitStack())
+
+    def start(self, state):
+        clock = clocks.MonotonicClock()
+        settings = scheduling_settings.SchedulingSettings()
+        self.membership = fakes.FakeMembership(self.host, state)
+        directory = directories.PeerDirectory(self.name, SECRET)
+        self.service = services.SchedulingService(
+            self.membership,
+            self.listener,
+            self.watcher,
+            clock,
+            random.Random(1),
+            settings,
+            directory,
+        )
+        shared = (
+            self.membership,
+            self.service,
+            directory,
+            clock,
+            random.Random(1),
+            settings,
+        )
+        self.pools = clients.PoolClient(*shared)
+        self.rates = clients.RateClient(*shared)
+        self.stack.callback(directory.close)
+        for part in (self.service, self.pools, self.rates):
+            part.start()
+            self.stack.callback(part.close)
+        self.stack.callback(self.listener.close)
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.nodes = {name: Node(name, stack) for name in ('h1', 'h2', 'h3')}
+        self.bundle = fakes.make_bundle(
+            [
+                fakes.make_engine('p1', ['prefill']),
+                fakes.make_engine('d1', ['decode']),
+                fakes.make_service('s1'),
+            ]
+        )
+        self.view = self.make_view(1, self.nodes)
+        for node in self.nodes.values():
+            node.start(fakes.make_state(self.view))
+        self.change(bundle=self.bundle)
+
+    def make_view(self, number, names):
+        hosts = [self.nodes[name].host for name in names]
+        return membership_messages.View(number, hosts)
+
+    def change(self, **fields):
+        for node in self.nodes.values():
+            node.membership.change(**fields)
+
+    def owner(self, kind, name, place=''):
+        return ownership.find_owner(self.view, kind, name, place).name
+
+    def lose(self, name):
+        node = self.nodes.pop(name)
+        node.membership.valid = False
+        node.stack.close()
+        self.view = self.make_view(self.view.number + 1, self.nodes)
+        self.change(view=self.view)
+        self.change(adopted_view_number=self.view.number)
+
+    def wait_for(self, condition):
+        limit_s = time.monotonic() + fakes.WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), limit_s, 'condition never held')
+            time.sleep(0.01)
+
+    def place(self, node, number):
+        pool = node.pools.pool_of('tall', 'north')
+        admit = fakes.make_admit(
+            number, pool, host=node.name, max_wait_ms=20_000
+        )
+        outcome = node.pools.admit(admit).result(fakes.WAIT_S)
+        self.assertTrue(pipeline.is_successful(outcome), outcome)
+        return outcome.unwrap()
+
+    def test_every_host_reaches_the_owner(self):
+        for node in self.nodes.values():
+            placement = self.place(node, 1)
+            self.assertEqual('p1', placement.prefill_endpoint)
+            self.assertEqual('d1', placement.decode_endpoint)
+
+    def test_finish_frees_the_slot(self):
+        node = self.nodes['h1']
+        for number in range(12):
+            placement = self.place(node, number)
+            node.pools.report_prefill_done(
+                placement.pool, placement.request, 1
+            )
+            node.pools.finish(
+                placement.pool,
+                messages.Finished(
+                    placement.request, 1, messages.FINISHED_DONE, 10
+                ),
+            )
+
+    def test_new_owner_learns_what_runs(self):
+        owner = self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        node = next(n for n in self.nodes.values() if n.name != owner)
+        self.place(node, 1)
+        self.place(node, 2)
+        self.lose(owner)
+        new = self.nodes[
+            self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        ]
+        self.wait_for(lambda: 'tall@north' in new.service.pools())
+        pool = new.service.pools()['tall@north']
+        self.wait_for(lambda: pool.opened)
+        self.assertEqual(2, pool.counters.adopted)
+        self.place(node, 3)
+
+    def test_charges_from_all_hosts(self):
+        for node in self.nodes.values():
+            outcome = node.rates.charge('one', 500, 20_000)
+            outcome = outcome.result(fakes.WAIT_S)
+            self.assertTrue(pipeline.is_successful(outcome), outcome)
+
+    def test_charge_over_burst_is_refused(self):
+        outcome = self.nodes['h1'].rates.charge('one', 30_000, 20_000)
+        refused = outcome.result(fakes.WAIT_S).failure()
+        self.assertEqual(messages.REASON_OVER_RATE, refused.reason)
+
+    def test_charges_go_on_after_the_owner_was_lost(self):
+        owner = self.owner(ownership.KIND_WORKSPACE, 'one')
+        self.lose(owner)
+        node = next(iter(self.nodes.values()))
+        outcome = node.rates.charge('one', 500, 20_000).result(fakes.WAIT_S)
+        self.assertTrue(pipeline.is_successful(outcome), outcome)
