--- /dev/null
+++ b/libs/consensus/masticquay_consensus/messages.py
@@ -0,0 +1,288 @@
+"""Messages between replicas, and what they store."""
+
+from masticquay_wire import messages
+from masticquay_wire import records
+
+ROLE_LEADER = 'leader'
+ROLE_FOLLOWER = 'follower'
+ROLE_CANDIDATE = 'candidate'
+ROLE_LEARNER = 'learner'
+
+KIND_COMMAND = 0
+KIND_CONFIGURATION = 1
+KIND_EMPTY = 2
+
+
+class Member(records.Record):
+    """A replica of the group.
+
+    :param replica_id: the identity on its disk; a new disk is another replica
+    """
+
+    __slots__ = ('replica_id', 'name', 'address', 'voter')
+
+    def __init__(self, replica_id: str, name: str, address: str, voter: bool):
+        self.replica_id = replica_id
+        self.name = name
+        self.address = address
+        self.voter = voter
+
+
+class Configuration(records.Record):
+    """The members of the group."""
+
+    __slots__ = ('members',)
+
+    def __init__(self, members: list[Member]):
+        self.members = members
+
+    def member(self, replica_id: str) -> Member | None:
+        """Returns a member by its identity."""
+        return next(
+            (m for m in self.members if m.replica_id == replica_id), None
+        )
+
+    def named(self, name: str) -> list[Member]:
+        """Returns the members of a name; more than one while replacing."""
+        return [m for m in self.members if m.name == name]
+
+    def voter_ids(self) -> list[str]:
+        """Returns the identities of the voters."""
+        return [m.replica_id for m in self.members if m.voter]
+
+    def quorum(self) -> int:
+        """Returns how many voters make a majority."""
+        return len(self.voter_ids()) // 2 + 1
+
+
+class Entry(records.Record):
+    """One record of the log."""
+
+    __slots__ = ('index', 'term', 'kind', 'command')
+
+    def __init__(self, index: int, term: int, kind: int, command: bytes):
+        self.index = index
+        self.term = term
+        self.kind = kind
+        self.command = command
+
+
+@messages.register
+class Identify(messages.Message):
+    """Asks a replica who it is and whether it belongs to a group."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        pass
+
+
+@messages.register
+class Identity(messages.Message):
+    """The answer to Identify; ``configuration`` is None without a group."""
+
+    __slots__ = ('replica_id', 'name', 'configuration')
+
+    def __init__(
+        self,
+        replica_id: str,
+        name: str,
+        configuration: Configuration | None = None,
+    ):
+        self.replica_id = replica_id
+        self.name = name
+        self.configuration = configuration
+
+
+@messages.register
+class FormGroup(messages.Message):
+    """Tells a replica without a group its first configuration."""
+
+    __slots__ = ('to_id', 'configuration')
+
+    def __init__(self, to_id: str, configuration: Configuration):
+        self.to_id = to_id
+        self.configuration = configuration
+
+
+@messages.register
+class RequestVote(messages.Message):
+    """Asks for a vote; with ``probe`` only whether it would be given."""
+
+    __slots__ = (
+        'to_id',
+        'from_id',
+        'term',
+        'last_index',
+        'last_term',
+        'probe',
+    )
+
+    def __init__(
+        self,
+        to_id: str,
+        from_id: str,
+        term: int,
+        last_index: int,
+        last_term: int,
+        probe: bool,
+    ):
+        self.to_id = to_id
+        self.from_id = from_id
+        self.term = term
+        self.last_index = last_index
+        self.last_term = last_term
+        self.probe = probe
+
+
+@messages.register
+class Vote(messages.Message):
+    """The answer to RequestVote."""
+
+    __slots__ = ('term', 'granted')
+
+    def __init__(self, term: int, granted: bool):
+        self.term = term
+        self.granted = granted
+
+
+@messages.register
+class AppendEntries(messages.Message):
+    """Replicates entries after ``previous_index``; empty as a heartbeat."""
+
+    __slots__ = (
+        'to_id',
+        'from_id',
+        'term',
+        'previous_index',
+        'previous_term',
+        'entries',
+        'commit_index',
+    )
+
+    def __init__(
+        self,
+        to_id: str,
+        from_id: str,
+        term: int,
+        previous_index: int,
+        previous_term: int,
+        entries: list[Entry],
+        commit_index: int,
+    ):
+        self.to_id = to_id
+        self.from_id = from_id
+        self.term = term
+        self.previous_index = previous_index
+        self.previous_term = previous_term
+        self.entries = entries
+        self.commit_index = commit_index
+
+
+@messages.register
+class Appended(messages.Message):
+    """The answer to AppendEntries, sent after the entries are synced.
+
+    :param match_index: the last index known equal to the leader's, or with
+        ``matched`` false an index from which the leader may try again
+    """
+
+    __slots__ = ('term', 'matched', 'match_index')
+
+    def __init__(self, term: int, matched: bool, match_index: int):
+        self.term = term
+        self.matched = matched
+        self.match_index = match_index
+
+
+@messages.register
+class InstallSnapshot(messages.Message):
+    """One chunk of a snapshot."""
+
+    __slots__ = (
+        'to_id',
+        'from_id',
+        'term',
+        'last_index',
+        'last_term',
+        'offset_bytes',
+        'total_bytes',
+        'data',
+    )
+
+    def __init__(
+        self,
+        to_id: str,
+        from_id: str,
+        term: int,
+        last_index: int,
+        last_term: int,
+        offset_bytes: int,
+        total_bytes: int,
+        data: bytes,
+    ):
+        self.to_id = to_id
+        self.from_id = from_id
+        self.term = term
+        self.last_index = last_index
+        self.last_term = last_term
+        self.offset_bytes = offset_bytes
+        self.total_bytes = total_bytes
+        self.data = data
+
+
+@messages.register
+class SnapshotReceived(messages.Message):
+    """The answer to InstallSnapshot.
+
+    :param received_bytes: how much of this snapshot has arrived
+    """
+
+    __slots__ = ('term', 'received_bytes')
+
+    def __init__(self, term: int, received_bytes: int):
+        self.term = term
+        self.received_bytes = received_bytes
+
+
+class MemberStatus(records.Record):
+    """A member as one replica sees it; ``match_index`` only at the leader."""
+
+    __slots__ = ('member', 'role', 'match_index')
+
+    def __init__(self, member: Member, role: str, match_index: int):
+        self.member = member
+        self.role = role
+        self.match_index = match_index
+
+
+class LogStatus(records.Record):
+    """What one replica knows of the group."""
+
+    __slots__ = (
+        'replica_id',
+        'role',
+        'term',
+        'commit_index',
+        'applied_index',
+        'snapshot_index',
+        'members',
+    )
+
+    def __init__(
+        self,
+        replica_id: str,
+        role: str,
+        term: int,
+        commit_index: int,
+        applied_index: int,
+        snapshot_index: int,
+        members: list[MemberStatus],
+    ):
+        self.replica_id = replica_id
+        self.role = role
+        self.term = term
+        self.commit_index = commit_index
+        self.applied_index = applied_index
+        self.snapshot_index = snapshot_index
+        self.members = members
