--- /dev/null
+++ b/libs/consensus/masticquay_consensus/changes.py
@@ -0,0 +1,123 @@
+"""Changes of the group, one replica at a time."""
+
+from masticquay_consensus import errors
+from masticquay_consensus import messages
+from masticquay_consensus import protocols
+from masticquay_consensus import replicas
+from masticquay_consensus import settings as settings_module
+from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import peers
+
+SYNC_TIMEOUT_MS = 120_000
+SYNC_POLL_MS = 20
+
+
+class Changes:
+    """Adds and removes replicas; runs in one thread of the leader."""
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        links: protocols.LinkFactory,
+        clock: clocks.Clock,
+        settings: settings_module.Settings,
+    ):
+        self._replica = replica
+        self._links = links
+        self._clock = clock
+        self._settings = settings
+
+    def add(self, name: str, address: str) -> messages.Configuration:
+        """Adds a learner, waits until it synced, and makes it a voter.
+
+        An earlier attempt that was cut short is taken up where it ended.
+
+        :raises ConsensusError: when the group is not changed as asked
+        """
+        self._require_leader()
+        replica_id = self._identify(name, address)
+        if self._configuration().member(replica_id) is None:
+            self._add_learner(replica_id, name, address)
+        self._wait_until_synced(replica_id)
+        self._promote(replica_id)
+        for member in self._configuration().named(name):
+            if member.replica_id != replica_id:
+                self._drop(member)
+        return self._configuration()
+
+    def remove(self, name: str) -> messages.Configuration:
+        """Removes every replica of a name.
+
+        :raises ConsensusError: when the group is not changed as asked
+        """
+        self._require_leader()
+        named = self._configuration().named(name)
+        if not named:
+            raise errors.ReplicaChangeError(f'there is no replica {name!r}')
+        for member in named:
+            self._drop(member)
+        return self._configuration()
+
+    def _require_leader(self) -> None:
+        if not self._replica.lease_remaining_ms():
+            raise errors.NotLeaderError(self._replica.leader_address())
+
+    def _configuration(self) -> messages.Configuration:
+        with self._replica.state.lock:
+            return self._replica.state.configuration
+
+    def _identify(self, name: str, address: str) -> str:
+        try:
+            link = self._links(peers.Address.parse(address))
+            try:
+                identity = link.call(
+                    messages.Identify(), self._settings.call_timeout_ms * 5
+                )
+            finally:
+                link.close()
+        except (wire_errors.WireError, ValueError) as cause:
+            raise errors.ReplicaChangeError(str(cause)) from cause
+        if identity.name != name:
+            raise errors.ReplicaChangeError(
+                f'the replica at {address} is named {identity.name!r}'
+            )
+        return identity.replica_id
+
+    def _add_learner(self, replica_id: str, name: str, address: str) -> None:
+        learner = messages.Member(replica_id, name, address, voter=False)
+        self._commit([*self._configuration().members, learner])
+
+    def _wait_until_synced(self, replica_id: str) -> None:
+        deadline_ms = self._clock.now_ms() + SYNC_TIMEOUT_MS
+        while not self._replica.is_synced(replica_id):
+            self._require_leader()
+            if self._clock.now_ms() > deadline_ms:
+                raise errors.ReplicaChangeError('the learner did not sync')
+            self._clock.sleep_ms(SYNC_POLL_MS)
+
+    def _promote(self, replica_id: str) -> None:
+        members = self._configuration().members
+        member = self._configuration().member(replica_id)
+        if member is None:
+            raise errors.ReplicaChangeError('the learner was removed')
+        if member.voter:
+            return
+        voter = messages.Member(
+            replica_id, member.name, member.address, voter=True
+        )
+        self._commit([voter if m is member else m for m in members])
+
+    def _drop(self, member: messages.Member) -> None:
+        kept = [
+            m
+            for m in self._configuration().members
+            if m.replica_id != member.replica_id
+        ]
+        if not any(m.voter for m in kept):
+            raise errors.ReplicaChangeError('one voter must stay')
+        self._commit(kept)
+
+    def _commit(self, members: list[messages.Member]) -> None:
+        configuration = messages.Configuration(members)
+        self._replica.propose_configuration(configuration).result()
--- /dev/null
+++ b/libs/consensus/masticquay_consensus/disks.py
@@ -0,0 +1,145 @@
+"""The data folder of a replica on the disk of the operating system."""
+
+import contextlib
+import fcntl
+import os
+import pathlib
+import typing
+
+from masticquay_consensus import errors
+
+_LOCK_FILE = 'lock'
+_TEMPORARY_SUFFIX = '.new'
+
+
+class AppendFile(typing.Protocol):
+    """A file that only grows at its end."""
+
+    def append(self, data: bytes) -> None:
+        """Writes at the end.
+
+        :raises StorageError: when the disk failed or is full
+        """
+
+    def sync(self) -> None:
+        """Returns once everything appended is durable.
+
+        :raises StorageError: when it may not be; never to be called again
+        """
+
+    def close(self) -> None:
+        """Closes the file."""
+
+
+class Disk(typing.Protocol):
+    """One folder of files that last once they are synced."""
+
+    def names(self) -> list[str]:
+        """Lists the files."""
+
+    def read(self, name: str) -> bytes | None:
+        """Returns the content of a file, None when there is none."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Durably replaces the content of a file, wholly or not at all."""
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Durably cuts a file."""
+
+    def open_append(self, name: str) -> AppendFile:
+        """Opens an existing file to append to it."""
+
+    def close(self) -> None:
+        """Gives the folder up."""
+
+
+class OsAppendFile:
+    """An append file of the operating system."""
+
+    __slots__ = ('_fd',)
+
+    def __init__(self, path: pathlib.Path):
+        with _storage_errors():
+            self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+
+    def append(self, data: bytes) -> None:
+        with _storage_errors():
+            _write_all(self._fd, data)
+
+    def sync(self) -> None:
+        with _storage_errors():
+            os.fdatasync(self._fd)
+
+    def close(self) -> None:
+        os.close(self._fd)
+
+
+class OsDisk:
+    """A folder of the operating system, locked against other processes.
+
+    :raises StorageError: when the folder cannot be made or is in use
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self._folder = folder
+        with contextlib.ExitStack() as stack, _storage_errors():
+            folder.mkdir(parents=True, exist_ok=True)
+            self._folder_fd = os.open(folder, os.O_RDONLY)
+            stack.callback(os.close, self._folder_fd)
+            lock = os.open(folder / _LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+            stack.callback(os.close, lock)
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._stack = stack.pop_all()
+
+    def names(self) -> list[str]:
+        with _storage_errors():
+            return sorted(
+                name
+                for name in os.listdir(self._folder)
+                if name != _LOCK_FILE and not name.endswith(_TEMPORARY_SUFFIX)
+            )
+
+    def read(self, name: str) -> bytes | None:
+        with _storage_errors():
+            try:
+                return (self._folder / name).read_bytes()
+            except FileNotFoundError:
+                return None
+
+    def replace(self, name: str, data: bytes) -> None:
+        temporary = self._folder / (name + _TEMPORARY_SUFFIX)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        with _storage_errors(), contextlib.ExitStack() as stack:
+            fd = os.open(temporary, flags, 0o600)
+            stack.callback(os.close, fd)
+            _write_all(fd, data)
+            os.fsync(fd)
+            os.rename(temporary, self._folder / name)
+            os.fsync(self._folder_fd)
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        with _storage_errors(), contextlib.ExitStack() as stack:
+            fd = os.open(self._folder / name, os.O_WRONLY)
+            stack.callback(os.close, fd)
+            os.ftruncate(fd, size_bytes)
+            os.fsync(fd)
+
+    def open_append(self, name: str) -> OsAppendFile:
+        return OsAppendFile(self._folder / name)
+
+    def close(self) -> None:
+        self._stack.close()
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
+@contextlib.contextmanager
+def _storage_errors() -> typing.Iterator[None]:
+    try:
+        yield
+    except OSError as cause:
+        raise errors.StorageError(str(cause)) from cause
--- /dev/null
+++ b/libs/consensus/masticquay_consensus/formations.py
@@ -0,0 +1,94 @@
+"""The first start of a group, when every data folder is empty."""
+
+from masticquay_consensus import messages
+from masticquay_consensus import protocols
+from masticquay_consensus import replicas
+from masticquay_consensus import settings as settings_module
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import peers
+
+
+class Voter:
+    """A replica named in the settings of a new group."""
+
+    __slots__ = ('name', 'address')
+
+    def __init__(self, name: str, address: str):
+        self.name = name
+        self.address = address
+
+
+class Formation:
+    """Forms a group once every voter is up and none belongs to a group.
+
+    The voter whose name sorts first gathers the identities. A replica whose
+    disk was lost finds the others in a group that does not know its new
+    identity, and so waits until an operator adds it again.
+    """
+
+    def __init__(
+        self,
+        replica: replicas.Replica,
+        name: str,
+        voters: list[Voter],
+        links: protocols.LinkFactory,
+        settings: settings_module.Settings,
+    ):
+        self._replica = replica
+        self._name = name
+        self._voters = sorted(voters, key=lambda voter: voter.name)
+        self._links = links
+        self._settings = settings
+
+    def attempt(self) -> bool:
+        """Tries once; returns whether this replica belongs to a group now."""
+        others = [v for v in self._voters if v.name != self._name]
+        if len(others) == len(self._voters):
+            return False
+        identities = []
+        for voter in others:
+            identity = self._ask(voter, messages.Identify())
+            if not isinstance(identity, messages.Identity):
+                return False
+            if identity.configuration is not None:
+                return self._join(identity.configuration)
+            identities.append(identity)
+        if self._name != self._voters[0].name:
+            return False
+        return self._found(others, identities)
+
+    def _join(self, configuration: messages.Configuration) -> bool:
+        if configuration.member(self._replica.state.replica_id) is None:
+            return False
+        self._replica.form(configuration)
+        return True
+
+    def _found(
+        self, others: list[Voter], identities: list[messages.Identity]
+    ) -> bool:
+        own = messages.Member(
+            self._replica.state.replica_id,
+            self._name,
+            self._voters[0].address,
+            voter=True,
+        )
+        members = [
+            messages.Member(i.replica_id, v.name, v.address, voter=True)
+            for v, i in zip(others, identities, strict=True)
+        ]
+        configuration = messages.Configuration([own, *members])
+        for voter, identity in zip(others, identities, strict=True):
+            told = messages.FormGroup(identity.replica_id, configuration)
+            if not isinstance(self._ask(voter, told), messages.Identity):
+                return False
+        self._replica.form(configuration)
+        return True
+
+    def _ask(self, voter: Voter, message: object) -> object | None:
+        link = self._links(peers.Address.parse(voter.address))
+        try:
+            return link.call(message, self._settings.call_timeout_ms)
+        except wire_errors.WireError:
+            return None
+        finally:
+            link.close()
--- a/libs/consensus/masticquay_consensus/messages.py
+++ b/libs/consensus/masticquay_consensus/messages.py
@@ -1,5 +1,7 @@
 """Messages between replicas, and what they store."""
 
+import cbor2
+
 from masticquay_wire import messages
 from masticquay_wire import records
 
@@ -286,3 +288,13 @@
         self.applied_index = applied_index
         self.snapshot_index = snapshot_index
         self.members = members
+
+
+def pack_record(record: records.Record) -> bytes:
+    """Encodes a record's fields."""
+    return cbor2.dumps(record.to_wire())
+
+
+def unpack_record(data: bytes) -> dict:
+    """Decodes what ``pack_record`` made."""
+    return cbor2.loads(data)
--- /dev/null
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -0,0 +1,438 @@
+"""One replica: the steps that the threads of a node, or a test, run."""
+
+from concurrent import futures
+import random
+
+from masticquay_consensus import elections
+from masticquay_consensus import errors
+from masticquay_consensus import followers
+from masticquay_consensus import leaders
+from masticquay_consensus import messages
+from masticquay_consensus import protocols
+from masticquay_consensus import settings as settings_module
+from masticquay_consensus import states
+from masticquay_consensus import stores
+from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import messages as wire_messages
+
+CODE_WRONG_IDENTITY = 'wrong-identity'
+MAX_APPLIED_AT_ONCE = 256
+SNAPSHOT_LOG_BYTES = 64 * 1024 * 1024
+
+Addressed = (
+    messages.RequestVote | messages.AppendEntries | messages.InstallSnapshot
+)
+
+
+class Replica:
+    """A replica that belongs to a group, or waits to be taken into one.
+
+    Every public method may be called by any thread, but ``flush`` by one
+    thread at a time and ``apply`` by one at a time.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        state_machine: protocols.StateMachine,
+        settings: settings_module.Settings,
+        clock: clocks.Clock,
+        randomness: random.Random,
+    ):
+        self._store = store
+        self._machine = state_machine
+        self._settings = settings
+        self._hooks: list[protocols.RoleHook] = []
+        self.state = states.State(store, settings, clock, randomness)
+        self._elections = elections.Elections(self.state)
+        self._follower = followers.Follower(self.state)
+        self._leader = leaders.Leader(self.state)
+        if store.formed:
+            self._restore(stores.Snapshot.from_bytes(store.read_snapshot()))
+
+    def form(self, configuration: messages.Configuration) -> None:
+        """Makes this replica a member of a new group, or of a known one."""
+        with self.state.lock:
+            if self._store.formed:
+                return
+            self._store.form(configuration)
+            self.state.reset_configurations(0, configuration)
+            # A new identity has never supported a lease.
+            self.state.heard_ms = states.NEVER_MS
+
+    def add_hook(self, hook: protocols.RoleHook) -> None:
+        """Adds a hook for changes of the role."""
+        self._hooks.append(hook)
+
+    def tick(self) -> None:
+        """Checks the election timer, or the lease of a leader."""
+        with self.state.lock:
+            if not self._store.formed:
+                return
+            if self.state.role == messages.ROLE_LEADER:
+                self._leader.tick()
+            elif self._elections.tick():
+                self._leader.begin()
+
+    def handle(
+        self, message: Addressed
+    ) -> wire_messages.Message | futures.Future:
+        """Answers another replica.
+
+        :raises RemoteError: when the message is for another identity
+        """
+        with self.state.lock:
+            if message.to_id != self.state.replica_id:
+                raise wire_errors.RemoteError(
+                    CODE_WRONG_IDENTITY, f'this is {self.state.replica_id}'
+                )
+            self.form(messages.Configuration([]))
+            if isinstance(message, messages.RequestVote):
+                return self._elections.handle(message)
+            if isinstance(message, messages.AppendEntries):
+                return self._follower.handle_append(message)
+            return self._follower.handle_install(message)
+
+    def next_request(self, member_id: str) -> states.Outgoing | None:
+        """Returns what to send to another member now, if anything."""
+        state = self.state
+        with state.lock:
+            if state.role == messages.ROLE_LEADER:
+                message = self._leader.next_request(member_id)
+            else:
+                message = self._elections.next_request(member_id)
+            if message is None:
+                return None
+            return states.Outgoing(member_id, message, state.clock.now_ms())
+
+    def wait_for_request(
+        self, member_id: str, timeout_ms: int
+    ) -> states.Outgoing | None:
+        """Returns the next request to a member, or None after a while."""
+        state = self.state
+        with state.lock:
+            request = self.next_request(member_id)
+            if request is not None:
+                return request
+            if state.role == messages.ROLE_LEADER:
+                due_ms = self._leader.due_in_ms(member_id)
+                timeout_ms = min(timeout_ms, due_ms)
+            state.peers_wake.wait(timeout_ms / 1000)
+            return self.next_request(member_id)
+
+    def take_answer(
+        self, request: states.Outgoing, answer: wire_messages.Message
+    ) -> None:
+        """Takes the answer to a request."""
+        with self.state.lock:
+            if isinstance(answer, messages.Vote):
+                won = self._elections.take_vote(
+                    request.member_id, request.message, answer
+                )
+                if won:
+                    self._leader.begin()
+            elif isinstance(answer, messages.Appended):
+                self._leader.take_appended(request, answer)
+            elif isinstance(answer, messages.SnapshotReceived):
+                self._leader.take_received(request, answer)
+
+    def take_failure(self, request: states.Outgoing) -> None:
+        """Notes that a request got no answer."""
+        with self.state.lock:
+            self._elections.take_failure(request.member_id)
+
+    def propose(self, command: bytes) -> 'futures.Future[bytes]':
+        """Appends a command; see ``protocols.ReplicatedLog``."""
+        future: futures.Future = futures.Future()
+        if len(command) > self._settings.max_command_bytes:
+            future.set_exception(
+                errors.ConsensusError('the command is too large')
+            )
+            return future
+        error = self._append(messages.KIND_COMMAND, command, future)
+        if error is not None:
+            future.set_exception(error)
+        return future
+
+    def propose_configuration(
+        self, configuration: messages.Configuration
+    ) -> futures.Future:
+        """Appends a configuration that differs in one member.
+
+        Fails with ReplicaChangeError while another change is not committed.
+        """
+        future: futures.Future = futures.Future()
+        with self.state.lock:
+            pending = self.state.configuration_index > self.state.commit_index
+            leading = self.state.role == messages.ROLE_LEADER
+            if leading and (pending or not self._leader.has_committed()):
+                future.set_exception(
+                    errors.ReplicaChangeError('another change is under way')
+                )
+                return future
+            error = self._append(
+                messages.KIND_CONFIGURATION,
+                states.encode_configuration(configuration),
+                future,
+            )
+        if error is not None:
+            future.set_exception(error)
+        return future
+
+    def flush(self) -> bool:
+        """Syncs the entries added since the last call.
+
+        :returns: whether there were any
+        :raises StorageError: when they may not be durable
+        """
+        state = self.state
+        with state.lock:
+            if not self._store.formed or not self._store.journal.has_pending:
+                return False
+            journal = self._store.journal
+            batch = journal.take_pending()
+        journal.flush(batch)
+        with state.lock:
+            journal.mark_flushed(batch)
+            self._leader.advance_commit()
+            answers = self._follower.take_synced()
+        for future, answer in answers:
+            future.set_result(answer)
+        return True
+
+    def apply(self) -> bool:
+        """Applies committed entries and takes or installs snapshots.
+
+        :returns: whether anything was done
+        """
+        installed = self._install()
+        applied = self._apply_entries()
+        settled = self._settle()
+        compacted = self._snapshot_if_due()
+        return installed or applied or settled or compacted
+
+    def has_work(self) -> bool:
+        """Whether ``apply`` has something to do."""
+        state = self.state
+        with state.lock:
+            return bool(
+                state.applied_index < state.commit_index
+                or state.settled
+                or state.role_changes
+                or self._follower.take_transfer()
+            )
+
+    def is_synced(self, member_id: str) -> bool:
+        """Whether a member has synced everything committed so far."""
+        with self.state.lock:
+            match_index = self._leader.match_index(member_id)
+            return match_index >= self.state.commit_index
+
+    def lease_remaining_ms(self) -> int:
+        """Returns for how long this leader cannot be deposed, or 0."""
+        state = self.state
+        with state.lock:
+            if state.role != messages.ROLE_LEADER:
+                return 0
+            end_ms = self._leader.lease_end_ms()
+            return max(0, end_ms - state.clock.now_ms())
+
+    def read_barrier(self) -> int:
+        """Returns the index up to which reads must wait for ``apply``.
+
+        :raises NotLeaderError: when this replica must not answer reads
+        """
+        with self.state.lock:
+            if not self.lease_remaining_ms():
+                raise errors.NotLeaderError(self.leader_address())
+            if not self._leader.has_committed():
+                raise errors.NotLeaderError('')
+            return self.state.commit_index
+
+    def leader_address(self) -> str:
+        """Returns the leader's address, empty when unknown."""
+        member = self.leader()
+        return member.address if member else ''
+
+    def leader(self) -> messages.Member | None:
+        """Returns the leader as far as known."""
+        with self.state.lock:
+            return self.state.configuration.member(self.state.leader_id)
+
+    def status(self) -> messages.LogStatus:
+        """Returns what this replica knows of the group."""
+        state = self.state
+        with state.lock:
+            return messages.LogStatus(
+                replica_id=state.replica_id,
+                role=self._role_of(state.replica_id),
+                term=state.term,
+                commit_index=state.commit_index,
+                applied_index=state.applied_index,
+                snapshot_index=self._store.snapshot_index,
+                members=[
+                    messages.MemberStatus(
+                        member,
+                        self._role_of(member.replica_id),
+                        self._match_of(member.replica_id),
+                    )
+                    for member in state.configuration.members
+                ],
+            )
+
+    def _restore(self, snapshot: stores.Snapshot) -> None:
+        with self.state.lock:
+            self.state.reset_configurations(
+                snapshot.index, snapshot.configuration
+            )
+        if snapshot.index:
+            self._machine.restore(snapshot.data, snapshot.index)
+
+    def _append(
+        self, kind: int, command: bytes, future: futures.Future
+    ) -> errors.ConsensusError | None:
+        state = self.state
+        with state.lock:
+            if state.role != messages.ROLE_LEADER:
+                return errors.NotLeaderError(self.leader_address())
+            if len(state.proposals) >= self._settings.max_open_proposals:
+                return errors.ConsensusError('too many open proposals')
+            entry = self._leader.append(kind, command)
+            state.proposals[entry.index] = states.Proposal(entry.term, future)
+            return None
+
+    def _install(self) -> bool:
+        state = self.state
+        with state.lock:
+            transfer = self._follower.take_transfer()
+            if transfer is None:
+                return False
+            snapshot = self._read_transfer(transfer)
+            state.installing = snapshot is not None
+        if snapshot is not None:
+            self._store.save_snapshot(snapshot)
+            self._machine.restore(snapshot.data, snapshot.index)
+        with state.lock:
+            if snapshot is not None:
+                self._finish_install(snapshot)
+            self._follower.transfer = None
+            answer = messages.SnapshotReceived(
+                state.term, transfer.total_bytes if snapshot else 0
+            )
+        transfer.future.set_result(answer)
+        return True
+
+    def _read_transfer(
+        self, transfer: followers.Transfer
+    ) -> stores.Snapshot | None:
+        """Reads an arrived snapshot, unless it is damaged or old."""
+        try:
+            snapshot = stores.Snapshot.from_bytes(bytes(transfer.data))
+        except errors.DamagedStorageError:
+            return None
+        if snapshot.index <= self.state.commit_index:
+            return None
+        return snapshot
+
+    def _finish_install(self, snapshot: stores.Snapshot) -> None:
+        state = self.state
+        self._store.journal.compact(snapshot.index, snapshot.term)
+        state.reset_configurations(snapshot.index, snapshot.configuration)
+        state.commit(snapshot.index)
+        state.applied_index = snapshot.index
+        state.installing = False
+        state.counters.snapshots_installed += 1
+
+    def _apply_entries(self) -> bool:
+        state = self.state
+        with state.lock:
+            if not self._store.formed:
+                return False
+            first = state.applied_index
+            last = min(state.commit_index, first + MAX_APPLIED_AT_ONCE)
+            entries = self._store.journal.entries_between(first, last)
+        if not entries:
+            return False
+        answers = [self._apply_entry(entry) for entry in entries]
+        with state.lock:
+            state.applied_index = last
+            state.counters.entries_applied += len(entries)
+            for entry, answer in zip(entries, answers, strict=True):
+                self._settle_proposal(entry, answer)
+            state.applier_wake.notify_all()
+        return True
+
+    def _apply_entry(self, entry: messages.Entry) -> bytes:
+        if entry.kind != messages.KIND_COMMAND:
+            return b''
+        return self._machine.apply(entry.index, entry.command)
+
+    def _settle_proposal(self, entry: messages.Entry, answer: bytes) -> None:
+        proposal = self.state.proposals.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term == entry.term:
+            self.state.settled.append((proposal.future, answer))
+        else:
+            error = errors.ProposalUnknownError('leadership was lost')
+            self.state.settled.append((proposal.future, error))
+
+    def _settle(self) -> bool:
+        """Ends futures and calls hooks, outside the lock."""
+        state = self.state
+        with state.lock:
+            settled = list(state.settled)
+            state.settled.clear()
+            changes = list(state.role_changes)
+            state.role_changes.clear()
+        for future, outcome in settled:
+            if isinstance(outcome, Exception):
+                future.set_exception(outcome)
+            else:
+                future.set_result(outcome)
+        for leading, term in changes:
+            for hook in self._hooks:
+                hook(leading, term)
+        return bool(settled or changes)
+
+    def _snapshot_if_due(self) -> bool:
+        state = self.state
+        with state.lock:
+            if not self._store.formed:
+                return False
+            index = state.applied_index
+            journal = self._store.journal
+            age_entries = index - self._store.snapshot_index
+            large = journal.size_bytes > SNAPSHOT_LOG_BYTES and age_entries
+            if age_entries < self._settings.snapshot_entries and not large:
+                return False
+            term = journal.term_at(index)
+            configuration = state.configuration_at(index)
+        data = self._machine.snapshot()
+        self._store.save_snapshot(
+            stores.Snapshot(index, term, configuration, data)
+        )
+        with state.lock:
+            state.counters.snapshots_taken += 1
+            state.prune_configurations(index)
+            retained = 0 if large else self._settings.retained_entries
+            base_index = max(journal.base_index, index - retained)
+            journal.compact(base_index, journal.term_at(base_index))
+        return True
+
+    def _role_of(self, member_id: str) -> str:
+        state = self.state
+        member = state.configuration.member(member_id)
+        if member is None or not member.voter:
+            return messages.ROLE_LEARNER
+        if member_id == state.leader_id:
+            return messages.ROLE_LEADER
+        if member_id == state.replica_id:
+            return state.role
+        return messages.ROLE_FOLLOWER
+
+    def _match_of(self, member_id: str) -> int:
+        if self.state.role != messages.ROLE_LEADER:
+            return 0
+        return self._leader.match_index(member_id)
--- /dev/null
+++ b/libs/consensus/tests/test_nodes.py
@@ -0,0 +1,149 @@
+"""Tests of replicas with their threads over real links."""
+
+import shutil
+import unittest
+
+from masticquay_consensus import errors
+from masticquay_consensus import settings as settings_module
+from tests import fleets
+
+
+class NodesTest(unittest.TestCase):
+    def make_fleet(self, *names, **options):
+        fleet = fleets.Fleet(names, **options)
+        self.addCleanup(fleet.close)
+        return fleet
+
+    def wait_for_commands(self, fleet, name, commands):
+        fleets.wait_for(lambda: fleet.machines[name].commands == commands)
+
+    def test_one_replica_commits_and_restarts(self):
+        fleet = self.make_fleet('a')
+        fleet.start()
+        self.assertEqual(b'1:x', fleet.propose(b'x'))
+        fleet.stop('a')
+        fleet.start('a')
+        self.assertEqual(b'2:y', fleet.propose(b'y'))
+
+    def test_three_replicas_keep_commands_over_a_leader_loss(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        commands = [b'%d' % number for number in range(20)]
+        for command in commands:
+            fleet.propose(command)
+        first = fleet.leader()
+        fleet.stop(first)
+        fleet.propose(b'after')
+        self.assertNotEqual(first, fleet.leader())
+        fleet.start(first)
+        for name in fleet.addresses:
+            self.wait_for_commands(fleet, name, [*commands, b'after'])
+
+    def test_a_follower_names_the_leader(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        leader = fleet.leader()
+        other = next(name for name in fleet.nodes if name != leader)
+        with self.assertRaises(errors.NotLeaderError) as caught:
+            fleet.nodes[other].propose(b'y').result(fleets.WAIT_S)
+        self.assertEqual(
+            str(fleet.addresses[leader]), caught.exception.leader_address
+        )
+
+    def test_a_lost_minority_stops_the_lease(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        leader = fleet.leader()
+        node = fleet.nodes[leader]
+        for name in list(fleet.nodes):
+            if name != leader:
+                fleet.stop(name)
+        fleets.wait_for(lambda: node.lease_remaining_ms() == 0)
+        with self.assertRaises(errors.NotLeaderError):
+            node.read_barrier()
+
+    def test_reads_rely_on_the_barrier(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        node = fleet.nodes[fleet.leader()]
+        index = node.read_barrier()
+        self.assertGreaterEqual(index, 2)
+        self.assertIn(b'x', fleet.machines[fleet.leader()].commands)
+
+    def test_a_sleeping_replica_catches_up_by_snapshot(self):
+        settings = settings_module.Settings(
+            heartbeat_ms=50,
+            election_min_ms=500,
+            election_max_ms=900,
+            snapshot_entries=100,
+            retained_entries=20,
+            chunk_bytes=1_000,
+        )
+        fleet = self.make_fleet('a', 'b', 'c', settings=settings)
+        fleet.start()
+        fleet.propose(b'first')
+        sleeper = next(n for n in fleet.nodes if n != fleet.leader())
+        fleet.stop(sleeper)
+        commands = [b'%d' % number for number in range(600)]
+        node = fleet.nodes[fleet.leader()]
+        answers = [node.propose(command) for command in commands]
+        for answer in answers:
+            answer.result(fleets.WAIT_S)
+        fleet.start(sleeper)
+        self.wait_for_commands(fleet, sleeper, [b'first', *commands])
+        self.assertGreater(fleet.machines[sleeper].restored_index, 500)
+
+    def test_a_lost_disk_is_replaced_and_then_a_second_host_lost(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        leader = fleet.leader()
+        broken, other = (n for n in fleet.addresses if n != leader)
+        fleet.stop(broken)
+        shutil.rmtree(fleet.folder(broken))
+        fleet.propose(b'y')
+        fleet.start(broken)
+        change = fleet.nodes[fleet.leader()].add_replica(
+            broken, str(fleet.addresses[broken])
+        )
+        configuration = change.result(fleets.WAIT_S)
+        self.assertEqual(3, len(configuration.voter_ids()))
+        fleet.stop(other)
+        fleet.propose(b'z')
+        self.wait_for_commands(fleet, broken, [b'x', b'y', b'z'])
+
+    def test_an_emptied_disk_takes_no_part_by_itself(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        leader = fleet.leader()
+        broken, other = (n for n in fleet.addresses if n != leader)
+        old_id = fleet.nodes[broken].status().replica_id
+        fleet.stop(broken)
+        shutil.rmtree(fleet.folder(broken))
+        fleet.stop(other)
+        fleet.start(broken)
+        node = fleet.nodes[broken]
+        self.assertNotEqual(old_id, node.status().replica_id)
+        fleets.wait_for(lambda: not fleet.nodes[leader].is_leader())
+        self.assertFalse(node.replica.state.store.formed)
+        self.assertEqual([], fleet.machines[broken].commands)
+
+    def test_a_replica_is_added_and_the_leader_removed(self):
+        fleet = self.make_fleet('a', 'b', 'c')
+        fleet.start()
+        fleet.propose(b'x')
+        fleet.open_listener('d')
+        fleet.start('d')
+        node = fleet.nodes[fleet.leader()]
+        node.add_replica('d', str(fleet.addresses['d'])).result(fleets.WAIT_S)
+        removed = fleet.leader()
+        node.remove_replica(removed).result(fleets.WAIT_S)
+        fleet.stop(removed)
+        fleet.propose(b'y')
+        self.wait_for_commands(fleet, 'd', [b'x', b'y'])
+        names = [m.member.name for m in fleet.nodes['d'].status().members]
+        self.assertNotIn(removed, names)
