--- /dev/null
+++ b/libs/standins/masticquay_standins/daemons.py
@@ -0,0 +1,120 @@
+"""The program ``masticquay-standin``: one or several stand-ins."""
+
+import contextlib
+import inspect
+import json
+import pathlib
+import signal
+import sys
+import threading
+
+from absl import app
+from absl import flags
+import yaml
+
+from masticquay_standins import engines
+from masticquay_standins import journals
+from masticquay_standins import servers
+from masticquay_standins import services
+
+KINDS = ('engine', 'service', 'weights', 'platform')
+EXIT_SETTINGS = 78
+
+_KIND = flags.DEFINE_enum('kind', None, KINDS, 'What to stand in for.')
+_ADDRESS = flags.DEFINE_string('address', '127.0.0.1:0', 'Where to listen.')
+_NAME = flags.DEFINE_string('name', '', 'Name in records.')
+_OPTIONS = flags.DEFINE_string('options', '{}', 'Options as a YAML map.')
+_CONFIG = flags.DEFINE_string('config', '', 'YAML file that lists stand-ins.')
+_RECORDS = flags.DEFINE_string('record_folder', '', 'Folder of journals.')
+
+
+def build(
+    kind: str,
+    name: str,
+    address: str,
+    options: dict,
+    folder: pathlib.Path | None = None,
+) -> servers.Server:
+    """Makes a stand-in that listens but does not serve yet.
+
+    :raises ValueError: when the kind or an option is unknown
+    """
+    journal = journals.Journal(name, folder)
+    if kind == 'engine':
+        _check_options(engines.EngineSettings, options)
+        settings = engines.EngineSettings(**options)
+        application = engines.Engine(journal, settings)
+    elif kind == 'service':
+        _check_options(services.Service, options)
+        application = services.Service(journal, **options)
+    elif kind == 'weights':
+        _check_options(services.WeightStore, options)
+        application = services.WeightStore(journal, **options)
+    elif kind == 'platform':
+        _check_options(services.PlatformList, options)
+        application = services.PlatformList(journal, **options)
+    else:
+        raise ValueError(f'no kind {kind}')
+    host, _, port = address.rpartition(':')
+    server = servers.Server(host, int(port), application)
+    journal.add(journals.EVENT_START, kind=kind, address=server.address)
+    return server
+
+
+def _check_options(cls: type, options: dict) -> None:
+    known = set(inspect.signature(cls.__init__).parameters)
+    unknown = set(options) - known
+    if unknown:
+        raise ValueError(f'no option {sorted(unknown)[0]}')
+
+
+def _read_config() -> list[dict]:
+    if _CONFIG.value:
+        with open(_CONFIG.value) as file:
+            return yaml.safe_load(file)['standins']
+    return [
+        {
+            'kind': _KIND.value,
+            'name': _NAME.value or _KIND.value,
+            'address': _ADDRESS.value,
+            'options': yaml.safe_load(_OPTIONS.value),
+        }
+    ]
+
+
+def main(arguments: list[str]) -> int:
+    """Serves until SIGTERM or SIGINT."""
+    del arguments
+    folder = pathlib.Path(_RECORDS.value) if _RECORDS.value else None
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    with contextlib.ExitStack() as stack:
+        for entry in _read_config():
+            try:
+                server = build(
+                    entry['kind'],
+                    entry['name'],
+                    entry['address'],
+                    entry.get('options') or {},
+                    folder,
+                )
+            except (KeyError, ValueError) as cause:
+                print(f'standin: {cause}', file=sys.stderr)
+                return EXIT_SETTINGS
+            stack.callback(server.close)
+            server.start()
+            ready = {'message': 'ready', 'name': entry['name']}
+            ready['address'] = server.address
+            print(json.dumps(ready), flush=True)
+        stop.wait()
+    return 0
+
+
+def run() -> None:
+    """Entry point of the command."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/libs/standins/masticquay_standins/streams.py
@@ -0,0 +1,95 @@
+"""Event streams over HTTP that a batch loop may feed without blocking."""
+
+import json
+import socket
+import threading
+import time
+
+from masticquay_standins import servers
+
+MAX_BUFFERED_BYTES = 1024 * 1024
+FLUSH_TIMEOUT_S = 30
+HEAD = (
+    b'HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+END = b'0\r\n\r\n'
+
+
+class EventStream:
+    """One server-sent event stream on one connection."""
+
+    __slots__ = (
+        '_sock',
+        '_buffer',
+        '_lock',
+        '_ended',
+        'lost',
+        'complete',
+        'silent',
+    )
+
+    def __init__(self) -> None:
+        self._sock: socket.socket | None = None
+        self._buffer = bytearray(HEAD)
+        self._lock = threading.Lock()
+        self._ended = threading.Event()
+        self.lost = False
+        self.complete = False
+        self.silent = False
+
+    def push(self, event: dict) -> bool:
+        """Sends an event; False when the connection is lost."""
+        data = f'data: {json.dumps(event)}\n\n'.encode()
+        return self._append(b'%x\r\n%s\r\n' % (len(data), data))
+
+    def finish(self) -> None:
+        """Ends the stream after its last event."""
+        self.complete = True
+        self._append(END)
+        self._ended.set()
+
+    def abort(self) -> None:
+        """Ends the stream where it is; the connection will close."""
+        self._ended.set()
+
+    def write(self, sock: socket.socket) -> bool:
+        """Keeps the connection until the stream has ended."""
+        with self._lock:
+            self._sock = sock
+            self._send_buffer()
+        while not self._ended.wait(1.0):
+            if self.lost:
+                return False
+        if self.silent:
+            servers.wait_closed(sock)
+            return False
+        end_s = time.monotonic() + FLUSH_TIMEOUT_S
+        while self._buffer and not self.lost and time.monotonic() < end_s:
+            with self._lock:
+                self._send_buffer()
+            time.sleep(0.01)
+        return self.complete and not self.lost and not self._buffer
+
+    def _append(self, data: bytes) -> bool:
+        with self._lock:
+            if self.silent or self.lost:
+                return not self.lost
+            self._buffer += data
+            if self._sock is not None:
+                self._send_buffer()
+            if len(self._buffer) > MAX_BUFFERED_BYTES:
+                self.lost = True
+            return not self.lost
+
+    def _send_buffer(self) -> None:
+        if not self._buffer:
+            return
+        try:
+            sent = self._sock.send(self._buffer, socket.MSG_DONTWAIT)
+            del self._buffer[:sent]
+        except BlockingIOError:
+            return
+        except OSError:
+            self.lost = True
+            self._ended.set()
