--- /dev/null
+++ b/libs/endpoints/masticquay_endpoints/catalogs.py
@@ -0,0 +1,57 @@
+"""Clients of the endpoints that bundles name."""
+
+import threading
+
+from masticquay_bundles import models
+from masticquay_endpoints import engines
+from masticquay_endpoints import protocols
+from masticquay_endpoints import services
+
+
+class Catalog:
+    """Makes clients by address, once each, and closes them."""
+
+    def __init__(self) -> None:
+        self._engines: dict[str, engines.HttpEngine] = {}
+        self._services: dict[str, services.HttpService] = {}
+        self._lock = threading.Lock()
+
+    def engine(self, address: str) -> protocols.Engine:
+        """Returns the client of a model engine."""
+        with self._lock:
+            client = self._engines.get(address)
+            if client is None:
+                client = self._engines[address] = engines.HttpEngine(address)
+            return client
+
+    def service(self, address: str) -> protocols.Service:
+        """Returns the client of a plain service."""
+        with self._lock:
+            client = self._services.get(address)
+            if client is None:
+                client = services.HttpService(address)
+                self._services[address] = client
+            return client
+
+    def retain(self, bundle: models.Bundle) -> None:
+        """Forgets clients of endpoints that the bundle no longer has.
+
+        Calls under way on them go on.
+        """
+        addresses = {endpoint.address for endpoint in bundle.endpoints}
+        with self._lock:
+            gone = []
+            for clients in (self._engines, self._services):
+                for address in set(clients) - addresses:
+                    gone.append(clients.pop(address))
+        for client in gone:
+            client.close()
+
+    def close(self) -> None:
+        """Closes all clients."""
+        with self._lock:
+            clients = [*self._engines.values(), *self._services.values()]
+            self._engines.clear()
+            self._services.clear()
+        for client in clients:
+            client.close()
--- a/libs/endpoints/masticquay_endpoints/errors.py
+++ b/libs/endpoints/masticquay_endpoints/errors.py
@@ -27,3 +27,14 @@
 
 class GarbledError(EndpointError):
     """The endpoint's answer breaks its protocol."""
+
+
+class InterruptedCallError(EndpointError):
+    """The request was interrupted while it waited for the endpoint.
+
+    :param reason: what the interrupt gave as its reason
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
--- a/libs/endpoints/masticquay_endpoints/protocols.py
+++ b/libs/endpoints/masticquay_endpoints/protocols.py
@@ -3,6 +3,8 @@
 from collections import abc
 import typing
 
+from masticquay_endpoints import interrupts
+
 
 class PrefillResult:
     """A prefill that an engine holds for a short time.
@@ -71,21 +73,29 @@
         self.priority = priority
 
 
-class Token:
-    """One token of an answer; the last one has a finish reason."""
+class TokenBatch:
+    """Consecutive tokens of an answer, as they arrived together.
+
+    :param first_index: the index of the first of them
+    :param texts: each token's text as a JSON string literal
+    :param finish_reason: empty unless the answer ends with this batch
+    """
 
-    __slots__ = ('index', 'text', 'finish_reason')
+    __slots__ = ('first_index', 'texts', 'finish_reason')
 
-    def __init__(self, index: int, text: str, finish_reason: str = ''):
-        self.index = index
-        self.text = text
+    def __init__(
+        self, first_index: int, texts: list[bytes], finish_reason: str = ''
+    ):
+        self.first_index = first_index
+        self.texts = texts
         self.finish_reason = finish_reason
 
 
 class Engine(typing.Protocol):
     """A model engine.
 
-    Every method raises a subclass of ``EndpointError`` on failure.
+    Every method raises a subclass of ``EndpointError`` on failure. An
+    interrupt ends a call that waits.
     """
 
     def prefill(
@@ -96,6 +106,7 @@
         prompt: bytes,
         priority: int,
         timeout_ms: int,
+        interrupt: interrupts.Interrupt | None = None,
     ) -> PrefillResult:
         """Runs the prompt and holds its KV cache for import."""
 
@@ -104,8 +115,9 @@
         request: DecodeRequest,
         first_timeout_ms: int,
         stall_timeout_ms: int,
-    ) -> abc.Iterator[list[Token]]:
-        """Imports the KV cache and streams tokens, several at a time.
+        interrupt: interrupts.Interrupt | None = None,
+    ) -> abc.Iterator[TokenBatch]:
+        """Imports the KV cache and streams tokens.
 
         Closing the iterator closes the connection.
         """
@@ -116,7 +128,8 @@
         attempt: int,
         first_index: int,
         stall_timeout_ms: int,
-    ) -> abc.Iterator[list[Token]]:
+        interrupt: interrupts.Interrupt | None = None,
+    ) -> abc.Iterator[TokenBatch]:
         """Streams a running answer again, from a token on."""
 
     def cancel(self, request_id: str, timeout_ms: int) -> None:
@@ -146,9 +159,13 @@
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_ms: int,
+        fresh: bool = False,
+        interrupt: interrupts.Interrupt | None = None,
     ) -> Answer:
-        """Makes one call over a fresh or a freshly used connection.
+        """Makes one call.
 
+        :param fresh: never use an idle connection
+        :param interrupt: ends the call while it waits
         :raises NotSentError: no byte of the call went out
         :raises EndpointError: the call may have run
         """
