--- /dev/null
+++ b/libs/bench/masticquay_bench/callers.py
@@ -0,0 +1,313 @@
+"""A caller: asks for the host list, sends requests, records the answers."""
+
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+import typing
+
+from masticquay_scheduling import prefixes
+from masticquay_standins import answers
+from masticquay_standins import journals
+
+from masticquay_bench import calls
+
+CONNECT_TIMEOUT_S = 2
+ANSWER_TIMEOUT_S = 70
+HOST_LIST_TTL_S = 5.0
+MAX_CONNECT_ATTEMPTS = 4
+OUTCOME_HEADER = 'Masticquay-Outcome'
+
+
+class HostList:
+    """The addresses of entry hosts for one key, asked for now and then."""
+
+    __slots__ = ('_addresses', '_key', '_lock', '_read_s', '_seeds', '_rng')
+
+    def __init__(self, seeds: list[str], key: str, seed: int):
+        self._seeds = seeds
+        self._key = key
+        self._addresses: list[str] = []
+        self._lock = threading.Lock()
+        self._read_s = 0.0
+        self._rng = random.Random(seed)
+
+    def choose(self) -> str:
+        """Returns an address, the preferred ones first."""
+        with self._lock:
+            now_s = time.monotonic()
+            if now_s - self._read_s > HOST_LIST_TTL_S:
+                self._refresh(now_s)
+            return self._rng.choice(self._addresses or self._seeds)
+
+    def drop(self, address: str) -> None:
+        """Leaves out an address that did not answer, until the next list."""
+        with self._lock:
+            if address in self._addresses:
+                self._addresses.remove(address)
+
+    def _refresh(self, now_s: float) -> None:
+        seeds = list(self._seeds)
+        self._rng.shuffle(seeds)
+        for address in seeds:
+            found = _read_hosts(address, self._key)
+            if found:
+                self._addresses = found
+                self._read_s = now_s
+                return
+
+
+def _read_hosts(address: str, key: str) -> list[str]:
+    link = http.client.HTTPConnection(address, timeout=CONNECT_TIMEOUT_S)
+    try:
+        headers = {'Authorization': f'Bearer {key}'} if key else {}
+        link.request('GET', '/v1/hosts', headers=headers)
+        response = link.getresponse()
+        body = json.loads(response.read())
+        return [host['address'] for host in body['hosts']]
+    except (OSError, http.client.HTTPException, ValueError, KeyError):
+        return []
+    finally:
+        link.close()
+
+
+class Caller:
+    """Sends calls of one workspace under one of its keys.
+
+    :param fixed_host: always use this address instead of the host list
+    """
+
+    def __init__(
+        self,
+        log: calls.Log,
+        seeds: list[str],
+        workspace: str,
+        key: str,
+        key_number: int = 0,
+        seed: int = 0,
+        may_run: bool = True,
+    ):
+        self._log = log
+        self._hosts = HostList(seeds, key, seed)
+        self._workspace = workspace
+        self._key = key
+        self._key_number = key_number
+        self._may_run = may_run
+
+    def complete(
+        self,
+        call_id: str,
+        model: str,
+        words: str = '',
+        tokens: int = 16,
+        max_tokens: int = 512,
+        class_name: str = 'standard',
+        due_ms: float = 0.0,
+        host: str = '',
+        cancel_after_tokens: int = 0,
+        on_token: typing.Callable[[calls.Call], None] | None = None,
+    ) -> calls.Call:
+        """Streams a completion and records it.
+
+        :param words: the start of the prompt, before the markers
+        """
+        prompt = f'{words} [[id={call_id}]][[tokens={tokens}]]'
+        call = self._begin(call_id, calls.KIND_COMPLETION, due_ms)
+        call.path = '/v1/completions'
+        call.class_name = class_name
+        call.prompt_tokens = prefixes.count_tokens(prompt.encode())
+        call.max_tokens = max_tokens
+        call.expected_text = answers.make_answer(prompt, max_tokens).text()
+        body = {
+            'model': model,
+            'prompt': prompt,
+            'max_tokens': max_tokens,
+            'stream': True,
+        }
+        headers = {
+            'Content-Type': 'application/json',
+            'Masticquay-Class': class_name,
+        }
+        reader = _StreamReader(call, cancel_after_tokens, on_token)
+        data = json.dumps(body).encode()
+        self._send(call, 'POST', call.path, headers, data, reader.read, host)
+        return call
+
+    def request(
+        self,
+        call_id: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        idempotency_key: str = '',
+        idempotent: bool = True,
+        due_ms: float = 0.0,
+        host: str = '',
+    ) -> calls.Call:
+        """Calls a plain service and records the answer."""
+        call = self._begin(call_id, calls.KIND_SERVICE, due_ms)
+        call.path = path
+        call.class_name = 'prompt'
+        call.idempotency_key = idempotency_key
+        call.idempotent = idempotent
+        headers = {'Content-Type': 'text/plain'}
+        if idempotency_key:
+            headers['Idempotency-Key'] = idempotency_key
+        data = body + f' [[id={call_id}]]'.encode() if body else b''
+        self._send(call, method, path, headers, data, _read_whole, host)
+        return call
+
+    def _begin(self, call_id: str, kind: str, due_ms: float) -> calls.Call:
+        call = calls.Call(call_id, kind, self._workspace)
+        call.key_number = self._key_number
+        call.may_run = self._may_run
+        call.due_ms = due_ms or journals.now_ms()
+        self._log.add(call)
+        return call
+
+    def _send(
+        self,
+        call: calls.Call,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        read: typing.Callable,
+        host: str,
+    ) -> None:
+        if self._key:
+            headers['Authorization'] = f'Bearer {self._key}'
+        link = self._connect(call, host)
+        if link is None:
+            call.end = calls.END_NOT_CONNECTED
+            call.end_ms = journals.now_ms()
+            return
+        call.sent_ms = journals.now_ms()
+        try:
+            link.request(method, path, body or None, headers)
+            response = link.getresponse()
+            call.status = response.status
+            call.outcome = response.headers.get(OUTCOME_HEADER, '')
+            call.retry_after_s = response.headers.get('Retry-After', '')
+            if response.status >= 400:
+                _read_error(call, response.read())
+            else:
+                read(call, response)
+        except (OSError, http.client.HTTPException) as cause:
+            call.end = calls.END_BROKEN
+            call.detail = repr(cause)
+        finally:
+            link.close()
+            call.end_ms = journals.now_ms()
+
+    def _connect(
+        self, call: calls.Call, host: str
+    ) -> http.client.HTTPConnection | None:
+        """Connects to a host of the list; another one when that fails."""
+        for _ in range(MAX_CONNECT_ATTEMPTS):
+            call.host = host or self._hosts.choose()
+            link = http.client.HTTPConnection(
+                call.host, timeout=CONNECT_TIMEOUT_S
+            )
+            try:
+                link.connect()
+            except OSError as cause:
+                call.detail = repr(cause)
+                self._hosts.drop(call.host)
+                continue
+            link.sock.settimeout(ANSWER_TIMEOUT_S)
+            link.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            call.detail = ''
+            return link
+        return None
+
+
+def _read_error(call: calls.Call, data: bytes) -> None:
+    call.end = calls.END_REFUSED
+    try:
+        error = json.loads(data)['error']
+        call.error_code = str(error.get('code') or error.get('type') or '')
+        call.detail = str(error.get('message', ''))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        call.end = calls.END_ERROR
+        call.detail = data[:200].decode('utf-8', 'replace')
+
+
+def _read_whole(call: calls.Call, response: typing.Any) -> None:
+    call.text = response.read().decode('utf-8', 'replace')
+    call.first_token_ms = journals.now_ms()
+    call.end = calls.END_OK
+
+
+class _StreamReader:
+    """Reads a server-sent event stream into a call."""
+
+    __slots__ = ('_call', '_cancel_after', '_on_token', '_gaps', '_last_ms')
+
+    def __init__(
+        self,
+        call: calls.Call,
+        cancel_after_tokens: int,
+        on_token: typing.Callable[[calls.Call], None] | None,
+    ):
+        self._call = call
+        self._cancel_after = cancel_after_tokens
+        self._on_token = on_token
+        self._gaps: list[float] = []
+        self._last_ms = 0.0
+
+    def read(self, call: calls.Call, response: typing.Any) -> None:
+        """Reads until the end marker, an error, or the wanted cancel."""
+        call.end = calls.END_BROKEN
+        parts: list[str] = []
+        try:
+            for line in response:
+                if line.startswith(b'data:') and self._take(line[5:], parts):
+                    break
+        finally:
+            call.text = ''.join(parts)
+            if self._gaps:
+                self._gaps.sort()
+                rank = int(0.95 * (len(self._gaps) - 1))
+                call.gap_p95_ms = self._gaps[rank]
+
+    def _take(self, data: bytes, parts: list[str]) -> bool:
+        """Takes an event; True when the stream has ended."""
+        call = self._call
+        data = data.strip()
+        if data == b'[DONE]':
+            call.end = calls.END_OK
+            return True
+        event = json.loads(data)
+        if 'error' in event:
+            error = event['error']
+            call.end = calls.END_ERROR
+            call.error_code = str(error.get('code', ''))
+            call.detail = str(error.get('message', ''))
+            call.outcome = str(error.get('outcome', '')) or call.outcome
+            return True
+        for choice in event.get('choices', []):
+            text = choice.get('text') or ''
+            if text:
+                parts.append(text)
+                self._count_token()
+            if choice.get('finish_reason'):
+                call.finish_count += 1
+        if self._cancel_after and call.output_tokens >= self._cancel_after:
+            call.end = calls.END_CANCELLED
+            return True
+        return False
+
+    def _count_token(self) -> None:
+        call = self._call
+        now_ms = journals.now_ms()
+        if not call.first_token_ms:
+            call.first_token_ms = now_ms
+        else:
+            self._gaps.append(now_ms - self._last_ms)
+        self._last_ms = now_ms
+        call.output_tokens += 1
+        if self._on_token is not None:
+            self._on_token(call)
--- /dev/null
+++ b/libs/bench/masticquay_bench/deployments.py
@@ -0,0 +1,270 @@
+"""The two deployments of today, as bundles for a test fleet."""
+
+import typing
+
+from masticquay_bundles import signatures
+
+from masticquay_bench import layouts
+
+PROBE_PATH = '/services/{service}/probe/v{version}/'
+
+
+class Workspace:
+    """A customer of a deployment.
+
+    :param share: its part of the load
+    """
+
+    __slots__ = ('name', 'share', 'rate_tokens_per_s', 'burst_tokens')
+
+    def __init__(
+        self,
+        name: str,
+        share: float,
+        rate_tokens_per_s: int,
+        burst_tokens: int,
+    ):
+        self.name = name
+        self.share = share
+        self.rate_tokens_per_s = rate_tokens_per_s
+        self.burst_tokens = burst_tokens
+
+
+class Deployment:
+    """Names and sizes of a deployment.
+
+    :param service: its plain service
+    :param effect_path: a non-idempotent call of the service
+    :param status_path: a prompt, idempotent call of the service
+    """
+
+    __slots__ = (
+        'name',
+        'region',
+        'places',
+        'model',
+        'service',
+        'effect_path',
+        'status_path',
+        'workspaces',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        region: str,
+        places: list[str],
+        model: str,
+        service: str,
+        effect_path: str,
+        status_path: str,
+        workspaces: list[Workspace],
+    ):
+        self.name = name
+        self.region = region
+        self.places = places
+        self.model = model
+        self.service = service
+        self.effect_path = effect_path
+        self.status_path = status_path
+        self.workspaces = workspaces
+
+
+KALAMU = Deployment(
+    'kalamu',
+    'ke-central',
+    ['ke-central-a', 'ke-central-b', 'ke-central-c'],
+    'style-guide',
+    'payments',
+    '/services/payments/payouts',
+    '/services/payments/balances/',
+    [
+        Workspace('nairobi-proofs', 0.35, 60_000, 120_000),
+        Workspace('kisumu-readers', 0.30, 60_000, 120_000),
+        Workspace('thesis-desk', 0.20, 40_000, 80_000),
+        Workspace('tender-checks', 0.10, 20_000, 40_000),
+        Workspace('evening-shift', 0.05, 10_000, 20_000),
+    ],
+)
+BATANGAS = Deployment(
+    'batangas',
+    'calabarzon',
+    ['batangas-main', 'lipa-annex', 'calamba-office'],
+    'report-drafter',
+    'specimens',
+    '/services/specimens/withdrawals',
+    '/services/specimens/cabinets/',
+    [
+        Workspace('salt-fog', 0.35, 60_000, 120_000),
+        Workspace('coatings', 0.30, 60_000, 120_000),
+        Workspace('certificates', 0.20, 40_000, 80_000),
+        Workspace('cabinets', 0.10, 20_000, 40_000),
+        Workspace('archive', 0.05, 10_000, 20_000),
+    ],
+)
+BY_NAME = {d.name: d for d in (KALAMU, BATANGAS)}
+
+
+def probe_path(deployment: Deployment, version: int) -> str:
+    """Returns an open path that bundles from a version on serve."""
+    return PROBE_PATH.format(service=deployment.service, version=version)
+
+
+def make_bundle(
+    deployment: Deployment,
+    layout: layouts.Layout,
+    version: int,
+    keys: dict[str, str],
+    approvers: dict[str, str],
+    engine_count: int,
+    service_count: int,
+    engine_slots: int = 20,
+) -> dict[str, typing.Any]:
+    """Returns a bundle as plain values.
+
+    :param keys: workspace by key
+    :param approvers: public key by name
+    """
+    return {
+        'version': version,
+        'approvals_required': len(approvers),
+        'approvers': [
+            {'name': name, 'public_key': key}
+            for name, key in approvers.items()
+        ],
+        'places': [
+            {'name': place, 'region': deployment.region}
+            for place in deployment.places
+        ],
+        'workspaces': [
+            {
+                'name': w.name,
+                'rate_tokens_per_s': w.rate_tokens_per_s,
+                'burst_tokens': w.burst_tokens,
+            }
+            for w in deployment.workspaces
+        ],
+        'keys': [
+            {'digest': signatures.digest_key(key), 'workspace': workspace}
+            for key, workspace in keys.items()
+        ],
+        'classes': _classes(),
+        'models': [
+            {
+                'name': deployment.model,
+                'version': '1',
+                'kv_bytes_per_token': 64,
+                'minimum_endpoints': 2,
+            }
+        ],
+        'services': [deployment.service],
+        'routes': _routes(deployment, version),
+        'endpoints': _engines(deployment, layout, engine_count, engine_slots)
+        + _services(deployment, layout, service_count),
+        'weight_stores': [
+            {'address': layout.other(0), 'rate_bytes_per_s': 20_000_000}
+        ],
+        'platform_list': layout.other(1),
+    }
+
+
+def _classes() -> list[dict]:
+    return [
+        _service_class('standard', 'standard', 490, 10_000),
+        _service_class('prompt', 'prompt', 490, 1_000),
+        _service_class('deferred', 'deferred', 5_000, 20_000),
+    ]
+
+
+def _service_class(
+    name: str, kind: str, first_token_ms: int, max_wait_ms: int
+) -> dict:
+    return {
+        'name': name,
+        'kind': kind,
+        'first_token_target_ms': first_token_ms,
+        'between_tokens_target_ms': 35,
+        'deadline_ms': 60_000,
+        'max_wait_ms': max_wait_ms,
+    }
+
+
+def _routes(deployment: Deployment, version: int) -> list[dict]:
+    classes = ['standard', 'prompt', 'deferred']
+    models = [
+        {'path': path, 'access': 'keyed', 'classes': classes}
+        for path in ('/v1/completions', '/v1/chat/completions')
+    ]
+    service = {'service': deployment.service, 'classes': ['prompt']}
+    calls = [
+        {
+            'path': deployment.effect_path,
+            'methods': ['POST'],
+            'access': 'keyed',
+            'idempotent': False,
+            **service,
+        },
+        {
+            'path': deployment.status_path,
+            'methods': ['GET'],
+            'access': 'keyed',
+            **service,
+        },
+        {
+            'path': f'/services/{deployment.service}/private/',
+            'methods': ['GET'],
+            'access': 'keyed',
+            'workspaces': [deployment.workspaces[0].name],
+            **service,
+        },
+    ]
+    probes = [
+        {
+            'path': probe_path(deployment, number),
+            'methods': ['GET'],
+            'access': 'open',
+            **service,
+        }
+        for number in range(1, version + 1)
+    ]
+    return models + calls + probes
+
+
+def _engines(
+    deployment: Deployment,
+    layout: layouts.Layout,
+    count: int,
+    slots: int,
+) -> list[dict]:
+    return [
+        {
+            'name': f'engine-{number}',
+            'kind': 'engine',
+            'address': layout.engine(number),
+            'place': deployment.places[number % len(deployment.places)],
+            'roles': ['prefill', 'decode'],
+            'model': deployment.model,
+            'slots': slots,
+            'pieces': 4_000,
+            'piece_tokens': 16,
+            'link_bytes_per_s': 50_000_000,
+            'checks_fencing': number % 2 == 0,
+        }
+        for number in range(count)
+    ]
+
+
+def _services(
+    deployment: Deployment, layout: layouts.Layout, count: int
+) -> list[dict]:
+    return [
+        {
+            'name': f'service-{number}',
+            'kind': 'service',
+            'address': layout.service(number),
+            'place': deployment.places[number % len(deployment.places)],
+            'service': deployment.service,
+            'slots': 20,
+        }
+        for number in range(count)
+    ]
--- /dev/null
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -0,0 +1,406 @@
+"""A fleet of real processes on loopback addresses of its own."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import secrets
+import subprocess
+import sys
+import tempfile
+import typing
+
+from masticquay_bundles import signatures
+import yaml
+
+from masticquay_bench import deployments
+from masticquay_bench import errors
+from masticquay_bench import layouts
+from masticquay_bench import processes
+
+CONTROL_MODULE = 'masticquay_control.daemons'
+ENTRY_MODULE = 'masticquay_entry.daemons'
+STANDIN_MODULE = 'masticquay_standins.daemons'
+OPERATOR_MODULE = 'masticquay_operator.commands'
+COMMAND_TIMEOUT_S = 60
+STANDIN_TIMEOUT_S = 5
+KEY_PREFIX = 'test-key-'
+APPROVERS = ('ana', 'ben')
+
+
+class Sizes:
+    """How many processes a fleet has."""
+
+    __slots__ = ('controls', 'entries', 'engines', 'services', 'engine_slots')
+
+    def __init__(
+        self,
+        controls: int = 3,
+        entries: int = 6,
+        engines: int = 6,
+        services: int = 3,
+        engine_slots: int = 20,
+    ):
+        self.controls = controls
+        self.entries = entries
+        self.engines = engines
+        self.services = services
+        self.engine_slots = engine_slots
+
+
+class Fleet:
+    """Starts a fleet, commands it, and ends all that it started.
+
+    Use as a context manager.
+
+    :param engine_options: options of every engine stand-in
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment = deployments.KALAMU,
+        sizes: Sizes | None = None,
+        seed: int = 0,
+        engine_options: dict[str, typing.Any] | None = None,
+        rates: dict[str, tuple[int, int]] | None = None,
+    ):
+        self.deployment = deployment
+        self.sizes = sizes or Sizes()
+        self.layout = layouts.Layout()
+        self.seed = seed
+        self.bundle_version = 0
+        self.controls: list[processes.Process] = []
+        self.entries: list[processes.Process] = []
+        self.engines: list[processes.Process] = []
+        self.services: list[processes.Process] = []
+        self.keys: dict[str, str] = {}
+        self._engine_options = engine_options or {}
+        self._rates = rates or {}
+        self._stack = contextlib.ExitStack()
+        self.folder = pathlib.Path()
+
+    def __enter__(self) -> typing.Self:
+        try:
+            self._open()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *exception: typing.Any) -> None:
+        self._stack.close()
+
+    @property
+    def record_folder(self) -> pathlib.Path:
+        """Where the stand-ins keep their journals."""
+        return self.folder / 'records'
+
+    @property
+    def caller_addresses(self) -> list[str]:
+        """The addresses of all entry hosts for callers."""
+        return [self.layout.caller(n) for n in range(self.sizes.entries)]
+
+    def key_of(self, workspace: str, number: int = 0) -> str:
+        """Returns a key of a workspace; each has two."""
+        found = [k for k, name in self.keys.items() if name == workspace]
+        return found[number]
+
+    def all_processes(self) -> list[processes.Process]:
+        """Returns every process that was started."""
+        return [
+            *self.controls,
+            *self.entries,
+            *self.engines,
+            *self.services,
+            self._others,
+        ]
+
+    def roll_bundle(
+        self, change: typing.Callable[[dict], None] | None = None
+    ) -> dict[str, typing.Any]:
+        """Makes the next bundle, signs it and rolls it.
+
+        :param change: edits the bundle's plain values before signing
+        :returns: the operators' report
+        :raises FleetError: when the roll failed
+        """
+        bundle = self.write_bundle(self.bundle_version + 1, change)
+        report = self.operate('bundle', 'roll', str(bundle))
+        self.bundle_version += 1
+        return report
+
+    def write_bundle(
+        self,
+        version: int,
+        change: typing.Callable[[dict], None] | None = None,
+    ) -> pathlib.Path:
+        """Writes and signs a bundle file."""
+        bundle = deployments.make_bundle(
+            self.deployment,
+            self.layout,
+            version,
+            self.keys,
+            self._approvers,
+            self.sizes.engines,
+            self.sizes.services,
+            self.sizes.engine_slots,
+        )
+        for workspace in bundle['workspaces']:
+            if workspace['name'] in self._rates:
+                rate, burst = self._rates[workspace['name']]
+                workspace['rate_tokens_per_s'] = rate
+                workspace['burst_tokens'] = burst
+        if change is not None:
+            change(bundle)
+        path = self.folder / f'bundle-{version}.yaml'
+        path.write_text(yaml.safe_dump(bundle, sort_keys=False))
+        for name in APPROVERS:
+            self.operate(
+                'bundle',
+                'sign',
+                str(path),
+                f'--approver={name}',
+                f'--private_key={self.folder / name}.pem',
+            )
+        return path
+
+    def withdraw_key(self, key: str) -> dict[str, typing.Any]:
+        """Withdraws a key and waits until that is in force."""
+        return self.operate('key', 'withdraw', signatures.digest_key(key))
+
+    def operate(self, *words: str) -> dict[str, typing.Any]:
+        """Runs the operators' command and returns its report.
+
+        :raises FleetError: when it failed
+        """
+        done = self.run_operator(*words)
+        if done.returncode:
+            raise errors.FleetError(
+                f'masticquay {" ".join(words)}: exit {done.returncode}: '
+                f'{done.stderr.strip()[-600:]}'
+            )
+        return json.loads(done.stdout)
+
+    def run_operator(self, *words: str) -> subprocess.CompletedProcess:
+        """Runs the operators' command."""
+        control = [self.layout.control(n) for n in range(self.sizes.controls)]
+        command = [
+            sys.executable,
+            '-m',
+            OPERATOR_MODULE,
+            f'--control={",".join(control)}',
+            f'--secret_file={self.folder / "secret"}',
+            '--format=json',
+            *words,
+        ]
+        return subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            stdin=subprocess.DEVNULL,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+
+    def set_faults(self, address: str, **faults: typing.Any) -> None:
+        """Sets faults of a stand-in."""
+        self._post(address, '/standin/faults', faults)
+
+    def list_endpoints(self, leaving: set[str] = frozenset()) -> None:
+        """Replaces the platform list.
+
+        :param leaving: names of endpoints that are listed as leaving
+        """
+        hosts = self._listed_hosts(leaving)
+        self._post(self.layout.other(1), '/standin/hosts', {'hosts': hosts})
+
+    def make_control(self, number: int) -> processes.Process:
+        """Makes a control process with its settings; does not start it."""
+        place = self.deployment.places[number % len(self.deployment.places)]
+        data_folder = self.folder / f'control-{number}'
+        data_folder.mkdir(exist_ok=True)
+        replicas = [
+            {'name': f'control-{n}', 'address': self.layout.control(n)}
+            for n in range(self.sizes.controls)
+        ]
+        settings = {
+            'name': f'control-{number}',
+            'place': place,
+            'peer_address': self.layout.control(number),
+            'data_folder': str(data_folder),
+            'replicas': replicas,
+            'secret_file': str(self.folder / 'secret'),
+            'seed': self.seed + number,
+        }
+        return self._make_daemon(CONTROL_MODULE, settings)
+
+    def make_entry(self, number: int) -> processes.Process:
+        """Makes an entry process with its settings; does not start it."""
+        place = self.deployment.places[number % len(self.deployment.places)]
+        settings = {
+            'name': f'entry-{number}',
+            'place': place,
+            'caller_address': self.layout.caller(number),
+            'peer_address': self.layout.peer(number),
+            'control': [
+                self.layout.control(n) for n in range(self.sizes.controls)
+            ],
+            'secret_file': str(self.folder / 'secret'),
+            'seed': self.seed + number,
+        }
+        return self._make_daemon(ENTRY_MODULE, settings)
+
+    def _open(self) -> None:
+        self.folder = pathlib.Path(
+            self._stack.enter_context(
+                tempfile.TemporaryDirectory(prefix='masticquay-')
+            )
+        )
+        self._prepare_files()
+        self._start_standins()
+        self.controls = [
+            self.make_control(n) for n in range(self.sizes.controls)
+        ]
+        self.entries = [self.make_entry(n) for n in range(self.sizes.entries)]
+        self._start_all(self.controls)
+        self._start_all(self.entries)
+        self.roll_bundle()
+
+    def _prepare_files(self) -> None:
+        self.record_folder.mkdir()
+        (self.folder / 'secret').write_text(secrets.token_hex(32))
+        for workspace in self.deployment.workspaces:
+            for _ in range(2):
+                key = KEY_PREFIX + secrets.token_urlsafe(24)
+                self.keys[key] = workspace.name
+        self._approvers = {}
+        for name in APPROVERS:
+            key = signatures.generate_private_key()
+            path = self.folder / f'{name}.pem'
+            path.write_bytes(signatures.dump_private_key(key))
+            self._approvers[name] = signatures.public_key_hex(key)
+
+    def _start_standins(self) -> None:
+        engine = {
+            'model': self.deployment.model,
+            'slots': self.sizes.engine_slots,
+            **self._engine_options,
+        }
+        self.engines = [
+            self._make_standin(
+                f'engine-{n}',
+                [
+                    self._standin(
+                        'engine',
+                        f'engine-{n}',
+                        self.layout.engine(n),
+                        {
+                            **engine,
+                            'checks_fencing': n % 2 == 0,
+                            'seed': self.seed + n,
+                        },
+                    )
+                ],
+            )
+            for n in range(self.sizes.engines)
+        ]
+        self.services = [
+            self._make_standin(
+                f'service-{n}',
+                [
+                    self._standin(
+                        'service', f'service-{n}', self.layout.service(n), {}
+                    )
+                ],
+            )
+            for n in range(self.sizes.services)
+        ]
+        listed = {'hosts': self._listed_hosts(set())}
+        others = [
+            self._standin('weights', 'weights', self.layout.other(0), {}),
+            self._standin(
+                'platform', 'platform', self.layout.other(1), listed
+            ),
+        ]
+        self._others = self._make_standin('others', others)
+        self._start_all([*self.engines, *self.services, self._others])
+
+    def _listed_hosts(self, leaving: set[str]) -> list[dict]:
+        engines = [
+            (f'engine-{n}', self.layout.engine(n))
+            for n in range(self.sizes.engines)
+        ]
+        services = [
+            (f'service-{n}', self.layout.service(n))
+            for n in range(self.sizes.services)
+        ]
+        return [
+            {
+                'name': name,
+                'address': address,
+                'state': 'leaving' if name in leaving else 'live',
+            }
+            for name, address in engines + services
+        ]
+
+    def _standin(
+        self, kind: str, name: str, address: str, options: dict
+    ) -> dict[str, typing.Any]:
+        return {
+            'kind': kind,
+            'name': name,
+            'address': address,
+            'options': options,
+        }
+
+    def _make_standin(
+        self, name: str, entries: list[dict]
+    ) -> processes.Process:
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump({'standins': entries}))
+        return processes.Process(
+            name,
+            STANDIN_MODULE,
+            [f'--config={path}', f'--record_folder={self.record_folder}'],
+            self.folder / f'{name}.log',
+        )
+
+    def _make_daemon(
+        self, module: str, settings: dict[str, typing.Any]
+    ) -> processes.Process:
+        name = settings['name']
+        path = self.folder / f'{name}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        return processes.Process(
+            name,
+            module,
+            [f'--settings={path}'],
+            self.folder / f'{name}.log',
+        )
+
+    def _start_all(self, group: list[processes.Process]) -> None:
+        for process in group:
+            self._stack.callback(process.close)
+            process.start()
+        # Closing waits for one after another; asked together they end sooner.
+        self._stack.callback(_terminate_all, group)
+        for process in group:
+            process.wait_ready()
+
+    def _post(self, address: str, path: str, body: dict) -> None:
+        connection = http.client.HTTPConnection(
+            address, timeout=STANDIN_TIMEOUT_S
+        )
+        try:
+            connection.request('POST', path, json.dumps(body))
+            response = connection.getresponse()
+            response.read()
+            if response.status != 200:
+                raise errors.FleetError(f'{address}{path}: {response.status}')
+        finally:
+            connection.close()
+
+
+def _terminate_all(group: list[processes.Process]) -> None:
+    for process in group:
+        process.unpause()
+        process.terminate()
--- a/libs/standins/masticquay_standins/batches.py
+++ b/libs/standins/masticquay_standins/batches.py
@@ -47,7 +47,7 @@
         self.start_index = first_index
         self.next_index = first_index
         self.hold = hold
-        self.stream = streams.EventStream()
+        self.stream = streams.EventStream(request_id, attempt)
         self.finished_ms = 0.0
         self.repeats = False
         self.cut = False
@@ -123,7 +123,7 @@
             if sequence is None or first_index < sequence.start_index:
                 return None
             old = sequence.stream
-            sequence.stream = streams.EventStream()
+            sequence.stream = streams.EventStream(request_id, attempt)
             for index in range(first_index, sequence.next_index):
                 _push_token(sequence, index)
             if sequence.finished_ms:
--- a/libs/standins/masticquay_standins/engines.py
+++ b/libs/standins/masticquay_standins/engines.py
@@ -14,9 +14,11 @@
 from masticquay_standins import orders
 from masticquay_standins import prefills
 from masticquay_standins import servers
+from masticquay_standins import streams
 
 IMPORT_TIMEOUT_S = 5
 READ_BYTES = 256 * 1024
+CROSSED_TOKENS = 4
 
 
 class EngineSettings:
@@ -205,6 +207,8 @@
         return servers.reply(
             200,
             {
+                'request_id': request_id,
+                'attempt': attempt,
                 'handle': done.handle,
                 'prompt_tokens': done.tokens,
                 'cached_tokens': done.cached_tokens,
@@ -234,7 +238,12 @@
         if not self._batch.reserve():
             return servers.fail(429, 'no-slot')
         tokens = prefixes.count_tokens(prompt.encode()) + answer.length_tokens
-        hold = self._memory.hold(request_id, memories.STAGE_DECODE, tokens)
+        hold = self._memory.hold(
+            request_id,
+            answers.read_id(prompt),
+            memories.STAGE_DECODE,
+            tokens,
+        )
         if hold is None:
             self._batch.unreserve()
             return servers.fail(429, 'no-pieces')
@@ -271,6 +280,8 @@
             request_id, attempt, answer, first_index, hold
         )
         stream = sequence.stream
+        if self.faults.take('crossed'):
+            stream = _answer_of_another(answer)
         self._batch.add(sequence)
         if self._is_cancelled(request_id, attempt):
             self._batch.cancel(request_id)
@@ -343,3 +354,14 @@
             with self._lock:
                 self._load = (read_ms, load)
         return servers.reply(200, {**load, 'age_ms': int(now_ms - read_ms)})
+
+
+def _answer_of_another(answer: answers.Answer) -> streams.EventStream:
+    """Makes a short stream that belongs to no request of this engine."""
+    stream = streams.EventStream('another-request', 1)
+    other = answers.Answer(answer.seed ^ 2, CROSSED_TOKENS, 'stop')
+    for index in range(CROSSED_TOKENS):
+        stream.push({'index': index, 'text': other.token(index)})
+    stream.push({'index': CROSSED_TOKENS, 'finish_reason': 'stop'})
+    stream.finish()
+    return stream
--- a/libs/standins/masticquay_standins/memories.py
+++ b/libs/standins/masticquay_standins/memories.py
@@ -11,13 +11,26 @@
 class Hold:
     """Pieces that a request occupies until they are released."""
 
-    __slots__ = ('request_id', 'stage', 'pieces', '_memory', '_held')
+    __slots__ = (
+        'request_id',
+        'prompt_id',
+        'stage',
+        'pieces',
+        '_memory',
+        '_held',
+    )
 
     def __init__(
-        self, memory: 'Memory', request_id: str, stage: str, pieces: int
+        self,
+        memory: 'Memory',
+        request_id: str,
+        prompt_id: str,
+        stage: str,
+        pieces: int,
     ):
         self._memory = memory
         self.request_id = request_id
+        self.prompt_id = prompt_id
         self.stage = stage
         self.pieces = pieces
         self._held = True
@@ -32,6 +45,7 @@
         self._memory.journal.add(
             journals.EVENT_RELEASED,
             request_id=self.request_id,
+            prompt_id=self.prompt_id,
             stage=self.stage,
             pieces=self.pieces,
             reason=reason,
@@ -53,7 +67,9 @@
         self.piece_tokens = piece_tokens
         self.used = 0
 
-    def hold(self, request_id: str, stage: str, tokens: int) -> Hold | None:
+    def hold(
+        self, request_id: str, prompt_id: str, stage: str, tokens: int
+    ) -> Hold | None:
         """Takes the pieces for some tokens, None when too few are free."""
         pieces = -(-tokens // self.piece_tokens)
         with self.lock:
@@ -63,7 +79,8 @@
         self.journal.add(
             journals.EVENT_HELD,
             request_id=request_id,
+            prompt_id=prompt_id,
             stage=stage,
             pieces=pieces,
         )
-        return Hold(self, request_id, stage, pieces)
+        return Hold(self, request_id, prompt_id, stage, pieces)
--- a/libs/standins/masticquay_standins/prefills.py
+++ b/libs/standins/masticquay_standins/prefills.py
@@ -6,6 +6,7 @@
 import time
 
 from masticquay_scheduling import prefixes
+from masticquay_standins import answers
 from masticquay_standins import caches
 from masticquay_standins import faults
 from masticquay_standins import journals
@@ -120,8 +121,10 @@
         """Computes a prompt and keeps it; None when there is no room."""
         if self._gate.waiting >= MAX_QUEUED:
             return None
+        prompt_id = answers.read_id(prompt.decode('utf-8', 'replace'))
         hold = self._memory.hold(
             request_id,
+            prompt_id,
             memories.STAGE_PREFILL,
             prefixes.count_tokens(prompt),
         )
@@ -134,6 +137,7 @@
             journals.EVENT_PREFILL,
             request_id=request_id,
             attempt=attempt,
+            prompt_id=prompt_id,
             handle=handle,
             tokens=tokens,
             cached_tokens=cached,
--- a/libs/standins/masticquay_standins/streams.py
+++ b/libs/standins/masticquay_standins/streams.py
@@ -10,14 +10,17 @@
 MAX_BUFFERED_BYTES = 1024 * 1024
 FLUSH_TIMEOUT_S = 30
 HEAD = (
-    b'HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\n'
-    b'Transfer-Encoding: chunked\r\n\r\n'
+    'HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\n'
+    'Request-Id: {}\r\nAttempt: {}\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 END = b'0\r\n\r\n'
 
 
 class EventStream:
-    """One server-sent event stream on one connection."""
+    """One server-sent event stream on one connection.
+
+    :param request_id: repeated in a header, as is the attempt
+    """
 
     __slots__ = (
         '_sock',
@@ -29,9 +32,10 @@
         'silent',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, request_id: str, attempt: int) -> None:
         self._sock: socket.socket | None = None
-        self._buffer = bytearray(HEAD)
+        head = HEAD.format(request_id, attempt)
+        self._buffer = bytearray(head.encode('latin-1'))
         self._lock = threading.Lock()
         self._ended = threading.Event()
         self.lost = False
