Control replica and hosts' sessions on a log of one replica

Hosts and operators need control to code against before the replicated log stands, so the state machine, leases, watches, client and daemon run on a log with one replica and the same interface.

Incarnations come from the log, not from a clock. An intent carries a call number set by the session: without it a resend and a second caller's call at the same host could not be told apart. Deltas are worked out from the state instead of a ring of changes, so how far a host lags does not matter.

--- /dev/null
+++ b/libs/control/masticquay_control/daemons.py
@@ -0,0 +1,144 @@
+"""The daemon ``masticquay-controld``."""
+
+import logging
+import pathlib
+import signal
+import sys
+import threading
+import typing
+
+from absl import app
+from absl import flags
+from pythonjsonlogger import json as json_logging
+from returns import result
+
+from masticquay_bundles import schemas
+from masticquay_bundles import settings as settings_files
+from masticquay_consensus import errors as consensus_errors
+from masticquay_control import replicas
+from masticquay_wire import peers
+
+LOG = logging.getLogger(__name__)
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 78
+LOG_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
+
+_TEXT = {'type': 'string'}
+
+SETTINGS = [
+    settings_files.Setting(
+        'name', schemas.NAME, settings_files.REQUIRED, 'the replica'
+    ),
+    settings_files.Setting(
+        'place', schemas.NAME, settings_files.REQUIRED, 'its data centre'
+    ),
+    settings_files.Setting(
+        'peer_address',
+        schemas.ADDRESS,
+        settings_files.REQUIRED,
+        'where hosts, operators and other replicas connect',
+    ),
+    settings_files.Setting(
+        'data_folder', _TEXT, settings_files.REQUIRED, 'the log and snapshots'
+    ),
+    settings_files.Setting(
+        'replicas',
+        {
+            'type': 'array',
+            'minItems': 1,
+            'items': {
+                'type': 'object',
+                'additionalProperties': False,
+                'required': ['name', 'address'],
+                'properties': {
+                    'name': schemas.NAME,
+                    'address': schemas.ADDRESS,
+                },
+            },
+        },
+        settings_files.REQUIRED,
+        'the first voters',
+    ),
+    settings_files.Setting(
+        'secret_file', _TEXT, settings_files.REQUIRED, 'the fleet secret'
+    ),
+    settings_files.Setting('log_file', _TEXT, '', 'empty: standard error'),
+    settings_files.Setting(
+        'seed', {'type': 'integer'}, 0, 'of the random source'
+    ),
+]
+
+SETTINGS_FILE = flags.DEFINE_string('settings', None, 'The settings file.')
+CHECK_ONLY = flags.DEFINE_bool('check', False, 'Only check the settings.')
+
+
+def make_settings(
+    values: dict[str, typing.Any], secret: bytes
+) -> replicas.ReplicaSettings:
+    """Turns checked values into the replica's settings."""
+    return replicas.ReplicaSettings(
+        values['name'],
+        values['place'],
+        peers.Address.parse(values['peer_address']),
+        pathlib.Path(values['data_folder']),
+        {item['name']: item['address'] for item in values['replicas']},
+        secret,
+        values['seed'],
+    )
+
+
+def set_up_logs(log_file: str) -> None:
+    """Sends log lines as JSON to a file or to standard error."""
+    handler: logging.Handler = logging.StreamHandler(sys.stderr)
+    if log_file:
+        handler = logging.FileHandler(log_file)
+    handler.setFormatter(json_logging.JsonFormatter(LOG_FORMAT))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.INFO)
+
+
+def main(arguments: list[str]) -> int:
+    """Checks the settings, then runs a replica until it is told to end."""
+    if not SETTINGS_FILE.value:
+        print('--settings=FILE is missing', file=sys.stderr)
+        return EXIT_SETTINGS
+    path = pathlib.Path(SETTINGS_FILE.value)
+    checked = settings_files.check_file(path, SETTINGS)
+    if isinstance(checked, result.Failure):
+        for problem in checked.failure():
+            print(problem, file=sys.stderr)
+        return EXIT_SETTINGS
+    values = checked.unwrap()
+    if CHECK_ONLY.value:
+        return 0
+    set_up_logs(values['log_file'])
+    try:
+        secret = pathlib.Path(values['secret_file']).read_bytes().strip()
+        return _serve(make_settings(values, secret))
+    except (OSError, consensus_errors.ConsensusError) as cause:
+        LOG.error('start failed', extra={'cause': str(cause)})
+        return EXIT_FAILED
+
+
+def _serve(settings: replicas.ReplicaSettings) -> int:
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    replica = replicas.Replica(settings)
+    replica.start()
+    LOG.info('ready', extra={'address': str(replica.listener.address)})
+    stopped.wait()
+    replica.close()
+    LOG.info('stopped')
+    return 0
+
+
+def run() -> None:
+    """Runs the daemon as a program."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/libs/control/masticquay_control/intents.py
@@ -0,0 +1,210 @@
+"""The table of non-idempotent calls and their outcomes."""
+
+import collections
+import typing
+
+from masticquay_membership import messages as membership
+from masticquay_wire import messages
+from masticquay_wire import records
+
+RETENTION_MS = 24 * 3_600_000
+MAX_INTENTS = 100_000
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+IsLive = typing.Callable[[str, int], bool]
+
+
+class Intent(records.Record):
+    """One call and what is known of it.
+
+    :param outcome: empty while the call is in progress
+    :param stamp_ms: logical time of its last change
+    """
+
+    __slots__ = (
+        'workspace',
+        'idempotency_key',
+        'request_digest',
+        'host',
+        'incarnation',
+        'call_number',
+        'stamp_ms',
+        'outcome',
+        'answer',
+    )
+
+    def __init__(
+        self,
+        workspace: str,
+        idempotency_key: str,
+        request_digest: bytes,
+        host: str,
+        incarnation: int,
+        call_number: int,
+        stamp_ms: int,
+        outcome: str = '',
+        answer: membership.StoredAnswer | None = None,
+    ):
+        self.workspace = workspace
+        self.idempotency_key = idempotency_key
+        self.request_digest = request_digest
+        self.host = host
+        self.incarnation = incarnation
+        self.call_number = call_number
+        self.stamp_ms = stamp_ms
+        self.outcome = outcome
+        self.answer = answer
+
+    def begun_by(
+        self, message: membership.BeginIntent | membership.FinishIntent
+    ) -> bool:
+        """Whether a message belongs to the same call of the same host."""
+        return (
+            self.host == message.host
+            and self.incarnation == message.incarnation
+            and self.call_number == message.call_number
+        )
+
+
+class IntentTable:
+    """Lets each call be begun once; keeps outcomes for resubmissions.
+
+    An intent counts as unknown once its host's incarnation is out of the
+    view. Intents are dropped ``RETENTION_MS`` after their last change, in
+    logical time, except those still in progress at a live host.
+    """
+
+    def __init__(self, is_live: IsLive) -> None:
+        self._is_live = is_live
+        self._intents: collections.OrderedDict[tuple[str, str], Intent] = (
+            collections.OrderedDict()
+        )
+        self._answer_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._intents)
+
+    def begin(
+        self, stamp_ms: int, command: membership.BeginIntent
+    ) -> messages.Message:
+        """Begins a call, or says what is known of it."""
+        self._expire(stamp_ms)
+        if not self._is_live(command.host, command.incarnation):
+            return messages.Failure(
+                membership.CODE_EVICTED, 'the host is not in the view'
+            )
+        key = (command.workspace, command.idempotency_key)
+        known = self._intents.get(key)
+        if known is not None and not self._may_replace(known, command):
+            return self._describe(known, command)
+        if known is None and self._full():
+            return messages.Failure(
+                membership.CODE_FULL, 'too many intents are kept'
+            )
+        self._put(
+            Intent(
+                command.workspace,
+                command.idempotency_key,
+                command.request_digest,
+                command.host,
+                command.incarnation,
+                command.call_number,
+                stamp_ms,
+            )
+        )
+        return membership.IntentState(membership.INTENT_BEGUN)
+
+    def finish(
+        self, stamp_ms: int, command: membership.FinishIntent
+    ) -> messages.Message:
+        """Stores the outcome of a call, once."""
+        key = (command.workspace, command.idempotency_key)
+        known = self._intents.get(key)
+        if known is None or not known.begun_by(command):
+            return messages.Failure(
+                membership.CODE_STALE, 'another call holds this key, or none'
+            )
+        if known.outcome in ('', membership.OUTCOME_UNKNOWN):
+            known.outcome = command.outcome
+            known.answer = command.answer
+            known.stamp_ms = stamp_ms
+            self._answer_bytes += _answer_bytes(command.answer)
+            self._intents.move_to_end(key)
+        return messages.Done()
+
+    def take_snapshot(self) -> list[Intent]:
+        """Returns all intents, the longest unchanged first."""
+        return list(self._intents.values())
+
+    def restore(self, intents: list[Intent]) -> None:
+        """Replaces all intents."""
+        self._intents = collections.OrderedDict(
+            ((intent.workspace, intent.idempotency_key), intent)
+            for intent in intents
+        )
+        self._answer_bytes = sum(_answer_bytes(i.answer) for i in intents)
+
+    def _may_replace(
+        self, known: Intent, command: membership.BeginIntent
+    ) -> bool:
+        """Whether a call that has not run leaves its key to this one."""
+        if known.outcome != membership.OUTCOME_NOT_RUN:
+            return False
+        late = (
+            known.host == command.host
+            and known.incarnation == command.incarnation
+            and command.call_number <= known.call_number
+        )
+        return not late
+
+    def _describe(
+        self, known: Intent, command: membership.BeginIntent
+    ) -> messages.Message:
+        if known.request_digest != command.request_digest:
+            return membership.IntentState(membership.INTENT_MISMATCH)
+        if known.outcome == membership.OUTCOME_RAN:
+            return membership.IntentState(
+                membership.INTENT_FINISHED, known.answer
+            )
+        if known.outcome == membership.OUTCOME_NOT_RUN:
+            return messages.Failure(
+                membership.CODE_STALE, 'this call has ended already'
+            )
+        if known.outcome == '' and known.begun_by(command):
+            if command.call_number:
+                return membership.IntentState(membership.INTENT_BEGUN)
+            return membership.IntentState(membership.INTENT_IN_PROGRESS)
+        if known.outcome == '' and self._is_live(
+            known.host, known.incarnation
+        ):
+            return membership.IntentState(membership.INTENT_IN_PROGRESS)
+        return membership.IntentState(membership.INTENT_UNKNOWN)
+
+    def _put(self, intent: Intent) -> None:
+        key = (intent.workspace, intent.idempotency_key)
+        self._intents[key] = intent
+        self._intents.move_to_end(key)
+
+    def _full(self) -> bool:
+        return (
+            len(self._intents) >= MAX_INTENTS
+            or self._answer_bytes >= MAX_ANSWER_BYTES
+        )
+
+    def _expire(self, stamp_ms: int) -> None:
+        while self._intents:
+            key, oldest = next(iter(self._intents.items()))
+            if stamp_ms - oldest.stamp_ms < RETENTION_MS:
+                return
+            if oldest.outcome == '' and self._is_live(
+                oldest.host, oldest.incarnation
+            ):
+                oldest.stamp_ms = stamp_ms
+                self._intents.move_to_end(key)
+                continue
+            del self._intents[key]
+            self._answer_bytes -= _answer_bytes(oldest.answer)
+
+
+def _answer_bytes(answer: membership.StoredAnswer | None) -> int:
+    return len(answer.body) if answer is not None else 0
--- /dev/null
+++ b/libs/control/masticquay_control/ledgers.py
@@ -0,0 +1,187 @@
+"""The usage ledger: batches merged once, and the gaps that crashes left."""
+
+import typing
+
+from masticquay_membership import messages as membership
+from masticquay_wire import messages
+from masticquay_wire import records
+
+SOURCE_RETENTION_MS = 30 * 24 * 3_600_000
+ENTRY_RETENTION_HOURS = 400 * 24
+UNKNOWN_BOUND_TOKENS = -1
+
+IsLive = typing.Callable[[str, int], bool]
+EntryKey = tuple[str, str, str, int]
+
+
+class UsageSource(records.Record):
+    """What is known of the batches of one incarnation.
+
+    :param sequence: the last batch merged
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'sequence',
+        'bound_tokens',
+        'ended',
+        'stamp_ms',
+    )
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        sequence: int,
+        bound_tokens: int,
+        ended: bool,
+        stamp_ms: int,
+    ):
+        self.host = host
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.bound_tokens = bound_tokens
+        self.ended = ended
+        self.stamp_ms = stamp_ms
+
+
+class LedgerSnapshot(records.Record):
+    """All that the ledger holds."""
+
+    __slots__ = ('entries', 'sources')
+
+    def __init__(
+        self,
+        entries: list[membership.UsageEntry],
+        sources: list[UsageSource],
+    ):
+        self.entries = entries
+        self.sources = sources
+
+
+class UsageLedger:
+    """Sums usage by workspace, target, class and hour."""
+
+    def __init__(self, is_live: IsLive) -> None:
+        self._is_live = is_live
+        self._entries: dict[EntryKey, membership.UsageEntry] = {}
+        self._sources: dict[tuple[str, int], UsageSource] = {}
+
+    def add_source(self, stamp_ms: int, host: str, incarnation: int) -> None:
+        """Notes an incarnation that may use tokens from now on."""
+        self._sources.setdefault(
+            (host, incarnation),
+            UsageSource(
+                host, incarnation, -1, UNKNOWN_BOUND_TOKENS, False, stamp_ms
+            ),
+        )
+        self._expire(stamp_ms)
+
+    def merge(
+        self, stamp_ms: int, command: membership.ReportUsage
+    ) -> messages.Message:
+        """Adds a batch that was not merged before."""
+        key = (command.host, command.incarnation)
+        source = self._sources.get(key)
+        if source is None:
+            return messages.Failure(
+                membership.CODE_STALE, 'no such incarnation is known'
+            )
+        if command.sequence <= source.sequence:
+            return messages.Done()
+        if 0 <= source.sequence < command.sequence - 1:
+            return messages.Failure(
+                membership.CODE_STALE,
+                f'batch {source.sequence + 1} comes first',
+            )
+        for entry in command.entries:
+            self._add(entry)
+        source.sequence = command.sequence
+        source.bound_tokens = command.unreported_bound_tokens
+        source.ended = command.last
+        source.stamp_ms = stamp_ms
+        return messages.Done()
+
+    def report(self, query: membership.QueryUsage) -> membership.UsageReport:
+        """Selects entries, and lists every known gap."""
+        entries = [
+            entry
+            for key, entry in sorted(self._entries.items())
+            if _selected(entry, query)
+        ]
+        gaps = [
+            membership.UsageGap(
+                source.host, source.incarnation, source.bound_tokens
+            )
+            for source in self._sources.values()
+            if self._is_gap(source)
+        ]
+        return membership.UsageReport(entries, gaps)
+
+    def take_snapshot(self) -> LedgerSnapshot:
+        """Returns all that the ledger holds."""
+        return LedgerSnapshot(
+            list(self._entries.values()), list(self._sources.values())
+        )
+
+    def restore(self, snapshot: LedgerSnapshot) -> None:
+        """Replaces all that the ledger holds."""
+        self._entries = {_key_of(entry): entry for entry in snapshot.entries}
+        self._sources = {
+            (source.host, source.incarnation): source
+            for source in snapshot.sources
+        }
+
+    def _is_gap(self, source: UsageSource) -> bool:
+        return (
+            not source.ended
+            and source.bound_tokens != 0
+            and not self._is_live(source.host, source.incarnation)
+        )
+
+    def _add(self, entry: membership.UsageEntry) -> None:
+        total = self._entries.get(_key_of(entry))
+        if total is None:
+            total = membership.UsageEntry(*_key_of(entry))
+            self._entries[_key_of(entry)] = total
+        total.requests += entry.requests
+        total.prompt_tokens += entry.prompt_tokens
+        total.output_tokens += entry.output_tokens
+        total.refused_within_rate += entry.refused_within_rate
+        for reason, count in entry.refusals.items():
+            total.refusals[reason] = total.refusals.get(reason, 0) + count
+
+    def _expire(self, stamp_ms: int) -> None:
+        old = [
+            key
+            for key, source in self._sources.items()
+            if stamp_ms - source.stamp_ms > SOURCE_RETENTION_MS
+            and not self._is_live(*key)
+        ]
+        for key in old:
+            del self._sources[key]
+        if not self._entries:
+            return
+        newest_hour = max(key[3] for key in self._entries)
+        stale = [
+            key
+            for key in self._entries
+            if newest_hour - key[3] > ENTRY_RETENTION_HOURS
+        ]
+        for key in stale:
+            del self._entries[key]
+
+
+def _key_of(entry: membership.UsageEntry) -> EntryKey:
+    return (entry.workspace, entry.target, entry.class_name, entry.hour)
+
+
+def _selected(
+    entry: membership.UsageEntry, query: membership.QueryUsage
+) -> bool:
+    if query.workspace and entry.workspace != query.workspace:
+        return False
+    if query.from_hour and entry.hour < query.from_hour:
+        return False
+    return not query.to_hour or entry.hour <= query.to_hour
--- /dev/null
+++ b/libs/control/masticquay_control/rolls.py
@@ -0,0 +1,193 @@
+"""The register of accepted bundles and withdrawn keys."""
+
+import collections
+
+from masticquay_bundles import errors as bundle_errors
+from masticquay_bundles import models
+from masticquay_bundles import signatures
+from masticquay_membership import messages as membership
+from masticquay_wire import messages
+from masticquay_wire import records
+
+# Resends of older rolls than these are answered as conflicts.
+MAX_ACCEPTED = 1_000
+
+
+class AcceptedBundle(records.Record):
+    """The version and digest of a bundle that was accepted once."""
+
+    __slots__ = ('version', 'digest', 'index')
+
+    def __init__(self, version: int, digest: bytes, index: int):
+        self.version = version
+        self.digest = digest
+        self.index = index
+
+
+class BundleSnapshot(records.Record):
+    """All that the register holds.
+
+    :param authorities: the first bundle, and each that changed the approvers
+    """
+
+    __slots__ = ('current', 'authorities', 'accepted', 'withdrawals')
+
+    def __init__(
+        self,
+        current: membership.BundleChange | None,
+        authorities: list[membership.BundleChange],
+        accepted: list[AcceptedBundle],
+        withdrawals: list[membership.WithdrawalChange],
+    ):
+        self.current = current
+        self.authorities = authorities
+        self.accepted = accepted
+        self.withdrawals = withdrawals
+
+
+class BundleRegister:
+    """Accepts bundles by compare-and-set, and withdrawals for ever."""
+
+    def __init__(self) -> None:
+        self.current: membership.BundleChange | None = None
+        self.digest = b''
+        self._authorities: list[membership.BundleChange] = []
+        self._accepted: collections.OrderedDict[int, AcceptedBundle] = (
+            collections.OrderedDict()
+        )
+        self._withdrawals: dict[str, membership.WithdrawalChange] = {}
+
+    @property
+    def version(self) -> int:
+        """The version of the current bundle, 0 before the first."""
+        return self.current.signed.bundle.version if self.current else 0
+
+    @property
+    def bundle(self) -> models.Bundle | None:
+        """The current bundle."""
+        return self.current.signed.bundle if self.current else None
+
+    @property
+    def withdrawn_count(self) -> int:
+        """How many keys are withdrawn."""
+        return len(self._withdrawals)
+
+    def roll(
+        self, index: int, command: membership.RollBundle
+    ) -> messages.Message:
+        """Accepts a bundle, repeats the stored answer, or refuses."""
+        bundle = command.signed.bundle
+        digest = signatures.digest_bundle(bundle)
+        known = self._accepted.get(bundle.version)
+        if known is not None and known.digest == digest:
+            return membership.CommandAccepted(known.index, True)
+        if known is not None or bundle.version <= self.version:
+            winner = known or self._newest()
+            return _conflict(winner.version, winner.digest)
+        expected = (command.expected_version, command.expected_digest)
+        if expected != (self.version, self.digest):
+            return _conflict(self.version, self.digest)
+        try:
+            signatures.check_signatures(command.signed, self.bundle)
+        except bundle_errors.SignatureError as cause:
+            return messages.Failure(membership.CODE_UNAPPROVED, str(cause))
+        self._accept(index, command.signed, digest)
+        return membership.CommandAccepted(index, False)
+
+    def withdraw(
+        self, index: int, command: membership.WithdrawKey
+    ) -> messages.Message:
+        """Withdraws a key that the current bundle lists."""
+        known = self._withdrawals.get(command.key_digest)
+        if known is not None:
+            return membership.CommandAccepted(known.index, True)
+        listed = self.bundle is not None and any(
+            key.digest == command.key_digest for key in self.bundle.keys
+        )
+        if not listed:
+            return messages.Failure(
+                membership.CODE_UNKNOWN_KEY, 'the bundle lists no such key'
+            )
+        self._withdrawals[command.key_digest] = membership.WithdrawalChange(
+            index, command.key_digest
+        )
+        return membership.CommandAccepted(index, False)
+
+    def bundles_after(self, index: int) -> list[membership.BundleChange]:
+        """Lists what a host needs to reach and verify the current bundle."""
+        if self.current is None or self.current.index <= index:
+            return []
+        chain = [
+            change
+            for change in self._authorities
+            if index < change.index < self.current.index
+        ]
+        return [*chain, self.current]
+
+    def withdrawals_after(
+        self, index: int
+    ) -> list[membership.WithdrawalChange]:
+        """Lists the withdrawals after an index."""
+        found = []
+        for change in reversed(self._withdrawals.values()):
+            if change.index <= index:
+                break
+            found.append(change)
+        found.reverse()
+        return found
+
+    def take_snapshot(self) -> BundleSnapshot:
+        """Returns all that the register holds."""
+        return BundleSnapshot(
+            self.current,
+            list(self._authorities),
+            list(self._accepted.values()),
+            list(self._withdrawals.values()),
+        )
+
+    def restore(self, snapshot: BundleSnapshot) -> None:
+        """Replaces all that the register holds."""
+        self.current = snapshot.current
+        self.digest = b''
+        if snapshot.current is not None:
+            self.digest = signatures.digest_bundle(
+                snapshot.current.signed.bundle
+            )
+        self._authorities = list(snapshot.authorities)
+        self._accepted = collections.OrderedDict(
+            (entry.version, entry) for entry in snapshot.accepted
+        )
+        self._withdrawals = {
+            change.key_digest: change for change in snapshot.withdrawals
+        }
+
+    def _newest(self) -> AcceptedBundle:
+        return AcceptedBundle(self.version, self.digest, 0)
+
+    def _accept(
+        self, index: int, signed: models.SignedBundle, digest: bytes
+    ) -> None:
+        change = membership.BundleChange(index, signed)
+        if not _same_authority(self.bundle, signed.bundle):
+            self._authorities.append(change)
+        self.current = change
+        self.digest = digest
+        version = signed.bundle.version
+        self._accepted[version] = AcceptedBundle(version, digest, index)
+        while len(self._accepted) > MAX_ACCEPTED:
+            self._accepted.popitem(last=False)
+
+
+def _same_authority(old: models.Bundle | None, new: models.Bundle) -> bool:
+    return (
+        old is not None
+        and old.approvals_required == new.approvals_required
+        and old.approvers == new.approvers
+    )
+
+
+def _conflict(version: int, digest: bytes) -> messages.Failure:
+    return messages.Failure(
+        membership.CODE_CONFLICT,
+        f'version {version} with digest {digest.hex()} is in force',
+    )
--- /dev/null
+++ b/libs/control/masticquay_control/views.py
@@ -0,0 +1,159 @@
+"""The register of views, incarnations and evictions."""
+
+import collections
+
+from masticquay_control import commands
+from masticquay_membership import messages as membership
+from masticquay_wire import messages
+from masticquay_wire import records
+
+MAX_EVICTIONS = 2_000
+
+
+class Incarnation(records.Record):
+    """The newest incarnation number given to a host name.
+
+    :param ended: it stood in a view and went out
+    """
+
+    __slots__ = ('host', 'number', 'token', 'ended')
+
+    def __init__(
+        self, host: str, number: int, token: bytes, ended: bool = False
+    ):
+        self.host = host
+        self.number = number
+        self.token = token
+        self.ended = ended
+
+
+class Eviction(records.Record):
+    """An incarnation that went out of the view at an index."""
+
+    __slots__ = ('index', 'host', 'incarnation')
+
+    def __init__(self, index: int, host: str, incarnation: int):
+        self.index = index
+        self.host = host
+        self.incarnation = incarnation
+
+
+class ViewSnapshot(records.Record):
+    """All that the register holds."""
+
+    __slots__ = ('current', 'incarnations', 'evictions', 'last_incarnation')
+
+    def __init__(
+        self,
+        current: membership.ViewChange,
+        incarnations: list[Incarnation],
+        evictions: list[Eviction],
+        last_incarnation: int,
+    ):
+        self.current = current
+        self.incarnations = incarnations
+        self.evictions = evictions
+        self.last_incarnation = last_incarnation
+
+
+class ViewRegister:
+    """Numbers incarnations and views."""
+
+    def __init__(self) -> None:
+        self.current = membership.ViewChange(0, membership.View(0, []))
+        self._incarnations: dict[str, Incarnation] = {}
+        self._evictions: collections.deque[Eviction] = collections.deque(
+            maxlen=MAX_EVICTIONS
+        )
+        self._last_incarnation = 0
+
+    @property
+    def view(self) -> membership.View:
+        """The current view."""
+        return self.current.view
+
+    def open_session(
+        self, command: membership.OpenSession
+    ) -> messages.Message:
+        """Gives the next incarnation number, the same for a resend."""
+        known = self._incarnations.get(command.host)
+        if known is not None and known.token == command.token:
+            return membership.SessionOpened(known.number)
+        self._last_incarnation += 1
+        self._incarnations[command.host] = Incarnation(
+            command.host, self._last_incarnation, command.token
+        )
+        return membership.SessionOpened(self._last_incarnation)
+
+    def may_join(self, host: str, incarnation: int) -> bool:
+        """Whether an incarnation is its host's newest and has not ended."""
+        known = self._incarnations.get(host)
+        return (
+            known is not None
+            and known.number == incarnation
+            and not known.ended
+        )
+
+    def is_live(self, host: str, incarnation: int) -> bool:
+        """Whether an incarnation stands in the current view."""
+        found = self.view.host(host)
+        return found is not None and found.incarnation == incarnation
+
+    def change(
+        self, index: int, command: commands.ChangeView
+    ) -> messages.Message:
+        """Makes the next view."""
+        if command.expected_number != self.view.number:
+            return messages.Failure(
+                membership.CODE_CONFLICT,
+                f'the view has number {self.view.number}',
+            )
+        hosts = {host.name: host for host in self.view.hosts}
+        for removal in command.removed:
+            found = hosts.get(removal.host)
+            if found and found.incarnation == removal.incarnation:
+                del hosts[removal.host]
+                self._note_eviction(index, removal)
+        for host in command.put:
+            hosts[host.name] = host
+        ordered = [hosts[name] for name in sorted(hosts)]
+        view = membership.View(self.view.number + 1, ordered)
+        self.current = membership.ViewChange(index, view)
+        return messages.Done()
+
+    def _note_eviction(self, index: int, removal: commands.Removal) -> None:
+        self._evictions.append(
+            Eviction(index, removal.host, removal.incarnation)
+        )
+        known = self._incarnations.get(removal.host)
+        if known is not None and known.number == removal.incarnation:
+            known.ended = True
+
+    def evicted_since(self, index: int) -> list[str]:
+        """Lists the hosts that went out of the view after an index."""
+        names = {
+            eviction.host
+            for eviction in self._evictions
+            if eviction.index > index
+        }
+        return sorted(names)
+
+    def take_snapshot(self) -> ViewSnapshot:
+        """Returns all that the register holds."""
+        return ViewSnapshot(
+            self.current,
+            list(self._incarnations.values()),
+            list(self._evictions),
+            self._last_incarnation,
+        )
+
+    def restore(self, snapshot: ViewSnapshot) -> None:
+        """Replaces all that the register holds."""
+        self.current = snapshot.current
+        self._incarnations = {
+            entry.host: entry for entry in snapshot.incarnations
+        }
+        self._evictions = collections.deque(
+            snapshot.evictions, maxlen=MAX_EVICTIONS
+        )
+        self._last_incarnation = snapshot.last_incarnation
--- /dev/null
+++ b/libs/control/tests/fixtures.py
@@ -0,0 +1,132 @@
+"""Bundles, replicas and hosts for the tests of control."""
+
+import hashlib
+import pathlib
+import tempfile
+import time
+
+from masticquay_bundles import models
+from masticquay_bundles import signatures
+from masticquay_control import replicas
+from masticquay_membership import clients
+from masticquay_membership import messages as membership
+from masticquay_membership import sessions
+from masticquay_wire import peers
+
+SECRET = b'fleet secret'
+WAIT_S = 20
+CALL_MS = 8_000
+KEY_DIGESTS = [hashlib.sha256(b'key %d' % n).hexdigest() for n in range(4)]
+
+
+def wait_for(condition, what='the condition', limit_s=WAIT_S):
+    """Waits until a condition holds, and returns its value."""
+    deadline_s = time.monotonic() + limit_s
+    while time.monotonic() < deadline_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.01)
+    raise AssertionError(f'{what} did not come about')
+
+
+class Approvers:
+    """Approvers with their private keys."""
+
+    def __init__(self, *names):
+        self.keys = {n: signatures.generate_private_key() for n in names}
+
+    def list(self):
+        return [
+            models.Approver(name, signatures.public_key_hex(key))
+            for name, key in self.keys.items()
+        ]
+
+    def sign(self, bundle, *names):
+        return models.SignedBundle(
+            bundle,
+            [
+                signatures.sign_bundle(bundle, name, self.keys[name])
+                for name in names or self.keys
+            ],
+        )
+
+
+def make_bundle(version, approvers, required=1, **changes):
+    """Makes a small valid bundle."""
+    fields = {
+        'version': version,
+        'approvals_required': required,
+        'approvers': approvers.list(),
+        'places': [models.Place('p1', 'r1')],
+        'workspaces': [models.Workspace('shop', 100, 1_000)],
+        'keys': [models.Key(digest, 'shop') for digest in KEY_DIGESTS],
+        'classes': [
+            models.ServiceClass('calm', 'standard', 500, 50, 9_000, 900)
+        ],
+        'models': [models.Model('guide', 'v1')],
+        'services': ['jobs'],
+        'routes': [
+            models.Route('/v1/x', ['POST'], 'keyed', True, ['calm'], 'guide')
+        ],
+        'endpoints': [],
+    }
+    return models.Bundle(**{**fields, **changes})
+
+
+def make_roll(signed, previous=None):
+    """Makes the roll of a bundle over another one."""
+    if previous is None:
+        return membership.RollBundle(signed, 0, b'')
+    return membership.RollBundle(
+        signed, previous.version, signatures.digest_bundle(previous)
+    )
+
+
+class Cluster:
+    """Control replicas in this process, and sessions of hosts.
+
+    :param case: the test, which cleans up
+    """
+
+    def __init__(self, case):
+        self.case = case
+        self.replicas = {}
+        folder = tempfile.TemporaryDirectory()
+        case.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def start_single(self):
+        settings = replicas.ReplicaSettings(
+            'c1',
+            'p1',
+            peers.Address('127.0.0.1', 0),
+            self.folder / 'c1',
+            {'c1': '127.0.0.1:0'},
+            SECRET,
+        )
+        replica = replicas.Replica(settings)
+        replica.start()
+        self.case.addCleanup(replica.close)
+        self.replicas['c1'] = replica
+        return replica
+
+    @property
+    def addresses(self):
+        return [r.listener.address for r in self.replicas.values()]
+
+    def client(self, name='operator', addresses=None):
+        client = clients.ControlClient(
+            addresses or self.addresses, name, SECRET
+        )
+        self.case.addCleanup(client.close)
+        return client
+
+    def session(self, name, **options):
+        host = membership.Host(name, 0, 'p1', '127.0.0.1:1', '127.0.0.1:2')
+        session = sessions.Session(
+            self.client(name), host, name, SECRET, **options
+        )
+        session.start()
+        self.case.addCleanup(session.close)
+        return session
--- /dev/null
+++ b/libs/control/tests/test_replicas.py
@@ -0,0 +1,124 @@
+"""Tests of a control replica with hosts and operators."""
+
+import unittest
+
+from masticquay_membership import errors
+from masticquay_membership import messages as membership
+from masticquay_wire import errors as wire_errors
+from tests import fixtures
+
+
+class ReplicaTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = fixtures.Cluster(self)
+        self.replica = self.cluster.start_single()
+        self.operator = self.cluster.client()
+        self.approvers = fixtures.Approvers('ada')
+
+    def roll(self, version, previous=None, **changes):
+        bundle = fixtures.make_bundle(version, self.approvers, **changes)
+        signed = self.approvers.sign(bundle)
+        answer = self.operator.call(
+            fixtures.make_roll(signed, previous), fixtures.CALL_MS
+        )
+        return bundle, answer
+
+    def wait_in_force(self, index):
+        query = membership.QueryProgress(index)
+        fixtures.wait_for(
+            lambda: self.operator.call(query, fixtures.CALL_MS).in_force,
+            'the change in force',
+        )
+
+    def test_bundle_and_withdrawal_reach_every_host(self):
+        hosts = [self.cluster.session(f'h{n}') for n in range(3)]
+        for host in hosts:
+            fixtures.wait_for(host.lease_valid, 'a lease')
+        bundle, accepted = self.roll(1)
+        self.wait_in_force(accepted.index)
+        withdrawn = self.operator.call(
+            membership.WithdrawKey(fixtures.KEY_DIGESTS[0]), fixtures.CALL_MS
+        )
+        self.wait_in_force(withdrawn.index)
+        for host in hosts:
+            self.assertEqual(bundle, host.state().bundle)
+            self.assertIn(fixtures.KEY_DIGESTS[0], host.state().withdrawn)
+        status = self.operator.call(membership.QueryStatus(), fixtures.CALL_MS)
+        self.assertEqual(1, status.bundle_version)
+        self.assertEqual(3, len(status.view.hosts))
+
+    def test_late_host_gets_the_whole_state(self):
+        bundle, _ = self.roll(1)
+        host = self.cluster.session('h1')
+        fixtures.wait_for(lambda: host.state().bundle, 'a bundle')
+        self.assertEqual(bundle, host.state().bundle)
+
+    def test_resend_gets_the_stored_answer_and_a_rival_a_conflict(self):
+        first, accepted = self.roll(1)
+        _, again = self.roll(1)
+        self.assertEqual((accepted.index, True), (again.index, again.repeated))
+        with self.assertRaisesRegex(wire_errors.RemoteError, 'version 1'):
+            self.roll(1, services=['other'])
+        self.roll(2, first)
+        _, again = self.roll(1)
+        self.assertTrue(again.repeated)
+
+    def test_intent_runs_once_over_two_hosts(self):
+        one, two = self.cluster.session('h1'), self.cluster.session('h2')
+        for host in (one, two):
+            fixtures.wait_for(host.lease_valid, 'a lease')
+        self.assertEqual('begun', self.begin(one).state)
+        self.assertEqual('in-progress', self.begin(one).state)
+        self.assertEqual('in-progress', self.begin(two).state)
+        self.assertEqual('mismatch', self.begin(two, b'other').state)
+        stored = membership.StoredAnswer(200, {}, b'paid')
+        one.finish_intent(
+            membership.FinishIntent(
+                'shop', 'k', 'h1', one.host.incarnation, 'ran', stored
+            ),
+            fixtures.CALL_MS,
+        )
+        self.assertEqual(stored, self.begin(two).answer)
+
+    def begin(self, host, digest=b'same'):
+        return host.begin_intent(
+            membership.BeginIntent(
+                'shop', 'k', digest, host.host.name, host.host.incarnation
+            ),
+            fixtures.CALL_MS,
+        )
+
+    def test_ended_host_cannot_begin_and_leaves_its_intent_unknown(self):
+        one, two = self.cluster.session('h1'), self.cluster.session('h2')
+        for host in (one, two):
+            fixtures.wait_for(host.lease_valid, 'a lease')
+        self.begin(one)
+        late = membership.BeginIntent(
+            'shop', 'late', b'', 'h1', one.host.incarnation
+        )
+        one.close()
+        fixtures.wait_for(
+            lambda: two.state().view.host('h1') is None, 'the eviction'
+        )
+        self.assertEqual('unknown', self.begin(two).state)
+        with self.assertRaises(errors.RefusedError) as caught:
+            two.begin_intent(late, fixtures.CALL_MS)
+        self.assertEqual(membership.CODE_EVICTED, caught.exception.code)
+
+    def test_usage_is_merged_once_and_a_crash_leaves_a_gap(self):
+        host = self.cluster.session('h1')
+        fixtures.wait_for(host.lease_valid, 'a lease')
+        entry = membership.UsageEntry('shop', 'guide', 'calm', 7, 1, 10, 5)
+        report = membership.ReportUsage(
+            'h1', host.host.incarnation, 1, [entry], 500
+        )
+        host.report_usage(report, fixtures.CALL_MS)
+        host.report_usage(report, fixtures.CALL_MS)
+        host.close()
+        usage = fixtures.wait_for(self.usage_with_gap, 'a gap')
+        self.assertEqual([entry], usage.entries)
+        self.assertEqual(500, usage.gaps[0].bound_tokens)
+
+    def usage_with_gap(self):
+        usage = self.operator.call(membership.QueryUsage(), fixtures.CALL_MS)
+        return usage if usage.gaps else None
--- a/libs/membership/masticquay_membership/messages.py
+++ b/libs/membership/masticquay_membership/messages.py
@@ -11,6 +11,8 @@
 CODE_CONFLICT = 'conflict'
 CODE_UNAPPROVED = 'unapproved'
 CODE_UNKNOWN_KEY = 'unknown-key'
+CODE_STALE = 'stale'
+CODE_FULL = 'full'
 
 INTENT_BEGUN = 'begun'
 INTENT_FINISHED = 'finished'
@@ -71,9 +73,44 @@
         return next((host for host in self.hosts if host.name == name), None)
 
 
+@messages.register
+class OpenSession(messages.Message):
+    """Asks for an incarnation number, before the first renewal.
+
+    :param token: random bytes; the same token again gets the same answer
+    """
+
+    __slots__ = ('host', 'token')
+
+    def __init__(self, host: str, token: bytes):
+        self.host = host
+        self.token = token
+
+
+@messages.register
+class SessionOpened(messages.Message):
+    """Gives a host its incarnation number."""
+
+    __slots__ = ('incarnation',)
+
+    def __init__(self, incarnation: int):
+        self.incarnation = incarnation
+
+
+@messages.register
+class CloseSession(messages.Message):
+    """Gives the lease up: the sender has stopped all keyed work."""
+
+    __slots__ = ('host', 'incarnation')
+
+    def __init__(self, host: str, incarnation: int):
+        self.host = host
+        self.incarnation = incarnation
+
+
 @messages.register
 class RenewSession(messages.Message):
-    """Renews a host's session lease, or opens it.
+    """Renews a host's session lease, or asks to join the next view.
 
     :param view_number: the newest view that the host has adopted
     :param applied_index: the newest change that the host has applied
@@ -91,6 +128,7 @@
 class SessionRenewed(messages.Message):
     """Grants the lease for ``ttl_ms`` from when the renewal was sent.
 
+    :param ttl_ms: 0 while the host waits to join a view
     :param adopted_view_number: the newest view that every live host has
         adopted; hosts absent from it have stopped
     """
@@ -145,12 +183,27 @@
         self.view = view
 
 
+class EndpointsChange(records.Record):
+    """The endpoints that the platform lists as leaving changed.
+
+    :param leaving: names of all endpoints that leave now
+    """
+
+    __slots__ = ('index', 'leaving')
+
+    def __init__(self, index: int, leaving: list[str]):
+        self.index = index
+        self.leaving = leaving
+
+
 @messages.register
 class StateUpdate(messages.Message):
     """Changes after ``from_index`` up to ``to_index``, both of the log.
 
     With ``snapshot`` the lists hold the whole state instead, and the receiver
-    replaces what it has, unless it has a newer index already.
+    replaces what it has, unless it has a newer index already. Of bundles only
+    the newest is sent, and before it those that changed the approvers; of
+    views and endpoints only the newest.
     """
 
     __slots__ = (
@@ -160,6 +213,7 @@
         'bundles',
         'withdrawals',
         'views',
+        'endpoints',
     )
 
     def __init__(
@@ -170,6 +224,7 @@
         bundles: list[BundleChange],
         withdrawals: list[WithdrawalChange],
         views: list[ViewChange],
+        endpoints: list[EndpointsChange] | None = None,
     ):
         self.from_index = from_index
         self.to_index = to_index
@@ -177,6 +232,7 @@
         self.bundles = bundles
         self.withdrawals = withdrawals
         self.views = views
+        self.endpoints = endpoints or []
 
 
 @messages.register
@@ -289,6 +345,7 @@
     """Records, before its first byte is sent, that a call will be made.
 
     :param request_digest: SHA-256 of method, path and body
+    :param call_number: set by the session: tells a resend from another call
     """
 
     __slots__ = (
@@ -297,6 +354,7 @@
         'request_digest',
         'host',
         'incarnation',
+        'call_number',
     )
 
     def __init__(
@@ -306,12 +364,14 @@
         request_digest: bytes,
         host: str,
         incarnation: int,
+        call_number: int = 0,
     ):
         self.workspace = workspace
         self.idempotency_key = idempotency_key
         self.request_digest = request_digest
         self.host = host
         self.incarnation = incarnation
+        self.call_number = call_number
 
 
 @messages.register
@@ -344,6 +404,7 @@
         'incarnation',
         'outcome',
         'answer',
+        'call_number',
     )
 
     def __init__(
@@ -354,6 +415,7 @@
         incarnation: int,
         outcome: str,
         answer: StoredAnswer | None = None,
+        call_number: int = 0,
     ):
         self.workspace = workspace
         self.idempotency_key = idempotency_key
@@ -361,6 +423,7 @@
         self.incarnation = incarnation
         self.outcome = outcome
         self.answer = answer
+        self.call_number = call_number
 
 
 class UsageEntry(records.Record):
@@ -457,7 +520,11 @@
 
 
 class UsageGap(records.Record):
-    """An incarnation that ended without its last batch."""
+    """An incarnation that ended without its last batch.
+
+    :param bound_tokens: the most that is missing, -1 when it ended before
+        its first batch
+    """
 
     __slots__ = ('host', 'incarnation', 'bound_tokens')
 
--- a/libs/membership/masticquay_membership/protocols.py
+++ b/libs/membership/masticquay_membership/protocols.py
@@ -13,6 +13,7 @@
 
     :param bundle: None until the first bundle arrived
     :param withdrawn: digests of all withdrawn keys
+    :param leaving_endpoints: endpoints that must get no new work
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         'withdrawn',
         'view',
         'adopted_view_number',
+        'leaving_endpoints',
     )
 
     def __init__(
@@ -32,6 +34,7 @@
         withdrawn: frozenset[str],
         view: messages.View,
         adopted_view_number: int,
+        leaving_endpoints: frozenset[str] = frozenset(),
     ):
         self.applied_index = applied_index
         self.bundle = bundle
@@ -39,6 +42,7 @@
         self.withdrawn = withdrawn
         self.view = view
         self.adopted_view_number = adopted_view_number
+        self.leaving_endpoints = leaving_endpoints
 
 
 class Membership(typing.Protocol):
--- /dev/null
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -0,0 +1,325 @@
+"""A host's session with control: its lease, its watch and its calls."""
+
+import itertools
+import logging
+import os
+import threading
+
+from masticquay_membership import clients
+from masticquay_membership import errors
+from masticquay_membership import messages as membership
+from masticquay_membership import protocols
+from masticquay_membership import states
+from masticquay_wire import clocks
+from masticquay_wire import dialers
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import messages
+
+LOG = logging.getLogger(__name__)
+
+RENEW_INTERVAL_MS = 1_000
+JOIN_INTERVAL_MS = 100
+RENEW_TIMEOUT_MS = 800
+OPEN_TIMEOUT_MS = 5_000
+CLOSE_TIMEOUT_MS = 1_000
+TOKEN_BYTES = 16
+
+
+class Session:
+    """Keeps a host in the view; implements ``protocols.Membership``.
+
+    One thread opens the session and renews the lease, over a link that also
+    carries the pushed changes. It moves to the next replica when one does
+    not answer.
+
+    :param host: its incarnation is set by control
+    """
+
+    def __init__(
+        self,
+        client: clients.ControlClient,
+        host: membership.Host,
+        name: str,
+        secret: bytes,
+        clock: clocks.Clock | None = None,
+    ):
+        self._client = client
+        self._host = host
+        self._name = name
+        self._secret = secret
+        self._clock = clock or clocks.MonotonicClock()
+        self._holder = states.StateHolder()
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._closed = False
+        self._lease_end_ms = 0
+        self._call_numbers = itertools.count(1)
+        self._begun: dict[tuple[str, str], int] = {}
+        self._replica = 0
+        self._link: dialers.WebsocketPeer | None = None
+        self._thread = threading.Thread(
+            target=self._run, name='session', daemon=True
+        )
+        self.renewed_count = 0
+        self.failed_renewal_count = 0
+        self.opened_count = 0
+
+    def start(self) -> None:
+        """Starts the session's thread."""
+        self._thread.start()
+
+    @property
+    def host(self) -> membership.Host:
+        """This host, as others see it."""
+        return self._host
+
+    def state(self) -> protocols.HostState:
+        """Returns the newest applied state."""
+        return self._holder.state
+
+    def lease_valid(self) -> bool:
+        """Whether this host may serve keyed work and act as an owner."""
+        return self._clock.now_ms() < self._lease_end_ms
+
+    def add_listener(self, listener: protocols.StateListener) -> None:
+        """Calls the listener with the old and the new state."""
+        self._holder.add_listener(listener)
+
+    def begin_intent(
+        self, intent: membership.BeginIntent, timeout_ms: int
+    ) -> membership.IntentState:
+        """Commits an intent.
+
+        :raises MembershipError: when it may or may not have been committed;
+            the caller must not send the call
+        """
+        number = next(self._call_numbers)
+        stamped = membership.BeginIntent(
+            intent.workspace,
+            intent.idempotency_key,
+            intent.request_digest,
+            intent.host,
+            intent.incarnation,
+            number,
+        )
+        answer = self._call(stamped, timeout_ms)
+        if answer.state == membership.INTENT_BEGUN:
+            with self._lock:
+                self._begun[_key_of(intent)] = number
+        return answer
+
+    def finish_intent(
+        self, finish: membership.FinishIntent, timeout_ms: int
+    ) -> None:
+        """Commits the outcome of a call.
+
+        :raises MembershipError: when it may not have been committed
+        """
+        with self._lock:
+            number = self._begun.get(_key_of(finish), 0)
+        stamped = membership.FinishIntent(
+            finish.workspace,
+            finish.idempotency_key,
+            finish.host,
+            finish.incarnation,
+            finish.outcome,
+            finish.answer,
+            number,
+        )
+        self._call(stamped, timeout_ms)
+        with self._lock:
+            if self._begun.get(_key_of(finish)) == number:
+                del self._begun[_key_of(finish)]
+
+    def report_usage(
+        self, report: membership.ReportUsage, timeout_ms: int
+    ) -> None:
+        """Commits a usage batch; the same sequence may be sent again.
+
+        :raises MembershipError: when it may not have been committed
+        """
+        self._call(report, timeout_ms)
+
+    def leave(self) -> None:
+        """Marks this host as leaving in the next view."""
+        with self._lock:
+            self._host = _copy_host(
+                self._host, self._host.incarnation, leaving=True
+            )
+        self._wake.set()
+
+    def close(self) -> None:
+        """Ends the session; the lease is given up at once."""
+        with self._lock:
+            if self._closed:
+                return
+            self._closed = True
+            self._lease_end_ms = 0
+        self._wake.set()
+        if self._thread.is_alive():
+            self._thread.join(2 * RENEW_TIMEOUT_MS / 1000)
+        self._drop_link()
+        if self._host.incarnation:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        message = membership.CloseSession(
+            self._host.name, self._host.incarnation
+        )
+        try:
+            self._client.call(message, CLOSE_TIMEOUT_MS)
+        except (errors.MembershipError, wire_errors.WireError):
+            LOG.warning('control was not told that the session ended')
+
+    def _call(
+        self, message: messages.Message, timeout_ms: int
+    ) -> messages.Message:
+        try:
+            return self._client.call(message, timeout_ms)
+        except wire_errors.RemoteError as cause:
+            raise errors.RefusedError(cause.code, cause.detail) from cause
+        except wire_errors.WireError as cause:
+            raise errors.MembershipError(str(cause)) from cause
+
+    def _run(self) -> None:
+        while not self._closed:
+            if not self._host.incarnation and not self._open():
+                self._pause(JOIN_INTERVAL_MS)
+                continue
+            started_ms = self._clock.now_ms()
+            pause_ms = self._renew()
+            spent_ms = self._clock.now_ms() - started_ms
+            self._pause(max(0, pause_ms - spent_ms))
+
+    def _pause(self, duration_ms: int) -> None:
+        self._wake.wait(duration_ms / 1000)
+        self._wake.clear()
+
+    def _open(self) -> bool:
+        """Asks for an incarnation number."""
+        token = os.urandom(TOKEN_BYTES)
+        message = membership.OpenSession(self._host.name, token)
+        try:
+            answer = self._client.call(message, OPEN_TIMEOUT_MS)
+        except (errors.MembershipError, wire_errors.WireError):
+            return False
+        with self._lock:
+            self._host = _copy_host(
+                self._host, answer.incarnation, self._host.leaving
+            )
+            self.opened_count += 1
+        LOG.info('session opened', extra={'incarnation': answer.incarnation})
+        return True
+
+    def _renew(self) -> int:
+        """Renews the lease once; returns the pause until the next time."""
+        state = self._holder.state
+        message = membership.RenewSession(
+            self._host, state.view.number, state.applied_index
+        )
+        sent_ms = self._clock.now_ms()
+        try:
+            answer = self._find_link().call(message, RENEW_TIMEOUT_MS)
+        except wire_errors.RemoteError as cause:
+            return self._take_refusal(cause)
+        except wire_errors.WireError:
+            self._move_on()
+            return JOIN_INTERVAL_MS
+        self._holder.adopt(answer.adopted_view_number)
+        if not answer.ttl_ms:
+            return JOIN_INTERVAL_MS
+        with self._lock:
+            if not self._closed:
+                self._lease_end_ms = sent_ms + answer.ttl_ms
+        self.renewed_count += 1
+        return RENEW_INTERVAL_MS
+
+    def _take_refusal(self, cause: wire_errors.RemoteError) -> int:
+        self.failed_renewal_count += 1
+        if cause.code == membership.CODE_EVICTED:
+            LOG.warning(
+                'session ended by control',
+                extra={'incarnation': self._host.incarnation},
+            )
+            with self._lock:
+                self._lease_end_ms = 0
+                self._host = _copy_host(self._host, 0, self._host.leaving)
+        elif cause.code == membership.CODE_ADOPT_VIEW:
+            self._subscribe()
+        else:
+            self._move_on()
+        return JOIN_INTERVAL_MS
+
+    def _find_link(self) -> dialers.WebsocketPeer:
+        with self._lock:
+            if self._link is None:
+                self._link = dialers.WebsocketPeer(
+                    self._client.addresses[self._replica],
+                    self._name,
+                    self._secret,
+                    on_notice=self._take_notice,
+                    on_connect=self._subscribe,
+                    keep_open=True,
+                )
+            return self._link
+
+    def _move_on(self) -> None:
+        """Leaves a replica that does not answer for the next one."""
+        self.failed_renewal_count += 1
+        self._replica = (self._replica + 1) % len(self._client.addresses)
+        if len(self._client.addresses) > 1:
+            self._drop_link()
+
+    def _drop_link(self) -> None:
+        with self._lock:
+            link, self._link = self._link, None
+        if link is not None:
+            link.close()
+
+    def _subscribe(self) -> None:
+        self._notify(membership.Subscribe(self._holder.state.applied_index))
+
+    def _take_notice(self, notice: messages.Message) -> None:
+        if not isinstance(notice, membership.StateUpdate):
+            return
+        if not self._holder.apply(notice):
+            if notice.from_index > self._holder.state.applied_index:
+                self._subscribe()
+            return
+        state = self._holder.state
+        self._notify(
+            membership.ChangesApplied(
+                self._host.name,
+                self._host.incarnation,
+                state.applied_index,
+                state.view.number,
+            )
+        )
+
+    def _notify(self, message: messages.Message) -> None:
+        link = self._link
+        if link is None:
+            return
+        try:
+            link.notify(message)
+        except wire_errors.WireError:
+            return
+
+
+def _key_of(
+    message: membership.BeginIntent | membership.FinishIntent,
+) -> tuple[str, str]:
+    return (message.workspace, message.idempotency_key)
+
+
+def _copy_host(
+    host: membership.Host, incarnation: int, leaving: bool
+) -> membership.Host:
+    return membership.Host(
+        host.name,
+        incarnation,
+        host.place,
+        host.caller_address,
+        host.peer_address,
+        leaving,
+    )
--- /dev/null
+++ b/libs/membership/masticquay_membership/states.py
@@ -0,0 +1,125 @@
+"""The state that a host applies, update by update."""
+
+import logging
+import threading
+
+from masticquay_bundles import errors as bundle_errors
+from masticquay_bundles import models
+from masticquay_bundles import signatures
+from masticquay_membership import messages as membership
+from masticquay_membership import protocols
+
+LOG = logging.getLogger(__name__)
+
+
+def empty_state() -> protocols.HostState:
+    """Returns the state before the first update."""
+    return protocols.HostState(
+        0, None, 0, frozenset(), membership.View(0, []), 0
+    )
+
+
+class StateHolder:
+    """Applies updates in order; only rising indexes have an effect."""
+
+    def __init__(self) -> None:
+        self._state = empty_state()
+        self._lock = threading.Lock()
+        self._listeners: list[protocols.StateListener] = []
+        self.applied_count = 0
+        self.refused_count = 0
+
+    @property
+    def state(self) -> protocols.HostState:
+        """The newest applied state."""
+        return self._state
+
+    def add_listener(self, listener: protocols.StateListener) -> None:
+        """Calls the listener with the old and the new state."""
+        self._listeners.append(listener)
+
+    def apply(self, update: membership.StateUpdate) -> bool:
+        """Applies an update.
+
+        :returns: whether the state now holds all that the update says;
+            when not, the host must subscribe anew
+        """
+        with self._lock:
+            old = self._state
+            if update.to_index <= old.applied_index:
+                return True
+            if update.from_index > old.applied_index:
+                return False
+            try:
+                new = _advance(old, update)
+            except bundle_errors.SignatureError as cause:
+                self.refused_count += 1
+                LOG.error('bundle refused', extra={'cause': str(cause)})
+                return False
+            self._replace(old, new)
+            self.applied_count += 1
+            return True
+
+    def adopt(self, adopted_view_number: int) -> None:
+        """Notes the newest view that every live host has adopted."""
+        with self._lock:
+            old = self._state
+            if adopted_view_number <= old.adopted_view_number:
+                return
+            new = protocols.HostState(
+                old.applied_index,
+                old.bundle,
+                old.bundle_index,
+                old.withdrawn,
+                old.view,
+                adopted_view_number,
+                old.leaving_endpoints,
+            )
+            self._replace(old, new)
+
+    def _replace(
+        self, old: protocols.HostState, new: protocols.HostState
+    ) -> None:
+        self._state = new
+        for listener in list(self._listeners):
+            try:
+                listener(old, new)
+            except Exception:
+                LOG.exception('a state listener failed')
+
+
+def _advance(
+    old: protocols.HostState, update: membership.StateUpdate
+) -> protocols.HostState:
+    bundle, bundle_index = _newest_bundle(old, update)
+    withdrawn = old.withdrawn.union(
+        change.key_digest for change in update.withdrawals
+    )
+    view = old.view
+    for change in update.views:
+        if change.view.number > view.number:
+            view = change.view
+    leaving = old.leaving_endpoints
+    for change in update.endpoints:
+        leaving = frozenset(change.leaving)
+    return protocols.HostState(
+        update.to_index,
+        bundle,
+        bundle_index,
+        withdrawn,
+        view,
+        old.adopted_view_number,
+        leaving,
+    )
+
+
+def _newest_bundle(
+    old: protocols.HostState, update: membership.StateUpdate
+) -> tuple[models.Bundle | None, int]:
+    """Follows the chain of bundles, each approved under the one before."""
+    bundle, index = old.bundle, old.bundle_index
+    for change in update.bundles:
+        if change.index > index:
+            signatures.check_signatures(change.signed, bundle)
+            bundle, index = change.signed.bundle, change.index
+    return bundle, index
