--- /dev/null
+++ b/libs/operator/masticquay_operator/bundle_commands.py
@@ -0,0 +1,185 @@
+"""Commands that check, sign, roll and show bundles."""
+
+import pathlib
+
+from masticquay_bundles import errors as bundle_errors
+from masticquay_bundles import models
+from masticquay_bundles import signatures
+from masticquay_membership import messages
+from masticquay_operator import bases
+from masticquay_operator import bundle_files
+from masticquay_operator import contexts
+from masticquay_operator import errors
+from masticquay_operator import exits
+from masticquay_operator import reports
+
+
+class BundleCheck(bases.Command):
+    """Checks a bundle file without sending it."""
+
+    words = ('bundle', 'check')
+    usage = 'FILE'
+    argument_count = 1
+    description = 'check a bundle file; list every fault with key and line'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        bundle = bundle_files.read_bundle(arguments[0])
+        signed = bundle_files.read_signatures(arguments[0], bundle)
+        return reports.Report(
+            {
+                'version': bundle.version,
+                'digest': signatures.digest_bundle(bundle).hex(),
+                'workspaces': len(bundle.workspaces),
+                'keys': len(bundle.keys),
+                'routes': len(bundle.routes),
+                'endpoints': len(bundle.endpoints),
+                'signed_by': [s.approver for s in signed],
+                'approvals_required': bundle.approvals_required,
+            }
+        )
+
+
+class BundleSign(bases.Command):
+    """Adds an approver's signature to the file beside the bundle."""
+
+    words = ('bundle', 'sign')
+    usage = 'FILE --approver=NAME --private_key=FILE'
+    argument_count = 1
+    description = 'sign a bundle file as one of its approvers'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        if not context.approver or not context.private_key_file:
+            raise errors.UsageError('bundle sign: --approver, --private_key')
+        path = arguments[0]
+        bundle = bundle_files.read_bundle(path)
+        key = _read_private_key(context.private_key_file)
+        signature = signatures.sign_bundle(bundle, context.approver, key)
+        signed = [
+            other
+            for other in _signatures_of_same_bundle(path, bundle)
+            if other.approver != context.approver
+        ]
+        signed.append(signature)
+        file = bundle_files.write_signatures(path, bundle, signed)
+        return reports.Report(
+            {
+                'file': file,
+                'digest': signatures.digest_bundle(bundle).hex(),
+                'signed_by': [s.approver for s in signed],
+            }
+        )
+
+
+class BundleRoll(bases.Command):
+    """Rolls a signed bundle and waits until it is in force."""
+
+    words = ('bundle', 'roll')
+    usage = 'FILE'
+    argument_count = 1
+    description = 'roll a signed bundle; ends when it is in force'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        bundle = bundle_files.read_bundle(arguments[0])
+        signed = bundle_files.read_signatures(arguments[0], bundle)
+        status = context.call(messages.QueryStatus())
+        accepted = context.call(
+            messages.RollBundle(
+                models.SignedBundle(bundle, signed),
+                status.bundle_version,
+                status.bundle_digest,
+            )
+        )
+        context.tell(f'version {bundle.version} accepted')
+        return bases.wait_in_force(context, accepted)
+
+
+class BundleShow(bases.Command):
+    """Shows what the bundle in force declares."""
+
+    words = ('bundle', 'show')
+    description = 'show the workspaces, routes and endpoints in force'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        signed = context.call(messages.QueryBundle())
+        bundle = signed.bundle
+        rows: list[list[reports.Cell]] = []
+        for workspace in bundle.workspaces:
+            detail = (
+                f'{workspace.rate_tokens_per_s} tokens/s, burst '
+                f'{workspace.burst_tokens}, weight {workspace.weight}'
+            )
+            rows.append(['workspace', workspace.name, detail])
+        for model in bundle.models:
+            rows.append(['model', model.name, model.version])
+        for route in bundle.routes:
+            detail = f'{route.access}, {"/".join(route.methods)}'
+            rows.append(['route', route.path, detail])
+        for endpoint in bundle.endpoints:
+            target = endpoint.model or endpoint.service
+            detail = f'{target} in {endpoint.place}, {endpoint.address}'
+            rows.append(['endpoint', endpoint.name, detail])
+        return reports.Report(
+            {
+                'version': bundle.version,
+                'digest': signatures.digest_bundle(bundle).hex(),
+                'signed_by': [s.approver for s in signed.signatures],
+            },
+            ['kind', 'name', 'detail'],
+            rows,
+        )
+
+
+class BundleStatus(bases.Command):
+    """Shows whether the newest bundle is in force."""
+
+    words = ('bundle', 'status')
+    description = 'show the newest bundle and whether it is in force'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        status = context.call(messages.QueryStatus())
+        if status.bundle_version == 0:
+            raise errors.CommandError(exits.BAD_INPUT, 'no bundle yet')
+        progress = context.call(messages.QueryProgress(status.bundle_index))
+        return reports.Report(
+            {
+                'version': status.bundle_version,
+                'digest': status.bundle_digest.hex(),
+                'in_force': progress.in_force,
+                'live_hosts': progress.live_count,
+                'pending': list(progress.pending),
+                'withdrawn_keys': status.withdrawn_count,
+            },
+            ['replica', 'role', 'term', 'match_index', 'address'],
+            [
+                [r.name, r.role, r.term, r.match_index, r.address]
+                for r in status.replicas
+            ],
+        )
+
+
+def _read_private_key(path: str) -> signatures.ed25519.Ed25519PrivateKey:
+    try:
+        pem = pathlib.Path(path).read_bytes()
+        return signatures.load_private_key(pem)
+    except (OSError, bundle_errors.SignatureError) as cause:
+        raise errors.InputError(f'{path}: {cause}') from cause
+
+
+def _signatures_of_same_bundle(
+    path: str, bundle: models.Bundle
+) -> list[models.Signature]:
+    """Returns earlier signatures, none when the bundle has changed since."""
+    try:
+        return bundle_files.read_signatures(path, bundle)
+    except errors.InputError:
+        return []
--- /dev/null
+++ b/libs/operator/masticquay_operator/fleet_commands.py
@@ -0,0 +1,161 @@
+"""Commands that show usage, refusals, hosts and endpoints."""
+
+import datetime
+
+from masticquay_membership import messages
+from masticquay_operator import bases
+from masticquay_operator import contexts
+from masticquay_operator import reports
+
+SECONDS_PER_HOUR = 3_600
+
+
+class Usage(bases.Command):
+    """Shows who used what, by workspace, target, class and hour."""
+
+    words = ('usage',)
+    usage = '[--workspace=NAME] [--from_hour=TIME] [--to_hour=TIME]'
+    description = 'show requests and tokens by workspace, target and hour'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        ledger = _query_usage(context)
+        rows: list[list[reports.Cell]] = [
+            [
+                entry.workspace,
+                entry.target,
+                entry.class_name,
+                format_hour(entry.hour),
+                entry.requests,
+                entry.prompt_tokens,
+                entry.output_tokens,
+            ]
+            for entry in ledger.entries
+            if entry.requests
+        ]
+        columns = [
+            'workspace',
+            'target',
+            'class',
+            'hour',
+            'requests',
+            'prompt_tokens',
+            'output_tokens',
+        ]
+        return reports.Report(_gap_facts(ledger), columns, sorted(rows))
+
+
+class Refusals(bases.Command):
+    """Shows who was refused, why, and whether within its rate."""
+
+    words = ('refusals',)
+    usage = '[--workspace=NAME] [--from_hour=TIME] [--to_hour=TIME]'
+    description = 'show refusals by workspace, reason and hour'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        ledger = _query_usage(context)
+        rows: list[list[reports.Cell]] = []
+        within_rate = 0
+        for entry in ledger.entries:
+            within_rate += entry.refused_within_rate
+            for reason, count in entry.refusals.items():
+                rows.append(
+                    [
+                        entry.workspace,
+                        entry.target,
+                        entry.class_name,
+                        format_hour(entry.hour),
+                        reason,
+                        count,
+                    ]
+                )
+        facts = _gap_facts(ledger)
+        facts['refused_within_rate'] = within_rate
+        columns = ['workspace', 'target', 'class', 'hour', 'reason', 'count']
+        return reports.Report(facts, columns, sorted(rows))
+
+
+class Hosts(bases.Command):
+    """Shows the hosts of the current view."""
+
+    words = ('hosts',)
+    description = 'show the entry hosts that hold a lease'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        status = context.call(messages.QueryStatus())
+        rows: list[list[reports.Cell]] = [
+            [
+                host.name,
+                host.place,
+                host.caller_address,
+                host.incarnation,
+                'leaving' if host.leaving else 'live',
+            ]
+            for host in status.view.hosts
+        ]
+        facts: dict[str, reports.Cell | list[str]] = {
+            'view': status.view.number,
+            'adopted_view': status.adopted_view_number,
+        }
+        columns = ['host', 'place', 'address', 'incarnation', 'state']
+        return reports.Report(facts, columns, sorted(rows))
+
+
+class Endpoints(bases.Command):
+    """Shows the endpoints of the bundle in force."""
+
+    words = ('endpoints',)
+    description = 'show endpoints, their versions and orders'
+
+    def run(
+        self, arguments: list[str], context: contexts.Context
+    ) -> reports.Report:
+        status = context.call(messages.QueryStatus())
+        rows: list[list[reports.Cell]] = [
+            [e.name, e.state, e.version, e.order_state]
+            for e in status.endpoints
+        ]
+        columns = ['endpoint', 'state', 'version', 'order']
+        return reports.Report({}, columns, sorted(rows))
+
+
+def format_hour(hour: int) -> str:
+    """Writes an hour, counted since 1970, as ISO 8601 in UTC."""
+    moment = datetime.datetime.fromtimestamp(
+        hour * SECONDS_PER_HOUR, tz=datetime.UTC
+    )
+    return moment.strftime('%Y-%m-%dT%H:00Z')
+
+
+def parse_hour(text: str) -> int:
+    """Reads an hour; the inverse of ``format_hour``, 0 for no text.
+
+    :raises ValueError: when the text is no time
+    """
+    if not text:
+        return 0
+    moment = datetime.datetime.fromisoformat(text.replace('Z', '+00:00'))
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return int(moment.timestamp()) // SECONDS_PER_HOUR
+
+
+def _query_usage(context: contexts.Context) -> messages.UsageReport:
+    return context.call(
+        messages.QueryUsage(
+            context.workspace, context.from_hour, context.to_hour
+        )
+    )
+
+
+def _gap_facts(
+    ledger: messages.UsageReport,
+) -> dict[str, reports.Cell | list[str]]:
+    gaps = [f'{gap.host}/{gap.incarnation}' for gap in ledger.gaps]
+    missing = sum(gap.bound_tokens for gap in ledger.gaps)
+    return {'gaps': gaps, 'missing_tokens_at_most': missing}
