--- a/libs/operator/masticquay_operator/commands.py
+++ b/libs/operator/masticquay_operator/commands.py
@@ -129,7 +129,10 @@
         secret = pathlib.Path(FLAGS.secret_file).read_bytes().strip()
     except OSError as cause:
         raise errors.InputError(str(cause)) from cause
-    return clients.ControlClient(FLAGS.control, OPERATOR_NAME, secret)
+    try:
+        return clients.ControlClient(FLAGS.control, OPERATOR_NAME, secret)
+    except ValueError as cause:
+        raise errors.UsageError(f'--control: {cause}') from cause
 
 
 if __name__ == '__main__':
--- a/libs/operator/masticquay_operator/contexts.py
+++ b/libs/operator/masticquay_operator/contexts.py
@@ -3,6 +3,7 @@
 import sys
 import typing
 
+from masticquay_membership import errors as membership_errors
 from masticquay_operator import errors
 from masticquay_operator import exits
 from masticquay_wire import clocks
@@ -20,7 +21,8 @@
     ) -> messages.Message:
         """Sends a call to whichever replica can answer it.
 
-        :raises WireError: when none answered, or the call was refused
+        :raises RemoteError: when control refused the call
+        :raises MembershipError: when no answer came in time
         """
 
 
@@ -82,7 +84,10 @@
             raise errors.CommandError(
                 _EXIT_BY_CODE.get(cause.code, exits.UNAVAILABLE), str(cause)
             ) from cause
-        except wire_errors.WireError as cause:
+        except (
+            wire_errors.WireError,
+            membership_errors.MembershipError,
+        ) as cause:
             raise errors.CommandError(
                 exits.UNAVAILABLE, f'control did not answer: {cause}'
             ) from cause
