--- a/libs/bench/masticquay_bench/callers.py
+++ b/libs/bench/masticquay_bench/callers.py
@@ -8,12 +8,11 @@
 import time
 import typing
 
+from masticquay_bench import calls
 from masticquay_scheduling import prefixes
 from masticquay_standins import answers
 from masticquay_standins import journals
 
-from masticquay_bench import calls
-
 CONNECT_TIMEOUT_S = 2
 ANSWER_TIMEOUT_S = 70
 HOST_LIST_TTL_S = 5.0
--- a/libs/bench/masticquay_bench/checkers.py
+++ b/libs/bench/masticquay_bench/checkers.py
@@ -7,11 +7,10 @@
 import collections
 import typing
 
-from masticquay_standins import journals
-
 from masticquay_bench import calls
 from masticquay_bench import evidence
 from masticquay_bench import rates
+from masticquay_standins import journals
 
 HELD_LIMIT_MS = 8_000
 WITHDRAWAL_LIMIT_MS = 4_000
@@ -207,9 +206,7 @@
                 violations.extend(self._check_call(call, mark))
         return violations
 
-    def _check_call(
-        self, call: calls.Call, mark: evidence.Mark
-    ) -> list[str]:
+    def _check_call(self, call: calls.Call, mark: evidence.Mark) -> list[str]:
         if call.sent_ms > mark.end_ms and call.end == calls.END_OK:
             return [f'{call.call_id} was answered after the withdrawal']
         streaming = call.kind == calls.KIND_COMPLETION
--- a/libs/bench/masticquay_bench/deployments.py
+++ b/libs/bench/masticquay_bench/deployments.py
@@ -2,9 +2,8 @@
 
 import typing
 
-from masticquay_bundles import signatures
-
 from masticquay_bench import layouts
+from masticquay_bundles import signatures
 
 PROBE_PATH = '/services/{service}/probe/v{version}/'
 
--- a/libs/bench/masticquay_bench/evidence.py
+++ b/libs/bench/masticquay_bench/evidence.py
@@ -3,11 +3,10 @@
 import collections
 import pathlib
 
+from masticquay_bench import calls
 from masticquay_standins import journals
 from masticquay_wire import records
 
-from masticquay_bench import calls
-
 MARK_WITHDRAWN = 'withdrawn'
 MARK_ROLLED = 'rolled'
 MARK_DRAIN = 'drain'
--- a/libs/bench/masticquay_bench/fleets.py
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -10,13 +10,13 @@
 import tempfile
 import typing
 
-from masticquay_bundles import signatures
 import yaml
 
 from masticquay_bench import deployments
 from masticquay_bench import errors
 from masticquay_bench import layouts
 from masticquay_bench import processes
+from masticquay_bundles import signatures
 
 CONTROL_MODULE = 'masticquay_control.daemons'
 ENTRY_MODULE = 'masticquay_entry.daemons'
--- a/libs/bench/masticquay_bench/rates.py
+++ b/libs/bench/masticquay_bench/rates.py
@@ -49,8 +49,7 @@
         over = inside - allowed
         at = int(numpy.argmax(over))
         if over[at] > 0 and (
-            worst is None
-            or over[at] > worst.tokens - worst.allowed_tokens
+            worst is None or over[at] > worst.tokens - worst.allowed_tokens
         ):
             worst = Excess(
                 int(inside[at]), float(windows[at]), float(allowed[at])
