--- a/libs/scheduling/masticquay_scheduling/choosers.py
+++ b/libs/scheduling/masticquay_scheduling/choosers.py
@@ -34,8 +34,10 @@
 class Chooser(typing.Protocol):
     """Picks endpoints among those with room."""
 
+    long_prefill_ms: float
+
     def choose_prefill(
-        self, states: States, admit: messages.Admit, now_ms: int
+        self, states: States, admit: messages.Admit, prompt: bool, now_ms: int
     ) -> PrefillChoice | None:
         """Returns where to prefill, None when nothing has room."""
 
@@ -60,7 +62,11 @@
 class EarliestChooser:
     """Picks the endpoint where each stage would end first.
 
+    A long prefill may not take the last endpoint on which a request of a
+    prompt class could begin in time.
+
     :param affinity: whether cached prefixes count
+    :ivar long_prefill_ms: how long a prefill may block every endpoint
     """
 
     def __init__(
@@ -72,12 +78,14 @@
         self._backlog_ms = settings.prefill_backlog_ms
         self._estimates = engine_estimates
         self._affinity = affinity
+        self.long_prefill_ms = float('inf')
 
     def choose_prefill(
-        self, states: States, admit: messages.Admit, now_ms: int
+        self, states: States, admit: messages.Admit, prompt: bool, now_ms: int
     ) -> PrefillChoice | None:
         """Returns where the prefill would end first."""
         best = None
+        limit_ms = float('inf') if prompt else self.long_prefill_ms
         for state in states:
             if not self._may_prefill(state, admit, now_ms):
                 continue
@@ -87,10 +95,30 @@
                 cached = blocks * prefixes.BLOCK_TOKENS
             work_ms = self._estimates.prefill_ms(admit.prompt_tokens - cached)
             end_ms = max(now_ms, state.busy_until_ms) + work_ms
+            if end_ms - now_ms > limit_ms and not self._other_short(
+                states, state, now_ms
+            ):
+                continue
             if best is None or end_ms < best.end_ms:
                 best = PrefillChoice(state, cached, work_ms, end_ms)
         return best
 
+    def _other_short(
+        self,
+        states: States,
+        chosen: reservations.EndpointState,
+        now_ms: int,
+    ) -> bool:
+        """Whether a prompt class could still prefill soon elsewhere."""
+        limit_ms = now_ms + self.long_prefill_ms
+        return any(
+            state.prefills
+            and state is not chosen
+            and state.busy_until_ms <= limit_ms
+            and state.health.allowance(1, now_ms)
+            for state in states
+        )
+
     def choose_decode(
         self,
         states: States,
--- a/libs/scheduling/masticquay_scheduling/estimates.py
+++ b/libs/scheduling/masticquay_scheduling/estimates.py
@@ -5,6 +5,7 @@
 GAIN = 0.05
 PREFILL_OVERHEAD_MS = 2.0
 MIN_LEARNING_TOKENS = 64
+AWAIT_DEVIATIONS = 2
 
 
 class Estimates:
@@ -16,6 +17,8 @@
         self._default_ratio = settings.output_percent / 100
         self._ratios: dict[tuple[str, str], float] = {}
         self.service_ms = float(settings.service_call_ms)
+        self._await_ms = 0.0
+        self._await_deviation_ms = 0.0
         self._default_busy_ms = float(settings.slot_busy_ms)
         self._busy_ms: float | None = None
 
@@ -38,6 +41,18 @@
             return self._default_busy_ms
         return max(1.0, self._busy_ms)
 
+    def await_ms(self) -> float:
+        """Returns a high estimate of the wait for a slot after a prefill."""
+        return self._await_ms + AWAIT_DEVIATIONS * self._await_deviation_ms
+
+    def learn_await(self, elapsed_ms: float) -> None:
+        """Takes the time from a prefill's end to its decode slot."""
+        error_ms = elapsed_ms - self._await_ms
+        self._await_ms += GAIN * error_ms
+        self._await_deviation_ms += GAIN * (
+            abs(error_ms) - self._await_deviation_ms
+        )
+
     def learn_prefill(self, tokens: int, elapsed_ms: float) -> None:
         """Takes a measured prefill."""
         if tokens < MIN_LEARNING_TOKENS:
--- a/libs/scheduling/masticquay_scheduling/grants.py
+++ b/libs/scheduling/masticquay_scheduling/grants.py
@@ -39,6 +39,7 @@
         self._window_began_ms = 0
         self._window_tokens = 0
         self._use_per_ms = 0.0
+        self._scarce = False
         self._reported_ms = 0
 
     @property
@@ -130,6 +131,9 @@
         horizon_ms = self._settings.grant_horizon_ms
         horizon_ms += self._settings.report_interval_ms
         expected = int(self._use_per_ms * horizon_ms)
+        idle = self._spent_total == self._sent_spent_total
+        if not needed_tokens and (self._scarce or idle):
+            expected = 0
         if not needed_tokens and held > expected:
             held = self._held = expected
         wanted = max(waiting_tokens, expected) - held
@@ -160,6 +164,7 @@
         expires_ms = self._sent_ms + grant.valid_ms
         self._sent_ms = None
         self._answered_spent_total = self._sent_spent_total
+        self._scarce = grant.scarce
         if now_ms >= expires_ms:
             return True
         self._held = self.held_tokens(now_ms) + grant.granted_tokens
@@ -174,7 +179,7 @@
 
     def _measure_use(self, now_ms: int) -> None:
         elapsed_ms = now_ms - self._window_began_ms
-        if elapsed_ms < self._settings.idle_return_ms:
+        if elapsed_ms < self._settings.use_window_ms:
             return
         recent = self._window_tokens / elapsed_ms
         self._use_per_ms += USE_GAIN * (recent - self._use_per_ms)
--- a/libs/scheduling/masticquay_scheduling/limiters.py
+++ b/libs/scheduling/masticquay_scheduling/limiters.py
@@ -187,17 +187,24 @@
         retry_ms = 0
         if not granted:
             retry_ms = self._time_to_ms(request.needed_tokens)
-        return messages.Grant(request.sequence, granted, valid_ms, retry_ms)
+        return messages.Grant(
+            request.sequence, granted, valid_ms, retry_ms, self._scarce()
+        )
 
     def _size_grant(self, request: messages.RequestGrant) -> int:
         needed = request.needed_tokens
         if needed > self._level or request.wanted_tokens <= 0:
             return 0
-        burst = self._workspace.burst_tokens
-        if self._level < burst * self._settings.scarce_percent / 100:
+        if self._scarce():
             return needed
-        share = int(self._level * self._settings.grant_share_percent / 100)
-        return max(needed, min(request.wanted_tokens, share))
+        burst = self._workspace.burst_tokens
+        parked = self.outstanding_tokens()
+        room = burst * self._settings.parked_percent // 100 - parked
+        return max(needed, min(request.wanted_tokens, room, int(self._level)))
+
+    def _scarce(self) -> bool:
+        burst = self._workspace.burst_tokens
+        return self._level < burst * self._settings.scarce_percent / 100
 
     def _time_to_ms(self, tokens: int) -> int:
         """Returns when some tokens will be there, 0 for never."""
@@ -205,7 +212,11 @@
             return 0
         rate = max(1, self._workspace.rate_tokens_per_s)
         missing = max(0.0, tokens - self._level)
-        return max(1, int(-(-missing * 1000 // rate)))
+        wait_ms = int(-(-missing * 1000 // rate))
+        if missing <= self.outstanding_tokens():
+            # Other hosts are about to give back what they do not need.
+            wait_ms = min(wait_ms, self._settings.recall_wait_ms)
+        return max(1, wait_ms)
 
     def _refill(self) -> None:
         now_ms = self._clock.now_ms()
--- a/libs/scheduling/masticquay_scheduling/messages.py
+++ b/libs/scheduling/masticquay_scheduling/messages.py
@@ -346,9 +346,16 @@
 
     :param valid_ms: how long, from when the request was sent
     :param retry_after_ms: when tokens needed but not granted will be there
+    :param scarce: what the host does not need now it should give back
     """
 
-    __slots__ = ('sequence', 'granted_tokens', 'valid_ms', 'retry_after_ms')
+    __slots__ = (
+        'sequence',
+        'granted_tokens',
+        'valid_ms',
+        'retry_after_ms',
+        'scarce',
+    )
 
     def __init__(
         self,
@@ -356,11 +363,13 @@
         granted_tokens: int,
         valid_ms: int,
         retry_after_ms: int,
+        scarce: bool = False,
     ):
         self.sequence = sequence
         self.granted_tokens = granted_tokens
         self.valid_ms = valid_ms
         self.retry_after_ms = retry_after_ms
+        self.scarce = scarce
 
 
 class HeldGrant(records.Record):
--- a/libs/scheduling/masticquay_scheduling/queues.py
+++ b/libs/scheduling/masticquay_scheduling/queues.py
@@ -31,14 +31,16 @@
 class FairQueue:
     """Orders requests so that engine time is shared by weight.
 
-    Start-time fair queueing: each workspace has a virtual time that grows by
-    cost / weight with each request taken; the lowest goes first. Requests of
-    prompt classes go before all others, unless their workspace is ahead of
-    its share by more than ``prompt_lead_ms``.
+    Fair queueing by virtual time: each workspace has one that grows by
+    cost / weight with each request taken. Workspaces within ``lead_ms`` of
+    the lowest go by deadline, prompt classes first; those further ahead of
+    their share come after, the lowest first. A workspace that used less than
+    its share keeps up to ``credit_ms`` of that for a burst.
     """
 
-    def __init__(self, prompt_lead_ms: int):
-        self._prompt_lead_ms = prompt_lead_ms
+    def __init__(self, lead_ms: int, credit_ms: int):
+        self._lead_ms = lead_ms
+        self._credit_ms = credit_ms
         self._lanes: dict[str, _Lane] = {}
         self._weights: dict[str, int] = {}
         self._virtual_ms = 0.0
@@ -91,7 +93,8 @@
         """Adds a request."""
         lane = self._lane(item.workspace)
         if not len(lane):
-            lane.virtual_ms = max(lane.virtual_ms, self._virtual_ms)
+            floor_ms = self._virtual_ms - self._credit_ms
+            lane.virtual_ms = max(lane.virtual_ms, floor_ms)
             self._active_weight += lane.weight
         self._sequence += 1
         entry = (item.due_ms, self._sequence, item)
@@ -120,16 +123,15 @@
         """
         lanes = [lane for lane in self._lanes.values() if len(lane)]
         lanes.sort(key=lambda lane: lane.virtual_ms)
+        limit_ms = lanes[0].virtual_ms + self._lead_ms
+        near = [lane for lane in lanes if lane.virtual_ms <= limit_ms]
         if self._prompt_count:
-            limit_ms = lanes[0].virtual_ms + self._prompt_lead_ms
-            for lane in lanes:
-                if lane.prompt and lane.virtual_ms <= limit_ms:
-                    yield lane.prompt[0][2]
-        for lane in lanes:
-            if lane.other:
-                yield lane.other[0][2]
-            elif lane.prompt:
-                yield lane.prompt[0][2]
+            heads = [lane.prompt[0] for lane in near if lane.prompt]
+            yield from (entry[2] for entry in sorted(heads))
+        heads = [lane.other[0] for lane in near if lane.other]
+        yield from (entry[2] for entry in sorted(heads))
+        for lane in lanes[len(near) :]:
+            yield (lane.prompt or lane.other)[0][2]
 
     def charge(self, workspace: str, cost_ms: float) -> None:
         """Charges engine time, also negative to correct an estimate."""
--- a/libs/scheduling/masticquay_scheduling/rate_clients.py
+++ b/libs/scheduling/masticquay_scheduling/rate_clients.py
@@ -1,16 +1,14 @@
 """How an entry host charges workspaces."""
 
-import collections
 from concurrent import futures
 import contextlib
 import random as random_module
 import threading
 
-from returns import result
-
 from masticquay_membership import messages as membership_messages
 from masticquay_membership import ownership
 from masticquay_membership import protocols as membership_protocols
+from masticquay_scheduling import charges
 from masticquay_scheduling import directories
 from masticquay_scheduling import errors
 from masticquay_scheduling import grants
@@ -21,33 +19,17 @@
 from masticquay_wire import clocks
 
 ROUND_MS = 10
-RETRY_MS = 25
-UNKNOWN_RETRY_MS = 1_000
-
-
-class PendingCharge:
-    """A charge that waits for tokens."""
-
-    __slots__ = ('tokens', 'deadline_ms', 'future', 'retry_after_ms')
-
-    def __init__(self, tokens: int, deadline_ms: int):
-        self.tokens = tokens
-        self.deadline_ms = deadline_ms
-        self.future: futures.Future = futures.Future()
-        self.retry_after_ms = UNKNOWN_RETRY_MS
 
 
 class WorkspaceRate:
-    """One workspace's grant on this host, and the charges that wait."""
+    """One workspace's charges on this host, and the owner of its rate."""
 
-    __slots__ = ('holder', 'owner', 'waiting', 'lock', 'next_ms')
+    __slots__ = ('queue', 'owner', 'lock')
 
-    def __init__(self, holder: grants.GrantHolder):
-        self.holder = holder
+    def __init__(self, queue: charges.ChargeQueue):
+        self.queue = queue
         self.owner: membership_messages.Host | None = None
-        self.waiting: collections.deque[PendingCharge] = collections.deque()
         self.lock = threading.RLock()
-        self.next_ms = 0
 
 
 class RateClient:
@@ -90,24 +72,23 @@
         self._stack.close()
         for rate in list(self._rates.values()):
             with rate.lock:
-                waiting = list(rate.waiting)
-                rate.waiting.clear()
+                waiting = rate.queue.drain()
             for charge in waiting:
-                self._refuse(charge)
+                charge.refuse()
 
     def charge(
         self, workspace: str, tokens: int, max_wait_ms: int
     ) -> futures.Future:
         """Charges tokens before dispatch; see ``protocols.Rates``."""
         now_ms = self._clock.now_ms()
-        charge = PendingCharge(tokens, now_ms + max_wait_ms)
+        charge = charges.Charge(tokens, now_ms + max_wait_ms)
         rate = self._rate(workspace)
         with rate.lock:
-            if not rate.waiting and rate.holder.spend(tokens, now_ms):
-                charge.future.set_result(result.Success(tokens))
-                return charge.future
-            rate.waiting.append(charge)
-        self._report(workspace, rate)
+            paid = rate.queue.add(charge, now_ms)
+        if paid:
+            charge.accept()
+        else:
+            self._report(rate)
         return charge.future
 
     def refund(self, workspace: str, tokens: int) -> None:
@@ -116,13 +97,13 @@
             return
         rate = self._rate(workspace)
         with rate.lock:
-            rate.holder.refund(tokens, self._clock.now_ms())
+            rate.queue.holder.refund(tokens, self._clock.now_ms())
 
     def unspent_tokens(self) -> dict[str, int]:
         """Returns what this host holds for each workspace."""
         now_ms = self._clock.now_ms()
         return {
-            workspace: rate.holder.held_tokens(now_ms)
+            workspace: rate.queue.holder.held_tokens(now_ms)
             for workspace, rate in list(self._rates.items())
         }
 
@@ -134,7 +115,7 @@
                 holder = grants.GrantHolder(
                     workspace, host.name, host.incarnation, self._settings
                 )
-                rate = WorkspaceRate(holder)
+                rate = WorkspaceRate(charges.ChargeQueue(holder))
                 self._rates[workspace] = rate
                 self._turn(workspace, rate)
             return rate
@@ -155,30 +136,26 @@
             self._view, ownership.KIND_WORKSPACE, workspace
         )
         key = (owner.name, owner.incarnation) if owner else None
-        rate.holder.turn_to(key, services.host_keys(self._view))
-        rate.next_ms = 0
+        rate.queue.turn_to(key, services.host_keys(self._view))
 
     def _run(self) -> None:
         while not self._stopping.wait(ROUND_MS / 1000):
-            for workspace, rate in list(self._rates.items()):
+            for rate in list(self._rates.values()):
                 self._serve(rate)
-                self._report(workspace, rate)
+                self._report(rate)
 
-    def _report(self, workspace: str, rate: WorkspaceRate) -> None:
+    def _report(self, rate: WorkspaceRate) -> None:
         """Sends the next request to the owner when one is due."""
         now_ms = self._clock.now_ms()
         with rate.lock:
-            needed = rate.waiting[0].tokens if rate.waiting else 0
-            if now_ms < rate.next_ms or not rate.holder.due(needed, now_ms):
-                return
-            key = rate.holder.owner
-            wanted = sum(charge.tokens for charge in rate.waiting)
-            request = rate.holder.compose(
-                needed, wanted, self._view.number, now_ms
-            )
-        future = self._send(rate.owner, request)
+            owner = rate.owner
+            key = rate.queue.holder.owner
+            request = rate.queue.next_request(self._view.number, now_ms)
+        if request is None:
+            return
+        future = self._send(owner, request)
         future.add_done_callback(
-            lambda done: self._take(workspace, rate, request, key, done)
+            lambda done: self._take(rate, request.sequence, key, done)
         )
 
     def _send(
@@ -198,68 +175,24 @@
 
     def _take(
         self,
-        workspace: str,
         rate: WorkspaceRate,
-        request: messages.RequestGrant,
-        key: grants.OwnerKey,
+        sequence: int,
+        key: grants.OwnerKey | None,
         done: futures.Future,
     ) -> None:
+        grant = None if done.exception() else done.result()
         now_ms = self._clock.now_ms()
         with rate.lock:
-            if done.exception() is not None:
-                rate.holder.give_up(request.sequence)
-                rate.next_ms = now_ms + RETRY_MS
-            else:
-                grant = done.result()
-                rate.holder.apply(grant, key, now_ms)
-                self._plan_next(rate, grant, now_ms)
+            rate.queue.take_answer(sequence, grant, key, now_ms)
         self._serve(rate)
 
-    def _plan_next(
-        self, rate: WorkspaceRate, grant: messages.Grant, now_ms: int
-    ) -> None:
-        if not rate.waiting or grant.granted_tokens:
-            rate.next_ms = now_ms
-            return
-        first = rate.waiting[0]
-        first.retry_after_ms = grant.retry_after_ms
-        wait_ms = max(RETRY_MS, grant.retry_after_ms)
-        rate.next_ms = now_ms + wait_ms
-        # Tokens that come only after the longest wait help nobody waiting;
-        # the next charge may be small enough for what is there.
-        if first.deadline_ms < rate.next_ms or not grant.retry_after_ms:
-            first.deadline_ms = now_ms
-            rate.next_ms = now_ms
-
     def _serve(self, rate: WorkspaceRate) -> None:
-        """Spends for waiting charges in order, and refuses late ones."""
-        now_ms = self._clock.now_ms()
-        paid = []
-        late = []
         with rate.lock:
-            while rate.waiting:
-                first = rate.waiting[0]
-                if rate.holder.spend(first.tokens, now_ms):
-                    paid.append(rate.waiting.popleft())
-                elif first.deadline_ms <= now_ms:
-                    late.append(rate.waiting.popleft())
-                else:
-                    break
-            expired = [c for c in rate.waiting if c.deadline_ms <= now_ms]
-            for charge in expired:
-                rate.waiting.remove(charge)
-            if late or expired:
-                rate.next_ms = min(rate.next_ms, now_ms)
+            paid, late = rate.queue.serve(self._clock.now_ms())
         for charge in paid:
-            charge.future.set_result(result.Success(charge.tokens))
-        for charge in late + expired:
-            self._refuse(charge)
-
-    def _refuse(self, charge: PendingCharge) -> None:
-        refused = messages.Refused(
-            messages.REASON_OVER_RATE, charge.retry_after_ms
-        )
-        charge.future.set_result(result.Failure(refused))
+            charge.accept()
+        for charge in late:
+            charge.refuse()
 
 
 def implements(client: RateClient) -> protocols.Rates:
--- a/libs/scheduling/masticquay_scheduling/refusals.py
+++ b/libs/scheduling/masticquay_scheduling/refusals.py
@@ -2,7 +2,6 @@
 
 import collections
 
-from masticquay_bundles import models
 from masticquay_scheduling import messages
 
 STAGE_TIMEOUT_FACTOR = 4
@@ -41,19 +40,14 @@
 
 
 def latest_start_ms(
-    admit: messages.Admit, kind: str, now_ms: int, lead: LeadTimes
+    admit: messages.Admit, now_ms: int, lead: LeadTimes
 ) -> float:
-    """Returns when a request must be placed to be of use to its caller.
-
-    Work that may be deferred is bound by its deadline and its longest wait
-    only; all other work also by when its first token is due.
-    """
-    latest_ms = now_ms + min(
-        admit.max_wait_ms, admit.deadline_ms - lead.last_ms
+    """Returns when a request must be placed to be of use to its caller."""
+    return now_ms + min(
+        admit.max_wait_ms,
+        admit.deadline_ms - lead.last_ms,
+        admit.first_token_ms - lead.first_ms,
     )
-    if kind == models.CLASS_DEFERRED:
-        return latest_ms
-    return min(latest_ms, now_ms + admit.first_token_ms - lead.first_ms)
 
 
 def stage_timeout_ms(expected_ms: float) -> int:
--- a/libs/scheduling/masticquay_scheduling/schedulers.py
+++ b/libs/scheduling/masticquay_scheduling/schedulers.py
@@ -29,6 +29,7 @@
 
     :param due_ms: when its first token is due; the order inside a workspace
     :param latest_ms: when it must have been placed, else it is refused
+    :ivar patient_until_ms: until when it leaves more slots free for others
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         'prompt',
         'due_ms',
         'latest_ms',
+        'patient_until_ms',
         'done',
     )
 
@@ -55,6 +57,7 @@
         self.prompt = prompt
         self.due_ms = due_ms
         self.latest_ms = latest_ms
+        self.patient_until_ms = 0.0
         self.done = False
 
     @property
@@ -124,7 +127,9 @@
         self._chooser = chooser or choosers.EarliestChooser(
             settings, self.table.estimates
         )
-        self._queue = queue or queues.FairQueue(settings.prompt_lead_ms)
+        if queue is None:
+            queue = queues.FairQueue(settings.lead_ms, settings.credit_ms)
+        self._queue = queue
         self._waiting: dict[placements.AttemptKey, Waiting] = {}
         self._awaiting: list[Awaiting] = []
         self._latest: list[tuple[float, int, Waiting]] = []
@@ -217,13 +222,28 @@
             weights = {w.name: w.weight for w in bundle.workspaces}
             self._queue.set_weights(weights)
             self.table.update(plan, self._clock.now_ms())
-            self._headroom = 0
-            if models.CLASS_PROMPT in self._kinds.values():
-                percent = self._settings.headroom_percent
-                self._headroom = -(-self.table.decode_slots * percent // 100)
+            self._keep_headroom(bundle)
             self._dispatch()
         self._send_replies()
 
+    def _keep_headroom(self, bundle: models.Bundle) -> None:
+        """Sets aside slots and prefill time for prompt classes."""
+        targets = [
+            declared.first_token_target_ms
+            for declared in bundle.classes
+            if declared.kind == models.CLASS_PROMPT
+        ]
+        self._headroom = 0
+        percent = self._settings.deferred_headroom_percent
+        self._deferred_headroom = -(-self.table.decode_slots * percent // 100)
+        self._chooser.long_prefill_ms = float('inf')
+        if not targets or self._plan.is_service:
+            return
+        percent = self._settings.headroom_percent
+        self._headroom = -(-self.table.decode_slots * percent // 100)
+        part = self._settings.prompt_wait_percent / 100
+        self._chooser.long_prefill_ms = part * min(targets)
+
     def apply_load(
         self, endpoint: str, load: protocols.EndpointLoad | None
     ) -> None:
@@ -317,6 +337,11 @@
                 for name, state in self.table.states.items()
             }
 
+    def replace_chooser(self, chooser: choosers.Chooser) -> None:
+        """Sets another choice of endpoints."""
+        chooser.long_prefill_ms = self._chooser.long_prefill_ms
+        self._chooser = chooser
+
     def retire(self) -> None:
         """Answers all that waits with ``not-owner``, and all that comes."""
         with self._lock:
@@ -371,13 +396,18 @@
         now_ms = self._clock.now_ms()
         kind = self._kinds.get(admit.class_name, models.CLASS_STANDARD)
         lead = self._lead_times(admit)
-        return Waiting(
+        latest_ms = refusals.latest_start_ms(admit, now_ms, lead)
+        waiting = Waiting(
             admit,
             reply,
             kind == models.CLASS_PROMPT,
             now_ms + admit.first_token_ms,
-            refusals.latest_start_ms(admit, kind, now_ms, lead),
+            latest_ms,
         )
+        if kind == models.CLASS_DEFERRED:
+            part = self._settings.deferred_patience_percent / 100
+            waiting.patient_until_ms = now_ms + part * (latest_ms - now_ms)
+        return waiting
 
     def _lead_times(self, admit: messages.Admit) -> refusals.LeadTimes:
         estimates = self.table.estimates
@@ -389,6 +419,11 @@
         output = estimates.output_tokens(
             admit.workspace, admit.class_name, admit.max_output_tokens
         )
+        prompt = self._kinds.get(admit.class_name) == models.CLASS_PROMPT
+        if admit.late_decode and not prompt:
+            first_ms += estimates.await_ms()
+        first_ms += self._settings.start_margin_ms
+        first_ms += first_ms * self._settings.start_margin_percent / 100
         last_ms = first_ms + estimates.decode_ms(output)
         return refusals.LeadTimes(first_ms, last_ms)
 
@@ -495,7 +530,7 @@
         if room.soon < 1:
             return False
         for waiting in self._queue.candidates():
-            if not waiting.prompt and room.soon - self._headroom < 1:
+            if room.soon - self._headroom_for(waiting, now_ms) < 1:
                 continue
             if waiting.latest_ms <= now_ms:
                 self._drop(waiting, messages.REASON_DEADLINE)
@@ -504,6 +539,14 @@
                 return True
         return False
 
+    def _headroom_for(self, waiting: Waiting, now_ms: int) -> int:
+        """Returns the slots that a request must leave free."""
+        if waiting.prompt:
+            return 0
+        if now_ms < waiting.patient_until_ms:
+            return self._deferred_headroom
+        return self._headroom
+
     def _measure_room(self, now_ms: int) -> Room:
         """Counts the slots free now and soon that nobody was promised."""
         free = 0
@@ -529,13 +572,14 @@
             return self._place_service(waiting, now_ms)
         admit = waiting.admit
         states = self.table.states.values()
-        chosen = self._chooser.choose_prefill(states, admit, now_ms)
+        chosen = self._chooser.choose_prefill(
+            states, admit, waiting.prompt, now_ms
+        )
         if chosen is None:
             return False
         decode = None
         if not admit.late_decode:
-            reserved = 0 if waiting.prompt else self._headroom
-            if room.now <= reserved:
+            if room.now <= self._headroom_for(waiting, now_ms):
                 return False
             decode = self._chooser.choose_decode(
                 states,
@@ -659,6 +703,8 @@
             if decode is None:
                 left.append(awaiting)
                 continue
+            elapsed_ms = now_ms - reservation.decode_started_ms
+            self.table.estimates.learn_await(elapsed_ms)
             reservation.promised = False
             self.table.promised -= 1
             self.table.bind_decode(reservation, decode, now_ms)
--- a/libs/scheduling/masticquay_scheduling/settings.py
+++ b/libs/scheduling/masticquay_scheduling/settings.py
@@ -13,9 +13,15 @@
     max_pool_endpoints = 12
     max_queued_per_workspace = 256
     headroom_percent = 5
-    prompt_lead_ms = 2_000
+    deferred_headroom_percent = 20
+    deferred_patience_percent = 50
+    prompt_wait_percent = 70
+    lead_ms = 30_000
+    credit_ms = 60_000
     prefill_backlog_ms = 20
-    overlap_horizon_ms = 400
+    start_margin_ms = 20
+    start_margin_percent = 25
+    overlap_horizon_ms = 600
     overlap_sigmas = 1.0
     transfer_margin_ms = 50
     refuse_margin_percent = 150
@@ -49,10 +55,11 @@
     grant_valid_ms = 6_000
     grant_margin_ms = 500
     grant_horizon_ms = 500
-    report_interval_ms = 500
-    idle_return_ms = 500
-    scarce_percent = 25
-    grant_share_percent = 12
+    report_interval_ms = 100
+    use_window_ms = 500
+    scarce_percent = 70
+    parked_percent = 10
+    recall_wait_ms = 25
     grant_timeout_ms = 1_000
 
     # Retries
