--- a/libs/membership/masticquay_membership/ownership.py
+++ b/libs/membership/masticquay_membership/ownership.py
@@ -34,4 +34,4 @@
 
 
 def _score(kind: str, name: str, host: str) -> int:
-    return xxhash.xxh64_intdigest(f'{kind}\0{name}\0{host}')
+    return xxhash.xxh64_intdigest(f'{kind}\0{name}\0{host}'.encode())
