--- a/libs/bench/masticquay_bench/callers.py
+++ b/libs/bench/masticquay_bench/callers.py
@@ -144,8 +144,13 @@
         idempotent: bool = True,
         due_ms: float = 0.0,
         host: str = '',
+        stable_body: bool = False,
     ) -> calls.Call:
-        """Calls a plain service and records the answer."""
+        """Calls a plain service and records the answer.
+
+        :param stable_body: marks the body with the idempotency key instead
+            of the call id, so that a resubmission has the same body
+        """
         call = self._begin(call_id, calls.KIND_SERVICE, due_ms)
         call.path = path
         call.class_name = 'prompt'
@@ -154,7 +159,8 @@
         headers = {'Content-Type': 'text/plain'}
         if idempotency_key:
             headers['Idempotency-Key'] = idempotency_key
-        data = body + f' [[id={call_id}]]'.encode() if body else b''
+        mark = idempotency_key if stable_body else call_id
+        data = body + f' [[id={mark}]]'.encode() if body else b''
         self._send(call, method, path, headers, data, _read_whole, host)
         return call
 
--- a/libs/bench/masticquay_bench/fleets.py
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -14,8 +14,10 @@
 
 from masticquay_bench import deployments
 from masticquay_bench import errors
+from masticquay_bench import evidence
 from masticquay_bench import layouts
 from masticquay_bench import processes
+from masticquay_bench import standin_configs
 from masticquay_bundles import signatures
 
 CONTROL_MODULE = 'masticquay_control.daemons'
@@ -124,11 +126,28 @@
         :returns: the operators' report
         :raises FleetError: when the roll failed
         """
-        bundle = self.write_bundle(self.bundle_version + 1, change)
-        report = self.operate('bundle', 'roll', str(bundle))
+        return self.roll_file(
+            self.write_bundle(self.bundle_version + 1, change)
+        )
+
+    def roll_file(self, path: pathlib.Path) -> dict[str, typing.Any]:
+        """Rolls a signed bundle file."""
+        report = self.operate('bundle', 'roll', str(path))
         self.bundle_version += 1
         return report
 
+    def rates(self) -> list[evidence.Rate]:
+        """Returns the rate and burst of each workspace."""
+        return [
+            evidence.Rate(
+                w.name,
+                *self._rates.get(
+                    w.name, (w.rate_tokens_per_s, w.burst_tokens)
+                ),
+            )
+            for w in self.deployment.workspaces
+        ]
+
     def write_bundle(
         self,
         version: int,
@@ -145,11 +164,11 @@
             self.sizes.services,
             self.sizes.engine_slots,
         )
-        for workspace in bundle['workspaces']:
-            if workspace['name'] in self._rates:
-                rate, burst = self._rates[workspace['name']]
-                workspace['rate_tokens_per_s'] = rate
-                workspace['burst_tokens'] = burst
+        for workspace, rate in zip(
+            bundle['workspaces'], self.rates(), strict=True
+        ):
+            workspace['rate_tokens_per_s'] = rate.rate_tokens_per_s
+            workspace['burst_tokens'] = rate.burst_tokens
         if change is not None:
             change(bundle)
         path = self.folder / f'bundle-{version}.yaml'
@@ -210,7 +229,9 @@
 
         :param leaving: names of endpoints that are listed as leaving
         """
-        hosts = self._listed_hosts(leaving)
+        hosts = standin_configs.list_hosts(
+            self.layout, self.sizes.engines, self.sizes.services, leaving
+        )
         self._post(self.layout.other(1), '/standin/hosts', {'hosts': hosts})
 
     def make_control(self, number: int) -> processes.Process:
@@ -280,77 +301,26 @@
             self._approvers[name] = signatures.public_key_hex(key)
 
     def _start_standins(self) -> None:
-        engine = {
-            'model': self.deployment.model,
-            'slots': self.sizes.engine_slots,
-            **self._engine_options,
+        configs = standin_configs.make_configs(
+            self.deployment,
+            self.layout,
+            self.sizes.engines,
+            self.sizes.services,
+            {'slots': self.sizes.engine_slots, **self._engine_options},
+            self.seed,
+        )
+        started = {
+            name: self._make_standin(name, entries)
+            for name, entries in configs.items()
         }
         self.engines = [
-            self._make_standin(
-                f'engine-{n}',
-                [
-                    self._standin(
-                        'engine',
-                        f'engine-{n}',
-                        self.layout.engine(n),
-                        {
-                            **engine,
-                            'checks_fencing': n % 2 == 0,
-                            'seed': self.seed + n,
-                        },
-                    )
-                ],
-            )
-            for n in range(self.sizes.engines)
+            started[f'engine-{n}'] for n in range(self.sizes.engines)
         ]
         self.services = [
-            self._make_standin(
-                f'service-{n}',
-                [
-                    self._standin(
-                        'service', f'service-{n}', self.layout.service(n), {}
-                    )
-                ],
-            )
-            for n in range(self.sizes.services)
-        ]
-        listed = {'hosts': self._listed_hosts(set())}
-        others = [
-            self._standin('weights', 'weights', self.layout.other(0), {}),
-            self._standin(
-                'platform', 'platform', self.layout.other(1), listed
-            ),
-        ]
-        self._others = self._make_standin('others', others)
-        self._start_all([*self.engines, *self.services, self._others])
-
-    def _listed_hosts(self, leaving: set[str]) -> list[dict]:
-        engines = [
-            (f'engine-{n}', self.layout.engine(n))
-            for n in range(self.sizes.engines)
-        ]
-        services = [
-            (f'service-{n}', self.layout.service(n))
-            for n in range(self.sizes.services)
+            started[f'service-{n}'] for n in range(self.sizes.services)
         ]
-        return [
-            {
-                'name': name,
-                'address': address,
-                'state': 'leaving' if name in leaving else 'live',
-            }
-            for name, address in engines + services
-        ]
-
-    def _standin(
-        self, kind: str, name: str, address: str, options: dict
-    ) -> dict[str, typing.Any]:
-        return {
-            'kind': kind,
-            'name': name,
-            'address': address,
-            'options': options,
-        }
+        self._others = started[standin_configs.OTHERS]
+        self._start_all(list(started.values()))
 
     def _make_standin(
         self, name: str, entries: list[dict]
--- a/libs/bench/tests/test_checkers.py
+++ b/libs/bench/tests/test_checkers.py
@@ -3,8 +3,10 @@
 import unittest
 
 from masticquay_bench import calls
+from masticquay_bench import change_checkers
 from masticquay_bench import checkers
 from masticquay_bench import evidence
+from masticquay_bench import request_checkers
 from masticquay_standins import journals
 from tests import fixtures
 
@@ -21,7 +23,7 @@
         call = fixtures.completion(end=calls.END_CANCELLED)
         hold = fixtures.held(1_200.0)
         self.judge(
-            checkers.NoOrphanedMemory(),
+            request_checkers.NoOrphanedMemory(),
             fixtures.found([call], [hold, fixtures.released(2_500.0)]),
             fixtures.found([call], [hold]),
         )
@@ -33,12 +35,12 @@
             [hold],
             marks=[MARK('engine-killed', 's', 1_900.0, 1_900.0)],
         )
-        self.assertEqual([], checkers.NoOrphanedMemory().check(found))
+        self.assertEqual([], request_checkers.NoOrphanedMemory().check(found))
 
     def test_answered_once(self):
         twice = fixtures.completion(text=fixtures.TEXT * 2)
         self.judge(
-            checkers.AnsweredOnce(),
+            request_checkers.AnsweredOnce(),
             fixtures.found([fixtures.completion()]),
             fixtures.found([twice]),
         )
@@ -46,7 +48,7 @@
     def test_own_workspace_only(self):
         refused = fixtures.completion(may_run=False, end=calls.END_REFUSED)
         self.judge(
-            checkers.OwnWorkspaceOnly(),
+            request_checkers.OwnWorkspaceOnly(),
             fixtures.found([refused]),
             fixtures.found([refused], [fixtures.decode()]),
         )
@@ -58,7 +60,7 @@
             return fixtures.found(events=[made], key_texts=['secret-1'])
 
         self.judge(
-            checkers.NoKeyAtEndpoint(),
+            request_checkers.NoKeyAtEndpoint(),
             request('plain'),
             request('Bearer secret-1'),
         )
@@ -69,7 +71,7 @@
             return fixtures.found([call], marks=[mark])
 
         self.judge(
-            checkers.WithdrawnKeyStops(),
+            change_checkers.WithdrawnKeyStops(),
             withdraw(fixtures.completion(end=calls.END_REFUSED)),
             withdraw(fixtures.completion()),
         )
@@ -78,7 +80,9 @@
         mark = MARK(evidence.MARK_WITHDRAWN, 'desk/0', 1_100.0, 1_300.0)
         call = fixtures.completion(end_ms=9_000.0)
         found = fixtures.found([call], marks=[mark])
-        self.assertNotEqual([], checkers.WithdrawnKeyStops().check(found))
+        self.assertNotEqual(
+            [], change_checkers.WithdrawnKeyStops().check(found)
+        )
 
     def test_within_rate(self):
         def use(tokens):
@@ -89,12 +93,12 @@
             rate = evidence.Rate('desk', 100, 200)
             return fixtures.found(used, rates=[rate])
 
-        self.judge(checkers.WithinRate(), use(20), use(21))
+        self.judge(request_checkers.WithinRate(), use(20), use(21))
 
     def test_whole_own_answer(self):
         for text in (fixtures.TEXT[:-1], 'cccc bbbb '):
             self.judge(
-                checkers.WholeOwnAnswer(),
+                request_checkers.WholeOwnAnswer(),
                 fixtures.found([fixtures.completion()]),
                 fixtures.found([fixtures.completion(text=text)]),
             )
@@ -103,7 +107,7 @@
         short = fixtures.completion(text='aaaa ', end=calls.END_BROKEN)
         foreign = fixtures.completion(text='cccc ', end=calls.END_BROKEN)
         self.judge(
-            checkers.WholeOwnAnswer(),
+            request_checkers.WholeOwnAnswer(),
             fixtures.found([short]),
             fixtures.found([foreign]),
         )
@@ -111,7 +115,7 @@
     def test_truthful_not_run(self):
         call = fixtures.completion(outcome='not-run', end=calls.END_REFUSED)
         self.judge(
-            checkers.TruthfulNotRun(),
+            request_checkers.TruthfulNotRun(),
             fixtures.found([call]),
             fixtures.found([call], [fixtures.decode()]),
         )
@@ -120,7 +124,7 @@
         first, again = fixtures.effect('e1'), fixtures.effect('e2')
         runs = [fixtures.run('e1'), fixtures.run('e2')]
         self.judge(
-            checkers.AtMostOnce(),
+            request_checkers.AtMostOnce(),
             fixtures.found([first, again], runs[:1]),
             fixtures.found([first, again], runs),
         )
@@ -129,7 +133,7 @@
         other = fixtures.effect('e2', workspace='other')
         runs = [fixtures.run('e1'), fixtures.run('e2')]
         found = fixtures.found([fixtures.effect('e1'), other], runs)
-        self.assertEqual([], checkers.AtMostOnce().check(found))
+        self.assertEqual([], request_checkers.AtMostOnce().check(found))
 
     def test_leaving_endpoint_quiet(self):
         def work(time_ms):
@@ -138,7 +142,9 @@
             return fixtures.found([], [event], marks=[mark])
 
         self.judge(
-            checkers.LeavingEndpointQuiet(), work(4_400.0), work(4_600.0)
+            change_checkers.LeavingEndpointQuiet(),
+            work(4_400.0),
+            work(4_600.0),
         )
 
     def test_graceful_stop_cuts_nothing(self):
@@ -148,7 +154,7 @@
             return fixtures.found([call], marks=[mark])
 
         self.judge(
-            checkers.GracefulStopCutsNothing(),
+            change_checkers.GracefulStopCutsNothing(),
             stop(calls.END_OK),
             stop(calls.END_BROKEN),
         )
@@ -163,7 +169,7 @@
             return fixtures.found(marks=[mark], probes=probes)
 
         self.judge(
-            checkers.BundleStaysInForce(),
+            change_checkers.BundleStaysInForce(),
             probe(False, True, True),
             probe(False, True, False),
         )
@@ -172,7 +178,9 @@
         mark = MARK(evidence.MARK_ROLLED, '2', 0.0, 1_000.0)
         late = PROBE('h', 2, False, 1_500.0, 1_501.0)
         found = fixtures.found(marks=[mark], probes=[late])
-        self.assertNotEqual([], checkers.BundleStaysInForce().check(found))
+        self.assertNotEqual(
+            [], change_checkers.BundleStaysInForce().check(found)
+        )
 
     def test_verdicts_name_what_was_not_exercised(self):
         text = checkers.format_verdicts(checkers.judge(fixtures.found()))
