--- a/libs/bench/masticquay_bench/callers.py
+++ b/libs/bench/masticquay_bench/callers.py
@@ -15,7 +15,6 @@
 
 CONNECT_TIMEOUT_S = 2
 ANSWER_TIMEOUT_S = 70
-HOST_LIST_TTL_S = 5.0
 MAX_CONNECT_ATTEMPTS = 4
 OUTCOME_HEADER = 'Masticquay-Outcome'
 
@@ -23,21 +22,28 @@
 class HostList:
     """The addresses of entry hosts for one key, asked for now and then."""
 
-    __slots__ = ('_addresses', '_key', '_lock', '_read_s', '_seeds', '_rng')
+    __slots__ = (
+        '_addresses',
+        '_expires_s',
+        '_key',
+        '_lock',
+        '_rng',
+        '_seeds',
+    )
 
     def __init__(self, seeds: list[str], key: str, seed: int):
         self._seeds = seeds
         self._key = key
         self._addresses: list[str] = []
         self._lock = threading.Lock()
-        self._read_s = 0.0
+        self._expires_s = 0.0
         self._rng = random.Random(seed)
 
     def choose(self) -> str:
         """Returns an address, the preferred ones first."""
         with self._lock:
             now_s = time.monotonic()
-            if now_s - self._read_s > HOST_LIST_TTL_S:
+            if now_s >= self._expires_s:
                 self._refresh(now_s)
             return self._rng.choice(self._addresses or self._seeds)
 
@@ -51,23 +57,25 @@
         seeds = list(self._seeds)
         self._rng.shuffle(seeds)
         for address in seeds:
-            found = _read_hosts(address, self._key)
+            found, ttl_s = _read_hosts(address, self._key)
             if found:
                 self._addresses = found
-                self._read_s = now_s
+                self._expires_s = now_s + ttl_s
                 return
 
 
-def _read_hosts(address: str, key: str) -> list[str]:
+def _read_hosts(address: str, key: str) -> tuple[list[str], float]:
+    """Returns the addresses and how many seconds they may be used."""
     link = http.client.HTTPConnection(address, timeout=CONNECT_TIMEOUT_S)
     try:
         headers = {'Authorization': f'Bearer {key}'} if key else {}
         link.request('GET', '/v1/hosts', headers=headers)
         response = link.getresponse()
         body = json.loads(response.read())
-        return [host['address'] for host in body['hosts']]
+        addresses = [host['address'] for host in body['hosts']]
+        return addresses, body['ttl_ms'] / 1000
     except (OSError, http.client.HTTPException, ValueError, KeyError):
-        return []
+        return [], 0.0
     finally:
         link.close()
 
@@ -297,7 +305,7 @@
             text = choice.get('text') or ''
             if text:
                 parts.append(text)
-                self._count_token()
+                self._count_tokens(len(text) // answers.TOKEN_CHARACTERS)
             if choice.get('finish_reason'):
                 call.finish_count += 1
         if self._cancel_after and call.output_tokens >= self._cancel_after:
@@ -305,7 +313,7 @@
             return True
         return False
 
-    def _count_token(self) -> None:
+    def _count_tokens(self, count: int) -> None:
         call = self._call
         now_ms = journals.now_ms()
         if not call.first_token_ms:
@@ -313,6 +321,6 @@
         else:
             self._gaps.append(now_ms - self._last_ms)
         self._last_ms = now_ms
-        call.output_tokens += 1
+        call.output_tokens += count
         if self._on_token is not None:
             self._on_token(call)
--- /dev/null
+++ b/libs/bench/masticquay_bench/commands.py
@@ -0,0 +1,153 @@
+"""The program ``masticquay-bench``: run, replay, soak."""
+
+import importlib
+import pathlib
+import pkgutil
+import subprocess
+import sys
+import time
+
+from absl import app
+from absl import flags
+
+import masticquay_bench
+from masticquay_bench import errors
+from masticquay_bench import loads
+from masticquay_bench import replays
+from masticquay_bench import reports
+from masticquay_bench import results
+from masticquay_bench import soaks
+from masticquay_bench import traces
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+BENCHES_SUFFIX = '_benches'
+USAGE = """usage: masticquay-bench [flags] COMMAND
+  run             measure decisions, parts and a fleet under load
+  replay TRACE    replay a trace through real processes (all: every one)
+  traces          list the traces that are shipped
+  soak            a fleet under load and faults"""
+
+_QUICK = flags.DEFINE_bool('quick', False, 'Run a short bench.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of arrivals and faults.')
+_DURATION_S = flags.DEFINE_float('duration_s', 60, 'Length of a soak.', 1)
+_OUTPUT = flags.DEFINE_string('output', 'bench-result', 'Folder of results.')
+_EARLIER = flags.DEFINE_string('earlier', '', 'Earlier result to compare.')
+
+
+def list_benches() -> list[str]:
+    """Returns the names of the modules that measure single parts."""
+    found = pkgutil.iter_modules(masticquay_bench.__path__)
+    return sorted(
+        module.name
+        for module in found
+        if module.name.endswith(BENCHES_SUFFIX) or module.name == 'decisions'
+    )
+
+
+def run_bench() -> int:
+    """Runs everything, writes the result, and judges it by the bounds."""
+    bounds = results.load_bounds()
+    result = results.Result(make_context())
+    for name in list_benches():
+        _run_part(result, name)
+    print('load on a fleet', flush=True)
+    loads.measure_load(result, _QUICK.value, _SEED.value)
+    return finish(result, bounds)
+
+
+def finish(result: results.Result, bounds: list[results.Bound]) -> int:
+    """Writes a result and returns the exit code."""
+    folder = pathlib.Path(_OUTPUT.value)
+    folder.mkdir(parents=True, exist_ok=True)
+    earlier = None
+    if _EARLIER.value:
+        earlier = results.Result.read(pathlib.Path(_EARLIER.value))
+    misses = results.find_misses(result, bounds) + result.failures
+    if earlier is not None:
+        misses += results.compare(result, earlier, bounds)
+    result.write(folder / 'result.json')
+    page = reports.render_markdown(result, bounds, earlier)
+    (folder / 'result.md').write_text(page)
+    reports.plot_latencies(result, folder / 'latencies.png')
+    print(page)
+    for name in results.find_unmeasured(result, bounds):
+        print(f'not run: {name}')
+    for text in misses:
+        print(f'MISSED {text}')
+    return EXIT_FAILED if misses else 0
+
+
+def make_context() -> dict[str, str]:
+    """Returns what a reader needs to repeat the run."""
+    return {
+        'command': ' '.join(['masticquay-bench', *sys.argv[1:]]),
+        'seed': str(_SEED.value),
+        'commit': _read_commit(),
+    }
+
+
+def _read_commit() -> str:
+    folder = pathlib.Path(__file__).parent
+    done = subprocess.run(
+        ['git', 'describe', '--always', '--dirty'],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+    )
+    return done.stdout.strip() or 'unknown'
+
+
+def _run_part(result: results.Result, name: str) -> None:
+    started_s = time.monotonic()
+    print(f'{name} ...', flush=True)
+    module = importlib.import_module(f'masticquay_bench.{name}')
+    prefix = name.removesuffix(BENCHES_SUFFIX)
+    result.add(prefix, module.run(_QUICK.value, _SEED.value))
+    took_s = time.monotonic() - started_s
+    print(f'{name}: {took_s:.1f} s', flush=True)
+
+
+def replay_traces(names: list[str]) -> int:
+    """Replays traces and returns the exit code."""
+    failed = []
+    for name in names:
+        trace = traces.load(name)
+        print(f'replaying {trace.name}', flush=True)
+        done = replays.replay(trace, _SEED.value)
+        print(replays.format_replay(done), flush=True)
+        if not done.held:
+            failed.append(trace.name)
+    if failed:
+        print(f'not held: {", ".join(failed)}')
+    return EXIT_FAILED if failed else 0
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the command that the command line names."""
+    words = arguments[1:]
+    try:
+        if words == ['run']:
+            return run_bench()
+        if words[:1] == ['replay'] and len(words) > 1:
+            names = traces.list_names() if words[1] == 'all' else words[1:]
+            return replay_traces(names)
+        if words == ['traces']:
+            print('\n'.join(traces.list_names()))
+            return 0
+        if words == ['soak']:
+            return soaks.soak(_DURATION_S.value, _SEED.value)
+    except errors.BenchError as cause:
+        print(cause, file=sys.stderr)
+        return EXIT_FAILED
+    print(USAGE, file=sys.stderr)
+    return EXIT_USAGE
+
+
+def run() -> None:
+    """Entry point of the installed script."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- a/libs/standins/masticquay_standins/answers.py
+++ b/libs/standins/masticquay_standins/answers.py
@@ -11,6 +11,7 @@
 import xxhash
 
 DEFAULT_LENGTH_TOKENS = 16
+TOKEN_CHARACTERS = 9
 ID_PATTERN = re.compile(r'\[\[id=([^\]]+)\]\]')
 LENGTH_PATTERN = re.compile(r'\[\[tokens=(\d+)\]\]')
 
