--- /dev/null
+++ b/libs/entry/masticquay_entry/backends.py
@@ -0,0 +1,63 @@
+"""What calls use to reach pools, limiters and endpoints."""
+
+import itertools
+
+from masticquay_endpoints import catalogs
+from masticquay_entry import budgets
+from masticquay_entry import cancellers
+from masticquay_entry import metrics
+from masticquay_entry import runs
+from masticquay_entry import usages
+from masticquay_membership import protocols as membership_protocols
+from masticquay_scheduling import messages
+from masticquay_scheduling import protocols
+from masticquay_wire import clocks
+
+
+class Backends:
+    """The parts that every call works with."""
+
+    __slots__ = (
+        'membership',
+        'pools',
+        'rates',
+        'catalog',
+        'canceller',
+        'budget',
+        'registry',
+        'metrics',
+        'usage',
+        'clock',
+        '_numbers',
+    )
+
+    def __init__(
+        self,
+        membership: membership_protocols.Membership,
+        pools: protocols.Pools,
+        rates: protocols.Rates,
+        catalog: catalogs.Catalog,
+        canceller: cancellers.Canceller,
+        registry: runs.RunRegistry,
+        entry_metrics: metrics.EntryMetrics,
+        usage: usages.UsageRecorder,
+        clock: clocks.Clock,
+    ):
+        self.membership = membership
+        self.pools = pools
+        self.rates = rates
+        self.catalog = catalog
+        self.canceller = canceller
+        self.budget = budgets.RetryBudget()
+        self.registry = registry
+        self.metrics = entry_metrics
+        self.usage = usage
+        self.clock = clock
+        self._numbers = itertools.count(1)
+
+    def next_request_id(self) -> messages.RequestId:
+        """Returns a request id that no other request has."""
+        host = self.membership.host
+        return messages.RequestId(
+            host.name, host.incarnation, next(self._numbers)
+        )
--- /dev/null
+++ b/libs/entry/masticquay_entry/metrics.py
@@ -0,0 +1,192 @@
+"""Counters and histograms, by OpenTelemetry, as Prometheus text."""
+
+import bisect
+import threading
+import typing
+
+from opentelemetry import metrics as api_metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry
+
+BUCKETS_MS = [
+    1,
+    2,
+    5,
+    10,
+    20,
+    35,
+    50,
+    75,
+    100,
+    150,
+    250,
+    490,
+    750,
+    1_000,
+    2_500,
+    5_000,
+    10_000,
+    30_000,
+    60_000,
+    300_000,
+]
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+class GapHistogram:
+    """Times between the tokens of one stream, summed locally."""
+
+    __slots__ = ('counts', 'sum_ms')
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.sum_ms = 0.0
+
+    def add(self, gap_ms: float) -> None:
+        """Counts one time between two tokens."""
+        self.counts[bisect.bisect_left(BUCKETS_MS, gap_ms)] += 1
+        self.sum_ms += gap_ms
+
+    def merge(self, other: 'GapHistogram') -> None:
+        """Adds all counts of another one."""
+        for number, count in enumerate(other.counts):
+            self.counts[number] += count
+        self.sum_ms += other.sum_ms
+
+
+class GapCollector:
+    """The times between tokens of all workspaces and classes.
+
+    A record of OpenTelemetry costs a fifth of what a relayed token may
+    cost, so streams count by themselves and are merged when they end.
+    """
+
+    def __init__(self) -> None:
+        self._gaps: dict[tuple[str, str], GapHistogram] = {}
+        self._lock = threading.Lock()
+
+    def merge(
+        self, workspace: str, class_name: str, gaps: GapHistogram
+    ) -> None:
+        """Adds the gaps of one stream."""
+        with self._lock:
+            total = self._gaps.setdefault(
+                (workspace, class_name), GapHistogram()
+            )
+            total.merge(gaps)
+
+    def collect(self) -> typing.Iterator[core.HistogramMetricFamily]:
+        """Yields the histogram in the form of the Prometheus client."""
+        family = core.HistogramMetricFamily(
+            'masticquay_between_tokens_milliseconds',
+            'Time between tokens',
+            labels=['workspace', 'class'],
+        )
+        with self._lock:
+            for labels, gaps in self._gaps.items():
+                family.add_metric(labels, _buckets_of(gaps), gaps.sum_ms)
+        yield family
+
+
+def _buckets_of(gaps: GapHistogram) -> list[tuple[str, float]]:
+    buckets = []
+    total = 0
+    bounds = [str(bound) for bound in BUCKETS_MS] + ['+Inf']
+    for bound, count in zip(bounds, gaps.counts, strict=True):
+        total += count
+        buckets.append((bound, total))
+    return buckets
+
+
+class EntryMetrics:
+    """The metrics of one entry host."""
+
+    def __init__(self) -> None:
+        self._registry = registry.CollectorRegistry()
+        self._reader = prometheus.PrometheusMetricReader(
+            registry=self._registry
+        )
+        self._provider = sdk_metrics.MeterProvider([self._reader])
+        self.meter = self._provider.get_meter('masticquay')
+        self.gaps = GapCollector()
+        self._registry.register(self.gaps)
+        self._first_token = self._histogram('masticquay.first_token')
+        self._queue_wait = self._histogram('masticquay.queue_wait')
+        self._whole = self._histogram('masticquay.whole')
+        counter = self.meter.create_counter
+        self._requests = counter('masticquay.requests')
+        self._refusals = counter('masticquay.refusals')
+        self._retries = counter('masticquay.retries')
+        self._resumes = counter('masticquay.resumes')
+        self._cut = counter('masticquay.cut_streams')
+        self._tokens = counter('masticquay.output_tokens')
+
+    def _histogram(self, name: str) -> typing.Any:
+        return self.meter.create_histogram(
+            name, unit='ms', explicit_bucket_boundaries_advisory=BUCKETS_MS
+        )
+
+    def observe(
+        self, name: str, read: typing.Callable[[], int | float]
+    ) -> None:
+        """Exports a value that is read when the metrics are."""
+        self.meter.create_observable_gauge(
+            name, callbacks=[lambda _: [api_metrics.Observation(read())]]
+        )
+
+    def record_first_token(
+        self, workspace: str, class_name: str, wait_ms: float
+    ) -> None:
+        """Records the time from arrival to the first token."""
+        self._first_token.record(wait_ms, _labels(workspace, class_name))
+
+    def record_end(
+        self,
+        workspace: str,
+        class_name: str,
+        queue_wait_ms: float,
+        whole_ms: float,
+        output_tokens: int,
+    ) -> None:
+        """Records an answered request."""
+        labels = _labels(workspace, class_name)
+        self._queue_wait.record(queue_wait_ms, labels)
+        self._whole.record(whole_ms, labels)
+        self._requests.add(1, labels)
+        if output_tokens:
+            self._tokens.add(output_tokens, labels)
+
+    def count_refusal(
+        self, workspace: str, class_name: str, reason: str
+    ) -> None:
+        """Counts a request without its answer."""
+        labels = _labels(workspace, class_name)
+        labels['reason'] = reason
+        self._refusals.add(1, labels)
+
+    def count_retry(self, outcome: str) -> None:
+        """Counts another attempt after a failed one."""
+        self._retries.add(1, {'after': outcome})
+
+    def count_resume(self) -> None:
+        """Counts a resumed stream."""
+        self._resumes.add(1)
+
+    def count_cut(self, reason: str) -> None:
+        """Counts a stream that ended with an error event."""
+        self._cut.add(1, {'reason': reason})
+
+    def render(self) -> bytes:
+        """Returns all metrics as Prometheus text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Ends the export."""
+        self._provider.shutdown()
+
+
+def _labels(workspace: str, class_name: str) -> dict[str, str]:
+    return {'workspace': workspace, 'class': class_name}
--- /dev/null
+++ b/libs/entry/masticquay_entry/refusals.py
@@ -0,0 +1,145 @@
+"""Refusals and failures as callers see them."""
+
+import json
+
+from masticquay_membership import messages as membership_messages
+from masticquay_scheduling import messages
+
+OUTCOME_HEADER = 'Masticquay-Outcome'
+
+NOT_RUN = membership_messages.OUTCOME_NOT_RUN
+RAN = membership_messages.OUTCOME_RAN
+UNKNOWN = membership_messages.OUTCOME_UNKNOWN
+
+Headers = list[tuple[str, str]]
+
+STATUS_TEXTS = {
+    200: 'OK',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    403: 'Forbidden',
+    404: 'Not Found',
+    405: 'Method Not Allowed',
+    409: 'Conflict',
+    413: 'Content Too Large',
+    422: 'Unprocessable Content',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    501: 'Not Implemented',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+# The status of each reason of masticquay_scheduling.
+REASON_STATUS = {
+    messages.REASON_OVER_RATE: 429,
+    messages.REASON_QUEUE_FULL: 503,
+    messages.REASON_DEADLINE: 503,
+    messages.REASON_NO_ENDPOINT: 503,
+    messages.REASON_NOT_OWNER: 503,
+    messages.REASON_WITHDRAWN: 401,
+    messages.REASON_TOO_LARGE: 413,
+}
+
+
+class Refusal(Exception):
+    """A request that ends without its answer.
+
+    :param code: a stable word for the cause
+    :param outcome: whether the request ran
+    :param retry_after_ms: when to come back, 0 when it makes no sense
+    """
+
+    def __init__(
+        self,
+        status: int,
+        code: str,
+        message: str,
+        outcome: str = NOT_RUN,
+        retry_after_ms: int = 0,
+    ):
+        super().__init__(f'{status} {code}: {message}')
+        self.status = status
+        self.code = code
+        self.message = message
+        self.outcome = outcome
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def kind(self) -> str:
+        """The ``type`` field of the error object."""
+        if self.status in (401, 403):
+            return 'authentication_error'
+        if self.status == 429:
+            return 'rate_limit_error'
+        if self.status < 500:
+            return 'invalid_request_error'
+        return 'server_error'
+
+    def body(self) -> bytes:
+        """Returns the error object as JSON."""
+        error = {
+            'message': self.message,
+            'type': self.kind,
+            'param': None,
+            'code': self.code,
+            'outcome': self.outcome,
+        }
+        if self.retry_after_ms:
+            error['retry_after_ms'] = self.retry_after_ms
+        return json.dumps({'error': error}).encode()
+
+    def headers(self) -> Headers:
+        """Returns the headers that tell outcome and time to come back."""
+        headers = [
+            ('Content-Type', 'application/json'),
+            (OUTCOME_HEADER, self.outcome),
+        ]
+        if self.retry_after_ms:
+            seconds = -(-self.retry_after_ms // 1000)
+            headers.append(('Retry-After', str(seconds)))
+        if self.status == 401:
+            headers.append(('WWW-Authenticate', 'Bearer'))
+        return headers
+
+
+def status_line(status: int) -> str:
+    """Returns a status with its reason phrase."""
+    return f'{status} {STATUS_TEXTS.get(status, "Status")}'
+
+
+def from_scheduling(refused: messages.Refused) -> Refusal:
+    """Turns a refusal of a pool or a limiter into the caller's form."""
+    status = REASON_STATUS.get(refused.reason, 503)
+    message = refused.detail or f'refused: {refused.reason}'
+    retry_after_ms = refused.retry_after_ms
+    if status in (429, 503) and not retry_after_ms:
+        retry_after_ms = 1_000
+    return Refusal(
+        status, refused.reason, message, retry_after_ms=retry_after_ms
+    )
+
+
+def withdrawn(outcome: str = NOT_RUN) -> Refusal:
+    """The key was withdrawn."""
+    return Refusal(
+        401, messages.REASON_WITHDRAWN, 'the key was withdrawn', outcome
+    )
+
+
+def lease_lost(outcome: str = NOT_RUN) -> Refusal:
+    """The host may not serve keyed work now."""
+    return Refusal(
+        503,
+        'lease-lost',
+        'this host cannot check keys now; use another host',
+        outcome,
+        retry_after_ms=1_000,
+    )
+
+
+def bad_request(code: str, message: str) -> Refusal:
+    """The request itself is at fault."""
+    return Refusal(400, code, message)
--- /dev/null
+++ b/libs/entry/masticquay_entry/routes.py
@@ -0,0 +1,60 @@
+"""Routes, keys and endpoints of one bundle, ready for look-up."""
+
+from masticquay_bundles import models
+from masticquay_entry import refusals
+
+
+class RouteTable:
+    """What one bundle says about requests."""
+
+    def __init__(self, bundle: models.Bundle):
+        self.bundle = bundle
+        self.keys = {key.digest: key.workspace for key in bundle.keys}
+        self.endpoints = {e.name: e for e in bundle.endpoints}
+        self.models = {model.name: model for model in bundle.models}
+        self.classes = {c.name: c for c in bundle.classes}
+        self._exact: dict[str, list[models.Route]] = {}
+        self._prefixes: list[models.Route] = []
+        for route in bundle.routes:
+            self._exact.setdefault(route.path, []).append(route)
+            if route.path.endswith('/'):
+                self._prefixes.append(route)
+        self._prefixes.sort(key=lambda route: len(route.path), reverse=True)
+
+    def match(self, method: str, path: str) -> list[models.Route]:
+        """Returns the routes of the longest path that serves a request.
+
+        :raises Refusal: when there is none
+        """
+        found = self._exact.get(path) or self._match_prefix(path)
+        if not found:
+            raise refusals.Refusal(404, 'unknown-path', 'no such path')
+        allowed = [route for route in found if method in route.methods]
+        if not allowed:
+            raise refusals.Refusal(
+                405, 'wrong-method', f'{method} is not served here'
+            )
+        return allowed
+
+    def _match_prefix(self, path: str) -> list[models.Route]:
+        for route in self._prefixes:
+            if path.startswith(route.path):
+                return self._exact[route.path]
+        return []
+
+    def route_for_model(
+        self, routes: list[models.Route], model: str
+    ) -> models.Route:
+        """Chooses among the routes of one path by the model asked for.
+
+        :raises Refusal: when no route serves the model
+        """
+        if model not in self.models:
+            raise refusals.Refusal(
+                404, 'model_not_found', 'no such model here'
+            )
+        for wanted in (model, ''):
+            for route in routes:
+                if route.model == wanted and not route.service:
+                    return route
+        raise refusals.Refusal(404, 'model_not_found', 'no such model here')
--- /dev/null
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -0,0 +1,289 @@
+"""One call of a plain service."""
+
+import hashlib
+from urllib import parse
+
+from masticquay_endpoints import errors
+from masticquay_endpoints import protocols
+from masticquay_entry import backends
+from masticquay_entry import callers
+from masticquay_entry import intents
+from masticquay_entry import placements
+from masticquay_entry import refusals
+from masticquay_entry import runs
+from masticquay_membership import messages as membership_messages
+from masticquay_scheduling import messages
+from masticquay_scheduling import prefixes
+
+REPLAYED_HEADER = 'Masticquay-Replayed'
+OMITTED_HEADER = 'Masticquay-Answer-Omitted'
+REQUEST_ID_HEADER = 'Masticquay-Request-Id'
+MAX_STORED_BODY_BYTES = 262_144
+IN_PROGRESS_RETRY_MS = 1_000
+BAD_GATEWAY_RETRY_MS = 500
+PATH_SAFE = "/:@!$&'()*+,;=~-._"
+
+# Headers of an endpoint's answer that are not passed on.
+UNRETURNED_HEADERS = frozenset(
+    [
+        'connection',
+        'content-length',
+        'date',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-connection',
+        'server',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ]
+)
+OWN_HEADER_PREFIX = 'masticquay-'
+
+
+class ServiceAnswer:
+    """An answer with what is said of its outcome."""
+
+    __slots__ = ('status', 'headers', 'body')
+
+    def __init__(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class ServiceCall:
+    """Sends one call to one endpoint of a service."""
+
+    def __init__(
+        self,
+        parts: backends.Backends,
+        run: runs.Run,
+        request: callers.CallerRequest,
+    ):
+        self._parts = parts
+        self._run = run
+        self._request = request
+        self._service = run.admission.route.service
+        self._placer = placements.Placer(parts, run, self._service)
+        self._path = endpoint_path(request, self._service)
+
+    @property
+    def queue_wait_ms(self) -> int:
+        """How long the call waited for a place."""
+        return self._placer.queue_wait_ms
+
+    def run(self) -> ServiceAnswer:
+        """Makes the call and returns its answer.
+
+        :raises Refusal: when there is no answer
+        """
+        try:
+            answer = self._send()
+        except errors.InterruptedCallError as cause:
+            raise self._run.refusal_for(cause.reason) from cause
+        self._parts.budget.note_success()
+        return ServiceAnswer(
+            answer.status, returned_headers(answer.headers), answer.body
+        )
+
+    def _send(self) -> protocols.Answer:
+        prompt_tokens = prefixes.count_tokens(self._request.body)
+        while True:
+            placement = self._placer.place([], prompt_tokens, 0)
+            try:
+                return self._attempt(placement)
+            except placements.AttemptError as failure:
+                if self._placer.allow_retry(failure):
+                    self._parts.metrics.count_retry(failure.outcome)
+                    continue
+                raise refusals.Refusal(
+                    502,
+                    'service-failed',
+                    'the service failed',
+                    self._run.outcome,
+                    BAD_GATEWAY_RETRY_MS,
+                ) from failure
+
+    def _attempt(self, placement: messages.Placement) -> protocols.Answer:
+        outcome, at_fault = messages.FINISHED_CANCELLED, ''
+        name = placement.decode_endpoint
+        try:
+            self._parts.registry.begin_dispatch(self._run)
+            answer = self._exchange(placement)
+            outcome = messages.FINISHED_DONE
+            return answer
+        except errors.InterruptedCallError:
+            raise
+        except errors.EndpointError as cause:
+            outcome, at_fault = messages.FINISHED_DECODE_FAILED, name
+            if isinstance(cause, errors.NotSentError):
+                self._parts.registry.cancel_dispatch(self._run)
+            elif self._run.finishes:
+                raise _unknown_outcome(cause) from cause
+            raise placements.AttemptError(outcome, name, cause) from cause
+        finally:
+            self._placer.finish(placement, outcome, at_fault)
+
+    def _exchange(self, placement: messages.Placement) -> protocols.Answer:
+        endpoint = self._placer.find_endpoint(placement.decode_endpoint)
+        left_ms = self._run.left_ms(self._parts.clock)
+        if not self._run.finishes and placement.transfer_timeout_ms:
+            left_ms = min(left_ms, placement.transfer_timeout_ms)
+        headers = [
+            *self._request.headers,
+            (REQUEST_ID_HEADER, str(self._run.request)),
+        ]
+        with self._run.sending():
+            return self._parts.catalog.service(endpoint.address).send(
+                self._request.method,
+                self._path,
+                headers,
+                self._request.body,
+                left_ms,
+                fresh=self._run.finishes,
+                interrupt=self._run.interrupt,
+            )
+
+
+class OnceCall:
+    """A non-idempotent call: recorded first, then sent at most once."""
+
+    def __init__(
+        self,
+        call: ServiceCall,
+        keeper: intents.IntentKeeper,
+        run: runs.Run,
+        request: callers.CallerRequest,
+    ):
+        self._call = call
+        self._keeper = keeper
+        self._run = run
+        self._request = request
+
+    @property
+    def queue_wait_ms(self) -> int:
+        """How long the call waited for a place."""
+        return self._call.queue_wait_ms
+
+    def run(self) -> ServiceAnswer:
+        """Makes the call, or answers from the record of an earlier one.
+
+        :raises Refusal: when there is no answer
+        """
+        key = self._request.idempotency_key
+        if not key:
+            raise refusals.bad_request(
+                'no-idempotency-key',
+                f'this route needs the header {callers.IDEMPOTENCY_HEADER}',
+            )
+        workspace = self._run.admission.workspace
+        state = self._keeper.begin(workspace, key, self._digest())
+        if state.state != membership_messages.INTENT_BEGUN:
+            return _answer_from_record(state)
+        outcome, stored = membership_messages.OUTCOME_UNKNOWN, None
+        try:
+            answer = self._call.run()
+            outcome = membership_messages.OUTCOME_RAN
+            stored = _store(answer)
+            return answer
+        except refusals.Refusal as refusal:
+            outcome = refusal.outcome
+            raise
+        finally:
+            self._keeper.finish(workspace, key, outcome, stored)
+
+    def _digest(self) -> bytes:
+        digest = hashlib.sha256()
+        target = f'{self._request.path}?{self._request.query}'
+        for part in (self._request.method, target):
+            digest.update(part.encode('utf-8', 'replace') + b'\n')
+        digest.update(self._request.body)
+        return digest.digest()
+
+
+def endpoint_path(request: callers.CallerRequest, service: str) -> str:
+    """Returns the path and query that the endpoint sees.
+
+    :raises Refusal: when the path could mean another one there
+    """
+    path = request.path
+    segments = path.split('/')
+    if '.' in segments or '..' in segments or '' in segments[1:-1]:
+        raise refusals.bad_request('bad-path', 'the path is not canonical')
+    if any(ord(char) < 32 or ord(char) == 127 for char in path):
+        raise refusals.bad_request('bad-path', 'a control character')
+    prefix = f'/services/{service}'
+    if path == prefix or path.startswith(prefix + '/'):
+        path = path[len(prefix) :] or '/'
+    path = parse.quote(path, safe=PATH_SAFE, encoding='latin-1')
+    return f'{path}?{request.query}' if request.query else path
+
+
+def returned_headers(
+    headers: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Returns the headers of an answer that go to the caller."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in UNRETURNED_HEADERS
+        and not name.lower().startswith(OWN_HEADER_PREFIX)
+        and '\n' not in value
+        and '\r' not in value
+    ]
+
+
+def _unknown_outcome(cause: errors.EndpointError) -> refusals.Refusal:
+    stalled = isinstance(cause, errors.StalledError)
+    return refusals.Refusal(
+        504 if stalled else 502,
+        'outcome-unknown',
+        'the service may have done the call; it is not repeated',
+        refusals.UNKNOWN,
+    )
+
+
+def _store(answer: ServiceAnswer) -> membership_messages.StoredAnswer:
+    headers = dict(answer.headers)
+    body = answer.body
+    if len(body) > MAX_STORED_BODY_BYTES:
+        body = b''
+        headers[OMITTED_HEADER] = 'true'
+    return membership_messages.StoredAnswer(answer.status, headers, body)
+
+
+def _answer_from_record(
+    state: membership_messages.IntentState,
+) -> ServiceAnswer:
+    if state.state == membership_messages.INTENT_FINISHED:
+        stored = state.answer
+        if stored is None:
+            raise refusals.Refusal(
+                409, 'answer-lost', 'it ran; no answer is kept', refusals.RAN
+            )
+        headers = [*stored.headers.items(), (REPLAYED_HEADER, 'true')]
+        return ServiceAnswer(stored.status, headers, stored.body)
+    if state.state == membership_messages.INTENT_MISMATCH:
+        raise refusals.Refusal(
+            422,
+            'idempotency-key-reused',
+            'another request was made under this idempotency key',
+        )
+    if state.state == membership_messages.INTENT_IN_PROGRESS:
+        raise refusals.Refusal(
+            409,
+            'in-progress',
+            'the call under this idempotency key is under way',
+            refusals.UNKNOWN,
+            IN_PROGRESS_RETRY_MS,
+        )
+    raise refusals.Refusal(
+        409,
+        'outcome-unknown',
+        'the call under this idempotency key may have run',
+        refusals.UNKNOWN,
+    )
