--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -130,6 +130,7 @@
     when the answer was read to its end, and is closed otherwise.
 
     :param interrupt: wakes the exchange while it waits
+    :param fresh: use a new connection, and close it afterwards
     """
 
     def __init__(
@@ -219,6 +220,7 @@
         response = self.response
         keep = (
             self._finished
+            and not self._fresh
             and response is not None
             and not response.will_close
             and not self._interrupt.reason
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -24,7 +24,11 @@
 
 
 class HttpEngine:
-    """One engine; see ``protocols.Engine``."""
+    """One engine; see ``protocols.Engine``.
+
+    Each call has a connection of its own, so that a late or crossed answer
+    can never be taken for that of another call.
+    """
 
     def __init__(self, address: str):
         self.address = address
@@ -102,7 +106,7 @@
         stall_timeout_ms: int,
         interrupt: interrupts.Interrupt | None = None,
     ) -> abc.Iterator[protocols.TokenBatch]:
-        """Streams a running answer again over a fresh connection."""
+        """Streams a running answer again."""
         body = {
             'request_id': request_id,
             'attempt': attempt,
@@ -115,13 +119,12 @@
             stall_timeout_ms,
             stall_timeout_ms,
             interrupt,
-            fresh=True,
         )
 
     def cancel(self, request_id: str, timeout_ms: int) -> None:
         """Frees all that a request holds; returns once acknowledged."""
         body = {'request_id': request_id}
-        self._ask('/v1/cancel', body, timeout_ms, None, fresh=True)
+        self._ask('/v1/cancel', body, timeout_ms, None)
 
     def _ask(
         self,
@@ -129,10 +132,9 @@
         body: dict[str, typing.Any],
         timeout_ms: int,
         interrupt: interrupts.Interrupt | None,
-        fresh: bool = False,
     ) -> dict[str, typing.Any]:
         data = json.dumps(body).encode()
-        with connections.Exchange(self._pool, interrupt, fresh) as exchange:
+        with connections.Exchange(self._pool, interrupt, True) as exchange:
             response = exchange.send(
                 'POST', path, JSON_HEADERS, data, timeout_ms
             )
@@ -149,11 +151,10 @@
         first_timeout_ms: int,
         stall_timeout_ms: int,
         interrupt: interrupts.Interrupt | None,
-        fresh: bool = False,
     ) -> abc.Iterator[protocols.TokenBatch]:
         data = json.dumps(body).encode()
         parser = EventParser(first_index)
-        with connections.Exchange(self._pool, interrupt, fresh) as exchange:
+        with connections.Exchange(self._pool, interrupt, True) as exchange:
             response = exchange.send(
                 'POST', path, JSON_HEADERS, data, first_timeout_ms
             )
@@ -171,7 +172,6 @@
                     continue
                 exchange.connection.set_timeout(stall_timeout_ms)
                 yield batch
-            _drain(exchange)
 
 
 class EventParser:
@@ -249,18 +249,6 @@
         return ''
 
 
-def _drain(exchange: connections.Exchange) -> None:
-    """Reads the end of a finished stream, so that the connection is kept."""
-    exchange.connection.set_timeout(100)
-    try:
-        with exchange.translated_errors():
-            rest = exchange.response.read1(CHUNK_BYTES)
-    except errors.EndpointError:
-        return
-    if not rest:
-        exchange.mark_finished()
-
-
 def _refusal(status: int, content: bytes) -> errors.RefusedError:
     code = ''
     try:
--- a/libs/endpoints/masticquay_endpoints/protocols.py
+++ b/libs/endpoints/masticquay_endpoints/protocols.py
@@ -159,12 +159,10 @@
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_ms: int,
-        fresh: bool = False,
         interrupt: interrupts.Interrupt | None = None,
     ) -> Answer:
-        """Makes one call.
+        """Makes one call over a connection of its own.
 
-        :param fresh: never use an idle connection
         :param interrupt: ends the call while it waits
         :raises NotSentError: no byte of the call went out
         :raises EndpointError: the call may have run
--- a/libs/endpoints/masticquay_endpoints/services.py
+++ b/libs/endpoints/masticquay_endpoints/services.py
@@ -8,7 +8,11 @@
 
 
 class HttpService:
-    """One plain service; see ``protocols.Service``."""
+    """One plain service; see ``protocols.Service``.
+
+    Each call has a connection of its own: a reused one may have been closed
+    unnoticed, and then nobody knows whether the call ran.
+    """
 
     def __init__(self, address: str):
         self.address = address
@@ -25,11 +29,10 @@
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_ms: int,
-        fresh: bool = False,
         interrupt: interrupts.Interrupt | None = None,
     ) -> protocols.Answer:
         """Makes one call."""
-        with connections.Exchange(self._pool, interrupt, fresh) as exchange:
+        with connections.Exchange(self._pool, interrupt, True) as exchange:
             response = exchange.send(method, path, headers, body, timeout_ms)
             content = exchange.read_body(MAX_ANSWER_BYTES)
             return protocols.Answer(
--- /dev/null
+++ b/libs/entry/masticquay_entry/daemons.py
@@ -0,0 +1,264 @@
+"""The entry daemon: ``masticquay-entryd --settings=FILE``."""
+
+import contextlib
+import logging
+import pathlib
+import random
+import signal
+import sys
+import threading
+
+from absl import app
+from absl import flags
+from returns import result
+
+from masticquay_bundles import settings as bundle_settings
+from masticquay_endpoints import catalogs
+from masticquay_endpoints import watchers
+from masticquay_entry import admissions
+from masticquay_entry import applications
+from masticquay_entry import backends
+from masticquay_entry import cancellers
+from masticquay_entry import drains
+from masticquay_entry import intents
+from masticquay_entry import logs
+from masticquay_entry import metrics
+from masticquay_entry import runs
+from masticquay_entry import servers
+from masticquay_entry import settings
+from masticquay_entry import supervisors
+from masticquay_entry import usages
+from masticquay_membership import clients as control_clients
+from masticquay_membership import messages as membership_messages
+from masticquay_membership import protocols as membership_protocols
+from masticquay_membership import sessions
+from masticquay_scheduling import clients as pool_clients
+from masticquay_scheduling import directories
+from masticquay_scheduling import rate_clients
+from masticquay_scheduling import services
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_wire import clocks
+from masticquay_wire import listeners
+from masticquay_wire import peers
+
+LOG = logging.getLogger(__name__)
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 78
+READY_POLL_MS = 50
+
+SETTINGS = flags.DEFINE_string('settings', None, 'The settings file.')
+CHECK = flags.DEFINE_bool('check', False, 'Only check the settings.')
+
+
+class EntryDaemon:
+    """One entry host: serves callers, and the pools and rates it owns."""
+
+    def __init__(self, entry_settings: settings.EntrySettings, secret: bytes):
+        self._settings = entry_settings
+        self._secret = secret
+        self._clock = clocks.MonotonicClock()
+        self._random = random.Random(entry_settings.seed)
+        self._stack = contextlib.ExitStack()
+        self._stopping = threading.Event()
+
+    def stop(self) -> None:
+        """Asks the daemon to drain and to end."""
+        self._stopping.set()
+
+    def run(self) -> int:
+        """Serves until it is asked to stop; returns the exit status."""
+        with self._stack:
+            session = self._open_session()
+            self._start_scheduling(session)
+            self._start_calls(session)
+            self._start_server(session)
+            session.start()
+            self._log_when_ready(session)
+            self._stopping.wait()
+            finished = self._drain.run(self._server)
+            return 0 if finished else EXIT_FAILED
+
+    def _open_session(self) -> sessions.Session:
+        client = control_clients.ControlClient(
+            self._settings.control, self._settings.name, self._secret
+        )
+        self._stack.callback(client.close)
+        host = membership_messages.Host(
+            self._settings.name,
+            0,
+            self._settings.place,
+            self._settings.caller_address,
+            self._settings.peer_address,
+        )
+        session = sessions.Session(
+            client, host, self._settings.name, self._secret, self._clock
+        )
+        self._stack.callback(session.close)
+        return session
+
+    def _start_scheduling(self, session: sessions.Session) -> None:
+        """Starts what owns pools and rates, and what reaches the owners."""
+        self._catalog = catalogs.Catalog()
+        self._stack.callback(self._catalog.close)
+        watcher = watchers.HttpWatcher(
+            lambda: session.state().bundle, self._catalog
+        )
+        self._stack.callback(watcher.close)
+        directory = directories.PeerDirectory(
+            self._settings.name, self._secret
+        )
+        self._stack.callback(directory.close)
+        listener = listeners.Listener(
+            peers.Address.parse(self._settings.peer_address),
+            self._settings.name,
+            self._secret,
+        )
+        policy = scheduling_settings.SchedulingSettings()
+        service = services.SchedulingService(
+            session,
+            listener,
+            watcher,
+            self._clock,
+            self._random,
+            policy,
+            directory,
+        )
+        parts = (session, service, directory, self._clock, self._random)
+        self._pools = pool_clients.PoolClient(*parts, policy)
+        self._rates = rate_clients.RateClient(*parts, policy)
+        listener.start()
+        self._stack.callback(listener.close)
+        for part in (service, self._pools, self._rates):
+            part.start()
+            self._stack.callback(part.close)
+
+    def _start_calls(self, session: sessions.Session) -> None:
+        """Starts what serves and watches requests."""
+        self._gate = admissions.Gate(session)
+        self._registry = runs.RunRegistry(self._gate)
+        session.add_listener(self._registry.apply_state)
+        session.add_listener(self._retain_clients)
+        canceller = cancellers.Canceller(self._catalog.engine, self._clock)
+        self._stack.callback(canceller.close)
+        self._metrics = metrics.EntryMetrics()
+        self._stack.callback(self._metrics.close)
+        usage = usages.UsageRecorder()
+        reporter = usages.UsageReporter(
+            session, usage, self._settings.usage_interval_ms
+        )
+        reporter.start()
+        self._stack.callback(reporter.stop)
+        self._keeper = intents.IntentKeeper(session)
+        self._keeper.start()
+        self._stack.callback(self._keeper.stop)
+        supervisor = supervisors.Supervisor(
+            session,
+            self._registry,
+            self._clock,
+            self._settings.caller_stall_ms,
+        )
+        supervisor.start()
+        self._stack.callback(supervisor.stop)
+        self._parts = backends.Backends(
+            session,
+            self._pools,
+            self._rates,
+            self._catalog,
+            canceller,
+            self._registry,
+            self._metrics,
+            usage,
+            self._clock,
+        )
+        self._observe(canceller)
+
+    def _start_server(self, session: sessions.Session) -> None:
+        self._drain = drains.Drain(
+            session, self._registry, self._clock, self._settings
+        )
+        application = applications.Application(
+            self._parts, self._gate, self._keeper, self._drain, self._settings
+        )
+        self._server = servers.EntryServer(application, self._settings)
+        self._stack.callback(self._server.close)
+        self._server.start()
+
+    def _retain_clients(
+        self,
+        old: membership_protocols.HostState,
+        new: membership_protocols.HostState,
+    ) -> None:
+        if new.bundle is not None and new.bundle is not old.bundle:
+            self._catalog.retain(new.bundle)
+
+    def _observe(self, canceller: cancellers.Canceller) -> None:
+        observe = self._metrics.observe
+        registry = self._registry
+        observe('masticquay.running', lambda: len(registry.list_runs()))
+        observe(
+            'masticquay.cancels_acknowledged',
+            lambda: canceller.acknowledged_count,
+        )
+        observe(
+            'masticquay.cancels_given_up', lambda: canceller.given_up_count
+        )
+        observe(
+            'masticquay.intents_unconfirmed',
+            lambda: self._keeper.unconfirmed_count,
+        )
+
+    def _log_when_ready(self, session: sessions.Session) -> None:
+        while not session.lease_valid():
+            if self._stopping.wait(READY_POLL_MS / 1000):
+                return
+        LOG.info(
+            'ready',
+            extra={
+                'caller_address': str(self._server.address),
+                'incarnation': session.host.incarnation,
+            },
+        )
+
+
+def load_settings(path: pathlib.Path) -> settings.EntrySettings | None:
+    """Reads the settings, or prints one line for each fault."""
+    checked = bundle_settings.check_file(path, settings.KNOWN)
+    if isinstance(checked, result.Failure):
+        for problem in checked.failure():
+            print(problem, file=sys.stderr)
+        return None
+    return settings.EntrySettings(checked.unwrap())
+
+
+def main(arguments: list[str]) -> int:
+    """Checks the settings, then serves until SIGTERM."""
+    if not SETTINGS.value:
+        print('--settings=FILE is missing', file=sys.stderr)
+        return EXIT_SETTINGS
+    entry_settings = load_settings(pathlib.Path(SETTINGS.value))
+    if entry_settings is None:
+        return EXIT_SETTINGS
+    if CHECK.value:
+        return 0
+    try:
+        logs.set_up(entry_settings.log_file, entry_settings.name)
+        secret = pathlib.Path(entry_settings.secret_file).read_bytes().strip()
+        daemon = EntryDaemon(entry_settings, secret)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: daemon.stop())
+        status = daemon.run()
+    except OSError as cause:
+        LOG.error('start failed', extra={'cause': str(cause)})
+        return EXIT_FAILED
+    LOG.info('stopped')
+    return status
+
+
+def run() -> None:
+    """Runs the daemon as a program."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- a/libs/entry/masticquay_entry/intents.py
+++ b/libs/entry/masticquay_entry/intents.py
@@ -1,22 +1,16 @@
 """Records of non-idempotent calls, kept by control."""
 
-import logging
 import threading
 
 from masticquay_entry import refusals
 from masticquay_membership import errors
 from masticquay_membership import messages
 from masticquay_membership import protocols
-from masticquay_wire import clocks
-
-LOG = logging.getLogger(__name__)
 
 BEGIN_TIMEOUT_MS = 2_000
 FINISH_TIMEOUT_MS = 1_000
 RETRY_MS = 250
 RETRY_AFTER_MS = 1_000
-# A record that was sent without an answer may still arrive this much later.
-LATE_RECORD_MS = 30_000
 
 Key = tuple[str, str]
 
@@ -24,15 +18,14 @@
 class IntentKeeper:
     """Begins and finishes intents, and repeats unconfirmed finishes.
 
-    A key with an unconfirmed record is closed on this host: a late record of
-    the earlier call must not end the intent of a later one.
+    A key is open for one call at a time on this host, from the begin until
+    control has confirmed the finish.
     """
 
-    def __init__(self, membership: protocols.Membership, clock: clocks.Clock):
+    def __init__(self, membership: protocols.Membership):
         self._membership = membership
-        self._clock = clock
+        self._active: dict[Key, messages.BeginIntent] = {}
         self._unconfirmed: dict[Key, messages.FinishIntent] = {}
-        self._closed_until_ms: dict[Key, int] = {}
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._stopped = False
@@ -64,8 +57,6 @@
         :raises Refusal: when control did not confirm; nothing may be sent
         """
         key = (workspace, idempotency_key)
-        if self._is_closed(key):
-            return messages.IntentState(messages.INTENT_IN_PROGRESS)
         host = self._membership.host
         intent = messages.BeginIntent(
             workspace,
@@ -74,17 +65,21 @@
             host.name,
             host.incarnation,
         )
+        with self._lock:
+            if key in self._active:
+                return self._describe_active(key, request_digest)
+            self._active[key] = intent
         try:
-            return self._membership.begin_intent(intent, BEGIN_TIMEOUT_MS)
+            state = self._membership.begin_intent(intent, BEGIN_TIMEOUT_MS)
+        except errors.RefusedError as cause:
+            self._close(key)
+            raise _not_recorded() from cause
         except errors.MembershipError as cause:
-            finish = self._finish_of(key, messages.OUTCOME_NOT_RUN, None)
-            self._repeat_later(key, finish)
-            raise refusals.Refusal(
-                503,
-                'not-recorded',
-                'the call could not be recorded, so it was not made',
-                retry_after_ms=RETRY_AFTER_MS,
-            ) from cause
+            self._repeat_later(key, messages.OUTCOME_NOT_RUN, None)
+            raise _not_recorded() from cause
+        if state.state != messages.INTENT_BEGUN:
+            self._close(key)
+        return state
 
     def finish(
         self,
@@ -95,53 +90,53 @@
     ) -> None:
         """Records how a call ended, now or, when control is away, later."""
         key = (workspace, idempotency_key)
-        finish = self._finish_of(key, outcome, answer)
-        if not self._try_finish(finish):
-            self._repeat_later(key, finish)
+        if self._try_finish(self._finish_of(key, outcome, answer)):
+            self._close(key)
+        else:
+            self._repeat_later(key, outcome, answer)
+
+    def _describe_active(
+        self, key: Key, request_digest: bytes
+    ) -> messages.IntentState:
+        if self._active[key].request_digest != request_digest:
+            return messages.IntentState(messages.INTENT_MISMATCH)
+        return messages.IntentState(messages.INTENT_IN_PROGRESS)
 
     def _finish_of(
         self, key: Key, outcome: str, answer: messages.StoredAnswer | None
     ) -> messages.FinishIntent:
-        host = self._membership.host
+        intent = self._active[key]
         return messages.FinishIntent(
-            *key, host.name, host.incarnation, outcome, answer
+            *key, intent.host, intent.incarnation, outcome, answer
         )
 
-    def _is_closed(self, key: Key) -> bool:
-        now_ms = self._clock.now_ms()
+    def _close(self, key: Key) -> None:
         with self._lock:
-            if key in self._unconfirmed:
-                return True
-            until_ms = self._closed_until_ms.get(key)
-            if until_ms is None:
-                return False
-            if now_ms < until_ms:
-                return True
-            del self._closed_until_ms[key]
-            return False
+            self._active.pop(key, None)
+            self._unconfirmed.pop(key, None)
 
-    def _repeat_later(self, key: Key, finish: messages.FinishIntent) -> None:
+    def _repeat_later(
+        self, key: Key, outcome: str, answer: messages.StoredAnswer | None
+    ) -> None:
         with self._lock:
-            self._unconfirmed[key] = finish
+            self._unconfirmed[key] = self._finish_of(key, outcome, answer)
         self._wake.set()
 
     def _try_finish(self, finish: messages.FinishIntent) -> bool:
+        """Returns whether control confirmed, or has no such call any more."""
         try:
             self._membership.finish_intent(finish, FINISH_TIMEOUT_MS)
+        except errors.RefusedError:
+            return True
         except errors.MembershipError:
             return False
         return True
 
     def _run(self) -> None:
         while not self._stopped:
-            self._wake.wait()
+            self._wake.wait(RETRY_MS / 1000 if self._unconfirmed else None)
             self._wake.clear()
-            while self._unconfirmed and not self._stopped:
-                self._repeat_all()
-                if self._unconfirmed:
-                    self._wake.wait(RETRY_MS / 1000)
-                    self._wake.clear()
-        self._repeat_all()
+            self._repeat_all()
 
     def _repeat_all(self) -> None:
         with self._lock:
@@ -149,17 +144,13 @@
         for key, finish in waiting:
             if not self._try_finish(finish):
                 return
-            now_ms = self._clock.now_ms()
-            with self._lock:
-                self._drop_expired(now_ms)
-                self._closed_until_ms[key] = now_ms + LATE_RECORD_MS
-                del self._unconfirmed[key]
-
-    def _drop_expired(self, now_ms: int) -> None:
-        expired = [
-            key
-            for key, until_ms in self._closed_until_ms.items()
-            if until_ms <= now_ms
-        ]
-        for key in expired:
-            del self._closed_until_ms[key]
+            self._close(key)
+
+
+def _not_recorded() -> refusals.Refusal:
+    return refusals.Refusal(
+        503,
+        'not-recorded',
+        'the call could not be recorded, so it was not made',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -140,6 +140,7 @@
         try:
             self._parts.registry.begin_dispatch(self._run)
             prefill = self._prefill(placement, ending)
+            placement = self._bind_decode(placement, prefill)
             yield from self._decode(placement, prefill, ending)
             ending.outcome = messages.FINISHED_DONE
             self._parts.budget.note_success()
@@ -176,11 +177,39 @@
             raise placements.AttemptError(
                 messages.FINISHED_PREFILL_FAILED, name, cause
             ) from cause
-        self._parts.pools.report_prefill_done(
-            placement.pool, run.request, placement.attempt
-        )
+        if placement.decode_endpoint:
+            self._parts.pools.report_prefill_done(
+                placement.pool, run.request, placement.attempt
+            )
         return done
 
+    def _bind_decode(
+        self,
+        placement: messages.Placement,
+        prefill: protocols.PrefillResult | None,
+    ) -> messages.Placement:
+        """Completes a placement that came without a decode endpoint."""
+        if placement.decode_endpoint or prefill is None:
+            return placement
+        expires_ms = min(prefill.expires_ms, self._left_ms())
+        future = self._parts.pools.await_decode(
+            placement.pool, self._run.request, placement.attempt, expires_ms
+        )
+        try:
+            bound = self._run.interrupt.wait(
+                future, expires_ms + placements.ADMIT_MARGIN_MS
+            )
+        except errors.StalledError as cause:
+            raise placements.AttemptError(
+                messages.FINISHED_TRANSFER_FAILED, '', cause
+            ) from cause
+        if isinstance(bound, result.Failure):
+            cause = LookupError(bound.failure().reason)
+            raise placements.AttemptError(
+                messages.FINISHED_TRANSFER_FAILED, '', cause
+            )
+        return bound.unwrap()
+
     def _decode(
         self,
         placement: messages.Placement,
--- a/libs/entry/masticquay_entry/placements.py
+++ b/libs/entry/masticquay_entry/placements.py
@@ -53,6 +53,14 @@
         :raises Refusal: when the pool refuses
         :raises InterruptedCallError: when the request was interrupted
         """
+        if not self.pool:
+            raise refusals.Refusal(
+                503,
+                messages.REASON_NO_ENDPOINT,
+                'no endpoint serves this now',
+                self._run.outcome,
+                BUSY_RETRY_AFTER_MS,
+            )
         run, clock = self._run, self._parts.clock
         service_class = run.admission.service_class
         self.attempt += 1
--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -144,8 +144,7 @@
                 headers,
                 self._request.body,
                 left_ms,
-                fresh=self._run.finishes,
-                interrupt=self._run.interrupt,
+                self._run.interrupt,
             )
 
 
--- a/libs/entry/masticquay_entry/usages.py
+++ b/libs/entry/masticquay_entry/usages.py
@@ -81,15 +81,34 @@
             self._entries.clear()
         return entries
 
+    def put_back(self, entries: list[messages.UsageEntry]) -> None:
+        """Adds entries again that control did not take."""
+        with self._lock:
+            for entry in entries:
+                self._merge(entry)
+
     @property
     def open_tokens(self) -> int:
         """Tokens charged for requests under way."""
         return self._open_tokens
 
+    def _merge(self, added: messages.UsageEntry) -> None:
+        entry = self._entry_at(
+            (added.workspace, added.target, added.class_name, added.hour)
+        )
+        entry.requests += added.requests
+        entry.prompt_tokens += added.prompt_tokens
+        entry.output_tokens += added.output_tokens
+        entry.refused_within_rate += added.refused_within_rate
+        for reason, count in added.refusals.items():
+            entry.refusals[reason] = entry.refusals.get(reason, 0) + count
+
     def _entry(
         self, workspace: str, target: str, class_name: str
     ) -> messages.UsageEntry:
-        key = (workspace, target, class_name, self._hour())
+        return self._entry_at((workspace, target, class_name, self._hour()))
+
+    def _entry_at(self, key: Key) -> messages.UsageEntry:
         entry = self._entries.get(key)
         if entry is None:
             entry = self._entries[key] = messages.UsageEntry(*key)
@@ -108,6 +127,7 @@
         self._membership = membership
         self._recorder = recorder
         self._interval_ms = interval_ms
+        self._incarnation = 0
         self._sequence = 0
         self._unconfirmed: messages.ReportUsage | None = None
         self._idle_reported = False
@@ -138,15 +158,24 @@
         if self._unconfirmed is None:
             return True
         try:
-            self._membership.report_usage(
-                self._unconfirmed, REPORT_TIMEOUT_MS
-            )
+            self._membership.report_usage(self._unconfirmed, REPORT_TIMEOUT_MS)
+        except errors.RefusedError:
+            LOG.warning('control refused a usage batch')
+            self._recorder.put_back(self._unconfirmed.entries)
+            self._unconfirmed = None
+            return False
         except errors.MembershipError:
             return False
         self._unconfirmed = None
         return True
 
     def _next_batch(self, last: bool) -> messages.ReportUsage | None:
+        host = self._membership.host
+        if host.incarnation != self._incarnation and self._incarnation:
+            return self._end_incarnation(host)
+        if not host.incarnation:
+            return None
+        self._incarnation = host.incarnation
         entries = self._recorder.take()
         open_tokens = self._recorder.open_tokens
         idle = not entries and not open_tokens
@@ -154,7 +183,6 @@
             return None
         self._idle_reported = idle
         self._sequence += 1
-        host = self._membership.host
         bundle = self._membership.state().bundle
         bound_tokens = 0 if last else open_tokens + _allowance(bundle)
         return messages.ReportUsage(
@@ -166,6 +194,16 @@
             last,
         )
 
+    def _end_incarnation(self, host: messages.Host) -> messages.ReportUsage:
+        """Closes the books of an incarnation that control has ended."""
+        ended = self._incarnation
+        sequence = self._sequence + 1
+        self._incarnation = host.incarnation
+        self._sequence = 0
+        return messages.ReportUsage(
+            host.name, ended, sequence, self._recorder.take(), 0, True
+        )
+
 
 def _allowance(bundle: models.Bundle | None) -> int:
     """Returns the most that the rates allow until the lease is lost."""
--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -102,12 +102,22 @@
             intent.incarnation,
             number,
         )
-        answer = self._call(stamped, timeout_ms)
+        try:
+            answer = self._call(stamped, timeout_ms)
+        except errors.RefusedError:
+            raise
+        except errors.MembershipError:
+            self._note_begun(intent, number)
+            raise
         if answer.state == membership.INTENT_BEGUN:
-            with self._lock:
-                self._begun[_key_of(intent)] = number
+            self._note_begun(intent, number)
         return answer
 
+    def _note_begun(self, intent: membership.BeginIntent, number: int) -> None:
+        """Keeps the number of a call that has, or may have, been begun."""
+        with self._lock:
+            self._begun[_key_of(intent)] = number
+
     def finish_intent(
         self, finish: membership.FinishIntent, timeout_ms: int
     ) -> None:
