--- a/libs/entry/masticquay_entry/applications.py
+++ b/libs/entry/masticquay_entry/applications.py
@@ -341,11 +341,12 @@
         try:
             yield renderer.render_batch(batch)
             for batch in batches:
+                if not batch.texts:
+                    continue
                 now_s = time.monotonic()
                 gaps.add((now_s - previous_s) * 1000)
                 previous_s = now_s
-                if batch.texts:
-                    yield renderer.render_batch(batch)
+                yield renderer.render_batch(batch)
         except refusals.Refusal as refusal:
             self._ended = True
             self._note_refusal(refusal)
--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -77,6 +77,7 @@
                     hashes,
                     self._request.prompt_tokens,
                     self._request.max_tokens - self.output_tokens,
+                    late_decode=True,
                 )
                 try:
                     yield from self._attempt(placement)
--- a/libs/entry/masticquay_entry/placements.py
+++ b/libs/entry/masticquay_entry/placements.py
@@ -47,9 +47,11 @@
         prefix_hashes: list[int],
         prompt_tokens: int,
         max_output_tokens: int,
+        late_decode: bool,
     ) -> messages.Placement:
         """Waits for a placement.
 
+        :param late_decode: the decode endpoint may come after the prefill
         :raises Refusal: when the pool refuses
         :raises InterruptedCallError: when the request was interrupted
         """
@@ -83,6 +85,7 @@
                 left_ms,
                 min(max_wait_ms, left_ms),
                 list(self.excluded),
+                late_decode=late_decode,
             )
         )
         placed = self._wait(future, max_wait_ms + ADMIT_MARGIN_MS)
--- a/libs/entry/masticquay_entry/servers.py
+++ b/libs/entry/masticquay_entry/servers.py
@@ -159,8 +159,8 @@
             channel_request_lookahead=1,
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=False,
-            socket_options=_socket_options(entry_settings),
         )
+        adjusted.socket_options = _socket_options(entry_settings)
         self._map: dict = {}
         self._dispatcher = Dispatcher(entry_settings.threads + RESERVE_THREADS)
         self._server = _Server(
--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -93,7 +93,7 @@
     def _send(self) -> protocols.Answer:
         prompt_tokens = prefixes.count_tokens(self._request.body)
         while True:
-            placement = self._placer.place([], prompt_tokens, 0)
+            placement = self._placer.place([], prompt_tokens, 0, False)
             try:
                 return self._attempt(placement)
             except placements.AttemptError as failure:
