--- /dev/null
+++ b/libs/entry/masticquay_entry/intents.py
@@ -0,0 +1,156 @@
+"""Records of non-idempotent calls, kept by control."""
+
+import threading
+
+from masticquay_entry import refusals
+from masticquay_membership import errors
+from masticquay_membership import messages
+from masticquay_membership import protocols
+
+BEGIN_TIMEOUT_MS = 2_000
+FINISH_TIMEOUT_MS = 1_000
+RETRY_MS = 250
+RETRY_AFTER_MS = 1_000
+
+Key = tuple[str, str]
+
+
+class IntentKeeper:
+    """Begins and finishes intents, and repeats unconfirmed finishes.
+
+    A key is open for one call at a time on this host, from the begin until
+    control has confirmed the finish.
+    """
+
+    def __init__(self, membership: protocols.Membership):
+        self._membership = membership
+        self._active: dict[Key, messages.BeginIntent] = {}
+        self._unconfirmed: dict[Key, messages.FinishIntent] = {}
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._run, name='intents', daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread that repeats unconfirmed finishes."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Tries each unconfirmed finish once more and stops."""
+        self._stopped = True
+        self._wake.set()
+        self._thread.join()
+
+    @property
+    def unconfirmed_count(self) -> int:
+        """How many finishes control has not confirmed."""
+        return len(self._unconfirmed)
+
+    def begin(
+        self, workspace: str, idempotency_key: str, request_digest: bytes
+    ) -> messages.IntentState:
+        """Records that a call will be made.
+
+        :returns: what is known of the call; only ``begun`` allows sending
+        :raises Refusal: when control did not confirm; nothing may be sent
+        """
+        key = (workspace, idempotency_key)
+        host = self._membership.host
+        intent = messages.BeginIntent(
+            workspace,
+            idempotency_key,
+            request_digest,
+            host.name,
+            host.incarnation,
+        )
+        with self._lock:
+            if key in self._active:
+                return self._describe_active(key, request_digest)
+            self._active[key] = intent
+        try:
+            state = self._membership.begin_intent(intent, BEGIN_TIMEOUT_MS)
+        except errors.RefusedError as cause:
+            self._close(key)
+            raise _not_recorded() from cause
+        except errors.MembershipError as cause:
+            self._repeat_later(key, messages.OUTCOME_NOT_RUN, None)
+            raise _not_recorded() from cause
+        if state.state != messages.INTENT_BEGUN:
+            self._close(key)
+        return state
+
+    def finish(
+        self,
+        workspace: str,
+        idempotency_key: str,
+        outcome: str,
+        answer: messages.StoredAnswer | None,
+    ) -> None:
+        """Records how a call ended, now or, when control is away, later."""
+        key = (workspace, idempotency_key)
+        if self._try_finish(self._finish_of(key, outcome, answer)):
+            self._close(key)
+        else:
+            self._repeat_later(key, outcome, answer)
+
+    def _describe_active(
+        self, key: Key, request_digest: bytes
+    ) -> messages.IntentState:
+        if self._active[key].request_digest != request_digest:
+            return messages.IntentState(messages.INTENT_MISMATCH)
+        return messages.IntentState(messages.INTENT_IN_PROGRESS)
+
+    def _finish_of(
+        self, key: Key, outcome: str, answer: messages.StoredAnswer | None
+    ) -> messages.FinishIntent:
+        intent = self._active[key]
+        return messages.FinishIntent(
+            *key, intent.host, intent.incarnation, outcome, answer
+        )
+
+    def _close(self, key: Key) -> None:
+        with self._lock:
+            self._active.pop(key, None)
+            self._unconfirmed.pop(key, None)
+
+    def _repeat_later(
+        self, key: Key, outcome: str, answer: messages.StoredAnswer | None
+    ) -> None:
+        with self._lock:
+            self._unconfirmed[key] = self._finish_of(key, outcome, answer)
+        self._wake.set()
+
+    def _try_finish(self, finish: messages.FinishIntent) -> bool:
+        """Returns whether control confirmed, or has no such call any more."""
+        try:
+            self._membership.finish_intent(finish, FINISH_TIMEOUT_MS)
+        except errors.RefusedError:
+            return True
+        except errors.MembershipError:
+            return False
+        return True
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._wake.wait(RETRY_MS / 1000 if self._unconfirmed else None)
+            self._wake.clear()
+            self._repeat_all()
+
+    def _repeat_all(self) -> None:
+        with self._lock:
+            waiting = list(self._unconfirmed.items())
+        for key, finish in waiting:
+            if not self._try_finish(finish):
+                return
+            self._close(key)
+
+
+def _not_recorded() -> refusals.Refusal:
+    return refusals.Refusal(
+        503,
+        'not-recorded',
+        'the call could not be recorded, so it was not made',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
