Control runs on the replicated log

The log of one replica was only there until the replicated one stood; it is gone. Tests with three replicas: racing operators with equal versions have one winner, hosts keep their lease and incarnation over the loss of the leader, a replica that slept through 500 rolls catches up and serves a host, and two restarts of all replicas keep bundle and withdrawal.

--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -3,17 +3,17 @@
 import contextlib
 import logging
 import pathlib
+import random
 import threading
 import typing
 
-from masticquay_consensus import protocols
+from masticquay_consensus import nodes
 from masticquay_control import commands
 from masticquay_control import forwarders
 from masticquay_control import leases
 from masticquay_control import machines
 from masticquay_control import offices
 from masticquay_control import services
-from masticquay_control import singles
 from masticquay_control import watchers
 from masticquay_wire import clocks
 from masticquay_wire import listeners
@@ -125,12 +125,22 @@
         """Stops serving and closes the log."""
         self._stack.close()
 
-    def _make_log(self) -> protocols.ReplicatedLog:
-        return singles.SingleLog(
-            self.settings.name,
-            str(self.settings.peer_address),
-            self.settings.data_folder,
+    def _make_log(self) -> nodes.Node:
+        settings = self.settings
+        voters = [
+            nodes.Voter(name, address)
+            for name, address in settings.replicas.items()
+        ]
+        return nodes.Node(
+            settings.name,
+            str(settings.peer_address),
+            voters,
+            settings.data_folder,
+            self.listener,
             self.machine,
+            settings.secret,
+            self.clock,
+            random.Random(f'{settings.seed} {settings.name}'),
         )
 
     def _run_ticks(self) -> None:
--- a/libs/control/tests/fixtures.py
+++ b/libs/control/tests/fixtures.py
@@ -1,7 +1,9 @@
 """Bundles, replicas and hosts for the tests of control."""
 
 import hashlib
+import os
 import pathlib
+import socket
 import tempfile
 import time
 
@@ -30,6 +32,12 @@
     raise AssertionError(f'{what} did not come about')
 
 
+def find_free_port(ip):
+    """Returns a port that was free on an address of this process."""
+    with socket.create_server((ip, 0)) as sock:
+        return sock.getsockname()[1]
+
+
 class Approvers:
     """Approvers with their private keys."""
 
@@ -92,28 +100,53 @@
     def __init__(self, case):
         self.case = case
         self.replicas = {}
+        self.voters = {}
+        self.ports = {}
+        number = os.getpid()
+        self.ip = f'127.{number >> 8 & 127}.{number & 255}.1'
         folder = tempfile.TemporaryDirectory()
         case.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
 
-    def start_single(self):
-        settings = replicas.ReplicaSettings(
-            'c1',
-            'p1',
-            peers.Address('127.0.0.1', 0),
-            self.folder / 'c1',
-            {'c1': '127.0.0.1:0'},
-            SECRET,
-        )
-        replica = replicas.Replica(settings)
-        replica.start()
-        self.case.addCleanup(replica.close)
-        self.replicas['c1'] = replica
-        return replica
+    def start(self, *names):
+        """Starts replicas; the first call names the first voters."""
+        for name in names:
+            if name not in self.ports:
+                self.ports[name] = find_free_port(self.ip)
+        if not self.voters:
+            self.voters = {n: self.address_of(n) for n in names}
+        for name in names:
+            settings = replicas.ReplicaSettings(
+                name,
+                'p1',
+                peers.Address(self.ip, self.ports[name]),
+                self.folder / name,
+                self.voters,
+                SECRET,
+            )
+            replica = replicas.Replica(settings)
+            replica.start()
+            self.case.addCleanup(replica.close)
+            self.replicas[name] = replica
+
+    def address_of(self, name):
+        return f'{self.ip}:{self.ports[name]}'
+
+    def stop(self, name):
+        self.replicas.pop(name).close()
+
+    def leader(self):
+        """Waits for an acting leader and returns its name."""
+
+        def find():
+            acting = [n for n, r in self.replicas.items() if r.office.acting()]
+            return acting[0] if acting else None
+
+        return wait_for(find, 'a leader')
 
     @property
     def addresses(self):
-        return [r.listener.address for r in self.replicas.values()]
+        return [self.address_of(name) for name in self.ports]
 
     def client(self, name='operator', addresses=None):
         client = clients.ControlClient(
@@ -122,10 +155,11 @@
         self.case.addCleanup(client.close)
         return client
 
-    def session(self, name, **options):
+    def session(self, name, addresses=None, **options):
+        """Starts the session of a host."""
         host = membership.Host(name, 0, 'p1', '127.0.0.1:1', '127.0.0.1:2')
         session = sessions.Session(
-            self.client(name), host, name, SECRET, **options
+            self.client(name, addresses), host, name, SECRET, **options
         )
         session.start()
         self.case.addCleanup(session.close)
--- /dev/null
+++ b/libs/control/tests/test_groups.py
@@ -0,0 +1,105 @@
+"""Tests of groups of control replicas."""
+
+from concurrent import futures
+import unittest
+
+from masticquay_membership import messages as membership
+from masticquay_wire import errors as wire_errors
+from tests import fixtures
+
+NAMES = ('c1', 'c2', 'c3')
+
+
+class GroupTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = fixtures.Cluster(self)
+        self.cluster.start(*NAMES)
+        self.approvers = fixtures.Approvers('ada')
+
+    def operator_at(self, name):
+        address = self.cluster.address_of(name)
+        return self.cluster.client(f'operator-{name}', [address])
+
+    def make_signed(self, version, **changes):
+        bundle = fixtures.make_bundle(version, self.approvers, **changes)
+        return self.approvers.sign(bundle)
+
+    def test_racing_operators_with_equal_versions_have_one_winner(self):
+        self.cluster.leader()
+        rivals = [
+            (self.operator_at('c1'), self.make_signed(1, services=['one'])),
+            (self.operator_at('c2'), self.make_signed(1, services=['two'])),
+        ]
+        with futures.ThreadPoolExecutor(2) as pool:
+            outcomes = list(pool.map(self.try_roll, rivals))
+        accepted = [o for o in outcomes if not isinstance(o, Exception)]
+        refused = [o for o in outcomes if isinstance(o, Exception)]
+        self.assertEqual(1, len(accepted))
+        self.assertEqual(membership.CODE_CONFLICT, refused[0].code)
+        winner = rivals[outcomes.index(accepted[0])][1]
+        stored = self.operator_at('c3').call(
+            membership.QueryBundle(), fixtures.CALL_MS
+        )
+        self.assertEqual(winner, stored)
+
+    def try_roll(self, rival):
+        operator, signed = rival
+        try:
+            return operator.call(fixtures.make_roll(signed), fixtures.CALL_MS)
+        except wire_errors.RemoteError as cause:
+            return cause
+
+    def test_hosts_keep_their_lease_over_a_leader_loss(self):
+        hosts = [self.cluster.session(f'h{n}') for n in range(3)]
+        for host in hosts:
+            fixtures.wait_for(host.lease_valid, 'a lease')
+        incarnations = [host.host.incarnation for host in hosts]
+        lost = self.cluster.leader()
+        self.cluster.stop(lost)
+        operator = self.cluster.client()
+        accepted = operator.call(
+            fixtures.make_roll(self.make_signed(1)), 4 * fixtures.CALL_MS
+        )
+        query = membership.QueryProgress(accepted.index)
+        fixtures.wait_for(
+            lambda: operator.call(query, fixtures.CALL_MS).in_force
+        )
+        for host in hosts:
+            self.assertEqual(1, host.state().bundle.version)
+        self.assertEqual(incarnations, [h.host.incarnation for h in hosts])
+
+    def test_sleeping_replica_catches_up_after_500_changes(self):
+        asleep = next(n for n in NAMES if n != self.cluster.leader())
+        self.cluster.stop(asleep)
+        operator = self.cluster.client()
+        previous = None
+        for version in range(1, 501):
+            signed = self.make_signed(version)
+            operator.call(
+                fixtures.make_roll(signed, previous), fixtures.CALL_MS
+            )
+            previous = signed.bundle
+        self.cluster.start(asleep)
+        machine = self.cluster.replicas[asleep].machine
+        fixtures.wait_for(lambda: machine.bundles.version == 500)
+        host = self.cluster.session(
+            'h1', addresses=[self.cluster.address_of(asleep)]
+        )
+        fixtures.wait_for(lambda: host.state().bundle, 'a bundle')
+        self.assertEqual(previous, host.state().bundle)
+
+    def test_restarted_twice_keeps_bundle_and_withdrawal(self):
+        operator = self.cluster.client()
+        signed = self.make_signed(1)
+        operator.call(fixtures.make_roll(signed), fixtures.CALL_MS)
+        digest = fixtures.KEY_DIGESTS[1]
+        operator.call(membership.WithdrawKey(digest), fixtures.CALL_MS)
+        for _ in range(2):
+            for name in NAMES:
+                self.cluster.stop(name)
+            self.cluster.start(*NAMES)
+        self.cluster.leader()
+        stored = operator.call(membership.QueryBundle(), fixtures.CALL_MS)
+        self.assertEqual(signed, stored)
+        again = operator.call(membership.WithdrawKey(digest), fixtures.CALL_MS)
+        self.assertTrue(again.repeated)
--- a/libs/control/tests/test_replicas.py
+++ b/libs/control/tests/test_replicas.py
@@ -11,7 +11,7 @@
 class ReplicaTest(unittest.TestCase):
     def setUp(self):
         self.cluster = fixtures.Cluster(self)
-        self.replica = self.cluster.start_single()
+        self.cluster.start('c1')
         self.operator = self.cluster.client()
         self.approvers = fixtures.Approvers('ada')
 
