--- /dev/null
+++ b/libs/bench/tests/test_fleets.py
@@ -0,0 +1,51 @@
+"""One short run of a whole fleet of real processes."""
+
+from concurrent import futures
+import unittest
+
+from masticquay_bench import calls
+from masticquay_bench import checkers
+from masticquay_bench import fleets
+from masticquay_bench import runs
+
+CALLS = 6
+
+
+class FleetTest(unittest.TestCase):
+    def test_a_fleet_keeps_its_promises_and_ends(self):
+        sizes = fleets.Sizes(controls=1, entries=2, engines=2, services=1)
+        with fleets.Fleet(sizes=sizes) as fleet:
+            run = runs.Run(fleet)
+            self.use(run)
+            mark = run.roll()
+            self.assertLess(mark.begin_ms, mark.end_ms)
+            self.assertTrue(all(p.served for p in run.probe_all()))
+            run.withdraw('thesis-desk', 0)
+            late = run.caller('thesis-desk').complete('late', 'style-guide')
+            self.assertEqual(401, late.status)
+            run.drain_entry(0)
+            started = fleet.all_processes()
+            found = run.collect()
+        broken = [v.name for v in checkers.judge(found) if not v.held]
+        self.assertEqual([], broken)
+        self.assertFalse([p.name for p in started if p.running])
+
+    def use(self, run):
+        """Makes a few calls of each kind, all of which must end well."""
+        fleet = run.fleet
+        names = [w.name for w in fleet.deployment.workspaces]
+        with futures.ThreadPoolExecutor(CALLS) as pool:
+            pending = [
+                pool.submit(
+                    run.caller(names[number % len(names)]).complete,
+                    f'completion-{number}',
+                    fleet.deployment.model,
+                )
+                for number in range(CALLS)
+            ]
+        path = fleet.deployment.effect_path
+        effect = run.caller(names[0]).request(
+            'e', 'POST', path, b'x', idempotency_key='k', idempotent=False
+        )
+        ends = [future.result().end for future in pending] + [effect.end]
+        self.assertEqual([calls.END_OK] * (CALLS + 1), ends)
