--- a/libs/consensus/masticquay_consensus/frames.py
+++ b/libs/consensus/masticquay_consensus/frames.py
@@ -38,14 +38,21 @@
     return payload
 
 
-def scan(data: bytes) -> Scan:
-    """Reads frames until the end or the first invalid one."""
+def scan(data: bytes, mark: bytes) -> Scan:
+    """Reads frames until the end or the first invalid one.
+
+    :param mark: a frame that carries nothing; a damaged one is passed over
+    """
     payloads = []
     offset = 0
     while offset < len(data):
         payload = _read_at(data, offset)
         if payload is None:
-            break
+            after = offset + len(mark)
+            if _read_at(data, after) is None:
+                break
+            offset = after
+            continue
         payloads.append(payload)
         offset += HEADER_BYTES + len(payload)
     return Scan(payloads, offset, _has_frame_after(data, offset))
--- a/libs/consensus/masticquay_consensus/journals.py
+++ b/libs/consensus/masticquay_consensus/journals.py
@@ -183,7 +183,7 @@
         data = self._disk.read(FILE_NAME)
         if data is None:
             raise errors.DamagedStorageError('the log file is missing')
-        found = frames.scan(data)
+        found = frames.scan(data, _SYNCED_FRAME)
         if found.damaged or not found.payloads:
             raise errors.DamagedStorageError(
                 f'the log is damaged at byte {found.valid_bytes}'
--- a/libs/consensus/masticquay_consensus/leaders.py
+++ b/libs/consensus/masticquay_consensus/leaders.py
@@ -4,6 +4,8 @@
 from masticquay_consensus import states
 from masticquay_consensus import stores
 
+TRANSFER_PAUSE_LIMIT_MS = 10_000
+
 Request = messages.AppendEntries | messages.InstallSnapshot
 
 
@@ -176,6 +178,23 @@
             progress.next_index = progress.match_index + 1
             self.advance_commit()
 
+    def transfer_floor(self) -> int:
+        """Returns the lowest index after which a member needs entries.
+
+        Entries behind a snapshot that is under way are kept, or the member
+        would need the next snapshot when it has this one.
+        """
+        state = self._state
+        oldest_ms = state.clock.now_ms() - TRANSFER_PAUSE_LIMIT_MS
+        return min(
+            (
+                progress.snapshot.index
+                for progress in self._progress.values()
+                if progress.snapshot and progress.acked_ms > oldest_ms
+            ),
+            default=state.store.journal.last_index,
+        )
+
     def advance_commit(self) -> None:
         """Commits the entries of this term that a quorum has synced."""
         state = self._state
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -417,7 +417,10 @@
             state.counters.snapshots_taken += 1
             state.prune_configurations(index)
             retained = 0 if large else self._settings.retained_entries
-            base_index = max(journal.base_index, index - retained)
+            kept_from = index - retained
+            if not large and state.role == messages.ROLE_LEADER:
+                kept_from = min(kept_from, self._leader.transfer_floor())
+            base_index = max(journal.base_index, kept_from)
             journal.compact(base_index, journal.term_at(base_index))
         return True
 
--- a/libs/consensus/tests/fleets.py
+++ b/libs/consensus/tests/fleets.py
@@ -67,7 +67,7 @@
     def folder(self, name):
         return pathlib.Path(self._folder) / name
 
-    def start(self, *names):
+    def start(self, *names, disk=None, **options):
         for name in names or list(self.addresses):
             if name not in self.listeners:
                 self.open_listener(name)
@@ -76,7 +76,7 @@
                 name,
                 str(self.addresses[name]),
                 self.voters,
-                self.folder(name),
+                disk or self.folder(name),
                 self.listeners[name],
                 self.machines[name],
                 SECRET,
@@ -84,6 +84,7 @@
                 random.Random(name),
                 self.settings,
                 links=self._links(name) if self._links else None,
+                **options,
             )
             node.start()
             self.nodes[name] = node
--- a/libs/consensus/tests/test_nodes.py
+++ b/libs/consensus/tests/test_nodes.py
@@ -1,12 +1,22 @@
 """Tests of replicas with their threads over real links."""
 
+import queue
+import random
 import shutil
+import subprocess
+import sys
 import unittest
 
 from masticquay_consensus import errors
 from masticquay_consensus import settings as settings_module
+from tests import faulty_disks
 from tests import fleets
 
+STORAGE_FAILURE = """
+from masticquay_consensus import errors, nodes
+nodes.end_process(errors.StorageError('input/output error'))
+"""
+
 
 class NodesTest(unittest.TestCase):
     def make_fleet(self, *names, **options):
@@ -147,3 +157,40 @@
         self.wait_for_commands(fleet, 'd', [b'x', b'y'])
         names = [m.member.name for m in fleet.nodes['d'].status().members]
         self.assertNotIn(removed, names)
+
+
+class StorageFailureTest(unittest.TestCase):
+    def start(self, disk):
+        fleet = fleets.Fleet(['a'])
+        self.addCleanup(fleet.close)
+        self.failures = queue.Queue()
+        fleet.start('a', disk=disk, on_fatal=self.failures.put)
+        fleet.propose(b'kept')
+        return fleet
+
+    def check_end(self, fleet):
+        proposal = fleet.nodes['a'].propose(b'lost')
+        failure = self.failures.get(timeout=fleets.WAIT_S)
+        self.assertIsInstance(failure, errors.StorageError)
+        fleet.stop('a')
+        with self.assertRaises(errors.ProposalUnknownError):
+            proposal.result(0)
+
+    def test_a_failed_sync_ends_the_replica_and_is_not_retried(self):
+        disk = faulty_disks.FaultyDisk(random.Random(1))
+        fleet = self.start(disk)
+        disk.sync_fails = True
+        self.check_end(fleet)
+        self.assertTrue(self.failures.empty())
+
+    def test_a_full_disk_ends_the_replica(self):
+        disk = faulty_disks.FaultyDisk(random.Random(1))
+        fleet = self.start(disk)
+        disk.full = True
+        self.check_end(fleet)
+
+    def test_the_process_ends_by_default(self):
+        done = subprocess.run(
+            [sys.executable, '-c', STORAGE_FAILURE], timeout=fleets.WAIT_S
+        )
+        self.assertEqual(1, done.returncode)
