Sends on links end when the peer takes no data

A thread that pushes to a stopped host, or answers it, blocked for ever in sendall once the socket's buffer was full, and with it a follower's receiving thread. Weighed: a queue and a thread per link (memory per host), a timeout of the kernel on sends (no thread, no queue); the second is taken.

--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -17,6 +17,7 @@
 from masticquay_wire import handshakes
 from masticquay_wire import messages
 from masticquay_wire import peers
+from masticquay_wire import sockets
 
 REDIAL_MIN_MS = 50
 REDIAL_MAX_MS = 500
@@ -188,6 +189,7 @@
         )
         stack.callback(sock.close)
         sock.settimeout(None)
+        sockets.limit_sends(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         link = stack.enter_context(
             client.connect(
--- a/libs/wire/masticquay_wire/listeners.py
+++ b/libs/wire/masticquay_wire/listeners.py
@@ -15,6 +15,7 @@
 from masticquay_wire import handshakes
 from masticquay_wire import messages
 from masticquay_wire import peers
+from masticquay_wire import sockets
 
 LOG = logging.getLogger(__name__)
 
@@ -181,6 +182,7 @@
 
     def _serve_link(self, websocket: server.ServerConnection) -> None:
         try:
+            sockets.limit_sends(websocket.socket)
             hello = handshakes.listen(websocket, self._secret)
         except (
             errors.WireError,
