Entry host as one composed part, and tests of what goes wrong

The daemon's composition moved into hosts.EntryHost, so that tests and benches run the real server, dispatch and supervision over fakes of membership, pools and rates and over the stand-ins of engines and services.

Found by them: a cancel that was still tried when the host closed kept the process for five seconds; it is now tried once more and left.

--- a/libs/entry/masticquay_entry/backends.py
+++ b/libs/entry/masticquay_entry/backends.py
@@ -3,14 +3,15 @@
 import itertools
 
 from masticquay_endpoints import catalogs
-from masticquay_entry import budgets
 from masticquay_entry import cancellers
 from masticquay_entry import metrics
 from masticquay_entry import runs
 from masticquay_entry import usages
 from masticquay_membership import protocols as membership_protocols
+from masticquay_scheduling import budgets
 from masticquay_scheduling import messages
 from masticquay_scheduling import protocols
+from masticquay_scheduling import settings
 from masticquay_wire import clocks
 
 
@@ -48,7 +49,10 @@
         self.rates = rates
         self.catalog = catalog
         self.canceller = canceller
-        self.budget = budgets.RetryBudget()
+        policy = settings.SchedulingSettings()
+        self.budget = budgets.RetryBudget(
+            clock, policy.retry_percent, policy.retry_reserve
+        )
         self.registry = registry
         self.metrics = entry_metrics
         self.usage = usage
--- a/libs/entry/masticquay_entry/cancellers.py
+++ b/libs/entry/masticquay_entry/cancellers.py
@@ -30,6 +30,7 @@
         self._workers: dict[str, futures.ThreadPoolExecutor] = {}
         self._pending: dict[Key, futures.Future] = {}
         self._lock = threading.Lock()
+        self._closing = False
         self.acknowledged_count = 0
         self.given_up_count = 0
 
@@ -68,7 +69,8 @@
             return self._pending.get((address, request_id))
 
     def close(self) -> None:
-        """Waits for cancels under way."""
+        """Tries what is under way once more and ends."""
+        self._closing = True
         with self._lock:
             workers = list(self._workers.values())
         for worker in workers:
@@ -86,7 +88,7 @@
     def _cancel(self, key: Key, give_up_ms: int) -> bool:
         try:
             while not self._try_once(*key):
-                if self._clock.now_ms() >= give_up_ms:
+                if self._closing or self._clock.now_ms() >= give_up_ms:
                     self.given_up_count += 1
                     return False
                 self._clock.sleep_ms(RETRY_MS)
--- a/libs/entry/masticquay_entry/daemons.py
+++ b/libs/entry/masticquay_entry/daemons.py
@@ -15,22 +15,11 @@
 from masticquay_bundles import settings as bundle_settings
 from masticquay_endpoints import catalogs
 from masticquay_endpoints import watchers
-from masticquay_entry import admissions
-from masticquay_entry import applications
-from masticquay_entry import backends
-from masticquay_entry import cancellers
-from masticquay_entry import drains
-from masticquay_entry import intents
+from masticquay_entry import hosts
 from masticquay_entry import logs
-from masticquay_entry import metrics
-from masticquay_entry import runs
-from masticquay_entry import servers
 from masticquay_entry import settings
-from masticquay_entry import supervisors
-from masticquay_entry import usages
 from masticquay_membership import clients as control_clients
 from masticquay_membership import messages as membership_messages
-from masticquay_membership import protocols as membership_protocols
 from masticquay_membership import sessions
 from masticquay_scheduling import clients as pool_clients
 from masticquay_scheduling import directories
@@ -71,12 +60,11 @@
         with self._stack:
             session = self._open_session()
             self._start_scheduling(session)
-            self._start_calls(session)
-            self._start_server(session)
+            host = self._start_host(session)
             session.start()
-            self._log_when_ready(session)
+            self._log_when_ready(session, host)
             self._stopping.wait()
-            finished = self._drain.run(self._server)
+            finished = host.drain()
             return 0 if finished else EXIT_FAILED
 
     def _open_session(self) -> sessions.Session:
@@ -133,89 +121,29 @@
             part.start()
             self._stack.callback(part.close)
 
-    def _start_calls(self, session: sessions.Session) -> None:
-        """Starts what serves and watches requests."""
-        self._gate = admissions.Gate(session)
-        self._registry = runs.RunRegistry(self._gate)
-        session.add_listener(self._registry.apply_state)
-        session.add_listener(self._retain_clients)
-        canceller = cancellers.Canceller(self._catalog.engine, self._clock)
-        self._stack.callback(canceller.close)
-        self._metrics = metrics.EntryMetrics()
-        self._stack.callback(self._metrics.close)
-        usage = usages.UsageRecorder()
-        reporter = usages.UsageReporter(
-            session, usage, self._settings.usage_interval_ms
-        )
-        reporter.start()
-        self._stack.callback(reporter.stop)
-        self._keeper = intents.IntentKeeper(session)
-        self._keeper.start()
-        self._stack.callback(self._keeper.stop)
-        supervisor = supervisors.Supervisor(
-            session,
-            self._registry,
-            self._clock,
-            self._settings.caller_stall_ms,
-        )
-        supervisor.start()
-        self._stack.callback(supervisor.stop)
-        self._parts = backends.Backends(
+    def _start_host(self, session: sessions.Session) -> hosts.EntryHost:
+        host = hosts.EntryHost(
             session,
             self._pools,
             self._rates,
             self._catalog,
-            canceller,
-            self._registry,
-            self._metrics,
-            usage,
+            self._settings,
             self._clock,
         )
-        self._observe(canceller)
-
-    def _start_server(self, session: sessions.Session) -> None:
-        self._drain = drains.Drain(
-            session, self._registry, self._clock, self._settings
-        )
-        application = applications.Application(
-            self._parts, self._gate, self._keeper, self._drain, self._settings
-        )
-        self._server = servers.EntryServer(application, self._settings)
-        self._stack.callback(self._server.close)
-        self._server.start()
+        self._stack.callback(host.close)
+        host.start()
+        return host
 
-    def _retain_clients(
-        self,
-        old: membership_protocols.HostState,
-        new: membership_protocols.HostState,
+    def _log_when_ready(
+        self, session: sessions.Session, host: hosts.EntryHost
     ) -> None:
-        if new.bundle is not None and new.bundle is not old.bundle:
-            self._catalog.retain(new.bundle)
-
-    def _observe(self, canceller: cancellers.Canceller) -> None:
-        observe = self._metrics.observe
-        registry = self._registry
-        observe('masticquay.running', lambda: len(registry.list_runs()))
-        observe(
-            'masticquay.cancels_acknowledged',
-            lambda: canceller.acknowledged_count,
-        )
-        observe(
-            'masticquay.cancels_given_up', lambda: canceller.given_up_count
-        )
-        observe(
-            'masticquay.intents_unconfirmed',
-            lambda: self._keeper.unconfirmed_count,
-        )
-
-    def _log_when_ready(self, session: sessions.Session) -> None:
         while not session.lease_valid():
             if self._stopping.wait(READY_POLL_MS / 1000):
                 return
         LOG.info(
             'ready',
             extra={
-                'caller_address': str(self._server.address),
+                'caller_address': str(host.address),
                 'incarnation': session.host.incarnation,
             },
         )
--- a/libs/entry/masticquay_entry/intents.py
+++ b/libs/entry/masticquay_entry/intents.py
@@ -1,5 +1,6 @@
 """Records of non-idempotent calls, kept by control."""
 
+import logging
 import threading
 
 from masticquay_entry import refusals
@@ -7,6 +8,8 @@
 from masticquay_membership import messages
 from masticquay_membership import protocols
 
+LOG = logging.getLogger(__name__)
+
 BEGIN_TIMEOUT_MS = 2_000
 FINISH_TIMEOUT_MS = 1_000
 RETRY_MS = 250
@@ -136,7 +139,10 @@
         while not self._stopped:
             self._wake.wait(RETRY_MS / 1000 if self._unconfirmed else None)
             self._wake.clear()
-            self._repeat_all()
+            try:
+                self._repeat_all()
+            except Exception:
+                LOG.exception('repeating records failed')
 
     def _repeat_all(self) -> None:
         with self._lock:
--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -144,7 +144,7 @@
             placement = self._bind_decode(placement, prefill)
             yield from self._decode(placement, prefill, ending)
             ending.outcome = messages.FINISHED_DONE
-            self._parts.budget.note_success()
+            self._parts.budget.record_success()
         except placements.AttemptError as failure:
             ending.outcome = failure.outcome
             ending.endpoint = failure.endpoint
--- a/libs/entry/masticquay_entry/runs.py
+++ b/libs/entry/masticquay_entry/runs.py
@@ -18,6 +18,7 @@
 KEY_WITHDRAWN = 'key-withdrawn'
 LEASE_LOST = 'lease-lost'
 DEADLINE = 'deadline'
+STOPPING = 'stopping'
 
 
 class Caller(typing.Protocol):
--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -85,7 +85,7 @@
             answer = self._send()
         except errors.InterruptedCallError as cause:
             raise self._run.refusal_for(cause.reason) from cause
-        self._parts.budget.note_success()
+        self._parts.budget.record_success()
         return ServiceAnswer(
             answer.status, returned_headers(answer.headers), answer.body
         )
--- a/libs/entry/masticquay_entry/usages.py
+++ b/libs/entry/masticquay_entry/usages.py
@@ -149,7 +149,10 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(self._interval_ms / 1000):
-            self.report_once()
+            try:
+                self.report_once()
+            except Exception:
+                LOG.exception('a usage report failed')
 
     def report_once(self, last: bool = False) -> bool:
         """Sends one batch; returns whether nothing is left unconfirmed."""
--- /dev/null
+++ b/libs/entry/tests/test_model_calls.py
@@ -0,0 +1,349 @@
+"""Tests of model requests against engines that fail in every way."""
+
+import http.client
+import json
+import threading
+import unittest
+
+from masticquay_standins import answers
+from tests import fakes
+
+PROMPT = '[[id=one]] [[tokens=30]] ' + 'text ' * 100
+
+
+def expected(prompt, max_tokens=256):
+    return answers.make_answer(prompt, max_tokens).text()
+
+
+class ModelCallCase(unittest.TestCase):
+    engines = 2
+    engine_options: dict = {}
+
+    def setUp(self):
+        self.site = fakes.Site(self.engines, 0, self.engine_options)
+        self.addCleanup(self.site.close)
+        self.host = self.site.add_host()
+
+    def assert_whole(self, reply, prompt=PROMPT):
+        self.assertEqual(200, reply.status, reply.body)
+        self.assertEqual('ran', reply.outcome)
+        self.assertEqual(expected(prompt), reply.text)
+
+    def assert_all_freed(self):
+        self.assertTrue(fakes.wait_for(lambda: self.site.held() == 0, 8))
+
+    def read_stream(self, prompt=PROMPT, **fields):
+        connection, response = self.host.open_stream(prompt, **fields)
+        self.addCleanup(connection.close)
+        return fakes.read_events(response.read())
+
+
+class AnswerTest(ModelCallCase):
+    def test_whole_answer_with_usage(self):
+        reply = self.host.complete(PROMPT)
+        self.assert_whole(reply)
+        usage = reply.json['usage']
+        self.assertEqual(30, usage['completion_tokens'])
+        self.assertEqual(['done'], self.host.pools.outcomes())
+
+    def test_unused_tokens_are_refunded(self):
+        reply = self.host.complete(PROMPT, max_tokens=100)
+        used = reply.json['usage']['total_tokens']
+        rates = self.host.rates
+        fakes.wait_for(lambda: rates.refunded_tokens)
+        self.assertEqual(70, rates.refunded_tokens)
+        self.assertEqual(used, rates.charged_tokens - rates.refunded_tokens)
+
+    def test_stream_has_each_token_once_and_usage(self):
+        events = self.read_stream(stream_options={'include_usage': True})
+        self.assertEqual(expected(PROMPT), fakes.stream_text(events))
+        self.assertEqual('data: [DONE]', events[-1])
+        self.assertEqual(30, events[-2]['usage']['completion_tokens'])
+        self.assertEqual('stop', events[-3]['choices'][0]['finish_reason'])
+
+    def test_chat_in_the_usual_form(self):
+        turn = {'role': 'user', 'content': 'hello [[tokens=3]]'}
+        body = {'model': fakes.MODEL, 'messages': [turn]}
+        reply = self.host.call('POST', '/v1/chat/completions', body)
+        message = reply.json['choices'][0]['message']
+        text = expected('user: hello [[tokens=3]]\nassistant: ')
+        self.assertEqual({'role': 'assistant', 'content': text}, message)
+
+    def test_decode_endpoint_that_is_bound_late(self):
+        self.host.pools.late_decode = True
+        self.assert_whole(self.host.complete(PROMPT))
+        self.assertEqual([], self.host.pools.prefills_done)
+
+    def test_key_reaches_no_engine(self):
+        self.host.complete(PROMPT, headers={'Cookie': f'k={fakes.KEY}'})
+        seen = str(self.site.events('request'))
+        self.assertIn('engine', seen)
+        self.assertNotIn(fakes.KEY, seen)
+
+
+class FaultTest(ModelCallCase):
+    def test_refused_prefill_is_tried_elsewhere(self):
+        self.site.faults('engine-0', refuse=1)
+        self.assert_whole(self.host.complete(PROMPT))
+        self.assertEqual(
+            ['prefill-failed', 'done'], self.host.pools.outcomes()
+        )
+        self.assertEqual('engine-0', self.host.pools.finished[0].endpoint)
+
+    def test_garbled_prefill_is_tried_elsewhere(self):
+        self.site.faults('engine-0', garble=1)
+        self.assert_whole(self.host.complete(PROMPT))
+
+    def test_silent_prefill_is_tried_elsewhere(self):
+        self.site.faults('engine-0', silent=1)
+        self.assert_whole(self.host.complete(PROMPT))
+        self.assert_all_freed()
+
+    def test_dead_engine_is_tried_elsewhere(self):
+        self.site.kill('engine-0')
+        self.assert_whole(self.host.complete(PROMPT))
+
+    def test_engines_that_all_refuse_have_run_nothing(self):
+        for name in self.site.engine_names:
+            self.site.kill(name)
+        reply = self.host.complete(PROMPT)
+        self.assertEqual(503, reply.status)
+        self.assertEqual('not-run', reply.outcome)
+        self.assertEqual(
+            self.host.rates.charged_tokens, self.host.rates.refunded_tokens
+        )
+
+    def test_lost_prefill_result_is_made_again(self):
+        self.host.pools.late_decode = True
+        original = self.host.pools.await_decode
+        lost = threading.Event()
+
+        def lose_first(*arguments):
+            if not lost.is_set():
+                lost.set()
+                prefills = self.site.standins['engine-0'].application
+                prefills._prefills.cancel(str(arguments[1]))
+            return original(*arguments)
+
+        self.host.pools.await_decode = lose_first
+        self.assert_whole(self.host.complete(PROMPT))
+        self.assertEqual(
+            ['transfer-failed', 'done'], self.host.pools.outcomes()
+        )
+
+    def test_crossed_answers_are_dropped(self):
+        for number in range(5):
+            self.site.faults('engine-1', crossed=1)
+            prompt = f'[[id={number}]] [[tokens=5]]'
+            self.assert_whole(self.host.complete(prompt), prompt)
+
+    def test_cut_stream_is_resumed_at_the_engine(self):
+        self.site.faults('engine-1', cut=1)
+        events = self.read_stream()
+        self.assertEqual(expected(PROMPT), fakes.stream_text(events))
+        self.assertEqual('data: [DONE]', events[-1])
+        self.assert_all_freed()
+
+    def test_repeated_tokens_reach_the_caller_once(self):
+        self.site.faults('engine-1', repeat=1)
+        events = self.read_stream()
+        self.assertEqual(expected(PROMPT), fakes.stream_text(events))
+        self.assert_all_freed()
+
+    def test_silent_stream_is_resumed_over_a_new_connection(self):
+        self.site.faults('engine-1', silent=1)
+        events = self.read_stream()
+        self.assertEqual(expected(PROMPT), fakes.stream_text(events))
+        self.assert_all_freed()
+
+
+class LongStreamTest(ModelCallCase):
+    """Streams that something ends long before their last token."""
+
+    engines = 3
+    engine_options = {'step_ms': 20}
+    prompt = '[[id=long]] [[tokens=100]] text'
+
+    def start(self, **fields):
+        connection, response = self.host.open_stream(self.prompt, **fields)
+        self.addCleanup(connection.close)
+        first = response.read1()
+        self.assertTrue(first)
+        return connection, response, first
+
+    def test_engine_that_dies_in_mid_stream_is_replaced(self):
+        connection, response, first = self.start()
+        dead = self.site.standins['engine-2'].application
+        dead.faults.set({'stall_ms': 60_000})
+        dead.close()
+        self.site.kill('engine-2')
+        events = fakes.read_events(first + response.read())
+        self.assertEqual(expected(self.prompt), fakes.stream_text(events))
+        self.assertEqual(['decode-failed', 'done'], self.host.pools.outcomes())
+
+    def test_stalled_engine_is_replaced(self):
+        connection, response, first = self.start()
+        self.site.faults('engine-2', stall_ms=4_000)
+        events = fakes.read_events(first + response.read())
+        self.assertEqual(expected(self.prompt), fakes.stream_text(events))
+        self.assert_all_freed()
+
+    def test_caller_that_leaves_frees_the_engine(self):
+        connection, response, first = self.start()
+        response.close()
+        connection.close()
+        self.assert_all_freed()
+        self.assertTrue(
+            fakes.wait_for(lambda: self.host.pools.outcomes() == ['cancelled'])
+        )
+        self.assertTrue(
+            fakes.wait_for(lambda: self.host.host.running_count == 0)
+        )
+
+    def test_caller_that_leaves_before_the_first_token(self):
+        self.site.faults('engine-0', stall_ms=1_000)
+        address = self.host.host.address
+        body = {'model': fakes.MODEL, 'prompt': self.prompt}
+        connection = http.client.HTTPConnection(address.host, address.port)
+        headers = {'Authorization': f'Bearer {fakes.KEY}'}
+        connection.request(
+            'POST', '/v1/completions', json.dumps(body), headers
+        )
+        self.assertTrue(fakes.wait_for(lambda: self.host.pools.admits))
+        connection.close()
+        self.assertTrue(
+            fakes.wait_for(lambda: self.host.pools.outcomes() == ['cancelled'])
+        )
+        self.assert_all_freed()
+
+    def test_withdrawn_key_ends_the_stream_with_an_error(self):
+        connection, response, first = self.start()
+        self.host.membership.withdraw(fakes.KEY)
+        events = fakes.read_events(first + response.read())
+        self.assertEqual('key-withdrawn', events[-1]['error']['code'])
+        self.assertEqual('unknown', events[-1]['error']['outcome'])
+        self.assert_all_freed()
+
+    def test_withdrawn_key_on_a_patient_route_lets_the_stream_end(self):
+        connection, response = self.host.open_stream(
+            self.prompt, path='/patient/completions', max_tokens=20
+        )
+        self.addCleanup(connection.close)
+        first = response.read1()
+        self.host.membership.withdraw(fakes.KEY)
+        events = fakes.read_events(first + response.read())
+        self.assertEqual('data: [DONE]', events[-1])
+
+    def test_other_keys_go_on(self):
+        connection, response, first = self.start(max_tokens=20)
+        self.host.membership.withdraw(fakes.FOREIGN_KEY)
+        events = fakes.read_events(first + response.read())
+        self.assertEqual('data: [DONE]', events[-1])
+
+    def test_a_stream_runs_under_the_bundle_it_was_admitted_under(self):
+        connection, response, first = self.start(max_tokens=20)
+        newer = fakes.make_bundle(self.site.endpoints, version=2)
+        newer.keys, newer.routes = [], []
+        self.host.membership.change(bundle=newer)
+        events = fakes.read_events(first + response.read())
+        self.assertEqual('data: [DONE]', events[-1])
+        self.assertEqual(404, self.host.complete(PROMPT).status)
+
+    def test_lost_lease_ends_keyed_streams_and_spares_open_ones(self):
+        connection, response, first = self.start()
+        other, open_response = self.host.open_stream(
+            self.prompt, path='/open/completions', max_tokens=20
+        )
+        self.addCleanup(other.close)
+        self.host.membership.lease = False
+        events = fakes.read_events(first + response.read())
+        self.assertEqual('lease-lost', events[-1]['error']['code'])
+        events = fakes.read_events(open_response.read())
+        self.assertEqual('data: [DONE]', events[-1])
+
+    def test_deadline_ends_the_stream_with_an_error(self):
+        connection, response = self.host.open(
+            'POST',
+            '/v1/completions',
+            {'model': fakes.MODEL, 'prompt': self.prompt, 'stream': True},
+            headers={'Masticquay-Class': 'brief'},
+        )
+        self.addCleanup(connection.close)
+        events = fakes.read_events(response.read())
+        self.assertEqual('deadline', events[-1]['error']['code'])
+        self.assert_all_freed()
+
+
+class SlowReaderTest(ModelCallCase):
+    engine_options = {'step_ms': 0.2}
+
+    def test_caller_that_reads_nothing_is_cut(self):
+        host = self.site.add_host(
+            caller_stall_ms=300, output_buffer_bytes=4_096
+        )
+        prompt = '[[id=slow]] [[tokens=8000]] text'
+        connection, response = host.open_stream(prompt, max_tokens=8_000)
+        self.addCleanup(connection.close)
+        self.assertTrue(
+            fakes.wait_for(lambda: host.pools.outcomes() == ['cancelled'])
+        )
+        self.assertTrue(fakes.wait_for(lambda: host.host.running_count == 0))
+        self.assert_all_freed()
+
+
+class QueueTest(ModelCallCase):
+    def setUp(self):
+        super().setUp()
+        self.host.pools.holding = True
+        self.replies = []
+
+    def queue(self, **fields):
+        thread = threading.Thread(
+            target=lambda: self.replies.append(
+                self.host.complete(PROMPT, **fields)
+            )
+        )
+        thread.start()
+        self.addCleanup(thread.join)
+        self.assertTrue(fakes.wait_for(lambda: self.host.pools.admits))
+        return thread
+
+    def assert_refused(self, status, code):
+        reply = self.replies[0]
+        self.assertEqual((status, code), (reply.status, reply.code))
+        self.assertEqual('not-run', reply.outcome)
+        rates = self.host.rates
+        self.assertEqual(rates.charged_tokens, rates.refunded_tokens)
+        self.assertEqual([], self.site.events('request'))
+
+    def test_withdrawn_key_in_the_queue_is_refused_as_not_run(self):
+        thread = self.queue()
+        self.host.membership.withdraw(fakes.KEY)
+        thread.join()
+        self.assert_refused(401, 'key-withdrawn')
+
+    def test_withdrawn_key_in_the_queue_of_a_patient_route(self):
+        thread = self.queue(path='/patient/completions')
+        self.host.membership.withdraw(fakes.KEY)
+        thread.join()
+        self.assert_refused(401, 'key-withdrawn')
+
+    def test_lost_lease_in_the_queue_is_refused_as_not_run(self):
+        thread = self.queue()
+        self.host.membership.lease = False
+        thread.join()
+        self.assert_refused(503, 'lease-lost')
+
+    def test_wait_limit_is_refused_with_a_time_to_come_back(self):
+        thread = self.queue(headers={'Masticquay-Class': 'brief'})
+        thread.join()
+        self.assertEqual(503, self.replies[0].status)
+        self.assertIn('Retry-After', self.replies[0].headers)
+
+    def test_over_rate_is_refused_at_once(self):
+        self.host.rates.refusing = True
+        reply = self.host.complete(PROMPT)
+        self.assertEqual((429, 'over-rate'), (reply.status, reply.code))
+        self.assertEqual('2', reply.headers['Retry-After'])
+        self.assertEqual('not-run', reply.outcome)
+        self.assertEqual([], self.host.pools.admits)
--- /dev/null
+++ b/libs/entry/tests/test_service_calls.py
@@ -0,0 +1,218 @@
+"""Tests of service calls: at most once, and what callers are told."""
+
+import contextlib
+import http.client
+import threading
+import unittest
+
+from masticquay_entry import service_calls
+from tests import fakes
+
+PAYOUTS = '/services/payments/payouts'
+BALANCE = '/services/payments/balances/1'
+
+
+class ServiceCase(unittest.TestCase):
+    def setUp(self):
+        self.site = fakes.Site(0, 2)
+        self.addCleanup(self.site.close)
+        self.host = self.site.add_host()
+
+    def pay(self, key='pay-1', body='{"amount": 5}', host=None, **options):
+        headers = {'Idempotency-Key': key} if key else {}
+        return (host or self.host).call(
+            'POST', PAYOUTS, body, headers=headers, **options
+        )
+
+    def run_count(self):
+        return len(self.site.events('run'))
+
+    def in_background(self, **options):
+        replies = []
+
+        def run():
+            with contextlib.suppress(http.client.RemoteDisconnected):
+                replies.append(self.pay(**options))
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        self.addCleanup(thread.join)
+        return thread, replies
+
+
+class IdempotentTest(ServiceCase):
+    def test_answer_and_path(self):
+        reply = self.host.call('GET', BALANCE)
+        self.assertEqual(200, reply.status)
+        self.assertEqual('/balances/1', reply.json['path'])
+        self.assertEqual('ran', reply.outcome)
+        self.assertEqual(['done'], self.host.pools.outcomes())
+
+    def test_key_reaches_no_service(self):
+        headers = {'Cookie': 'a=b', 'X-Copy': fakes.KEY, 'X-Kept': 'kept'}
+        self.host.call('GET', BALANCE, headers=headers)
+        seen = str(self.site.events('request'))
+        self.assertIn('kept', seen)
+        self.assertNotIn(fakes.KEY, seen)
+        self.assertNotIn('Cookie', seen)
+
+    def test_failed_call_is_tried_elsewhere(self):
+        for fault in ('garble', 'cut'):
+            self.site.faults('service-0', **{fault: 1})
+            self.assertEqual(200, self.host.call('GET', BALANCE).status)
+
+    def test_crossed_answers_are_dropped(self):
+        self.site.faults('service-0', crossed=4)
+        for number in range(4):
+            path = f'/services/payments/balances/{number}'
+            reply = self.host.call('GET', path)
+            self.assertEqual(f'/balances/{number}', reply.json['path'])
+
+
+class OnceTest(ServiceCase):
+    def test_idempotency_key_is_needed(self):
+        reply = self.pay(key='')
+        self.assertEqual(400, reply.status)
+        self.assertEqual('no-idempotency-key', reply.code)
+        self.assertEqual('not-run', reply.outcome)
+
+    def test_resubmission_on_another_host_gets_the_stored_answer(self):
+        other = self.site.add_host('entry-2')
+        first = self.pay()
+        again = self.pay(host=other)
+        self.assertEqual(first.body, again.body)
+        self.assertEqual('true', again.headers['Masticquay-Replayed'])
+        self.assertEqual('ran', again.outcome)
+        self.assertEqual(1, self.run_count())
+
+    def test_other_body_under_the_same_key_is_refused(self):
+        self.pay()
+        reply = self.pay(body='{"amount": 6}')
+        self.assertEqual(422, reply.status)
+        self.assertEqual('not-run', reply.outcome)
+        self.assertEqual(1, self.run_count())
+
+    def test_workspaces_do_not_share_keys(self):
+        self.pay()
+        self.assertEqual(200, self.pay(key='pay-1').status)
+        reply = self.host.call(
+            'POST',
+            PAYOUTS,
+            '{}',
+            key=fakes.FOREIGN_KEY,
+            headers={'Idempotency-Key': 'pay-1'},
+        )
+        self.assertNotIn('Masticquay-Replayed', reply.headers)
+        self.assertEqual(2, self.run_count())
+
+    def test_duplicates_at_once_over_two_hosts_run_once(self):
+        other = self.site.add_host('entry-2')
+        self.site.faults('service-0', late_ms=300)
+        waiting = [
+            self.in_background(host=host) for host in (self.host, other) * 3
+        ]
+        for thread, _ in waiting:
+            thread.join()
+        replies = [found[0] for _, found in waiting]
+        self.assertEqual(1, self.run_count())
+        self.assertEqual(
+            {(200, 'ran'), (409, 'unknown')},
+            {(reply.status, reply.outcome) for reply in replies},
+        )
+        self.assertEqual(200, self.pay().status)
+        self.assertEqual(1, self.run_count())
+
+    def test_service_that_dies_in_the_call_leaves_it_unknown(self):
+        for number, fault in enumerate(('cut', 'silent', 'garble')):
+            self.site.faults('service-0', **{fault: 1})
+            headers = {
+                'Idempotency-Key': f'pay-{number}',
+                'Masticquay-Class': 'brief',
+            }
+            reply = self.host.call('POST', PAYOUTS, '{}', headers=headers)
+            self.assertIn(reply.status, (502, 504))
+            self.assertEqual('unknown', reply.outcome)
+            again = self.host.call('POST', PAYOUTS, '{}', headers=headers)
+            self.assertEqual(409, again.status)
+            self.assertEqual('unknown', again.outcome)
+        self.assertLessEqual(self.run_count(), 3)
+        self.assertEqual([], self.site.events('request', 'service-1'))
+
+    def test_unreachable_service_is_tried_elsewhere(self):
+        self.site.kill('service-0')
+        self.assertEqual(200, self.pay().status)
+        self.assertEqual(1, self.run_count())
+
+    def test_no_reachable_service_is_not_run_and_may_come_again(self):
+        self.host.pools.services = []
+        reply = self.pay()
+        self.assertEqual((503, 'not-run'), (reply.status, reply.outcome))
+        self.host.pools.services = self.site.service_names
+        self.assertEqual(200, self.pay().status)
+        self.assertEqual(1, self.run_count())
+
+    def test_unrecorded_call_is_not_made(self):
+        self.host.membership.failing = {'begin'}
+        reply = self.pay()
+        self.assertEqual((503, 'not-run'), (reply.status, reply.outcome))
+        self.assertEqual(0, self.run_count())
+
+    def test_lost_answer_of_the_record_leaves_the_key_usable(self):
+        self.host.membership.lost_answers = {'begin'}
+        reply = self.pay()
+        self.assertEqual((503, 'not-run'), (reply.status, reply.outcome))
+        self.host.membership.lost_answers = set()
+        self.assertTrue(fakes.wait_for(lambda: self.pay().status == 200))
+        self.assertEqual(1, self.run_count())
+
+    def test_unconfirmed_outcome_is_recorded_later(self):
+        other = self.site.add_host('entry-2')
+        self.host.membership.failing = {'finish'}
+        self.assertEqual(200, self.pay().status)
+        self.assertEqual(409, self.pay().status)
+        self.assertEqual(409, self.pay(host=other).status)
+        self.host.membership.failing = set()
+        self.assertTrue(
+            fakes.wait_for(lambda: self.pay(host=other).status == 200)
+        )
+        self.assertEqual(1, self.run_count())
+
+    def test_withdrawn_key_lets_a_sent_call_finish(self):
+        self.site.faults('service-0', late_ms=500)
+        thread, replies = self.in_background()
+        self.assertTrue(fakes.wait_for(lambda: self.site.events('request')))
+        self.host.membership.withdraw(fakes.KEY)
+        self.host.membership.lease = False
+        thread.join()
+        self.assertEqual((200, 'ran'), (replies[0].status, replies[0].outcome))
+
+    def test_withdrawn_key_refuses_a_queued_call(self):
+        self.host.pools.holding = True
+        thread, replies = self.in_background()
+        self.assertTrue(fakes.wait_for(lambda: self.host.pools.admits))
+        self.host.membership.withdraw(fakes.KEY)
+        thread.join()
+        self.assertEqual(401, replies[0].status)
+        self.assertEqual('not-run', replies[0].outcome)
+        self.assertEqual(0, self.run_count())
+
+    def test_caller_that_leaves_lets_a_sent_call_finish(self):
+        self.site.faults('service-0', late_ms=500)
+        thread, replies = self.in_background()
+        self.assertTrue(fakes.wait_for(lambda: self.site.events('request')))
+        run = self.host.host._registry.list_runs()[0]
+        run.caller.cut()
+        self.assertTrue(
+            fakes.wait_for(lambda: self.host.host.running_count == 0)
+        )
+        reply = self.pay()
+        self.assertEqual('true', reply.headers['Masticquay-Replayed'])
+        self.assertEqual(1, self.run_count())
+
+    def test_long_answers_are_stored_without_their_body(self):
+        body = b'x' * (service_calls.MAX_STORED_BODY_BYTES + 1)
+        stored = service_calls._store(
+            service_calls.ServiceAnswer(200, [], body)
+        )
+        self.assertEqual(b'', stored.body)
+        self.assertIn(service_calls.OMITTED_HEADER, stored.headers)
