Orders to engines, the platform list, and tests of the control rules

Leaving endpoints come from the platform list, polled each second by the leader and committed as a change, so that every replica pushes them.

--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -13,8 +13,11 @@
 from masticquay_control import leases
 from masticquay_control import machines
 from masticquay_control import offices
+from masticquay_control import order_runs
+from masticquay_control import platforms
 from masticquay_control import services
 from masticquay_control import watchers
+from masticquay_membership import messages as membership
 from masticquay_wire import clocks
 from masticquay_wire import listeners
 from masticquay_wire import peers
@@ -22,6 +25,8 @@
 LOG = logging.getLogger(__name__)
 
 TICK_MS = 50
+JOIN_TIMEOUT_S = 2
+ORDER_INTERVAL_MS = 250
 
 
 class ReplicaSettings:
@@ -88,6 +93,10 @@
         self.forwarder = forwarders.Forwarder(
             settings.name, settings.secret, self.log
         )
+        self.platform = platforms.PlatformList()
+        self.orders = order_runs.OrderRunner(
+            self.machine, self.office, self.clock
+        )
         self.service = services.ControlService(
             self.log,
             self.machine,
@@ -113,11 +122,17 @@
             self.forwarder.start()
             stack.callback(self.forwarder.close)
             stack.callback(self.watchers.close)
-            ticker = threading.Thread(
-                target=self._run_ticks, name='ticks', daemon=True
+            stack.callback(self.orders.close)
+            self._start_duty(stack, 'ticks', TICK_MS, self._tick)
+            self._start_duty(
+                stack, 'orders', ORDER_INTERVAL_MS, self._give_orders
+            )
+            self._start_duty(
+                stack,
+                'platform',
+                platforms.POLL_INTERVAL_MS,
+                self._follow_platform,
             )
-            ticker.start()
-            stack.callback(ticker.join, 2)
             stack.callback(self._stopping.set)
             self._stack = stack.pop_all()
 
@@ -143,12 +158,30 @@
             random.Random(f'{settings.seed} {settings.name}'),
         )
 
-    def _run_ticks(self) -> None:
-        while not self._stopping.wait(TICK_MS / 1000):
+    def _start_duty(
+        self,
+        stack: contextlib.ExitStack,
+        name: str,
+        interval_ms: int,
+        duty: typing.Callable[[], None],
+    ) -> None:
+        thread = threading.Thread(
+            target=self._run_duty,
+            args=[interval_ms, duty],
+            name=name,
+            daemon=True,
+        )
+        thread.start()
+        stack.callback(thread.join, JOIN_TIMEOUT_S)
+
+    def _run_duty(
+        self, interval_ms: int, duty: typing.Callable[[], None]
+    ) -> None:
+        while not self._stopping.wait(interval_ms / 1000):
             try:
-                self._tick()
+                duty()
             except Exception:
-                LOG.exception('a tick failed')
+                LOG.exception('a duty failed')
 
     def _tick(self) -> None:
         self.office.tick()
@@ -179,5 +212,28 @@
             )
         self._changing_view = False
 
-    def _report_endpoints(self) -> list:
-        return []
+    def _give_orders(self) -> None:
+        if self.office.acting():
+            self.orders.run_once()
+
+    def _follow_platform(self) -> None:
+        """Reads the platform list; commits which endpoints leave."""
+        bundle = self.machine.bundles.bundle
+        if bundle is None or not self.office.acting():
+            return
+        leaving = self.platform.poll(bundle)
+        if leaving is None or leaving == self.machine.endpoints.leaving:
+            return
+        self.office.propose(commands.SetLeavingEndpoints(leaving))
+
+    def _report_endpoints(self) -> list[membership.EndpointStatus]:
+        bundle = self.machine.bundles.bundle
+        if bundle is None:
+            return []
+        return [
+            order_runs.describe(
+                self.orders.report(endpoint.name),
+                self.platform.state_of(endpoint.name),
+            )
+            for endpoint in bundle.endpoints
+        ]
--- /dev/null
+++ b/libs/control/tests/test_machines.py
@@ -0,0 +1,199 @@
+"""Tests of the state machine: rules, retention, snapshots."""
+
+import unittest
+
+from masticquay_bundles import models
+from masticquay_control import commands
+from masticquay_control import errors
+from masticquay_control import intents
+from masticquay_control import ledgers
+from masticquay_control import machines
+from masticquay_membership import messages as membership
+from masticquay_membership import states
+from masticquay_wire import messages
+from tests import fixtures
+
+
+class MachineTest(unittest.TestCase):
+    def setUp(self):
+        self.machine = machines.ControlMachine()
+        self.index = 0
+        self.stamp_ms = 0
+        self.ada = fixtures.Approvers('ada')
+        self.bob = fixtures.Approvers('bob')
+
+    def apply(self, message):
+        self.index += 1
+        record = commands.Command(self.stamp_ms, messages.pack(message))
+        answer = self.machine.apply(self.index, messages.pack(record))
+        return messages.unpack(answer)
+
+    def roll(self, bundle, approvers, previous=None):
+        signed = approvers.sign(bundle)
+        return self.apply(fixtures.make_roll(signed, previous))
+
+    def join(self, *names):
+        hosts = []
+        for name in names:
+            opened = self.apply(membership.OpenSession(name, b'x'))
+            hosts.append(
+                membership.Host(name, opened.incarnation, 'p1', '', '')
+            )
+        self.change_view(hosts, [])
+        return [host.incarnation for host in hosts]
+
+    def change_view(self, put, removed):
+        number = self.machine.views.view.number
+        return self.apply(commands.ChangeView(number, put, removed))
+
+    def remove(self, name, incarnation):
+        self.change_view([], [commands.Removal(name, incarnation)])
+
+    def begin(self, host, incarnation, number, key='k'):
+        answer = self.apply(
+            membership.BeginIntent('s', key, b'd', host, incarnation, number)
+        )
+        return getattr(answer, 'state', None) or answer.code
+
+    def finish(self, host, incarnation, number, outcome, key='k'):
+        return self.apply(
+            membership.FinishIntent(
+                's', key, host, incarnation, outcome, None, number
+            )
+        )
+
+    def test_bundle_needs_the_approvers_of_the_one_before(self):
+        first = fixtures.make_bundle(1, self.ada)
+        self.roll(first, self.ada)
+        second = fixtures.make_bundle(2, self.bob)
+        answer = self.roll(second, self.bob, first)
+        self.assertEqual(membership.CODE_UNAPPROVED, answer.code)
+        self.assertFalse(self.roll(second, self.ada, first).repeated)
+
+    def test_late_host_verifies_a_chain_with_changed_approvers(self):
+        bundles = [fixtures.make_bundle(1, self.ada)]
+        self.roll(bundles[0], self.ada)
+        for version, named, signer in (
+            (2, self.ada, self.ada),
+            (3, self.bob, self.ada),
+            (4, self.bob, self.bob),
+        ):
+            bundles.append(fixtures.make_bundle(version, named))
+            self.roll(bundles[-1], signer, bundles[-2])
+        for start in range(5):
+            holder = states.StateHolder()
+            if start:
+                holder.apply(self.update_at(start, bundles[start - 1]))
+            self.assertTrue(holder.apply(self.machine.update_after(start)))
+            self.assertEqual(bundles[-1], holder.state.bundle)
+
+    def update_at(self, index, bundle):
+        signed = (self.ada if index < 3 else self.bob).sign(bundle)
+        change = membership.BundleChange(index, signed)
+        return membership.StateUpdate(0, index, True, [change], [], [])
+
+    def test_withdrawal_outlives_a_bundle_that_lists_the_key(self):
+        first = fixtures.make_bundle(1, self.ada)
+        self.roll(first, self.ada)
+        digest = fixtures.KEY_DIGESTS[0]
+        self.apply(membership.WithdrawKey(digest))
+        self.roll(fixtures.make_bundle(2, self.ada), self.ada, first)
+        holder = states.StateHolder()
+        holder.apply(self.machine.update_after(0))
+        self.assertEqual({digest}, holder.state.withdrawn)
+
+    def test_unlisted_key_cannot_be_withdrawn(self):
+        answer = self.apply(membership.WithdrawKey('00' * 32))
+        self.assertEqual(membership.CODE_UNKNOWN_KEY, answer.code)
+
+    def test_late_and_repeated_intents_never_begin_a_second_run(self):
+        one, two = self.join('h1', 'h2')
+        self.assertEqual('begun', self.begin('h1', one, 1))
+        self.assertEqual('begun', self.begin('h1', one, 1))
+        self.assertEqual('in-progress', self.begin('h1', one, 2))
+        self.finish('h1', one, 1, 'not-run')
+        self.assertEqual('stale', self.begin('h1', one, 1))
+        self.assertEqual('begun', self.begin('h2', two, 1))
+        late = self.finish('h1', one, 1, 'not-run')
+        self.assertEqual(membership.CODE_STALE, late.code)
+        self.assertEqual('in-progress', self.begin('h1', one, 3))
+
+    def test_intent_of_an_evicted_host_is_unknown_until_it_says(self):
+        one, two = self.join('h1', 'h2')
+        self.begin('h1', one, 1)
+        self.remove('h1', one)
+        self.assertEqual('unknown', self.begin('h2', two, 1))
+        self.assertEqual('evicted', self.begin('h1', one, 2, 'other'))
+        self.finish('h1', one, 1, 'ran')
+        self.assertEqual('finished', self.begin('h2', two, 1))
+
+    def test_retention_counts_logical_time_and_spares_running_calls(self):
+        (one,) = self.join('h1')
+        self.begin('h1', one, 1, 'done')
+        self.finish('h1', one, 1, 'ran', 'done')
+        self.begin('h1', one, 2, 'open')
+        self.stamp_ms = intents.RETENTION_MS - 1
+        self.assertEqual('finished', self.begin('h1', one, 3, 'done'))
+        self.stamp_ms = intents.RETENTION_MS
+        self.assertEqual('begun', self.begin('h1', one, 4, 'done'))
+        self.assertEqual('in-progress', self.begin('h1', one, 5, 'open'))
+
+    def test_usage_gap_is_bounded_and_closes_with_the_last_batch(self):
+        (one,) = self.join('h1')
+        self.remove('h1', one)
+        self.assertEqual([ledgers.UNKNOWN_BOUND_TOKENS], self.gaps())
+        self.report_usage(one, 1, 40)
+        self.assertEqual([40], self.gaps())
+        self.assertIsInstance(self.report_usage(one, 3, 0), messages.Failure)
+        self.report_usage(one, 2, 0, last=True)
+        self.report_usage(one, 2, 0, last=True)
+        self.assertEqual([], self.gaps())
+        usage = self.machine.ledger.report(membership.QueryUsage())
+        self.assertEqual(2, usage.entries[0].requests)
+
+    def gaps(self):
+        usage = self.machine.ledger.report(membership.QueryUsage())
+        return [gap.bound_tokens for gap in usage.gaps]
+
+    def report_usage(self, incarnation, sequence, bound, last=False):
+        entry = membership.UsageEntry('s', 'm', 'c', 1, requests=1)
+        return self.apply(
+            membership.ReportUsage(
+                'h1', incarnation, sequence, [entry], bound, last
+            )
+        )
+
+    def test_snapshot_restores_the_same_state(self):
+        self.roll(fixtures.make_bundle(1, self.ada), self.ada)
+        self.apply(membership.WithdrawKey(fixtures.KEY_DIGESTS[0]))
+        (one,) = self.join('h1')
+        self.begin('h1', one, 1)
+        self.report_usage(one, 1, 7)
+        self.apply(commands.SetLeavingEndpoints(['e1']))
+        data = self.machine.snapshot()
+        other = machines.ControlMachine()
+        other.restore(data, self.index)
+        self.assertEqual(data, other.snapshot())
+        self.assertEqual(self.machine.update_after(0), other.update_after(0))
+        self.machine = other
+        self.assertEqual('in-progress', self.begin('h1', one, 2))
+
+    def test_unreadable_command_and_snapshot_stop_the_replica(self):
+        with self.assertRaises(errors.CorruptStateError):
+            self.machine.apply(1, b'junk')
+        with self.assertRaises(errors.CorruptStateError):
+            self.machine.restore(b'junk', 1)
+
+    def test_two_changes_with_one_expected_view_make_one_view(self):
+        self.join('h1')
+        change = commands.ChangeView(0, [], [])
+        self.assertEqual(membership.CODE_CONFLICT, self.apply(change).code)
+
+    def test_roll_of_an_old_version_names_the_winner(self):
+        first = fixtures.make_bundle(5, self.ada)
+        self.roll(first, self.ada)
+        key = models.Key('aa' * 32, 'shop')
+        older = fixtures.make_bundle(4, self.ada, keys=[key])
+        answer = self.roll(older, self.ada, first)
+        self.assertEqual(membership.CODE_CONFLICT, answer.code)
+        self.assertIn('version 5', answer.detail)
