--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -21,6 +21,70 @@
 SETTLE_MS = 30_000
 
 
+class Profile:
+    """How often each kind of fault happens, by chance per step."""
+
+    def __init__(
+        self,
+        delays_ms=(5, 5, 20, 60, 400),
+        copies=(0, 1, 1, 1, 1, 1, 1, 2),
+        step_ms=25,
+        partition=0.01,
+        one_way=0.005,
+        mend=0.015,
+        crash=0.01,
+        disk_crash=0.02,
+        restart=0.3,
+        change=0.04,
+        flush=0.7,
+        power_cut=0.0,
+        propose=0.5,
+        steps=250,
+    ):
+        self.delays_ms = delays_ms
+        self.copies = copies
+        self.step_ms = step_ms
+        self.partition = partition
+        self.one_way = one_way
+        self.mend = mend
+        self.crash = crash
+        self.disk_crash = disk_crash
+        self.restart = restart
+        self.change = change
+        self.flush = flush
+        self.power_cut = power_cut
+        self.propose = propose
+        self.steps = steps
+
+
+PROFILES = (
+    Profile(),
+    Profile(
+        delays_ms=(1, 2),
+        copies=(1,),
+        step_ms=6,
+        one_way=0.02,
+        mend=0.01,
+        change=0.01,
+        propose=0.02,
+        steps=600,
+    ),
+    Profile(
+        crash=0.05, disk_crash=0.05, restart=0.3, flush=0.3, power_cut=0.01
+    ),
+    Profile(
+        delays_ms=(2, 200),
+        partition=0.04,
+        mend=0.04,
+        crash=0.03,
+        restart=0.2,
+        change=0.0,
+        flush=0.4,
+        power_cut=0.01,
+    ),
+)
+
+
 class DriftingClock:
     """A clock that runs a little faster or slower than the others."""
 
@@ -47,6 +111,12 @@
         self.clock = DriftingClock(world, rate, world.random.randint(0, 10**6))
 
     def start(self):
+        try:
+            self._start()
+        except faulty_disks.CrashError:
+            self.crash()
+
+    def _start(self):
         store = stores.Store(self.disk, self.name, self._world.random)
         self.machine = fleets.Recorder()
         self.replica = replicas.Replica(
@@ -78,6 +148,7 @@
 
     def __init__(self, seed, host_count=5, voter_count=3):
         self.random = random.Random(seed)
+        self.profile = PROFILES[seed % len(PROFILES)]
         self.now_ms = 0.0
         self.settings = settings_module.Settings(
             heartbeat_ms=50,
@@ -120,7 +191,7 @@
         self.settle()
 
     def step(self):
-        self.now_ms += self.random.randint(1, 25)
+        self.now_ms += self.random.randint(1, self.profile.step_ms)
         for host in self.hosts:
             self.drive(host)
         self.deliver()
@@ -139,7 +210,7 @@
             request = host.run(replica.next_request, member.replica_id)
             if request is not None:
                 self.send(host, request)
-        if self.random.random() < 0.7:
+        if not self.faulty or self.random.random() < self.profile.flush:
             host.run(replica.flush)
         if self.random.random() < 0.7:
             host.run(replica.apply)
@@ -181,8 +252,8 @@
         copies = 1
         delay_ms = 10
         if self.faulty:
-            copies = self.random.choice((0, 1, 1, 1, 1, 1, 1, 2))
-            delay_ms = self.random.choice((5, 5, 20, 60, 400))
+            copies = self.random.choice(self.profile.copies)
+            delay_ms = self.random.choice(self.profile.delays_ms)
         for _copy in range(copies):
             due_ms = self.now_ms + self.random.uniform(0, delay_ms)
             heapq.heappush(self.queue, (due_ms, next(self.order), action))
@@ -193,7 +264,9 @@
 
     def propose(self):
         for host in self.hosts:
-            if host.replica is None or self.random.random() < 0.5:
+            if host.replica is None:
+                continue
+            if self.faulty and not self.chance(self.profile.propose):
                 continue
             if host.replica.state.role != messages.ROLE_LEADER:
                 continue
@@ -214,24 +287,30 @@
         return done
 
     def inject_fault(self):
-        draw = self.random.random()
+        profile = self.profile
         host = self.random.choice(self.hosts)
-        if draw < 0.01:
+        if self.chance(profile.partition):
             self.partition()
-        elif draw < 0.015:
+        if self.chance(profile.one_way):
             other = self.random.choice(self.hosts)
             self.cut.add((host.name, other.name))
-        elif draw < 0.03:
+        if self.chance(profile.mend):
             self.cut.clear()
-        elif draw < 0.04 and host.replica:
+        if self.chance(profile.power_cut):
+            for struck in self.hosts:
+                struck.crash()
+        if self.chance(profile.crash):
             host.crash()
-        elif draw < 0.06 and host.replica:
+        if self.chance(profile.disk_crash):
             host.disk.steps_to_crash = self.random.randint(0, 6)
-        elif draw < 0.12 and host.replica is None:
+        if host.replica is None and self.chance(profile.restart):
             host.start()
-        elif draw < 0.16:
+        if self.chance(profile.change):
             self.change_members()
 
+    def chance(self, probability):
+        return self.random.random() < probability
+
     def partition(self):
         side = set(self.random.sample(self.hosts, 2))
         for one in side:
@@ -382,8 +461,8 @@
         host.checked_index = state.commit_index
 
 
-def run_seed(seed, steps=250):
+def run_seed(seed, steps=0):
     """Runs one seed; returns the world for its counts."""
     world = World(seed)
-    world.run(steps)
+    world.run(steps or world.profile.steps)
     return world
