--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -32,6 +32,7 @@
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of arrivals and faults.')
 _DURATION_S = flags.DEFINE_float('duration_s', 60, 'Length of a soak.', 1)
 _OUTPUT = flags.DEFINE_string('output', 'bench-result', 'Folder of results.')
+_KEEP = flags.DEFINE_string('keep', '', 'Folder that keeps records and logs.')
 _EARLIER = flags.DEFINE_string('earlier', '', 'Earlier result to compare.')
 
 
@@ -114,7 +115,7 @@
     for name in names:
         trace = traces.load(name)
         print(f'replaying {trace.name}', flush=True)
-        done = replays.replay(trace, _SEED.value)
+        done = replays.replay(trace, _SEED.value, _keep_folder(name))
         print(replays.format_replay(done), flush=True)
         if not done.held:
             failed.append(trace.name)
@@ -123,6 +124,10 @@
     return EXIT_FAILED if failed else 0
 
 
+def _keep_folder(name: str) -> pathlib.Path | None:
+    return pathlib.Path(_KEEP.value, name) if _KEEP.value else None
+
+
 def main(arguments: list[str]) -> int:
     """Runs the command that the command line names."""
     words = arguments[1:]
@@ -136,7 +141,9 @@
             print('\n'.join(traces.list_names()))
             return 0
         if words == ['soak']:
-            return soaks.soak(_DURATION_S.value, _SEED.value)
+            return soaks.soak(
+                _DURATION_S.value, _SEED.value, _keep_folder('soak')
+            )
     except errors.BenchError as cause:
         print(cause, file=sys.stderr)
         return EXIT_FAILED
--- a/libs/bench/masticquay_bench/fleets.py
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -15,6 +15,7 @@
 from masticquay_bench import deployments
 from masticquay_bench import errors
 from masticquay_bench import evidence
+from masticquay_bench import forwarders
 from masticquay_bench import layouts
 from masticquay_bench import processes
 from masticquay_bench import standin_configs
@@ -56,6 +57,8 @@
     Use as a context manager.
 
     :param engine_options: options of every engine stand-in
+    :param rates: rate and burst by workspace, where other than usual
+    :param forwarded: entry hosts reach control through ``forwarders``
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         seed: int = 0,
         engine_options: dict[str, typing.Any] | None = None,
         rates: dict[str, tuple[int, int]] | None = None,
+        forwarded: bool = False,
     ):
         self.deployment = deployment
         self.sizes = sizes or Sizes()
@@ -78,6 +82,8 @@
         self.keys: dict[str, str] = {}
         self._engine_options = engine_options or {}
         self._rates = rates or {}
+        self._forwarded = forwarded
+        self.forwarders: list[forwarders.Forwarder] = []
         self._stack = contextlib.ExitStack()
         self.folder = pathlib.Path()
 
@@ -262,14 +268,26 @@
             'place': place,
             'caller_address': self.layout.caller(number),
             'peer_address': self.layout.peer(number),
-            'control': [
-                self.layout.control(n) for n in range(self.sizes.controls)
-            ],
+            'control': self._control_addresses(),
             'secret_file': str(self.folder / 'secret'),
             'seed': self.seed + number,
         }
         return self._make_daemon(ENTRY_MODULE, settings)
 
+    def _control_addresses(self) -> list[str]:
+        """Returns where entry hosts reach control."""
+        if self._forwarded:
+            return [forwarder.address for forwarder in self.forwarders]
+        return [self.layout.control(n) for n in range(self.sizes.controls)]
+
+    def _open_forwarders(self) -> None:
+        for number in range(self.sizes.controls):
+            forwarder = forwarders.Forwarder(
+                self.layout.forwarder(number), self.layout.control(number)
+            )
+            self._stack.callback(forwarder.close)
+            self.forwarders.append(forwarder)
+
     def _open(self) -> None:
         self.folder = pathlib.Path(
             self._stack.enter_context(
@@ -278,6 +296,8 @@
         )
         self._prepare_files()
         self._start_standins()
+        if self._forwarded:
+            self._open_forwarders()
         self.controls = [
             self.make_control(n) for n in range(self.sizes.controls)
         ]
--- a/libs/bench/masticquay_bench/forwarders.py
+++ b/libs/bench/masticquay_bench/forwarders.py
@@ -38,6 +38,7 @@
         self._halves: set[_Half] = set()
         self._lock = threading.Lock()
         self._closed = threading.Event()
+        self.forwarded_bytes = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -104,6 +105,7 @@
         try:
             data = half.source.recv(CHUNK_BYTES)
             if data:
+                self.forwarded_bytes += len(data)
                 half.target.sendall(data)
                 return
         except OSError:
--- a/libs/bench/masticquay_bench/layouts.py
+++ b/libs/bench/masticquay_bench/layouts.py
@@ -13,6 +13,7 @@
 ENGINE_FIRST = 60
 SERVICE_FIRST = 140
 OTHER_FIRST = 200
+FORWARDER_FIRST = 210
 
 _fleet_numbers = itertools.count()
 
@@ -50,3 +51,7 @@
     def other(self, number: int) -> str:
         """Returns the address of another stand-in."""
         return f'{self._prefix}.{OTHER_FIRST + number}:{STANDIN_PORT}'
+
+    def forwarder(self, number: int) -> str:
+        """Returns the address of the forwarder before a control host."""
+        return f'{self._prefix}.{FORWARDER_FIRST + number}:{PEER_PORT}'
--- a/libs/bench/masticquay_bench/replays.py
+++ b/libs/bench/masticquay_bench/replays.py
@@ -1,5 +1,6 @@
 """Replays a trace through real processes and checks its stated outcomes."""
 
+import pathlib
 import time
 
 from masticquay_bench import checkers
@@ -10,6 +11,7 @@
 from masticquay_bench import runs
 from masticquay_bench import summaries
 from masticquay_bench import traces
+from masticquay_bench import usage_checks
 
 # The judgement needs the memory of the last calls to be free again.
 SETTLE_S = 4.0
@@ -52,8 +54,13 @@
         return not self.failures and all(v.held for v in self.verdicts)
 
 
-def replay(trace: traces.Trace, seed: int, show: bool = True) -> Replay:
-    """Starts a fleet, replays the trace, and judges what came of it."""
+def replay(
+    trace: traces.Trace, seed: int, folder: pathlib.Path | None = None
+) -> Replay:
+    """Starts a fleet, replays the trace, and judges what came of it.
+
+    :param folder: where calls, journals and logs are kept
+    """
     sizes = fleets.Sizes(engine_slots=trace.values['engine_slots'])
     options = {'step_ms': trace.values['step_ms']}
     with fleets.Fleet(
@@ -62,11 +69,16 @@
         run = runs.Run(fleet, seed)
         director = directors.Director(run, trace.events())
         director.start()
-        drivers.Driver(run, trace.arrivals(seed), show).run()
+        drivers.Driver(run, trace.arrivals(seed)).run()
         director.stop()
         time.sleep(SETTLE_S)
         found = run.collect()
-    return judge(trace, seed, found, director.failures)
+        failures = director.failures + usage_checks.check_fleet(
+            fleet, found.calls
+        )
+        if folder is not None:
+            run.save(folder)
+    return judge(trace, seed, found, failures)
 
 
 def judge(
--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import pathlib
+import shutil
 import threading
 import typing
 
@@ -188,7 +189,13 @@
         )
 
     def save(self, folder: pathlib.Path) -> None:
-        """Writes the calls to a folder."""
+        """Copies calls, journals, logs and settings to a folder."""
+        shutil.copytree(
+            self.fleet.folder,
+            folder,
+            dirs_exist_ok=True,
+            ignore=shutil.ignore_patterns('secret', '*.pem', 'control-?'),
+        )
         self.log.write(folder / 'calls.jsonl')
 
     def _marked(
--- a/libs/bench/masticquay_bench/soaks.py
+++ b/libs/bench/masticquay_bench/soaks.py
@@ -1,5 +1,6 @@
 """Soak: a fleet under load with a seeded schedule of faults."""
 
+import pathlib
 import random
 import threading
 import time
@@ -12,6 +13,7 @@
 from masticquay_bench import replays
 from masticquay_bench import runs
 from masticquay_bench import traces
+from masticquay_bench import usage_checks
 
 RATE_PER_S = 6
 FIRST_FAULT_S = 5.0
@@ -59,6 +61,7 @@
             ('pause-entry', self._pause_entry),
             ('kill-control', self._kill_control),
             ('pause-control', self._pause_control),
+            ('silence-control', self._silence_control),
             ('kill-engine', self._kill_engine),
             ('stall-engine', self._stall_engine),
             ('faulty-engine', self._make_engine_faulty),
@@ -162,6 +165,10 @@
 
         self._with_control(act)
 
+    def _silence_control(self) -> None:
+        """Makes the open connections to one control host silent."""
+        self._rng.choice(self._run.fleet.forwarders).silence()
+
     def _kill_engine(self) -> None:
         count = len(self._run.fleet.engines)
         number = self._take('engine', count, count - 2)
@@ -215,18 +222,23 @@
         stream.join()
 
 
-def soak(duration_s: float, seed: int, rate_per_s: float = RATE_PER_S) -> int:
-    """Runs a soak, prints the verdicts and returns the exit code."""
+def soak(
+    duration_s: float, seed: int, folder: pathlib.Path | None = None
+) -> int:
+    """Runs a soak, prints the verdicts and returns the exit code.
+
+    :param folder: where calls, journals and logs are kept
+    """
     trace = traces.Trace(
         {
             'name': 'soak',
             'deployment': 'kalamu',
             'duration_s': duration_s,
-            'rate_per_s': rate_per_s,
+            'rate_per_s': RATE_PER_S,
         }
     )
     print(f'soak of {duration_s:.0f} s, seed {seed}', flush=True)
-    with fleets.Fleet(trace.deployment, seed=seed) as fleet:
+    with fleets.Fleet(trace.deployment, seed=seed, forwarded=True) as fleet:
         run = runs.Run(fleet, seed)
         director = directors.Director(run, [])
         makers = Soak(run, seed)
@@ -237,7 +249,12 @@
         director.stop()
         time.sleep(replays.SETTLE_S)
         found = run.collect()
-    done = replays.judge(trace, seed, found, makers.failures)
+        failures = makers.failures + usage_checks.check_fleet(
+            fleet, found.calls
+        )
+        if folder is not None:
+            run.save(folder)
+    done = replays.judge(trace, seed, found, failures)
     print(replays.format_replay(done))
     faults = ', '.join(f'{k} {v}' for k, v in sorted(makers.counts.items()))
     print(f'faults: {faults}')
