Partitions, pauses, restarts and repairs of control under test

A replica takes a link factory, so that a test can cut links by direction; a host's process can be paused past its lease. Operators can add and remove replicas; a resend joins the change that is under way.

--- a/libs/control/masticquay_control/forwarders.py
+++ b/libs/control/masticquay_control/forwarders.py
@@ -8,7 +8,6 @@
 from masticquay_control import commands
 from masticquay_control import offices
 from masticquay_membership import messages as membership
-from masticquay_wire import dialers
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages
 from masticquay_wire import peers
@@ -31,14 +30,19 @@
 class Forwarder:
     """Passes calls on to the leader, and renewals in aggregates."""
 
-    def __init__(self, name: str, secret: bytes, log: protocols.ReplicatedLog):
+    def __init__(
+        self,
+        name: str,
+        log: protocols.ReplicatedLog,
+        links: protocols.LinkFactory,
+    ):
         self._name = name
-        self._secret = secret
+        self._links = links
         self._log = log
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._closed = False
-        self._peers: dict[str, dialers.WebsocketPeer] = {}
+        self._peers: dict[str, peers.Peer] = {}
         self._renewals: list[_Gathered] = []
         self._applied: dict[str, membership.ChangesApplied] = {}
         self.forwarded_count = 0
@@ -114,13 +118,11 @@
         pending.add_done_callback(lambda done: _pass_on(done, answer))
         return answer
 
-    def _peer(self, address: str) -> dialers.WebsocketPeer:
+    def _peer(self, address: str) -> peers.Peer:
         with self._lock:
             peer = self._peers.get(address)
             if peer is None:
-                peer = dialers.WebsocketPeer(
-                    peers.Address.parse(address), self._name, self._secret
-                )
+                peer = self._links(peers.Address.parse(address))
                 self._peers[address] = peer
             return peer
 
--- a/libs/control/masticquay_control/offices.py
+++ b/libs/control/masticquay_control/offices.py
@@ -109,7 +109,7 @@
         try:
             pending = self._log.propose(messages.pack(record))
         except consensus_errors.ConsensusError as cause:
-            answer.set_exception(_turn(cause))
+            answer.set_exception(turn_error(cause))
             return answer
         pending.add_done_callback(lambda done: _settle(done, answer))
         return answer
@@ -145,7 +145,8 @@
     return failed
 
 
-def _turn(cause: BaseException) -> wire_errors.RemoteError:
+def turn_error(cause: BaseException) -> wire_errors.RemoteError:
+    """Turns an error of the log into the answer to a call."""
     if isinstance(cause, consensus_errors.NotLeaderError):
         return no_leader_error()
     return wire_errors.RemoteError(CODE_UNCERTAIN, type(cause).__name__)
@@ -154,7 +155,7 @@
 def _settle(done: futures.Future, answer: futures.Future) -> None:
     cause = done.exception()
     if cause is not None:
-        answer.set_exception(_turn(cause))
+        answer.set_exception(turn_error(cause))
         return
     message = messages.unpack(done.result())
     if isinstance(message, messages.Failure):
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -8,6 +8,8 @@
 import typing
 
 from masticquay_consensus import nodes
+from masticquay_consensus import protocols
+from masticquay_consensus import settings as consensus_settings
 from masticquay_control import commands
 from masticquay_control import forwarders
 from masticquay_control import leases
@@ -19,6 +21,7 @@
 from masticquay_control import watchers
 from masticquay_membership import messages as membership
 from masticquay_wire import clocks
+from masticquay_wire import dialers
 from masticquay_wire import listeners
 from masticquay_wire import peers
 
@@ -65,12 +68,21 @@
 
 
 class Replica:
-    """Owns all parts of a control replica and runs its leader's duties."""
+    """Owns all parts of a control replica and runs its leader's duties.
+
+    :param links: makes links to other replicas, of websockets by default
+    """
 
     def __init__(
-        self, settings: ReplicaSettings, clock: clocks.Clock | None = None
+        self,
+        settings: ReplicaSettings,
+        clock: clocks.Clock | None = None,
+        links: protocols.LinkFactory | None = None,
+        log_settings: consensus_settings.Settings | None = None,
     ):
         self.settings = settings
+        self._log_settings = log_settings
+        self._links = links or self._dial
         self.clock = clock or clocks.MonotonicClock()
         self._stack = contextlib.ExitStack()
         self._stopping = threading.Event()
@@ -91,7 +103,7 @@
         self.watchers = watchers.Watchers(self.machine)
         self.machine.on_change = self.watchers.notify_change
         self.forwarder = forwarders.Forwarder(
-            settings.name, settings.secret, self.log
+            settings.name, self.log, self._links
         )
         self.platform = platforms.PlatformList()
         self.orders = order_runs.OrderRunner(
@@ -156,8 +168,14 @@
             settings.secret,
             self.clock,
             random.Random(f'{settings.seed} {settings.name}'),
+            self._log_settings,
+            self._links,
         )
 
+    def _dial(self, address: peers.Address) -> peers.Peer:
+        settings = self.settings
+        return dialers.WebsocketPeer(address, settings.name, settings.secret)
+
     def _start_duty(
         self,
         stack: contextlib.ExitStack,
--- a/libs/control/masticquay_control/services.py
+++ b/libs/control/masticquay_control/services.py
@@ -4,6 +4,7 @@
 import typing
 
 from masticquay_consensus import protocols
+from masticquay_control import changers
 from masticquay_control import commands
 from masticquay_control import forwarders
 from masticquay_control import leases
@@ -51,12 +52,15 @@
         self._watchers = watcher_set
         self._forwarder = forwarder
         self._report_endpoints = report_endpoints
+        self._changer = changers.ReplicaChanger(log)
         self._queries: dict[type, typing.Callable] = {
             membership.QueryProgress: self._query_progress,
             membership.QueryStatus: self._query_status,
             membership.QueryBundle: self._query_bundle,
             membership.QueryUsage: self._query_usage,
             membership.CloseSession: self._close_session,
+            membership.AddReplica: self._changer.add,
+            membership.RemoveReplica: self._changer.remove,
         }
 
     def register(self, listener: listeners.Listener) -> None:
@@ -172,7 +176,7 @@
     def _query_status(
         self, message: membership.QueryStatus
     ) -> membership.FleetStatus:
-        replicas = self._list_replicas()
+        replicas = changers.list_replicas(self._log)
         endpoints = self._report_endpoints()
         adopted = self._leases.adopted_view_number()
         with self._machine.lock:
@@ -188,16 +192,3 @@
                 bundles.withdrawn_count,
                 endpoints,
             )
-
-    def _list_replicas(self) -> list[membership.ReplicaStatus]:
-        status = self._log.status()
-        return [
-            membership.ReplicaStatus(
-                replica.member.name,
-                replica.role,
-                status.term,
-                replica.match_index,
-                replica.member.address,
-            )
-            for replica in status.members
-        ]
--- a/libs/control/tests/fixtures.py
+++ b/libs/control/tests/fixtures.py
@@ -9,6 +9,7 @@
 
 from masticquay_bundles import models
 from masticquay_bundles import signatures
+from masticquay_consensus import settings as consensus_settings
 from masticquay_control import replicas
 from masticquay_membership import clients
 from masticquay_membership import messages as membership
@@ -100,6 +101,10 @@
     def __init__(self, case):
         self.case = case
         self.replicas = {}
+        self.network = None
+        self.log_settings = consensus_settings.Settings(
+            heartbeat_ms=100, election_min_ms=500, election_max_ms=900
+        )
         self.voters = {}
         self.ports = {}
         number = os.getpid()
@@ -124,7 +129,12 @@
                 self.voters,
                 SECRET,
             )
-            replica = replicas.Replica(settings)
+            links = None
+            if self.network is not None:
+                links = self.network.links_of(name, self.address_of(name))
+            replica = replicas.Replica(
+                settings, links=links, log_settings=self.log_settings
+            )
             replica.start()
             self.case.addCleanup(replica.close)
             self.replicas[name] = replica
--- a/libs/membership/masticquay_membership/messages.py
+++ b/libs/membership/masticquay_membership/messages.py
@@ -13,6 +13,7 @@
 CODE_UNKNOWN_KEY = 'unknown-key'
 CODE_STALE = 'stale'
 CODE_FULL = 'full'
+CODE_REPLICA_CHANGE = 'replica-change'
 
 INTENT_BEGUN = 'begun'
 INTENT_FINISHED = 'finished'
@@ -630,6 +631,41 @@
         self.endpoints = endpoints
 
 
+@messages.register
+class AddReplica(messages.Message):
+    """Asks to add a control replica, or to replace one of that name.
+
+    Answered by ReplicasChanged once the new one has synced the log and
+    counts as a voter.
+    """
+
+    __slots__ = ('name', 'address')
+
+    def __init__(self, name: str, address: str):
+        self.name = name
+        self.address = address
+
+
+@messages.register
+class RemoveReplica(messages.Message):
+    """Asks to remove a control replica; answered by ReplicasChanged."""
+
+    __slots__ = ('name',)
+
+    def __init__(self, name: str):
+        self.name = name
+
+
+@messages.register
+class ReplicasChanged(messages.Message):
+    """The control replicas after a change."""
+
+    __slots__ = ('replicas',)
+
+    def __init__(self, replicas: list[ReplicaStatus]):
+        self.replicas = replicas
+
+
 @messages.register
 class QueryBundle(messages.Message):
     """Asks for the bundle in force, answered by SignedBundle."""
--- /dev/null
+++ b/libs/membership/tests/test_sessions.py
@@ -0,0 +1,140 @@
+"""Tests of a host's session against a control of the test."""
+
+import random
+import time
+import unittest
+from unittest import mock
+
+from masticquay_membership import clients
+from masticquay_membership import errors
+from masticquay_membership import messages as membership
+from masticquay_membership import sessions
+from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import listeners
+from masticquay_wire import messages
+from masticquay_wire import peers
+
+SECRET = b'fleet secret'
+WAIT_S = 20
+
+
+class FakeControl:
+    """Grants what the test allows."""
+
+    def __init__(self, case):
+        self.ttl_ms = 3_000
+        self.code = ''
+        self.incarnation = 0
+        self.renewals = []
+        self.intents = []
+        self.listener = listeners.Listener(
+            peers.Address('127.0.0.1', 0), 'control', SECRET
+        )
+        for message_type, handler in (
+            (membership.OpenSession, self.open),
+            (membership.RenewSession, self.renew),
+            (membership.BeginIntent, self.begin),
+            (membership.FinishIntent, self.finish),
+            (membership.CloseSession, lambda message, link: None),
+            (membership.Subscribe, lambda message, link: None),
+        ):
+            self.listener.handle(message_type, handler)
+        self.listener.start()
+        case.addCleanup(self.listener.close)
+
+    def open(self, message, link):
+        self.incarnation += 1
+        return membership.SessionOpened(self.incarnation)
+
+    def renew(self, message, link):
+        self.renewals.append(message)
+        if self.code:
+            raise wire_errors.RemoteError(self.code, '')
+        return membership.SessionRenewed(self.ttl_ms, 0, 0)
+
+    def begin(self, message, link):
+        self.intents.append(message)
+        return membership.IntentState(membership.INTENT_BEGUN)
+
+    def finish(self, message, link):
+        self.intents.append(message)
+        return messages.Done()
+
+
+class OffsetClock(clocks.MonotonicClock):
+    """A clock that the test sets forward."""
+
+    offset_ms = 0
+
+    def now_ms(self):
+        return super().now_ms() + self.offset_ms
+
+
+class SessionTest(unittest.TestCase):
+    def setUp(self):
+        self.control = FakeControl(self)
+        self.clock = OffsetClock()
+        host = membership.Host('h1', 0, 'p1', '', '')
+        client = clients.ControlClient(
+            [str(self.control.listener.address)], 'h1', SECRET
+        )
+        self.addCleanup(client.close)
+        self.session = sessions.Session(client, host, 'h1', SECRET, self.clock)
+        self.session.start()
+        self.addCleanup(self.session.close)
+        self.wait_for(self.session.lease_valid)
+
+    def wait_for(self, condition):
+        deadline_s = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), deadline_s)
+            time.sleep(0.01)
+
+    def test_lease_counts_from_sending_and_ends_without_an_answer(self):
+        self.control.code = 'no-leader'
+        self.clock.offset_ms += self.control.ttl_ms
+        self.assertFalse(self.session.lease_valid())
+        self.control.code = ''
+        self.wait_for(self.session.lease_valid)
+        self.assertEqual(1, self.session.host.incarnation)
+
+    def test_evicted_session_is_opened_anew(self):
+        self.control.code = membership.CODE_EVICTED
+        self.wait_for(lambda: not self.session.lease_valid())
+        self.control.code = ''
+        self.wait_for(self.session.lease_valid)
+        self.assertGreater(self.session.host.incarnation, 1)
+
+    def test_wall_clock_jumps_change_nothing(self):
+        chance = random.Random(1)
+        count = len(self.control.renewals)
+        jump = lambda: chance.uniform(0, 4e9)  # noqa: E731
+        with mock.patch('time.time', jump):
+            self.wait_for(lambda: len(self.control.renewals) > count + 2)
+            self.assertTrue(self.session.lease_valid())
+        self.assertEqual(1, self.session.host.incarnation)
+
+    def test_finish_names_the_call_that_was_begun(self):
+        for key in ('a', 'b'):
+            self.session.begin_intent(
+                membership.BeginIntent('s', key, b'', 'h1', 1), 5_000
+            )
+        self.session.finish_intent(
+            membership.FinishIntent('s', 'a', 'h1', 1, 'ran'), 5_000
+        )
+        numbers = [intent.call_number for intent in self.control.intents]
+        self.assertEqual([1, 2, 1], numbers)
+
+    def test_leaving_is_told_and_closing_ends_the_lease(self):
+        self.session.leave()
+        self.wait_for(lambda: self.control.renewals[-1].host.leaving)
+        self.session.close()
+        self.assertFalse(self.session.lease_valid())
+
+    def test_unanswered_call_fails_as_unknown(self):
+        self.control.listener.close()
+        with self.assertRaises(errors.MembershipError):
+            self.session.begin_intent(
+                membership.BeginIntent('s', 'a', b'', 'h1', 1), 300
+            )
