--- a/libs/bench/masticquay_bench/evidence.py
+++ b/libs/bench/masticquay_bench/evidence.py
@@ -12,6 +12,7 @@
 MARK_DRAIN = 'drain'
 MARK_DRAINED = 'drained'
 MARK_LEAVING = 'leaving'
+MARK_ENGINE_KILLED = 'engine-killed'
 MARK_END = 'end'
 
 
--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -17,7 +17,6 @@
 
 PROBE_TIMEOUT_S = 2
 DRAIN_TIMEOUT_S = 60
-MARK_ENGINE_KILLED = 'engine-killed'
 
 
 class Run:
@@ -117,7 +116,7 @@
     def kill_engine(self, number: int) -> None:
         """Kills an engine."""
         self._marked(
-            MARK_ENGINE_KILLED,
+            evidence.MARK_ENGINE_KILLED,
             f'engine-{number}',
             self.fleet.engines[number].kill,
         )
