--- a/libs/bench/masticquay_bench/evidence.py
+++ b/libs/bench/masticquay_bench/evidence.py
@@ -50,6 +50,9 @@
 class Probe(records.Record):
     """Whether a host served a version's open path at some time.
 
+    A host that gave no answer, or refused all work, says nothing.
+
+    :param served: False when the host answered that it has no such path
     :param sent_ms: when the probe was sent
     :param end_ms: when its answer was there
     """
