--- a/libs/bench/masticquay_bench/decision_rates.py
+++ b/libs/bench/masticquay_bench/decision_rates.py
@@ -93,9 +93,7 @@
 
     def _at(self, due_ms: int, step: typing.Callable, *arguments) -> None:
         self._sequence += 1
-        heapq.heappush(
-            self._events, (due_ms, self._sequence, step, arguments)
-        )
+        heapq.heappush(self._events, (due_ms, self._sequence, step, arguments))
 
     def _request(self, tokens: int) -> None:
         now_ms = self.clock.now_ms()
--- a/libs/bench/masticquay_bench/decision_runs.py
+++ b/libs/bench/masticquay_bench/decision_runs.py
@@ -384,10 +384,10 @@
         number = flow.outcome.request.number
         if engine.incarnation == incarnation and engine.alive:
             self._release(engine, number)
+            flow.outcome.runs += 1
         if flow.ended:
             return
         flow.outcome.end_ms = self.clock.now_ms()
-        flow.outcome.runs += 1
         self._end_attempt(flow, messages.FINISHED_DONE, '')
 
     def _end_attempt(self, flow: Flow, outcome: str, endpoint: str) -> None:
--- a/libs/bench/masticquay_bench/decisions.py
+++ b/libs/bench/masticquay_bench/decisions.py
@@ -105,9 +105,7 @@
     def __init__(self, quick: bool, seed: int):
         self._duration_ms = QUICK_DURATION_MS if quick else DURATION_MS
         self._seeds = [seed] if quick else [seed + n for n in range(SEEDS)]
-        self._bounds = {
-            bound.metric: bound for bound in results.load_bounds()
-        }
+        self._bounds = {bound.metric: bound for bound in results.load_bounds()}
         self._quick = quick
         self.records: list[Record] = []
 
@@ -132,7 +130,9 @@
                 refused += run.wrongly_refused
                 sent += run.messages
         context = f'{RATE_HOSTS} hosts, {charged} charges'
-        self._add('rates.wrongful_refusals', refused / charged, 'share', context)
+        self._add(
+            'rates.wrongful_refusals', refused / charged, 'share', context
+        )
         self._add('rates.messages', sent / charged, 'per charge', context)
 
     def _measure_scenario(
--- a/libs/bench/masticquay_bench/fleets.py
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -14,8 +14,11 @@
 
 from masticquay_bench import deployments
 from masticquay_bench import errors
+from masticquay_bench import evidence
+from masticquay_bench import forwarders
 from masticquay_bench import layouts
 from masticquay_bench import processes
+from masticquay_bench import standin_configs
 from masticquay_bundles import signatures
 
 CONTROL_MODULE = 'masticquay_control.daemons'
@@ -54,6 +57,8 @@
     Use as a context manager.
 
     :param engine_options: options of every engine stand-in
+    :param rates: rate and burst by workspace, where other than usual
+    :param forwarded: entry hosts reach control through ``forwarders``
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         seed: int = 0,
         engine_options: dict[str, typing.Any] | None = None,
         rates: dict[str, tuple[int, int]] | None = None,
+        forwarded: bool = False,
     ):
         self.deployment = deployment
         self.sizes = sizes or Sizes()
@@ -76,6 +82,8 @@
         self.keys: dict[str, str] = {}
         self._engine_options = engine_options or {}
         self._rates = rates or {}
+        self._forwarded = forwarded
+        self.forwarders: list[forwarders.Forwarder] = []
         self._stack = contextlib.ExitStack()
         self.folder = pathlib.Path()
 
@@ -124,11 +132,28 @@
         :returns: the operators' report
         :raises FleetError: when the roll failed
         """
-        bundle = self.write_bundle(self.bundle_version + 1, change)
-        report = self.operate('bundle', 'roll', str(bundle))
+        return self.roll_file(
+            self.write_bundle(self.bundle_version + 1, change)
+        )
+
+    def roll_file(self, path: pathlib.Path) -> dict[str, typing.Any]:
+        """Rolls a signed bundle file."""
+        report = self.operate('bundle', 'roll', str(path))
         self.bundle_version += 1
         return report
 
+    def rates(self) -> list[evidence.Rate]:
+        """Returns the rate and burst of each workspace."""
+        return [
+            evidence.Rate(
+                w.name,
+                *self._rates.get(
+                    w.name, (w.rate_tokens_per_s, w.burst_tokens)
+                ),
+            )
+            for w in self.deployment.workspaces
+        ]
+
     def write_bundle(
         self,
         version: int,
@@ -145,11 +170,11 @@
             self.sizes.services,
             self.sizes.engine_slots,
         )
-        for workspace in bundle['workspaces']:
-            if workspace['name'] in self._rates:
-                rate, burst = self._rates[workspace['name']]
-                workspace['rate_tokens_per_s'] = rate
-                workspace['burst_tokens'] = burst
+        for workspace, rate in zip(
+            bundle['workspaces'], self.rates(), strict=True
+        ):
+            workspace['rate_tokens_per_s'] = rate.rate_tokens_per_s
+            workspace['burst_tokens'] = rate.burst_tokens
         if change is not None:
             change(bundle)
         path = self.folder / f'bundle-{version}.yaml'
@@ -210,7 +235,9 @@
 
         :param leaving: names of endpoints that are listed as leaving
         """
-        hosts = self._listed_hosts(leaving)
+        hosts = standin_configs.list_hosts(
+            self.layout, self.sizes.engines, self.sizes.services, leaving
+        )
         self._post(self.layout.other(1), '/standin/hosts', {'hosts': hosts})
 
     def make_control(self, number: int) -> processes.Process:
@@ -241,14 +268,26 @@
             'place': place,
             'caller_address': self.layout.caller(number),
             'peer_address': self.layout.peer(number),
-            'control': [
-                self.layout.control(n) for n in range(self.sizes.controls)
-            ],
+            'control': self._control_addresses(),
             'secret_file': str(self.folder / 'secret'),
             'seed': self.seed + number,
         }
         return self._make_daemon(ENTRY_MODULE, settings)
 
+    def _control_addresses(self) -> list[str]:
+        """Returns where entry hosts reach control."""
+        if self._forwarded:
+            return [forwarder.address for forwarder in self.forwarders]
+        return [self.layout.control(n) for n in range(self.sizes.controls)]
+
+    def _open_forwarders(self) -> None:
+        for number in range(self.sizes.controls):
+            forwarder = forwarders.Forwarder(
+                self.layout.forwarder(number), self.layout.control(number)
+            )
+            self._stack.callback(forwarder.close)
+            self.forwarders.append(forwarder)
+
     def _open(self) -> None:
         self.folder = pathlib.Path(
             self._stack.enter_context(
@@ -257,6 +296,8 @@
         )
         self._prepare_files()
         self._start_standins()
+        if self._forwarded:
+            self._open_forwarders()
         self.controls = [
             self.make_control(n) for n in range(self.sizes.controls)
         ]
@@ -280,77 +321,26 @@
             self._approvers[name] = signatures.public_key_hex(key)
 
     def _start_standins(self) -> None:
-        engine = {
-            'model': self.deployment.model,
-            'slots': self.sizes.engine_slots,
-            **self._engine_options,
+        configs = standin_configs.make_configs(
+            self.deployment,
+            self.layout,
+            self.sizes.engines,
+            self.sizes.services,
+            {'slots': self.sizes.engine_slots, **self._engine_options},
+            self.seed,
+        )
+        started = {
+            name: self._make_standin(name, entries)
+            for name, entries in configs.items()
         }
         self.engines = [
-            self._make_standin(
-                f'engine-{n}',
-                [
-                    self._standin(
-                        'engine',
-                        f'engine-{n}',
-                        self.layout.engine(n),
-                        {
-                            **engine,
-                            'checks_fencing': n % 2 == 0,
-                            'seed': self.seed + n,
-                        },
-                    )
-                ],
-            )
-            for n in range(self.sizes.engines)
+            started[f'engine-{n}'] for n in range(self.sizes.engines)
         ]
         self.services = [
-            self._make_standin(
-                f'service-{n}',
-                [
-                    self._standin(
-                        'service', f'service-{n}', self.layout.service(n), {}
-                    )
-                ],
-            )
-            for n in range(self.sizes.services)
-        ]
-        listed = {'hosts': self._listed_hosts(set())}
-        others = [
-            self._standin('weights', 'weights', self.layout.other(0), {}),
-            self._standin(
-                'platform', 'platform', self.layout.other(1), listed
-            ),
-        ]
-        self._others = self._make_standin('others', others)
-        self._start_all([*self.engines, *self.services, self._others])
-
-    def _listed_hosts(self, leaving: set[str]) -> list[dict]:
-        engines = [
-            (f'engine-{n}', self.layout.engine(n))
-            for n in range(self.sizes.engines)
+            started[f'service-{n}'] for n in range(self.sizes.services)
         ]
-        services = [
-            (f'service-{n}', self.layout.service(n))
-            for n in range(self.sizes.services)
-        ]
-        return [
-            {
-                'name': name,
-                'address': address,
-                'state': 'leaving' if name in leaving else 'live',
-            }
-            for name, address in engines + services
-        ]
-
-    def _standin(
-        self, kind: str, name: str, address: str, options: dict
-    ) -> dict[str, typing.Any]:
-        return {
-            'kind': kind,
-            'name': name,
-            'address': address,
-            'options': options,
-        }
+        self._others = started[standin_configs.OTHERS]
+        self._start_all(list(started.values()))
 
     def _make_standin(
         self, name: str, entries: list[dict]
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -3,25 +3,33 @@
 import contextlib
 import logging
 import pathlib
+import random
 import threading
 import typing
 
+from masticquay_consensus import nodes
 from masticquay_consensus import protocols
+from masticquay_consensus import settings as consensus_settings
 from masticquay_control import commands
 from masticquay_control import forwarders
 from masticquay_control import leases
 from masticquay_control import machines
 from masticquay_control import offices
+from masticquay_control import order_runs
+from masticquay_control import platforms
 from masticquay_control import services
-from masticquay_control import singles
 from masticquay_control import watchers
+from masticquay_membership import messages as membership
 from masticquay_wire import clocks
+from masticquay_wire import dialers
 from masticquay_wire import listeners
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
 
 TICK_MS = 50
+JOIN_TIMEOUT_S = 2
+ORDER_INTERVAL_MS = 250
 
 
 class ReplicaSettings:
@@ -60,12 +68,21 @@
 
 
 class Replica:
-    """Owns all parts of a control replica and runs its leader's duties."""
+    """Owns all parts of a control replica and runs its leader's duties.
+
+    :param links: makes links to other replicas, of websockets by default
+    """
 
     def __init__(
-        self, settings: ReplicaSettings, clock: clocks.Clock | None = None
+        self,
+        settings: ReplicaSettings,
+        clock: clocks.Clock | None = None,
+        links: protocols.LinkFactory | None = None,
+        log_settings: consensus_settings.Settings | None = None,
     ):
         self.settings = settings
+        self._log_settings = log_settings
+        self._links = links or self._dial
         self.clock = clock or clocks.MonotonicClock()
         self._stack = contextlib.ExitStack()
         self._stopping = threading.Event()
@@ -86,7 +103,11 @@
         self.watchers = watchers.Watchers(self.machine)
         self.machine.on_change = self.watchers.notify_change
         self.forwarder = forwarders.Forwarder(
-            settings.name, settings.secret, self.log
+            settings.name, self.log, self._links
+        )
+        self.platform = platforms.PlatformList()
+        self.orders = order_runs.OrderRunner(
+            self.machine, self.office, self.clock
         )
         self.service = services.ControlService(
             self.log,
@@ -113,11 +134,17 @@
             self.forwarder.start()
             stack.callback(self.forwarder.close)
             stack.callback(self.watchers.close)
-            ticker = threading.Thread(
-                target=self._run_ticks, name='ticks', daemon=True
+            stack.callback(self.orders.close)
+            self._start_duty(stack, 'ticks', TICK_MS, self._tick)
+            self._start_duty(
+                stack, 'orders', ORDER_INTERVAL_MS, self._give_orders
+            )
+            self._start_duty(
+                stack,
+                'platform',
+                platforms.POLL_INTERVAL_MS,
+                self._follow_platform,
             )
-            ticker.start()
-            stack.callback(ticker.join, 2)
             stack.callback(self._stopping.set)
             self._stack = stack.pop_all()
 
@@ -125,20 +152,54 @@
         """Stops serving and closes the log."""
         self._stack.close()
 
-    def _make_log(self) -> protocols.ReplicatedLog:
-        return singles.SingleLog(
-            self.settings.name,
-            str(self.settings.peer_address),
-            self.settings.data_folder,
+    def _make_log(self) -> nodes.Node:
+        settings = self.settings
+        voters = [
+            nodes.Voter(name, address)
+            for name, address in settings.replicas.items()
+        ]
+        return nodes.Node(
+            settings.name,
+            str(settings.peer_address),
+            voters,
+            settings.data_folder,
+            self.listener,
             self.machine,
+            settings.secret,
+            self.clock,
+            random.Random(f'{settings.seed} {settings.name}'),
+            self._log_settings,
+            self._links,
         )
 
-    def _run_ticks(self) -> None:
-        while not self._stopping.wait(TICK_MS / 1000):
+    def _dial(self, address: peers.Address) -> peers.Peer:
+        settings = self.settings
+        return dialers.WebsocketPeer(address, settings.name, settings.secret)
+
+    def _start_duty(
+        self,
+        stack: contextlib.ExitStack,
+        name: str,
+        interval_ms: int,
+        duty: typing.Callable[[], None],
+    ) -> None:
+        thread = threading.Thread(
+            target=self._run_duty,
+            args=[interval_ms, duty],
+            name=name,
+            daemon=True,
+        )
+        thread.start()
+        stack.callback(thread.join, JOIN_TIMEOUT_S)
+
+    def _run_duty(
+        self, interval_ms: int, duty: typing.Callable[[], None]
+    ) -> None:
+        while not self._stopping.wait(interval_ms / 1000):
             try:
-                self._tick()
+                duty()
             except Exception:
-                LOG.exception('a tick failed')
+                LOG.exception('a duty failed')
 
     def _tick(self) -> None:
         self.office.tick()
@@ -169,5 +230,28 @@
             )
         self._changing_view = False
 
-    def _report_endpoints(self) -> list:
-        return []
+    def _give_orders(self) -> None:
+        if self.office.acting():
+            self.orders.run_once()
+
+    def _follow_platform(self) -> None:
+        """Reads the platform list; commits which endpoints leave."""
+        bundle = self.machine.bundles.bundle
+        if bundle is None or not self.office.acting():
+            return
+        leaving = self.platform.poll(bundle)
+        if leaving is None or leaving == self.machine.endpoints.leaving:
+            return
+        self.office.propose(commands.SetLeavingEndpoints(leaving))
+
+    def _report_endpoints(self) -> list[membership.EndpointStatus]:
+        bundle = self.machine.bundles.bundle
+        if bundle is None:
+            return []
+        return [
+            order_runs.describe(
+                self.orders.report(endpoint.name),
+                self.platform.state_of(endpoint.name),
+            )
+            for endpoint in bundle.endpoints
+        ]
