--- a/libs/scheduling/masticquay_scheduling/grants.py
+++ b/libs/scheduling/masticquay_scheduling/grants.py
@@ -172,6 +172,10 @@
         self._granter = owner
         return True
 
+    def awaits(self, sequence: int) -> bool:
+        """Whether a request with that number has no answer yet."""
+        return self._sent_ms is not None and sequence == self._sequence
+
     def give_up(self, sequence: int) -> None:
         """Stops waiting for an answer, and will ignore it."""
         if sequence == self._sequence:
--- a/libs/scheduling/masticquay_scheduling/queues.py
+++ b/libs/scheduling/masticquay_scheduling/queues.py
@@ -76,9 +76,10 @@
         lane = self._lanes.get(item.workspace)
         if lane is None:
             return 0
+        last = (item.due_ms, float('inf'))
         if item.prompt:
-            return bisect.bisect_left(lane.prompt, (item.due_ms,))
-        ahead = bisect.bisect_left(lane.other, (item.due_ms,))
+            return max(0, bisect.bisect(lane.prompt, last) - 1)
+        ahead = max(0, bisect.bisect(lane.other, last) - 1)
         return len(lane.prompt) + ahead
 
     def share_of(self, workspace: str) -> float:
--- /dev/null
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -0,0 +1,325 @@
+"""Tests of the pool scheduler, driven by calls and a clock."""
+
+import unittest
+
+from masticquay_scheduling import messages
+from masticquay_scheduling import plans
+from masticquay_scheduling import protocols
+from masticquay_scheduling import schedulers
+from masticquay_scheduling import settings as scheduling_settings
+from masticquay_wire import clocks
+from tests import fakes
+
+
+class SchedulerCase(unittest.TestCase):
+    """A pool of two prefill and two decode engines of four slots."""
+
+    endpoints = [
+        fakes.make_engine('p1', ['prefill']),
+        fakes.make_engine('p2', ['prefill']),
+        fakes.make_engine('d1', ['decode']),
+        fakes.make_engine('d2', ['decode']),
+    ]
+    options: dict[str, int] = {}
+    pool = 'tall@north'
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.settings = scheduling_settings.SchedulingSettings(**self.options)
+        self.bundle = fakes.make_bundle(self.endpoints)
+        self.scheduler = self.make()
+        self.answers = {}
+
+    def make(self, unannounced=None):
+        plan = plans.PoolMap(self.bundle, self.settings).plans[self.pool]
+        return schedulers.PoolScheduler(
+            plan, self.bundle, self.clock, self.settings, unannounced
+        )
+
+    def admit(self, number, **fields):
+        admit = fakes.make_admit(number, self.pool, **fields)
+        self.scheduler.admit(
+            admit, lambda answer: self.answers.update({number: answer})
+        )
+        return self.answers.get(number)
+
+    def request(self, number, host='h1'):
+        return messages.RequestId(host, 1, number)
+
+    def prefill_done(self, number):
+        self.scheduler.prefill_done(self.request(number), 1)
+
+    def finish(self, number, outcome=messages.FINISHED_DONE, **fields):
+        self.scheduler.finish(
+            messages.Finished(self.request(number), 1, outcome, **fields)
+        )
+
+    def fill(self, count, **fields):
+        for number in range(count):
+            placed = self.admit(number, **fields)
+            self.assertIsInstance(placed, messages.Placement, number)
+            self.prefill_done(number)
+
+    def load(self, incarnation=1, slots_used=0):
+        return protocols.EndpointLoad(slots_used, 0, 0, incarnation, 'v1', 100)
+
+
+class AdmissionTest(SchedulerCase):
+    options = {'headroom_percent': 0}
+
+    def test_slots_are_never_exceeded(self):
+        self.fill(8)
+        self.assertIsNone(self.admit(8))
+        counts = {
+            name: state.decode_count
+            for name, state in self.scheduler.table.states.items()
+        }
+        self.assertEqual({'p1': 0, 'p2': 0, 'd1': 4, 'd2': 4}, counts)
+        self.finish(0, output_tokens=10)
+        self.assertIn(8, self.answers)
+
+    def test_a_repeated_admit_gets_the_same_placement(self):
+        first = self.admit(1)
+        self.assertEqual(first, self.admit(1))
+        self.assertEqual(1, self.scheduler.counters.placed)
+
+    def test_finishing_twice_frees_once(self):
+        self.fill(8)
+        self.finish(0)
+        self.finish(0)
+        self.admit(8)
+        self.assertIsNone(self.admit(9))
+
+    def test_memory_is_counted_in_pieces(self):
+        self.fill(2, prompt_tokens=60_000, first_token_ms=99_000)
+        self.assertIsNone(
+            self.admit(2, prompt_tokens=60_000, first_token_ms=99_000)
+        )
+        self.assertIsInstance(self.admit(3), messages.Placement)
+
+    def test_what_fits_nowhere_is_refused_for_good(self):
+        refused = self.admit(1, prompt_tokens=70_000)
+        self.assertEqual(messages.REASON_TOO_LARGE, refused.reason)
+        self.assertEqual(0, refused.retry_after_ms)
+
+    def test_a_late_request_is_refused_when_that_is_known(self):
+        self.fill(8)
+        self.assertIsNone(self.admit(8, max_wait_ms=300))
+        self.clock.advance_ms(300)
+        self.scheduler.tick()
+        refused = self.answers[8]
+        self.assertEqual(messages.REASON_DEADLINE, refused.reason)
+        self.assertGreater(refused.retry_after_ms, 0)
+
+    def test_a_hopeless_wait_is_refused_at_once(self):
+        self.fill(8)
+        outcomes = [self.admit(number) for number in range(8, 80)]
+        refused = [outcome for outcome in outcomes if outcome is not None]
+        self.assertTrue(refused)
+        self.assertEqual(messages.REASON_DEADLINE, refused[0].reason)
+
+    def test_deferred_work_waits_in_a_bounded_queue(self):
+        self.fill(8)
+        limit = self.settings.max_queued_per_workspace
+        wait = {
+            'class_name': 'batch',
+            'first_token_ms': 3_000_000,
+            'max_wait_ms': 3_000_000,
+            'deadline_ms': 9_000_000,
+        }
+        for number in range(8, 8 + limit):
+            self.assertIsNone(self.admit(number, **wait))
+        refused = self.admit(8 + limit, **wait)
+        self.assertEqual(messages.REASON_QUEUE_FULL, refused.reason)
+
+    def test_excluded_endpoints_are_avoided(self):
+        placed = self.admit(1, excluded=['p1', 'd1'])
+        self.assertEqual('p2', placed.prefill_endpoint)
+        self.assertEqual('d2', placed.decode_endpoint)
+
+    def test_a_withdrawn_request_leaves_the_queue(self):
+        self.fill(8)
+        self.admit(8)
+        self.scheduler.withdraw(self.request(8))
+        self.assertEqual(messages.REASON_WITHDRAWN, self.answers[8].reason)
+        self.assertEqual(0, self.scheduler.waiting_count)
+
+    def test_cached_prefixes_draw_requests(self):
+        hashes = list(range(1, 31))
+        first = self.admit(1, prefix_hashes=hashes, prompt_tokens=2_000)
+        self.clock.advance_ms(1_000)
+        self.prefill_done(1)
+        again = self.admit(2, prefix_hashes=hashes, prompt_tokens=2_000)
+        self.assertEqual(first.prefill_endpoint, again.prefill_endpoint)
+        self.assertEqual(30 * 64, again.cached_tokens)
+
+
+class HeadroomTest(SchedulerCase):
+    options = {'headroom_percent': 25}
+
+    def test_prompt_classes_find_reserved_slots(self):
+        self.fill(6)
+        self.assertIsNone(self.admit(6))
+        placed = self.admit(7, class_name='status', prompt_tokens=20)
+        self.assertIsInstance(placed, messages.Placement)
+
+    def test_the_share_of_a_flooded_pool_goes_by_weight(self):
+        self.fill(6, workspace='two')
+        slow = {'first_token_ms': 60_000, 'max_wait_ms': 60_000}
+        for number in range(100, 140):
+            self.admit(number, workspace='two', **slow)
+        self.scheduler._queue.charge('two', 100_000)
+        self.admit(
+            200,
+            workspace='one',
+            first_token_ms=1_000,
+            **{'max_wait_ms': 60_000},
+        )
+        self.finish(0, output_tokens=50)
+        self.assertIsInstance(self.answers.get(200), messages.Placement)
+
+
+class LateDecodeTest(SchedulerCase):
+    options = {'headroom_percent': 0, 'overlap_sigmas': 0}
+
+    def admit_late(self, number):
+        return self.admit(number, late_decode=True)
+
+    def test_decode_is_bound_after_the_prefill(self):
+        placed = self.admit_late(1)
+        self.assertEqual('', placed.decode_endpoint)
+        bound = []
+        self.scheduler.await_decode(self.request(1), 1, 800, bound.append)
+        self.assertIn(bound[0].decode_endpoint, ('d1', 'd2'))
+
+    def test_it_waits_for_a_slot_until_the_prefill_expires(self):
+        self.fill(8)
+        for _ in range(100):
+            self.scheduler.table.estimates.learn_service(500)
+        self.assertIsInstance(self.admit_late(8), messages.Placement)
+        bound = []
+        self.scheduler.await_decode(self.request(8), 1, 800, bound.append)
+        self.assertEqual([], bound)
+        self.finish(3, output_tokens=9)
+        self.assertIsInstance(bound[0], messages.Placement)
+
+    def test_an_expired_prefill_is_refused_as_no_slot(self):
+        self.fill(8)
+        for _ in range(100):
+            self.scheduler.table.estimates.learn_service(500)
+        self.admit_late(8)
+        bound = []
+        self.scheduler.await_decode(self.request(8), 1, 800, bound.append)
+        self.clock.advance_ms(800)
+        self.scheduler.tick()
+        self.assertEqual(messages.REASON_NO_SLOT, bound[0].reason)
+
+
+class FaultTest(SchedulerCase):
+    options = {'headroom_percent': 0}
+
+    def test_a_failing_endpoint_is_ejected_probed_and_let_back(self):
+        for number in range(self.settings.eject_failures):
+            self.admit(number, excluded=['d2'])
+            self.finish(number, messages.FINISHED_DECODE_FAILED, endpoint='d1')
+        state = self.scheduler.table.states['d1']
+        self.assertEqual(0, state.free_slots(self.clock.now_ms()))
+        self.clock.advance_ms(self.settings.eject_ms)
+        self.assertEqual(1, state.free_slots(self.clock.now_ms()))
+        self.admit(10, excluded=['d2'])
+        self.prefill_done(10)
+        self.finish(10)
+        self.assertLess(state.free_slots(self.clock.now_ms()), 4)
+        self.clock.advance_ms(self.settings.slow_start_ms)
+        self.assertEqual(4, state.free_slots(self.clock.now_ms()))
+
+    def test_half_of_the_endpoints_stay_whatever_fails(self):
+        for number in range(60):
+            self.clock.advance_ms(1)
+            self.admit(number)
+            for name in ('d1', 'd2', 'p1', 'p2'):
+                self.scheduler.table.record_failure(name, self.clock.now_ms())
+        ejected = [
+            state.name
+            for state in self.scheduler.table.states.values()
+            if state.health.ejected(self.clock.now_ms())
+        ]
+        self.assertLessEqual(len(ejected), 2)
+
+    def test_a_leaving_endpoint_gets_nothing_new(self):
+        self.scheduler.set_leaving('d1', True)
+        for number in range(4):
+            self.assertEqual('d2', self.admit(number).decode_endpoint)
+            self.prefill_done(number)
+        self.assertIsNone(self.admit(4))
+
+    def test_a_restarted_engine_holds_nothing(self):
+        self.scheduler.apply_load('d1', self.load())
+        self.scheduler.apply_load('d2', self.load())
+        self.fill(8)
+        self.scheduler.apply_load('d1', self.load(incarnation=2))
+        self.assertEqual(0, self.scheduler.table.states['d1'].decode_count)
+
+    def test_slots_held_by_others_are_left_alone(self):
+        for _ in range(4):
+            self.scheduler.apply_load('d1', self.load(slots_used=4))
+            self.scheduler.apply_load('d2', self.load(slots_used=4))
+        self.assertIsNone(self.admit(1))
+
+    def test_a_lost_hosts_places_are_held_until_cancelled(self):
+        self.fill(8)
+        self.admit(8, host='h2')
+        self.scheduler.keep_hosts({('h2', 1)})
+        self.assertNotIn(8, self.answers)
+        cancels = self.scheduler.pending_cancels()
+        self.assertEqual(16, len(cancels))
+        for endpoint, request in cancels:
+            self.scheduler.acknowledge_cancel(endpoint, request)
+        self.assertIsInstance(self.answers[8], messages.Placement)
+        self.assertEqual([], self.scheduler.pending_cancels())
+
+    def test_a_new_owner_reserves_after_all_hosts_announced(self):
+        self.scheduler = self.make({('h1', 1), ('h2', 1)})
+        self.assertIsNone(self.admit(1))
+        for host in ('h1', 'h2'):
+            self.scheduler.announce(
+                messages.AnnouncePlacements(self.pool, host, 1, 1, [])
+            )
+        self.assertIsInstance(self.answers[1], messages.Placement)
+
+    def test_announced_placements_keep_their_slots(self):
+        self.fill(8)
+        running = [self.answers[number] for number in range(8)]
+        for placement in running:
+            placement.prefill_endpoint = ''
+        self.scheduler = self.make({('h1', 1)})
+        self.scheduler.announce(
+            messages.AnnouncePlacements(self.pool, 'h1', 1, 1, running)
+        )
+        self.assertIsNone(self.admit(20))
+        self.finish(0)
+        self.assertIsInstance(self.answers[20], messages.Placement)
+
+    def test_a_retired_scheduler_answers_not_owner(self):
+        self.fill(8)
+        self.admit(8)
+        self.scheduler.retire()
+        self.assertEqual(messages.REASON_NOT_OWNER, self.answers[8].reason)
+        refused = self.admit(9)
+        self.assertEqual(messages.REASON_NOT_OWNER, refused.reason)
+
+
+class ServiceTest(SchedulerCase):
+    endpoints = [
+        fakes.make_service('s1', slots=2),
+        fakes.make_service('s2', slots=2),
+    ]
+    pool = 'jobs@north'
+
+    def test_calls_spread_and_wait_for_slots(self):
+        placed = [self.admit(number) for number in range(4)]
+        names = sorted(p.decode_endpoint for p in placed)
+        self.assertEqual(['s1', 's1', 's2', 's2'], names)
+        self.assertIsNone(self.admit(4))
+        self.finish(0)
+        self.assertIsInstance(self.answers[4], messages.Placement)
