Links: bounded sending, exact deduplication, versions, clear refusals

A peer that never read blocked whoever sent to it, without bound, under the websocket's lock. Small frames for which the socket has room go out at once as before; others wait in a bounded queue for a thread that lives until the queue is empty, and a send that makes no progress for 2 s drops the link. A thread for each link was ruled out for its memory.

Deduplication kept the last 1,024 calls, so that more calls in flight could run twice. Each call now names the lowest unanswered number; all from there on are kept, all below refused. A listener proves an instance number, so that calls which an earlier process may have run fail instead of running again. A call that is not understood, too large, or refused for its secret or version fails at once and says why.

--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -145,6 +145,7 @@
     def propose(self, command: bytes) -> 'futures.Future[bytes]':
         """Appends a command; see ``protocols.ReplicatedLog``."""
         future: futures.Future = futures.Future()
+        future.set_running_or_notify_cancel()
         if len(command) > self._settings.max_command_bytes:
             future.set_exception(
                 errors.ConsensusError('the command is too large')
@@ -163,6 +164,7 @@
         Fails with ReplicaChangeError while another change is not committed.
         """
         future: futures.Future = futures.Future()
+        future.set_running_or_notify_cancel()
         with self.state.lock:
             pending = self.state.configuration_index > self.state.commit_index
             leading = self.state.role == messages.ROLE_LEADER
--- /dev/null
+++ b/libs/wire/masticquay_wire/calls.py
@@ -0,0 +1,98 @@
+"""The calls of a dialler that have no answer yet."""
+
+from concurrent import futures
+import threading
+import time
+
+from masticquay_wire import errors
+from masticquay_wire import messages
+
+MAX_PENDING_CALLS = 8_192
+
+
+class PendingCall:
+    """A call whose answer has not arrived.
+
+    :param sent: whether the frame went out, on whichever link
+    """
+
+    __slots__ = ('number', 'frame', 'future', 'deadline_s', 'sent')
+
+    def __init__(
+        self,
+        number: int,
+        frame: bytes,
+        future: futures.Future,
+        deadline_s: float,
+    ):
+        self.number = number
+        self.frame = frame
+        self.future = future
+        self.deadline_s = deadline_s
+        self.sent = False
+
+
+class PendingCalls:
+    """Pending calls by number; numbers rise."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._calls: dict[int, PendingCall] = {}
+        self._next_number = 1
+
+    def __bool__(self) -> bool:
+        return bool(self._calls)
+
+    def add(self, message: messages.Message, timeout_ms: int) -> PendingCall:
+        """Numbers and encodes a call.
+
+        :raises MessageError: when the message is too large
+        :raises PeerUnavailableError: when too many calls are pending
+        """
+        future: futures.Future = futures.Future()
+        # Cancelling would take nothing back that was sent.
+        future.set_running_or_notify_cancel()
+        deadline_s = time.monotonic() + timeout_ms / 1000
+        with self._lock:
+            if len(self._calls) >= MAX_PENDING_CALLS:
+                raise errors.PeerUnavailableError('too many pending calls')
+            number = self._next_number
+            floor = next(iter(self._calls), number)
+            frame = messages.encode_frame(
+                messages.Frame(messages.KIND_CALL, number, message, floor)
+            )
+            if len(frame) > messages.MAX_FRAME_BYTES:
+                raise errors.MessageError(
+                    f'{type(message).__name__} has {len(frame)} bytes'
+                )
+            self._next_number += 1
+            call = PendingCall(number, frame, future, deadline_s)
+            self._calls[number] = call
+        return call
+
+    def pop(self, number: int) -> PendingCall | None:
+        """Removes a call."""
+        with self._lock:
+            return self._calls.pop(number, None)
+
+    def pending(self) -> list[PendingCall]:
+        """Returns the calls in the order of their numbers."""
+        with self._lock:
+            return list(self._calls.values())
+
+    def pop_expired(self) -> list[PendingCall]:
+        """Removes the calls whose deadline has passed."""
+        now_s = time.monotonic()
+        with self._lock:
+            expired = [c for c in self._calls.values() if c.deadline_s < now_s]
+            for call in expired:
+                del self._calls[call.number]
+        return expired
+
+    def pop_all(self, sent_only: bool = False) -> list[PendingCall]:
+        """Removes all calls, or those whose frame went out."""
+        with self._lock:
+            popped = [c for c in self._calls.values() if c.sent >= sent_only]
+            for call in popped:
+                del self._calls[call.number]
+        return popped
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -2,7 +2,7 @@
 
 from concurrent import futures
 import contextlib
-import itertools
+import logging
 import os
 import socket
 import threading
@@ -13,28 +13,46 @@
 from websockets.sync import client
 from websockets.sync import connection
 
+from masticquay_wire import calls
 from masticquay_wire import errors
 from masticquay_wire import handshakes
 from masticquay_wire import messages
+from masticquay_wire import outboxes
 from masticquay_wire import peers
+from masticquay_wire import sockets
+
+LOG = logging.getLogger(__name__)
 
 REDIAL_MIN_MS = 50
 REDIAL_MAX_MS = 500
+REFUSED_REDIAL_MS = 2_000
 POLL_S = 0.1
+IDLE_POLL_S = 0.25
 SESSION_BYTES = 8
 
+_LINK_ERRORS = (OSError, errors.WireError, exceptions.WebSocketException)
 
-class PendingCall:
-    """A call whose answer has not arrived."""
 
-    __slots__ = ('frame', 'future', 'deadline_s')
+class PeerCounters:
+    """Counts of one peer since it was made."""
 
-    def __init__(
-        self, frame: bytes, future: futures.Future, deadline_s: float
-    ):
-        self.frame = frame
-        self.future = future
-        self.deadline_s = deadline_s
+    __slots__ = (
+        'links',
+        'lost_links',
+        'silent_links',
+        'refused_links',
+        'resent_calls',
+        'expired_calls',
+        'unreadable_frames',
+        'received_frames',
+        'received_bytes',
+        'sent_frames',
+        'sent_bytes',
+    )
+
+    def __init__(self) -> None:
+        for name in self.__slots__:
+            setattr(self, name, 0)
 
 
 class WebsocketPeer:
@@ -42,11 +60,13 @@
 
     One thread per peer dials, receives, and sends heartbeats while a call is
     outstanding. A link without a frame for ``SILENCE_LIMIT_MS`` during that
-    time is dropped, and the calls are sent again over a new one.
+    time is dropped, and the calls are sent again over a new one. Calls that
+    an earlier process at the address may have run fail instead.
 
     :param keep_open: stay connected without calls, to receive notices
     :param on_connect: called in the peer's thread after each new link; the
         callee may call ``notify`` or ``submit`` but must not wait
+    :param compression: None, or ``deflate``
     """
 
     def __init__(
@@ -57,6 +77,7 @@
         on_notice: peers.NoticeHandler | None = None,
         on_connect: typing.Callable[[], None] | None = None,
         keep_open: bool = False,
+        compression: str | None = None,
     ):
         self.address = address
         self._name = name
@@ -64,17 +85,18 @@
         self._on_notice = on_notice
         self._on_connect = on_connect
         self._keep_open = keep_open
+        self._compression = compression
         self._session = os.urandom(SESSION_BYTES)
-        self._numbers = itertools.count(1)
-        self._pending: dict[int, PendingCall] = {}
+        self._instance: bytes | None = None
+        self._pending = calls.PendingCalls()
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._closed = False
+        self._refused = False
+        self._outbox: outboxes.Outbox | None = None
         self._link: connection.Connection | None = None
         self._thread: threading.Thread | None = None
-        self.redial_count = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self._counters = PeerCounters()
         if keep_open:
             self._start()
 
@@ -82,54 +104,40 @@
         self, message: messages.Message, timeout_ms: int
     ) -> futures.Future:
         """Sends a call; see ``peers.Peer``."""
-        number = next(self._numbers)
-        frame = messages.encode_frame(
-            messages.Frame(messages.KIND_CALL, number, message)
-        )
-        future: futures.Future = futures.Future()
-        deadline_s = time.monotonic() + timeout_ms / 1000
-        with self._lock:
-            if self._closed:
-                future.set_exception(
-                    errors.PeerUnavailableError('the peer is closed')
-                )
-                return future
-            self._pending[number] = PendingCall(frame, future, deadline_s)
-            link = self._link
-        self._start()
-        if link is not None:
-            self._send(link, frame)
-        else:
-            self._wake.set()
-        return future
+        try:
+            return self._submit(message, timeout_ms).future
+        except errors.WireError as cause:
+            failed: futures.Future = futures.Future()
+            failed.set_exception(cause)
+            return failed
 
     def call(
         self, message: messages.Message, timeout_ms: int
     ) -> messages.Message:
         """Sends a call and waits; see ``peers.Peer``."""
-        future = self.submit(message, timeout_ms)
+        call = self._submit(message, timeout_ms)
         try:
-            return future.result(timeout_ms / 1000 + 2 * POLL_S)
+            return call.future.result(timeout_ms / 1000)
         except futures.TimeoutError as cause:
-            raise errors.CallTimeoutError(
-                f'{self.address}: no answer in {timeout_ms} ms'
-            ) from cause
+            self._pending.pop(call.number)
+            raise self._make_timeout_error() from cause
 
     def notify(self, message: messages.Message) -> None:
         """Sends a message that wants no answer.
 
         :raises PeerUnavailableError: when there is no link
         """
-        with self._lock:
-            link = self._link
-        if link is None:
+        outbox = self._outbox
+        if outbox is None:
             self._start()
             self._wake.set()
             raise errors.PeerUnavailableError(f'{self.address}: no link')
         frame = messages.encode_frame(
             messages.Frame(messages.KIND_NOTICE, 0, message)
         )
-        if not self._send(link, frame):
+        if len(frame) > messages.MAX_FRAME_BYTES:
+            raise errors.MessageError('the notice is too large')
+        if not outbox.send(frame):
             raise errors.PeerUnavailableError(f'{self.address}: link lost')
 
     def close(self) -> None:
@@ -140,17 +148,49 @@
             thread = self._thread
         self._wake.set()
         if link is not None:
-            _drop(link)
+            sockets.drop(link.socket)
         if thread is not None and thread is not threading.current_thread():
             thread.join(timeout=2)
-        self._fail_pending(errors.PeerUnavailableError('the peer is closed'))
+        self._fail_all(errors.PeerUnavailableError('the peer is closed'))
 
     @property
     def connected(self) -> bool:
         """Whether a link stands now."""
-        return self._link is not None
+        return self._outbox is not None
+
+    def counters(self) -> PeerCounters:
+        """Returns the counts up to now."""
+        outbox = self._outbox
+        counted = PeerCounters()
+        for name in PeerCounters.__slots__:
+            setattr(counted, name, getattr(self._counters, name))
+        if outbox is not None:
+            counted.sent_frames += outbox.sent_frames
+            counted.sent_bytes += outbox.sent_bytes
+        return counted
+
+    def _submit(
+        self, message: messages.Message, timeout_ms: int
+    ) -> calls.PendingCall:
+        if self._closed:
+            raise errors.PeerUnavailableError('the peer is closed')
+        call = self._pending.add(message, timeout_ms)
+        if self._closed:
+            self._fail_all(errors.PeerUnavailableError('the peer is closed'))
+            return call
+        with self._lock:
+            outbox = self._outbox
+            call.sent = outbox is not None
+        self._start()
+        if outbox is not None:
+            outbox.send(call.frame)
+        else:
+            self._wake.set()
+        return call
 
     def _start(self) -> None:
+        if self._thread is not None:
+            return
         with self._lock:
             if self._thread is not None or self._closed:
                 return
@@ -171,15 +211,35 @@
                     link = self._dial(stack)
                     delay_ms = REDIAL_MIN_MS
                     self._receive_until_lost(link)
-            except (OSError, errors.WireError, exceptions.WebSocketException):
-                self.redial_count += 1
-                self._wake.wait(delay_ms / 1000)
-                self._wake.clear()
+            except (errors.AuthenticationError, errors.VersionError) as cause:
+                self._note_refusal(cause)
+                self._pause(REFUSED_REDIAL_MS)
+            except _LINK_ERRORS:
+                self._counters.lost_links += 1
+                self._pause(delay_ms)
                 delay_ms = min(REDIAL_MAX_MS, delay_ms * 2)
             finally:
-                with self._lock:
-                    self._link = None
-                self._expire_pending()
+                self._lose_link()
+                self._expire_calls()
+
+    def _pause(self, duration_ms: int) -> None:
+        self._lose_link()
+        self._wake.wait(duration_ms / 1000)
+        self._wake.clear()
+
+    def _lose_link(self) -> None:
+        with self._lock:
+            outbox, self._outbox, self._link = self._outbox, None, None
+        if outbox is not None:
+            self._counters.sent_frames += outbox.sent_frames
+            self._counters.sent_bytes += outbox.sent_bytes
+
+    def _note_refusal(self, cause: errors.WireError) -> None:
+        self._counters.refused_links += 1
+        if not self._refused:
+            LOG.warning('%s refuses links: %s', self.address, cause)
+        self._refused = True
+        self._fail_all(cause)
 
     def _dial(self, stack: contextlib.ExitStack) -> connection.Connection:
         timeout_s = peers.DIAL_TIMEOUT_MS / 1000
@@ -188,12 +248,12 @@
         )
         stack.callback(sock.close)
         sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.tune(sock)
         link = stack.enter_context(
             client.connect(
                 f'ws://{self.address}/',
                 sock=sock,
-                compression=None,
+                compression=self._compression,
                 proxy=None,
                 open_timeout=timeout_s,
                 ping_interval=None,
@@ -203,16 +263,40 @@
                 user_agent_header=None,
             )
         )
-        handshakes.dial(link, self._secret, self._name, self._session)
-        with self._lock:
-            self._link = link
-            frames = [call.frame for call in self._pending.values()]
-        for frame in frames:
-            self._send(link, frame)
+        welcome = handshakes.dial(
+            link, self._secret, self._name, self._session
+        )
+        self._counters.links += 1
+        self._refused = False
+        self._fail_calls_of_earlier(welcome.instance)
+        self._use(link)
         if self._on_connect is not None:
             self._on_connect()
         return link
 
+    def _fail_calls_of_earlier(self, instance: bytes) -> None:
+        """Fails calls that a process before this one may have run."""
+        if self._instance not in (None, instance):
+            error = errors.PeerUnavailableError(
+                f'{self.address}: restarted, the call may have run'
+            )
+            for call in self._pending.pop_all(sent_only=True):
+                call.future.set_exception(error)
+        self._instance = instance
+
+    def _use(self, link: connection.Connection) -> None:
+        """Makes a link the current one and sends what is pending over it."""
+        outbox = outboxes.Outbox(link)
+        with self._lock:
+            pending = self._pending.pending()
+            self._counters.resent_calls += sum(c.sent for c in pending)
+            for call in pending:
+                call.sent = True
+            self._outbox = outbox
+            self._link = link
+        for call in pending:
+            outbox.send(call.frame)
+
     def _receive_until_lost(self, link: connection.Connection) -> None:
         last_frame_s = last_ping_s = last_call_s = time.monotonic()
         heartbeat_s = peers.HEARTBEAT_MS / 1000
@@ -220,14 +304,16 @@
         idle_s = peers.IDLE_CLOSE_MS / 1000
         while not self._closed:
             try:
-                data = link.recv(timeout=POLL_S)
+                data = link.recv(
+                    timeout=POLL_S if self._pending else IDLE_POLL_S
+                )
             except TimeoutError:
                 data = None
             now_s = time.monotonic()
             if data is not None:
                 last_frame_s = now_s
                 self._take_frame(data)
-            self._expire_pending()
+            self._expire_calls()
             if self._pending:
                 last_call_s = now_s
             waiting = bool(self._pending) or self._keep_open
@@ -237,70 +323,63 @@
                     return
                 continue
             if now_s - last_frame_s > silence_s:
+                self._counters.silent_links += 1
                 raise errors.PeerUnavailableError(
                     f'{self.address}: silent link'
                 )
             if now_s - max(last_frame_s, last_ping_s) >= heartbeat_s:
                 last_ping_s = now_s
-                ping = messages.Frame(messages.KIND_PING, 0)
-                self._send(link, messages.encode_frame(ping))
+                self._outbox.send(_PING_FRAME)
 
     def _take_frame(self, data: bytes | str) -> None:
         if isinstance(data, str):
             raise errors.MessageError('a text frame')
-        self.received_bytes += len(data)
-        frame = messages.decode_frame(data)
-        if frame.kind == messages.KIND_NOTICE:
-            if self._on_notice is not None:
-                self._on_notice(frame.message)
+        self._counters.received_frames += 1
+        self._counters.received_bytes += len(data)
+        raw = messages.open_frame(data)
+        if raw.kind == messages.KIND_NOTICE:
+            self._take_notice(raw)
+        elif raw.kind in (messages.KIND_ANSWER, messages.KIND_ERROR):
+            self._take_answer(raw)
+
+    def _take_notice(self, raw: messages.RawFrame) -> None:
+        if self._on_notice is None:
             return
-        if frame.kind not in (messages.KIND_ANSWER, messages.KIND_ERROR):
+        try:
+            message = raw.read().message
+        except errors.MessageError:
+            self._counters.unreadable_frames += 1
             return
-        with self._lock:
-            pending = self._pending.pop(frame.call_number, None)
-        if pending is None:
+        self._on_notice(message)
+
+    def _take_answer(self, raw: messages.RawFrame) -> None:
+        call = self._pending.pop(raw.call_number)
+        if call is None:
             return
-        if frame.kind == messages.KIND_ERROR:
-            failure = frame.message
-            pending.future.set_exception(
-                errors.RemoteError(failure.code, failure.detail)
+        try:
+            answer = raw.read().message
+        except errors.MessageError as cause:
+            self._counters.unreadable_frames += 1
+            call.future.set_exception(cause)
+            return
+        if raw.kind == messages.KIND_ERROR:
+            call.future.set_exception(
+                errors.RemoteError(answer.code, answer.detail)
             )
         else:
-            pending.future.set_result(frame.message)
+            call.future.set_result(answer)
 
-    def _expire_pending(self) -> None:
-        now_s = time.monotonic()
-        with self._lock:
-            expired = [
-                number
-                for number, call in self._pending.items()
-                if call.deadline_s <= now_s
-            ]
-            calls = [self._pending.pop(number) for number in expired]
-        for call in calls:
-            call.future.set_exception(
-                errors.CallTimeoutError(f'{self.address}: no answer in time')
-            )
+    def _expire_calls(self) -> None:
+        for call in self._pending.pop_expired():
+            self._counters.expired_calls += 1
+            call.future.set_exception(self._make_timeout_error())
 
-    def _fail_pending(self, error: errors.WireError) -> None:
-        with self._lock:
-            calls = list(self._pending.values())
-            self._pending.clear()
-        for call in calls:
+    def _fail_all(self, error: errors.WireError) -> None:
+        for call in self._pending.pop_all():
             call.future.set_exception(error)
 
-    def _send(self, link: connection.Connection, frame: bytes) -> bool:
-        try:
-            link.send(frame)
-        except (OSError, exceptions.WebSocketException):
-            return False
-        self.sent_bytes += len(frame)
-        return True
-
-
-def _drop(link: connection.Connection) -> None:
-    """Shuts the socket so that a thread blocked on it wakes."""
-    try:
-        link.socket.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        return
+    def _make_timeout_error(self) -> errors.CallTimeoutError:
+        return errors.CallTimeoutError(f'{self.address}: no answer in time')
+
+
+_PING_FRAME = messages.encode_frame(messages.Frame(messages.KIND_PING, 0))
--- a/libs/wire/masticquay_wire/errors.py
+++ b/libs/wire/masticquay_wire/errors.py
@@ -21,6 +21,10 @@
     """The peer did not prove that it knows the fleet secret."""
 
 
+class VersionError(WireError):
+    """The two sides have no protocol version in common."""
+
+
 class RemoteError(WireError):
     """The peer refused or failed the call.
 
--- a/libs/wire/masticquay_wire/listeners.py
+++ b/libs/wire/masticquay_wire/listeners.py
@@ -1,9 +1,9 @@
 """The listening side of links: authentication, calls and deduplication."""
 
-import collections
 from concurrent import futures
 import contextlib
 import logging
+import os
 import socket
 import threading
 import typing
@@ -14,50 +14,22 @@
 from masticquay_wire import errors
 from masticquay_wire import handshakes
 from masticquay_wire import messages
+from masticquay_wire import outboxes
 from masticquay_wire import peers
+from masticquay_wire import sessions
+from masticquay_wire import sockets
 
 LOG = logging.getLogger(__name__)
 
 # A dialler pings at least this often while it expects anything.
 LINK_IDLE_TIMEOUT_S = 30
-MAX_SESSIONS = 2_048
+INSTANCE_BYTES = 8
 
-
-class _Session:
-    """Calls of one dialler, kept over its redials for deduplication."""
-
-    __slots__ = ('answers', 'link', 'lock')
-
-    def __init__(self) -> None:
-        self.answers: collections.OrderedDict[int, bytes | None] = (
-            collections.OrderedDict()
-        )
-        self.link: _Link | None = None
-        self.lock = threading.Lock()
-
-    def admit(self, call_number: int) -> bool:
-        """Returns whether the call is new, and notes it if so."""
-        with self.lock:
-            if call_number in self.answers:
-                return False
-            self.answers[call_number] = None
-            while len(self.answers) > peers.MAX_DEDUPLICATED_CALLS:
-                self.answers.popitem(last=False)
-            return True
-
-    def find_answer(self, call_number: int) -> bytes | None:
-        """Returns the frame that answered a call, if it was answered."""
-        with self.lock:
-            return self.answers.get(call_number)
-
-    def answer(self, call_number: int, frame: bytes) -> None:
-        """Stores an answer and sends it over the newest link."""
-        with self.lock:
-            if call_number in self.answers:
-                self.answers[call_number] = frame
-            link = self.link
-        if link is not None:
-            link.send(frame)
+CODE_BAD_MESSAGE = 'bad-message'
+CODE_UNHANDLED = 'unhandled'
+CODE_INTERNAL = 'internal'
+CODE_TOO_LARGE = 'too-large'
+CODE_ANSWER_LOST = 'answer-lost'
 
 
 class _Link:
@@ -65,6 +37,7 @@
 
     def __init__(self, websocket: server.ServerConnection, name: str):
         self._websocket = websocket
+        self._outbox = outboxes.Outbox(websocket)
         self._name = name
         self._hooks: list[typing.Callable[[], None]] = []
         self._lock = threading.Lock()
@@ -80,8 +53,12 @@
 
         :raises PeerUnavailableError: when the link is lost
         """
-        frame = messages.Frame(messages.KIND_NOTICE, 0, message)
-        if not self.send(messages.encode_frame(frame)):
+        frame = messages.encode_frame(
+            messages.Frame(messages.KIND_NOTICE, 0, message)
+        )
+        if len(frame) > messages.MAX_FRAME_BYTES:
+            raise errors.MessageError('the notice is too large')
+        if not self.send(frame):
             raise errors.PeerUnavailableError(f'{self._name}: link lost')
 
     def on_close(self, hook: typing.Callable[[], None]) -> None:
@@ -94,11 +71,11 @@
 
     def send(self, frame: bytes) -> bool:
         """Sends an encoded frame; returns whether the link took it."""
-        try:
-            self._websocket.send(frame)
-        except (OSError, exceptions.WebSocketException):
-            return False
-        return True
+        return self._outbox.send(frame)
+
+    def drop(self) -> None:
+        """Drops the link."""
+        sockets.drop(self._websocket.socket)
 
     def receive(self) -> bytes | str:
         """Waits for the next frame."""
@@ -120,20 +97,30 @@
     A handler runs in the thread of its connection and must not wait: it
     returns an answer, or a future that ends with one. An exception becomes a
     ``Failure``; a ``RemoteError`` keeps its code.
+
+    :param compression: None, or ``deflate``
     """
 
-    def __init__(self, address: peers.Address, name: str, secret: bytes):
+    def __init__(
+        self,
+        address: peers.Address,
+        name: str,
+        secret: bytes,
+        compression: str | None = None,
+    ):
         self.address = address
         self._name = name
         self._secret = secret
         self._handlers: dict[type, peers.Handler] = {}
-        self._sessions: collections.OrderedDict[bytes, _Session] = (
-            collections.OrderedDict()
-        )
+        self._sessions = sessions.Sessions(_lost_answer_frame)
+        self._compression = compression
+        self._instance = os.urandom(INSTANCE_BYTES)
         self._lock = threading.Lock()
         self._stack = contextlib.ExitStack()
         self._websockets: set[server.ServerConnection] = set()
         self.refused_count = 0
+        self.unreadable_count = 0
+        self.repeated_count = 0
 
     def handle(
         self, message_type: type[messages.Message], handler: peers.Handler
@@ -154,7 +141,7 @@
             server.serve(
                 self._serve_link,
                 sock=sock,
-                compression=None,
+                compression=self._compression,
                 ping_interval=None,
                 open_timeout=handshakes.HANDSHAKE_TIMEOUT_S,
                 close_timeout=peers.CLOSE_TIMEOUT_MS / 1000,
@@ -181,7 +168,8 @@
 
     def _serve_link(self, websocket: server.ServerConnection) -> None:
         try:
-            hello = handshakes.listen(websocket, self._secret)
+            sockets.tune(websocket.socket)
+            hello = handshakes.listen(websocket, self._secret, self._instance)
         except (
             errors.WireError,
             exceptions.WebSocketException,
@@ -190,8 +178,8 @@
             self.refused_count += 1
             return
         link = _Link(websocket, hello.name)
-        session = self._find_session(hello.session)
-        session.link = link
+        session = self._sessions.find(hello.session)
+        session.connect(link)
         with self._lock:
             self._websockets.add(websocket)
         try:
@@ -202,43 +190,30 @@
         finally:
             with self._lock:
                 self._websockets.discard(websocket)
-            if session.link is link:
-                session.link = None
+            session.disconnect(link)
             link.run_close_hooks()
 
-    def _find_session(self, key: bytes) -> _Session:
-        with self._lock:
-            session = self._sessions.get(key)
-            if session is None:
-                session = _Session()
-                self._sessions[key] = session
-            self._sessions.move_to_end(key)
-            while len(self._sessions) > MAX_SESSIONS:
-                self._sessions.popitem(last=False)
-            return session
-
     def _take_frame(
-        self, data: bytes | str, link: _Link, session: _Session
+        self, data: bytes | str, link: _Link, session: sessions.Session
     ) -> None:
         number = 0
         try:
             if isinstance(data, str):
                 raise errors.MessageError('a text frame')
             raw = messages.open_frame(data)
-            number, kind = raw.call_number, raw.kind
-            if kind == messages.KIND_PING:
-                pong = messages.Frame(messages.KIND_PONG, 0)
-                link.send(messages.encode_frame(pong))
-                return
-            if kind == messages.KIND_CALL and not session.admit(number):
-                stored = session.find_answer(number)
-                if stored is not None:
-                    link.send(stored)
+            number = raw.call_number
+            if raw.kind == messages.KIND_PING:
+                link.send(_PONG_FRAME)
                 return
+            if raw.kind == messages.KIND_CALL:
+                admission = session.admit(number, raw.floor)
+                if not admission.is_new:
+                    self._answer_again(admission, link)
+                    return
             frame = raw.read()
         except errors.MessageError as cause:
-            self.refused_count += 1
-            failure = messages.Failure('bad-message', str(cause))
+            self.unreadable_count += 1
+            failure = messages.Failure(CODE_BAD_MESSAGE, str(cause))
             session.answer(number, _error_frame(number, failure))
             return
         if frame.kind == messages.KIND_CALL:
@@ -246,8 +221,15 @@
         elif frame.kind == messages.KIND_NOTICE:
             self._run_handler(frame.message, link)
 
+    def _answer_again(
+        self, admission: sessions.Admission, link: _Link
+    ) -> None:
+        self.repeated_count += 1
+        if admission.answer is not None:
+            link.send(admission.answer)
+
     def _answer_call(
-        self, frame: messages.Frame, link: _Link, session: _Session
+        self, frame: messages.Frame, link: _Link, session: sessions.Session
     ) -> None:
         number = frame.call_number
         answer = self._run_handler(frame.message, link)
@@ -264,7 +246,7 @@
         handler = self._handlers.get(type(message))
         if handler is None:
             return messages.Failure(
-                'unhandled', f'{type(message).__name__} is not served here'
+                CODE_UNHANDLED, f'{type(message).__name__} is not served here'
             )
         try:
             return handler(message, link) or messages.Done()
@@ -272,7 +254,7 @@
             return messages.Failure(cause.code, cause.detail)
         except Exception as cause:
             LOG.exception('handler of %s failed', type(message).__name__)
-            return messages.Failure('internal', type(cause).__name__)
+            return messages.Failure(CODE_INTERNAL, type(cause).__name__)
 
 
 def _frame_of(number: int, done: futures.Future) -> bytes:
@@ -282,17 +264,30 @@
     if isinstance(error, errors.RemoteError):
         failure = messages.Failure(error.code, error.detail)
     else:
-        failure = messages.Failure('internal', type(error).__name__)
+        failure = messages.Failure(CODE_INTERNAL, type(error).__name__)
     return _error_frame(number, failure)
 
 
 def _answer_frame(number: int, answer: messages.Message) -> bytes:
     if isinstance(answer, messages.Failure):
         return _error_frame(number, answer)
-    frame = messages.Frame(messages.KIND_ANSWER, number, answer)
-    return messages.encode_frame(frame)
+    frame = messages.encode_frame(
+        messages.Frame(messages.KIND_ANSWER, number, answer)
+    )
+    if len(frame) > messages.MAX_FRAME_BYTES:
+        failure = messages.Failure(CODE_TOO_LARGE, type(answer).__name__)
+        return _error_frame(number, failure)
+    return frame
 
 
 def _error_frame(number: int, failure: messages.Failure) -> bytes:
     frame = messages.Frame(messages.KIND_ERROR, number, failure)
     return messages.encode_frame(frame)
+
+
+def _lost_answer_frame(number: int) -> bytes:
+    failure = messages.Failure(CODE_ANSWER_LOST, 'the call ran')
+    return _error_frame(number, failure)
+
+
+_PONG_FRAME = messages.encode_frame(messages.Frame(messages.KIND_PONG, 0))
--- a/libs/wire/masticquay_wire/messages.py
+++ b/libs/wire/masticquay_wire/messages.py
@@ -8,7 +8,6 @@
 from masticquay_wire import records
 
 PROTOCOL_VERSION = 1
-OLDEST_PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 KIND_CALL = 0
@@ -59,16 +58,24 @@
 
 
 class Frame:
-    """One message on a link, with the number of the call it belongs to."""
+    """One message on a link, with the number of the call it belongs to.
 
-    __slots__ = ('kind', 'call_number', 'message')
+    :param floor: the sender of a call has the answers to all calls below it
+    """
+
+    __slots__ = ('kind', 'call_number', 'message', 'floor')
 
     def __init__(
-        self, kind: int, call_number: int, message: Message | None = None
+        self,
+        kind: int,
+        call_number: int,
+        message: Message | None = None,
+        floor: int = 0,
     ):
         self.kind = kind
         self.call_number = call_number
         self.message = message
+        self.floor = floor
 
 
 def pack(message: Message) -> bytes:
@@ -99,18 +106,24 @@
             frame.call_number,
             type(message).__name__,
             message.to_wire(),
+            frame.floor,
         ]
     )
 
 
 class RawFrame:
-    """A frame whose message has not been read yet."""
+    """A frame whose message has not been read yet.
+
+    Parts beyond the known ones are ignored, so that a later version may add
+    some.
+    """
 
-    __slots__ = ('kind', 'call_number', '_parts')
+    __slots__ = ('kind', 'call_number', 'floor', '_parts')
 
-    def __init__(self, kind: int, call_number: int, parts: list):
+    def __init__(self, kind: int, call_number: int, floor: int, parts: list):
         self.kind = kind
         self.call_number = call_number
+        self.floor = floor
         self._parts = parts
 
     def read(self) -> Frame:
@@ -120,10 +133,10 @@
         """
         if len(self._parts) == 2:
             return Frame(self.kind, self.call_number)
-        if len(self._parts) != 4:
-            raise errors.MessageError('a frame has two or four parts')
+        if len(self._parts) < 4:
+            raise errors.MessageError('a frame has two parts or four')
         message = _build(self._parts[2], self._parts[3])
-        return Frame(self.kind, self.call_number, message)
+        return Frame(self.kind, self.call_number, message, self.floor)
 
 
 def open_frame(data: bytes) -> RawFrame:
@@ -134,6 +147,7 @@
     try:
         parts = cbor2.loads(data)
         kind, call_number = parts[0], parts[1]
+        floor = parts[4] if len(parts) > 4 else 0
     except (
         cbor2.CBORDecodeError,
         ValueError,
@@ -141,9 +155,9 @@
         LookupError,
     ) as cause:
         raise errors.MessageError(f'unreadable frame: {cause}') from cause
-    if type(kind) is not int or type(call_number) is not int:
-        raise errors.MessageError('a frame starts with two numbers')
-    return RawFrame(kind, call_number, parts)
+    if not all(type(part) is int for part in (kind, call_number, floor)):
+        raise errors.MessageError('a part of a frame is no number')
+    return RawFrame(kind, call_number, floor, parts)
 
 
 def decode_frame(data: bytes) -> Frame:
--- a/libs/wire/masticquay_wire/peers.py
+++ b/libs/wire/masticquay_wire/peers.py
@@ -11,7 +11,10 @@
 HEARTBEAT_MS = 500
 SILENCE_LIMIT_MS = 1_500
 IDLE_CLOSE_MS = 10_000
-MAX_DEDUPLICATED_CALLS = 1_024
+SEND_TIMEOUT_MS = 2_000
+SEND_BUFFER_BYTES = 208 * 1024
+# Data that the other side's kernel does not acknowledge.
+UNACKED_LIMIT_MS = 5_000
 
 WEBSOCKET_LOG = logging.getLogger('masticquay_wire.websockets')
 WEBSOCKET_LOG.addHandler(logging.NullHandler())
