--- a/libs/wire/masticquay_wire/outboxes.py
+++ b/libs/wire/masticquay_wire/outboxes.py
@@ -22,8 +22,8 @@
 
     A small frame that the socket has room for is written at once. Others
     wait in a bounded queue for a thread that lives until the queue is empty.
-    A link that takes no data for ``SEND_TIMEOUT_MS``, or whose queue is
-    full, is dropped.
+    A link that takes no data for ``sockets.SEND_TIMEOUT_MS``, or whose queue
+    is full, is dropped.
     """
 
     __slots__ = (
--- /dev/null
+++ b/libs/wire/tests/test_dialers.py
@@ -0,0 +1,217 @@
+"""Tests of links that fail in silence, stall or restart."""
+
+from concurrent import futures
+import threading
+import time
+import unittest
+
+from masticquay_wire import dialers
+from masticquay_wire import errors
+from masticquay_wire import listeners
+from masticquay_wire import messages
+from masticquay_wire import outboxes
+from masticquay_wire import peers
+from tests import forwarders
+from tests import test_peers
+
+SECRET = b'fleet secret'
+TIMEOUT_MS = 20_000
+Echo = test_peers.Echo
+
+
+class DialersTest(unittest.TestCase):
+    def setUp(self):
+        self.runs = []
+        self.listener = self.listen(peers.Address('127.0.0.1', 0))
+        self.forwarder = forwarders.Forwarder(
+            (self.listener.address.host, self.listener.address.port)
+        )
+        self.addCleanup(self.forwarder.close)
+        self.peer = dialers.WebsocketPeer(
+            peers.Address(*self.forwarder.address), 'client', SECRET
+        )
+        self.addCleanup(self.peer.close)
+
+    def listen(self, address):
+        listener = listeners.Listener(address, 'server', SECRET)
+        listener.handle(Echo, self.run_echo)
+        listener.start()
+        self.addCleanup(listener.close)
+        return listener
+
+    def run_echo(self, message, link):
+        self.runs.append(message.text)
+        return message
+
+    def call(self, text, timeout_ms=TIMEOUT_MS):
+        return self.peer.call(Echo(text), timeout_ms).text
+
+    def test_a_silent_link_is_replaced_and_the_call_runs_once(self):
+        for directions in ({}, {'to_target': False}, {'to_dialler': False}):
+            with self.subTest(directions=directions):
+                self.runs.clear()
+                self.assertEqual('before', self.call('before'))
+                self.forwarder.freeze(**directions)
+                self.assertEqual('after', self.call('after'))
+                self.assertEqual(['before', 'after'], self.runs)
+        self.assertEqual(3, self.peer.counters().silent_links)
+        self.assertEqual(3, self.peer.counters().resent_calls)
+
+    def test_more_calls_than_before_are_deduplicated(self):
+        answer: futures.Future = futures.Future()
+        runs = []
+
+        def hold(message, link):
+            runs.append(message.text)
+            return answer
+
+        self.listener.handle(Echo, hold)
+        pending = [
+            self.peer.submit(Echo(str(number)), TIMEOUT_MS)
+            for number in range(2_000)
+        ]
+        wait_for(lambda: len(runs) == 2_000)
+        self.forwarder.freeze()
+        wait_for(lambda: self.peer.counters().links == 2)
+        answer.set_result(Echo('done'))
+        for future in pending:
+            self.assertEqual('done', future.result(20).text)
+        self.assertEqual(2_000, len(runs))
+
+    def test_a_restarted_listener_does_not_run_a_call_again(self):
+        held: futures.Future = futures.Future()
+        begun = threading.Event()
+
+        def hold(message, link):
+            begun.set()
+            return held
+
+        self.listener.handle(Echo, hold)
+        pending = self.peer.submit(Echo('x'), TIMEOUT_MS)
+        self.assertTrue(begun.wait(20))
+        address = self.listener.address
+        self.listener.close()
+        self.listen(address)
+        with self.assertRaises(errors.PeerUnavailableError):
+            pending.result(20)
+        self.assertEqual([], self.runs)
+        self.assertEqual('new', self.call('new'))
+
+    def test_an_answer_of_unknown_type_fails_its_call_alone(self):
+        class Unknown(messages.Message):
+            __slots__ = ()
+
+        self.listener.handle(Echo, lambda message, link: Unknown())
+        with self.assertRaisesRegex(errors.MessageError, 'Unknown'):
+            self.call('x')
+        self.listener.handle(Echo, self.run_echo)
+        self.assertEqual('y', self.call('y'))
+        self.assertEqual(1, self.peer.counters().links)
+
+    def test_an_unknown_call_is_refused_by_name(self):
+        class Unknown(messages.Message):
+            __slots__ = ()
+
+        with self.assertRaisesRegex(errors.RemoteError, 'Unknown'):
+            self.peer.call(Unknown(), TIMEOUT_MS)
+
+    def test_too_large_messages_are_refused_on_both_sides(self):
+        text = 'x' * messages.MAX_FRAME_BYTES
+        with self.assertRaises(errors.MessageError):
+            self.call(text)
+        self.listener.handle(Echo, lambda message, link: Echo(text))
+        with self.assertRaisesRegex(errors.RemoteError, 'too-large'):
+            self.call('x')
+        self.assertEqual(1, self.peer.counters().links)
+
+    def test_a_call_without_answer_ends_at_its_timeout(self):
+        self.listener.handle(Echo, lambda message, link: futures.Future())
+        with self.assertRaises(errors.CallTimeoutError):
+            self.call('x', timeout_ms=300)
+        with self.assertRaises(errors.CallTimeoutError):
+            self.peer.submit(Echo('x'), 300).result(20)
+
+    def test_a_peer_that_never_reads_blocks_nobody(self):
+        links = []
+        self.listener.handle(Echo, lambda message, link: links.append(link))
+        release = threading.Event()
+        self.addCleanup(release.set)
+        stuck = dialers.WebsocketPeer(
+            self.listener.address,
+            'stuck',
+            SECRET,
+            on_notice=lambda message: release.wait(),
+        )
+        self.addCleanup(stuck.close)
+        stuck.call(Echo('x'), TIMEOUT_MS)
+        lost = threading.Event()
+        links[0].on_close(lost.set)
+        slowest_s = 0.0
+        notice = Echo('x' * 100_000)
+        while not lost.is_set():
+            begun_s = time.monotonic()
+            try:
+                links[0].notify(notice)
+            except errors.PeerUnavailableError:
+                break
+            slowest_s = max(slowest_s, time.monotonic() - begun_s)
+        self.assertLess(slowest_s, 5)
+        self.assertEqual('y', self.call_other('y'))
+
+    def call_other(self, text):
+        self.listener.handle(Echo, self.run_echo)
+        return self.call(text)
+
+
+class OutboxTest(unittest.TestCase):
+    def test_a_blocked_socket_does_not_block_the_caller(self):
+        released = threading.Event()
+        sent = []
+
+        class Websocket:
+            def __init__(self, sock):
+                self.socket = sock
+
+            def send(self, frame):
+                released.wait()
+                sent.append(frame)
+
+        ours, theirs = forwarders.socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        outbox = outboxes.Outbox(Websocket(ours))
+        large = b'x' * (outboxes.INLINE_BYTES + 1)
+        self.assertTrue(outbox.send(large))
+        self.assertTrue(outbox.send(b'small, but after the large one'))
+        self.assertEqual([], sent)
+        released.set()
+        wait_for(lambda: len(sent) == 2)
+        self.assertEqual(large, sent[0])
+
+    def test_a_full_queue_drops_the_link(self):
+        released = threading.Event()
+        self.addCleanup(released.set)
+
+        class Websocket:
+            def __init__(self, sock):
+                self.socket = sock
+
+            def send(self, frame):
+                released.wait()
+
+        ours, theirs = forwarders.socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        outbox = outboxes.Outbox(Websocket(ours))
+        frame = b'x' * messages.MAX_FRAME_BYTES
+        results = [outbox.send(frame) for _number in range(4)]
+        self.assertFalse(results[-1])
+        self.assertEqual(b'', theirs.recv(1))
+
+
+def wait_for(condition, timeout_s=20):
+    deadline_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise AssertionError('the condition was not met in time')
+        time.sleep(0.01)
