--- a/libs/bench/masticquay_bench/replays.py
+++ b/libs/bench/masticquay_bench/replays.py
@@ -15,6 +15,8 @@
 
 # The judgement needs the memory of the last calls to be free again.
 SETTLE_S = 4.0
+# A surge has spent the burst after this time.
+BURST_S = 3.0
 
 
 class Replay:
@@ -117,6 +119,7 @@
     metrics['other_workspaces_goodput'] = min(
         by_workspace.values(), default=1.0
     )
+    metrics.update(measure_surges(trace, found))
     metrics['withdrawal_ms'] = directors.longest_ms(
         found.marks, evidence.MARK_WITHDRAWN
     )
@@ -126,6 +129,24 @@
     return metrics
 
 
+def measure_surges(
+    trace: traces.Trace, found: evidence.Evidence
+) -> dict[str, float]:
+    """Returns the least use of its rate by a workspace in a surge."""
+    started_ms = min((call.due_ms for call in found.calls), default=0.0)
+    uses = [
+        summaries.rate_use(
+            found,
+            surge['workspace'],
+            started_ms + (surge['from_s'] + BURST_S) * 1000,
+            started_ms + surge['to_s'] * 1000,
+        )
+        for surge in trace.values['surges']
+        if 'workspace' in surge
+    ]
+    return {'surge_rate_use': min(uses)} if uses else {}
+
+
 def describe_miss(
     name: str, metrics: dict[str, float], limits: dict[str, float]
 ) -> str:
--- a/libs/bench/tests/test_summaries.py
+++ b/libs/bench/tests/test_summaries.py
@@ -57,6 +57,29 @@
         self.assertEqual(1, len(refuse(20)))
         self.assertEqual(0, len(refuse(80)))
 
+    def test_what_is_sent_beyond_the_rate_may_be_refused(self):
+        refused = [
+            fixtures.completion(
+                f'c{n}',
+                due_ms=1.0 + n,
+                max_tokens=70,
+                end=calls.END_REFUSED,
+                error_code='over-rate',
+            )
+            for n in range(4)
+        ]
+        rate = evidence.Rate('desk', 1, 100)
+        found = fixtures.found(refused, rates=[rate])
+        wrongful = summaries.find_wrongful_refusals(found)
+        self.assertEqual(['c0'], [call.call_id for call in wrongful])
+
+    def test_the_use_of_a_rate_is_measured(self):
+        used = fixtures.completion(first_token_ms=1_500.0, max_tokens=40)
+        rate = evidence.Rate('desk', 100, 100)
+        found = fixtures.found([used], rates=[rate])
+        use = summaries.rate_use(found, 'desk', 1_000.0, 2_000.0)
+        self.assertEqual(0.5, use)
+
     def test_histograms_hold_the_percentiles(self):
         made = summaries.make_histograms([fixtures.completion(due_ms=1_000.0)])
         self.assertEqual(1, made['whole/completion/standard']['count'])
