Another attempt of a request waits anew for its place

Attempts after the first are bound by the request's deadline and a wait limit of their own. Test in libs/entry.

--- a/libs/entry/masticquay_entry/placements.py
+++ b/libs/entry/masticquay_entry/placements.py
@@ -71,6 +71,11 @@
         elapsed_ms = started_ms - run.arrived_ms
         max_wait_ms = max(0, service_class.max_wait_ms - elapsed_ms)
         first_token_ms = service_class.first_token_target_ms - elapsed_ms
+        if self.attempt > 1:
+            # An accepted request is worth finishing late, and its first token
+            # may be out already: it waits anew, up to its deadline.
+            max_wait_ms = service_class.max_wait_ms
+            first_token_ms = left_ms
         future = self._parts.pools.admit(
             messages.Admit(
                 self.pool,
--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -90,6 +90,14 @@
         )
         self.assertEqual('engine-0', self.host.pools.finished[0].endpoint)
 
+    def test_another_attempt_waits_anew_up_to_the_deadline(self):
+        self.site.faults('engine-0', refuse=1)
+        self.assert_whole(self.host.complete(PROMPT))
+        first, second = self.host.pools.admits
+        self.assertLessEqual(first.first_token_ms, 490)
+        self.assertEqual(second.deadline_ms, second.first_token_ms)
+        self.assertEqual(4_000, second.max_wait_ms)
+
     def test_garbled_prefill_is_tried_elsewhere(self):
         self.site.faults('engine-0', garble=1)
         self.assert_whole(self.host.complete(PROMPT))
