--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -93,7 +93,10 @@
     print(f'{name} ...', flush=True)
     module = importlib.import_module(f'masticquay_bench.{name}')
     prefix = name.removesuffix(BENCHES_SUFFIX)
-    result.add(prefix, module.run(_QUICK.value, _SEED.value))
+    measured = module.run(_QUICK.value, _SEED.value)
+    if isinstance(measured, list):
+        measured = {record.name: record.value for record in measured}
+    result.add(prefix, measured)
     took_s = time.monotonic() - started_s
     print(f'{name}: {took_s:.1f} s', flush=True)
 
