--- a/libs/consensus/masticquay_consensus/settings.py
+++ b/libs/consensus/masticquay_consensus/settings.py
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        heartbeat_ms: int = 200,
+        heartbeat_ms: int = 250,
         election_min_ms: int = 1_000,
         election_max_ms: int = 2_000,
         drift_margin_ms: int = 100,
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -27,7 +27,7 @@
 REDIAL_MAX_MS = 500
 REFUSED_REDIAL_MS = 2_000
 POLL_S = 0.1
-IDLE_POLL_S = 0.25
+IDLE_POLL_S = 0.5
 SESSION_BYTES = 8
 
 _LINK_ERRORS = (OSError, errors.WireError, exceptions.WebSocketException)
@@ -299,6 +299,7 @@
 
     def _receive_until_lost(self, link: connection.Connection) -> None:
         last_frame_s = last_ping_s = last_call_s = time.monotonic()
+        expiry_s = 0.0
         heartbeat_s = peers.HEARTBEAT_MS / 1000
         silence_s = peers.SILENCE_LIMIT_MS / 1000
         idle_s = peers.IDLE_CLOSE_MS / 1000
@@ -313,7 +314,9 @@
             if data is not None:
                 last_frame_s = now_s
                 self._take_frame(data)
-            self._expire_calls()
+            if now_s >= expiry_s:
+                expiry_s = now_s + POLL_S
+                self._expire_calls()
             if self._pending:
                 last_call_s = now_s
             waiting = bool(self._pending) or self._keep_open
