--- a/libs/wire/masticquay_wire/sockets.py
+++ b/libs/wire/masticquay_wire/sockets.py
@@ -1,11 +1,25 @@
-"""Options of the sockets under links."""
+"""Options of the TCP sockets under links."""
 
 import socket
 import struct
 
+from masticquay_wire import peers
+
 SEND_TIMEOUT_MS = 2_000
 
 
+def tune(sock: socket.socket) -> None:
+    """Bounds how long a socket may stay silent or refuse to take data."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, peers.UNACKED_LIMIT_MS
+    )
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, peers.SEND_BUFFER_BYTES
+    )
+    limit_sends(sock)
+
+
 def limit_sends(
     sock: socket.socket, timeout_ms: int = SEND_TIMEOUT_MS
 ) -> None:
@@ -17,3 +31,11 @@
     seconds, rest_ms = divmod(timeout_ms, 1_000)
     value = struct.pack('ll', seconds, rest_ms * 1_000)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
+
+
+def drop(sock: socket.socket) -> None:
+    """Shuts a socket down so that threads blocked on it wake."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
