--- a/libs/bench/masticquay_bench/capacity.py
+++ b/libs/bench/masticquay_bench/capacity.py
@@ -126,12 +126,13 @@
         return times(per_s, self.value(slope), 1e-6)
 
     def control_memory_mb(self, hosts: int) -> float | None:
-        """Returns the memory of a control process."""
+        """Returns the memory of a control process, of all that there are."""
+        watching = hosts / self.size.control_hosts
         return plus(
             self.value('control_base_mb'),
             times(
-                hosts,
-                self.value('control_bytes_per_host'),
+                watching,
+                self.value('control_bytes_per_watching_host'),
                 1 / slopes.MEGABYTE,
             ),
         )
--- a/libs/bench/masticquay_bench/slopes.py
+++ b/libs/bench/masticquay_bench/slopes.py
@@ -107,8 +107,9 @@
     total_us = (sum(many.cpu_shares) - sum(few.cpu_shares)) * 1e6 / hosts
     meter.add('control_all_us_per_host_s', total_us, 'us/s', note)
     meter.add('control_idle_core_share', max(few.cpu_shares), 'core', note)
-    grown = max(many.memory_bytes) - max(few.memory_bytes)
-    meter.add('control_bytes_per_host', grown / hosts, 'B', note)
+    # A host keeps its watch open with one replica only.
+    grown = sum(many.memory_bytes) - sum(few.memory_bytes)
+    meter.add('control_bytes_per_watching_host', grown / hosts, 'B', note)
     meter.add('control_base_mb', max(few.memory_bytes) / MEGABYTE, 'MB', note)
     per_host = many.bytes_per_s / many.entries
     meter.add('host_control_bytes_per_s', per_host, 'B/s', note)
