--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -5,12 +5,12 @@
 import re
 import typing
 
+from masticquay_endpoints import bodies
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import protocols
 
-CHUNK_BYTES = 65_536
 MAX_EVENT_BYTES = 262_144
 MAX_ANSWER_BYTES = 1_048_576
 JSON_HEADERS = [('Content-Type', 'application/json')]
@@ -162,16 +162,32 @@
                 content = exchange.read_body(MAX_ANSWER_BYTES)
                 raise _refusal(response.status, content)
             _check_headers(response, body)
-            while not parser.finished:
-                with exchange.translated_errors():
-                    chunk = response.read1(CHUNK_BYTES)
-                if not chunk:
-                    raise errors.EndpointError('the stream broke off')
-                batch = parser.feed(chunk)
-                if batch is None:
-                    continue
-                exchange.connection.set_timeout(stall_timeout_ms)
-                yield batch
+            source = bodies.StreamBody(response, exchange.connection.http.sock)
+            with exchange.translated_errors():
+                yield from _read_batches(
+                    source, parser, exchange.connection, stall_timeout_ms
+                )
+
+
+def _read_batches(
+    source: bodies.StreamBody,
+    parser: 'EventParser',
+    connection: connections.Connection,
+    stall_timeout_ms: int,
+) -> abc.Iterator[protocols.TokenBatch]:
+    """Yields tokens as they arrive; the first may take longer than others."""
+    waiting_first = True
+    while not parser.finished:
+        chunk = source.read()
+        if not chunk:
+            raise errors.EndpointError('the stream broke off')
+        batch = parser.feed(chunk)
+        if batch is None:
+            continue
+        if waiting_first:
+            connection.set_timeout(stall_timeout_ms)
+            waiting_first = False
+        yield batch
 
 
 class EventParser:
@@ -191,6 +207,11 @@
         """
         data = self._rest + chunk if self._rest else chunk
         first_index = self._next_index
+        found = TOKEN_EVENT.fullmatch(data)
+        if found is not None and int(found[1]) == first_index:
+            self._next_index = first_index + 1
+            self._rest = b''
+            return protocols.TokenBatch(first_index, [found[2]])
         texts: list[bytes] = []
         finish_reason = ''
         position = 0
--- a/libs/entry/masticquay_entry/servers.py
+++ b/libs/entry/masticquay_entry/servers.py
@@ -68,6 +68,21 @@
             self.set_close_on_finish()
         return super().build_response_header()
 
+    def write(self, data: bytes) -> None:
+        """Writes a part; the head and the first part go out together."""
+        if not (self.complete and data and self.has_body):
+            super().write(data)
+            return
+        head = b''
+        if not self.wrote_header:
+            head = self.build_response_header()
+            self.wrote_header = True
+        if self.chunked_response:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        else:
+            self.content_bytes_written += len(data)
+        self.channel.write_soon(head + data if head else data)
+
 
 class Channel(channel.HTTPChannel):
     """One connection of a caller; see ``runs.Caller``."""
@@ -76,6 +91,27 @@
     error_task_class = ErrorTask
     _sent_bytes = 0
 
+    def write_soon(self, data: typing.Any) -> int:
+        """Sends output at once when nothing waits before it."""
+        if self.total_outbufs_len or not self.connected:
+            return super().write_soon(data)
+        with self.outbuf_lock:
+            sent = self._send_now(data)
+        if sent < len(data):
+            super().write_soon(data[sent:])
+        return len(data)
+
+    def _send_now(self, data: bytes) -> int:
+        if self.total_outbufs_len:
+            return 0
+        try:
+            sent = self.socket.send(data)
+        except OSError:
+            # The slower way of the base class deals with every error.
+            return 0
+        self._sent_bytes += sent
+        return sent
+
     def send(self, data: bytes, do_close: bool = True) -> int:
         sent = super().send(data, do_close=do_close)
         self._sent_bytes += sent
