--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -3,7 +3,6 @@
 import importlib
 import pathlib
 import pkgutil
-import subprocess
 import sys
 import time
 
@@ -11,6 +10,7 @@
 from absl import flags
 
 import masticquay_bench
+from masticquay_bench import commits
 from masticquay_bench import errors
 from masticquay_bench import loads
 from masticquay_bench import replays
@@ -32,6 +32,7 @@
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of arrivals and faults.')
 _DURATION_S = flags.DEFINE_float('duration_s', 60, 'Length of a soak.', 1)
 _OUTPUT = flags.DEFINE_string('output', 'bench-result', 'Folder of results.')
+_KEEP = flags.DEFINE_string('keep', '', 'Folder that keeps records and logs.')
 _EARLIER = flags.DEFINE_string('earlier', '', 'Earlier result to compare.')
 
 
@@ -83,27 +84,19 @@
     return {
         'command': ' '.join(['masticquay-bench', *sys.argv[1:]]),
         'seed': str(_SEED.value),
-        'commit': _read_commit(),
+        'commit': commits.read_commit(),
     }
 
 
-def _read_commit() -> str:
-    folder = pathlib.Path(__file__).parent
-    done = subprocess.run(
-        ['git', 'describe', '--always', '--dirty'],
-        cwd=folder,
-        capture_output=True,
-        text=True,
-    )
-    return done.stdout.strip() or 'unknown'
-
-
 def _run_part(result: results.Result, name: str) -> None:
     started_s = time.monotonic()
     print(f'{name} ...', flush=True)
     module = importlib.import_module(f'masticquay_bench.{name}')
     prefix = name.removesuffix(BENCHES_SUFFIX)
-    result.add(prefix, module.run(_QUICK.value, _SEED.value))
+    measured = module.run(_QUICK.value, _SEED.value)
+    if isinstance(measured, list):
+        measured = {record.name: record.value for record in measured}
+    result.add(prefix, measured)
     took_s = time.monotonic() - started_s
     print(f'{name}: {took_s:.1f} s', flush=True)
 
@@ -114,7 +107,7 @@
     for name in names:
         trace = traces.load(name)
         print(f'replaying {trace.name}', flush=True)
-        done = replays.replay(trace, _SEED.value)
+        done = replays.replay(trace, _SEED.value, _keep_folder(name))
         print(replays.format_replay(done), flush=True)
         if not done.held:
             failed.append(trace.name)
@@ -123,6 +116,10 @@
     return EXIT_FAILED if failed else 0
 
 
+def _keep_folder(name: str) -> pathlib.Path | None:
+    return pathlib.Path(_KEEP.value, name) if _KEEP.value else None
+
+
 def main(arguments: list[str]) -> int:
     """Runs the command that the command line names."""
     words = arguments[1:]
@@ -136,7 +133,9 @@
             print('\n'.join(traces.list_names()))
             return 0
         if words == ['soak']:
-            return soaks.soak(_DURATION_S.value, _SEED.value)
+            return soaks.soak(
+                _DURATION_S.value, _SEED.value, _keep_folder('soak')
+            )
     except errors.BenchError as cause:
         print(cause, file=sys.stderr)
         return EXIT_FAILED
--- a/libs/bench/masticquay_bench/replays.py
+++ b/libs/bench/masticquay_bench/replays.py
@@ -1,5 +1,6 @@
 """Replays a trace through real processes and checks its stated outcomes."""
 
+import pathlib
 import time
 
 from masticquay_bench import checkers
@@ -10,9 +11,12 @@
 from masticquay_bench import runs
 from masticquay_bench import summaries
 from masticquay_bench import traces
+from masticquay_bench import usage_checks
 
 # The judgement needs the memory of the last calls to be free again.
 SETTLE_S = 4.0
+# A surge has spent the burst after this time.
+BURST_S = 3.0
 
 
 class Replay:
@@ -52,8 +56,13 @@
         return not self.failures and all(v.held for v in self.verdicts)
 
 
-def replay(trace: traces.Trace, seed: int, show: bool = True) -> Replay:
-    """Starts a fleet, replays the trace, and judges what came of it."""
+def replay(
+    trace: traces.Trace, seed: int, folder: pathlib.Path | None = None
+) -> Replay:
+    """Starts a fleet, replays the trace, and judges what came of it.
+
+    :param folder: where calls, journals and logs are kept
+    """
     sizes = fleets.Sizes(engine_slots=trace.values['engine_slots'])
     options = {'step_ms': trace.values['step_ms']}
     with fleets.Fleet(
@@ -62,11 +71,16 @@
         run = runs.Run(fleet, seed)
         director = directors.Director(run, trace.events())
         director.start()
-        drivers.Driver(run, trace.arrivals(seed), show).run()
+        drivers.Driver(run, trace.arrivals(seed)).run()
         director.stop()
         time.sleep(SETTLE_S)
         found = run.collect()
-    return judge(trace, seed, found, director.failures)
+        failures = director.failures + usage_checks.check_fleet(
+            fleet, found.calls
+        )
+        if folder is not None:
+            run.save(folder)
+    return judge(trace, seed, found, failures)
 
 
 def judge(
@@ -105,6 +119,7 @@
     metrics['other_workspaces_goodput'] = min(
         by_workspace.values(), default=1.0
     )
+    metrics.update(measure_surges(trace, found))
     metrics['withdrawal_ms'] = directors.longest_ms(
         found.marks, evidence.MARK_WITHDRAWN
     )
@@ -114,6 +129,24 @@
     return metrics
 
 
+def measure_surges(
+    trace: traces.Trace, found: evidence.Evidence
+) -> dict[str, float]:
+    """Returns the least use of its rate by a workspace in a surge."""
+    started_ms = min((call.due_ms for call in found.calls), default=0.0)
+    uses = [
+        summaries.rate_use(
+            found,
+            surge['workspace'],
+            started_ms + (surge['from_s'] + BURST_S) * 1000,
+            started_ms + surge['to_s'] * 1000,
+        )
+        for surge in trace.values['surges']
+        if 'workspace' in surge
+    ]
+    return {'surge_rate_use': min(uses)} if uses else {}
+
+
 def describe_miss(
     name: str, metrics: dict[str, float], limits: dict[str, float]
 ) -> str:
--- a/libs/bench/masticquay_bench/soaks.py
+++ b/libs/bench/masticquay_bench/soaks.py
@@ -1,5 +1,6 @@
 """Soak: a fleet under load with a seeded schedule of faults."""
 
+import pathlib
 import random
 import threading
 import time
@@ -12,6 +13,7 @@
 from masticquay_bench import replays
 from masticquay_bench import runs
 from masticquay_bench import traces
+from masticquay_bench import usage_checks
 
 RATE_PER_S = 6
 FIRST_FAULT_S = 5.0
@@ -59,6 +61,7 @@
             ('pause-entry', self._pause_entry),
             ('kill-control', self._kill_control),
             ('pause-control', self._pause_control),
+            ('silence-control', self._silence_control),
             ('kill-engine', self._kill_engine),
             ('stall-engine', self._stall_engine),
             ('faulty-engine', self._make_engine_faulty),
@@ -67,8 +70,12 @@
             ('roll', self._run.roll),
         ]
         delay_s = FIRST_FAULT_S
+        deck: list[tuple[str, typing.Callable[[], None]]] = []
         while not self._stopped.wait(delay_s):
-            name, act = self._rng.choice(kinds)
+            # Each kind comes once before any comes again.
+            if not deck:
+                deck = self._rng.sample(kinds, len(kinds))
+            name, act = deck.pop()
             delay_s = self._rng.uniform(*FAULT_GAP_S)
             self.counts[name] = self.counts.get(name, 0) + 1
             print(f'  fault {name}', flush=True)
@@ -162,6 +169,10 @@
 
         self._with_control(act)
 
+    def _silence_control(self) -> None:
+        """Makes the open connections to one control host silent."""
+        self._rng.choice(self._run.fleet.forwarders).silence()
+
     def _kill_engine(self) -> None:
         count = len(self._run.fleet.engines)
         number = self._take('engine', count, count - 2)
@@ -172,19 +183,23 @@
         self._run.restart_engine(number)
         self._put_back('engine', number)
 
-    def _engine_address(self) -> str:
-        number = self._rng.randrange(len(self._run.fleet.engines))
-        return self._run.fleet.layout.engine(number)
+    def _set_engine_faults(self, **faults: int) -> None:
+        count = len(self._run.fleet.engines)
+        number = self._take('engine', count, 0)
+        if number is None:
+            return
+        address = self._run.fleet.layout.engine(number)
+        self._run.fleet.set_faults(address, **faults)
+        self._put_back('engine', number)
 
     def _stall_engine(self) -> None:
-        stall_ms = self._rng.randint(*STALL_MS)
-        self._run.fleet.set_faults(self._engine_address(), stall_ms=stall_ms)
+        self._set_engine_faults(stall_ms=self._rng.randint(*STALL_MS))
 
     def _make_engine_faulty(self) -> None:
         fault = self._rng.choice(
             ('silent', 'cut', 'garble', 'refuse', 'crossed', 'repeat')
         )
-        self._run.fleet.set_faults(self._engine_address(), **{fault: 2})
+        self._set_engine_faults(**{fault: 2})
 
     def _list_leaving(self) -> None:
         number = self._rng.randrange(len(self._run.fleet.engines))
@@ -215,18 +230,23 @@
         stream.join()
 
 
-def soak(duration_s: float, seed: int, rate_per_s: float = RATE_PER_S) -> int:
-    """Runs a soak, prints the verdicts and returns the exit code."""
+def soak(
+    duration_s: float, seed: int, folder: pathlib.Path | None = None
+) -> int:
+    """Runs a soak, prints the verdicts and returns the exit code.
+
+    :param folder: where calls, journals and logs are kept
+    """
     trace = traces.Trace(
         {
             'name': 'soak',
             'deployment': 'kalamu',
             'duration_s': duration_s,
-            'rate_per_s': rate_per_s,
+            'rate_per_s': RATE_PER_S,
         }
     )
     print(f'soak of {duration_s:.0f} s, seed {seed}', flush=True)
-    with fleets.Fleet(trace.deployment, seed=seed) as fleet:
+    with fleets.Fleet(trace.deployment, seed=seed, forwarded=True) as fleet:
         run = runs.Run(fleet, seed)
         director = directors.Director(run, [])
         makers = Soak(run, seed)
@@ -237,7 +257,12 @@
         director.stop()
         time.sleep(replays.SETTLE_S)
         found = run.collect()
-    done = replays.judge(trace, seed, found, makers.failures)
+        failures = makers.failures + usage_checks.check_fleet(
+            fleet, found.calls
+        )
+        if folder is not None:
+            run.save(folder)
+    done = replays.judge(trace, seed, found, failures)
     print(replays.format_replay(done))
     faults = ', '.join(f'{k} {v}' for k, v in sorted(makers.counts.items()))
     print(f'faults: {faults}')
