--- a/libs/bench/masticquay_bench/relay_benches.py
+++ b/libs/bench/masticquay_bench/relay_benches.py
@@ -30,8 +30,10 @@
 MEASURE_S = 8
 START_LIMIT_S = 30
 READ_BYTES = 65_536
+QUICK_S = 3
+ECHO_S = 0.5
+ECHO_BYTES = 200
 SHORT_CALLERS = 16
-SHORT_SECONDS = 6
 TOKEN_MARK = b'"text": "'
 LENGTH_PATTERN = re.compile(rb'Content-Length: (\d+)')
 LAST_MARK = b'"text": "", "finish_reason": "'
@@ -51,9 +53,34 @@
         self.context = context
 
 
-def run_all() -> list[Record]:
-    """Runs every bench of this module."""
-    return [*measure_streams(), *measure_short_answers()]
+def run(quick: bool, seed: int) -> list[Record]:
+    """Runs every bench of this module.
+
+    The echo cost is what one small message costs this machine now, so that
+    figures of runs under different load can be compared.
+    """
+    seconds = QUICK_S if quick else MEASURE_S
+    echo = Record('echo_cpu', measure_echo(), 'us/message', {})
+    return [
+        echo,
+        *measure_streams(measure_s=seconds),
+        *measure_short_answers(seconds=seconds),
+    ]
+
+
+def measure_echo(seconds: float = ECHO_S) -> float:
+    """Returns processor time for one message through a socket pair."""
+    near, far = socket.socketpair()
+    message = b'x' * ECHO_BYTES
+    count = 0
+    with near, far:
+        end_s = time.monotonic() + seconds
+        before_s = time.thread_time()
+        while time.monotonic() < end_s:
+            near.send(message)
+            far.recv(READ_BYTES)
+            count += 1
+        return (time.thread_time() - before_s) / count * 1e6
 
 
 def measure_streams(
@@ -81,16 +108,16 @@
         raise errors.FleetError('no token arrived')
     per_stream = (memory_during - memory_before) / streams
     return [
-        Record('relay_tokens', tokens / elapsed_s, 'tokens/s', context),
-        Record('relay_cpu', cpu_s / tokens * 1e6, 'us/token', context),
-        Record('relay_host_cpu', cpu_s / elapsed_s, 'cores', context),
-        Record('relay_idle_cpu', idle, 'cores', context),
-        Record('relay_memory', per_stream / 1024, 'KiB/stream', context),
+        Record('tokens_per_s', tokens / elapsed_s, 'tokens/s', context),
+        Record('us_per_token', cpu_s / tokens * 1e6, 'us/token', context),
+        Record('host_cores', cpu_s / elapsed_s, 'cores', context),
+        Record('idle_cores', idle, 'cores', context),
+        Record('kib_per_stream', per_stream / 1024, 'KiB/stream', context),
     ]
 
 
 def measure_short_answers(
-    callers: int = SHORT_CALLERS, seconds: int = SHORT_SECONDS
+    callers: int = SHORT_CALLERS, seconds: int = MEASURE_S
 ) -> list[Record]:
     """Measures requests a second with answers of one token."""
     context = {'callers': str(callers), 'output_tokens': '1'}
@@ -109,8 +136,15 @@
     if not answered:
         raise errors.FleetError('no request was answered')
     return [
-        Record('short_requests', answered / elapsed_s, 'requests/s', context),
-        Record('short_cpu', cpu_s / answered * 1e6, 'us/request', context),
+        Record(
+            'short_requests_per_s', answered / elapsed_s, 'requests/s', context
+        ),
+        Record(
+            'us_per_short_request',
+            cpu_s / answered * 1e6,
+            'us/request',
+            context,
+        ),
         Record('short_refused', load.refused, 'requests', context),
     ]
 
@@ -274,8 +308,8 @@
 
 def main() -> None:
     """Prints the records."""
-    for record in run_all():
-        print(f'{record.name}: {record.value:.1f} {record.unit}')
+    for record in run(False, 0):
+        print(f'{record.name}: {record.value:.2f} {record.unit}')
 
 
 if __name__ == '__main__':
