--- a/libs/bench/masticquay_bench/decision_runs.py
+++ b/libs/bench/masticquay_bench/decision_runs.py
@@ -96,7 +96,7 @@
         self.policy_cpu_ns = 0
         self.duplicate_runs = 0
         for scheduler in self.policy.schedulers():
-            scheduler.ends_ms = self.ends_ms
+            scheduler.binder.ends_ms = self.ends_ms
         self._plan_faults(losses or [], host_loss_ms)
 
     def run(self) -> 'Run':
--- a/libs/bench/masticquay_bench/decision_traces.py
+++ b/libs/bench/masticquay_bench/decision_traces.py
@@ -191,6 +191,18 @@
     2_500,
 )
 
+SHARD = Deployment(
+    'shard',
+    [f'place{number}' for number in range(6)],
+    [
+        ClassMix(CLASS_STATUS, 0.20, 150, 12, 32),
+        ClassMix(CLASS_DRAFT, 0.60, 800, 60, 128),
+        ClassMix(CLASS_BATCH, 0.20, 1_200, 80, 256),
+    ],
+    [4, 3, 2, 1, 1],
+    2_000,
+)
+
 
 def _make_engine(name: str, place: str, role: str) -> models.Endpoint:
     return models.Endpoint(
--- a/libs/scheduling/masticquay_scheduling/healths.py
+++ b/libs/scheduling/masticquay_scheduling/healths.py
@@ -18,6 +18,7 @@
         '_ejected_until_ms',
         '_probing',
         '_started_ms',
+        '_settled',
         'ejected_count',
     )
 
@@ -32,6 +33,7 @@
         self._ejected_until_ms: int | None = None
         self._probing = False
         self._started_ms = started_ms
+        self._settled = started_ms is None
         self.ejected_count = 0
 
     def record_success(self, now_ms: int) -> None:
@@ -58,11 +60,13 @@
         self._ejections += 1
         self._failures = 0
         self._probing = False
+        self._settled = False
         self.ejected_count += 1
 
     def restart(self, now_ms: int) -> None:
         """Begins a slow start, for an endpoint that started anew."""
         self._started_ms = now_ms
+        self._settled = False
 
     def ejected(self, now_ms: int) -> bool:
         """Whether the endpoint is out."""
@@ -77,11 +81,14 @@
 
     def allowance(self, slots: int, now_ms: int) -> int:
         """Returns how many of its slots may be used now."""
+        if self._settled:
+            return slots
         if self.ejected(now_ms):
             return 0
         if self._probing:
             return 1
         if not self._slow(now_ms):
+            self._settled = True
             return slots
         first = self._settings.slow_start_percent / 100
         elapsed_ms = now_ms - self._started_ms
--- a/libs/scheduling/masticquay_scheduling/reservations.py
+++ b/libs/scheduling/masticquay_scheduling/reservations.py
@@ -106,7 +106,7 @@
 
     def free_slots(self, now_ms: int) -> int:
         """Returns the decode slots that may be reserved now."""
-        if not self.takes_work():
+        if self.leaving or self.undeclared:
             return 0
         allowed = self.health.allowance(self.endpoint.slots, now_ms)
         return allowed - self.decode_count - self.foreign_slots
