Cost of a pool's owner measured with its links; fewer wake-ups

masticquay_bench.decision_costs runs the real service in a process of its own and sends it 70 requests a second.

Closing a PoolClient with requests waiting raised AttributeError; it refuses them now.

--- a/libs/bench/masticquay_bench/decision_runs.py
+++ b/libs/bench/masticquay_bench/decision_runs.py
@@ -297,7 +297,7 @@
             return
         flow.prefilled_ms = self.clock.now_ms()
         placement = flow.placement
-        if not self.policy.late_decode:
+        if placement.decode_endpoint:
             self._at(
                 self._in(HOP_MS),
                 self._timed,
--- a/libs/bench/masticquay_bench/decisions.py
+++ b/libs/bench/masticquay_bench/decisions.py
@@ -3,6 +3,7 @@
 import sys
 import typing
 
+from masticquay_bench import decision_costs
 from masticquay_bench import decision_policies
 from masticquay_bench import decision_rates
 from masticquay_bench import decision_runs
@@ -23,6 +24,7 @@
 RATE_HOSTS = 9
 SHARD_REQUESTS_PER_S = 70
 COST_REPEATS = 3
+COST_DURATION_S = 4.0
 RATE_MEAN_TOKENS = 1_500
 
 OURS = 'ours'
@@ -137,6 +139,11 @@
             f'{measures[0].offered_total} requests, one of {len(measures)}'
         )
         self._add('shard.scheduler_cpu', cpu_us, 'us per request', context)
+        # The wire's share is measured with the real service and links.
+        owner_us = decision_costs.measure_owner_us(
+            SHARD_REQUESTS_PER_S, COST_DURATION_S
+        )
+        self._add('shard.owner_cpu', owner_us, 'us per request', 'links too')
         self._add('shard.goodput', measures[0].goodput, 'share', context)
 
     def measure_rates(self) -> None:
--- a/libs/scheduling/masticquay_scheduling/binders.py
+++ b/libs/scheduling/masticquay_scheduling/binders.py
@@ -23,7 +23,11 @@
 
 
 class Binder:
-    """Chooses endpoints, reserves them, and charges the workspace."""
+    """Chooses endpoints, reserves them, and charges the workspace.
+
+    While many slots are free, decode is bound at once also for hosts that
+    could ask later: it saves a message, and an idle slot costs nothing.
+    """
 
     def __init__(
         self,
@@ -49,6 +53,9 @@
         self._deferred_headroom = self._part_of_slots(
             self._settings.deferred_headroom_percent
         )
+        self._ample_slots = self._part_of_slots(
+            self._settings.ample_slots_percent
+        )
         self._chooser.long_prefill_ms = float('inf')
         if targets and not plan.is_service:
             percent = self._settings.headroom_percent
@@ -112,7 +119,7 @@
         if chosen is None:
             return None
         decode = None
-        if not admit.late_decode:
+        if not admit.late_decode or room.now > self._ample_slots:
             if room.now <= self.headroom_for(waiting, now_ms):
                 return None
             decode = self._choose_early(admit, chosen, now_ms)
--- a/libs/scheduling/masticquay_scheduling/charges.py
+++ b/libs/scheduling/masticquay_scheduling/charges.py
@@ -53,6 +53,9 @@
         self._asked_for: Charge | None = None
         self._next_ms = 0
 
+    def __len__(self) -> int:
+        return len(self._waiting)
+
     def add(self, charge: Charge, now_ms: int) -> bool:
         """Pays a charge at once, or lets it wait; returns whether it paid."""
         if not self._waiting and self.holder.spend(charge.tokens, now_ms):
--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -23,7 +23,8 @@
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 
-ROUND_MS = 10
+BATCH_MS = 5
+ROUND_MS = 50
 RETRY_MS = 50
 ANNOUNCE_TIMEOUT_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
@@ -69,6 +70,7 @@
         self._announcing: set[str] = set()
         self._lock = threading.RLock()
         self._stopping = threading.Event()
+        self._wake = threading.Event()
         self._stack = contextlib.ExitStack()
 
     def start(self) -> None:
@@ -86,8 +88,9 @@
     def close(self) -> None:
         """Stops; what waits is refused."""
         self._stack.close()
-        for pending in self._table.take_pending():
-            pending.resolve(messages.Refused(messages.REASON_NO_ENDPOINT))
+        refused = messages.Refused(messages.REASON_NO_ENDPOINT)
+        for pending in self._table.pending():
+            self._resolve(pending, refused)
 
     # What the entry host asks for.
 
@@ -178,6 +181,7 @@
         except errors.NotOwnerError:
             pass
         self._table.add_finished(pool, finished)
+        self._wake.set()
 
     # Admission.
 
@@ -343,7 +347,11 @@
     # The thread.
 
     def _run(self) -> None:
-        while not self._stopping.wait(ROUND_MS / 1000):
+        while not self._stopping.is_set():
+            if self._wake.wait(ROUND_MS / 1000):
+                self._wake.clear()
+                # Attempts that end together travel in one message.
+                self._stopping.wait(BATCH_MS / 1000)
             self._retry_admits()
             self._report_finished()
             self._announce_all()
--- a/libs/scheduling/masticquay_scheduling/rate_clients.py
+++ b/libs/scheduling/masticquay_scheduling/rate_clients.py
@@ -18,7 +18,8 @@
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
 
-ROUND_MS = 10
+WAITING_ROUND_MS = 10
+IDLE_ROUND_MS = 50
 
 
 class WorkspaceRate:
@@ -139,10 +140,14 @@
         rate.queue.turn_to(key, services.host_keys(self._view))
 
     def _run(self) -> None:
-        while not self._stopping.wait(ROUND_MS / 1000):
+        pause_ms = IDLE_ROUND_MS
+        while not self._stopping.wait(pause_ms / 1000):
+            pause_ms = IDLE_ROUND_MS
             for rate in list(self._rates.values()):
                 self._serve(rate)
                 self._report(rate)
+                if rate.queue:
+                    pause_ms = WAITING_ROUND_MS
 
     def _report(self, rate: WorkspaceRate) -> None:
         """Sends the next request to the owner when one is due."""
--- a/libs/scheduling/masticquay_scheduling/services.py
+++ b/libs/scheduling/masticquay_scheduling/services.py
@@ -27,7 +27,8 @@
 
 LOG = logging.getLogger(__name__)
 
-TICK_MS = 10
+TICK_MIN_MS = 5
+TICK_MAX_MS = 50
 UPKEEP_MS = 100
 
 
@@ -195,11 +196,22 @@
     # Threads.
 
     def _run_ticks(self) -> None:
-        while not self._stopping.wait(TICK_MS / 1000):
+        pause_ms: float = TICK_MAX_MS
+        while not self._stopping.wait(pause_ms / 1000):
             now_ms = self._clock.now_ms()
             for pool in self._owned_pools():
                 if pool.needs_tick(now_ms):
                     pool.tick()
+            pause_ms = self._pause_ms()
+
+    def _pause_ms(self) -> float:
+        """Returns how long nothing will need a tick."""
+        times = [pool.next_tick_ms() for pool in self._owned_pools()]
+        due = [time_ms for time_ms in times if time_ms is not None]
+        if not due:
+            return TICK_MAX_MS
+        left_ms = min(due) - self._clock.now_ms()
+        return min(TICK_MAX_MS, max(TICK_MIN_MS, left_ms))
 
     def _run_upkeep(self) -> None:
         while not self._stopping.wait(UPKEEP_MS / 1000):
--- a/libs/scheduling/masticquay_scheduling/settings.py
+++ b/libs/scheduling/masticquay_scheduling/settings.py
@@ -21,6 +21,7 @@
     prefill_backlog_ms = 20
     start_margin_ms = 20
     start_margin_percent = 25
+    ample_slots_percent = 20
     overlap_horizon_ms = 600
     overlap_sigmas = 1.0
     transfer_margin_ms = 50
@@ -48,7 +49,7 @@
     slow_start_ms = 5_000
     slow_start_percent = 20
     load_timeout_ms = 2_500
-    load_poll_ms = 250
+    load_poll_ms = 500
     cancel_retry_ms = 200
 
     # Rates
--- a/libs/scheduling/masticquay_scheduling/watchers.py
+++ b/libs/scheduling/masticquay_scheduling/watchers.py
@@ -13,7 +13,7 @@
 LOG = logging.getLogger(__name__)
 
 WORKERS = 8
-ROUND_PAUSE_MS = 50
+ROUND_PAUSE_MS = 100
 
 PoolLister = typing.Callable[[], list[schedulers.PoolScheduler]]
 
--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -152,6 +152,17 @@
         self.assertEqual(2, pool.counters.adopted)
         self.place(node, 3)
 
+    def test_closing_refuses_what_waits(self):
+        node = self.nodes['h1']
+        pool = node.pools.pool_of('tall', 'north')
+        slow = {'max_wait_ms': 20_000, 'first_token_ms': 20_000}
+        for number in range(6):
+            last = node.pools.admit(
+                fakes.make_admit(number, pool, host='h1', **slow)
+            )
+        node.pools.close()
+        self.assertFalse(pipeline.is_successful(last.result(fakes.WAIT_S)))
+
     def test_charges_from_all_hosts(self):
         for node in self.nodes.values():
             outcome = node.rates.charge('one', 500, 20_000)
