A prompt too long for its first-token target is not refused for that alone

Such a request is bound by its wait and its deadline now, judged by the target of its class and without the wait for a slot.

--- a/libs/scheduling/masticquay_scheduling/refusals.py
+++ b/libs/scheduling/masticquay_scheduling/refusals.py
@@ -9,13 +9,19 @@
 
 
 class LeadTimes:
-    """Estimated times from placement to the first and the last byte."""
+    """Estimated times from placement to the first and the last byte.
 
-    __slots__ = ('first_ms', 'last_ms')
+    :param too_long: the first byte would be late on an idle pool as well
+    """
 
-    def __init__(self, first_ms: float, last_ms: float):
+    __slots__ = ('first_ms', 'last_ms', 'too_long')
+
+    def __init__(
+        self, first_ms: float, last_ms: float, too_long: bool = False
+    ):
         self.first_ms = first_ms
         self.last_ms = last_ms
+        self.too_long = too_long
 
 
 class PoolCounters:
@@ -42,12 +48,15 @@
 def latest_start_ms(
     admit: messages.Admit, now_ms: int, lead: LeadTimes
 ) -> float:
-    """Returns when a request must be placed to be of use to its caller."""
-    return now_ms + min(
-        admit.max_wait_ms,
-        admit.deadline_ms - lead.last_ms,
-        admit.first_token_ms - lead.first_ms,
-    )
+    """Returns when a request must be placed to be of use to its caller.
+
+    A prompt too long for its first-token target on an idle pool is bound by
+    its wait and its deadline only: it would be refused at every attempt.
+    """
+    wait_ms = min(admit.max_wait_ms, admit.deadline_ms - lead.last_ms)
+    if not lead.too_long:
+        wait_ms = min(wait_ms, admit.first_token_ms - lead.first_ms)
+    return now_ms + wait_ms
 
 
 def stage_timeout_ms(expected_ms: float) -> int:
--- a/libs/scheduling/masticquay_scheduling/schedulers.py
+++ b/libs/scheduling/masticquay_scheduling/schedulers.py
@@ -219,6 +219,9 @@
         with self._lock:
             self._plan = plan
             self._kinds = {c.name: c.kind for c in bundle.classes}
+            self._targets_ms = {
+                c.name: c.first_token_target_ms for c in bundle.classes
+            }
             weights = {w.name: w.weight for w in bundle.workspaces}
             self._queue.set_weights(weights)
             self.table.update(plan, self._clock.now_ms())
@@ -419,13 +422,19 @@
         output = estimates.output_tokens(
             admit.workspace, admit.class_name, admit.max_output_tokens
         )
+        idle_ms = self._with_margin(first_ms)
         prompt = self._kinds.get(admit.class_name) == models.CLASS_PROMPT
         if admit.late_decode and not prompt:
             first_ms += estimates.await_ms()
-        first_ms += self._settings.start_margin_ms
-        first_ms += first_ms * self._settings.start_margin_percent / 100
+        first_ms = self._with_margin(first_ms)
         last_ms = first_ms + estimates.decode_ms(output)
-        return refusals.LeadTimes(first_ms, last_ms)
+        target_ms = self._targets_ms.get(admit.class_name, idle_ms)
+        return refusals.LeadTimes(first_ms, last_ms, idle_ms > target_ms)
+
+    def _with_margin(self, expected_ms: float) -> float:
+        """Returns a high estimate for a time until the first byte."""
+        expected_ms += self._settings.start_margin_ms
+        return expected_ms * (1 + self._settings.start_margin_percent / 100)
 
     def _cached_tokens(self, admit: messages.Admit) -> int:
         """Returns the most that any endpoint has cached of a prompt."""
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -118,6 +118,10 @@
         self.assertTrue(refused)
         self.assertEqual(messages.REASON_DEADLINE, refused[0].reason)
 
+    def test_a_prompt_too_long_for_its_target_is_not_refused_for_that(self):
+        placed = self.admit(1, prompt_tokens=20_000, first_token_ms=490)
+        self.assertIsInstance(placed, messages.Placement)
+
     def test_deferred_work_waits_in_a_bounded_queue(self):
         self.fill(8)
         limit = self.settings.max_queued_per_workspace
