--- a/libs/control/masticquay_control/intents.py
+++ b/libs/control/masticquay_control/intents.py
@@ -120,6 +120,9 @@
         """Stores the outcome of a call, once."""
         key = (command.workspace, command.idempotency_key)
         known = self._intents.get(key)
+        if known is None and command.outcome == membership.OUTCOME_NOT_RUN:
+            self._mark_not_run(stamp_ms, command)
+            return messages.Done()
         if known is None or not known.begun_by(command):
             return messages.Failure(
                 membership.CODE_STALE, 'another call holds this key, or none'
@@ -144,6 +147,23 @@
         )
         self._answer_bytes = sum(_answer_bytes(i.answer) for i in intents)
 
+    def _mark_not_run(
+        self, stamp_ms: int, command: membership.FinishIntent
+    ) -> None:
+        """Keeps a late begin of a call that was given up from counting."""
+        self._put(
+            Intent(
+                command.workspace,
+                command.idempotency_key,
+                b'',
+                command.host,
+                command.incarnation,
+                command.call_number,
+                stamp_ms,
+                membership.OUTCOME_NOT_RUN,
+            )
+        )
+
     def _may_replace(
         self, known: Intent, command: membership.BeginIntent
     ) -> bool:
@@ -160,16 +180,16 @@
     def _describe(
         self, known: Intent, command: membership.BeginIntent
     ) -> messages.Message:
+        if known.outcome == membership.OUTCOME_NOT_RUN:
+            return messages.Failure(
+                membership.CODE_STALE, 'this call has ended already'
+            )
         if known.request_digest != command.request_digest:
             return membership.IntentState(membership.INTENT_MISMATCH)
         if known.outcome == membership.OUTCOME_RAN:
             return membership.IntentState(
                 membership.INTENT_FINISHED, known.answer
             )
-        if known.outcome == membership.OUTCOME_NOT_RUN:
-            return messages.Failure(
-                membership.CODE_STALE, 'this call has ended already'
-            )
         if known.outcome == '' and known.begun_by(command):
             if command.call_number:
                 return membership.IntentState(membership.INTENT_BEGUN)
--- a/libs/control/tests/test_machines.py
+++ b/libs/control/tests/test_machines.py
@@ -118,6 +118,12 @@
         self.assertEqual(membership.CODE_STALE, late.code)
         self.assertEqual('in-progress', self.begin('h1', one, 3))
 
+    def test_late_begin_of_a_call_that_was_given_up_does_not_count(self):
+        one, two = self.join('h1', 'h2')
+        self.finish('h1', one, 1, 'not-run')
+        self.assertEqual('stale', self.begin('h1', one, 1))
+        self.assertEqual('begun', self.begin('h2', two, 1))
+
     def test_intent_of_an_evicted_host_is_unknown_until_it_says(self):
         one, two = self.join('h1', 'h2')
         self.begin('h1', one, 1)
--- a/libs/membership/tests/test_sessions.py
+++ b/libs/membership/tests/test_sessions.py
@@ -1,5 +1,6 @@
 """Tests of a host's session against a control of the test."""
 
+from concurrent import futures
 import random
 import time
 import unittest
@@ -26,6 +27,7 @@
         self.ttl_ms = 3_000
         self.code = ''
         self.incarnation = 0
+        self.lose_begins = False
         self.renewals = []
         self.intents = []
         self.listener = listeners.Listener(
@@ -55,6 +57,8 @@
 
     def begin(self, message, link):
         self.intents.append(message)
+        if self.lose_begins:
+            return futures.Future()
         return membership.IntentState(membership.INTENT_BEGUN)
 
     def finish(self, message, link):
@@ -109,7 +113,10 @@
     def test_wall_clock_jumps_change_nothing(self):
         chance = random.Random(1)
         count = len(self.control.renewals)
-        jump = lambda: chance.uniform(0, 4e9)  # noqa: E731
+
+        def jump():
+            return chance.uniform(0, 4e9)
+
         with mock.patch('time.time', jump):
             self.wait_for(lambda: len(self.control.renewals) > count + 2)
             self.assertTrue(self.session.lease_valid())
@@ -126,6 +133,18 @@
         numbers = [intent.call_number for intent in self.control.intents]
         self.assertEqual([1, 2, 1], numbers)
 
+    def test_unanswered_begin_can_be_finished_as_not_run(self):
+        intent = membership.BeginIntent('s', 'a', b'', 'h1', 1)
+        self.control.lose_begins = True
+        with self.assertRaises(errors.MembershipError):
+            self.session.begin_intent(intent, 500)
+        self.session.finish_intent(
+            membership.FinishIntent('s', 'a', 'h1', 1, 'not-run'), 5_000
+        )
+        begun, finished = self.control.intents[0], self.control.intents[-1]
+        self.assertEqual('not-run', finished.outcome)
+        self.assertEqual(begun.call_number, finished.call_number)
+
     def test_leaving_is_told_and_closing_ends_the_lease(self):
         self.session.leave()
         self.wait_for(lambda: self.control.renewals[-1].host.leaving)
