--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import random
 
+from masticquay_consensus import appliers
 from masticquay_consensus import elections
 from masticquay_consensus import errors
 from masticquay_consensus import followers
@@ -17,8 +18,6 @@
 from masticquay_wire import messages as wire_messages
 
 CODE_WRONG_IDENTITY = 'wrong-identity'
-MAX_APPLIED_AT_ONCE = 256
-SNAPSHOT_LOG_BYTES = 64 * 1024 * 1024
 
 Addressed = (
     messages.RequestVote | messages.AppendEntries | messages.InstallSnapshot
@@ -41,15 +40,18 @@
         randomness: random.Random,
     ):
         self._store = store
-        self._machine = state_machine
         self._settings = settings
-        self._hooks: list[protocols.RoleHook] = []
         self.state = states.State(store, settings, clock, randomness)
         self._elections = elections.Elections(self.state)
         self._follower = followers.Follower(self.state)
         self._leader = leaders.Leader(self.state)
+        self._applier = appliers.Applier(
+            self.state, state_machine, self._follower, self._leader
+        )
         if store.formed:
-            self._restore(stores.Snapshot.from_bytes(store.read_snapshot()))
+            self._applier.restore(
+                stores.Snapshot.from_bytes(store.read_snapshot())
+            )
 
     def form(self, configuration: messages.Configuration) -> None:
         """Makes this replica a member of a new group, or of a known one."""
@@ -63,7 +65,7 @@
 
     def add_hook(self, hook: protocols.RoleHook) -> None:
         """Adds a hook for changes of the role."""
-        self._hooks.append(hook)
+        self._applier.hooks.append(hook)
 
     def tick(self) -> None:
         """Checks the election timer, or the lease of a leader."""
@@ -208,22 +210,11 @@
 
         :returns: whether anything was done
         """
-        installed = self._install()
-        applied = self._apply_entries()
-        settled = self._settle()
-        compacted = self._snapshot_if_due()
-        return installed or applied or settled or compacted
+        return self._applier.apply()
 
     def has_work(self) -> bool:
         """Whether ``apply`` has something to do."""
-        state = self.state
-        with state.lock:
-            return bool(
-                state.applied_index < state.commit_index
-                or state.settled
-                or state.role_changes
-                or self._follower.take_transfer()
-            )
+        return self._applier.has_work()
 
     def is_synced(self, member_id: str) -> bool:
         """Whether a member has synced everything committed so far."""
@@ -283,14 +274,6 @@
                 ],
             )
 
-    def _restore(self, snapshot: stores.Snapshot) -> None:
-        with self.state.lock:
-            self.state.reset_configurations(
-                snapshot.index, snapshot.configuration
-            )
-        if snapshot.index:
-            self._machine.restore(snapshot.data, snapshot.index)
-
     def _append(
         self, kind: int, command: bytes, future: futures.Future
     ) -> errors.ConsensusError | None:
@@ -304,128 +287,6 @@
             state.proposals[entry.index] = states.Proposal(entry.term, future)
             return None
 
-    def _install(self) -> bool:
-        state = self.state
-        with state.lock:
-            transfer = self._follower.take_transfer()
-            if transfer is None:
-                return False
-            snapshot = self._read_transfer(transfer)
-            state.installing = snapshot is not None
-        if snapshot is not None:
-            self._store.save_snapshot(snapshot)
-            self._machine.restore(snapshot.data, snapshot.index)
-        with state.lock:
-            if snapshot is not None:
-                self._finish_install(snapshot)
-            self._follower.transfer = None
-            answer = messages.SnapshotReceived(
-                state.term, transfer.total_bytes if snapshot else 0
-            )
-        transfer.future.set_result(answer)
-        return True
-
-    def _read_transfer(
-        self, transfer: followers.Transfer
-    ) -> stores.Snapshot | None:
-        """Reads an arrived snapshot, unless it is damaged or old."""
-        try:
-            snapshot = stores.Snapshot.from_bytes(bytes(transfer.data))
-        except errors.DamagedStorageError:
-            return None
-        if snapshot.index <= self.state.commit_index:
-            return None
-        return snapshot
-
-    def _finish_install(self, snapshot: stores.Snapshot) -> None:
-        state = self.state
-        self._store.journal.compact(snapshot.index, snapshot.term)
-        state.reset_configurations(snapshot.index, snapshot.configuration)
-        state.commit(snapshot.index)
-        state.applied_index = snapshot.index
-        state.installing = False
-        state.counters.snapshots_installed += 1
-
-    def _apply_entries(self) -> bool:
-        state = self.state
-        with state.lock:
-            if not self._store.formed:
-                return False
-            first = state.applied_index
-            last = min(state.commit_index, first + MAX_APPLIED_AT_ONCE)
-            entries = self._store.journal.entries_between(first, last)
-        if not entries:
-            return False
-        answers = [self._apply_entry(entry) for entry in entries]
-        with state.lock:
-            state.applied_index = last
-            state.counters.entries_applied += len(entries)
-            for entry, answer in zip(entries, answers, strict=True):
-                self._settle_proposal(entry, answer)
-            state.applier_wake.notify_all()
-        return True
-
-    def _apply_entry(self, entry: messages.Entry) -> bytes:
-        if entry.kind != messages.KIND_COMMAND:
-            return b''
-        return self._machine.apply(entry.index, entry.command)
-
-    def _settle_proposal(self, entry: messages.Entry, answer: bytes) -> None:
-        proposal = self.state.proposals.pop(entry.index, None)
-        if proposal is None:
-            return
-        if proposal.term == entry.term:
-            self.state.settled.append((proposal.future, answer))
-        else:
-            error = errors.ProposalUnknownError('leadership was lost')
-            self.state.settled.append((proposal.future, error))
-
-    def _settle(self) -> bool:
-        """Ends futures and calls hooks, outside the lock."""
-        state = self.state
-        with state.lock:
-            settled = list(state.settled)
-            state.settled.clear()
-            changes = list(state.role_changes)
-            state.role_changes.clear()
-        for future, outcome in settled:
-            if isinstance(outcome, Exception):
-                future.set_exception(outcome)
-            else:
-                future.set_result(outcome)
-        for leading, term in changes:
-            for hook in self._hooks:
-                hook(leading, term)
-        return bool(settled or changes)
-
-    def _snapshot_if_due(self) -> bool:
-        state = self.state
-        with state.lock:
-            if not self._store.formed:
-                return False
-            index = state.applied_index
-            journal = self._store.journal
-            age_entries = index - self._store.snapshot_index
-            large = journal.size_bytes > SNAPSHOT_LOG_BYTES and age_entries
-            if age_entries < self._settings.snapshot_entries and not large:
-                return False
-            term = journal.term_at(index)
-            configuration = state.configuration_at(index)
-        data = self._machine.snapshot()
-        self._store.save_snapshot(
-            stores.Snapshot(index, term, configuration, data)
-        )
-        with state.lock:
-            state.counters.snapshots_taken += 1
-            state.prune_configurations(index)
-            retained = 0 if large else self._settings.retained_entries
-            kept_from = index - retained
-            if not large and state.role == messages.ROLE_LEADER:
-                kept_from = min(kept_from, self._leader.transfer_floor())
-            base_index = max(journal.base_index, kept_from)
-            journal.compact(base_index, journal.term_at(base_index))
-        return True
-
     def _role_of(self, member_id: str) -> str:
         state = self.state
         member = state.configuration.member(member_id)
