A pool with one prefill endpoint takes long prefills again

The rule that keeps one prefill endpoint free for prompt classes asked for another endpoint also where there is none, so prompts above 350 ms of prefill were refused as too late in pools with a single prefill endpoint in use.

--- a/libs/bench/masticquay_bench/decision_runs.py
+++ b/libs/bench/masticquay_bench/decision_runs.py
@@ -23,6 +23,11 @@
 DRAIN_MS = 130_000
 
 
+MakePolicy = typing.Callable[
+    [models.Bundle, clocks.Clock], decision_policies.Policy
+]
+
+
 class Outcome:
     """What became of one request."""
 
@@ -59,9 +64,7 @@
     def __init__(
         self,
         deployment: decision_traces.Deployment,
-        make_policy: typing.Callable[
-            [models.Bundle, clocks.Clock], decision_policies.Policy
-        ],
+        make_policy: MakePolicy,
         trace: list[decision_traces.Request],
         seed: int,
         losses: list[tuple[str, int, int]] | None = None,
--- a/libs/bench/masticquay_bench/decisions.py
+++ b/libs/bench/masticquay_bench/decisions.py
@@ -9,8 +9,6 @@
 from masticquay_bench import decision_runs
 from masticquay_bench import decision_traces
 from masticquay_bench import results
-from masticquay_bundles import models
-from masticquay_wire import clocks
 
 PREFIX = 'decisions.'
 DURATION_MS = 240_000
@@ -30,11 +28,7 @@
 OURS = 'ours'
 REFERENCE = 'informed'
 
-MakePolicy = typing.Callable[
-    [models.Bundle, clocks.Clock], decision_policies.Policy
-]
-
-POLICIES: dict[str, MakePolicy] = {
+POLICIES: dict[str, decision_runs.MakePolicy] = {
     OURS: decision_policies.SchedulerPolicy,
     REFERENCE: decision_policies.InformedPolicy,
     'slot-before-prefill': lambda bundle, clock: (
--- a/libs/scheduling/masticquay_scheduling/charges.py
+++ b/libs/scheduling/masticquay_scheduling/charges.py
@@ -7,6 +7,7 @@
 
 from masticquay_scheduling import grants
 from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 
 RETRY_MS = 25
 UNKNOWN_RETRY_MS = 1_000
@@ -74,7 +75,7 @@
 
     def next_request(
         self, view_number: int, now_ms: int
-    ) -> messages.RequestGrant | None:
+    ) -> rate_messages.RequestGrant | None:
         """Returns the request to send now, if one is due."""
         needed = self._waiting[0].tokens if self._waiting else 0
         if now_ms < self._next_ms or not self.holder.due(needed, now_ms):
@@ -86,7 +87,7 @@
     def take_answer(
         self,
         sequence: int,
-        grant: messages.Grant | None,
+        grant: rate_messages.Grant | None,
         owner: grants.OwnerKey | None,
         now_ms: int,
     ) -> None:
@@ -123,7 +124,7 @@
         self._waiting.clear()
         return waiting
 
-    def _plan_next(self, grant: messages.Grant, now_ms: int) -> None:
+    def _plan_next(self, grant: rate_messages.Grant, now_ms: int) -> None:
         first = self._waiting[0] if self._waiting else None
         # An answer to a mere report says nothing about a newer charge.
         if first is None or first is not self._asked_for:
--- a/libs/scheduling/masticquay_scheduling/choosers.py
+++ b/libs/scheduling/masticquay_scheduling/choosers.py
@@ -109,15 +109,22 @@
         chosen: reservations.EndpointState,
         now_ms: int,
     ) -> bool:
-        """Whether a prompt class could still prefill soon elsewhere."""
-        limit_ms = now_ms + self.long_prefill_ms
-        return any(
-            state.prefills
+        """Whether a prompt class could still prefill soon elsewhere.
+
+        With no other endpoint in use there is nothing to keep free.
+        """
+        others = [
+            state
+            for state in states
+            if state.prefills
             and state is not chosen
-            and state.busy_until_ms <= limit_ms
+            and state.takes_work()
             and state.health.allowance(1, now_ms)
-            for state in states
-        )
+        ]
+        if not others:
+            return True
+        limit_ms = now_ms + self.long_prefill_ms
+        return any(state.busy_until_ms <= limit_ms for state in others)
 
     def choose_decode(
         self,
--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -4,24 +4,20 @@
 import contextlib
 import random as random_module
 import threading
-import typing
 
 from returns import result
 
-from masticquay_membership import messages as membership_messages
-from masticquay_membership import ownership
 from masticquay_membership import protocols as membership_protocols
 from masticquay_scheduling import directories
 from masticquay_scheduling import errors
 from masticquay_scheduling import messages
 from masticquay_scheduling import outstanding
-from masticquay_scheduling import plans
+from masticquay_scheduling import owner_links
 from masticquay_scheduling import protocols
 from masticquay_scheduling import rate_clients
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
-from masticquay_wire import errors as wire_errors
 
 BATCH_MS = 5
 ROUND_MS = 50
@@ -56,28 +52,24 @@
         settings: scheduling_settings.SchedulingSettings,
     ):
         self._membership = membership
-        self._service = service
-        self._directory = directory
+        self._links = owner_links.OwnerLinks(
+            membership, service, directory, settings
+        )
         self._clock = clock
         self._random = random
         self._settings = settings
-        self._map = plans.PoolMap(None, settings)
-        self._bundle = None
-        self._view = membership.state().view
-        self._owners: dict[str, membership_messages.Host | None] = {}
         self._table = outstanding.OutstandingTable()
         self._announced: dict[str, tuple[str, int]] = {}
         self._announcing: set[str] = set()
-        self._lock = threading.RLock()
         self._stopping = threading.Event()
         self._wake = threading.Event()
         self._stack = contextlib.ExitStack()
 
     def start(self) -> None:
         """Follows membership, and starts the thread for retries."""
-        self._membership.add_listener(self._follow)
+        self._membership.add_listener(self._links.follow)
         state = self._membership.state()
-        self._follow(state, state)
+        self._links.follow(state, state)
         thread = threading.Thread(
             target=self._run, name='pool-client', daemon=True
         )
@@ -99,7 +91,7 @@
 
         Among the shards of a place one is drawn; empty when there is none.
         """
-        found = self._map.find(target, place)
+        found = self._links.map.find(target, place)
         if not found:
             return ''
         nearest = [plan for plan in found if plan.place == found[0].place]
@@ -135,7 +127,7 @@
             refused = outcome or messages.Refused(messages.REASON_NO_SLOT)
             future.set_result(result.Failure(refused))
 
-        self._ask(
+        self._links.ask(
             pool,
             message,
             expires_ms,
@@ -151,7 +143,7 @@
         for pending in self._table.pending_of(request):
             pending.withdrawn = True
             message = messages.WithdrawRequest(pending.admit.pool, request)
-            self._tell(
+            self._links.tell(
                 pending.admit.pool,
                 message,
                 lambda scheduler: scheduler.withdraw(request),
@@ -164,7 +156,7 @@
         """Frees the prefill place of an attempt."""
         self._table.end_prefill(request, attempt)
         pool = self._table.pool_of(request, attempt) or pool
-        self._tell(
+        self._links.tell(
             pool,
             messages.PrefillDone(pool, request, attempt),
             lambda scheduler: scheduler.prefill_done(request, attempt),
@@ -174,7 +166,7 @@
         """Frees all places of an attempt; delivered at least once."""
         pool = self._table.end(finished.request, finished.attempt) or pool
         try:
-            scheduler = self._local(pool)
+            scheduler = self._links.local(pool)
             if scheduler is not None:
                 scheduler.finish(finished)
                 return
@@ -194,7 +186,7 @@
         pending.round += 1
         sent_round = pending.round
         admit.finished = self._table.take_finished(admit.pool)
-        pending.owner = self._owner_key(admit.pool)
+        pending.owner = self._links.owner_key(admit.pool)
 
         def settle(outcome: outstanding.Outcome | None) -> None:
             if outcome is None:
@@ -202,7 +194,7 @@
                     self._table.add_finished(admit.pool, finished)
             self._settle_admit(pending, sent_round, outcome)
 
-        self._ask(
+        self._links.ask(
             admit.pool,
             admit,
             admit.max_wait_ms + ANSWER_MARGIN_MS,
@@ -249,12 +241,12 @@
         self, pending: outstanding.PendingAdmit, refused: messages.Refused
     ) -> bool:
         """Turns to another pool of the same target, if there is one."""
-        current = self._map.plans.get(pending.admit.pool)
+        current = self._links.map.plans.get(pending.admit.pool)
         if current is None or not pending.spills_left:
             return False
         others = [
             plan
-            for plan in self._map.find(current.target, current.place)
+            for plan in self._links.map.find(current.target, current.place)
             if plan.name not in pending.tried
         ]
         if not others:
@@ -263,87 +255,6 @@
         self._send_admit(pending)
         return True
 
-    # Owners.
-
-    def _follow(
-        self,
-        old: membership_protocols.HostState,
-        new: membership_protocols.HostState,
-    ) -> None:
-        with self._lock:
-            if new.bundle is not None and new.bundle is not self._bundle:
-                self._bundle = new.bundle
-                self._map = plans.PoolMap(new.bundle, self._settings)
-            self._view = new.view
-            # Replaced, not cleared: a concurrent lookup keeps the old one.
-            self._owners = {}
-
-    def _owner(self, pool: str) -> membership_messages.Host | None:
-        owners = self._owners
-        if pool not in owners:
-            plan = self._map.plans.get(pool)
-            place = plan.place if plan else ''
-            owners[pool] = ownership.find_owner(
-                self._view, ownership.KIND_POOL, pool, place
-            )
-        return owners[pool]
-
-    def _owner_key(self, pool: str) -> tuple[str, int] | None:
-        owner = self._owner(pool)
-        return (owner.name, owner.incarnation) if owner else None
-
-    def _local(self, pool: str):
-        """Returns the scheduler when this host is the owner, else None.
-
-        :raises NotOwnerError: when it should be here but is not ready
-        """
-        owner = self._owner(pool)
-        if owner is None or owner.name != self._membership.host.name:
-            return None
-        return self._service.find_pool(pool)
-
-    def _ask(
-        self,
-        pool: str,
-        message,
-        timeout_ms: int,
-        settle: typing.Callable[['outstanding.Outcome | None'], None],
-        run_local: typing.Callable,
-    ) -> None:
-        """Sends a call to the owner; ``settle`` gets None for no answer."""
-        try:
-            scheduler = self._local(pool)
-        except errors.NotOwnerError:
-            settle(None)
-            return
-        if scheduler is not None:
-            run_local(scheduler, settle)
-            return
-        owner = self._owner(pool)
-        if owner is None:
-            settle(None)
-            return
-        peer = self._directory.find(owner.peer_address)
-        future = peer.submit(message, timeout_ms)
-        future.add_done_callback(
-            lambda done: settle(None if done.exception() else done.result())
-        )
-
-    def _tell(self, pool: str, message, run_local: typing.Callable) -> None:
-        """Sends a message whose loss does no harm."""
-        try:
-            scheduler = self._local(pool)
-        except errors.NotOwnerError:
-            return
-        if scheduler is not None:
-            run_local(scheduler)
-            return
-        owner = self._owner(pool)
-        if owner is not None:
-            peer = self._directory.find(owner.peer_address)
-            with contextlib.suppress(wire_errors.WireError):
-                peer.notify(message)
-
     # The thread.
 
     def _run(self) -> None:
@@ -360,7 +271,9 @@
         now_ms = self._clock.now_ms()
         for pending in self._table.pending():
             due = pending.retry_ms is not None and pending.retry_ms <= now_ms
-            if due or pending.owner != self._owner_key(pending.admit.pool):
+            if due or pending.owner != self._links.owner_key(
+                pending.admit.pool
+            ):
                 pending.retry_ms = None
                 self._send_admit(pending)
 
@@ -380,11 +293,11 @@
                 scheduler.finish(ended)
 
         message = messages.ReportFinished(pool, finished)
-        self._ask(pool, message, REPORT_TIMEOUT_MS, settle, run_local)
+        self._links.ask(pool, message, REPORT_TIMEOUT_MS, settle, run_local)
 
     def _announce_all(self) -> None:
-        for pool in list(self._map.plans):
-            owner = self._owner(pool)
+        for pool in list(self._links.map.plans):
+            owner = self._links.owner(pool)
             if owner is None or pool in self._announcing:
                 continue
             key = (owner.name, owner.incarnation)
@@ -397,7 +310,7 @@
             pool,
             host.name,
             host.incarnation,
-            self._view.number,
+            self._links.view.number,
             self._table.placements_in(pool),
         )
         self._announcing.add(pool)
@@ -411,7 +324,7 @@
             scheduler.announce(message)
             reply(message)
 
-        self._ask(pool, message, ANNOUNCE_TIMEOUT_MS, settle, run_local)
+        self._links.ask(pool, message, ANNOUNCE_TIMEOUT_MS, settle, run_local)
 
 
 def implements(client: PoolClient) -> protocols.Pools:
--- a/libs/scheduling/masticquay_scheduling/grants.py
+++ b/libs/scheduling/masticquay_scheduling/grants.py
@@ -1,6 +1,6 @@
 """A host's side of a workspace's rate: it spends what it was granted."""
 
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import settings as scheduling_settings
 
 USE_GAIN = 0.5
@@ -120,7 +120,7 @@
         waiting_tokens: int,
         view_number: int,
         now_ms: int,
-    ) -> messages.RequestGrant:
+    ) -> rate_messages.RequestGrant:
         """Makes the next request to the owner.
 
         :param needed_tokens: the least that is of use
@@ -141,7 +141,7 @@
         self._sent_ms = self._reported_ms = now_ms
         self._sent_spent_total = self._spent_total
         self._sent_refunded_total = self._refunded_total
-        return messages.RequestGrant(
+        return rate_messages.RequestGrant(
             workspace=self._workspace,
             host=self._host,
             incarnation=self._incarnation,
@@ -155,7 +155,7 @@
         )
 
     def apply(
-        self, grant: messages.Grant, owner: OwnerKey, now_ms: int
+        self, grant: rate_messages.Grant, owner: OwnerKey, now_ms: int
     ) -> bool:
         """Takes an answer; returns False when it came too late to count."""
         late = grant.sequence != self._sequence or owner != self._owner
--- a/libs/scheduling/masticquay_scheduling/limiters.py
+++ b/libs/scheduling/masticquay_scheduling/limiters.py
@@ -4,7 +4,7 @@
 
 from masticquay_bundles import models
 from masticquay_scheduling import errors
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
 
@@ -32,7 +32,7 @@
         self.sequence = 0
         self.spent_total_tokens = 0
         self.refunded_total_tokens = 0
-        self.answer: messages.Grant | None = None
+        self.answer: rate_messages.Grant | None = None
 
 
 class RateLimiter:
@@ -69,7 +69,7 @@
     @classmethod
     def take_over(
         cls,
-        handover: messages.HandOverRate,
+        handover: rate_messages.HandOverRate,
         workspace: models.Workspace,
         clock: clocks.Clock,
         settings: scheduling_settings.SchedulingSettings,
@@ -97,7 +97,9 @@
             self._workspace = workspace
             self._cap()
 
-    def request(self, request: messages.RequestGrant) -> messages.Grant:
+    def request(
+        self, request: rate_messages.RequestGrant
+    ) -> rate_messages.Grant:
         """Takes a host's report, and grants what it may.
 
         :raises NotOwnerError: when it is not the owner for that request
@@ -108,7 +110,7 @@
             self._refill()
             grant = self._find_grant(request)
             if grant is None or request.sequence < grant.sequence:
-                return messages.Grant(request.sequence, 0, 0, 0)
+                return rate_messages.Grant(request.sequence, 0, 0, 0)
             if request.sequence == grant.sequence:
                 return grant.answer
             self._settle(grant, request)
@@ -117,14 +119,14 @@
             grant.answer = answer
             return answer
 
-    def hand_over(self, view_number: int) -> messages.HandOverRate:
+    def hand_over(self, view_number: int) -> rate_messages.HandOverRate:
         """Stops granting, and returns the state for the next owner."""
         with self._lock:
             self._refill()
             self._retired = True
             now_ms = self._clock.now_ms()
             grants = [
-                messages.HeldGrant(
+                rate_messages.HeldGrant(
                     host,
                     grant.incarnation,
                     grant.tokens,
@@ -133,7 +135,7 @@
                 for host, grant in self._grants.items()
                 if grant.tokens
             ]
-            return messages.HandOverRate(
+            return rate_messages.HandOverRate(
                 self._workspace.name, view_number, int(self._level), grants
             )
 
@@ -152,7 +154,9 @@
         """Returns what hosts may still spend."""
         return sum(grant.tokens for grant in self._grants.values())
 
-    def _find_grant(self, request: messages.RequestGrant) -> HostGrant | None:
+    def _find_grant(
+        self, request: rate_messages.RequestGrant
+    ) -> HostGrant | None:
         grant = self._grants.get(request.host)
         if grant is not None and grant.incarnation > request.incarnation:
             return None
@@ -162,7 +166,7 @@
         return grant
 
     def _settle(
-        self, grant: HostGrant, request: messages.RequestGrant
+        self, grant: HostGrant, request: rate_messages.RequestGrant
     ) -> None:
         """Books what a host spent, kept, and gave back."""
         spent = request.spent_total_tokens - grant.spent_total_tokens
@@ -175,8 +179,8 @@
         self._cap()
 
     def _answer(
-        self, grant: HostGrant, request: messages.RequestGrant
-    ) -> messages.Grant:
+        self, grant: HostGrant, request: rate_messages.RequestGrant
+    ) -> rate_messages.Grant:
         valid_ms = self._settings.grant_valid_ms
         granted = self._size_grant(request)
         self._level -= granted
@@ -187,11 +191,11 @@
         retry_ms = 0
         if not granted:
             retry_ms = self._time_to_ms(request.needed_tokens)
-        return messages.Grant(
+        return rate_messages.Grant(
             request.sequence, granted, valid_ms, retry_ms, self._scarce()
         )
 
-    def _size_grant(self, request: messages.RequestGrant) -> int:
+    def _size_grant(self, request: rate_messages.RequestGrant) -> int:
         needed = request.needed_tokens
         if needed > self._level or request.wanted_tokens <= 0:
             return 0
--- a/libs/scheduling/masticquay_scheduling/rate_clients.py
+++ b/libs/scheduling/masticquay_scheduling/rate_clients.py
@@ -12,8 +12,8 @@
 from masticquay_scheduling import directories
 from masticquay_scheduling import errors
 from masticquay_scheduling import grants
-from masticquay_scheduling import messages
 from masticquay_scheduling import protocols
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
@@ -166,7 +166,7 @@
     def _send(
         self,
         owner: membership_messages.Host | None,
-        request: messages.RequestGrant,
+        request: rate_messages.RequestGrant,
     ) -> futures.Future:
         if owner is not None and owner.name != self._membership.host.name:
             peer = self._directory.find(owner.peer_address)
--- a/libs/scheduling/masticquay_scheduling/rate_owners.py
+++ b/libs/scheduling/masticquay_scheduling/rate_owners.py
@@ -10,7 +10,7 @@
 from masticquay_scheduling import directories
 from masticquay_scheduling import errors
 from masticquay_scheduling import limiters
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -49,7 +49,10 @@
     __slots__ = ('handover', 'address', 'expires_ms', 'sending')
 
     def __init__(
-        self, handover: messages.HandOverRate, address: str, expires_ms: int
+        self,
+        handover: rate_messages.HandOverRate,
+        address: str,
+        expires_ms: int,
     ):
         self.handover = handover
         self.address = address
@@ -82,7 +85,9 @@
         self._departures: list[Departure] = []
         self._lock = threading.RLock()
 
-    def request(self, request: messages.RequestGrant) -> messages.Grant:
+    def request(
+        self, request: rate_messages.RequestGrant
+    ) -> rate_messages.Grant:
         """Answers a host's request.
 
         :raises NotOwnerError: when this host does not grant
@@ -115,7 +120,7 @@
             for name, candidacy in list(self._candidacies.items()):
                 self._consider(name, candidacy, new)
 
-    def accept(self, handover: messages.HandOverRate) -> None:
+    def accept(self, handover: rate_messages.HandOverRate) -> None:
         """Takes the state of an old owner.
 
         :raises NotOwnerError: when this host does not wait for it
--- a/libs/scheduling/masticquay_scheduling/services.py
+++ b/libs/scheduling/masticquay_scheduling/services.py
@@ -16,6 +16,7 @@
 from masticquay_scheduling import messages
 from masticquay_scheduling import plans
 from masticquay_scheduling import protocols
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import rate_owners
 from masticquay_scheduling import schedulers
 from masticquay_scheduling import settings as scheduling_settings
@@ -76,8 +77,8 @@
             (messages.ReportFinished, self._handle_finished),
             (messages.WithdrawRequest, self._handle_withdraw),
             (messages.AnnouncePlacements, self._handle_announce),
-            (messages.RequestGrant, self._handle_grant),
-            (messages.HandOverRate, self._handle_hand_over),
+            (rate_messages.RequestGrant, self._handle_grant),
+            (rate_messages.HandOverRate, self._handle_hand_over),
         ):
             listener.handle(message_type, handler)
 
@@ -116,7 +117,9 @@
             raise errors.NotOwnerError(name)
         return pool
 
-    def request_grant(self, request: messages.RequestGrant) -> messages.Grant:
+    def request_grant(
+        self, request: rate_messages.RequestGrant
+    ) -> rate_messages.Grant:
         """Answers a request of a host, possibly of this one.
 
         :raises NotOwnerError: when this host is not the owner now
@@ -265,15 +268,15 @@
         self._find_remote(message.pool).announce(message)
 
     def _handle_grant(
-        self, message: messages.RequestGrant, link: peers.Connection
-    ) -> messages.Grant:
+        self, message: rate_messages.RequestGrant, link: peers.Connection
+    ) -> rate_messages.Grant:
         try:
             return self.request_grant(message)
         except errors.NotOwnerError as cause:
             raise _not_owner(message.workspace) from cause
 
     def _handle_hand_over(
-        self, message: messages.HandOverRate, link: peers.Connection
+        self, message: rate_messages.HandOverRate, link: peers.Connection
     ) -> None:
         try:
             self._rates.accept(message)
--- a/libs/scheduling/tests/test_grants.py
+++ b/libs/scheduling/tests/test_grants.py
@@ -3,7 +3,7 @@
 import unittest
 
 from masticquay_scheduling import grants
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import settings as scheduling_settings
 
 OWNER = ('h1', 1)
@@ -18,7 +18,7 @@
 
     def get(self, tokens, sent_ms=0, answered_ms=10):
         request = self.holder.compose(tokens, tokens, 1, sent_ms)
-        grant = messages.Grant(request.sequence, tokens, 1_000, 0)
+        grant = rate_messages.Grant(request.sequence, tokens, 1_000, 0)
         return self.holder.apply(grant, OWNER, answered_ms)
 
     def test_a_grant_ends_counted_from_when_it_was_asked_for(self):
@@ -33,14 +33,14 @@
     def test_an_answer_given_up_on_is_ignored(self):
         request = self.holder.compose(100, 100, 1, 0)
         self.holder.give_up(request.sequence)
-        grant = messages.Grant(request.sequence, 100, 1_000, 0)
+        grant = rate_messages.Grant(request.sequence, 100, 1_000, 0)
         self.assertFalse(self.holder.apply(grant, OWNER, 10))
         self.assertEqual(0, self.holder.held_tokens(10))
 
     def test_an_answer_of_the_former_owner_is_ignored(self):
         request = self.holder.compose(100, 100, 1, 0)
         self.holder.turn_to(NEXT, {OWNER, NEXT})
-        grant = messages.Grant(request.sequence, 100, 1_000, 0)
+        grant = rate_messages.Grant(request.sequence, 100, 1_000, 0)
         self.assertFalse(self.holder.apply(grant, OWNER, 10))
 
     def test_grants_of_a_lost_owner_end(self):
--- a/libs/scheduling/tests/test_limiters.py
+++ b/libs/scheduling/tests/test_limiters.py
@@ -4,7 +4,7 @@
 
 from masticquay_scheduling import errors
 from masticquay_scheduling import limiters
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
 from tests import fakes
@@ -46,7 +46,7 @@
         values = {'host': 'h1', 'incarnation': 1, 'view_number': 1}
         values.update(fields)
         return self.limiter.request(
-            messages.RequestGrant(
+            rate_messages.RequestGrant(
                 'one',
                 sequence=sequence,
                 spent_total_tokens=spent,
--- a/libs/scheduling/tests/test_rate_owners.py
+++ b/libs/scheduling/tests/test_rate_owners.py
@@ -5,7 +5,7 @@
 from masticquay_membership import messages as membership_messages
 from masticquay_membership import ownership
 from masticquay_scheduling import errors
-from masticquay_scheduling import messages
+from masticquay_scheduling import rate_messages
 from masticquay_scheduling import rate_owners
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
@@ -62,13 +62,13 @@
     def test_a_leaving_owners_successor_waits_for_its_state(self):
         self.leave(adopted=True)
         self.assertFalse(self.grants())
-        self.owners.accept(messages.HandOverRate('one', 2, 700, []))
+        self.owners.accept(rate_messages.HandOverRate('one', 2, 700, []))
         self.assertEqual(700, self.owners.active()['one'].level_tokens())
 
     def test_state_of_another_view_is_refused(self):
         self.leave(adopted=True)
         with self.assertRaises(errors.NotOwnerError):
-            self.owners.accept(messages.HandOverRate('one', 1, 700, []))
+            self.owners.accept(rate_messages.HandOverRate('one', 1, 700, []))
 
     def test_without_state_it_begins_when_all_grants_have_ended(self):
         self.leave(adopted=True)
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -337,6 +337,23 @@
         self.assertEqual(messages.REASON_NOT_OWNER, refused.reason)
 
 
+class LongPrefillTest(SchedulerCase):
+    options = {'headroom_percent': 0}
+
+    def admit_long(self, number):
+        return self.admit(number, prompt_tokens=6_000)
+
+    def test_one_endpoint_stays_free_for_prompt_classes(self):
+        self.assertIsInstance(self.admit_long(1), messages.Placement)
+        self.assertIsNone(self.admit_long(2))
+        placed = self.admit(3, class_name='status', prompt_tokens=20)
+        self.assertIsInstance(placed, messages.Placement)
+
+    def test_a_single_endpoint_is_not_kept_free(self):
+        self.scheduler.set_leaving('p2', True)
+        self.assertIsInstance(self.admit_long(1), messages.Placement)
+
+
 class ServiceTest(SchedulerCase):
     endpoints = [
         fakes.make_service('s1', slots=2),
