--- a/libs/bench/masticquay_bench/capacity.py
+++ b/libs/bench/masticquay_bench/capacity.py
@@ -11,6 +11,8 @@
 from masticquay_bench import targets
 from masticquay_wire import errors as wire_errors
 
+FEW_HOSTS = 9
+MANY_HOSTS = 150
 PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'CAPACITY.md'
 
 
@@ -93,8 +95,8 @@
         """Returns the memory of an entry host."""
         streams_mb = times(
             size_streams(self.size),
-            self.value('entry_bytes_per_stream'),
-            1 / slopes.MEGABYTE,
+            self.value('entry_kib_per_stream'),
+            1 / 1024,
         )
         return plus(self.value('entry_base_mb'), streams_mb)
 
@@ -107,36 +109,38 @@
         )
 
     def limiter_core_share(self) -> float | None:
-        """Returns the core share of the limiter of a mean workspace."""
+        """Returns the core share of the limiter of a mean workspace.
+
+        Only its messages; what it works out for each was not measured.
+        """
         return times(
             self.size.requests_per_workspace,
-            self.value('limiter_us_per_grant'),
+            self.value('limiter_messages_per_charge'),
+            self.value('call_listener_us'),
             1e-6,
         )
 
     def leader_core_share(self, hosts: int) -> float | None:
         """Returns the core share of the control leader with idle hosts."""
-        return plus(
-            self.value('control_idle_core_share'),
-            times(hosts, self.value('control_leader_us_per_host_s'), 1e-6),
-        )
+        return self._line('control_leader_core_share', hosts)
+
+    def control_memory_mb(self, hosts: int) -> float | None:
+        """Returns the memory of a control leader."""
+        return self._line('control_leader_mb', hosts)
+
+    def _line(self, name: str, hosts: int) -> float | None:
+        """Draws a line through what few and many hosts took."""
+        few = self.value(f'{name}_{FEW_HOSTS}')
+        many = self.value(f'{name}_{MANY_HOSTS}')
+        if few is None or many is None:
+            return None
+        slope = (many - few) / (MANY_HOSTS - FEW_HOSTS)
+        return few + slope * (hosts - FEW_HOSTS)
 
-    def intents_core_share(self, per_s: float, slope: str) -> float | None:
+    def records_core_share(self, per_s: float, slope: str) -> float | None:
         """Returns what non-idempotent calls add to a control host."""
         return times(per_s, self.value(slope), 1e-6)
 
-    def control_memory_mb(self, hosts: int) -> float | None:
-        """Returns the memory of a control process, of all that there are."""
-        watching = hosts / self.size.control_hosts
-        return plus(
-            self.value('control_base_mb'),
-            times(
-                watching,
-                self.value('control_bytes_per_watching_host'),
-                1 / slopes.MEGABYTE,
-            ),
-        )
-
     def watch_bytes_per_s(self) -> float:
         """Returns what changes cost each host, averaged over a day."""
         day_s = targets.DAY_S
@@ -151,16 +155,15 @@
     def host_bytes_per_s(self) -> float | None:
         """Returns the control traffic of one host."""
         return plus(
-            self.value('host_control_bytes_per_s'), self.watch_bytes_per_s()
+            self.value('watcher_bytes_per_s'), self.watch_bytes_per_s()
         )
 
     def largest_fleet(self, budget: float) -> float | None:
         """Returns how many hosts the leader carries within a core share."""
-        idle = self.value('control_idle_core_share')
-        slope = self.value('control_leader_us_per_host_s')
-        if idle is None or slope is None or slope <= 0:
+        at_none, at_one = self.leader_core_share(0), self.leader_core_share(1)
+        if at_none is None or at_one is None or at_one <= at_none:
             return None
-        return (budget - idle) * 1e6 / slope
+        return (budget - at_none) / (at_one - at_none)
 
 
 def size_streams(size: targets.Sizes) -> float:
--- a/libs/bench/masticquay_bench/capacity_pages.py
+++ b/libs/bench/masticquay_bench/capacity_pages.py
@@ -32,11 +32,11 @@
     def leader_core_share(self, hosts: int) -> float | None:
         """Returns the core share of the control leader with idle hosts."""
 
-    def intents_core_share(self, per_s: float, slope: str) -> float | None:
+    def records_core_share(self, per_s: float, slope: str) -> float | None:
         """Returns what non-idempotent calls add to a control host."""
 
     def control_memory_mb(self, hosts: int) -> float | None:
-        """Returns the memory of a control process."""
+        """Returns the memory of a control leader."""
 
     def watch_bytes_per_s(self) -> float:
         """Returns what changes cost each host, averaged over a day."""
@@ -127,17 +127,18 @@
             'control replica',
             'a copy of the log, watches of its hosts',
             f'{size.hosts / size.control_hosts:.0f} hosts renew with it',
+            f'{_share(model.value("log_follower_core_share"))} for the log '
+            'alone',
             NOT_MEASURED,
-            _megabytes(model.control_memory_mb(size.hosts)),
             'deltas pushed to the hosts that watch it',
         ),
         (
             'watcher (each host)',
             'one link to a replica',
             f'1 renewal; {size.changes_per_day} changes a day',
+            _share(model.value('watcher_core_share')),
             NOT_MEASURED,
-            NOT_MEASURED,
-            f'{_kilobytes(model.host_bytes_per_s())} a second',
+            f'one link, {_kilobytes(model.host_bytes_per_s())} a second',
         ),
     ]
     lines = [
@@ -168,7 +169,7 @@
     )
     lines.append(
         _judge(
-            'control process, whole memory',
+            'control leader, whole memory',
             memory_mb,
             float(size.control_memory_mb),
             _megabytes,
@@ -186,6 +187,19 @@
         _judge('relay of a token', relay, 100.0, lambda v: _number(v, 'us'))
     )
     lines.append(_judge('entry host, processor', entry, 1.0, _share))
+    shard = model.scheduler_core_share()
+    lines.append(
+        _judge('scheduler of a shard', shard, size.control_core_share, _share)
+    )
+    for what, name in (('bundle', 'roll'), ('withdrawal', 'withdrawal')):
+        lines.append(
+            _judge(
+                f'{what} in force at {size.hosts} hosts',
+                model.value(f'{name}_ms_400'),
+                float(size.in_force_ms),
+                lambda v: _number(v, 'ms'),
+            )
+        )
     largest = model.largest_fleet(size.control_core_share)
     if largest is None:
         lines.append(f'* size at which the leader breaks: {NOT_MEASURED}')
@@ -230,10 +244,10 @@
     ]
     for share in EFFECT_SHARES:
         per_s = share * size.requests_per_s
-        leader = model.intents_core_share(
+        leader = model.records_core_share(
             per_s, 'control_leader_us_per_intent'
         )
-        follower = model.intents_core_share(
+        follower = model.records_core_share(
             per_s, 'control_follower_us_per_intent'
         )
         lines.append(
--- a/libs/bench/masticquay_bench/slopes.py
+++ b/libs/bench/masticquay_bench/slopes.py
@@ -21,9 +21,6 @@
 COMMAND = 'python -m masticquay_bench.slopes'
 SEED = 1
 SETTLE_S = 4.0
-IDLE_S = 15.0
-FEW_ENTRIES = 2
-MANY_ENTRIES = 14
 STREAMS = 105
 STREAM_TOKENS = 300
 STREAM_STEP_MS = 35
@@ -58,24 +55,6 @@
         self.note = note
 
 
-class Idle:
-    """What control spends on a fleet without calls."""
-
-    __slots__ = ('entries', 'cpu_shares', 'bytes_per_s', 'memory_bytes')
-
-    def __init__(
-        self,
-        entries: int,
-        cpu_shares: list[float],
-        bytes_per_s: float,
-        memory_bytes: list[int],
-    ):
-        self.entries = entries
-        self.cpu_shares = cpu_shares
-        self.bytes_per_s = bytes_per_s
-        self.memory_bytes = memory_bytes
-
-
 class Meter:
     """Collects slopes of one commit."""
 
@@ -97,45 +76,6 @@
         path.write_text(json.dumps(values, indent=1) + '\n')
 
 
-def measure_control(meter: Meter) -> None:
-    """Measures what each entry host costs control while it is idle."""
-    few, many = _idle(FEW_ENTRIES), _idle(MANY_ENTRIES)
-    hosts = many.entries - few.entries
-    note = f'{few.entries} against {many.entries} idle entry hosts'
-    leader_us = (max(many.cpu_shares) - max(few.cpu_shares)) * 1e6 / hosts
-    meter.add('control_leader_us_per_host_s', leader_us, 'us/s', note)
-    total_us = (sum(many.cpu_shares) - sum(few.cpu_shares)) * 1e6 / hosts
-    meter.add('control_all_us_per_host_s', total_us, 'us/s', note)
-    meter.add('control_idle_core_share', max(few.cpu_shares), 'core', note)
-    # A host keeps its watch open with one replica only.
-    grown = sum(many.memory_bytes) - sum(few.memory_bytes)
-    meter.add('control_bytes_per_watching_host', grown / hosts, 'B', note)
-    meter.add('control_base_mb', max(few.memory_bytes) / MEGABYTE, 'MB', note)
-    per_host = many.bytes_per_s / many.entries
-    meter.add('host_control_bytes_per_s', per_host, 'B/s', note)
-
-
-def _idle(entries: int) -> Idle:
-    sizes = fleets.Sizes(entries=entries, engines=1, services=1)
-    with fleets.Fleet(sizes=sizes, seed=SEED, forwarded=True) as fleet:
-        time.sleep(SETTLE_S)
-        spending = loads.Spending(fleet.controls)
-        passed_bytes = _forwarded(fleet)
-        begin_s = time.monotonic()
-        time.sleep(IDLE_S)
-        passed_s = time.monotonic() - begin_s
-        return Idle(
-            entries,
-            [cpu_s / passed_s for cpu_s in spending.cpu_s()],
-            (_forwarded(fleet) - passed_bytes) / passed_s,
-            [process.memory_bytes() for process in fleet.controls],
-        )
-
-
-def _forwarded(fleet: fleets.Fleet) -> int:
-    return sum(f.forwarded_bytes for f in fleet.forwarders)
-
-
 def measure_streams(meter: Meter) -> None:
     """Measures one entry host with many streams."""
     sizes = fleets.Sizes(1, 1, 3, 1, engine_slots=40)
@@ -158,7 +98,7 @@
         cpu_s = spending.cpu_s()[0]
         tokens = sum(call.output_tokens for call in done)
         note = f'{STREAMS} streams at {STREAM_STEP_MS} ms, {tokens} tokens'
-        meter.add('relay_us_per_token', cpu_s * 1e6 / tokens, 'us', note)
+        meter.add('stream_us_per_token', cpu_s * 1e6 / tokens, 'us', note)
         meter.add('entry_bytes_per_stream', stream_bytes / STREAMS, 'B', note)
         meter.add('entry_base_mb', base_bytes / MEGABYTE, 'MB', note)
         _measure_short(meter, run)
@@ -248,7 +188,6 @@
     meter = Meter()
     measure_streams(meter)
     measure_intents(meter)
-    measure_control(meter)
     meter.write(FOLDER / 'fleet.json')
     return 0
 
--- a/libs/bench/tests/test_capacity.py
+++ b/libs/bench/tests/test_capacity.py
@@ -5,9 +5,11 @@
 import tempfile
 import unittest
 
+from masticquay_bench import bench_slopes
 from masticquay_bench import capacity
 from masticquay_bench import capacity_pages
 from masticquay_bench import errors
+from masticquay_bench import results
 from masticquay_bench import slopes
 from masticquay_bench import targets
 
@@ -53,3 +55,21 @@
             (folder / 'b.json').write_text('[{}]')
             with self.assertRaises(errors.WorkloadError):
                 capacity.read_slopes(folder)
+
+    def test_the_leader_is_drawn_as_a_line(self):
+        measured = capacity.Slopes(
+            [
+                slope('control_leader_core_share_9', 0.01),
+                slope('control_leader_core_share_150', 0.02),
+            ]
+        )
+        model = capacity.Model(measured, targets.Sizes())
+        self.assertAlmostEqual(0.03, model.leader_core_share(291))
+        self.assertAlmostEqual(291, model.largest_fleet(0.03))
+
+    def test_a_bench_result_gives_its_slopes(self):
+        context = {'command': 'run', 'seed': '1', 'commit': 'abc'}
+        result = results.Result(context, {'relay.us_per_token': 130.0})
+        found = bench_slopes.take(result)
+        self.assertEqual(['relay_us_per_token'], [s.name for s in found])
+        self.assertEqual(130.0, found[0].value)
