Late load reports and dead engines do not hold up a pool

A report that lags could show our own ended work as foreign: it is compared with the most reserved since the report before. Cancels of orphans have threads of their own, since eight that wait for a dead engine would stop all load reports.

--- a/libs/scheduling/masticquay_scheduling/reservations.py
+++ b/libs/scheduling/masticquay_scheduling/reservations.py
@@ -46,6 +46,8 @@
         'foreign_slots',
         'smoothed_load',
         '_foreign',
+        '_peak',
+        '_earlier_peak',
     )
 
     def __init__(
@@ -71,6 +73,8 @@
         self._foreign: collections.deque[int] = collections.deque(
             maxlen=FOREIGN_SAMPLES
         )
+        self._peak = 0
+        self._earlier_peak = 0
         self.link = links.Link(endpoint.link_bytes_per_s)
         self.replace(endpoint)
 
@@ -104,6 +108,10 @@
         """Returns the pieces that are not reserved."""
         return self.endpoint.pieces - self.pieces_used
 
+    def note_peak(self) -> None:
+        """Notes how much is reserved, to tell foreign load by."""
+        self._peak = max(self._peak, self.decode_count + self.prefill_count)
+
     def free_slots(self, now_ms: int) -> int:
         """Returns the decode slots that may be reserved now."""
         if self.leaving or self.undeclared:
@@ -129,8 +137,11 @@
             self.index.reset()
             self.health.restart(now_ms)
             return True
-        # Reports lag, so only what stays over several of them is foreign.
-        own = self.decode_count + self.prefill_count
+        # Reports lag, so only what is above the most that was reserved in
+        # the meantime, and stays so over several reports, is foreign.
+        own = max(self._peak, self._earlier_peak)
+        self._earlier_peak = self._peak
+        self._peak = self.decode_count + self.prefill_count
         self._foreign.append(max(0, load.slots_used - own))
         if len(self._foreign) == FOREIGN_SAMPLES:
             self.foreign_slots = min(self._foreign)
@@ -207,6 +218,7 @@
         self.prefill_pieces = state.pieces_for(self.prompt_tokens)
         self.prefill_begins_ms = max(state.busy_until_ms, now_ms)
         state.prefill_count += 1
+        state.note_peak()
         state.prefill_work_ms += work_ms
         state.pieces_used += self.prefill_pieces
         state.busy_until_ms = self.prefill_begins_ms + work_ms
@@ -229,6 +241,7 @@
         self.pieces = pieces
         self.transfer_ms = transfer_ms
         state.decode_count += 1
+        state.note_peak()
         state.pieces_used += pieces
 
     def release_prefill(self, now_ms: int) -> None:
--- a/libs/scheduling/masticquay_scheduling/watchers.py
+++ b/libs/scheduling/masticquay_scheduling/watchers.py
@@ -12,7 +12,8 @@
 
 LOG = logging.getLogger(__name__)
 
-WORKERS = 8
+READERS = 8
+CANCELLERS = 8
 ROUND_PAUSE_MS = 100
 
 PoolLister = typing.Callable[[], list[schedulers.PoolScheduler]]
@@ -38,7 +39,9 @@
         self._busy: set[str] = set()
         self._polled_ms: dict[str, int] = {}
         self._lock = threading.Lock()
-        self._executor = futures.ThreadPoolExecutor(WORKERS, 'endpoints')
+        self._readers = futures.ThreadPoolExecutor(READERS, 'readers')
+        # Engines that do not answer must not hold up the reading of others.
+        self._cancellers = futures.ThreadPoolExecutor(CANCELLERS, 'cancels')
         self._thread: threading.Thread | None = None
 
     def start(self, list_pools: PoolLister) -> None:
@@ -53,7 +56,8 @@
         self._stopping.set()
         if self._thread is not None:
             self._thread.join(2)
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        for executor in (self._readers, self._cancellers):
+            executor.shutdown(wait=False, cancel_futures=True)
 
     def _run(self, list_pools: PoolLister) -> None:
         while not self._stopping.wait(ROUND_PAUSE_MS / 1000):
@@ -70,20 +74,30 @@
             due_ms = self._settings.load_poll_ms
             if last_ms is not None and now_ms - last_ms < due_ms:
                 continue
-            if self._submit(name, self._read, pool, name, sequence):
+            if self._submit(
+                self._readers, name, self._read, pool, name, sequence
+            ):
                 self._polled_ms[name] = now_ms
 
     def _cancel_orphans(self, pool: schedulers.PoolScheduler) -> None:
         for name, request in pool.pending_cancels():
             key = f'{name}/{request}'
-            self._submit(key, self._cancel, pool, name, request)
+            self._submit(
+                self._cancellers, key, self._cancel, pool, name, request
+            )
 
-    def _submit(self, key: str, step: typing.Callable, *arguments) -> bool:
+    def _submit(
+        self,
+        executor: futures.Executor,
+        key: str,
+        step: typing.Callable,
+        *arguments,
+    ) -> bool:
         with self._lock:
             if key in self._busy or self._stopping.is_set():
                 return False
             self._busy.add(key)
-        self._executor.submit(self._run_step, key, step, arguments)
+        executor.submit(self._run_step, key, step, arguments)
         return True
 
     def _run_step(
--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -152,6 +152,18 @@
         self.assertEqual(2, pool.counters.adopted)
         self.place(node, 3)
 
+    def test_what_a_lost_host_ran_is_cancelled(self):
+        owner = self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        node = next(n for n in self.nodes.values() if n.name != owner)
+        placement = self.place(node, 7)
+        watcher = self.nodes[owner].watcher
+        self.lose(node.name)
+        name = str(placement.request)
+        self.wait_for(lambda: ('p1', name) in watcher.cancelled)
+        self.wait_for(lambda: ('d1', name) in watcher.cancelled)
+        pool = self.nodes[owner].service.pools()['tall@north']
+        self.wait_for(lambda: not pool.pending_cancels())
+
     def test_closing_refuses_what_waits(self):
         node = self.nodes['h1']
         pool = node.pools.pool_of('tall', 'north')
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -294,6 +294,15 @@
             self.scheduler.apply_load('d2', self.load(slots_used=4))
         self.assertIsNone(self.admit(1))
 
+    def test_a_late_report_of_our_own_load_is_not_foreign(self):
+        self.fill(8)
+        for number in range(8):
+            self.finish(number, output_tokens=5)
+            self.scheduler.apply_load('d1', self.load(slots_used=4))
+            self.admit(100 + number)
+            self.prefill_done(100 + number)
+        self.assertEqual(0, self.scheduler.table.states['d1'].foreign_slots)
+
     def test_a_lost_hosts_places_are_held_until_cancelled(self):
         self.fill(8)
         self.admit(8, host='h2')
