--- a/libs/bench/masticquay_bench/replica_hosts.py
+++ b/libs/bench/masticquay_bench/replica_hosts.py
@@ -146,7 +146,7 @@
             sum(c.received_bytes for c in counters),
             sum(c.sent_frames for c in counters),
             sum(c.received_frames for c in counters),
-            self.node.replica.state.counters.snapshots_installed,
+            self.node.counters().snapshots_installed,
         )
 
 
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -17,6 +17,7 @@
 from masticquay_consensus import protocols
 from masticquay_consensus import replicas
 from masticquay_consensus import settings as settings_module
+from masticquay_consensus import states
 from masticquay_consensus import stores
 from masticquay_wire import clocks
 from masticquay_wire import dialers
@@ -29,7 +30,8 @@
 EXIT_STORAGE_FAILED = 1
 TICK_MS = 50
 IDLE_WAIT_MS = 1_000
-FORM_PAUSE_MS = 100
+FORM_PAUSE_MIN_MS = 100
+FORM_PAUSE_MAX_MS = 2_000
 JOIN_TIMEOUT_S = 5
 
 Voter = formations.Voter
@@ -179,6 +181,10 @@
     def status(self) -> messages.LogStatus:
         return self.replica.status()
 
+    def counters(self) -> states.Counters:
+        """Returns counts of events since the start."""
+        return self.replica.counters()
+
     def on_role_change(self, hook: protocols.RoleHook) -> None:
         self._hooks.append(hook)
 
@@ -342,11 +348,13 @@
             self._links,
             self._settings,
         )
+        pause_ms = FORM_PAUSE_MIN_MS
         while not self.replica.state.store.formed:
             if formation.attempt():
                 return
-            if self._closed.wait(FORM_PAUSE_MS / 1000):
+            if self._closed.wait(pause_ms / 1000):
                 return
+            pause_ms = min(FORM_PAUSE_MAX_MS, pause_ms * 2)
 
     def _wake_all(self) -> None:
         if self._replica is None:
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -253,6 +253,14 @@
         with self.state.lock:
             return self.state.configuration.member(self.state.leader_id)
 
+    def counters(self) -> states.Counters:
+        """Returns the counts up to now."""
+        with self.state.lock:
+            counted = self.state.counters.copy()
+            if self._store.formed:
+                counted.syncs = self._store.journal.sync_count
+            return counted
+
     def status(self) -> messages.LogStatus:
         """Returns what this replica knows of the group."""
         state = self.state
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -28,12 +28,20 @@
         'snapshots_taken',
         'snapshots_installed',
         'entries_applied',
+        'syncs',
     )
 
     def __init__(self) -> None:
         for name in self.__slots__:
             setattr(self, name, 0)
 
+    def copy(self) -> 'Counters':
+        """Returns the counts of this moment."""
+        copied = Counters()
+        for name in self.__slots__:
+            setattr(copied, name, getattr(self, name))
+        return copied
+
 
 class Proposal:
     """An entry of this leader whose outcome is not yet known."""
--- a/libs/consensus/tests/test_nodes.py
+++ b/libs/consensus/tests/test_nodes.py
@@ -82,6 +82,7 @@
         index = node.read_barrier()
         self.assertGreaterEqual(index, 2)
         self.assertIn(b'x', fleet.machines[fleet.leader()].commands)
+        self.assertGreater(node.counters().syncs, 0)
 
     def test_a_sleeping_replica_catches_up_by_snapshot(self):
         settings = settings_module.Settings(
