--- a/libs/scheduling/masticquay_scheduling/admissions.py
+++ b/libs/scheduling/masticquay_scheduling/admissions.py
@@ -38,6 +38,7 @@
         self._latest: list[tuple[float, int, waitings.Waiting]] = []
         self._sequence = 0
         self._kinds: dict[str, str] = {}
+        self._targets_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -46,6 +47,9 @@
         """Takes the classes and weights of a newer bundle."""
         self._plan = plan
         self._kinds = {c.name: c.kind for c in bundle.classes}
+        self._targets_ms = {
+            c.name: c.first_token_target_ms for c in bundle.classes
+        }
         weights = {w.name: w.weight for w in bundle.workspaces}
         self.queue.set_weights(weights)
 
@@ -164,15 +168,21 @@
         first_ms = estimates.prefill_ms(uncached)
         first_ms += self._table.transfer_ms(admit.prompt_tokens)
         # Prompt classes are the first to get a slot after their prefill.
+        idle_ms = self._with_margin(first_ms)
         if admit.late_decode and not self.is_prompt(admit.class_name):
             first_ms += estimates.await_ms()
-        first_ms += self._settings.start_margin_ms
-        first_ms += first_ms * self._settings.start_margin_percent / 100
+        first_ms = self._with_margin(first_ms)
         output = estimates.output_tokens(
             admit.workspace, admit.class_name, admit.max_output_tokens
         )
         last_ms = first_ms + estimates.decode_ms(output)
-        return refusals.LeadTimes(first_ms, last_ms)
+        target_ms = self._targets_ms.get(admit.class_name, idle_ms)
+        return refusals.LeadTimes(first_ms, last_ms, idle_ms > target_ms)
+
+    def _with_margin(self, expected_ms: float) -> float:
+        """Returns a high estimate for a time until the first byte."""
+        expected_ms += self._settings.start_margin_ms
+        return expected_ms * (1 + self._settings.start_margin_percent / 100)
 
     def _cached_tokens(self, admit: messages.Admit) -> int:
         """Returns the most that any endpoint has cached of a prompt."""
