--- a/libs/consensus/masticquay_consensus/elections.py
+++ b/libs/consensus/masticquay_consensus/elections.py
@@ -97,7 +97,7 @@
         state = self._state
         state.role = messages.ROLE_CANDIDATE
         state.leader_id = ''
-        state.defer_election()
+        state.defer_probe()
         self._probing = probing
         self._asked = {state.replica_id}
         self._granted = {state.replica_id}
--- a/libs/consensus/masticquay_consensus/settings.py
+++ b/libs/consensus/masticquay_consensus/settings.py
@@ -6,6 +6,7 @@
 
     :param election_min_ms: a replica that heard from a leader within this
         time grants no vote; leases rest on it
+    :param election_max_ms: the longest wait for a leader before a probe
     :param drift_margin_ms: taken off a lease for clocks of unequal speed
     :param retained_entries: entries kept before the snapshot, so that a
         replica that lags little needs no snapshot
@@ -29,7 +30,7 @@
         self,
         heartbeat_ms: int = 250,
         election_min_ms: int = 1_000,
-        election_max_ms: int = 2_000,
+        election_max_ms: int = 1_500,
         drift_margin_ms: int = 100,
         call_timeout_ms: int = 600,
         batch_bytes: int = 1024 * 1024,
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -179,6 +179,13 @@
             settings.election_min_ms, settings.election_max_ms
         )
 
+    def defer_probe(self) -> None:
+        """Waits for the answers to a probe or a vote, for a random time."""
+        heartbeat_ms = self.settings.heartbeat_ms
+        self.election_deadline_ms = self.clock.now_ms() + self.random.randint(
+            heartbeat_ms, 2 * heartbeat_ms
+        )
+
     def follow(self, term: int, leader_id: str) -> None:
         """Becomes a follower, of a known leader or of none yet."""
         if term > self.term:
