--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -5,6 +5,7 @@
 import http.client
 import select
 import socket
+import struct
 import threading
 import time
 import typing
@@ -44,6 +45,17 @@
         if self.http.sock is not None:
             self.http.sock.settimeout(max(1, timeout_ms) / 1000)
 
+    def set_stream_timeout(self, timeout_ms: int) -> None:
+        """Bounds each wait in the kernel, for long streams.
+
+        A timeout of the socket object would cost a poll before each read.
+        """
+        sock = self.http.sock
+        seconds, rest_ms = divmod(max(1, timeout_ms), 1000)
+        timeval = struct.pack('@ll', seconds, rest_ms * 1000)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval)
+        sock.settimeout(None)
+
     def is_usable(self) -> bool:
         """Whether an idle connection may serve another request."""
         if (time.monotonic() - self.used_s) * 1000 > IDLE_LIMIT_MS:
@@ -205,7 +217,7 @@
         """Turns errors of sockets and of HTTP into this layer's errors."""
         try:
             yield
-        except TimeoutError as cause:
+        except (TimeoutError, BlockingIOError) as cause:
             self._interrupt.check()
             raise errors.StalledError(f'{self._pool.address}') from cause
         except (OSError, http.client.HTTPException, ValueError) as cause:
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -185,7 +185,7 @@
         if batch is None:
             continue
         if waiting_first:
-            connection.set_timeout(stall_timeout_ms)
+            connection.set_stream_timeout(stall_timeout_ms)
             waiting_first = False
         yield batch
 
