Open routes while cut off, refusals before admission counted, one fault a line

A host without a lease could serve open routes only through pool owners, which it may not reach, or be itself without the right to act. It now places a few such requests by itself, at random.

Refusals before admission (lease lost, host busy, withdrawn key) were in no ledger; they are counted for the workspace whose key came with them. /metrics names workspaces, so it can be kept to given sources.

A settings file with several missing keys named the first one again and again; each is named once now (bundles).

--- a/libs/bundles/masticquay_bundles/documents.py
+++ b/libs/bundles/masticquay_bundles/documents.py
@@ -145,8 +145,7 @@
             if key not in known
         ]
     if fault.validator == 'required':
-        missing = [k for k in fault.validator_value if k not in fault.instance]
-        return [
-            document.problem(path, f'missing key {key}') for key in missing[:1]
-        ]
+        # There is one fault for each missing key, which only its text names.
+        key = fault.message.split("'")[1]
+        return [document.problem(path, f'missing key {key}')]
     return [document.problem(path, fault.message)]
--- a/libs/entry/masticquay_entry/admissions.py
+++ b/libs/entry/masticquay_entry/admissions.py
@@ -104,6 +104,13 @@
             raise refusals.Refusal(401, 'unknown-key', 'the key is unknown')
         return workspace
 
+    def workspace_of(self, digest: str) -> str:
+        """Returns whose key it is, empty when nobody's; grants nothing."""
+        bundle = self._membership.state().bundle
+        if bundle is None or not digest:
+            return ''
+        return self.table().keys.get(digest, '')
+
     def recheck(self, admission: Admission) -> None:
         """Checks, right before dispatch, that the key still stands.
 
--- a/libs/entry/masticquay_entry/applications.py
+++ b/libs/entry/masticquay_entry/applications.py
@@ -36,10 +36,18 @@
 StartResponse = typing.Callable[[str, refusals.Headers], typing.Any]
 Body = typing.Iterable[bytes]
 
-# Refusals that say nothing of the host's capacity.
+# Statuses of refusals for which the caller itself is the reason.
 REASONS_OF_CALLERS = frozenset([400, 401, 403, 404, 405, 409, 413, 422, 429])
 
 
+class _CountedRefusal(Exception):
+    """A refusal that metrics and usage have counted already."""
+
+    def __init__(self, refusal: refusals.Refusal):
+        super().__init__(str(refusal))
+        self.refusal = refusal
+
+
 class Application:
     """Answers every request, whatever happens."""
 
@@ -76,7 +84,10 @@
             if page is not None:
                 return page(environ, start_response)
             return self._serve_call(environ, start_response)
+        except _CountedRefusal as counted:
+            return _refuse(counted.refusal, start_response)
         except refusals.Refusal as refusal:
+            self._count_early(refusal, environ)
             return _refuse(refusal, start_response)
         except Exception:
             LOG.exception('a request failed')
@@ -106,6 +117,11 @@
     def _serve_metrics(
         self, environ: callers.Environ, start_response: StartResponse
     ) -> Body:
+        sources = self._settings.metrics_sources
+        if sources and environ['REMOTE_ADDR'] not in sources:
+            raise refusals.Refusal(
+                403, 'foreign-source', 'metrics are not served to you'
+            )
         headers = [('Content-Type', metrics.CONTENT_TYPE)]
         body = self._parts.metrics.render()
         return _answer(200, headers, body, start_response)
@@ -155,6 +171,21 @@
             answer = _ModelAnswer(self._parts, run, completion, stack)
             return answer.serve(start_response)
 
+    def _count_early(
+        self, refusal: refusals.Refusal, environ: callers.Environ
+    ) -> None:
+        """Counts a refusal from before a request had a class and target."""
+        workspace = self._gate.workspace_of(callers.read_digest(environ))
+        self._parts.metrics.count_refusal(workspace, '', refusal.code)
+        if workspace:
+            self._parts.usage.record_refusal(
+                workspace,
+                '',
+                '',
+                refusal.code,
+                refusal.status not in REASONS_OF_CALLERS,
+            )
+
     def _take_place(self, stack: contextlib.ExitStack) -> None:
         if self._drain.refusing:
             raise refusals.Refusal(
@@ -200,7 +231,7 @@
             answer = call.run()
         except refusals.Refusal as refusal:
             report.note_refusal(refusal)
-            raise
+            raise _CountedRefusal(refusal) from refusal
         report.note_answer(call.queue_wait_ms, 0, 0)
         headers = [
             *answer.headers,
@@ -303,7 +334,7 @@
             first = next(batches)
         except refusals.Refusal as refusal:
             self._note_refusal(refusal)
-            raise
+            raise _CountedRefusal(refusal) from refusal
         self._note_first()
         if not self._completion.stream:
             return self._serve_whole(first, batches, start_response)
@@ -325,7 +356,7 @@
                 batch = later
         except refusals.Refusal as refusal:
             self._note_refusal(refusal)
-            raise
+            raise _CountedRefusal(refusal) from refusal
         body = self._renderer.render_whole(
             self._call.texts, batch.finish_reason
         )
--- a/libs/entry/masticquay_entry/backends.py
+++ b/libs/entry/masticquay_entry/backends.py
@@ -1,9 +1,11 @@
 """What calls use to reach pools, limiters and endpoints."""
 
 import itertools
+import random
 
 from masticquay_endpoints import catalogs
 from masticquay_entry import cancellers
+from masticquay_entry import local_placements
 from masticquay_entry import metrics
 from masticquay_entry import runs
 from masticquay_entry import usages
@@ -29,6 +31,7 @@
         'metrics',
         'usage',
         'clock',
+        'local',
         '_numbers',
     )
 
@@ -43,6 +46,7 @@
         entry_metrics: metrics.EntryMetrics,
         usage: usages.UsageRecorder,
         clock: clocks.Clock,
+        generator: random.Random,
     ):
         self.membership = membership
         self.pools = pools
@@ -57,6 +61,7 @@
         self.metrics = entry_metrics
         self.usage = usage
         self.clock = clock
+        self.local = local_placements.LocalPlacements(generator)
         self._numbers = itertools.count(1)
 
     def next_request_id(self) -> messages.RequestId:
--- a/libs/entry/masticquay_entry/callers.py
+++ b/libs/entry/masticquay_entry/callers.py
@@ -114,6 +114,15 @@
     )
 
 
+def read_digest(environ: Environ) -> str:
+    """Returns the digest of a request's key, empty when it has none."""
+    try:
+        key = _read_key(environ)
+    except refusals.Refusal:
+        return ''
+    return digest_text(key) if key else ''
+
+
 def digest_text(text: str) -> str:
     """Returns the digest under which a bundle lists a key."""
     return hashlib.sha256(text.encode('utf-8', 'replace')).hexdigest()
--- a/libs/entry/masticquay_entry/hosts.py
+++ b/libs/entry/masticquay_entry/hosts.py
@@ -1,6 +1,7 @@
 """An entry host: all that serves callers, over given pools and rates."""
 
 import contextlib
+import random
 
 from masticquay_endpoints import catalogs
 from masticquay_entry import admissions
@@ -62,6 +63,7 @@
             self._metrics,
             self._usage,
             clock,
+            random.Random(entry_settings.seed),
         )
         application = applications.Application(
             parts, self._gate, self._keeper, self._drain, entry_settings
--- a/libs/entry/masticquay_entry/placements.py
+++ b/libs/entry/masticquay_entry/placements.py
@@ -55,7 +55,7 @@
         :raises Refusal: when the pool refuses
         :raises InterruptedCallError: when the request was interrupted
         """
-        if not self.pool:
+        if not self.pool and not self._is_cut_off():
             raise refusals.Refusal(
                 503,
                 messages.REASON_NO_ENDPOINT,
@@ -76,23 +76,24 @@
             # may be out already: it waits anew, up to its deadline.
             max_wait_ms = service_class.max_wait_ms
             first_token_ms = left_ms
-        future = self._parts.pools.admit(
-            messages.Admit(
-                self.pool,
-                run.request,
-                self.attempt,
-                run.admission.workspace,
-                service_class.name,
-                prefix_hashes,
-                prompt_tokens,
-                max_output_tokens,
-                max(1, min(first_token_ms, left_ms)),
-                left_ms,
-                min(max_wait_ms, left_ms),
-                list(self.excluded),
-                late_decode=late_decode,
-            )
+        admit = messages.Admit(
+            self.pool,
+            run.request,
+            self.attempt,
+            run.admission.workspace,
+            service_class.name,
+            prefix_hashes,
+            prompt_tokens,
+            max_output_tokens,
+            max(1, min(first_token_ms, left_ms)),
+            left_ms,
+            min(max_wait_ms, left_ms),
+            list(self.excluded),
+            late_decode=late_decode,
         )
+        if self._is_cut_off():
+            return self._place_locally(admit)
+        future = self._parts.pools.admit(admit)
         placed = self._wait(future, max_wait_ms + ADMIT_MARGIN_MS)
         self.queue_wait_ms += clock.now_ms() - started_ms
         if isinstance(placed, result.Failure):
@@ -101,6 +102,24 @@
             raise refusal
         return placed.unwrap()
 
+    def _is_cut_off(self) -> bool:
+        if self._run.admission.keyed:
+            return False
+        return not self._parts.membership.lease_valid()
+
+    def _place_locally(self, admit: messages.Admit) -> messages.Placement:
+        endpoints = self._run.admission.table.bundle.endpoints
+        placement = self._parts.local.place(endpoints, self._target, admit)
+        if placement is None:
+            raise refusals.Refusal(
+                503,
+                messages.REASON_NO_ENDPOINT,
+                'this host is cut off and serves as much as it may',
+                self._run.outcome,
+                BUSY_RETRY_AFTER_MS,
+            )
+        return placement
+
     def _wait(self, future: futures.Future, timeout_ms: int) -> result.Result:
         """Waits for the pool; a placement that comes too late is freed."""
         try:
@@ -132,16 +151,17 @@
         output_tokens: int = 0,
     ) -> None:
         """Frees the places of an attempt."""
-        self._parts.pools.finish(
-            placement.pool,
-            messages.Finished(
-                placement.request,
-                placement.attempt,
-                outcome,
-                output_tokens,
-                endpoint,
-            ),
+        finished = messages.Finished(
+            placement.request,
+            placement.attempt,
+            outcome,
+            output_tokens,
+            endpoint,
         )
+        if placement.pool:
+            self._parts.pools.finish(placement.pool, finished)
+        else:
+            self._parts.local.finish(finished)
 
     def find_endpoint(self, name: str) -> models.Endpoint:
         """Returns an endpoint of the bundle of the request.
--- a/libs/entry/masticquay_entry/settings.py
+++ b/libs/entry/masticquay_entry/settings.py
@@ -118,6 +118,15 @@
         600_000,
         'longest time for requests to finish after SIGTERM',
     ),
+    settings.Setting(
+        'metrics_sources',
+        {
+            'type': 'array',
+            'items': {'type': 'string', 'pattern': r'^[0-9]+(\.[0-9]+){3}$'},
+        },
+        [],
+        'IP numbers that may read /metrics; all when empty',
+    ),
     settings.Setting(
         'usage_interval_ms',
         _count(100, 600_000),
--- a/libs/entry/tests/test_applications.py
+++ b/libs/entry/tests/test_applications.py
@@ -181,9 +181,16 @@
                 'class="standard"[^}]*workspace="nairobi"',
             )
 
+    def test_metrics_are_for_their_sources(self):
+        host = self.site.add_host(metrics_sources=['127.9.9.9'])
+        self.assertEqual(403, host.call('GET', '/metrics').status)
+
     def test_refusals_are_reported_with_their_reason(self):
         self.host.rates.refusing = True
         self.host.complete()
+        self.host.membership.lease = False
+        self.host.complete()
+        self.host.membership.lease = True
         self.host.rates.refusing = False
         self.host.pools.engines = []
         self.host.complete()
@@ -193,10 +200,11 @@
             for report in self.site.control.reports:
                 entries.extend(report.entries)
             self.site.control.reports.clear()
-            return sum(sum(e.refusals.values()) for e in entries) == 2
+            return sum(sum(e.refusals.values()) for e in entries) == 3
 
         self.assertTrue(fakes.wait_for(reported))
-        self.assertEqual(1, sum(e.refused_within_rate for e in entries))
+        self.assertEqual(2, sum(e.refused_within_rate for e in entries))
+        self.assertEqual({'nairobi'}, {e.workspace for e in entries})
 
     def test_more_requests_than_places_are_refused_at_once(self):
         prompt = '[[tokens=200]]'
@@ -226,6 +234,7 @@
         self.assertIn('Retry-After', reply.headers)
         reply = self.host.complete(path='/open/completions', key='')
         self.assertEqual(200, reply.status)
+        self.assertEqual([], self.host.pools.admits)
         self.assertEqual(200, self.host.call('GET', '/v1/hosts').status)
 
     def test_accepted_sockets_find_vanished_callers(self):
--- a/libs/entry/tests/test_parts.py
+++ b/libs/entry/tests/test_parts.py
@@ -1,5 +1,7 @@
 """Tests of small parts: host lists, usage, routes, cancels, settings."""
 
+import contextlib
+import io
 import pathlib
 import tempfile
 import unittest
@@ -149,5 +151,11 @@
         )
         self.assertEqual(200, loaded.threads)
 
-    def test_faults_refuse_the_file(self):
-        self.assertIsNone(self.load('name: a\nthreads: many\n'))
+    def test_each_fault_is_printed_in_a_line(self):
+        printed = io.StringIO()
+        with contextlib.redirect_stderr(printed):
+            loaded = self.load('name: a\nplace: p\nthreads: many\n')
+        self.assertIsNone(loaded)
+        lines = printed.getvalue().splitlines()
+        for key in ('caller_address', 'peer_address', 'control', 'threads'):
+            self.assertEqual(1, sum(key in line for line in lines), lines)
