--- a/libs/consensus/masticquay_consensus/appliers.py
+++ b/libs/consensus/masticquay_consensus/appliers.py
@@ -9,7 +9,7 @@
 from masticquay_consensus import stores
 
 MAX_APPLIED_AT_ONCE = 256
-SNAPSHOT_LOG_BYTES = 64 * 1024 * 1024
+SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 
 
 class Applier:
--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -203,13 +203,20 @@
 
     def _run(self) -> None:
         while not self._closed:
-            if not self._host.incarnation and not self._open():
+            try:
+                self._run_once()
+            except Exception:
+                LOG.exception('a renewal failed')
                 self._pause(JOIN_INTERVAL_MS)
-                continue
-            started_ms = self._clock.now_ms()
-            pause_ms = self._renew()
-            spent_ms = self._clock.now_ms() - started_ms
-            self._pause(max(0, pause_ms - spent_ms))
+
+    def _run_once(self) -> None:
+        if not self._host.incarnation and not self._open():
+            self._pause(JOIN_INTERVAL_MS)
+            return
+        started_ms = self._clock.now_ms()
+        pause_ms = self._renew()
+        spent_ms = self._clock.now_ms() - started_ms
+        self._pause(max(0, pause_ms - spent_ms))
 
     def _pause(self, duration_ms: int) -> None:
         self._wake.wait(duration_ms / 1000)
