Slower heartbeats on links that only wait for notices

A silent watch link cost its listener 538 us/s of processor time for two heartbeats a second, with 57 such links a replica at 400 hosts 3% of a core.

--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -16,6 +16,7 @@
 from masticquay_wire import calls
 from masticquay_wire import errors
 from masticquay_wire import handshakes
+from masticquay_wire import heartbeats
 from masticquay_wire import messages
 from masticquay_wire import outboxes
 from masticquay_wire import peers
@@ -61,7 +62,8 @@
     One thread per peer dials, receives, and sends heartbeats while a call is
     outstanding. A link without a frame for ``SILENCE_LIMIT_MS`` during that
     time is dropped, and the calls are sent again over a new one. Calls that
-    an earlier process at the address may have run fail instead.
+    an earlier process at the address may have run fail instead. Without
+    calls a link that is kept open has slower heartbeats.
 
     :param keep_open: stay connected without calls, to receive notices
     :param on_connect: called in the peer's thread after each new link; the
@@ -298,11 +300,8 @@
             outbox.send(call.frame)
 
     def _receive_until_lost(self, link: connection.Connection) -> None:
-        last_frame_s = last_ping_s = last_call_s = time.monotonic()
+        heartbeat = heartbeats.Heartbeat(time.monotonic(), self._keep_open)
         expiry_s = 0.0
-        heartbeat_s = peers.HEARTBEAT_MS / 1000
-        silence_s = peers.SILENCE_LIMIT_MS / 1000
-        idle_s = peers.IDLE_CLOSE_MS / 1000
         while not self._closed:
             try:
                 data = link.recv(
@@ -312,26 +311,20 @@
                 data = None
             now_s = time.monotonic()
             if data is not None:
-                last_frame_s = now_s
+                heartbeat.note_frame(now_s)
                 self._take_frame(data)
             if now_s >= expiry_s:
                 expiry_s = now_s + POLL_S
                 self._expire_calls()
-            if self._pending:
-                last_call_s = now_s
-            waiting = bool(self._pending) or self._keep_open
-            if not waiting:
-                last_frame_s = max(last_frame_s, now_s - heartbeat_s)
-                if now_s - last_call_s > idle_s:
-                    return
-                continue
-            if now_s - last_frame_s > silence_s:
+            action = heartbeat.check(now_s, bool(self._pending))
+            if action is heartbeats.Action.CLOSE:
+                return
+            if action is heartbeats.Action.DROP:
                 self._counters.silent_links += 1
                 raise errors.PeerUnavailableError(
                     f'{self.address}: silent link'
                 )
-            if now_s - max(last_frame_s, last_ping_s) >= heartbeat_s:
-                last_ping_s = now_s
+            if action is heartbeats.Action.PING:
                 self._outbox.send(_PING_FRAME)
 
     def _take_frame(self, data: bytes | str) -> None:
