--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import importlib
 import multiprocessing
+import os
 import pathlib
 import pkgutil
 import sys
@@ -94,6 +95,8 @@
     """Writes a result and returns the exit code."""
     folder = pathlib.Path(_OUTPUT.value)
     folder.mkdir(parents=True, exist_ok=True)
+    load = os.getloadavg()[1]
+    result.context['load average of the last 5 minutes'] = f'{load:.1f}'
     earlier = None
     if _EARLIER.value:
         earlier = results.Result.read(pathlib.Path(_EARLIER.value))
@@ -118,6 +121,8 @@
         'command': ' '.join(['masticquay-bench', *sys.argv[1:]]),
         'seed': str(_SEED.value),
         'commit': commits.read_commit(),
+        'cores': str(os.cpu_count()),
+        'load average at the start': f'{os.getloadavg()[0]:.1f}',
     }
 
 
