--- a/libs/bench/masticquay_bench/callers.py
+++ b/libs/bench/masticquay_bench/callers.py
@@ -83,7 +83,8 @@
 class Caller:
     """Sends calls of one workspace under one of its keys.
 
-    :param fixed_host: always use this address instead of the host list
+    :param seeds: addresses to ask for the host list
+    :param may_run: whether the key allows the calls
     """
 
     def __init__(
--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -132,7 +132,7 @@
     for name in names:
         trace = traces.load(name)
         print(f'replaying {trace.name}', flush=True)
-        done = replays.replay(trace, _SEED.value, _keep_folder(name))
+        done = replays.replay(trace, _SEED.value, _keep_folder(trace.name))
         print(replays.format_replay(done), flush=True)
         if not done.held:
             failed.append(trace.name)
--- a/libs/bench/masticquay_bench/deployments.py
+++ b/libs/bench/masticquay_bench/deployments.py
@@ -109,6 +109,11 @@
     return PROBE_PATH.format(service=deployment.service, version=version)
 
 
+def private_path(deployment: Deployment, name: str) -> str:
+    """Returns a path that serves the first workspace only."""
+    return f'/services/{deployment.service}/private/{name}'
+
+
 def make_bundle(
     deployment: Deployment,
     layout: layouts.Layout,
@@ -210,7 +215,7 @@
             **service,
         },
         {
-            'path': f'/services/{deployment.service}/private/',
+            'path': private_path(deployment, ''),
             'methods': ['GET'],
             'access': 'keyed',
             'workspaces': [deployment.workspaces[0].name],
--- a/libs/bench/masticquay_bench/drivers.py
+++ b/libs/bench/masticquay_bench/drivers.py
@@ -5,6 +5,7 @@
 import time
 
 from masticquay_bench import calls
+from masticquay_bench import deployments
 from masticquay_bench import runs
 from masticquay_bench import traces
 from masticquay_standins import journals
@@ -12,6 +13,7 @@
 MAX_CALLS_AT_ONCE = 800
 PROGRESS_S = 5.0
 SYLLABLE = 'tender chapter '
+UNKNOWN_KEY = 'no-such-key'
 
 
 class Driver:
@@ -72,6 +74,24 @@
         )
 
     def _send(self, arrival: traces.Arrival, due_ms: float) -> None:
+        if arrival.kind == traces.KIND_UNKNOWN_KEY:
+            self._send_unknown_key(due_ms)
+        elif arrival.kind == traces.KIND_FOREIGN:
+            self._send_foreign(due_ms)
+        else:
+            self._send_allowed(arrival, due_ms)
+
+    def _send_unknown_key(self, due_ms: float) -> None:
+        call_id = self._run.next_id('stranger')
+        model = self._run.fleet.deployment.model
+        self._run.stranger(UNKNOWN_KEY).complete(call_id, model, due_ms=due_ms)
+
+    def _send_foreign(self, due_ms: float) -> None:
+        call_id = self._run.next_id('foreign')
+        path = deployments.private_path(self._run.fleet.deployment, call_id)
+        self._run.foreigner().request(call_id, 'GET', path, due_ms=due_ms)
+
+    def _send_allowed(self, arrival: traces.Arrival, due_ms: float) -> None:
         caller = self._run.caller(arrival.workspace)
         deployment = self._run.fleet.deployment
         call_id = self._run.next_id()
--- a/libs/bench/masticquay_bench/evidence.py
+++ b/libs/bench/masticquay_bench/evidence.py
@@ -135,11 +135,16 @@
 
 
 def event_call_id(event: dict) -> str:
-    """Returns the id of the call that an event belongs to."""
-    if event['event'] == journals.EVENT_RUN:
-        _, _, rest = event.get('body', '').partition('[[id=')
+    """Returns the id of the call that an event belongs to.
+
+    A call of a plain service has it in its body, or else ends its path.
+    """
+    if event['event'] != journals.EVENT_RUN:
+        return event.get('prompt_id', '')
+    _, marker, rest = event.get('body', '').partition('[[id=')
+    if marker:
         return rest.partition(']]')[0]
-    return event.get('prompt_id', '')
+    return event.get('path', '').rpartition('/')[2]
 
 
 def collect(
--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -55,10 +55,18 @@
 
     def stranger(self, key: str) -> callers.Caller:
         """Returns a caller whose key allows nothing."""
+        return self._disallowed('stranger', key)
+
+    def foreigner(self) -> callers.Caller:
+        """Returns a caller with a key, for routes of another workspace."""
+        workspace = self.fleet.deployment.workspaces[1].name
+        return self._disallowed(workspace, self.fleet.key_of(workspace))
+
+    def _disallowed(self, workspace: str, key: str) -> callers.Caller:
         return callers.Caller(
             self.log,
             self.fleet.caller_addresses,
-            'stranger',
+            workspace,
             key,
             may_run=False,
         )
--- a/libs/bench/masticquay_bench/traces.py
+++ b/libs/bench/masticquay_bench/traces.py
@@ -15,6 +15,9 @@
 KIND_COMPLETION = 'completion'
 KIND_STATUS = 'status'
 KIND_EFFECT = 'effect'
+KIND_UNKNOWN_KEY = 'unknown-key'
+KIND_FOREIGN = 'foreign'
+STRANGER_EVERY_S = 2.0
 
 EVENT_KINDS = (
     'kill-entry',
@@ -223,8 +226,20 @@
         made = []
         for workspace in self.deployment.workspaces:
             made.extend(self._arrivals_of(workspace, rng))
+        made.extend(self._strangers(seed))
         return sorted(made, key=lambda arrival: arrival.at_ms)
 
+    def _strangers(self, seed: int) -> list[Arrival]:
+        """Returns calls that must be refused: nothing may run for them."""
+        rng = random.Random(f'{self.name}/{seed}/strangers')
+        made = []
+        at_s = rng.expovariate(1 / STRANGER_EVERY_S)
+        while at_s < self.duration_s:
+            kind = rng.choice((KIND_UNKNOWN_KEY, KIND_FOREIGN))
+            made.append(Arrival(at_s * 1000, kind, '', 'standard', 1, 1, 0))
+            at_s += rng.expovariate(1 / STRANGER_EVERY_S)
+        return made
+
     def _arrivals_of(
         self, workspace: deployments.Workspace, rng: random.Random
     ) -> list[Arrival]:
--- a/libs/bench/tests/test_checkers.py
+++ b/libs/bench/tests/test_checkers.py
@@ -56,6 +56,17 @@
             fixtures.found([refused], [fixtures.decode()]),
         )
 
+    def test_a_foreign_call_is_known_by_the_end_of_its_path(self):
+        foreign = fixtures.effect(
+            'f1', may_run=False, idempotent=True, end=calls.END_REFUSED
+        )
+        ran = fixtures.event(journals.EVENT_RUN, path='/private/f1', body='')
+        self.judge(
+            request_checkers.OwnWorkspaceOnly(),
+            fixtures.found([foreign]),
+            fixtures.found([foreign], [ran]),
+        )
+
     def test_no_key_at_endpoint(self):
         def request(value):
             headers = [['X-Other', value]]
