--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -294,6 +294,15 @@
             self.scheduler.apply_load('d2', self.load(slots_used=4))
         self.assertIsNone(self.admit(1))
 
+    def test_a_late_report_of_our_own_load_is_not_foreign(self):
+        self.fill(8)
+        for number in range(8):
+            self.finish(number, output_tokens=5)
+            self.scheduler.apply_load('d1', self.load(slots_used=4))
+            self.admit(100 + number)
+            self.prefill_done(100 + number)
+        self.assertEqual(0, self.scheduler.table.states['d1'].foreign_slots)
+
     def test_a_lost_hosts_places_are_held_until_cancelled(self):
         self.fill(8)
         self.admit(8, host='h2')
@@ -337,6 +346,23 @@
         self.assertEqual(messages.REASON_NOT_OWNER, refused.reason)
 
 
+class LongPrefillTest(SchedulerCase):
+    options = {'headroom_percent': 0}
+
+    def admit_long(self, number):
+        return self.admit(number, prompt_tokens=6_000)
+
+    def test_one_endpoint_stays_free_for_prompt_classes(self):
+        self.assertIsInstance(self.admit_long(1), messages.Placement)
+        self.assertIsNone(self.admit_long(2))
+        placed = self.admit(3, class_name='status', prompt_tokens=20)
+        self.assertIsInstance(placed, messages.Placement)
+
+    def test_a_single_endpoint_is_not_kept_free(self):
+        self.scheduler.set_leaving('p2', True)
+        self.assertIsInstance(self.admit_long(1), messages.Placement)
+
+
 class ServiceTest(SchedulerCase):
     endpoints = [
         fakes.make_service('s1', slots=2),
