A prefill made by the decoding engine itself is reported as ended

When prefill and decode fall to the same engine, the entry host sends one decode and reported no end of the prefill. The first token reports the end now, and an answer whose prefill end was never reported, as a notice may be lost, teaches nothing. A test in each library fails without its part.

--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -222,6 +222,8 @@
         engine = self._parts.catalog.engine(address)
         started = self.output_tokens
         batches = self._begin(engine, placement, prefill)
+        if prefill is None and placement.prefill_endpoint:
+            batches = self._report_prefill(placement, batches)
         resumes = 0
         while True:
             try:
@@ -282,6 +284,23 @@
             self._run.interrupt,
         )
 
+    def _report_prefill(
+        self, placement: messages.Placement, batches: Batches
+    ) -> Batches:
+        """Reports the end of a prefill that the decoding engine made itself.
+
+        The first token shows it.
+        """
+        reported = False
+        with contextlib.closing(batches):
+            for batch in batches:
+                if not reported:
+                    reported = True
+                    self._parts.pools.report_prefill_done(
+                        placement.pool, self._run.request, placement.attempt
+                    )
+                yield batch
+
     def _take(self, batches: Batches) -> Batches:
         """Passes batches on once they were found to follow the last one."""
         with contextlib.closing(batches):
--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -81,6 +81,14 @@
         self.assertNotIn(fakes.KEY, seen)
 
 
+class OneEngineTest(ModelCallCase):
+    engines = 1
+
+    def test_the_end_of_the_prefill_is_reported_once(self):
+        self.assert_whole(self.host.complete(PROMPT))
+        self.assertEqual(1, len(self.host.pools.prefills_done))
+
+
 class FaultTest(ModelCallCase):
     def test_refused_prefill_is_tried_elsewhere(self):
         self.site.faults('engine-0', refuse=1)
--- a/libs/scheduling/masticquay_scheduling/placements.py
+++ b/libs/scheduling/masticquay_scheduling/placements.py
@@ -219,7 +219,9 @@
     ) -> None:
         if finished.outcome != messages.FINISHED_DONE:
             return
-        if reservation.decode is None:
+        # The end of the prefill may not have been reported: its notice may
+        # be lost, and the time of the decode is unknown then.
+        if reservation.decode is None or not reservation.decode_started_ms:
             return
         elapsed_ms = now_ms - reservation.decode_started_ms
         placement = reservation.placement
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -102,6 +102,12 @@
         self.assertEqual(messages.REASON_TOO_LARGE, refused.reason)
         self.assertEqual(0, refused.retry_after_ms)
 
+    def test_an_unreported_prefill_end_distorts_no_estimate(self):
+        self.clock.advance_ms(2_000_000)
+        self.admit(1)
+        self.finish(1, output_tokens=10)
+        self.assertIsInstance(self.admit(2), messages.Placement)
+
     def test_a_late_request_is_refused_when_that_is_known(self):
         self.fill(8)
         self.assertIsNone(self.admit(8, max_wait_ms=300))
