Hosts stay with their replica during an election

A host left its replica at each 'no-leader', which with many hosts made a storm of new connections during the very election that they waited for. It now asks the same replica for a second, and closes a link that it leaves in a thread of its own, since the close may wait for a dial.

--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -20,6 +20,8 @@
 RENEW_INTERVAL_MS = 1_000
 JOIN_INTERVAL_MS = 100
 ADOPTION_INTERVAL_MS = 300
+LEADERLESS_INTERVAL_MS = 200
+MAX_LEADERLESS_RENEWALS = 5
 RENEW_TIMEOUT_MS = 800
 OPEN_TIMEOUT_MS = 5_000
 CLOSE_TIMEOUT_MS = 1_000
@@ -57,6 +59,7 @@
         self._call_numbers = itertools.count(1)
         self._begun: dict[tuple[str, str], int] = {}
         self._replica = 0
+        self._leaderless_count = 0
         self._link: dialers.WebsocketPeer | None = None
         self._thread = threading.Thread(
             target=self._run, name='session', daemon=True
@@ -178,7 +181,9 @@
         self._wake.set()
         if self._thread.is_alive():
             self._thread.join(2 * RENEW_TIMEOUT_MS / 1000)
-        self._drop_link()
+        link = self._take_link()
+        if link is not None:
+            link.close()
         if self._host.incarnation:
             self._give_up()
 
@@ -252,6 +257,7 @@
         except wire_errors.WireError:
             self._move_on()
             return JOIN_INTERVAL_MS
+        self._leaderless_count = 0
         self._holder.adopt(answer.adopted_view_number)
         if not answer.ttl_ms:
             return JOIN_INTERVAL_MS
@@ -275,10 +281,23 @@
                 self._host = _copy_host(self._host, 0, self._host.leaving)
         elif cause.code == membership.CODE_ADOPT_VIEW:
             self._subscribe()
+        elif cause.code == membership.CODE_NO_LEADER:
+            return self._wait_for_leader()
         else:
             self._move_on()
         return JOIN_INTERVAL_MS
 
+    def _wait_for_leader(self) -> int:
+        """Stays with a replica for the time of an election, then leaves it.
+
+        It may have lost the others, while they have a leader.
+        """
+        self._leaderless_count += 1
+        if self._leaderless_count >= MAX_LEADERLESS_RENEWALS:
+            self._leaderless_count = 0
+            self._move_on()
+        return LEADERLESS_INTERVAL_MS
+
     def _find_link(self) -> dialers.WebsocketPeer:
         with self._lock:
             if self._link is None:
@@ -297,13 +316,15 @@
         self.failed_renewal_count += 1
         self._replica = (self._replica + 1) % len(self._client.addresses)
         if len(self._client.addresses) > 1:
-            self._drop_link()
+            link = self._take_link()
+            if link is not None:
+                # A close may wait for a dial, longer than the lease allows.
+                threading.Thread(target=link.close, daemon=True).start()
 
-    def _drop_link(self) -> None:
+    def _take_link(self) -> dialers.WebsocketPeer | None:
         with self._lock:
             link, self._link = self._link, None
-        if link is not None:
-            link.close()
+        return link
 
     def _subscribe(self) -> None:
         self._notify(membership.Subscribe(self._holder.state.applied_index))
