A closed replica gives up the lead and ends every open proposal

Proposals that failed just before the close were never ended, and one made after it waited for ever. A member whose disk was replaced was asked twenty times a second; now once a heartbeat.

--- a/libs/consensus/masticquay_consensus/appliers.py
+++ b/libs/consensus/masticquay_consensus/appliers.py
@@ -40,7 +40,7 @@
         """
         installed = self._install()
         applied = self._apply_entries()
-        settled = self._settle()
+        settled = self.settle()
         compacted = self._snapshot_if_due()
         return installed or applied or settled or compacted
 
@@ -140,7 +140,7 @@
             error = errors.ProposalUnknownError('leadership was lost')
             self._state.settled.append((proposal.future, error))
 
-    def _settle(self) -> bool:
+    def settle(self) -> bool:
         """Ends futures and calls hooks, outside the lock."""
         state = self._state
         with state.lock:
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -131,7 +131,7 @@
         for thread in threads:
             if thread is not threading.current_thread():
                 thread.join(JOIN_TIMEOUT_S)
-        self._fail_proposals()
+        self.replica.close()
         self._stack.close()
 
     @property
@@ -326,6 +326,10 @@
                     answer = link.call(
                         request.message, self._settings.call_timeout_ms
                     )
+                except wire_errors.RemoteError:
+                    # For example the identity of a disk that was lost.
+                    self.replica.take_failure(request)
+                    self._closed.wait(self._settings.heartbeat_ms / 1000)
                 except wire_errors.WireError:
                     self.replica.take_failure(request)
                     self._closed.wait(TICK_MS / 1000)
@@ -364,13 +368,3 @@
             state.writer_wake.notify_all()
             state.applier_wake.notify_all()
             state.peers_wake.notify_all()
-
-    def _fail_proposals(self) -> None:
-        state = self.replica.state
-        with state.lock:
-            open_futures = [p.future for p in state.proposals.values()]
-            state.proposals.clear()
-        for future in open_futures:
-            future.set_exception(
-                errors.ProposalUnknownError('the replica was closed')
-            )
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -212,6 +212,22 @@
         """
         return self._applier.apply()
 
+    def close(self) -> None:
+        """Gives up the lead; open proposals fail as unknown.
+
+        No other step may run any more.
+        """
+        state = self.state
+        with state.lock:
+            state.closed = True
+            if state.role == messages.ROLE_LEADER:
+                state.follow(state.term, '')
+            error = errors.ProposalUnknownError('the replica was closed')
+            for proposal in state.proposals.values():
+                state.settled.append((proposal.future, error))
+            state.proposals.clear()
+        self._applier.settle()
+
     def has_work(self) -> bool:
         """Whether ``apply`` has something to do."""
         return self._applier.has_work()
@@ -287,7 +303,7 @@
     ) -> errors.ConsensusError | None:
         state = self.state
         with state.lock:
-            if state.role != messages.ROLE_LEADER:
+            if state.closed or state.role != messages.ROLE_LEADER:
                 return errors.NotLeaderError(self.leader_address())
             if len(state.proposals) >= self._settings.max_open_proposals:
                 return errors.ConsensusError('too many open proposals')
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -92,6 +92,7 @@
         self.commit_index = max(0, store.snapshot_index)
         self.applied_index = self.commit_index
         self.installing = False
+        self.closed = False
         self.led_since_ms = NEVER_MS
         self.heard_ms = clock.now_ms()
         self.election_deadline_ms = 0
--- a/libs/consensus/tests/test_nodes.py
+++ b/libs/consensus/tests/test_nodes.py
@@ -215,6 +215,24 @@
                 fleet.cuts.clear()
                 self.wait_for_commands(fleet, cut, [b'x', b'y'])
 
+    def test_a_closed_leader_ends_what_is_open_and_takes_no_more(self):
+        fleet = self.make_fleet('a')
+        roles = []
+        fleet.start()
+        fleet.propose(b'x')
+        node = fleet.nodes['a']
+        node.replica.add_hook(lambda leading, term: roles.append(leading))
+        open_proposals = [node.propose(b'%d' % n) for n in range(50)]
+        fleet.stop('a')
+        for proposal in open_proposals:
+            error = proposal.exception(0)
+            if error is not None:
+                self.assertIsInstance(error, errors.ProposalUnknownError)
+        with self.assertRaises(errors.NotLeaderError):
+            node.propose(b'late').result(0)
+        self.assertEqual(0, node.lease_remaining_ms())
+        self.assertEqual([False], roles)
+
 
 class StorageFailureTest(unittest.TestCase):
     def start(self, disk):
