--- a/libs/bench/tests/test_fleets.py
+++ b/libs/bench/tests/test_fleets.py
@@ -7,6 +7,7 @@
 from masticquay_bench import checkers
 from masticquay_bench import fleets
 from masticquay_bench import runs
+from masticquay_bench import usage_checks
 
 CALLS = 6
 
@@ -24,6 +25,10 @@
             late = run.caller('thesis-desk').complete('late', 'style-guide')
             self.assertEqual(401, late.status)
             run.drain_entry(0)
+            self.assertEqual([], self.compare_usage(run))
+            self.complete(run, CALLS)
+            run.kill_entry(1)
+            self.assertEqual([], self.compare_usage(run))
             started = fleet.all_processes()
             found = run.collect()
         broken = [v.name for v in checkers.judge(found) if not v.held]
@@ -43,14 +48,23 @@
         )
         ends = [effect.end]
         for _ in range(2):
-            with futures.ThreadPoolExecutor(CALLS) as pool:
-                pending = [
-                    pool.submit(
-                        run.caller(names[number % len(names)]).complete,
-                        run.next_id(),
-                        fleet.deployment.model,
-                    )
-                    for number in range(CALLS)
-                ]
-            ends += [future.result().end for future in pending]
+            ends += self.complete(run, CALLS)
         self.assertEqual([calls.END_OK] * (1 + 2 * CALLS), ends)
+
+    def complete(self, run, count):
+        """Makes completions at once, and returns how they ended."""
+        names = [w.name for w in run.fleet.deployment.workspaces[:2]]
+        with futures.ThreadPoolExecutor(count) as pool:
+            pending = [
+                pool.submit(
+                    run.caller(names[number % len(names)]).complete,
+                    run.next_id(),
+                    run.fleet.deployment.model,
+                )
+                for number in range(count)
+            ]
+        return [future.result().end for future in pending]
+
+    def compare_usage(self, run):
+        """Compares the ledger with the calls, also after a host crashed."""
+        return usage_checks.check_fleet(run.fleet, run.log.calls())
