--- a/libs/entry/masticquay_entry/servers.py
+++ b/libs/entry/masticquay_entry/servers.py
@@ -102,10 +102,11 @@
         return len(data)
 
     def _send_now(self, data: bytes) -> int:
-        if self.total_outbufs_len:
+        sock = self.socket
+        if self.total_outbufs_len or not self.connected or sock is None:
             return 0
         try:
-            sent = self.socket.send(data)
+            sent = sock.send(data)
         except OSError:
             # The slower way of the base class deals with every error.
             return 0
--- a/libs/entry/tests/test_applications.py
+++ b/libs/entry/tests/test_applications.py
@@ -237,6 +237,18 @@
         self.assertEqual([], self.host.pools.admits)
         self.assertEqual(200, self.host.call('GET', '/v1/hosts').status)
 
+    def test_output_for_a_connection_that_was_just_closed(self):
+        connection, response = self.host.open('GET', '/healthz')
+        self.addCleanup(connection.close)
+        response.read()
+        server = self.host.host._server._server
+        closed = next(iter(server.active_channels.values()))
+        sock, closed.socket = closed.socket, None
+        try:
+            self.assertEqual(0, closed._send_now(b'0\r\n\r\n'))
+        finally:
+            closed.socket = sock
+
     def test_accepted_sockets_find_vanished_callers(self):
         connection, response = self.host.open('GET', '/healthz')
         self.addCleanup(connection.close)
