--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -92,6 +92,7 @@
         self.commit_index = max(0, store.snapshot_index)
         self.applied_index = self.commit_index
         self.installing = False
+        self.closed = False
         self.led_since_ms = NEVER_MS
         self.heard_ms = clock.now_ms()
         self.election_deadline_ms = 0
@@ -179,6 +180,13 @@
             settings.election_min_ms, settings.election_max_ms
         )
 
+    def defer_probe(self) -> None:
+        """Waits for the answers to a probe or a vote, for a random time."""
+        heartbeat_ms = self.settings.heartbeat_ms
+        self.election_deadline_ms = self.clock.now_ms() + self.random.randint(
+            heartbeat_ms, 2 * heartbeat_ms
+        )
+
     def follow(self, term: int, leader_id: str) -> None:
         """Becomes a follower, of a known leader or of none yet."""
         if term > self.term:
