--- a/libs/scheduling/masticquay_scheduling/placements.py
+++ b/libs/scheduling/masticquay_scheduling/placements.py
@@ -4,6 +4,7 @@
 from masticquay_scheduling import estimates
 from masticquay_scheduling import links
 from masticquay_scheduling import messages
+from masticquay_scheduling import outliers
 from masticquay_scheduling import plans
 from masticquay_scheduling import protocols
 from masticquay_scheduling import refusals
@@ -227,7 +228,11 @@
         placement = reservation.placement
         if not placement.prefill_endpoint:
             self.estimates.learn_service(elapsed_ms)
+            self._learn_speed(reservation.decode, elapsed_ms, now_ms)
             return
+        if finished.output_tokens:
+            token_ms = elapsed_ms / finished.output_tokens
+            self._learn_speed(reservation.decode, token_ms, now_ms)
         self.estimates.learn_decode(
             placement.workspace,
             placement.class_name,
@@ -236,6 +241,21 @@
             elapsed_ms,
         )
 
+    def _learn_speed(
+        self,
+        state: reservations.EndpointState,
+        elapsed_ms: float,
+        now_ms: int,
+    ) -> None:
+        """Ejects an endpoint that is much slower than the others."""
+        state.speed.learn(elapsed_ms)
+        peers = [s.speed for s in self.states.values() if s.decodes]
+        if not outliers.is_outlier(state.speed, peers, self._settings):
+            return
+        if self._may_eject(now_ms):
+            self._eject(state, now_ms)
+            state.speed.reset()
+
     # Lost hosts and new owners.
 
     def adopt(
--- a/libs/scheduling/masticquay_scheduling/reservations.py
+++ b/libs/scheduling/masticquay_scheduling/reservations.py
@@ -7,6 +7,7 @@
 from masticquay_scheduling import healths
 from masticquay_scheduling import links
 from masticquay_scheduling import messages
+from masticquay_scheduling import outliers
 from masticquay_scheduling import protocols
 from masticquay_scheduling import settings as scheduling_settings
 
@@ -45,6 +46,7 @@
         'load_read_ms',
         'foreign_slots',
         'smoothed_load',
+        'speed',
         '_foreign',
         '_peak',
         '_earlier_peak',
@@ -70,6 +72,7 @@
         self.load_read_ms = now_ms
         self.foreign_slots = 0
         self.smoothed_load = 0.0
+        self.speed = outliers.Speed()
         self._foreign: collections.deque[int] = collections.deque(
             maxlen=FOREIGN_SAMPLES
         )
--- a/libs/scheduling/masticquay_scheduling/settings.py
+++ b/libs/scheduling/masticquay_scheduling/settings.py
@@ -47,6 +47,9 @@
     max_eject_ms = 30_000
     max_ejected_percent = 50
     slow_start_ms = 5_000
+    outlier_samples = 20
+    outlier_factor = 3
+    outlier_floor_ms = 5
     slow_start_percent = 20
     load_timeout_ms = 2_500
     load_poll_ms = 500
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -24,7 +24,7 @@
     pool = 'tall@north'
 
     def setUp(self):
-        self.clock = clocks.ManualClock()
+        self.clock = clocks.ManualClock(1_000)
         self.settings = scheduling_settings.SchedulingSettings(**self.options)
         self.bundle = fakes.make_bundle(self.endpoints)
         self.scheduler = self.make()
@@ -376,6 +376,22 @@
     ]
     pool = 'jobs@north'
 
+    def call(self, number, excluded, elapsed_ms):
+        self.admit(number, excluded=[excluded])
+        self.clock.advance_ms(elapsed_ms)
+        self.finish(number)
+
+    def test_a_much_slower_endpoint_is_ejected(self):
+        samples = self.settings.outlier_samples
+        for number in range(samples):
+            self.call(number, excluded='s2', elapsed_ms=20)
+        for number in range(samples, 2 * samples):
+            self.call(number, excluded='s1', elapsed_ms=100)
+        states = self.scheduler.table.states
+        now_ms = self.clock.now_ms()
+        self.assertFalse(states['s1'].health.ejected(now_ms))
+        self.assertTrue(states['s2'].health.ejected(now_ms))
+
     def test_calls_spread_and_wait_for_slots(self):
         placed = [self.admit(number) for number in range(4)]
         names = sorted(p.decode_endpoint for p in placed)
