--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -38,6 +38,7 @@
         change=0.04,
         flush=0.7,
         power_cut=0.0,
+        wipe=0.0,
         propose=0.5,
         steps=250,
     ):
@@ -53,12 +54,13 @@
         self.change = change
         self.flush = flush
         self.power_cut = power_cut
+        self.wipe = wipe
         self.propose = propose
         self.steps = steps
 
 
 PROFILES = (
-    Profile(),
+    Profile(wipe=0.02),
     Profile(
         delays_ms=(1, 2),
         copies=(1,),
@@ -70,7 +72,12 @@
         steps=600,
     ),
     Profile(
-        crash=0.05, disk_crash=0.05, restart=0.3, flush=0.3, power_cut=0.01
+        crash=0.05,
+        disk_crash=0.05,
+        restart=0.3,
+        flush=0.3,
+        power_cut=0.01,
+        wipe=0.02,
     ),
     Profile(
         delays_ms=(2, 200),
@@ -105,6 +112,7 @@
         self.name = name
         self.disk = faulty_disks.FaultyDisk(world.random)
         self.replica = None
+        self.replica_id = ''
         self.machine = None
         self.checked_index = 0
         rate = 1 + world.random.uniform(-0.03, 0.03)
@@ -118,6 +126,7 @@
 
     def _start(self):
         store = stores.Store(self.disk, self.name, self._world.random)
+        self.replica_id = store.replica_id
         self.machine = fleets.Recorder()
         self.replica = replicas.Replica(
             store,
@@ -163,10 +172,10 @@
         self.hosts = [Host(self, f'h{n}') for n in range(host_count)]
         for host in self.hosts:
             host.start()
-        self.by_id = {h.replica.state.replica_id: h for h in self.hosts}
+        self.by_id = {h.replica_id: h for h in self.hosts}
         founding = messages.Configuration(
             [
-                messages.Member(h.replica.state.replica_id, h.name, '', True)
+                messages.Member(h.replica_id, h.name, '', True)
                 for h in self.hosts[:voter_count]
             ]
         )
@@ -182,6 +191,7 @@
         self.open = []
         self.numbers = itertools.count()
         self.lease_end_ms = {}
+        self.wiped_count = 0
 
     def run(self, steps):
         for _step in range(steps):
@@ -303,6 +313,8 @@
             host.crash()
         if self.chance(profile.disk_crash):
             host.disk.steps_to_crash = self.random.randint(0, 6)
+        if self.chance(profile.wipe):
+            self.wipe()
         if host.replica is None and self.chance(profile.restart):
             host.start()
         if self.chance(profile.change):
@@ -323,15 +335,17 @@
         if host is None:
             return
         members = host.replica.state.configuration.members
+        dead = self.dead_members(host)
         absent = [
             h
             for h in self.hosts
             if h.replica
-            and not any(m.name == h.name for m in members)
-            and host.replica is not None
+            and not any(m.replica_id == h.replica_id for m in members)
         ]
         learner = next((m for m in members if not m.voter), None)
-        if learner is not None:
+        if dead and (len(members) > 3 or not dead[0].voter):
+            members = [m for m in members if m is not dead[0]]
+        elif learner is not None:
             if not host.replica.is_synced(learner.replica_id):
                 return
             voter = messages.Member(
@@ -339,13 +353,12 @@
             )
             members = [voter if m is learner else m for m in members]
         elif absent and self.random.random() < 0.6:
-            added = absent[0]
-            state = added.replica.state
+            added = self.random.choice(absent)
             members = [
                 *members,
-                messages.Member(state.replica_id, added.name, '', False),
+                messages.Member(added.replica_id, added.name, '', False),
             ]
-        elif len(members) > 3:
+        elif len(members) > 3 and not dead:
             members = list(members)
             members.remove(self.random.choice(members))
         else:
@@ -354,6 +367,30 @@
             host.replica.propose_configuration, messages.Configuration(members)
         )
 
+    def dead_members(self, leader):
+        """Lists the members whose disk was lost."""
+        live = {h.replica_id for h in self.hosts}
+        members = leader.replica.state.configuration.members
+        return [m for m in members if m.replica_id not in live]
+
+    def wipe(self):
+        """Empties the disk of a host while a quorum stays without it."""
+        leader = next((h for h in self.hosts if self.leads(h)), None)
+        if leader is None or not leader.replica.lease_remaining_ms():
+            return
+        state = leader.replica.state
+        pending = state.configuration_index > state.commit_index
+        if pending or self.dead_members(leader):
+            return
+        if len(state.configuration.voter_ids()) < 3:
+            return
+        host = self.random.choice([h for h in self.hosts if h is not leader])
+        host.crash()
+        host.disk = faulty_disks.FaultyDisk(self.random)
+        host.start()
+        self.by_id[host.replica_id] = host
+        self.wiped_count += 1
+
     def leads(self, host):
         return (
             host.replica is not None
@@ -417,8 +454,8 @@
         )
         if leader is None:
             return []
-        members = leader.replica.state.configuration.members
-        return [self.by_id[m.replica_id] for m in members]
+        configuration = leader.replica.state.configuration
+        return [h for h in self.hosts if configuration.member(h.replica_id)]
 
     def check(self):
         for host in self.hosts:
--- a/libs/consensus/tests/test_elections.py
+++ b/libs/consensus/tests/test_elections.py
@@ -181,6 +181,13 @@
         with self.assertRaises(errors.NotLeaderError):
             self.replica.propose(b'y').result(0)
 
+    def test_a_leader_paused_past_its_lease_has_none_before_any_step(self):
+        self.bench.acknowledge()
+        self.bench.clock.advance_ms(LONG_MS)
+        self.assertEqual(0, self.replica.lease_remaining_ms())
+        with self.assertRaises(errors.NotLeaderError):
+            self.replica.read_barrier()
+
     def test_a_leader_that_stepped_down_grants_no_vote_at_once(self):
         self.bench.acknowledge()
         request = self.replica.next_request('C')
--- a/libs/wire/tests/test_dialers.py
+++ b/libs/wire/tests/test_dialers.py
@@ -1,6 +1,7 @@
 """Tests of links that fail in silence, stall or restart."""
 
 from concurrent import futures
+import socket
 import threading
 import time
 import unittest
@@ -163,50 +164,42 @@
         return self.call(text)
 
 
-class OutboxTest(unittest.TestCase):
-    def test_a_blocked_socket_does_not_block_the_caller(self):
-        released = threading.Event()
-        sent = []
+class BlockedWebsocket:
+    """A websocket that takes nothing until it is released."""
+
+    def __init__(self, sock):
+        self.socket = sock
+        self.released = threading.Event()
+        self.sent = []
 
-        class Websocket:
-            def __init__(self, sock):
-                self.socket = sock
+    def send(self, frame):
+        self.released.wait()
+        self.sent.append(frame)
 
-            def send(self, frame):
-                released.wait()
-                sent.append(frame)
 
-        ours, theirs = forwarders.socket.socketpair()
+class OutboxTest(unittest.TestCase):
+    def setUp(self):
+        ours, self.theirs = socket.socketpair()
         self.addCleanup(ours.close)
-        self.addCleanup(theirs.close)
-        outbox = outboxes.Outbox(Websocket(ours))
+        self.addCleanup(self.theirs.close)
+        self.websocket = BlockedWebsocket(ours)
+        self.addCleanup(self.websocket.released.set)
+        self.outbox = outboxes.Outbox(self.websocket)
+
+    def test_a_blocked_socket_does_not_block_the_caller(self):
         large = b'x' * (outboxes.INLINE_BYTES + 1)
-        self.assertTrue(outbox.send(large))
-        self.assertTrue(outbox.send(b'small, but after the large one'))
-        self.assertEqual([], sent)
-        released.set()
-        wait_for(lambda: len(sent) == 2)
-        self.assertEqual(large, sent[0])
+        self.assertTrue(self.outbox.send(large))
+        self.assertTrue(self.outbox.send(b'after the large one'))
+        self.assertEqual([], self.websocket.sent)
+        self.websocket.released.set()
+        wait_for(lambda: len(self.websocket.sent) == 2)
+        self.assertEqual(large, self.websocket.sent[0])
 
     def test_a_full_queue_drops_the_link(self):
-        released = threading.Event()
-        self.addCleanup(released.set)
-
-        class Websocket:
-            def __init__(self, sock):
-                self.socket = sock
-
-            def send(self, frame):
-                released.wait()
-
-        ours, theirs = forwarders.socket.socketpair()
-        self.addCleanup(ours.close)
-        self.addCleanup(theirs.close)
-        outbox = outboxes.Outbox(Websocket(ours))
         frame = b'x' * messages.MAX_FRAME_BYTES
-        results = [outbox.send(frame) for _number in range(4)]
+        results = [self.outbox.send(frame) for _number in range(4)]
         self.assertFalse(results[-1])
-        self.assertEqual(b'', theirs.recv(1))
+        self.assertEqual(b'', self.theirs.recv(1))
 
 
 def wait_for(condition, timeout_s=20):
