--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -5,6 +5,7 @@
 import threading
 import unittest
 
+from masticquay_scheduling import settings as scheduling_settings
 from masticquay_standins import answers
 from tests import fakes
 
@@ -129,6 +130,24 @@
             self.host.rates.charged_tokens, self.host.rates.refunded_tokens
         )
 
+    def test_retries_are_a_share_of_successes(self):
+        for name in self.site.engine_names:
+            self.site.faults(name, refuse=10**6)
+        requests = 20
+        for _ in range(requests):
+            self.assertIn(self.host.complete(PROMPT).status, (502, 503))
+        policy = scheduling_settings.SchedulingSettings()
+        attempts = len(self.site.events('request'))
+        refilled = 2
+        limit = requests + policy.retry_reserve + refilled
+        self.assertLessEqual(attempts - self.count_cancels(), limit)
+
+    def count_cancels(self):
+        return sum(
+            event['target'] == '/v1/cancel'
+            for event in self.site.events('request')
+        )
+
     def test_lost_prefill_result_is_made_again(self):
         self.host.pools.late_decode = True
         original = self.host.pools.await_decode
