--- a/libs/consensus/tests/fleets.py
+++ b/libs/consensus/tests/fleets.py
@@ -34,8 +34,9 @@
         return b'\n'.join(self.commands)
 
     def restore(self, data, index):
-        self.commands = data.split(b'\n') if data else []
+        # Tests wait for the commands, so they are replaced last.
         self.restored_index = index
+        self.commands = data.split(b'\n') if data else []
 
 
 class CutLink:
