A pushed change is encoded once for all links

Encoding a bundle of 134 KB for 75 links keeps the interpreter busy while the log's threads want it.

--- a/libs/control/masticquay_control/watchers.py
+++ b/libs/control/masticquay_control/watchers.py
@@ -1,13 +1,17 @@
 """Pushes committed changes to the hosts that subscribed."""
 
+import collections
 import contextlib
 import threading
 
 from masticquay_control import machines
+from masticquay_membership import messages as membership
 from masticquay_wire import errors as wire_errors
+from masticquay_wire import messages
 from masticquay_wire import peers
 
 WAIT_S = 1.0
+MAX_PACKED = 4
 
 
 class Watchers:
@@ -18,6 +22,10 @@
         self._changed = threading.Condition()
         self._closed = False
         self._watchers: dict[peers.Connection, _Watcher] = {}
+        self._pack_lock = threading.Lock()
+        self._packed: collections.OrderedDict[
+            tuple[int, int], membership.PackedUpdate
+        ] = collections.OrderedDict()
         self.pushed_count = 0
 
     def notify_change(self) -> None:
@@ -63,12 +71,28 @@
                 self._wait(watcher, index)
                 continue
             with contextlib.suppress(wire_errors.WireError):
-                watcher.link.notify(update)
+                watcher.link.notify(self._pack(update))
                 index = update.to_index
                 self.pushed_count += 1
                 continue
             return
 
+    def _pack(self, update: membership.StateUpdate) -> membership.PackedUpdate:
+        """Encodes an update, or finds what was encoded for another link.
+
+        Encoding for each link by itself keeps the interpreter from the
+        threads of the log for longer than its heartbeats allow.
+        """
+        key = (update.from_index, update.to_index)
+        with self._pack_lock:
+            packed = self._packed.get(key)
+            if packed is None:
+                packed = membership.PackedUpdate(messages.pack(update))
+                self._packed[key] = packed
+            while len(self._packed) > MAX_PACKED:
+                self._packed.popitem(last=False)
+            return packed
+
     def _wait(self, watcher: '_Watcher', index: int) -> None:
         with self._changed:
             current = self._machine.change_index
--- a/libs/membership/masticquay_membership/messages.py
+++ b/libs/membership/masticquay_membership/messages.py
@@ -251,6 +251,16 @@
         self.endpoints = endpoints or []
 
 
+@messages.register
+class PackedUpdate(messages.Message):
+    """A StateUpdate that was encoded once for many receivers."""
+
+    __slots__ = ('body',)
+
+    def __init__(self, body: bytes):
+        self.body = body
+
+
 @messages.register
 class ChangesApplied(messages.Message):
     """A host says, as a notice, that it applied all up to an index."""
--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -330,6 +330,8 @@
         self._notify(membership.Subscribe(self._holder.state.applied_index))
 
     def _take_notice(self, notice: messages.Message) -> None:
+        if isinstance(notice, membership.PackedUpdate):
+            notice = messages.unpack(notice.body)
         if not isinstance(notice, membership.StateUpdate):
             return
         view_number = self._holder.state.view.number
