An attempt between prefill and decode survives a change of owner

Its announcement names no prefill endpoint, and without one the new owner never bound a slot: the prefill was wasted. Test: a pool of four engines, test_an_announced_attempt_still_gets_its_decode_slot.

--- a/libs/scheduling/masticquay_scheduling/binders.py
+++ b/libs/scheduling/masticquay_scheduling/binders.py
@@ -132,8 +132,6 @@
         self, reservation: reservations.Reservation, now_ms: int
     ) -> bool:
         """Binds an attempt whose prefill is done, if a slot is free."""
-        if reservation.prefill is None:
-            return False
         decode = self._chooser.choose_decode(
             self._table.states.values(),
             reservation.prefill,
--- a/libs/scheduling/masticquay_scheduling/choosers.py
+++ b/libs/scheduling/masticquay_scheduling/choosers.py
@@ -44,14 +44,17 @@
     def choose_decode(
         self,
         states: States,
-        source: reservations.EndpointState,
+        source: reservations.EndpointState | None,
         tokens: int,
         size_bytes: int,
         ready_ms: float,
         excluded: list[str],
         now_ms: int,
     ) -> reservations.EndpointState | None:
-        """Returns where to decode, None when nothing has room."""
+        """Returns where to decode, None when nothing has room.
+
+        :param source: where the prefill is; None when that is not known
+        """
 
     def choose_service(
         self, states: States, excluded: list[str], now_ms: int
@@ -129,7 +132,7 @@
     def choose_decode(
         self,
         states: States,
-        source: reservations.EndpointState,
+        source: reservations.EndpointState | None,
         tokens: int,
         size_bytes: int,
         ready_ms: float,
@@ -146,7 +149,7 @@
             if free <= 0 or state.free_pieces() < state.pieces_for(tokens):
                 continue
             end_ms = ready_ms
-            if state is not source:
+            if source is not None and state is not source:
                 end_ms = links.transfer_end_ms(
                     source.link, state.link, size_bytes, ready_ms
                 )
--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -343,6 +343,19 @@
         self.finish(0)
         self.assertIsInstance(self.answers[20], messages.Placement)
 
+    def test_an_announced_attempt_still_gets_its_decode_slot(self):
+        placement = self.admit(1)
+        placement.prefill_endpoint = ''
+        placement.decode_endpoint = ''
+        self.scheduler = self.make({('h1', 1)})
+        self.scheduler.announce(
+            messages.AnnouncePlacements(self.pool, 'h1', 1, 1, [placement])
+        )
+        bound = []
+        self.scheduler.await_decode(self.request(1), 1, 800, bound.append)
+        self.assertIn(bound[0].decode_endpoint, ('d1', 'd2'))
+        self.assertEqual(0, self.scheduler.table.promised)
+
     def test_a_retired_scheduler_answers_not_owner(self):
         self.fill(8)
         self.admit(8)
