A resume that brings no token ends the attempt

An engine that stalled was waited for three times the stall timeout, since a resume that stalled as well was followed by another. Now the next engine is asked after the first resume without a token; streams that break but progress may be resumed four times instead of two.

--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -23,7 +23,7 @@
     models.CLASS_STANDARD: 1,
     models.CLASS_DEFERRED: 2,
 }
-MAX_RESUMES = 2
+MAX_RESUMES = 4
 PENDING_CANCEL_MS = 1_000
 BAD_GATEWAY_RETRY_MS = 500
 
@@ -233,9 +233,11 @@
             except errors.InterruptedCallError:
                 raise
             except errors.EndpointError as cause:
-                resumable = self.output_tokens > started or resumes
-                if not resumable or resumes >= MAX_RESUMES:
+                # A resume that brought no token shows an engine at fault.
+                progressed = self.output_tokens > started
+                if not progressed or resumes >= MAX_RESUMES:
                     raise _decode_failure(name, cause) from cause
+                started = self.output_tokens
                 resumes += 1
                 self._parts.metrics.count_resume()
                 batches = self._resume(engine, placement)
--- a/libs/entry/tests/fakes.py
+++ b/libs/entry/tests/fakes.py
@@ -310,6 +310,9 @@
 
     def close(self):
         self._stack.close()
+        with futures.ThreadPoolExecutor() as pool:
+            for server in self.standins.values():
+                pool.submit(server.close)
 
     def add_host(self, name='entry-1', **changes):
         """Starts a host; the answer has its fakes as attributes."""
@@ -339,7 +342,6 @@
     def _add(self, name, kind, options, **fields):
         server = daemons.build(kind, name, '127.0.0.1:0', options)
         server.start()
-        self._stack.callback(server.close)
         if kind == 'engine':
             self._stack.callback(server.application.close)
         self.standins[name] = server
--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -218,9 +218,10 @@
 
     def test_stalled_engine_is_replaced(self):
         connection, response, first = self.start()
-        self.site.faults('engine-2', stall_ms=5_000)
+        self.site.faults('engine-2', stall_ms=3_500)
         events = fakes.read_events(first + response.read())
         self.assertEqual(expected(self.prompt), fakes.stream_text(events))
+        self.assertEqual(['decode-failed', 'done'], self.host.pools.outcomes())
         self.assert_all_freed()
 
     def test_caller_that_leaves_frees_the_engine(self):
