--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -164,6 +164,41 @@
         pool = self.nodes[owner].service.pools()['tall@north']
         self.wait_for(lambda: not pool.pending_cancels())
 
+    def test_a_pool_without_endpoints_spills_over(self):
+        endpoints = [
+            fakes.make_engine(f'{place}-{number}', [role], place)
+            for place in ('north', 'south')
+            for number in range(7)
+            for role in [('prefill', 'decode')[number % 2]]
+        ]
+        self.change(bundle=fakes.make_bundle(endpoints, version=2))
+        owner = self.nodes[
+            self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        ]
+        owner.watcher.leaving.update(
+            e.name for e in endpoints if e.place == 'north'
+        )
+        pool = owner.service.pools()['tall@north']
+        self.wait_for(
+            lambda: all(
+                s.leaving
+                for s in pool.table.states.values()
+                if s.name.startswith('north')
+            )
+        )
+        placement = self.place(self.nodes['h1'], 1)
+        self.assertEqual('tall@south', placement.pool)
+        self.nodes['h1'].pools.finish(
+            'tall@north',
+            messages.Finished(
+                placement.request, 1, messages.FINISHED_DONE, 10
+            ),
+        )
+        south = self.nodes[
+            self.owner(ownership.KIND_POOL, 'tall@south', 'south')
+        ].service.pools()['tall@south']
+        self.wait_for(lambda: not south.table.running)
+
     def test_closing_refuses_what_waits(self):
         node = self.nodes['h1']
         pool = node.pools.pool_of('tall', 'north')
--- /dev/null
+++ b/libs/scheduling/tests/test_queues.py
@@ -0,0 +1,75 @@
+"""Tests of the fair queue."""
+
+import collections
+import unittest
+
+from masticquay_scheduling import queues
+
+
+class Item:
+    """A waiting request."""
+
+    def __init__(self, workspace, due_ms=0, prompt=False):
+        self.workspace = workspace
+        self.due_ms = due_ms
+        self.prompt = prompt
+
+
+class FairQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.queue = queues.FairQueue(lead_ms=1_000, credit_ms=2_000)
+        self.queue.set_weights({'one': 1, 'three': 3})
+
+    def take(self, cost_ms):
+        item = next(self.queue.candidates())
+        self.queue.remove(item)
+        self.queue.charge(item.workspace, cost_ms)
+        return item
+
+    def test_backlogged_workspaces_share_by_weight(self):
+        for number in range(900):
+            self.queue.push(Item('one', number))
+            self.queue.push(Item('three', number))
+        taken = collections.Counter(
+            self.take(200).workspace for _ in range(800)
+        )
+        self.assertAlmostEqual(600, taken['three'], delta=20)
+
+    def test_deadlines_decide_near_the_fair_share(self):
+        late, soon = Item('one', 900), Item('three', 100)
+        self.queue.push(late)
+        self.queue.push(soon)
+        self.queue.charge('three', 500)
+        self.assertIs(soon, self.take(1))
+
+    def test_a_workspace_ahead_of_its_share_comes_last(self):
+        flood, other = Item('one', 1), Item('three', 900)
+        self.queue.push(flood)
+        self.queue.push(other)
+        self.queue.charge('one', 5_000)
+        self.assertIs(other, self.take(1))
+
+    def test_prompt_classes_go_first(self):
+        prompt = Item('one', 900, prompt=True)
+        self.queue.push(Item('three', 1))
+        self.queue.push(prompt)
+        self.assertIs(prompt, self.take(1))
+
+    def test_a_flood_of_prompt_requests_does_not_go_first(self):
+        other = Item('three', 1)
+        self.queue.push(Item('one', 0, prompt=True))
+        self.queue.push(other)
+        self.queue.charge('one', 5_000)
+        self.assertIs(other, self.take(1))
+
+    def test_unused_share_is_kept_only_for_a_while(self):
+        for number in range(100):
+            self.queue.push(Item('one', number))
+            self.take(1_000)
+        self.queue.push(Item('three'))
+        self.queue.push(Item('one'))
+        taken = []
+        for number in range(12):
+            self.queue.push(Item('three', number))
+            taken.append(self.take(1_000).workspace)
+        self.assertIn('one', taken)
