A late placement does not free the one that took its place

A placement that arrived after its request was sent anew was given back under the same attempt number, which freed the newer placement's slot while it ran. It is given back only when the attempt neither waits nor runs. A placement of an owner that is no longer the owner is not used: the new one may have been told already what runs here. The test fails without the check.

--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -209,10 +209,16 @@
         outcome: outstanding.Outcome | None,
     ) -> None:
         if isinstance(outcome, messages.Placement):
-            if pending.round == sent_round and self._resolve(pending, outcome):
+            # A new owner may have been told already what runs here.
+            owner = self._links.owner_key(pending.admit.pool)
+            current = pending.round == sent_round and pending.owner == owner
+            if current and self._resolve(pending, outcome):
                 return
-            self._give_back(outcome)
-            return
+            # The same attempt may be placed or asked for anew: giving an
+            # earlier placement back would free that one.
+            if not self._table.is_known(pending.key):
+                self._give_back(outcome)
+            outcome = None
         if pending.round != sent_round or pending.future.done():
             return
         if outcome is None or outcome.reason == messages.REASON_NOT_OWNER:
@@ -263,9 +269,12 @@
                 self._wake.clear()
                 # Attempts that end together travel in one message.
                 self._stopping.wait(BATCH_MS / 1000)
-            self._retry_admits()
-            self._report_finished()
-            self._announce_all()
+            self._run_once()
+
+    def _run_once(self) -> None:
+        self._retry_admits()
+        self._report_finished()
+        self._announce_all()
 
     def _retry_admits(self) -> None:
         now_ms = self._clock.now_ms()
--- a/libs/scheduling/masticquay_scheduling/outstanding.py
+++ b/libs/scheduling/masticquay_scheduling/outstanding.py
@@ -98,6 +98,11 @@
         with self._lock:
             return list(self._pending.values())
 
+    def is_known(self, key: placements.AttemptKey) -> bool:
+        """Whether an attempt waits or runs."""
+        with self._lock:
+            return key in self._pending or key in self._running
+
     def pending_of(self, request: messages.RequestId) -> list[PendingAdmit]:
         """Returns the waiting attempts of one request."""
         return [p for p in self.pending() if p.admit.request == request]
--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -12,6 +12,7 @@
 from masticquay_scheduling import clients
 from masticquay_scheduling import directories
 from masticquay_scheduling import messages
+from masticquay_scheduling import outstanding
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
@@ -164,6 +165,24 @@
         pool = self.nodes[owner].service.pools()['tall@north']
         self.wait_for(lambda: not pool.pending_cancels())
 
+    def test_a_late_placement_is_given_back_only_when_unwanted(self):
+        node = self.nodes['h1']
+        pool = node.pools.pool_of('tall', 'north')
+        owner = self.nodes[
+            self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        ].service.pools()[pool]
+        placement = self.place(node, 9)
+        pending = outstanding.PendingAdmit(
+            fakes.make_admit(9, pool, host='h1'), 0, 0
+        )
+        # The same answer again, as of an earlier round.
+        node.pools._settle_admit(pending, pending.round - 1, placement)
+        node.pools._run_once()
+        # Another request over the same link arrives after any report.
+        self.place(node, 10)
+        key = ('h1', 1, 9)
+        self.assertIn((key, 1), owner.table.running)
+
     def test_a_pool_without_endpoints_spills_over(self):
         endpoints = [
             fakes.make_engine(f'{place}-{number}', [role], place)
