--- a/libs/bench/masticquay_bench/replica_hosts.py
+++ b/libs/bench/masticquay_bench/replica_hosts.py
@@ -1,5 +1,6 @@
 """A process with one replica of the log and a small state machine."""
 
+from concurrent import futures
 import json
 import pathlib
 import random
@@ -87,14 +88,17 @@
         self._last = b''
 
     def apply(self, index: int, command: bytes) -> bytes:
+        """Keeps a command."""
         self._count += 1
         self._last = command
         return b''
 
     def snapshot(self) -> bytes:
+        """Returns the count and the last command."""
         return self._count.to_bytes(COUNT_BYTES, 'big') + self._last
 
     def restore(self, data: bytes, index: int) -> None:
+        """Takes the count and the last command."""
         self._count = int.from_bytes(data[:COUNT_BYTES], 'big')
         self._last = data[COUNT_BYTES:]
 
@@ -130,7 +134,7 @@
     def _propose(
         self, message: ProposeCommand, link: peers.Connection
     ) -> peers.Answer:
-        answer: peers.Answer = nodes.futures.Future()
+        answer: peers.Answer = futures.Future()
         proposal = self.node.propose(message.command)
         proposal.add_done_callback(lambda done: _answer(done, answer))
         return answer
@@ -150,7 +154,7 @@
         )
 
 
-def _answer(done: nodes.futures.Future, answer: nodes.futures.Future) -> None:
+def _answer(done: futures.Future, answer: futures.Future) -> None:
     error = done.exception()
     if error is None:
         answer.set_result(messages.Done())
--- a/libs/consensus/masticquay_consensus/disks.py
+++ b/libs/consensus/masticquay_consensus/disks.py
@@ -63,14 +63,17 @@
             self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
 
     def append(self, data: bytes) -> None:
+        """Writes at the end."""
         with _storage_errors():
             _write_all(self._fd, data)
 
     def sync(self) -> None:
+        """Returns once everything appended is durable."""
         with _storage_errors():
             os.fdatasync(self._fd)
 
     def close(self) -> None:
+        """Closes the file."""
         os.close(self._fd)
 
 
@@ -92,6 +95,7 @@
             self._stack = stack.pop_all()
 
     def names(self) -> list[str]:
+        """Lists the files."""
         with _storage_errors():
             return sorted(
                 name
@@ -100,6 +104,7 @@
             )
 
     def read(self, name: str) -> bytes | None:
+        """Returns the content of a file, None when there is none."""
         with _storage_errors():
             try:
                 return (self._folder / name).read_bytes()
@@ -107,6 +112,7 @@
                 return None
 
     def replace(self, name: str, data: bytes) -> None:
+        """Writes beside the file, syncs, renames and syncs the folder."""
         temporary = self._folder / (name + _TEMPORARY_SUFFIX)
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
         with _storage_errors(), contextlib.ExitStack() as stack:
@@ -118,6 +124,7 @@
             os.fsync(self._folder_fd)
 
     def truncate(self, name: str, size_bytes: int) -> None:
+        """Durably cuts a file."""
         with _storage_errors(), contextlib.ExitStack() as stack:
             fd = os.open(self._folder / name, os.O_WRONLY)
             stack.callback(os.close, fd)
@@ -125,9 +132,11 @@
             os.fsync(fd)
 
     def open_append(self, name: str) -> OsAppendFile:
+        """Opens an existing file to append to it."""
         return OsAppendFile(self._folder / name)
 
     def close(self) -> None:
+        """Gives the folder up."""
         self._stack.close()
 
 
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -142,21 +142,30 @@
         return self._replica
 
     def propose(self, command: bytes) -> 'futures.Future[bytes]':
+        """Appends a command; ends with the state machine's answer."""
         return self.replica.propose(command)
 
     def is_leader(self) -> bool:
+        """Whether this replica leads and holds its lease."""
         return self.replica.lease_remaining_ms() > 0
 
     def leader(self) -> messages.Member | None:
+        """Returns the leader as far as known."""
         return self.replica.leader()
 
     def term(self) -> int:
+        """Returns the current term; serves as a fencing number."""
         return self.replica.state.term
 
     def lease_remaining_ms(self) -> int:
+        """Returns for how long this leader cannot be deposed, or 0."""
         return self.replica.lease_remaining_ms()
 
     def read_barrier(self) -> int:
+        """Returns the index that a read here may rely on.
+
+        :raises NotLeaderError: when this replica must not answer reads
+        """
         state = self.replica.state
         index = self.replica.read_barrier()
         timeout_s = self._settings.call_timeout_ms / 1000
@@ -171,14 +180,17 @@
     def add_replica(
         self, name: str, address: str
     ) -> 'futures.Future[messages.Configuration]':
+        """Adds a replica, or replaces one of that name."""
         return self._change_worker.submit(self._changes.add, name, address)
 
     def remove_replica(
         self, name: str
     ) -> 'futures.Future[messages.Configuration]':
+        """Removes a replica."""
         return self._change_worker.submit(self._changes.remove, name)
 
     def status(self) -> messages.LogStatus:
+        """Returns what this replica knows of the group."""
         return self.replica.status()
 
     def counters(self) -> states.Counters:
@@ -186,6 +198,7 @@
         return self.replica.counters()
 
     def on_role_change(self, hook: protocols.RoleHook) -> None:
+        """Adds a hook, before ``start``."""
         self._hooks.append(hook)
 
     def _open_disk(self) -> disks.Disk:
--- a/libs/wire/tests/test_handshakes.py
+++ b/libs/wire/tests/test_handshakes.py
@@ -4,6 +4,8 @@
 import queue
 import unittest
 
+import cbor2
+
 from masticquay_wire import errors
 from masticquay_wire import handshakes
 from masticquay_wire import messages
@@ -68,16 +70,16 @@
 class AdjacentMessagesTest(unittest.TestCase):
     def test_unknown_parts_and_fields_of_a_later_version_are_ignored(self):
         frame = messages.Frame(messages.KIND_CALL, 7, test_peers.Echo('x'))
-        parts = messages.cbor2.loads(messages.encode_frame(frame))
+        parts = cbor2.loads(messages.encode_frame(frame))
         parts[3]['added'] = 1
         parts.append('added')
-        read = messages.decode_frame(messages.cbor2.dumps(parts))
+        read = messages.decode_frame(cbor2.dumps(parts))
         self.assertEqual(test_peers.Echo('x'), read.message)
 
     def test_a_frame_of_an_earlier_version_without_a_floor_is_read(self):
         frame = messages.Frame(messages.KIND_CALL, 7, test_peers.Echo('x'), 3)
-        parts = messages.cbor2.loads(messages.encode_frame(frame))
-        read = messages.decode_frame(messages.cbor2.dumps(parts[:4]))
+        parts = cbor2.loads(messages.encode_frame(frame))
+        read = messages.decode_frame(cbor2.dumps(parts[:4]))
         self.assertEqual(0, read.floor)
 
     def test_malformed_frames_are_refused(self):
