--- a/libs/operator/masticquay_operator/bases.py
+++ b/libs/operator/masticquay_operator/bases.py
@@ -55,7 +55,7 @@
             return _report_in_force(accepted, progress, waited_ms)
         if progress.pending != shown:
             shown = progress.pending
-            context.tell(
+            context.show_progress(
                 f'waiting for {len(shown)} of {progress.live_count} hosts: '
                 + ', '.join(shown[:10])
             )
--- a/libs/operator/masticquay_operator/bundle_commands.py
+++ b/libs/operator/masticquay_operator/bundle_commands.py
@@ -11,6 +11,7 @@
 from masticquay_operator import contexts
 from masticquay_operator import errors
 from masticquay_operator import exits
+from masticquay_operator import replica_commands
 from masticquay_operator import reports
 
 
@@ -95,7 +96,7 @@
                 status.bundle_digest,
             )
         )
-        context.tell(f'version {bundle.version} accepted')
+        context.show_progress(f'version {bundle.version} accepted')
         return bases.wait_in_force(context, accepted)
 
 
@@ -150,7 +151,7 @@
         if status.bundle_version == 0:
             raise errors.CommandError(exits.BAD_INPUT, 'no bundle yet')
         progress = context.call(messages.QueryProgress(status.bundle_index))
-        return reports.Report(
+        return replica_commands.list_replicas(
             {
                 'version': status.bundle_version,
                 'digest': status.bundle_digest.hex(),
@@ -159,11 +160,7 @@
                 'pending': list(progress.pending),
                 'withdrawn_keys': status.withdrawn_count,
             },
-            ['replica', 'role', 'term', 'match_index', 'address'],
-            [
-                [r.name, r.role, r.term, r.match_index, r.address]
-                for r in status.replicas
-            ],
+            status.replicas,
         )
 
 
--- a/libs/operator/masticquay_operator/commands.py
+++ b/libs/operator/masticquay_operator/commands.py
@@ -15,6 +15,7 @@
 from masticquay_operator import exits
 from masticquay_operator import fleet_commands
 from masticquay_operator import key_commands
+from masticquay_operator import replica_commands
 from masticquay_operator import reports
 from masticquay_wire import clocks
 
@@ -47,6 +48,8 @@
     fleet_commands.Refusals(),
     fleet_commands.Hosts(),
     fleet_commands.Endpoints(),
+    replica_commands.ReplicaAdd(),
+    replica_commands.ReplicaRemove(),
 ]
 
 
--- a/libs/operator/masticquay_operator/contexts.py
+++ b/libs/operator/masticquay_operator/contexts.py
@@ -71,7 +71,9 @@
         self.to_hour = to_hour
         self.progress = progress
 
-    def call(self, message: messages.Message) -> messages.Message:
+    def call(
+        self, message: messages.Message, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> messages.Message:
         """Calls control.
 
         :raises CommandError: when control refused or did not answer
@@ -79,7 +81,7 @@
         if self._control is None:
             self._control = self._open_control()
         try:
-            return self._control.call(message, CALL_TIMEOUT_MS)
+            return self._control.call(message, timeout_ms)
         except wire_errors.RemoteError as cause:
             raise errors.CommandError(
                 _EXIT_BY_CODE.get(cause.code, exits.UNAVAILABLE), str(cause)
@@ -92,7 +94,7 @@
                 exits.UNAVAILABLE, f'control did not answer: {cause}'
             ) from cause
 
-    def tell(self, text: str) -> None:
+    def show_progress(self, text: str) -> None:
         """Prints a line of progress."""
         print(text, file=self.progress, flush=True)
 
@@ -101,4 +103,5 @@
     'conflict': exits.CONFLICT,
     'unapproved': exits.UNAPPROVED,
     'unknown-key': exits.BAD_INPUT,
+    'replica-change': exits.CONFLICT,
 }
--- a/libs/operator/masticquay_operator/key_commands.py
+++ b/libs/operator/masticquay_operator/key_commands.py
@@ -56,7 +56,7 @@
                 'not the key'
             )
         accepted = context.call(messages.WithdrawKey(digest))
-        context.tell('withdrawal accepted')
+        context.show_progress('withdrawal accepted')
         return bases.wait_in_force(context, accepted)
 
 
--- a/libs/operator/tests/test_commands.py
+++ b/libs/operator/tests/test_commands.py
@@ -189,6 +189,22 @@
         self.assertEqual(500, report['missing_tokens_at_most'])
         self.assertEqual('deadline', report['rows'][0]['reason'])
 
+    def test_replica_is_added_and_removed(self):
+        replica = messages.ReplicaStatus('c1', 'follower', 2, 9, '1.2.3.4:5')
+        changed = messages.ReplicasChanged([replica])
+        self.control.answers[messages.AddReplica] = changed
+        self.control.answers[messages.RemoveReplica] = changed
+        self.assertEqual(exits.OK, self.execute('replica add c1 1.2.3.4:5'))
+        self.assertEqual('c1', json.loads(self.output)['rows'][0]['replica'])
+        self.assertEqual(exits.USAGE, self.execute('replica add c1 nowhere'))
+        self.assertEqual(exits.OK, self.execute('replica remove c1'))
+
+    def test_change_that_is_refused_has_its_exit_code(self):
+        self.control.answers[messages.RemoveReplica] = wire_errors.RemoteError(
+            'replica-change', 'another change is under way'
+        )
+        self.assertEqual(exits.CONFLICT, self.execute('replica remove c1'))
+
     def test_unknown_command_lists_all(self):
         self.assertEqual(exits.USAGE, self.execute('bundel'))
         self.assertIn('bundle roll', self.progress.getvalue())
