--- a/libs/bench/masticquay_bench/bench_slopes.py
+++ b/libs/bench/masticquay_bench/bench_slopes.py
@@ -7,6 +7,7 @@
 import pathlib
 import sys
 
+from masticquay_bench import commits
 from masticquay_bench import results
 from masticquay_bench import slopes
 
@@ -15,10 +16,10 @@
     ('relay.us_per_token', 'relay_us_per_token', 'us', '105 streams'),
     ('relay.kib_per_stream', 'entry_kib_per_stream', 'KiB', '105 streams'),
     (
-        'decisions.kalamu-pamoja.peak.ours.scheduler_cpu',
+        'decisions.shard.owner_cpu',
         'scheduler_us_per_request',
         'us',
-        'decisions alone, without messages',
+        'a shard of 12 endpoints with its links',
     ),
     (
         'decisions.rates.messages',
@@ -50,12 +51,17 @@
         'core',
         '3 replicas, 150 idle hosts',
     ),
-    ('control.leader_mb.9_hosts', 'control_leader_mb_9', 'MB', '9 hosts'),
     (
-        'control.leader_mb.150_hosts',
+        'control.leader_private_mb.9_hosts',
+        'control_leader_mb_9',
+        'MB',
+        'private memory, 9 hosts',
+    ),
+    (
+        'control.leader_private_mb.150_hosts',
         'control_leader_mb_150',
         'MB',
-        '150 hosts',
+        'private memory, 150 hosts',
     ),
     (
         'control.host_core_share.150_hosts',
@@ -122,7 +128,7 @@
             name,
             result.metrics[metric],
             unit,
-            context['command'],
+            commits.describe_command(context['command'].split()),
             int(context['seed']),
             context['commit'],
             note,
--- a/libs/bench/masticquay_bench/capacity_pages.py
+++ b/libs/bench/masticquay_bench/capacity_pages.py
@@ -169,7 +169,7 @@
     )
     lines.append(
         _judge(
-            'control leader, whole memory',
+            'control leader, private memory',
             memory_mb,
             float(size.control_memory_mb),
             _megabytes,
@@ -218,6 +218,13 @@
         'and the',
         'libraries; growth over an entry host, which has most of these loaded '
         'too, is less.',
+        'Read as a limit for each host that runs control, the leader is '
+        'judged above. Read as',
+        f'a limit for ordinary hosts, with {size.control_hosts} set aside, '
+        'the watcher counts: '
+        + _share(model.value('watcher_core_share'))
+        + ' of a core',
+        f'and {_kilobytes(traffic)} a second.',
         '',
         f'A bundle of this size is {size.bundle_bytes():,} bytes and a view '
         f'{size.view_bytes():,} bytes. On a day',
--- a/libs/bench/masticquay_bench/commands.py
+++ b/libs/bench/masticquay_bench/commands.py
@@ -118,7 +118,9 @@
 def make_context() -> dict[str, str]:
     """Returns what a reader needs to repeat the run."""
     return {
-        'command': ' '.join(['masticquay-bench', *sys.argv[1:]]),
+        'command': commits.describe_command(
+            ['masticquay-bench', *sys.argv[1:]]
+        ),
         'seed': str(_SEED.value),
         'commit': commits.read_commit(),
         'cores': str(os.cpu_count()),
