--- a/libs/scheduling/tests/test_schedulers.py
+++ b/libs/scheduling/tests/test_schedulers.py
@@ -24,7 +24,7 @@
     pool = 'tall@north'
 
     def setUp(self):
-        self.clock = clocks.ManualClock()
+        self.clock = clocks.ManualClock(1_000)
         self.settings = scheduling_settings.SchedulingSettings(**self.options)
         self.bundle = fakes.make_bundle(self.endpoints)
         self.scheduler = self.make()
@@ -343,6 +343,19 @@
         self.finish(0)
         self.assertIsInstance(self.answers[20], messages.Placement)
 
+    def test_an_announced_attempt_still_gets_its_decode_slot(self):
+        placement = self.admit(1)
+        placement.prefill_endpoint = ''
+        placement.decode_endpoint = ''
+        self.scheduler = self.make({('h1', 1)})
+        self.scheduler.announce(
+            messages.AnnouncePlacements(self.pool, 'h1', 1, 1, [placement])
+        )
+        bound = []
+        self.scheduler.await_decode(self.request(1), 1, 800, bound.append)
+        self.assertIn(bound[0].decode_endpoint, ('d1', 'd2'))
+        self.assertEqual(0, self.scheduler.table.promised)
+
     def test_a_retired_scheduler_answers_not_owner(self):
         self.fill(8)
         self.admit(8)
@@ -376,6 +389,22 @@
     ]
     pool = 'jobs@north'
 
+    def call(self, number, excluded, elapsed_ms):
+        self.admit(number, excluded=[excluded])
+        self.clock.advance_ms(elapsed_ms)
+        self.finish(number)
+
+    def test_a_much_slower_endpoint_is_ejected(self):
+        samples = self.settings.outlier_samples
+        for number in range(samples):
+            self.call(number, excluded='s2', elapsed_ms=20)
+        for number in range(samples, 2 * samples):
+            self.call(number, excluded='s1', elapsed_ms=100)
+        states = self.scheduler.table.states
+        now_ms = self.clock.now_ms()
+        self.assertFalse(states['s1'].health.ejected(now_ms))
+        self.assertTrue(states['s2'].health.ejected(now_ms))
+
     def test_calls_spread_and_wait_for_slots(self):
         placed = [self.admit(number) for number in range(4)]
         names = sorted(p.decode_endpoint for p in placed)
