--- a/libs/bench/masticquay_bench/usage_checks.py
+++ b/libs/bench/masticquay_bench/usage_checks.py
@@ -102,8 +102,8 @@
     )
     said: dict[Account, int] = collections.Counter()
     for row in refusals.get('rows', []):
-        if row['reason'] in REFUSAL_CODES:
-            said[row['workspace'], row['reason']] += row['count']
+        for code in REFUSAL_CODES:
+            said[row['workspace'], code] += row.get(code, 0)
     return [
         f'{account[0]}: {said[account]} refusals "{account[1]}" reported, '
         f'callers saw {seen[account]}'
--- a/libs/bench/tests/test_usage_checks.py
+++ b/libs/bench/tests/test_usage_checks.py
@@ -51,7 +51,7 @@
         refused = fixtures.completion(
             end=calls.END_REFUSED, error_code='over-rate'
         )
-        row = {'workspace': 'desk', 'reason': 'over-rate', 'count': 1}
+        row = {'workspace': 'desk', 'over-rate': 1}
         agree = usage_checks.check_refusals([refused], {'rows': [row]})
         self.assertEqual([], agree)
         self.assertTrue(usage_checks.check_refusals([refused], {'rows': []}))
--- a/libs/operator/masticquay_operator/fleet_commands.py
+++ b/libs/operator/masticquay_operator/fleet_commands.py
@@ -57,24 +57,15 @@
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
         ledger = _query_usage(context)
-        rows: list[list[reports.Cell]] = []
-        within_rate = 0
-        for entry in ledger.entries:
-            within_rate += entry.refused_within_rate
-            for reason, count in entry.refusals.items():
-                rows.append(
-                    [
-                        entry.workspace,
-                        entry.target,
-                        entry.class_name,
-                        format_hour(entry.hour),
-                        reason,
-                        count,
-                    ]
-                )
+        refused = [entry for entry in ledger.entries if entry.refusals]
+        reasons = sorted({r for entry in refused for r in entry.refusals})
+        rows = [_refusal_row(entry, reasons) for entry in refused]
         facts = _gap_facts(ledger)
-        facts['refused_within_rate'] = within_rate
-        columns = ['workspace', 'target', 'class', 'hour', 'reason', 'count']
+        facts['refused_within_rate'] = sum(
+            entry.refused_within_rate for entry in refused
+        )
+        columns = ['workspace', 'target', 'class', 'hour']
+        columns += ['refused', 'within_rate', *reasons]
         return reports.Report(facts, columns, sorted(rows))
 
 
@@ -145,6 +136,20 @@
     return int(moment.timestamp()) // SECONDS_PER_HOUR
 
 
+def _refusal_row(
+    entry: messages.UsageEntry, reasons: list[str]
+) -> list[reports.Cell]:
+    row: list[reports.Cell] = [
+        entry.workspace,
+        entry.target,
+        entry.class_name,
+        format_hour(entry.hour),
+        sum(entry.refusals.values()),
+        entry.refused_within_rate,
+    ]
+    return row + [entry.refusals.get(reason, 0) for reason in reasons]
+
+
 def _query_usage(context: contexts.Context) -> messages.UsageReport:
     return context.call(
         messages.QueryUsage(
--- a/libs/operator/tests/test_commands.py
+++ b/libs/operator/tests/test_commands.py
@@ -187,7 +187,9 @@
         self.execute('refusals')
         report = json.loads(self.output)
         self.assertEqual(500, report['missing_tokens_at_most'])
-        self.assertEqual('deadline', report['rows'][0]['reason'])
+        row = report['rows'][0]
+        self.assertEqual(1, row['deadline'])
+        self.assertEqual(1, row['within_rate'])
 
     def test_replica_is_added_and_removed(self):
         replica = messages.ReplicaStatus('c1', 'follower', 2, 9, '1.2.3.4:5')
