--- a/libs/entry/masticquay_entry/applications.py
+++ b/libs/entry/masticquay_entry/applications.py
@@ -4,6 +4,7 @@
 import logging
 import threading
 
+from masticquay_bundles import models
 from masticquay_entry import admissions
 from masticquay_entry import backends
 from masticquay_entry import call_reports
@@ -146,6 +147,9 @@
                 admission = self._gate.admit(table, routes[0], request)
                 run = self._begin(admission, caller, arrived_ms, stack)
                 return self._serve_service(run, request, start_response)
+            if all(r.access == models.ACCESS_KEYED for r in routes):
+                # Before the body: strangers learn nothing of models.
+                self._gate.find_workspace(table, request.key_digest)
             chat = request.path.endswith(CHAT_SUFFIX)
             completion = self._reader.read(request.body, chat)
             route = table.route_for_model(routes, completion.model)
--- a/libs/entry/tests/test_applications.py
+++ b/libs/entry/tests/test_applications.py
@@ -92,6 +92,14 @@
         reply = self.host.call('GET', path, key=fakes.FOREIGN_KEY)
         self.assert_refused(reply, 403, 'foreign-key')
 
+    def test_strangers_learn_nothing_of_models(self):
+        for key in ('', 'mq-nobody'):
+            for body in (b'{', b'{"model": "none", "prompt": "x"}'):
+                reply = self.host.call(
+                    'POST', '/v1/completions', key=key, body=body
+                )
+                self.assertEqual(401, reply.status)
+
     def test_key_in_a_query(self):
         path = '/services/payments/balances/1'
         for query in (f'?key={SECRET}', f'?other={fakes.KEY}', '?api_key='):
