--- a/libs/control/masticquay_control/forwarders.py
+++ b/libs/control/masticquay_control/forwarders.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import logging
 import threading
 
 from masticquay_consensus import protocols
@@ -12,6 +13,8 @@
 from masticquay_wire import messages
 from masticquay_wire import peers
 
+LOG = logging.getLogger(__name__)
+
 FORWARD_TIMEOUT_MS = 1_300
 RENEWAL_TIMEOUT_MS = 800
 GATHER_MS = 30
@@ -92,7 +95,17 @@
                 renewals, self._renewals = self._renewals, []
                 applied, self._applied = self._applied, {}
             if renewals or applied:
-                self._send(renewals, list(applied.values()))
+                self._try_send(renewals, list(applied.values()))
+
+    def _try_send(
+        self,
+        renewals: list[_Gathered],
+        applied: list[membership.ChangesApplied],
+    ) -> None:
+        try:
+            self._send(renewals, applied)
+        except Exception:
+            LOG.exception('an aggregate was not sent')
 
     def _send(
         self,
