A session subscribes also when its link connects early

The link's thread could connect before the session held the link, and the subscription was dropped: the host got pushes only after a refused renewal.

--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -60,6 +60,7 @@
         self._begun: dict[tuple[str, str], int] = {}
         self._replica = 0
         self._leaderless_count = 0
+        self._moved_before_bytes = 0
         self._link: dialers.WebsocketPeer | None = None
         self._thread = threading.Thread(
             target=self._run, name='session', daemon=True
@@ -79,12 +80,10 @@
 
     @property
     def moved_bytes(self) -> int:
-        """Payload sent and received over the present link."""
+        """Payload sent and received over the session's links."""
         link = self._link
-        if link is None:
-            return 0
-        counters = link.counters()
-        return counters.sent_bytes + counters.received_bytes
+        present_bytes = _count_bytes(link) if link is not None else 0
+        return self._moved_before_bytes + present_bytes
 
     def state(self) -> protocols.HostState:
         """Returns the newest applied state."""
@@ -300,16 +299,21 @@
 
     def _find_link(self) -> dialers.WebsocketPeer:
         with self._lock:
-            if self._link is None:
-                self._link = dialers.WebsocketPeer(
-                    self._client.addresses[self._replica],
-                    self._name,
-                    self._secret,
-                    on_notice=self._take_notice,
-                    on_connect=self._subscribe,
-                    keep_open=True,
-                )
-            return self._link
+            if self._link is not None:
+                return self._link
+            link = dialers.WebsocketPeer(
+                self._client.addresses[self._replica],
+                self._name,
+                self._secret,
+                on_notice=self._take_notice,
+                on_connect=self._subscribe,
+                keep_open=True,
+            )
+            self._link = link
+        if link.connected:
+            # It may have connected before it was the session's link.
+            self._subscribe()
+        return link
 
     def _move_on(self) -> None:
         """Leaves a replica that does not answer for the next one."""
@@ -324,6 +328,8 @@
     def _take_link(self) -> dialers.WebsocketPeer | None:
         with self._lock:
             link, self._link = self._link, None
+            if link is not None:
+                self._moved_before_bytes += _count_bytes(link)
         return link
 
     def _subscribe(self) -> None:
@@ -361,6 +367,11 @@
             return
 
 
+def _count_bytes(link: dialers.WebsocketPeer) -> int:
+    counters = link.counters()
+    return counters.sent_bytes + counters.received_bytes
+
+
 def _key_of(
     message: membership.BeginIntent | membership.FinishIntent,
 ) -> tuple[str, str]:
