An endpoint that leaves a second time keeps the end of its first leaving

It had been listed from 43.1 to 49.1 s and again from 116.2 to 119.2 s (record of the platform list), and the run overwrote the first end with the second.

--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -145,19 +145,18 @@
     def list_leaving(self, names: set[str]) -> None:
         """Lists endpoints as leaving, and all others as live."""
         now_ms = journals.now_ms()
-        left = {
-            mark.subject
-            for mark in self.marks
-            if mark.kind == evidence.MARK_LEAVING and not mark.end_ms
-        }
-        for mark in self.marks:
-            back = mark.subject in left - names
-            if mark.kind == evidence.MARK_LEAVING and back:
-                mark.end_ms = now_ms
-        self.fleet.list_endpoints(names)
-        for name in names - left:
-            mark = evidence.Mark(evidence.MARK_LEAVING, name, now_ms, 0.0)
-            self.marks.append(mark)
+        with self._lock:
+            leaving = {
+                mark.subject: mark
+                for mark in self.marks
+                if mark.kind == evidence.MARK_LEAVING and not mark.end_ms
+            }
+            for name in leaving.keys() - names:
+                leaving[name].end_ms = now_ms
+            self.fleet.list_endpoints(names)
+            for name in names - leaving.keys():
+                mark = evidence.Mark(evidence.MARK_LEAVING, name, now_ms, 0.0)
+                self.marks.append(mark)
 
     def find_leader(self) -> int:
         """Returns the number of the control host that leads.
