--- a/libs/control/masticquay_control/changers.py
+++ b/libs/control/masticquay_control/changers.py
@@ -6,7 +6,7 @@
 
 from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import protocols
-from masticquay_control import offices
+from masticquay_control import leaderships
 from masticquay_membership import messages as membership
 from masticquay_wire import errors as wire_errors
 
@@ -63,7 +63,7 @@
                 )
             )
         else:
-            answer.set_exception(offices.turn_error(cause))
+            answer.set_exception(leaderships.turn_error(cause))
 
 
 def list_replicas(
--- a/libs/control/masticquay_control/commands.py
+++ b/libs/control/masticquay_control/commands.py
@@ -51,7 +51,7 @@
 
 
 @messages.register
-class TakeOffice(messages.Message):
+class BeginLeadership(messages.Message):
     """Makes a replica the acting leader, under a new fencing number."""
 
     __slots__ = ('replica',)
@@ -61,7 +61,7 @@
 
 
 @messages.register
-class OfficeTaken(messages.Message):
+class LeadershipBegun(messages.Message):
     """The fencing number of the new acting leader."""
 
     __slots__ = ('fencing_number',)
--- a/libs/control/masticquay_control/forwarders.py
+++ b/libs/control/masticquay_control/forwarders.py
@@ -7,7 +7,7 @@
 
 from masticquay_consensus import protocols
 from masticquay_control import commands
-from masticquay_control import offices
+from masticquay_control import leaderships
 from masticquay_membership import messages as membership
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages
@@ -124,7 +124,7 @@
         answer: futures.Future = futures.Future()
         leader = self._log.leader()
         if leader is None or leader.name == self._name or self._closed:
-            answer.set_exception(offices.no_leader_error())
+            answer.set_exception(leaderships.no_leader_error())
             return answer
         self.forwarded_count += 1
         pending = self._peer(leader.address).submit(message, timeout_ms)
@@ -149,7 +149,7 @@
     else:
         answer.set_exception(
             wire_errors.RemoteError(
-                offices.CODE_UNCERTAIN, 'the leader did not answer'
+                leaderships.CODE_UNCERTAIN, 'the leader did not answer'
             )
         )
 
--- a/libs/control/masticquay_control/offices.py
+++ b/libs/control/masticquay_control/leaderships.py
@@ -1,4 +1,4 @@
-"""The office of the acting leader, and proposals made in it."""
+"""The leadership of this replica, and proposals made under it."""
 
 from concurrent import futures
 import logging
@@ -21,13 +21,13 @@
 Hook = typing.Callable[[], None]
 
 
-class Office:
+class Leadership:
     """Whether this replica acts as leader, and since when.
 
-    A leader of the log acts once its ``TakeOffice`` command is applied: all
+    A leader acts once its ``BeginLeadership`` command is applied: all
     that earlier leaders committed is applied then too.
 
-    :param on_taken: called when the office was taken, before it is used
+    :param on_taken: called when the leadership has begun, before it is used
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         self.taken_count = 0
 
     def acting(self) -> bool:
-        """Whether this replica leads, holds its lease and took office."""
+        """Whether this replica leads, holds its lease and has begun to lead."""
         held_term = self._held_term
         return (
             held_term > 0
@@ -63,12 +63,12 @@
 
     @property
     def fencing_number(self) -> int:
-        """The fencing number of this term of office."""
+        """The fencing number of this leadership."""
         return self._fencing_number
 
     @property
     def held_ms(self) -> int:
-        """For how long the office has been held."""
+        """For how long this replica has led."""
         return self._clock.now_ms() - self._taken_ms
 
     def lease_remaining_ms(self) -> int:
@@ -76,7 +76,7 @@
         return self._log.lease_remaining_ms() if self.acting() else 0
 
     def tick(self) -> None:
-        """Takes office when this replica has come to lead."""
+        """Begins to lead when this replica has come to lead."""
         if not self._log.is_leader():
             return
         term = self._log.term()
@@ -84,7 +84,7 @@
             if term == self._asked_term:
                 return
             self._asked_term = term
-        command = commands.TakeOffice(self._name)
+        command = commands.BeginLeadership(self._name)
         answer = self._submit(command, self._machine.stamp_ms)
         answer.add_done_callback(lambda done: self._finish(term, done))
 
@@ -129,7 +129,9 @@
             self._on_taken()
             self._held_term = term
             self.taken_count += 1
-        LOG.info('took office', extra={'fencing_number': self._fencing_number})
+        LOG.info(
+            'began to lead', extra={'fencing_number': self._fencing_number}
+        )
 
 
 def no_leader_error() -> wire_errors.RemoteError:
--- a/libs/control/masticquay_control/leases.py
+++ b/libs/control/masticquay_control/leases.py
@@ -83,7 +83,7 @@
         self.evicted_count = 0
 
     def begin(self) -> None:
-        """Starts a term of office: all live hosts count as renewed now."""
+        """Begins a leadership: all live hosts count as renewed now."""
         with self._lock:
             self._sessions.clear()
             self._joining.clear()
--- a/libs/control/masticquay_control/machines.py
+++ b/libs/control/masticquay_control/machines.py
@@ -87,7 +87,7 @@
             membership.ReportUsage: self._report_usage,
             commands.ChangeView: self._change_view,
             commands.SetLeavingEndpoints: self._set_leaving,
-            commands.TakeOffice: self._take_office,
+            commands.BeginLeadership: self._begin_leadership,
         }
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -210,11 +210,11 @@
             self.change_index = index
         return messages.Done()
 
-    def _take_office(
-        self, index: int, stamp_ms: int, command: commands.TakeOffice
+    def _begin_leadership(
+        self, index: int, stamp_ms: int, command: commands.BeginLeadership
     ) -> messages.Message:
         self.fencing_number += 1
-        return commands.OfficeTaken(self.fencing_number)
+        return commands.LeadershipBegun(self.fencing_number)
 
 
 def _refuse(
--- a/libs/control/masticquay_control/metrics.py
+++ b/libs/control/masticquay_control/metrics.py
@@ -55,8 +55,8 @@
         replica = self._replica
         machine = replica.machine
         for name, read in (
-            ('acting', lambda: int(replica.office.acting())),
-            ('lease_remaining', replica.office.lease_remaining_ms),
+            ('acting', lambda: int(replica.leadership.acting())),
+            ('lease_remaining', replica.leadership.lease_remaining_ms),
             ('term', replica.log.term),
             ('commit_index', lambda: replica.log.status().commit_index),
             ('change_index', lambda: machine.change_index),
@@ -80,7 +80,7 @@
             ('renewals', lambda: replica.leases.renewed_count),
             ('refused_renewals', lambda: replica.leases.refused_count),
             ('evictions', lambda: replica.leases.evicted_count),
-            ('offices_taken', lambda: replica.office.taken_count),
+            ('leaderships_begun', lambda: replica.leadership.taken_count),
             ('forwarded_calls', lambda: replica.forwarder.forwarded_count),
             ('pushed_updates', lambda: replica.watchers.pushed_count),
             ('orders_given', lambda: replica.orders.given_count),
--- a/libs/control/masticquay_control/order_runs.py
+++ b/libs/control/masticquay_control/order_runs.py
@@ -6,8 +6,8 @@
 from masticquay_bundles import models
 from masticquay_control import errors
 from masticquay_control import http_calls
+from masticquay_control import leaderships
 from masticquay_control import machines
-from masticquay_control import offices
 from masticquay_control import orders
 from masticquay_membership import messages as membership
 from masticquay_wire import clocks
@@ -37,11 +37,11 @@
     def __init__(
         self,
         machine: machines.ControlMachine,
-        office: offices.Office,
+        leadership: leaderships.Leadership,
         clock: clocks.Clock,
     ):
         self._machine = machine
-        self._office = office
+        self._leadership = leadership
         self._clock = clock
         self._pool = futures.ThreadPoolExecutor(WORKERS, 'orders')
         self._records: dict[str, orders.EngineRecord] = {}
@@ -69,7 +69,7 @@
         if any(self._records[e.name].polled_ms is None for e in engines):
             return
         for endpoint in engines:
-            if not self._office.acting():
+            if not self._leadership.acting():
                 return
             self._consider(bundle, endpoint, leaving)
 
@@ -79,9 +79,9 @@
         return found or orders.EngineRecord(endpoint)
 
     def _begin(self, bundle: models.Bundle, bundle_index: int) -> None:
-        """Forgets all in a new term of office; polls all for a new bundle."""
-        if self._office.fencing_number != self._fencing_number:
-            self._fencing_number = self._office.fencing_number
+        """Forgets all in a new leadership; polls all for a new bundle."""
+        if self._leadership.fencing_number != self._fencing_number:
+            self._fencing_number = self._leadership.fencing_number
             self._records = {}
             self._stores = orders.Stores()
         names = [e.name for e in bundle.endpoints]
@@ -203,14 +203,14 @@
         self._give(endpoint, record, order, store)
 
     def _may_order(self, endpoint: models.Endpoint) -> bool:
-        if not self._office.acting():
+        if not self._leadership.acting():
             return False
         if endpoint.checks_fencing and endpoint.checks_orderer:
             return True
         waited_ms = OLD_LEASE_MS + UNCHECKED_DEADLINE_MS
         return (
-            self._office.held_ms >= waited_ms
-            and self._office.lease_remaining_ms() > UNCHECKED_DEADLINE_MS
+            self._leadership.held_ms >= waited_ms
+            and self._leadership.lease_remaining_ms() > UNCHECKED_DEADLINE_MS
         )
 
     def _give(
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -12,9 +12,9 @@
 from masticquay_consensus import settings as consensus_settings
 from masticquay_control import commands
 from masticquay_control import forwarders
+from masticquay_control import leaderships
 from masticquay_control import leases
 from masticquay_control import machines
-from masticquay_control import offices
 from masticquay_control import order_runs
 from masticquay_control import platforms
 from masticquay_control import services
@@ -93,7 +93,7 @@
         )
         self.log = self._make_log()
         self.leases = leases.LeaseTable(self.machine, self.clock)
-        self.office = offices.Office(
+        self.leadership = leaderships.Leadership(
             settings.name,
             self.log,
             self.machine,
@@ -107,12 +107,12 @@
         )
         self.platform = platforms.PlatformList()
         self.orders = order_runs.OrderRunner(
-            self.machine, self.office, self.clock
+            self.machine, self.leadership, self.clock
         )
         self.service = services.ControlService(
             self.log,
             self.machine,
-            self.office,
+            self.leadership,
             self.leases,
             self.watchers,
             self.forwarder,
@@ -202,14 +202,14 @@
                 LOG.exception('a duty failed')
 
     def _tick(self) -> None:
-        self.office.tick()
-        if not self.office.acting() or self._changing_view:
+        self.leadership.tick()
+        if not self.leadership.acting() or self._changing_view:
             return
         change = self.leases.plan()
         if change is None:
             return
         self._changing_view = True
-        pending = self.office.propose(change)
+        pending = self.leadership.propose(change)
         pending.add_done_callback(
             lambda done: self._finish_view_change(change, done)
         )
@@ -231,18 +231,18 @@
         self._changing_view = False
 
     def _give_orders(self) -> None:
-        if self.office.acting():
+        if self.leadership.acting():
             self.orders.run_once()
 
     def _follow_platform(self) -> None:
         """Reads the platform list; commits which endpoints leave."""
         bundle = self.machine.bundles.bundle
-        if bundle is None or not self.office.acting():
+        if bundle is None or not self.leadership.acting():
             return
         leaving = self.platform.poll(bundle)
         if leaving is None or leaving == self.machine.endpoints.leaving:
             return
-        self.office.propose(commands.SetLeavingEndpoints(leaving))
+        self.leadership.propose(commands.SetLeavingEndpoints(leaving))
 
     def _report_endpoints(self) -> list[membership.EndpointStatus]:
         bundle = self.machine.bundles.bundle
--- a/libs/control/masticquay_control/services.py
+++ b/libs/control/masticquay_control/services.py
@@ -7,9 +7,9 @@
 from masticquay_control import changers
 from masticquay_control import commands
 from masticquay_control import forwarders
+from masticquay_control import leaderships
 from masticquay_control import leases
 from masticquay_control import machines
-from masticquay_control import offices
 from masticquay_control import watchers
 from masticquay_membership import messages as membership
 from masticquay_wire import errors as wire_errors
@@ -39,7 +39,7 @@
         self,
         log: protocols.ReplicatedLog,
         machine: machines.ControlMachine,
-        office: offices.Office,
+        leadership: leaderships.Leadership,
         lease_table: leases.LeaseTable,
         watcher_set: watchers.Watchers,
         forwarder: forwarders.Forwarder,
@@ -47,7 +47,7 @@
     ):
         self._log = log
         self._machine = machine
-        self._office = office
+        self._leadership = leadership
         self._leases = lease_table
         self._watchers = watcher_set
         self._forwarder = forwarder
@@ -76,34 +76,34 @@
     def _answer_or_forward(
         self, message: messages.Message, link: peers.Connection
     ) -> messages.Message | futures.Future:
-        if self._office.acting():
+        if self._leadership.acting():
             return self._answer(message)
         return self._forwarder.forward(message)
 
     def _answer_forwarded(
         self, message: commands.Forward, link: peers.Connection
     ) -> messages.Message | futures.Future:
-        if not self._office.acting():
-            raise offices.no_leader_error()
+        if not self._leadership.acting():
+            raise leaderships.no_leader_error()
         return self._answer(messages.unpack(message.body))
 
     def _answer(
         self, message: messages.Message
     ) -> messages.Message | futures.Future:
         if isinstance(message, PROPOSED):
-            return self._office.propose(message)
+            return self._leadership.propose(message)
         query = self._queries.get(type(message))
         if query is None:
             raise wire_errors.RemoteError('unhandled', type(message).__name__)
         answer = query(message)
-        if not self._office.acting():
-            raise offices.no_leader_error()
+        if not self._leadership.acting():
+            raise leaderships.no_leader_error()
         return answer
 
     def _renew(
         self, message: membership.RenewSession, link: peers.Connection
     ) -> messages.Message | futures.Future:
-        if not self._office.acting():
+        if not self._leadership.acting():
             return self._forwarder.renew(message)
         return self._renew_here(message)
 
@@ -111,15 +111,15 @@
         self, message: membership.RenewSession
     ) -> membership.SessionRenewed:
         answer = self._leases.renew(message)
-        if not self._office.acting():
-            raise offices.no_leader_error()
+        if not self._leadership.acting():
+            raise leaderships.no_leader_error()
         return answer
 
     def _renew_sessions(
         self, message: commands.RenewSessions, link: peers.Connection
     ) -> messages.Message:
-        if not self._office.acting():
-            raise offices.no_leader_error()
+        if not self._leadership.acting():
+            raise leaderships.no_leader_error()
         for applied in message.applied:
             self._leases.note_applied(applied)
         return commands.SessionsRenewed(
@@ -137,7 +137,7 @@
     def _note_applied(
         self, message: membership.ChangesApplied, link: peers.Connection
     ) -> None:
-        if self._office.acting():
+        if self._leadership.acting():
             self._leases.note_applied(message)
         else:
             self._forwarder.note_applied(message)
--- a/libs/control/tests/fixtures.py
+++ b/libs/control/tests/fixtures.py
@@ -149,7 +149,9 @@
         """Waits for an acting leader and returns its name."""
 
         def find():
-            acting = [n for n, r in self.replicas.items() if r.office.acting()]
+            acting = [
+                n for n, r in self.replicas.items() if r.leadership.acting()
+            ]
             return acting[0] if acting else None
 
         return wait_for(find, 'a leader')
--- a/libs/control/tests/test_order_runs.py
+++ b/libs/control/tests/test_order_runs.py
@@ -75,8 +75,8 @@
         return 'running' in self.orders.values()
 
 
-class FakeOffice:
-    """An office whose lease the test sets."""
+class FakeLeadership:
+    """A leadership whose lease the test sets."""
 
     fencing_number = 3
 
@@ -130,7 +130,7 @@
 class OrderRunsTest(unittest.TestCase):
     def setUp(self):
         self.clock = clocks.ManualClock()
-        self.office = FakeOffice()
+        self.leadership = FakeLeadership()
         self.machine = machines.ControlMachine()
 
     def make_runner(self, engines, minimum=1, checked=False, stores=None):
@@ -162,7 +162,9 @@
         self.machine.bundles.current = membership.BundleChange(
             7, approvers.sign(bundle)
         )
-        runner = order_runs.OrderRunner(self.machine, self.office, self.clock)
+        runner = order_runs.OrderRunner(
+            self.machine, self.leadership, self.clock
+        )
         self.addCleanup(runner.close)
         return runner
 
@@ -207,8 +209,8 @@
             (60_000, 400, 0),
             (1_400, 401, 1),
         ):
-            self.office.held_ms = held_ms
-            self.office.remaining_ms = remaining_ms
+            self.leadership.held_ms = held_ms
+            self.leadership.remaining_ms = remaining_ms
             unchecked, checked = FakeEngine(self), FakeEngine(self)
             self.run_once(self.make_runner([unchecked], 0))
             self.run_once(self.make_runner([checked], 0, checked=True))
--- a/libs/control/tests/test_partitions.py
+++ b/libs/control/tests/test_partitions.py
@@ -48,8 +48,8 @@
         old = near.host.incarnation
         self.cut_off(lost)
         self.wait_for_eviction(near, far)
-        office = self.cluster.replicas[lost].office
-        self.assertFalse(office.acting())
+        leadership = self.cluster.replicas[lost].leadership
+        self.assertFalse(leadership.acting())
         operator = self.cluster.client(addresses=others)
         second = self.roll(2, first, operator)
         self.assert_silent(lost)
@@ -59,7 +59,7 @@
         fixtures.wait_for(near.lease_valid, 'the lease after the partition')
         self.assertGreater(near.host.incarnation, old)
         fixtures.wait_for(lambda: near.state().bundle == second)
-        self.assertTrue(self.cluster.replicas[leader].office.acting())
+        self.assertTrue(self.cluster.replicas[leader].leadership.acting())
         self.assertEqual(term, self.cluster.replicas[leader].log.term())
 
     def wait_for_eviction(self, near, far):
@@ -90,7 +90,7 @@
                 (
                     n
                     for n, r in self.cluster.replicas.items()
-                    if n != name and r.office.acting()
+                    if n != name and r.leadership.acting()
                 ),
                 None,
             ),
