--- a/libs/bench/masticquay_bench/control_benches.py
+++ b/libs/bench/masticquay_bench/control_benches.py
@@ -6,7 +6,7 @@
 
 from masticquay_bench import control_groups
 from masticquay_bench import processes
-from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import records
 
 SIZES = (9, 50, 150)
@@ -204,7 +204,7 @@
 
 
 def _incarnations(group: control_groups.Group) -> set[tuple[str, int]]:
-    status = group.call(membership.QueryStatus())
+    status = group.call(operator_messages.QueryStatus())
     return {(host.name, host.incarnation) for host in status.view.hosts}
 
 
--- a/libs/bench/masticquay_bench/control_groups.py
+++ b/libs/bench/masticquay_bench/control_groups.py
@@ -18,6 +18,7 @@
 from masticquay_bundles import signatures
 from masticquay_membership import clients
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_membership import sessions
 from masticquay_wire import messages
 
@@ -114,10 +115,12 @@
         signed = models.SignedBundle(
             bundle, [signatures.sign_bundle(bundle, APPROVER, self._key)]
         )
-        roll = membership.RollBundle(signed, 0, b'')
+        roll = operator_messages.RollBundle(signed, 0, b'')
         if previous is not None:
             digest = signatures.digest_bundle(previous)
-            roll = membership.RollBundle(signed, previous.version, digest)
+            roll = operator_messages.RollBundle(
+                signed, previous.version, digest
+            )
         answer = self.call(roll)
         self._bundle = bundle
         return answer.index
@@ -126,22 +129,22 @@
         """Withdraws the next key; returns the index."""
         digest = self._bundle.keys[self._withdrawn].digest
         self._withdrawn += 1
-        return self.call(membership.WithdrawKey(digest)).index
+        return self.call(operator_messages.WithdrawKey(digest)).index
 
-    def wait_in_force(self, index: int) -> membership.Progress:
+    def wait_in_force(self, index: int) -> operator_messages.Progress:
         """Waits until a change is in force."""
-        query = membership.QueryProgress(index)
+        query = operator_messages.QueryProgress(index)
         return wait_until(lambda: self._in_force(query))
 
     def _in_force(
-        self, query: membership.QueryProgress
-    ) -> membership.Progress | None:
+        self, query: operator_messages.QueryProgress
+    ) -> operator_messages.Progress | None:
         progress = self.call(query)
         return progress if progress.in_force else None
 
     def leader(self) -> processes.Process:
         """Returns the process of the leader."""
-        status = wait_until(lambda: self.call(membership.QueryStatus()))
+        status = wait_until(lambda: self.call(operator_messages.QueryStatus()))
         names = [r.name for r in status.replicas if r.role == 'leader']
         return next(c for c in self.controls if c.name in names)
 
--- a/libs/control/masticquay_control/changers.py
+++ b/libs/control/masticquay_control/changers.py
@@ -8,6 +8,7 @@
 from masticquay_consensus import protocols
 from masticquay_control import leaderships
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import errors as wire_errors
 
 Key = tuple[str, str]
@@ -22,14 +23,16 @@
         self._lock = threading.RLock()
         self._running: dict[Key, futures.Future] = {}
 
-    def add(self, message: membership.AddReplica) -> futures.Future:
+    def add(self, message: operator_messages.AddReplica) -> futures.Future:
         """Adds a replica, or replaces one whose disk was lost."""
         key = (message.name, message.address)
         return self._start(
             key, lambda: self._log.add_replica(message.name, message.address)
         )
 
-    def remove(self, message: membership.RemoveReplica) -> futures.Future:
+    def remove(
+        self, message: operator_messages.RemoveReplica
+    ) -> futures.Future:
         """Removes a replica."""
         return self._start(
             (message.name, ''), lambda: self._log.remove_replica(message.name)
@@ -54,7 +57,7 @@
         cause = done.exception()
         if cause is None:
             answer.set_result(
-                membership.ReplicasChanged(list_replicas(self._log))
+                operator_messages.ReplicasChanged(list_replicas(self._log))
             )
         elif isinstance(cause, consensus_errors.ReplicaChangeError):
             answer.set_exception(
@@ -68,11 +71,11 @@
 
 def list_replicas(
     log: protocols.ReplicatedLog,
-) -> list[membership.ReplicaStatus]:
+) -> list[operator_messages.ReplicaStatus]:
     """Lists the members of the group as this replica sees them."""
     status = log.status()
     return [
-        membership.ReplicaStatus(
+        operator_messages.ReplicaStatus(
             replica.member.name,
             replica.role,
             status.term,
--- a/libs/control/masticquay_control/intents.py
+++ b/libs/control/masticquay_control/intents.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
 from masticquay_wire import messages
 from masticquay_wire import records
@@ -43,7 +44,7 @@
         call_number: int,
         stamp_ms: int,
         outcome: str = '',
-        answer: membership.StoredAnswer | None = None,
+        answer: intent_messages.StoredAnswer | None = None,
     ):
         self.workspace = workspace
         self.idempotency_key = idempotency_key
@@ -56,7 +57,8 @@
         self.answer = answer
 
     def begun_by(
-        self, message: membership.BeginIntent | membership.FinishIntent
+        self,
+        message: intent_messages.BeginIntent | intent_messages.FinishIntent,
     ) -> bool:
         """Whether a message belongs to the same call of the same host."""
         return (
@@ -85,7 +87,7 @@
         return len(self._intents)
 
     def begin(
-        self, stamp_ms: int, command: membership.BeginIntent
+        self, stamp_ms: int, command: intent_messages.BeginIntent
     ) -> messages.Message:
         """Begins a call, or says what is known of it."""
         self._expire(stamp_ms)
@@ -112,22 +114,25 @@
                 stamp_ms,
             )
         )
-        return membership.IntentState(membership.INTENT_BEGUN)
+        return intent_messages.IntentState(intent_messages.INTENT_BEGUN)
 
     def finish(
-        self, stamp_ms: int, command: membership.FinishIntent
+        self, stamp_ms: int, command: intent_messages.FinishIntent
     ) -> messages.Message:
         """Stores the outcome of a call, once."""
         key = (command.workspace, command.idempotency_key)
         known = self._intents.get(key)
-        if known is None and command.outcome == membership.OUTCOME_NOT_RUN:
+        if (
+            known is None
+            and command.outcome == intent_messages.OUTCOME_NOT_RUN
+        ):
             self._mark_not_run(stamp_ms, command)
             return messages.Done()
         if known is None or not known.begun_by(command):
             return messages.Failure(
                 membership.CODE_STALE, 'another call holds this key, or none'
             )
-        if known.outcome in ('', membership.OUTCOME_UNKNOWN):
+        if known.outcome in ('', intent_messages.OUTCOME_UNKNOWN):
             known.outcome = command.outcome
             known.answer = command.answer
             known.stamp_ms = stamp_ms
@@ -148,7 +153,7 @@
         self._answer_bytes = sum(_answer_bytes(i.answer) for i in intents)
 
     def _mark_not_run(
-        self, stamp_ms: int, command: membership.FinishIntent
+        self, stamp_ms: int, command: intent_messages.FinishIntent
     ) -> None:
         """Keeps a late begin of a call that was given up from counting."""
         self._put(
@@ -160,15 +165,15 @@
                 command.incarnation,
                 command.call_number,
                 stamp_ms,
-                membership.OUTCOME_NOT_RUN,
+                intent_messages.OUTCOME_NOT_RUN,
             )
         )
 
     def _may_replace(
-        self, known: Intent, command: membership.BeginIntent
+        self, known: Intent, command: intent_messages.BeginIntent
     ) -> bool:
         """Whether a call that has not run leaves its key to this one."""
-        if known.outcome != membership.OUTCOME_NOT_RUN:
+        if known.outcome != intent_messages.OUTCOME_NOT_RUN:
             return False
         late = (
             known.host == command.host
@@ -178,27 +183,33 @@
         return not late
 
     def _describe(
-        self, known: Intent, command: membership.BeginIntent
+        self, known: Intent, command: intent_messages.BeginIntent
     ) -> messages.Message:
-        if known.outcome == membership.OUTCOME_NOT_RUN:
+        if known.outcome == intent_messages.OUTCOME_NOT_RUN:
             return messages.Failure(
                 membership.CODE_STALE, 'this call has ended already'
             )
         if known.request_digest != command.request_digest:
-            return membership.IntentState(membership.INTENT_MISMATCH)
-        if known.outcome == membership.OUTCOME_RAN:
-            return membership.IntentState(
-                membership.INTENT_FINISHED, known.answer
+            return intent_messages.IntentState(intent_messages.INTENT_MISMATCH)
+        if known.outcome == intent_messages.OUTCOME_RAN:
+            return intent_messages.IntentState(
+                intent_messages.INTENT_FINISHED, known.answer
             )
         if known.outcome == '' and known.begun_by(command):
             if command.call_number:
-                return membership.IntentState(membership.INTENT_BEGUN)
-            return membership.IntentState(membership.INTENT_IN_PROGRESS)
+                return intent_messages.IntentState(
+                    intent_messages.INTENT_BEGUN
+                )
+            return intent_messages.IntentState(
+                intent_messages.INTENT_IN_PROGRESS
+            )
         if known.outcome == '' and self._is_live(
             known.host, known.incarnation
         ):
-            return membership.IntentState(membership.INTENT_IN_PROGRESS)
-        return membership.IntentState(membership.INTENT_UNKNOWN)
+            return intent_messages.IntentState(
+                intent_messages.INTENT_IN_PROGRESS
+            )
+        return intent_messages.IntentState(intent_messages.INTENT_UNKNOWN)
 
     def _put(self, intent: Intent) -> None:
         key = (intent.workspace, intent.idempotency_key)
@@ -226,5 +237,5 @@
             self._answer_bytes -= _answer_bytes(oldest.answer)
 
 
-def _answer_bytes(answer: membership.StoredAnswer | None) -> int:
+def _answer_bytes(answer: intent_messages.StoredAnswer | None) -> int:
     return len(answer.body) if answer is not None else 0
--- a/libs/control/masticquay_control/leaderships.py
+++ b/libs/control/masticquay_control/leaderships.py
@@ -52,7 +52,7 @@
         self.taken_count = 0
 
     def acting(self) -> bool:
-        """Whether this replica leads, holds its lease and has begun to lead."""
+        """Whether this replica leads, holds its lease and may act."""
         held_term = self._held_term
         return (
             held_term > 0
--- a/libs/control/masticquay_control/leases.py
+++ b/libs/control/masticquay_control/leases.py
@@ -6,6 +6,7 @@
 from masticquay_control import commands
 from masticquay_control import machines
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 
@@ -178,7 +179,7 @@
             self._refresh()
             return self._adopted()
 
-    def progress(self, index: int) -> membership.Progress:
+    def progress(self, index: int) -> operator_messages.Progress:
         """Says which hosts have not applied a change."""
         with self._machine.lock, self._lock:
             self._refresh()
@@ -188,7 +189,7 @@
                 if session.applied_index < index
             )
             committed = index <= self._machine.change_index
-            return membership.Progress(
+            return operator_messages.Progress(
                 index,
                 committed and not pending,
                 pending,
--- a/libs/control/masticquay_control/ledgers.py
+++ b/libs/control/masticquay_control/ledgers.py
@@ -3,6 +3,7 @@
 import typing
 
 from masticquay_membership import messages as membership
+from masticquay_membership import usage_messages
 from masticquay_wire import messages
 from masticquay_wire import records
 
@@ -53,7 +54,7 @@
 
     def __init__(
         self,
-        entries: list[membership.UsageEntry],
+        entries: list[usage_messages.UsageEntry],
         sources: list[UsageSource],
     ):
         self.entries = entries
@@ -65,7 +66,7 @@
 
     def __init__(self, is_live: IsLive) -> None:
         self._is_live = is_live
-        self._entries: dict[EntryKey, membership.UsageEntry] = {}
+        self._entries: dict[EntryKey, usage_messages.UsageEntry] = {}
         self._sources: dict[tuple[str, int], UsageSource] = {}
 
     def add_source(self, stamp_ms: int, host: str, incarnation: int) -> None:
@@ -79,7 +80,7 @@
         self._expire(stamp_ms)
 
     def merge(
-        self, stamp_ms: int, command: membership.ReportUsage
+        self, stamp_ms: int, command: usage_messages.ReportUsage
     ) -> messages.Message:
         """Adds a batch that was not merged before."""
         key = (command.host, command.incarnation)
@@ -103,7 +104,9 @@
         source.stamp_ms = stamp_ms
         return messages.Done()
 
-    def report(self, query: membership.QueryUsage) -> membership.UsageReport:
+    def report(
+        self, query: usage_messages.QueryUsage
+    ) -> usage_messages.UsageReport:
         """Selects entries, and lists every known gap."""
         entries = [
             entry
@@ -111,13 +114,13 @@
             if _selected(entry, query)
         ]
         gaps = [
-            membership.UsageGap(
+            usage_messages.UsageGap(
                 source.host, source.incarnation, source.bound_tokens
             )
             for source in self._sources.values()
             if self._is_gap(source)
         ]
-        return membership.UsageReport(entries, gaps)
+        return usage_messages.UsageReport(entries, gaps)
 
     def take_snapshot(self) -> LedgerSnapshot:
         """Returns all that the ledger holds."""
@@ -140,10 +143,10 @@
             and not self._is_live(source.host, source.incarnation)
         )
 
-    def _add(self, entry: membership.UsageEntry) -> None:
+    def _add(self, entry: usage_messages.UsageEntry) -> None:
         total = self._entries.get(_key_of(entry))
         if total is None:
-            total = membership.UsageEntry(*_key_of(entry))
+            total = usage_messages.UsageEntry(*_key_of(entry))
             self._entries[_key_of(entry)] = total
         total.requests += entry.requests
         total.prompt_tokens += entry.prompt_tokens
@@ -173,12 +176,12 @@
             del self._entries[key]
 
 
-def _key_of(entry: membership.UsageEntry) -> EntryKey:
+def _key_of(entry: usage_messages.UsageEntry) -> EntryKey:
     return (entry.workspace, entry.target, entry.class_name, entry.hour)
 
 
 def _selected(
-    entry: membership.UsageEntry, query: membership.QueryUsage
+    entry: usage_messages.UsageEntry, query: usage_messages.QueryUsage
 ) -> bool:
     if query.workspace and entry.workspace != query.workspace:
         return False
--- a/libs/control/masticquay_control/machines.py
+++ b/libs/control/masticquay_control/machines.py
@@ -9,7 +9,10 @@
 from masticquay_control import ledgers
 from masticquay_control import rolls
 from masticquay_control import views
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
+from masticquay_membership import usage_messages
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages
 
@@ -79,12 +82,12 @@
         self.change_index = 0
         self.stamp_ms = 0
         self._appliers: dict[type, Apply] = {
-            membership.RollBundle: self._roll,
-            membership.WithdrawKey: self._withdraw,
+            operator_messages.RollBundle: self._roll,
+            operator_messages.WithdrawKey: self._withdraw,
             membership.OpenSession: self._open_session,
-            membership.BeginIntent: self._begin_intent,
-            membership.FinishIntent: self._finish_intent,
-            membership.ReportUsage: self._report_usage,
+            intent_messages.BeginIntent: self._begin_intent,
+            intent_messages.FinishIntent: self._finish_intent,
+            usage_messages.ReportUsage: self._report_usage,
             commands.ChangeView: self._change_view,
             commands.SetLeavingEndpoints: self._set_leaving,
             commands.BeginLeadership: self._begin_leadership,
@@ -156,19 +159,19 @@
             )
 
     def _roll(
-        self, index: int, stamp_ms: int, command: membership.RollBundle
+        self, index: int, stamp_ms: int, command: operator_messages.RollBundle
     ) -> messages.Message:
         return self._note_change(index, self.bundles.roll(index, command))
 
     def _withdraw(
-        self, index: int, stamp_ms: int, command: membership.WithdrawKey
+        self, index: int, stamp_ms: int, command: operator_messages.WithdrawKey
     ) -> messages.Message:
         return self._note_change(index, self.bundles.withdraw(index, command))
 
     def _note_change(
         self, index: int, answer: messages.Message
     ) -> messages.Message:
-        if isinstance(answer, membership.CommandAccepted):
+        if isinstance(answer, operator_messages.CommandAccepted):
             self.change_index = max(self.change_index, answer.index)
         return answer
 
@@ -178,17 +181,17 @@
         return self.views.open_session(command)
 
     def _begin_intent(
-        self, index: int, stamp_ms: int, command: membership.BeginIntent
+        self, index: int, stamp_ms: int, command: intent_messages.BeginIntent
     ) -> messages.Message:
         return self.intents.begin(stamp_ms, command)
 
     def _finish_intent(
-        self, index: int, stamp_ms: int, command: membership.FinishIntent
+        self, index: int, stamp_ms: int, command: intent_messages.FinishIntent
     ) -> messages.Message:
         return self.intents.finish(stamp_ms, command)
 
     def _report_usage(
-        self, index: int, stamp_ms: int, command: membership.ReportUsage
+        self, index: int, stamp_ms: int, command: usage_messages.ReportUsage
     ) -> messages.Message:
         return self.ledger.merge(stamp_ms, command)
 
--- a/libs/control/masticquay_control/order_runs.py
+++ b/libs/control/masticquay_control/order_runs.py
@@ -9,7 +9,7 @@
 from masticquay_control import leaderships
 from masticquay_control import machines
 from masticquay_control import orders
-from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import clocks
 
 LOG = logging.getLogger(__name__)
@@ -295,9 +295,9 @@
 
 def describe(
     record: orders.EngineRecord, listed: str
-) -> membership.EndpointStatus:
+) -> operator_messages.EndpointStatus:
     """Returns an engine's line of the fleet's status."""
     version = record.load.version if record.load is not None else ''
-    return membership.EndpointStatus(
+    return operator_messages.EndpointStatus(
         record.name, listed, version, record.state
     )
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -19,7 +19,7 @@
 from masticquay_control import platforms
 from masticquay_control import services
 from masticquay_control import watchers
-from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import clocks
 from masticquay_wire import dialers
 from masticquay_wire import listeners
@@ -244,7 +244,7 @@
             return
         self.leadership.propose(commands.SetLeavingEndpoints(leaving))
 
-    def _report_endpoints(self) -> list[membership.EndpointStatus]:
+    def _report_endpoints(self) -> list[operator_messages.EndpointStatus]:
         bundle = self.machine.bundles.bundle
         if bundle is None:
             return []
--- a/libs/control/masticquay_control/rolls.py
+++ b/libs/control/masticquay_control/rolls.py
@@ -6,6 +6,7 @@
 from masticquay_bundles import models
 from masticquay_bundles import signatures
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import messages
 from masticquay_wire import records
 
@@ -73,14 +74,14 @@
         return len(self._withdrawals)
 
     def roll(
-        self, index: int, command: membership.RollBundle
+        self, index: int, command: operator_messages.RollBundle
     ) -> messages.Message:
         """Accepts a bundle, repeats the stored answer, or refuses."""
         bundle = command.signed.bundle
         digest = signatures.digest_bundle(bundle)
         known = self._accepted.get(bundle.version)
         if known is not None and known.digest == digest:
-            return membership.CommandAccepted(known.index, True)
+            return operator_messages.CommandAccepted(known.index, True)
         if known is not None or bundle.version <= self.version:
             winner = known or self._newest()
             return _conflict(winner.version, winner.digest)
@@ -92,15 +93,15 @@
         except bundle_errors.SignatureError as cause:
             return messages.Failure(membership.CODE_UNAPPROVED, str(cause))
         self._accept(index, command.signed, digest)
-        return membership.CommandAccepted(index, False)
+        return operator_messages.CommandAccepted(index, False)
 
     def withdraw(
-        self, index: int, command: membership.WithdrawKey
+        self, index: int, command: operator_messages.WithdrawKey
     ) -> messages.Message:
         """Withdraws a key that the current bundle lists."""
         known = self._withdrawals.get(command.key_digest)
         if known is not None:
-            return membership.CommandAccepted(known.index, True)
+            return operator_messages.CommandAccepted(known.index, True)
         listed = self.bundle is not None and any(
             key.digest == command.key_digest for key in self.bundle.keys
         )
@@ -111,7 +112,7 @@
         self._withdrawals[command.key_digest] = membership.WithdrawalChange(
             index, command.key_digest
         )
-        return membership.CommandAccepted(index, False)
+        return operator_messages.CommandAccepted(index, False)
 
     def bundles_after(self, index: int) -> list[membership.BundleChange]:
         """Lists what a host needs to reach and verify the current bundle."""
--- a/libs/control/masticquay_control/services.py
+++ b/libs/control/masticquay_control/services.py
@@ -11,7 +11,10 @@
 from masticquay_control import leases
 from masticquay_control import machines
 from masticquay_control import watchers
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
+from masticquay_membership import usage_messages
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
 from masticquay_wire import messages
@@ -19,14 +22,14 @@
 
 PROPOSED = (
     membership.OpenSession,
-    membership.RollBundle,
-    membership.WithdrawKey,
-    membership.BeginIntent,
-    membership.FinishIntent,
-    membership.ReportUsage,
+    operator_messages.RollBundle,
+    operator_messages.WithdrawKey,
+    intent_messages.BeginIntent,
+    intent_messages.FinishIntent,
+    usage_messages.ReportUsage,
 )
 
-EndpointReport = typing.Callable[[], list[membership.EndpointStatus]]
+EndpointReport = typing.Callable[[], list[operator_messages.EndpointStatus]]
 
 
 class ControlService:
@@ -54,13 +57,13 @@
         self._report_endpoints = report_endpoints
         self._changer = changers.ReplicaChanger(log)
         self._queries: dict[type, typing.Callable] = {
-            membership.QueryProgress: self._query_progress,
-            membership.QueryStatus: self._query_status,
-            membership.QueryBundle: self._query_bundle,
-            membership.QueryUsage: self._query_usage,
+            operator_messages.QueryProgress: self._query_progress,
+            operator_messages.QueryStatus: self._query_status,
+            operator_messages.QueryBundle: self._query_bundle,
+            usage_messages.QueryUsage: self._query_usage,
             membership.CloseSession: self._close_session,
-            membership.AddReplica: self._changer.add,
-            membership.RemoveReplica: self._changer.remove,
+            operator_messages.AddReplica: self._changer.add,
+            operator_messages.RemoveReplica: self._changer.remove,
         }
 
     def register(self, listener: listeners.Listener) -> None:
@@ -148,12 +151,12 @@
         self._watchers.subscribe(link, message.applied_index)
 
     def _query_progress(
-        self, message: membership.QueryProgress
-    ) -> membership.Progress:
+        self, message: operator_messages.QueryProgress
+    ) -> operator_messages.Progress:
         return self._leases.progress(message.index)
 
     def _query_bundle(
-        self, message: membership.QueryBundle
+        self, message: operator_messages.QueryBundle
     ) -> messages.Message:
         with self._machine.lock:
             current = self._machine.bundles.current
@@ -162,8 +165,8 @@
         return current.signed
 
     def _query_usage(
-        self, message: membership.QueryUsage
-    ) -> membership.UsageReport:
+        self, message: usage_messages.QueryUsage
+    ) -> usage_messages.UsageReport:
         with self._machine.lock:
             return self._machine.ledger.report(message)
 
@@ -174,14 +177,14 @@
         return messages.Done()
 
     def _query_status(
-        self, message: membership.QueryStatus
-    ) -> membership.FleetStatus:
+        self, message: operator_messages.QueryStatus
+    ) -> operator_messages.FleetStatus:
         replicas = changers.list_replicas(self._log)
         endpoints = self._report_endpoints()
         adopted = self._leases.adopted_view_number()
         with self._machine.lock:
             bundles = self._machine.bundles
-            return membership.FleetStatus(
+            return operator_messages.FleetStatus(
                 replicas,
                 self._machine.views.view,
                 adopted,
--- a/libs/control/tests/fixtures.py
+++ b/libs/control/tests/fixtures.py
@@ -13,6 +13,7 @@
 from masticquay_control import replicas
 from masticquay_membership import clients
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_membership import sessions
 from masticquay_wire import peers
 
@@ -86,8 +87,8 @@
 def make_roll(signed, previous=None):
     """Makes the roll of a bundle over another one."""
     if previous is None:
-        return membership.RollBundle(signed, 0, b'')
-    return membership.RollBundle(
+        return operator_messages.RollBundle(signed, 0, b'')
+    return operator_messages.RollBundle(
         signed, previous.version, signatures.digest_bundle(previous)
     )
 
--- a/libs/control/tests/test_daemons.py
+++ b/libs/control/tests/test_daemons.py
@@ -12,7 +12,7 @@
 
 import yaml
 
-from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from tests import fixtures
 
 FOLDER = pathlib.Path(__file__).parent
@@ -77,7 +77,7 @@
             daemon.wait()
             previous = signed.bundle
         daemon = self.start_daemon()
-        stored = operator.call(membership.QueryBundle(), 20_000)
+        stored = operator.call(operator_messages.QueryBundle(), 20_000)
         self.assertEqual(signed, stored)
         daemon.terminate()
         self.assertEqual(0, daemon.wait(10))
--- a/libs/control/tests/test_groups.py
+++ b/libs/control/tests/test_groups.py
@@ -4,6 +4,7 @@
 import unittest
 
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import errors as wire_errors
 from tests import fixtures
 
@@ -38,7 +39,7 @@
         self.assertEqual(membership.CODE_CONFLICT, refused[0].code)
         winner = rivals[outcomes.index(accepted[0])][1]
         stored = self.operator_at('c3').call(
-            membership.QueryBundle(), fixtures.CALL_MS
+            operator_messages.QueryBundle(), fixtures.CALL_MS
         )
         self.assertEqual(winner, stored)
 
@@ -60,7 +61,7 @@
         accepted = operator.call(
             fixtures.make_roll(self.make_signed(1)), 4 * fixtures.CALL_MS
         )
-        query = membership.QueryProgress(accepted.index)
+        query = operator_messages.QueryProgress(accepted.index)
         fixtures.wait_for(
             lambda: operator.call(query, fixtures.CALL_MS).in_force
         )
@@ -93,13 +94,17 @@
         signed = self.make_signed(1)
         operator.call(fixtures.make_roll(signed), fixtures.CALL_MS)
         digest = fixtures.KEY_DIGESTS[1]
-        operator.call(membership.WithdrawKey(digest), fixtures.CALL_MS)
+        operator.call(operator_messages.WithdrawKey(digest), fixtures.CALL_MS)
         for _ in range(2):
             for name in NAMES:
                 self.cluster.stop(name)
             self.cluster.start(*NAMES)
         self.cluster.leader()
-        stored = operator.call(membership.QueryBundle(), fixtures.CALL_MS)
+        stored = operator.call(
+            operator_messages.QueryBundle(), fixtures.CALL_MS
+        )
         self.assertEqual(signed, stored)
-        again = operator.call(membership.WithdrawKey(digest), fixtures.CALL_MS)
+        again = operator.call(
+            operator_messages.WithdrawKey(digest), fixtures.CALL_MS
+        )
         self.assertTrue(again.repeated)
--- a/libs/control/tests/test_machines.py
+++ b/libs/control/tests/test_machines.py
@@ -8,8 +8,11 @@
 from masticquay_control import intents
 from masticquay_control import ledgers
 from masticquay_control import machines
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_membership import states
+from masticquay_membership import usage_messages
 from masticquay_wire import messages
 from tests import fixtures
 
@@ -51,13 +54,15 @@
 
     def begin(self, host, incarnation, number, key='k'):
         answer = self.apply(
-            membership.BeginIntent('s', key, b'd', host, incarnation, number)
+            intent_messages.BeginIntent(
+                's', key, b'd', host, incarnation, number
+            )
         )
         return getattr(answer, 'state', None) or answer.code
 
     def finish(self, host, incarnation, number, outcome, key='k'):
         return self.apply(
-            membership.FinishIntent(
+            intent_messages.FinishIntent(
                 's', key, host, incarnation, outcome, None, number
             )
         )
@@ -96,14 +101,14 @@
         first = fixtures.make_bundle(1, self.ada)
         self.roll(first, self.ada)
         digest = fixtures.KEY_DIGESTS[0]
-        self.apply(membership.WithdrawKey(digest))
+        self.apply(operator_messages.WithdrawKey(digest))
         self.roll(fixtures.make_bundle(2, self.ada), self.ada, first)
         holder = states.StateHolder()
         holder.apply(self.machine.update_after(0))
         self.assertEqual({digest}, holder.state.withdrawn)
 
     def test_unlisted_key_cannot_be_withdrawn(self):
-        answer = self.apply(membership.WithdrawKey('00' * 32))
+        answer = self.apply(operator_messages.WithdrawKey('00' * 32))
         self.assertEqual(membership.CODE_UNKNOWN_KEY, answer.code)
 
     def test_late_and_repeated_intents_never_begin_a_second_run(self):
@@ -154,24 +159,24 @@
         self.report_usage(one, 2, 0, last=True)
         self.report_usage(one, 2, 0, last=True)
         self.assertEqual([], self.gaps())
-        usage = self.machine.ledger.report(membership.QueryUsage())
+        usage = self.machine.ledger.report(usage_messages.QueryUsage())
         self.assertEqual(2, usage.entries[0].requests)
 
     def gaps(self):
-        usage = self.machine.ledger.report(membership.QueryUsage())
+        usage = self.machine.ledger.report(usage_messages.QueryUsage())
         return [gap.bound_tokens for gap in usage.gaps]
 
     def report_usage(self, incarnation, sequence, bound, last=False):
-        entry = membership.UsageEntry('s', 'm', 'c', 1, requests=1)
+        entry = usage_messages.UsageEntry('s', 'm', 'c', 1, requests=1)
         return self.apply(
-            membership.ReportUsage(
+            usage_messages.ReportUsage(
                 'h1', incarnation, sequence, [entry], bound, last
             )
         )
 
     def test_snapshot_restores_the_same_state(self):
         self.roll(fixtures.make_bundle(1, self.ada), self.ada)
-        self.apply(membership.WithdrawKey(fixtures.KEY_DIGESTS[0]))
+        self.apply(operator_messages.WithdrawKey(fixtures.KEY_DIGESTS[0]))
         (one,) = self.join('h1')
         self.begin('h1', one, 1)
         self.report_usage(one, 1, 7)
--- a/libs/control/tests/test_partitions.py
+++ b/libs/control/tests/test_partitions.py
@@ -4,7 +4,7 @@
 import unittest
 
 from masticquay_membership import errors
-from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
 from masticquay_wire import errors as wire_errors
 from tests import fixtures
 from tests import links
@@ -82,7 +82,7 @@
         with self.assertRaises(
             (errors.MembershipError, wire_errors.WireError)
         ):
-            operator.call(membership.QueryBundle(), 1_000)
+            operator.call(operator_messages.QueryBundle(), 1_000)
 
     def acting_other(self, name):
         return fixtures.wait_for(
@@ -125,11 +125,15 @@
         self.cluster.start(broken)
         operator = self.cluster.client()
         answer = operator.call(
-            membership.AddReplica(broken, self.cluster.address_of(broken)),
+            operator_messages.AddReplica(
+                broken, self.cluster.address_of(broken)
+            ),
             60_000,
         )
         self.assertEqual(3, len(answer.replicas))
         self.cluster.stop(second)
         second_bundle = self.roll(2, first)
-        stored = operator.call(membership.QueryBundle(), fixtures.CALL_MS)
+        stored = operator.call(
+            operator_messages.QueryBundle(), fixtures.CALL_MS
+        )
         self.assertEqual(second_bundle, stored.bundle)
--- a/libs/control/tests/test_replicas.py
+++ b/libs/control/tests/test_replicas.py
@@ -3,7 +3,10 @@
 import unittest
 
 from masticquay_membership import errors
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
+from masticquay_membership import operator_messages
+from masticquay_membership import usage_messages
 from masticquay_wire import errors as wire_errors
 from tests import fixtures
 
@@ -24,7 +27,7 @@
         return bundle, answer
 
     def wait_in_force(self, index):
-        query = membership.QueryProgress(index)
+        query = operator_messages.QueryProgress(index)
         fixtures.wait_for(
             lambda: self.operator.call(query, fixtures.CALL_MS).in_force,
             'the change in force',
@@ -37,13 +40,16 @@
         bundle, accepted = self.roll(1)
         self.wait_in_force(accepted.index)
         withdrawn = self.operator.call(
-            membership.WithdrawKey(fixtures.KEY_DIGESTS[0]), fixtures.CALL_MS
+            operator_messages.WithdrawKey(fixtures.KEY_DIGESTS[0]),
+            fixtures.CALL_MS,
         )
         self.wait_in_force(withdrawn.index)
         for host in hosts:
             self.assertEqual(bundle, host.state().bundle)
             self.assertIn(fixtures.KEY_DIGESTS[0], host.state().withdrawn)
-        status = self.operator.call(membership.QueryStatus(), fixtures.CALL_MS)
+        status = self.operator.call(
+            operator_messages.QueryStatus(), fixtures.CALL_MS
+        )
         self.assertEqual(1, status.bundle_version)
         self.assertEqual(3, len(status.view.hosts))
 
@@ -71,9 +77,9 @@
         self.assertEqual('in-progress', self.begin(one).state)
         self.assertEqual('in-progress', self.begin(two).state)
         self.assertEqual('mismatch', self.begin(two, b'other').state)
-        stored = membership.StoredAnswer(200, {}, b'paid')
+        stored = intent_messages.StoredAnswer(200, {}, b'paid')
         one.finish_intent(
-            membership.FinishIntent(
+            intent_messages.FinishIntent(
                 'shop', 'k', 'h1', one.host.incarnation, 'ran', stored
             ),
             fixtures.CALL_MS,
@@ -82,7 +88,7 @@
 
     def begin(self, host, digest=b'same'):
         return host.begin_intent(
-            membership.BeginIntent(
+            intent_messages.BeginIntent(
                 'shop', 'k', digest, host.host.name, host.host.incarnation
             ),
             fixtures.CALL_MS,
@@ -93,7 +99,7 @@
         for host in (one, two):
             fixtures.wait_for(host.lease_valid, 'a lease')
         self.begin(one)
-        late = membership.BeginIntent(
+        late = intent_messages.BeginIntent(
             'shop', 'late', b'', 'h1', one.host.incarnation
         )
         one.close()
@@ -108,8 +114,8 @@
     def test_usage_is_merged_once_and_a_crash_leaves_a_gap(self):
         host = self.cluster.session('h1')
         fixtures.wait_for(host.lease_valid, 'a lease')
-        entry = membership.UsageEntry('shop', 'guide', 'calm', 7, 1, 10, 5)
-        report = membership.ReportUsage(
+        entry = usage_messages.UsageEntry('shop', 'guide', 'calm', 7, 1, 10, 5)
+        report = usage_messages.ReportUsage(
             'h1', host.host.incarnation, 1, [entry], 500
         )
         host.report_usage(report, fixtures.CALL_MS)
@@ -120,5 +126,7 @@
         self.assertEqual(500, usage.gaps[0].bound_tokens)
 
     def usage_with_gap(self):
-        usage = self.operator.call(membership.QueryUsage(), fixtures.CALL_MS)
+        usage = self.operator.call(
+            usage_messages.QueryUsage(), fixtures.CALL_MS
+        )
         return usage if usage.gaps else None
--- a/libs/entry/masticquay_entry/intents.py
+++ b/libs/entry/masticquay_entry/intents.py
@@ -5,7 +5,7 @@
 
 from masticquay_entry import refusals
 from masticquay_membership import errors
-from masticquay_membership import messages
+from masticquay_membership import intent_messages
 from masticquay_membership import protocols
 
 LOG = logging.getLogger(__name__)
@@ -27,8 +27,8 @@
 
     def __init__(self, membership: protocols.Membership):
         self._membership = membership
-        self._active: dict[Key, messages.BeginIntent] = {}
-        self._unconfirmed: dict[Key, messages.FinishIntent] = {}
+        self._active: dict[Key, intent_messages.BeginIntent] = {}
+        self._unconfirmed: dict[Key, intent_messages.FinishIntent] = {}
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._stopped = False
@@ -53,7 +53,7 @@
 
     def begin(
         self, workspace: str, idempotency_key: str, request_digest: bytes
-    ) -> messages.IntentState:
+    ) -> intent_messages.IntentState:
         """Records that a call will be made.
 
         :returns: what is known of the call; only ``begun`` allows sending
@@ -61,7 +61,7 @@
         """
         key = (workspace, idempotency_key)
         host = self._membership.host
-        intent = messages.BeginIntent(
+        intent = intent_messages.BeginIntent(
             workspace,
             idempotency_key,
             request_digest,
@@ -78,9 +78,9 @@
             self._close(key)
             raise _not_recorded() from cause
         except errors.MembershipError as cause:
-            self._repeat_later(key, messages.OUTCOME_NOT_RUN, None)
+            self._repeat_later(key, intent_messages.OUTCOME_NOT_RUN, None)
             raise _not_recorded() from cause
-        if state.state != messages.INTENT_BEGUN:
+        if state.state != intent_messages.INTENT_BEGUN:
             self._close(key)
         return state
 
@@ -89,7 +89,7 @@
         workspace: str,
         idempotency_key: str,
         outcome: str,
-        answer: messages.StoredAnswer | None,
+        answer: intent_messages.StoredAnswer | None,
     ) -> None:
         """Records how a call ended, now or, when control is away, later."""
         key = (workspace, idempotency_key)
@@ -100,16 +100,19 @@
 
     def _describe_active(
         self, key: Key, request_digest: bytes
-    ) -> messages.IntentState:
+    ) -> intent_messages.IntentState:
         if self._active[key].request_digest != request_digest:
-            return messages.IntentState(messages.INTENT_MISMATCH)
-        return messages.IntentState(messages.INTENT_IN_PROGRESS)
+            return intent_messages.IntentState(intent_messages.INTENT_MISMATCH)
+        return intent_messages.IntentState(intent_messages.INTENT_IN_PROGRESS)
 
     def _finish_of(
-        self, key: Key, outcome: str, answer: messages.StoredAnswer | None
-    ) -> messages.FinishIntent:
+        self,
+        key: Key,
+        outcome: str,
+        answer: intent_messages.StoredAnswer | None,
+    ) -> intent_messages.FinishIntent:
         intent = self._active[key]
-        return messages.FinishIntent(
+        return intent_messages.FinishIntent(
             *key, intent.host, intent.incarnation, outcome, answer
         )
 
@@ -119,13 +122,16 @@
             self._unconfirmed.pop(key, None)
 
     def _repeat_later(
-        self, key: Key, outcome: str, answer: messages.StoredAnswer | None
+        self,
+        key: Key,
+        outcome: str,
+        answer: intent_messages.StoredAnswer | None,
     ) -> None:
         with self._lock:
             self._unconfirmed[key] = self._finish_of(key, outcome, answer)
         self._wake.set()
 
-    def _try_finish(self, finish: messages.FinishIntent) -> bool:
+    def _try_finish(self, finish: intent_messages.FinishIntent) -> bool:
         """Returns whether control confirmed, or has no such call any more."""
         try:
             self._membership.finish_intent(finish, FINISH_TIMEOUT_MS)
--- a/libs/entry/masticquay_entry/refusals.py
+++ b/libs/entry/masticquay_entry/refusals.py
@@ -2,14 +2,14 @@
 
 import json
 
-from masticquay_membership import messages as membership_messages
+from masticquay_membership import intent_messages
 from masticquay_scheduling import messages
 
 OUTCOME_HEADER = 'Masticquay-Outcome'
 
-NOT_RUN = membership_messages.OUTCOME_NOT_RUN
-RAN = membership_messages.OUTCOME_RAN
-UNKNOWN = membership_messages.OUTCOME_UNKNOWN
+NOT_RUN = intent_messages.OUTCOME_NOT_RUN
+RAN = intent_messages.OUTCOME_RAN
+UNKNOWN = intent_messages.OUTCOME_UNKNOWN
 
 Headers = list[tuple[str, str]]
 
--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -11,7 +11,7 @@
 from masticquay_entry import placements
 from masticquay_entry import refusals
 from masticquay_entry import runs
-from masticquay_membership import messages as membership_messages
+from masticquay_membership import intent_messages
 from masticquay_scheduling import messages
 from masticquay_scheduling import prefixes
 
@@ -181,12 +181,12 @@
             )
         workspace = self._run.admission.workspace
         state = self._keeper.begin(workspace, key, self._digest())
-        if state.state != membership_messages.INTENT_BEGUN:
+        if state.state != intent_messages.INTENT_BEGUN:
             return _answer_from_record(state)
-        outcome, stored = membership_messages.OUTCOME_UNKNOWN, None
+        outcome, stored = intent_messages.OUTCOME_UNKNOWN, None
         try:
             answer = self._call.run()
-            outcome = membership_messages.OUTCOME_RAN
+            outcome = intent_messages.OUTCOME_RAN
             stored = _store(answer)
             return answer
         except refusals.Refusal as refusal:
@@ -246,19 +246,19 @@
     )
 
 
-def _store(answer: ServiceAnswer) -> membership_messages.StoredAnswer:
+def _store(answer: ServiceAnswer) -> intent_messages.StoredAnswer:
     headers = dict(answer.headers)
     body = answer.body
     if len(body) > MAX_STORED_BODY_BYTES:
         body = b''
         headers[OMITTED_HEADER] = 'true'
-    return membership_messages.StoredAnswer(answer.status, headers, body)
+    return intent_messages.StoredAnswer(answer.status, headers, body)
 
 
 def _answer_from_record(
-    state: membership_messages.IntentState,
+    state: intent_messages.IntentState,
 ) -> ServiceAnswer:
-    if state.state == membership_messages.INTENT_FINISHED:
+    if state.state == intent_messages.INTENT_FINISHED:
         stored = state.answer
         if stored is None:
             raise refusals.Refusal(
@@ -266,13 +266,13 @@
             )
         headers = [*stored.headers.items(), (REPLAYED_HEADER, 'true')]
         return ServiceAnswer(stored.status, headers, stored.body)
-    if state.state == membership_messages.INTENT_MISMATCH:
+    if state.state == intent_messages.INTENT_MISMATCH:
         raise refusals.Refusal(
             422,
             'idempotency-key-reused',
             'another request was made under this idempotency key',
         )
-    if state.state == membership_messages.INTENT_IN_PROGRESS:
+    if state.state == intent_messages.INTENT_IN_PROGRESS:
         raise refusals.Refusal(
             409,
             'in-progress',
--- a/libs/entry/masticquay_entry/usages.py
+++ b/libs/entry/masticquay_entry/usages.py
@@ -9,6 +9,7 @@
 from masticquay_membership import errors
 from masticquay_membership import messages
 from masticquay_membership import protocols
+from masticquay_membership import usage_messages
 
 LOG = logging.getLogger(__name__)
 
@@ -31,7 +32,7 @@
 
     def __init__(self, hour: typing.Callable[[], int] = current_hour):
         self._hour = hour
-        self._entries: dict[Key, messages.UsageEntry] = {}
+        self._entries: dict[Key, usage_messages.UsageEntry] = {}
         self._open_tokens = 0
         self._lock = threading.Lock()
 
@@ -74,14 +75,14 @@
             entry.refusals[reason] = entry.refusals.get(reason, 0) + 1
             entry.refused_within_rate += within_rate
 
-    def take(self) -> list[messages.UsageEntry]:
+    def take(self) -> list[usage_messages.UsageEntry]:
         """Returns what was counted since the last time."""
         with self._lock:
             entries = list(self._entries.values())
             self._entries.clear()
         return entries
 
-    def put_back(self, entries: list[messages.UsageEntry]) -> None:
+    def put_back(self, entries: list[usage_messages.UsageEntry]) -> None:
         """Adds entries again that control did not take."""
         with self._lock:
             for entry in entries:
@@ -92,7 +93,7 @@
         """Tokens charged for requests under way."""
         return self._open_tokens
 
-    def _merge(self, added: messages.UsageEntry) -> None:
+    def _merge(self, added: usage_messages.UsageEntry) -> None:
         entry = self._entry_at(
             (added.workspace, added.target, added.class_name, added.hour)
         )
@@ -105,13 +106,13 @@
 
     def _entry(
         self, workspace: str, target: str, class_name: str
-    ) -> messages.UsageEntry:
+    ) -> usage_messages.UsageEntry:
         return self._entry_at((workspace, target, class_name, self._hour()))
 
-    def _entry_at(self, key: Key) -> messages.UsageEntry:
+    def _entry_at(self, key: Key) -> usage_messages.UsageEntry:
         entry = self._entries.get(key)
         if entry is None:
-            entry = self._entries[key] = messages.UsageEntry(*key)
+            entry = self._entries[key] = usage_messages.UsageEntry(*key)
         return entry
 
 
@@ -129,7 +130,7 @@
         self._interval_ms = interval_ms
         self._incarnation = 0
         self._sequence = 0
-        self._unconfirmed: messages.ReportUsage | None = None
+        self._unconfirmed: usage_messages.ReportUsage | None = None
         self._idle_reported = False
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -172,7 +173,7 @@
         self._unconfirmed = None
         return True
 
-    def _next_batch(self, last: bool) -> messages.ReportUsage | None:
+    def _next_batch(self, last: bool) -> usage_messages.ReportUsage | None:
         host = self._membership.host
         if host.incarnation != self._incarnation and self._incarnation:
             return self._end_incarnation(host)
@@ -188,7 +189,7 @@
         self._sequence += 1
         bundle = self._membership.state().bundle
         bound_tokens = 0 if last else open_tokens + _allowance(bundle)
-        return messages.ReportUsage(
+        return usage_messages.ReportUsage(
             host.name,
             host.incarnation,
             self._sequence,
@@ -197,13 +198,15 @@
             last,
         )
 
-    def _end_incarnation(self, host: messages.Host) -> messages.ReportUsage:
+    def _end_incarnation(
+        self, host: messages.Host
+    ) -> usage_messages.ReportUsage:
         """Closes the books of an incarnation that control has ended."""
         ended = self._incarnation
         sequence = self._sequence + 1
         self._incarnation = host.incarnation
         self._sequence = 0
-        return messages.ReportUsage(
+        return usage_messages.ReportUsage(
             host.name, ended, sequence, self._recorder.take(), 0, True
         )
 
--- /dev/null
+++ b/libs/membership/masticquay_membership/operator_messages.py
@@ -0,0 +1,215 @@
+"""Messages of the operators' command."""
+
+from masticquay_bundles import models
+from masticquay_membership import messages as membership
+from masticquay_wire import messages
+from masticquay_wire import records
+
+
+@messages.register
+class RollBundle(messages.Message):
+    """Asks to accept a bundle in place of the one named.
+
+    :param expected_version: the version that it replaces, 0 for the first
+    :param expected_digest: the digest of that bundle, empty for the first
+    """
+
+    __slots__ = ('signed', 'expected_version', 'expected_digest')
+
+    def __init__(
+        self,
+        signed: models.SignedBundle,
+        expected_version: int,
+        expected_digest: bytes,
+    ):
+        self.signed = signed
+        self.expected_version = expected_version
+        self.expected_digest = expected_digest
+
+
+@messages.register
+class WithdrawKey(messages.Message):
+    """Asks to withdraw a key by its digest."""
+
+    __slots__ = ('key_digest',)
+
+    def __init__(self, key_digest: str):
+        self.key_digest = key_digest
+
+
+@messages.register
+class CommandAccepted(messages.Message):
+    """A roll or withdrawal was committed at an index of the log.
+
+    :param repeated: the same command had been accepted before
+    """
+
+    __slots__ = ('index', 'repeated')
+
+    def __init__(self, index: int, repeated: bool):
+        self.index = index
+        self.repeated = repeated
+
+
+@messages.register
+class QueryProgress(messages.Message):
+    """Asks how far a committed change has come."""
+
+    __slots__ = ('index',)
+
+    def __init__(self, index: int):
+        self.index = index
+
+
+@messages.register
+class Progress(messages.Message):
+    """Which hosts have not applied a change, and whether it is in force.
+
+    :param evicted: hosts evicted since the change was committed
+    """
+
+    __slots__ = ('index', 'in_force', 'pending', 'evicted', 'live_count')
+
+    def __init__(
+        self,
+        index: int,
+        in_force: bool,
+        pending: list[str],
+        evicted: list[str],
+        live_count: int,
+    ):
+        self.index = index
+        self.in_force = in_force
+        self.pending = pending
+        self.evicted = evicted
+        self.live_count = live_count
+
+
+@messages.register
+class QueryStatus(messages.Message):
+    """Asks a control replica what it knows of the fleet."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        pass
+
+
+class ReplicaStatus(records.Record):
+    """A control replica as its leader sees it.
+
+    :param role: ``leader``, ``follower``, ``candidate`` or ``learner``
+    """
+
+    __slots__ = ('name', 'role', 'term', 'match_index', 'address')
+
+    def __init__(
+        self, name: str, role: str, term: int, match_index: int, address: str
+    ):
+        self.name = name
+        self.role = role
+        self.term = term
+        self.match_index = match_index
+        self.address = address
+
+
+class EndpointStatus(records.Record):
+    """An endpoint as the platform list and the orders have it.
+
+    :param state: ``live``, ``leaving`` or ``unlisted``
+    :param version: the model version last confirmed, empty when unknown
+    """
+
+    __slots__ = ('name', 'state', 'version', 'order_state')
+
+    def __init__(
+        self, name: str, state: str, version: str = '', order_state: str = ''
+    ):
+        self.name = name
+        self.state = state
+        self.version = version
+        self.order_state = order_state
+
+
+@messages.register
+class FleetStatus(messages.Message):
+    """The answer to QueryStatus."""
+
+    __slots__ = (
+        'replicas',
+        'view',
+        'adopted_view_number',
+        'bundle_version',
+        'bundle_digest',
+        'bundle_index',
+        'commit_index',
+        'withdrawn_count',
+        'endpoints',
+    )
+
+    def __init__(
+        self,
+        replicas: list[ReplicaStatus],
+        view: membership.View,
+        adopted_view_number: int,
+        bundle_version: int,
+        bundle_digest: bytes,
+        bundle_index: int,
+        commit_index: int,
+        withdrawn_count: int,
+        endpoints: list[EndpointStatus],
+    ):
+        self.replicas = replicas
+        self.view = view
+        self.adopted_view_number = adopted_view_number
+        self.bundle_version = bundle_version
+        self.bundle_digest = bundle_digest
+        self.bundle_index = bundle_index
+        self.commit_index = commit_index
+        self.withdrawn_count = withdrawn_count
+        self.endpoints = endpoints
+
+
+@messages.register
+class AddReplica(messages.Message):
+    """Asks to add a control replica, or to replace one of that name.
+
+    Answered by ReplicasChanged once the new one has synced the log and
+    counts as a voter.
+    """
+
+    __slots__ = ('name', 'address')
+
+    def __init__(self, name: str, address: str):
+        self.name = name
+        self.address = address
+
+
+@messages.register
+class RemoveReplica(messages.Message):
+    """Asks to remove a control replica; answered by ReplicasChanged."""
+
+    __slots__ = ('name',)
+
+    def __init__(self, name: str):
+        self.name = name
+
+
+@messages.register
+class ReplicasChanged(messages.Message):
+    """The control replicas after a change."""
+
+    __slots__ = ('replicas',)
+
+    def __init__(self, replicas: list[ReplicaStatus]):
+        self.replicas = replicas
+
+
+@messages.register
+class QueryBundle(messages.Message):
+    """Asks for the bundle in force, answered by SignedBundle."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        pass
--- a/libs/membership/masticquay_membership/protocols.py
+++ b/libs/membership/masticquay_membership/protocols.py
@@ -3,7 +3,9 @@
 import typing
 
 from masticquay_bundles import models
+from masticquay_membership import intent_messages
 from masticquay_membership import messages
+from masticquay_membership import usage_messages
 
 StateListener = typing.Callable[['HostState', 'HostState'], None]
 
@@ -66,8 +68,8 @@
         """
 
     def begin_intent(
-        self, intent: messages.BeginIntent, timeout_ms: int
-    ) -> messages.IntentState:
+        self, intent: intent_messages.BeginIntent, timeout_ms: int
+    ) -> intent_messages.IntentState:
         """Commits an intent.
 
         :raises MembershipError: when it may or may not have been committed;
@@ -75,7 +77,7 @@
         """
 
     def finish_intent(
-        self, finish: messages.FinishIntent, timeout_ms: int
+        self, finish: intent_messages.FinishIntent, timeout_ms: int
     ) -> None:
         """Commits the outcome of a call.
 
@@ -83,7 +85,7 @@
         """
 
     def report_usage(
-        self, report: messages.ReportUsage, timeout_ms: int
+        self, report: usage_messages.ReportUsage, timeout_ms: int
     ) -> None:
         """Commits a usage batch; the same sequence may be sent again.
 
--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -7,9 +7,11 @@
 
 from masticquay_membership import clients
 from masticquay_membership import errors
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
 from masticquay_membership import protocols
 from masticquay_membership import states
+from masticquay_membership import usage_messages
 from masticquay_wire import clocks
 from masticquay_wire import dialers
 from masticquay_wire import errors as wire_errors
@@ -98,15 +100,15 @@
         self._holder.add_listener(listener)
 
     def begin_intent(
-        self, intent: membership.BeginIntent, timeout_ms: int
-    ) -> membership.IntentState:
+        self, intent: intent_messages.BeginIntent, timeout_ms: int
+    ) -> intent_messages.IntentState:
         """Commits an intent.
 
         :raises MembershipError: when it may or may not have been committed;
             the caller must not send the call
         """
         number = next(self._call_numbers)
-        stamped = membership.BeginIntent(
+        stamped = intent_messages.BeginIntent(
             intent.workspace,
             intent.idempotency_key,
             intent.request_digest,
@@ -121,17 +123,19 @@
         except errors.MembershipError:
             self._note_begun(intent, number)
             raise
-        if answer.state == membership.INTENT_BEGUN:
+        if answer.state == intent_messages.INTENT_BEGUN:
             self._note_begun(intent, number)
         return answer
 
-    def _note_begun(self, intent: membership.BeginIntent, number: int) -> None:
+    def _note_begun(
+        self, intent: intent_messages.BeginIntent, number: int
+    ) -> None:
         """Keeps the number of a call that has, or may have, been begun."""
         with self._lock:
             self._begun[_key_of(intent)] = number
 
     def finish_intent(
-        self, finish: membership.FinishIntent, timeout_ms: int
+        self, finish: intent_messages.FinishIntent, timeout_ms: int
     ) -> None:
         """Commits the outcome of a call.
 
@@ -139,7 +143,7 @@
         """
         with self._lock:
             number = self._begun.get(_key_of(finish), 0)
-        stamped = membership.FinishIntent(
+        stamped = intent_messages.FinishIntent(
             finish.workspace,
             finish.idempotency_key,
             finish.host,
@@ -154,7 +158,7 @@
                 del self._begun[_key_of(finish)]
 
     def report_usage(
-        self, report: membership.ReportUsage, timeout_ms: int
+        self, report: usage_messages.ReportUsage, timeout_ms: int
     ) -> None:
         """Commits a usage batch; the same sequence may be sent again.
 
@@ -373,7 +377,7 @@
 
 
 def _key_of(
-    message: membership.BeginIntent | membership.FinishIntent,
+    message: intent_messages.BeginIntent | intent_messages.FinishIntent,
 ) -> tuple[str, str]:
     return (message.workspace, message.idempotency_key)
 
--- a/libs/membership/tests/test_sessions.py
+++ b/libs/membership/tests/test_sessions.py
@@ -8,6 +8,7 @@
 
 from masticquay_membership import clients
 from masticquay_membership import errors
+from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership
 from masticquay_membership import sessions
 from masticquay_wire import clocks
@@ -36,8 +37,8 @@
         for message_type, handler in (
             (membership.OpenSession, self.open),
             (membership.RenewSession, self.renew),
-            (membership.BeginIntent, self.begin),
-            (membership.FinishIntent, self.finish),
+            (intent_messages.BeginIntent, self.begin),
+            (intent_messages.FinishIntent, self.finish),
             (membership.CloseSession, lambda message, link: None),
             (membership.Subscribe, lambda message, link: None),
         ):
@@ -59,7 +60,7 @@
         self.intents.append(message)
         if self.lose_begins:
             return futures.Future()
-        return membership.IntentState(membership.INTENT_BEGUN)
+        return intent_messages.IntentState(intent_messages.INTENT_BEGUN)
 
     def finish(self, message, link):
         self.intents.append(message)
@@ -125,21 +126,21 @@
     def test_finish_names_the_call_that_was_begun(self):
         for key in ('a', 'b'):
             self.session.begin_intent(
-                membership.BeginIntent('s', key, b'', 'h1', 1), 5_000
+                intent_messages.BeginIntent('s', key, b'', 'h1', 1), 5_000
             )
         self.session.finish_intent(
-            membership.FinishIntent('s', 'a', 'h1', 1, 'ran'), 5_000
+            intent_messages.FinishIntent('s', 'a', 'h1', 1, 'ran'), 5_000
         )
         numbers = [intent.call_number for intent in self.control.intents]
         self.assertEqual([1, 2, 1], numbers)
 
     def test_unanswered_begin_can_be_finished_as_not_run(self):
-        intent = membership.BeginIntent('s', 'a', b'', 'h1', 1)
+        intent = intent_messages.BeginIntent('s', 'a', b'', 'h1', 1)
         self.control.lose_begins = True
         with self.assertRaises(errors.MembershipError):
             self.session.begin_intent(intent, 500)
         self.session.finish_intent(
-            membership.FinishIntent('s', 'a', 'h1', 1, 'not-run'), 5_000
+            intent_messages.FinishIntent('s', 'a', 'h1', 1, 'not-run'), 5_000
         )
         begun, finished = self.control.intents[0], self.control.intents[-1]
         self.assertEqual('not-run', finished.outcome)
@@ -155,5 +156,5 @@
         self.control.listener.close()
         with self.assertRaises(errors.MembershipError):
             self.session.begin_intent(
-                membership.BeginIntent('s', 'a', b'', 'h1', 1), 300
+                intent_messages.BeginIntent('s', 'a', b'', 'h1', 1), 300
             )
--- a/libs/operator/masticquay_operator/bases.py
+++ b/libs/operator/masticquay_operator/bases.py
@@ -1,6 +1,6 @@
 """The base of all commands, and the wait for a change to be in force."""
 
-from masticquay_membership import messages
+from masticquay_membership import operator_messages
 from masticquay_operator import contexts
 from masticquay_operator import errors
 from masticquay_operator import exits
@@ -40,7 +40,7 @@
 
 
 def wait_in_force(
-    context: contexts.Context, accepted: messages.CommandAccepted
+    context: contexts.Context, accepted: operator_messages.CommandAccepted
 ) -> reports.Report:
     """Waits until a committed change is in force on every host.
 
@@ -49,7 +49,9 @@
     started_ms = context.clock.now_ms()
     shown: list[str] | None = None
     while True:
-        progress = context.call(messages.QueryProgress(accepted.index))
+        progress = context.call(
+            operator_messages.QueryProgress(accepted.index)
+        )
         waited_ms = context.clock.now_ms() - started_ms
         if progress.in_force:
             return _report_in_force(accepted, progress, waited_ms)
@@ -69,8 +71,8 @@
 
 
 def _report_in_force(
-    accepted: messages.CommandAccepted,
-    progress: messages.Progress,
+    accepted: operator_messages.CommandAccepted,
+    progress: operator_messages.Progress,
     waited_ms: int,
 ) -> reports.Report:
     return reports.Report(
--- a/libs/operator/masticquay_operator/bundle_commands.py
+++ b/libs/operator/masticquay_operator/bundle_commands.py
@@ -5,7 +5,7 @@
 from masticquay_bundles import errors as bundle_errors
 from masticquay_bundles import models
 from masticquay_bundles import signatures
-from masticquay_membership import messages
+from masticquay_membership import operator_messages
 from masticquay_operator import bases
 from masticquay_operator import bundle_files
 from masticquay_operator import contexts
@@ -88,9 +88,9 @@
     ) -> reports.Report:
         bundle = bundle_files.read_bundle(arguments[0])
         signed = bundle_files.read_signatures(arguments[0], bundle)
-        status = context.call(messages.QueryStatus())
+        status = context.call(operator_messages.QueryStatus())
         accepted = context.call(
-            messages.RollBundle(
+            operator_messages.RollBundle(
                 models.SignedBundle(bundle, signed),
                 status.bundle_version,
                 status.bundle_digest,
@@ -109,7 +109,7 @@
     def run(
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
-        signed = context.call(messages.QueryBundle())
+        signed = context.call(operator_messages.QueryBundle())
         bundle = signed.bundle
         rows: list[list[reports.Cell]] = []
         for workspace in bundle.workspaces:
@@ -147,10 +147,12 @@
     def run(
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
-        status = context.call(messages.QueryStatus())
+        status = context.call(operator_messages.QueryStatus())
         if status.bundle_version == 0:
             raise errors.CommandError(exits.BAD_INPUT, 'no bundle yet')
-        progress = context.call(messages.QueryProgress(status.bundle_index))
+        progress = context.call(
+            operator_messages.QueryProgress(status.bundle_index)
+        )
         return replica_commands.list_replicas(
             {
                 'version': status.bundle_version,
--- a/libs/operator/masticquay_operator/fleet_commands.py
+++ b/libs/operator/masticquay_operator/fleet_commands.py
@@ -2,7 +2,8 @@
 
 import datetime
 
-from masticquay_membership import messages
+from masticquay_membership import operator_messages
+from masticquay_membership import usage_messages
 from masticquay_operator import bases
 from masticquay_operator import contexts
 from masticquay_operator import reports
@@ -78,7 +79,7 @@
     def run(
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
-        status = context.call(messages.QueryStatus())
+        status = context.call(operator_messages.QueryStatus())
         rows: list[list[reports.Cell]] = [
             [
                 host.name,
@@ -106,7 +107,7 @@
     def run(
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
-        status = context.call(messages.QueryStatus())
+        status = context.call(operator_messages.QueryStatus())
         rows: list[list[reports.Cell]] = [
             [e.name, e.state, e.version, e.order_state]
             for e in status.endpoints
@@ -137,7 +138,7 @@
 
 
 def _refusal_row(
-    entry: messages.UsageEntry, reasons: list[str]
+    entry: usage_messages.UsageEntry, reasons: list[str]
 ) -> list[reports.Cell]:
     row: list[reports.Cell] = [
         entry.workspace,
@@ -150,16 +151,16 @@
     return row + [entry.refusals.get(reason, 0) for reason in reasons]
 
 
-def _query_usage(context: contexts.Context) -> messages.UsageReport:
+def _query_usage(context: contexts.Context) -> usage_messages.UsageReport:
     return context.call(
-        messages.QueryUsage(
+        usage_messages.QueryUsage(
             context.workspace, context.from_hour, context.to_hour
         )
     )
 
 
 def _gap_facts(
-    ledger: messages.UsageReport,
+    ledger: usage_messages.UsageReport,
 ) -> dict[str, reports.Cell | list[str]]:
     gaps = [f'{gap.host}/{gap.incarnation}' for gap in ledger.gaps]
     missing = sum(gap.bound_tokens for gap in ledger.gaps)
--- a/libs/operator/masticquay_operator/key_commands.py
+++ b/libs/operator/masticquay_operator/key_commands.py
@@ -5,7 +5,7 @@
 import secrets
 
 from masticquay_bundles import signatures
-from masticquay_membership import messages
+from masticquay_membership import operator_messages
 from masticquay_operator import bases
 from masticquay_operator import contexts
 from masticquay_operator import errors
@@ -55,7 +55,7 @@
                 'key withdraw: a digest has 64 hex digits; give the digest, '
                 'not the key'
             )
-        accepted = context.call(messages.WithdrawKey(digest))
+        accepted = context.call(operator_messages.WithdrawKey(digest))
         context.show_progress('withdrawal accepted')
         return bases.wait_in_force(context, accepted)
 
--- a/libs/operator/masticquay_operator/replica_commands.py
+++ b/libs/operator/masticquay_operator/replica_commands.py
@@ -1,6 +1,6 @@
 """Commands that add, replace and remove control replicas."""
 
-from masticquay_membership import messages
+from masticquay_membership import operator_messages
 from masticquay_operator import bases
 from masticquay_operator import contexts
 from masticquay_operator import errors
@@ -25,7 +25,7 @@
             peers.Address.parse(address)
         except ValueError as cause:
             raise errors.UsageError(str(cause)) from cause
-        return _change(context, messages.AddReplica(name, address))
+        return _change(context, operator_messages.AddReplica(name, address))
 
 
 class ReplicaRemove(bases.Command):
@@ -39,12 +39,12 @@
     def run(
         self, arguments: list[str], context: contexts.Context
     ) -> reports.Report:
-        return _change(context, messages.RemoveReplica(arguments[0]))
+        return _change(context, operator_messages.RemoveReplica(arguments[0]))
 
 
 def list_replicas(
     facts: dict[str, reports.Cell | list[str]],
-    replicas: list[messages.ReplicaStatus],
+    replicas: list[operator_messages.ReplicaStatus],
 ) -> reports.Report:
     """Returns a report with a row for each replica."""
     return reports.Report(
--- a/libs/operator/tests/test_commands.py
+++ b/libs/operator/tests/test_commands.py
@@ -9,6 +9,8 @@
 from masticquay_bundles import signatures
 from masticquay_membership import errors as membership_errors
 from masticquay_membership import messages
+from masticquay_membership import operator_messages
+from masticquay_membership import usage_messages
 from masticquay_operator import commands
 from masticquay_operator import contexts
 from masticquay_operator import exits
@@ -41,12 +43,18 @@
     def __init__(self):
         self.asked = []
         self.answers = {
-            messages.QueryStatus: messages.FleetStatus(
+            operator_messages.QueryStatus: operator_messages.FleetStatus(
                 [], EMPTY_VIEW, 3, 1, b'd', 5, 6, 0, []
             ),
-            messages.RollBundle: messages.CommandAccepted(9, False),
-            messages.WithdrawKey: messages.CommandAccepted(9, False),
-            messages.QueryProgress: messages.Progress(9, True, [], ['e2'], 1),
+            operator_messages.RollBundle: operator_messages.CommandAccepted(
+                9, False
+            ),
+            operator_messages.WithdrawKey: operator_messages.CommandAccepted(
+                9, False
+            ),
+            operator_messages.QueryProgress: operator_messages.Progress(
+                9, True, [], ['e2'], 1
+            ),
         }
 
     def call(self, message, timeout_ms):
@@ -110,15 +118,15 @@
         signatures.check_signatures(roll.signed, roll.signed.bundle)
 
     def test_roll_shows_who_is_pending(self):
-        pending = messages.Progress(9, False, ['e1'], [], 2)
-        done = messages.Progress(9, True, [], [], 2)
-        self.control.answers[messages.QueryProgress] = [pending, done]
+        pending = operator_messages.Progress(9, False, ['e1'], [], 2)
+        done = operator_messages.Progress(9, True, [], [], 2)
+        self.control.answers[operator_messages.QueryProgress] = [pending, done]
         self.execute(f'bundle roll {self.bundle_file}')
         self.assertIn('waiting for 1 of 2 hosts: e1', self.progress.getvalue())
 
     def test_roll_that_is_not_in_force_in_time(self):
-        never = messages.Progress(9, False, ['e1'], [], 2)
-        self.control.answers[messages.QueryProgress] = never
+        never = operator_messages.Progress(9, False, ['e1'], [], 2)
+        self.control.answers[operator_messages.QueryProgress] = never
         code = self.execute(f'bundle roll {self.bundle_file}')
         self.assertEqual(exits.NOT_IN_FORCE, code)
 
@@ -127,7 +135,7 @@
             ('conflict', exits.CONFLICT),
             ('unapproved', exits.UNAPPROVED),
         ):
-            self.control.answers[messages.RollBundle] = (
+            self.control.answers[operator_messages.RollBundle] = (
                 wire_errors.RemoteError(code, 'the detail')
             )
             got = self.execute(f'bundle roll {self.bundle_file}')
@@ -135,7 +143,7 @@
             self.assertIn('the detail', self.progress.getvalue())
 
     def test_control_that_does_not_answer(self):
-        self.control.answers[messages.QueryStatus] = (
+        self.control.answers[operator_messages.QueryStatus] = (
             membership_errors.MembershipError('no answer')
         )
         self.assertEqual(exits.UNAVAILABLE, self.execute('hosts'))
@@ -175,12 +183,12 @@
         self.assertEqual(exits.BAD_INPUT, code)
 
     def test_usage_and_refusals(self):
-        entry = messages.UsageEntry(
+        entry = usage_messages.UsageEntry(
             'kisumu', 'style', 'prompt', 495_000, 2, 30, 40, 1, {'deadline': 1}
         )
-        gap = messages.UsageGap('e1', 7, 500)
-        self.control.answers[messages.QueryUsage] = messages.UsageReport(
-            [entry], [gap]
+        gap = usage_messages.UsageGap('e1', 7, 500)
+        self.control.answers[usage_messages.QueryUsage] = (
+            usage_messages.UsageReport([entry], [gap])
         )
         self.execute('usage', form='csv')
         self.assertIn('kisumu,style,prompt,2026-06-21T00:00Z,2', self.output)
@@ -192,18 +200,22 @@
         self.assertEqual(1, row['within_rate'])
 
     def test_replica_is_added_and_removed(self):
-        replica = messages.ReplicaStatus('c1', 'follower', 2, 9, '1.2.3.4:5')
-        changed = messages.ReplicasChanged([replica])
-        self.control.answers[messages.AddReplica] = changed
-        self.control.answers[messages.RemoveReplica] = changed
+        replica = operator_messages.ReplicaStatus(
+            'c1', 'follower', 2, 9, '1.2.3.4:5'
+        )
+        changed = operator_messages.ReplicasChanged([replica])
+        self.control.answers[operator_messages.AddReplica] = changed
+        self.control.answers[operator_messages.RemoveReplica] = changed
         self.assertEqual(exits.OK, self.execute('replica add c1 1.2.3.4:5'))
         self.assertEqual('c1', json.loads(self.output)['rows'][0]['replica'])
         self.assertEqual(exits.USAGE, self.execute('replica add c1 nowhere'))
         self.assertEqual(exits.OK, self.execute('replica remove c1'))
 
     def test_change_that_is_refused_has_its_exit_code(self):
-        self.control.answers[messages.RemoveReplica] = wire_errors.RemoteError(
-            'replica-change', 'another change is under way'
+        self.control.answers[operator_messages.RemoveReplica] = (
+            wire_errors.RemoteError(
+                'replica-change', 'another change is under way'
+            )
         )
         self.assertEqual(exits.CONFLICT, self.execute('replica remove c1'))
 
