A pool whose owner cannot be reached is passed by for another place

Ruled out: a shorter lease, which a busy host would lose; asking another owner of the same pool, which could reserve a slot twice. Change: after 150 ms without a link the host asks the pool of another place; a placement that the first owner makes all the same is given back. Tests fail first (no answer within 20 s), then pass.

--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -22,6 +22,8 @@
 BATCH_MS = 5
 ROUND_MS = 50
 RETRY_MS = 50
+# Long enough for a first dial, short against the first-token targets.
+UNREACHABLE_MS = 150
 ANNOUNCE_TIMEOUT_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
 ANSWER_MARGIN_MS = 1_000
@@ -184,6 +186,7 @@
             self._resolve(pending, messages.Refused(messages.REASON_DEADLINE))
             return
         pending.round += 1
+        pending.sent_ms = now_ms
         sent_round = pending.round
         admit.finished = self._table.take_finished(admit.pool)
         pending.owner = self._links.owner_key(admit.pool)
@@ -214,9 +217,10 @@
             current = pending.round == sent_round and pending.owner == owner
             if current and self._resolve(pending, outcome):
                 return
-            # The same attempt may be placed or asked for anew: giving an
-            # earlier placement back would free that one.
-            if not self._table.is_known(pending.key):
+            # The same attempt may be placed or asked for anew in this pool:
+            # giving an earlier placement back would free that one.
+            left = outcome.pool != pending.admit.pool
+            if left or not self._table.is_known(pending.key):
                 self._give_back(outcome)
             outcome = None
         if pending.round != sent_round or pending.future.done():
@@ -224,7 +228,7 @@
         if outcome is None or outcome.reason == messages.REASON_NOT_OWNER:
             pending.retry_ms = self._clock.now_ms() + RETRY_MS
             return
-        if outcome.reason in SPILL_REASONS and self._spill(pending, outcome):
+        if outcome.reason in SPILL_REASONS and self._spill(pending):
             return
         self._resolve(pending, outcome)
 
@@ -243,9 +247,7 @@
         )
         self._table.add_finished(placement.pool, finished)
 
-    def _spill(
-        self, pending: outstanding.PendingAdmit, refused: messages.Refused
-    ) -> bool:
+    def _spill(self, pending: outstanding.PendingAdmit) -> bool:
         """Turns to another pool of the same target, if there is one."""
         current = self._links.map.plans.get(pending.admit.pool)
         if current is None or not pending.spills_left:
@@ -285,6 +287,16 @@
             ):
                 pending.retry_ms = None
                 self._send_admit(pending)
+            elif self._is_stranded(pending, now_ms):
+                self._spill(pending)
+
+    def _is_stranded(
+        self, pending: outstanding.PendingAdmit, now_ms: int
+    ) -> bool:
+        """Whether the owner cannot be reached, though it was not evicted."""
+        if now_ms - pending.sent_ms < UNREACHABLE_MS:
+            return False
+        return not self._links.reachable(pending.admit.pool)
 
     def _report_finished(self) -> None:
         for pool in self._table.pools_with_finished():
--- a/libs/scheduling/masticquay_scheduling/outstanding.py
+++ b/libs/scheduling/masticquay_scheduling/outstanding.py
@@ -23,6 +23,7 @@
         'admit',
         'future',
         'began_ms',
+        'sent_ms',
         'owner',
         'round',
         'retry_ms',
@@ -36,6 +37,7 @@
         self.admit = admit
         self.future: futures.Future = futures.Future()
         self.began_ms = began_ms
+        self.sent_ms = began_ms
         self.owner: tuple[str, int] | None = None
         self.round = 0
         self.retry_ms: int | None = None
--- a/libs/scheduling/masticquay_scheduling/owner_links.py
+++ b/libs/scheduling/masticquay_scheduling/owner_links.py
@@ -78,6 +78,15 @@
             return None
         return self._service.find_pool(pool)
 
+    def reachable(self, pool: str) -> bool:
+        """Whether a pool's owner is this host, or has a link to it."""
+        owner = self.owner(pool)
+        if owner is None:
+            return False
+        if owner.name == self._membership.host.name:
+            return True
+        return self._directory.find(owner.peer_address).connected
+
     def ask(
         self,
         pool: str,
--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -218,6 +218,50 @@
         ].service.pools()['tall@south']
         self.wait_for(lambda: not south.table.running)
 
+    def stop_owner_of_north(self):
+        """Ends an owner that no view evicts.
+
+        :returns: a host beside it, and the pool of another owner
+        """
+        north = self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        place, owner = next(
+            (place, found)
+            for place in ('south', 'east', 'west', 'middle')
+            for found in [
+                self.owner(ownership.KIND_POOL, f'tall@{place}', place)
+            ]
+            if found != north
+        )
+        engines = [
+            fakes.make_engine(f'{each}-{role}', [role], each)
+            for each in ('north', place)
+            for role in ('prefill', 'decode')
+        ]
+        self.change(bundle=fakes.make_bundle(engines, version=2))
+        self.nodes.pop(north).stack.close()
+        pool = f'tall@{place}'
+        pools = self.nodes[owner].service.pools
+        self.wait_for(lambda: pool in pools())
+        return next(iter(self.nodes.values())), pool
+
+    def test_an_owner_out_of_reach_is_passed_by_for_another_place(self):
+        node, other = self.stop_owner_of_north()
+        placement = self.place(node, 1)
+        self.assertEqual(other, placement.pool)
+
+    def test_a_placement_of_a_pool_passed_by_is_given_back(self):
+        node, other = self.stop_owner_of_north()
+        placement = self.place(node, 1)
+        pending = outstanding.PendingAdmit(
+            fakes.make_admit(1, other, host=node.name), 0, 0
+        )
+        fields = {n: getattr(placement, n) for n in placement.__slots__}
+        late = messages.Placement(**{**fields, 'pool': 'tall@north'})
+        node.pools._settle_admit(pending, pending.round - 1, late)
+        self.assertEqual(
+            ['tall@north'], node.pools._table.pools_with_finished()
+        )
+
     def test_closing_refuses_what_waits(self):
         node = self.nodes['h1']
         pool = node.pools.pool_of('tall', 'north')
--- a/libs/wire/masticquay_wire/peers.py
+++ b/libs/wire/masticquay_wire/peers.py
@@ -71,6 +71,10 @@
 class Peer(typing.Protocol):
     """The sending side of a link: one per remote process."""
 
+    @property
+    def connected(self) -> bool:
+        """Whether a link stands now."""
+
     def submit(
         self, message: messages.Message, timeout_ms: int
     ) -> 'futures.Future[messages.Message]':
