--- a/libs/entry/masticquay_entry/intents.py
+++ b/libs/entry/masticquay_entry/intents.py
@@ -18,7 +18,7 @@
 Key = tuple[str, str]
 
 
-class IntentKeeper:
+class IntentRecorder:
     """Begins and finishes intents, and repeats unconfirmed finishes.
 
     A key is open for one call at a time on this host, from the begin until
--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -342,7 +342,7 @@
     def _end_attempt(
         self, placement: messages.Placement, ending: '_Ending'
     ) -> None:
-        """Frees the places, after the engines let go of a cancelled one."""
+        """Frees the places, once the engines have acknowledged a cancel."""
 
         def finish() -> None:
             self._placer.finish(
--- a/libs/entry/masticquay_entry/usages.py
+++ b/libs/entry/masticquay_entry/usages.py
@@ -201,7 +201,7 @@
     def _end_incarnation(
         self, host: messages.Host
     ) -> usage_messages.ReportUsage:
-        """Closes the books of an incarnation that control has ended."""
+        """Ends the accounting of an incarnation that control has evicted."""
         ended = self._incarnation
         sequence = self._sequence + 1
         self._incarnation = host.incarnation
--- a/libs/entry/tests/test_parts.py
+++ b/libs/entry/tests/test_parts.py
@@ -93,7 +93,7 @@
             self.reporter.report_once()
         self.assertEqual(1, len(self.reports()))
 
-    def test_a_new_incarnation_ends_the_books_of_the_old_one(self):
+    def test_a_new_incarnation_ends_the_accounting_of_the_old_one(self):
         self.recorder.record_answer('nairobi', 'm', 'standard', 10, 3)
         self.reporter.report_once()
         self.recorder.record_answer('nairobi', 'm', 'standard', 2, 2)
