--- a/libs/entry/masticquay_entry/applications.py
+++ b/libs/entry/masticquay_entry/applications.py
@@ -35,13 +35,13 @@
         self,
         parts: backends.Backends,
         gate: admissions.Gate,
-        recorder: intents.IntentRecorder,
+        intent_recorder: intents.IntentRecorder,
         drain: drains.Drain,
         entry_settings: settings.EntrySettings,
     ):
         self._parts = parts
         self._gate = gate
-        self._recorder = recorder
+        self._intent_recorder = intent_recorder
         self._drain = drain
         self._settings = entry_settings
         self._places = threading.BoundedSemaphore(entry_settings.threads)
@@ -217,7 +217,9 @@
         )
         call = service_calls.ServiceCall(self._parts, run, request)
         if not run.admission.route.idempotent:
-            call = service_calls.OnceCall(call, self._recorder, run, request)
+            call = service_calls.OnceCall(
+                call, self._intent_recorder, run, request
+            )
         try:
             answer = call.run()
         except refusals.Refusal as refusal:
--- a/libs/entry/masticquay_entry/hosts.py
+++ b/libs/entry/masticquay_entry/hosts.py
@@ -46,7 +46,7 @@
         self._reporter = usages.UsageReporter(
             membership, self._usage, entry_settings.usage_interval_ms
         )
-        self._recorder = intents.IntentRecorder(membership)
+        self._intent_recorder = intents.IntentRecorder(membership)
         self._supervisor = supervisors.Supervisor(
             membership, self._registry, clock, entry_settings.caller_stall_ms
         )
@@ -66,7 +66,11 @@
             random.Random(entry_settings.seed),
         )
         application = applications.Application(
-            parts, self._gate, self._recorder, self._drain, entry_settings
+            parts,
+            self._gate,
+            self._intent_recorder,
+            self._drain,
+            entry_settings,
         )
         self._server = servers.EntryServer(application, entry_settings)
         membership.add_listener(self._registry.apply_state)
@@ -87,7 +91,7 @@
         """Starts serving."""
         self._stack.callback(self._metrics.close)
         self._stack.callback(self._canceller.close)
-        for part in (self._reporter, self._recorder, self._supervisor):
+        for part in (self._reporter, self._intent_recorder, self._supervisor):
             part.start()
             self._stack.callback(part.stop)
         self._stack.callback(self._end_runs)
@@ -131,5 +135,5 @@
         )
         observe(
             'masticquay.intents_unconfirmed',
-            lambda: self._recorder.unconfirmed_count,
+            lambda: self._intent_recorder.unconfirmed_count,
         )
--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -154,12 +154,12 @@
     def __init__(
         self,
         call: ServiceCall,
-        recorder: intents.IntentRecorder,
+        intent_recorder: intents.IntentRecorder,
         run: runs.Run,
         request: callers.CallerRequest,
     ):
         self._call = call
-        self._recorder = recorder
+        self._intent_recorder = intent_recorder
         self._run = run
         self._request = request
 
@@ -180,7 +180,7 @@
                 f'this route needs the header {callers.IDEMPOTENCY_HEADER}',
             )
         workspace = self._run.admission.workspace
-        state = self._recorder.begin(workspace, key, self._digest())
+        state = self._intent_recorder.begin(workspace, key, self._digest())
         if state.state != intent_messages.INTENT_BEGUN:
             return _answer_from_record(state)
         outcome, stored = intent_messages.OUTCOME_UNKNOWN, None
@@ -193,7 +193,7 @@
             outcome = refusal.outcome
             raise
         finally:
-            self._recorder.finish(workspace, key, outcome, stored)
+            self._intent_recorder.finish(workspace, key, outcome, stored)
 
     def _digest(self) -> bytes:
         digest = hashlib.sha256()
