Entry: the usual switch interval of the interpreter again

Cause: 20 ms was set to spare thread switches; its effect on the processor time was not proven. Conclusion: taken back.

--- a/libs/entry/masticquay_entry/daemons.py
+++ b/libs/entry/masticquay_entry/daemons.py
@@ -35,11 +35,6 @@
 EXIT_FAILED = 1
 EXIT_SETTINGS = 78
 READY_POLL_MS = 50
-# Tokens of one engine arrive together and their threads queue for the
-# interpreter. With the usual 5 ms the waiting ones force switches that cost
-# more than they bring; this stays below the time between two tokens.
-SWITCH_INTERVAL_S = 0.02
-
 SETTINGS = flags.DEFINE_string('settings', None, 'The settings file.')
 CHECK = flags.DEFINE_bool('check', False, 'Only check the settings.')
 
@@ -176,7 +171,6 @@
     try:
         logs.set_up(entry_settings.log_file, entry_settings.name)
         secret = pathlib.Path(entry_settings.secret_file).read_bytes().strip()
-        sys.setswitchinterval(SWITCH_INTERVAL_S)
         daemon = EntryDaemon(entry_settings, secret)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: daemon.stop())
