A request outlives the loss of its pool's owner

Cause: a new owner got the waiting requests with what the loss had left of their first-token target, nothing, and refused them all. The wait limit and the deadline of the class still bound them. Ruled out: refusing at once (the authors would have to come back just when the new owner begins). The test fails first with Refused(deadline).

--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -282,9 +282,10 @@
         now_ms = self._clock.now_ms()
         for pending in self._table.pending():
             due = pending.retry_ms is not None and pending.retry_ms <= now_ms
-            if due or pending.owner != self._links.owner_key(
-                pending.admit.pool
-            ):
+            lost = pending.owner != self._links.owner_key(pending.admit.pool)
+            if lost:
+                pending.restart(now_ms)
+            if due or lost:
                 pending.retry_ms = None
                 self._send_admit(pending)
             elif self._is_stranded(pending, now_ms):
--- a/libs/scheduling/masticquay_scheduling/outstanding.py
+++ b/libs/scheduling/masticquay_scheduling/outstanding.py
@@ -24,6 +24,7 @@
         'future',
         'began_ms',
         'sent_ms',
+        'owned_ms',
         'owner',
         'round',
         'retry_ms',
@@ -38,6 +39,7 @@
         self.future: futures.Future = futures.Future()
         self.began_ms = began_ms
         self.sent_ms = began_ms
+        self.owned_ms = began_ms
         self.owner: tuple[str, int] | None = None
         self.round = 0
         self.retry_ms: int | None = None
@@ -67,11 +69,19 @@
                 for name in self.admit.__slots__
             }
         )
-        admit.first_token_ms = first_ms - elapsed_ms
+        admit.first_token_ms = first_ms - (now_ms - self.owned_ms)
         admit.deadline_ms = deadline_ms - elapsed_ms
         admit.max_wait_ms = wait_ms - elapsed_ms
         return admit
 
+    def restart(self, now_ms: int) -> None:
+        """Counts the first-token target anew, after the owner was lost.
+
+        The wait and the deadline go on: the request is answered late rather
+        than refused for a loss that was not its own.
+        """
+        self.owned_ms = now_ms
+
     def turn_to(self, pool: str) -> None:
         """Chooses another pool."""
         self.spills_left -= 1
--- a/libs/scheduling/tests/test_clients.py
+++ b/libs/scheduling/tests/test_clients.py
@@ -262,6 +262,24 @@
             ['tall@north'], node.pools._table.pools_with_finished()
         )
 
+    def test_a_request_outlives_the_loss_of_its_owner(self):
+        owner = self.owner(ownership.KIND_POOL, 'tall@north', 'north')
+        node = next(n for n in self.nodes.values() if n.name != owner)
+        self.nodes[owner].stack.close()
+        admit = fakes.make_admit(
+            1,
+            'tall@north',
+            host=node.name,
+            first_token_ms=400,
+            max_wait_ms=20_000,
+        )
+        waiting = node.pools.admit(admit)
+        # Longer than the first-token target, as an eviction is.
+        time.sleep(1)
+        self.lose(owner)
+        outcome = waiting.result(fakes.WAIT_S)
+        self.assertTrue(pipeline.is_successful(outcome), outcome)
+
     def test_closing_refuses_what_waits(self):
         node = self.nodes['h1']
         pool = node.pools.pool_of('tall', 'north')
