--- a/libs/consensus/masticquay_consensus/changes.py
+++ b/libs/consensus/masticquay_consensus/changes.py
@@ -9,7 +9,7 @@
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import peers
 
-SYNC_TIMEOUT_MS = 120_000
+SYNC_TIMEOUT_MS = 20_000
 SYNC_POLL_MS = 20
 
 
@@ -59,6 +59,18 @@
             self._drop(member)
         return self._configuration()
 
+    def remove_identity(self, replica_id: str) -> messages.Configuration:
+        """Removes one replica; another one of its name stays.
+
+        :raises ConsensusError: when the group is not changed as asked
+        """
+        self._require_leader()
+        member = self._configuration().member(replica_id)
+        if member is None:
+            raise errors.ReplicaChangeError(f'no replica {replica_id!r}')
+        self._drop(member)
+        return self._configuration()
+
     def _require_leader(self) -> None:
         if not self._replica.lease_remaining_ms():
             raise errors.NotLeaderError(self._replica.leader_address())
--- a/libs/consensus/masticquay_consensus/leaders.py
+++ b/libs/consensus/masticquay_consensus/leaders.py
@@ -103,6 +103,10 @@
             return self._state.store.journal.synced_index
         return self._find(member_id).match_index
 
+    def acked_ms(self, member_id: str) -> int:
+        """Returns when the last answered request to a member was sent."""
+        return self._find(member_id).acked_ms
+
     def has_committed(self) -> bool:
         """Whether an entry of this term is committed."""
         state = self._state
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -189,6 +189,14 @@
         """Removes a replica."""
         return self._change_worker.submit(self._changes.remove, name)
 
+    def remove_identity(
+        self, replica_id: str
+    ) -> 'futures.Future[messages.Configuration]':
+        """Removes one replica; another one of its name stays."""
+        return self._change_worker.submit(
+            self._changes.remove_identity, replica_id
+        )
+
     def status(self) -> messages.LogStatus:
         """Returns what this replica knows of the group."""
         return self.replica.status()
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -238,6 +238,15 @@
             match_index = self._leader.match_index(member_id)
             return match_index >= self.state.commit_index
 
+    def silence_ms(self, member_id: str) -> int:
+        """Returns for how long a member has not answered this leader."""
+        state = self.state
+        with state.lock:
+            since_ms = max(
+                self._leader.acked_ms(member_id), state.led_since_ms
+            )
+            return max(0, state.clock.now_ms() - since_ms)
+
     def lease_remaining_ms(self) -> int:
         """Returns for how long this leader cannot be deposed, or 0."""
         state = self.state
--- /dev/null
+++ b/libs/coordination/masticquay_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: tables, hosts, endpoint list and placements."""
--- /dev/null
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -0,0 +1,225 @@
+"""The leader as owner of all pools and rates of the fleet."""
+
+from concurrent import futures
+import logging
+import threading
+
+from masticquay_coordination import orders
+from masticquay_routing import balances
+from masticquay_routing import fleets
+from masticquay_routing import messages
+from masticquay_routing import meters
+from masticquay_routing import placements
+from masticquay_routing import tables
+from masticquay_wire import clocks
+from masticquay_wire import messages as wire_messages
+
+LOG = logging.getLogger(__name__)
+
+# A new owner does not know what its predecessor handed out last.
+SUCCESSOR_START = 0.5
+
+
+class Owner:
+    """Places model requests and meters workspaces during one term.
+
+    :param first: whether no earlier leader can have handed anything out
+    """
+
+    def __init__(self, term: int, clock: clocks.Clock, first: bool):
+        self.term = term
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pools: dict[str, placements.Pool] = {}
+        self._balances: dict[str, balances.Balance] = {}
+        self._engines: dict[str, tables.Engine] = {}
+        self._meters = meters.Meters(start=1.0 if first else SUCCESSOR_START)
+        self._waiting: dict[placements.Key, futures.Future] = {}
+
+    def set_table(self, table: tables.Table) -> None:
+        """Takes up a table's engines and rates."""
+        with self._lock:
+            self._engines = {
+                name: service.engine
+                for name, service in table.services.items()
+                if service.engine is not None
+            }
+            limits = meters.limits_of(table.workspaces)
+            self._meters.set_limits(limits, self._clock.now_ms())
+
+    def set_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
+        """Takes up the endpoint list."""
+        with self._lock:
+            for name, engine in self._engines.items():
+                pool = self._pools.setdefault(name, placements.Pool())
+                self._balances.setdefault(name, balances.Balance())
+                mine = [e for e in endpoints if e.service == name]
+                pool.set_engines(mine, engine.memory_tokens, engine.slots)
+        self.pump()
+
+    def admit(
+        self, request: messages.Admit
+    ) -> wire_messages.Message | futures.Future:
+        """Answers a request for a place, at once or later."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            if not request.charged:
+                wait_ms = self._meters.take(
+                    request.workspace, request.cost, now_ms
+                )
+                if wait_ms:
+                    return messages.Refused('over rate', wait_ms, True)
+            pool = self._pools.get(request.service)
+            if pool is None:
+                return messages.Refused(
+                    'no engine', placements.RETURN_MIN_MS
+                )
+            key = (request.host, request.number)
+            self._balances[request.service].note_prompt(
+                request.prompt_tokens, now_ms
+            )
+            pool.admit(_ticket(key, request, now_ms))
+            future: futures.Future = futures.Future()
+            future.set_running_or_notify_cancel()
+            self._waiting[key] = future
+        self.pump()
+        return future
+
+    def finish_prefill(self, done: messages.PrefillDone) -> None:
+        """Notes that a prompt was read."""
+        with self._lock:
+            pool = self._pools.get(done.service)
+            if pool is not None:
+                pool.finish_prefill(
+                    (done.host, done.number), done.duration_ms
+                )
+
+    def finish(self, finished: messages.Finished) -> None:
+        """Frees the place of a request."""
+        key = (finished.host, finished.number)
+        with self._lock:
+            pool = self._pools.get(finished.service)
+            if pool is not None:
+                pool.withdraw(key)
+            abandoned = self._waiting.pop(key, None)
+        if abandoned is not None:
+            abandoned.set_result(messages.Refused('caller left', 0))
+        self.pump()
+
+    def note_trouble(self, trouble: messages.EndpointTrouble) -> None:
+        """Leaves an engine aside that failed a host's request."""
+        with self._lock:
+            pool = self._pools.get(trouble.service)
+            if pool is not None:
+                pool.note_trouble(trouble.endpoint_id, self._clock.now_ms())
+
+    def adopt(self, host: str, running: list[messages.Running]) -> None:
+        """Takes up what a host runs since before this term."""
+        with self._lock:
+            for item in running:
+                pool = self._pools.setdefault(item.service, placements.Pool())
+                self._balances.setdefault(item.service, balances.Balance())
+                pool.adopt(
+                    (host, item.number),
+                    item.decode_id,
+                    item.memory_tokens,
+                    item.prompt_tokens,
+                )
+
+    def charge(self, usage: dict[str, float]) -> dict[str, int]:
+        """Charges what ran on a host; returns who is over the rate."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            for workspace, cost in usage.items():
+                self._meters.charge(workspace, cost, now_ms)
+            return self._meters.exhausted(now_ms)
+
+    def release_host(self, host: str) -> None:
+        """Frees everything of a host that is gone."""
+        with self._lock:
+            for pool in self._pools.values():
+                pool.release_host(host)
+            gone = [key for key in self._waiting if key[0] == host]
+            abandoned = [self._waiting.pop(key) for key in gone]
+        for future in abandoned:
+            future.set_result(messages.Refused('host lost', 0))
+        self.pump()
+
+    def pump(self) -> None:
+        """Places and refuses what is due, and answers the hosts."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            outcomes = [
+                outcome
+                for pool in self._pools.values()
+                for outcome in pool.pump(now_ms)
+            ]
+            answers = [
+                (self._waiting.pop(ticket.key, None), _answer(outcome))
+                for ticket, outcome in outcomes
+            ]
+        for future, answer in answers:
+            if future is not None:
+                future.set_result(answer)
+
+    def plan_orders(self) -> list[orders.PlannedOrder]:
+        """Returns the orders that are due."""
+        now_ms = self._clock.now_ms()
+        planned = []
+        with self._lock:
+            for name, engine in self._engines.items():
+                pool = self._pools.get(name)
+                if pool is None:
+                    continue
+                order = self._balances[name].plan(
+                    pool, now_ms, engine.role_switch_ms
+                )
+                if order is not None:
+                    planned.append(
+                        orders.PlannedOrder(order.endpoint, order.role)
+                    )
+        return planned
+
+    def fail_all(self) -> None:
+        """Refuses everything that waits: the term is over."""
+        with self._lock:
+            waiting = list(self._waiting.values())
+            self._waiting.clear()
+        for future in waiting:
+            future.set_result(messages.Refused('leader changed', 0))
+
+    def gauges(self) -> dict[str, float]:
+        """Returns figures for the metrics page."""
+        with self._lock:
+            pools = list(self._pools.values())
+            return {
+                'placed_requests': sum(p.running_count for p in pools),
+                'waiting_requests': sum(p.queue_length for p in pools),
+            }
+
+
+def _ticket(
+    key: placements.Key, request: messages.Admit, now_ms: int
+) -> placements.Ticket:
+    return placements.Ticket(
+        key=key,
+        workspace=request.workspace,
+        prompt_tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        priority=request.priority,
+        arrived_ms=now_ms,
+        urgent_until_ms=now_ms + request.urgent_ms,
+        give_up_ms=now_ms + request.wait_ms,
+        avoid=frozenset(request.avoid),
+    )
+
+
+def _answer(
+    outcome: placements.Placement | placements.Refusal,
+) -> wire_messages.Message:
+    if isinstance(outcome, placements.Refusal):
+        return messages.Refused(outcome.reason, outcome.retry_after_ms)
+    prefill = outcome.prefill
+    return messages.Placed(
+        prefill.endpoint_id if prefill else '', outcome.decode.endpoint_id
+    )
--- /dev/null
+++ b/libs/coordination/masticquay_coordination/tables.py
@@ -0,0 +1,95 @@
+"""Changes and reads of the routing table, for operators."""
+
+from concurrent import futures
+import logging
+
+from masticquay_consensus import errors as consensus_errors
+from masticquay_consensus import nodes
+from masticquay_coordination import errors
+from masticquay_coordination import table_machines
+from masticquay_routing import tables
+
+LOG = logging.getLogger(__name__)
+
+COMMIT_TIMEOUT_S = 2.5
+
+
+class TableService:
+    """Stores and returns the operator's documents on the leader."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        machine: table_machines.TableMachine,
+        reader: tables.TableReader,
+    ):
+        self._node = node
+        self._machine = machine
+        self._reader = reader
+
+    def put(self, document: bytes) -> int:
+        """Checks and stores a document; returns once it is durable.
+
+        :returns: its version
+        :raises TableError: when it is not valid
+        :raises NotServingError: when nothing was stored
+        :raises UnknownOutcomeError: when it may have been stored
+        """
+        table = self._reader.read(document)
+        self._require_current()
+        if table.version <= self._machine.version:
+            LOG.info(
+                'table not newer',
+                extra={
+                    'version': table.version,
+                    'held_version': self._machine.version,
+                },
+            )
+            return table.version
+        command = table_machines.encode_put(table.version, document)
+        pending = self._node.propose(command)
+        try:
+            pending.result(COMMIT_TIMEOUT_S)
+        except consensus_errors.NotLeaderError as cause:
+            raise errors.NotServingError(
+                'leads no more', cause.leader_address
+            ) from cause
+        except (
+            consensus_errors.ConsensusError,
+            futures.TimeoutError,
+        ) as cause:
+            LOG.warning(
+                'table change without outcome',
+                extra={
+                    'version': table.version,
+                    'cause': type(cause).__name__,
+                },
+            )
+            raise errors.UnknownOutcomeError(str(cause)) from cause
+        LOG.info(
+            'table stored',
+            extra={
+                'version': table.version,
+                'routes': len(table.routes),
+                'term': self._node.term(),
+            },
+        )
+        return table.version
+
+    def get(self) -> bytes | None:
+        """Returns the newest document, None before the first.
+
+        :raises NotServingError: when this replica cannot be sure
+        """
+        self._require_current()
+        stored = self._machine.stored
+        return stored.text() if stored else None
+
+    def _require_current(self) -> None:
+        try:
+            self._node.read_barrier()
+        except consensus_errors.NotLeaderError as cause:
+            leader = self._node.leader()
+            raise errors.NotServingError(
+                'does not lead', leader.address if leader else ''
+            ) from cause
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -252,7 +252,10 @@
     headers: Headers,
     body: bytes,
 ) -> None:
-    connection.putrequest(method, path, skip_accept_encoding=True)
+    named = any(name.lower() == 'host' for name, _value in headers)
+    connection.putrequest(
+        method, path, skip_host=named, skip_accept_encoding=True
+    )
     for name, value in headers:
         connection.putheader(name, value)
     if body or method not in ('GET', 'HEAD', 'DELETE'):
--- /dev/null
+++ b/libs/gateway/masticquay_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon behind a caller protocol port."""
--- /dev/null
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -0,0 +1,61 @@
+"""Sends requests to endpoints over kept connections."""
+
+import threading
+
+from masticquay_endpoints import connections
+from masticquay_endpoints import errors as endpoint_errors
+from masticquay_endpoints import interrupts
+from masticquay_gateway import ports
+from masticquay_routing import fleets
+
+MAX_POOLS = 256
+
+
+class Exchanges:
+    """One pool of connections for each endpoint."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._pools: dict[str, connections.ConnectionPool] = {}
+
+    def open(
+        self,
+        endpoint: fleets.Endpoint,
+        interrupt: interrupts.Interrupt,
+        fresh: bool = False,
+    ) -> connections.Exchange:
+        """Returns an exchange with an endpoint, to be closed.
+
+        :param fresh: use a new connection
+        """
+        key = f'{endpoint.address} {endpoint.endpoint_id}'
+        with self._lock:
+            pool = self._pools.get(key)
+            if pool is None:
+                self._evict()
+                pool = connections.ConnectionPool(endpoint.address)
+                self._pools[key] = pool
+        return connections.Exchange(pool, interrupt, fresh)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close()
+
+    def _evict(self) -> None:
+        while len(self._pools) >= MAX_POOLS:
+            oldest = next(iter(self._pools))
+            self._pools.pop(oldest).close()
+
+
+def headers_of(exchange: connections.Exchange) -> ports.Headers:
+    """Returns the headers of an answer."""
+    return list(exchange.response.headers.items())
+
+
+EndpointError = endpoint_errors.EndpointError
+InterruptedCallError = endpoint_errors.InterruptedCallError
+NotSentError = endpoint_errors.NotSentError
+StalledError = endpoint_errors.StalledError
--- /dev/null
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -0,0 +1,391 @@
+"""Requests to model engines: place, prefill, decode, relay, resume."""
+
+import itertools
+import logging
+import random
+import threading
+import time
+
+from masticquay_endpoints import connections
+from masticquay_gateway import errors
+from masticquay_gateway import events
+from masticquay_gateway import exchanges
+from masticquay_gateway import fleet_states
+from masticquay_gateway import jobs
+from masticquay_gateway import placers
+from masticquay_gateway import ports
+from masticquay_gateway import retries
+from masticquay_routing import fleets
+from masticquay_routing import messages
+from masticquay_routing import placements
+from masticquay_serving import counters
+
+LOG = logging.getLogger(__name__)
+
+READ_BYTES = 64 * 1024
+PREFILL_ANSWER_BYTES = 64 * 1024
+# A request that cannot get its first token in time any more is refused
+# after this part of its target.
+WAIT_SHARE = 0.6
+COMEBACK_WAIT_MS = 2_500
+MAX_SENDS = 4
+STREAM_GAP_LIMIT_MS = 2_500
+RELEASE_TIMEOUT_MS = 500
+RETURN_MS = 500
+
+
+class Relay:
+    """What a caller has got of a stream so far.
+
+    :param started: whether the head of the answer went out
+    """
+
+    __slots__ = ('started', 'cutter', 'first_ms')
+
+    def __init__(self) -> None:
+        self.started = False
+        self.cutter = events.EventCutter()
+        self.first_ms = 0.0
+
+
+class BrokenStreamError(errors.GatewayError):
+    """An engine ended a stream before its end."""
+
+
+class NotRunError(errors.GatewayError):
+    """An engine refused a request without running it."""
+
+
+class ForeignAnswerError(errors.GatewayError):
+    """An engine gave an answer that is not that of the request.
+
+    :param final: the endpoint's own failure, to be passed on
+    """
+
+
+class OwnFailure(errors.GatewayError):
+    """An engine ran the request and answered with a failure."""
+
+    def __init__(self, status: int, headers: ports.Headers, body: bytes):
+        super().__init__(f'status {status}')
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Streamer:
+    """Runs model requests."""
+
+    def __init__(
+        self,
+        host: str,
+        state: fleet_states.FleetState,
+        protocol: ports.EndpointProtocol,
+        pools: exchanges.Exchanges,
+        placer: placers.Placer,
+        budgets: retries.Budgets,
+        registry: counters.Registry,
+    ):
+        self._host = host
+        self._state = state
+        self._protocol = protocol
+        self._pools = pools
+        self._placer = placer
+        self._budgets = budgets
+        self._registry = registry
+        self._numbers = itertools.count(random.getrandbits(40))
+
+    def run(self, job: jobs.Job) -> ports.Refusal | None:
+        """Runs a request and relays its stream.
+
+        :returns: a refusal, if the caller got no part of an answer
+        :raises InterruptedCallError: when the caller left
+        """
+        self._budgets.note_request(job.service)
+        relay = Relay()
+        refusal: ports.Refusal | None = None
+        for sends in range(MAX_SENDS):
+            if sends and not self._budgets.take(job.service):
+                break
+            place = self._place(job, charged=sends > 0)
+            if isinstance(place, messages.Refused):
+                return self._end(job, relay, refusal or _refusal_of(place))
+            sound = False
+            try:
+                self._send(job, place, relay)
+                sound = True
+                return None
+            except NotRunError as cause:
+                sound = True
+                refusal = ports.Refusal(
+                    ports.Reason.NOT_RUN, str(cause), RETURN_MS
+                )
+                self._log(job, place, 'not run', cause)
+                job.tried.add(place.decode.endpoint_id)
+            except OwnFailure as cause:
+                self._log(job, place, 'engine failed it', cause)
+                if relay.started:
+                    refusal = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
+                else:
+                    job.reply.send(cause.status, cause.headers, cause.body)
+                    return None
+            except exchanges.NotSentError as cause:
+                refusal = ports.Refusal(
+                    ports.Reason.NOT_RUN, str(cause), RETURN_MS
+                )
+                self._note_trouble(job, place.decode, cause)
+            except exchanges.InterruptedCallError:
+                sound = True
+                raise
+            except (
+                exchanges.EndpointError,
+                BrokenStreamError,
+                ForeignAnswerError,
+            ) as cause:
+                self._note_trouble(job, place.decode, cause)
+                if not job.route.resumable or job.remaining_ms <= 0:
+                    reason = ports.Reason.UNKNOWN
+                    if job.remaining_ms <= 0:
+                        reason = ports.Reason.TIMED_OUT
+                    return self._end(
+                        job, relay, ports.Refusal(reason, str(cause))
+                    )
+                refusal = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
+            finally:
+                self._placer.finish(place, sound)
+            if job.remaining_ms <= 0:
+                break
+        return self._end(job, relay, refusal)
+
+    def _end(
+        self, job: jobs.Job, relay: Relay, refusal: ports.Refusal | None
+    ) -> ports.Refusal | None:
+        if relay.started:
+            job.reply.abort()
+            LOG.warning(
+                'stream broken off',
+                extra={
+                    'call': job.call.call_id,
+                    'last_event': relay.cutter.last_id,
+                    'detail': refusal.detail if refusal else '',
+                },
+            )
+            return None
+        return refusal
+
+    def _place(
+        self, job: jobs.Job, charged: bool
+    ) -> placers.Place | messages.Refused:
+        call = job.call
+        prompt_tokens = call.prompt_tokens or 0
+        urgent_ms = int(job.route.target_ms * WAIT_SHARE - job.elapsed_ms)
+        wait_ms = urgent_ms
+        if job.comeback:
+            urgent_ms, wait_ms = 0, COMEBACK_WAIT_MS
+        elif charged:
+            wait_ms = max(wait_ms, RETURN_MS)
+        workspace = job.workspace
+        request = messages.Admit(
+            host=self._host,
+            number=next(self._numbers),
+            service=job.service,
+            workspace=workspace.name if workspace else '',
+            cost=float(workspace.cost(call.tokens)) if workspace else 0.0,
+            prompt_tokens=prompt_tokens,
+            output_tokens=placements.expected_output(
+                call.hint_tokens, call.limit_tokens or 0
+            ),
+            priority=job.priority,
+            urgent_ms=max(0, urgent_ms),
+            wait_ms=max(0, min(wait_ms, job.remaining_ms)),
+            avoid=sorted(job.tried),
+            charged=charged,
+        )
+        return self._placer.place(request, job.interrupt)
+
+    def _send(self, job: jobs.Job, place: placers.Place, relay: Relay) -> None:
+        handle = None
+        prefill = place.prefill
+        if prefill is not None and relay.cutter.last_id is None:
+            handle = self._prefill(job, place, prefill)
+        last_id = relay.cutter.last_id
+        terms = job.terms(last_id)
+        if handle is not None:
+            headers = self._protocol.decode_headers(
+                job.request.headers, place.decode, terms, prefill, handle
+            )
+        else:
+            headers = self._protocol.run_headers(
+                job.request.headers, place.decode, terms
+            )
+        try:
+            with self._pools.open(place.decode, job.interrupt) as exchange:
+                self._decode(job, exchange, headers, relay)
+            handle = None
+        except NotRunError:
+            handle = None
+            raise
+        finally:
+            if handle is not None and not relay.started:
+                self._release(prefill, handle)
+
+    def _prefill(
+        self, job: jobs.Job, place: placers.Place, prefill: fleets.Endpoint
+    ) -> str | None:
+        """Has the prompt read; None when the decode engine must do it."""
+        headers = self._protocol.prefill_headers(
+            job.request.headers, prefill, job.terms()
+        )
+        started_s = time.monotonic()
+        try:
+            with self._pools.open(prefill, job.interrupt) as exchange:
+                response = exchange.send(
+                    job.request.method,
+                    job.request.target,
+                    headers,
+                    job.request.body,
+                    self._prefill_timeout_ms(job),
+                )
+                body = exchange.read_body(PREFILL_ANSWER_BYTES)
+            if response.status != 200:
+                raise NotRunError(f'prefill refused: {response.status}')
+            handle = self._protocol.read_handle(body)
+        except exchanges.InterruptedCallError:
+            raise
+        except exchanges.EndpointError as cause:
+            self._note_trouble(job, prefill, cause)
+            job.tried.add(prefill.endpoint_id)
+            return None
+        except (NotRunError, errors.ProtocolError) as cause:
+            self._log(job, place, 'prefill without result', cause)
+            job.tried.add(prefill.endpoint_id)
+            return None
+        duration_ms = (time.monotonic() - started_s) * 1000
+        self._placer.finish_prefill(place, duration_ms)
+        self._registry.observe('prefill_ms', duration_ms)
+        return handle
+
+    def _prefill_timeout_ms(self, job: jobs.Job) -> int:
+        return max(1, min(job.remaining_ms, 2 * job.route.target_ms))
+
+    def _decode(
+        self,
+        job: jobs.Job,
+        exchange: connections.Exchange,
+        headers: ports.Headers,
+        relay: Relay,
+    ) -> None:
+        response = exchange.send(
+            job.request.method,
+            job.request.target,
+            headers,
+            job.request.body,
+            max(1, job.remaining_ms),
+        )
+        head = self._protocol.read_head(
+            job.call, response.status, exchanges.headers_of(exchange)
+        )
+        if not head.ran:
+            exchange.read_body(PREFILL_ANSWER_BYTES)
+            raise NotRunError(f'engine refused: {response.status}')
+        if not head.genuine:
+            raise ForeignAnswerError('not the answer to this request')
+        if response.status != 200:
+            body = exchange.read_body(PREFILL_ANSWER_BYTES)
+            raise OwnFailure(response.status, head.headers, body)
+        if not relay.started:
+            job.reply.begin(response.status, head.headers)
+            relay.started = True
+        self._relay(job, exchange, relay)
+
+    def _relay(
+        self, job: jobs.Job, exchange: connections.Exchange, relay: Relay
+    ) -> None:
+        response = exchange.response
+        cutter = events.EventCutter(relay.cutter.last_id)
+        relay.cutter = cutter
+        while True:
+            limit_ms = max(1, min(job.remaining_ms, STREAM_GAP_LIMIT_MS))
+            exchange.connection.set_timeout(limit_ms)
+            with exchange.translated_errors():
+                data = response.read1(READ_BYTES)
+            if not data:
+                break
+            whole = cutter.feed(data)
+            if whole:
+                if not relay.first_ms:
+                    relay.first_ms = job.elapsed_ms
+                job.reply.write(whole)
+        if cutter.rest:
+            raise BrokenStreamError('the stream ends within an event')
+        exchange.mark_finished()
+        job.reply.finish()
+        self._registry.observe(
+            'first_token_ms',
+            relay.first_ms,
+            'workspace',
+            job.workspace_name or '',
+        )
+
+    def _release(self, prefill: fleets.Endpoint, handle: str) -> None:
+        """Frees a handle that nobody will take, without waiting."""
+        threading.Thread(
+            target=self._delete_handle, args=(prefill, handle), daemon=True
+        ).start()
+
+    def _delete_handle(self, prefill: fleets.Endpoint, handle: str) -> None:
+        target = self._protocol.release_target(handle)
+        try:
+            interrupt = placers.interrupts.Interrupt()
+            with self._pools.open(prefill, interrupt) as exchange:
+                exchange.send('DELETE', target, [], b'', RELEASE_TIMEOUT_MS)
+                exchange.read_body(PREFILL_ANSWER_BYTES)
+        except exchanges.EndpointError as cause:
+            LOG.info(
+                'handle not freed',
+                extra={'endpoint': prefill.endpoint_id, 'cause': str(cause)},
+            )
+
+    def _note_trouble(
+        self, job: jobs.Job, endpoint: fleets.Endpoint, cause: Exception
+    ) -> None:
+        job.tried.add(endpoint.endpoint_id)
+        self._registry.count('engine_trouble', 'service', job.service)
+        LOG.warning(
+            'engine trouble',
+            extra={
+                'call': job.call.call_id,
+                'endpoint': endpoint.endpoint_id,
+                'cause': f'{type(cause).__name__}: {cause}',
+            },
+        )
+        self._placer.note_trouble(job.service, endpoint, str(cause))
+
+    def _log(
+        self,
+        job: jobs.Job,
+        place: placers.Place,
+        message: str,
+        cause: Exception,
+    ) -> None:
+        prefill = place.prefill
+        LOG.warning(
+            message,
+            extra={
+                'call': job.call.call_id,
+                'prefill': prefill.endpoint_id if prefill else None,
+                'decode': place.decode.endpoint_id,
+                'local': place.local,
+                'cause': str(cause),
+                'elapsed_ms': round(job.elapsed_ms),
+            },
+        )
+
+
+def _refusal_of(refused: messages.Refused) -> ports.Refusal:
+    reason = ports.Reason.NOT_RUN
+    if refused.over_rate:
+        reason = ports.Reason.OVER_RATE
+    return ports.Refusal(reason, refused.reason, refused.retry_after_ms)
+
+
--- /dev/null
+++ b/libs/routing/masticquay_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of routes and the decisions of a request, without a network."""
--- /dev/null
+++ b/libs/routing/masticquay_routing/placements.py
@@ -0,0 +1,444 @@
+"""Where model requests go: one pool's engines, queue and reservations.
+
+The pool reserves decode memory for the whole answer before a prompt is
+read, so that no prefill is made whose result finds no room. It needs
+neither network nor clock: times are given in milliseconds.
+"""
+
+import collections
+import typing
+
+from masticquay_routing import fleets
+
+BLOCK_TOKENS = 16
+DEFAULT_OUTPUT_TOKENS = 1_000
+# Answers are often longer than their hint says.
+HINT_FACTOR = 1.1
+START_PREFILL_TOKENS_PER_MS = 30.0
+PREFILL_RATE_GAIN = 0.1
+# A decode engine reads prompts at about half of the speed.
+SELF_PREFILL_SLOWDOWN = 2.0
+# Two prompts read on one decode engine need this much time between them, or
+# its streams pause for too long.
+SELF_PREFILL_SPACING_MS = 450
+SELF_PREFILL_MAX_TOKENS = 3_600
+PREFILL_BACKLOG_LIMIT_MS = 350
+TRANSFER_ALLOWANCE_MS = 60
+OTHER_PLACE_COST_MS = 25
+EJECT_MIN_MS = 1_500
+EJECT_MAX_MS = 12_000
+LATE_WAIT_MS = 2_500
+RETURN_MIN_MS = 400
+RETURN_MAX_MS = 4_000
+
+Key = tuple[str, int]
+
+
+class Ticket:
+    """A model request that asks for a place.
+
+    :param key: the entry host and its number of the request
+    :param prompt_tokens: tokens to read
+    :param output_tokens: tokens that are expected to be made
+    :param priority: 0 is the most urgent
+    :param arrived_ms: when it asked
+    :param urgent_until_ms: until when it can still be on time
+    :param give_up_ms: when it is refused if there was no place
+    :param avoid: endpoints that must not be used
+    """
+
+    __slots__ = (
+        'key',
+        'workspace',
+        'prompt_tokens',
+        'output_tokens',
+        'priority',
+        'arrived_ms',
+        'urgent_until_ms',
+        'give_up_ms',
+        'avoid',
+    )
+
+    def __init__(
+        self,
+        key: Key,
+        workspace: str,
+        prompt_tokens: int,
+        output_tokens: int,
+        priority: int,
+        arrived_ms: int,
+        urgent_until_ms: int,
+        give_up_ms: int,
+        avoid: frozenset[str] = frozenset(),
+    ):
+        self.key = key
+        self.workspace = workspace
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.priority = priority
+        self.arrived_ms = arrived_ms
+        self.urgent_until_ms = urgent_until_ms
+        self.give_up_ms = give_up_ms
+        self.avoid = avoid
+
+    @property
+    def memory_tokens(self) -> int:
+        """The decode memory it needs, in whole blocks."""
+        total = self.prompt_tokens + self.output_tokens
+        return -(-total // BLOCK_TOKENS) * BLOCK_TOKENS
+
+
+class Placement:
+    """Where a request runs.
+
+    :param prefill: None when the decode engine reads the prompt itself
+    """
+
+    __slots__ = ('prefill', 'decode')
+
+    def __init__(
+        self, prefill: fleets.Endpoint | None, decode: fleets.Endpoint
+    ):
+        self.prefill = prefill
+        self.decode = decode
+
+
+class Refusal:
+    """Why a request gets no place, and when it may come again."""
+
+    __slots__ = ('reason', 'retry_after_ms')
+
+    def __init__(self, reason: str, retry_after_ms: int):
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class EngineState:
+    """The account of one engine."""
+
+    __slots__ = (
+        'endpoint',
+        'memory_tokens',
+        'slots',
+        'reserved_tokens',
+        'running',
+        'backlog_until_ms',
+        'self_prefill_ms',
+        'ejected_until_ms',
+        'eject_ms',
+        'switching_until_ms',
+    )
+
+    def __init__(
+        self, endpoint: fleets.Endpoint, memory_tokens: int, slots: int
+    ):
+        self.endpoint = endpoint
+        self.memory_tokens = memory_tokens
+        self.slots = slots
+        self.reserved_tokens = 0
+        self.running = 0
+        self.backlog_until_ms = 0
+        self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
+        self.ejected_until_ms = 0
+        self.eject_ms = EJECT_MIN_MS
+        self.switching_until_ms = 0
+
+    def usable(self, now_ms: int) -> bool:
+        """Whether new work may go there."""
+        return (
+            not self.endpoint.leaving
+            and self.ejected_until_ms <= now_ms
+            and self.switching_until_ms <= now_ms
+        )
+
+    def has_room(self, tokens: int) -> bool:
+        """Whether memory and a slot are free."""
+        free_tokens = self.memory_tokens - self.reserved_tokens
+        return free_tokens >= tokens and self.running < self.slots
+
+
+class _Reservation:
+    """What a placed request holds."""
+
+    __slots__ = ('decode_id', 'tokens', 'prefill_id', 'prompt_tokens')
+
+    def __init__(
+        self, decode_id: str, tokens: int, prefill_id: str, prompt_tokens: int
+    ):
+        self.decode_id = decode_id
+        self.tokens = tokens
+        self.prefill_id = prefill_id
+        self.prompt_tokens = prompt_tokens
+
+
+Outcome = tuple[Ticket, Placement | Refusal]
+
+
+class Pool:
+    """The engines of one service and the requests that want them."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, EngineState] = {}
+        self._reservations: dict[Key, _Reservation] = {}
+        self._queue: list[Ticket] = []
+        self._prefill_tokens_per_ms = START_PREFILL_TOKENS_PER_MS
+        self._freed: collections.deque[tuple[int, int]] = collections.deque()
+
+    @property
+    def queue_length(self) -> int:
+        """How many requests wait for a place."""
+        return len(self._queue)
+
+    @property
+    def running_count(self) -> int:
+        """How many requests hold a place."""
+        return len(self._reservations)
+
+    @property
+    def prefill_tokens_per_ms(self) -> float:
+        """How fast a prefill engine reads prompts, as learnt."""
+        return self._prefill_tokens_per_ms
+
+    def set_engines(
+        self,
+        endpoints: list[fleets.Endpoint],
+        memory_tokens: int,
+        slots: int,
+    ) -> None:
+        """Takes up the list of engines, keeping accounts."""
+        listed = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        for endpoint_id in list(self.engines):
+            if endpoint_id not in listed:
+                del self.engines[endpoint_id]
+        for endpoint_id, endpoint in listed.items():
+            state = self.engines.get(endpoint_id)
+            if state is None:
+                state = EngineState(endpoint, memory_tokens, slots)
+                self.engines[endpoint_id] = state
+                self._recount(state)
+            if state.endpoint.role != endpoint.role:
+                state.switching_until_ms = 0
+            state.endpoint = endpoint
+            state.memory_tokens = memory_tokens
+            state.slots = slots
+
+    def admit(self, ticket: Ticket) -> None:
+        """Queues a request; ``pump`` places it."""
+        self._queue.append(ticket)
+
+    def withdraw(self, key: Key) -> None:
+        """Drops a request that waits, or frees what it holds."""
+        self._queue = [t for t in self._queue if t.key != key]
+        self.release(key)
+
+    def adopt(
+        self, key: Key, decode_id: str, tokens: int, prompt_tokens: int
+    ) -> None:
+        """Takes up a request that an earlier owner of the pool placed."""
+        if key not in self._reservations:
+            self._reserve(
+                key, _Reservation(decode_id, tokens, '', prompt_tokens)
+            )
+
+    def finish_prefill(self, key: Key, duration_ms: float) -> None:
+        """Notes that a prompt was read, and how long that took."""
+        reservation = self._reservations.get(key)
+        if reservation is None or not reservation.prefill_id:
+            return
+        reservation.prefill_id = ''
+        if duration_ms > 0 and reservation.prompt_tokens > BLOCK_TOKENS:
+            rate = reservation.prompt_tokens / duration_ms
+            # Queueing only makes it look slower.
+            gain = PREFILL_RATE_GAIN
+            if rate < self._prefill_tokens_per_ms:
+                gain /= 10
+            self._prefill_tokens_per_ms += gain * (
+                rate - self._prefill_tokens_per_ms
+            )
+
+    def release(self, key: Key) -> None:
+        """Frees what a finished request held."""
+        reservation = self._reservations.pop(key, None)
+        if reservation is None:
+            return
+        state = self.engines.get(reservation.decode_id)
+        if state is not None:
+            state.running -= 1
+            state.reserved_tokens -= reservation.tokens
+
+    def release_host(self, host: str) -> None:
+        """Frees everything of a host that is gone."""
+        self._queue = [t for t in self._queue if t.key[0] != host]
+        for key in [k for k in self._reservations if k[0] == host]:
+            self.release(key)
+
+    def note_trouble(self, endpoint_id: str, now_ms: int) -> None:
+        """Leaves an engine that failed aside for a while."""
+        state = self.engines.get(endpoint_id)
+        if state is None or state.ejected_until_ms > now_ms:
+            return
+        state.ejected_until_ms = now_ms + state.eject_ms
+        state.eject_ms = min(EJECT_MAX_MS, state.eject_ms * 2)
+
+    def note_sound(self, endpoint_id: str) -> None:
+        """Trusts an engine again that served a request."""
+        state = self.engines.get(endpoint_id)
+        if state is not None:
+            state.eject_ms = EJECT_MIN_MS
+
+    def pump(self, now_ms: int) -> list[Outcome]:
+        """Places what can be placed and refuses what waited too long."""
+        outcomes: list[Outcome] = []
+        waiting = []
+        for ticket in sorted(self._queue, key=lambda t: _rank(t, now_ms)):
+            placement = self._place(ticket, now_ms)
+            if placement is not None:
+                outcomes.append((ticket, placement))
+            elif now_ms >= ticket.give_up_ms:
+                outcomes.append((ticket, self._refuse(now_ms)))
+            else:
+                waiting.append(ticket)
+        self._queue = waiting
+        return outcomes
+
+    def roles(self, now_ms: int) -> tuple[list, list]:
+        """Returns the usable prefill and decode engines."""
+        usable = [e for e in self.engines.values() if e.usable(now_ms)]
+        prefill = [
+            e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL
+        ]
+        decode = [e for e in usable if e.endpoint.role == fleets.ROLE_DECODE]
+        return prefill, decode
+
+    def _place(self, ticket: Ticket, now_ms: int) -> Placement | None:
+        prefills, decodes = self.roles(now_ms)
+        roomy = [
+            e
+            for e in decodes
+            if e.has_room(ticket.memory_tokens)
+            and e.endpoint.endpoint_id not in ticket.avoid
+        ]
+        if not roomy:
+            return None
+        prefills = [
+            e for e in prefills if e.endpoint.endpoint_id not in ticket.avoid
+        ]
+        prefill = min(
+            prefills, key=lambda e: e.backlog_until_ms, default=None
+        )
+        if prefill is not None:
+            backlog_ms = max(0, prefill.backlog_until_ms - now_ms)
+            if backlog_ms <= PREFILL_BACKLOG_LIMIT_MS:
+                return self._place_apart(ticket, prefill, roomy, now_ms)
+        return self._place_whole(ticket, roomy, now_ms, prefill is None)
+
+    def _place_apart(
+        self,
+        ticket: Ticket,
+        prefill: EngineState,
+        roomy: list[EngineState],
+        now_ms: int,
+    ) -> Placement:
+        duration_ms = ticket.prompt_tokens / self._prefill_tokens_per_ms
+        start_ms = max(now_ms, prefill.backlog_until_ms)
+        prefill.backlog_until_ms = int(start_ms + duration_ms)
+        place = prefill.endpoint.place
+        decode = min(roomy, key=lambda e: _decode_cost(e, place))
+        self._reserve(
+            ticket.key,
+            _Reservation(
+                decode.endpoint.endpoint_id,
+                ticket.memory_tokens,
+                prefill.endpoint.endpoint_id,
+                ticket.prompt_tokens,
+            ),
+        )
+        return Placement(prefill.endpoint, decode.endpoint)
+
+    def _place_whole(
+        self,
+        ticket: Ticket,
+        roomy: list[EngineState],
+        now_ms: int,
+        alone: bool,
+    ) -> Placement | None:
+        """Lets a decode engine read the prompt, where that disturbs little.
+
+        :param alone: whether there is no prefill engine
+        """
+        if ticket.prompt_tokens > SELF_PREFILL_MAX_TOKENS and not alone:
+            return None
+        rested = [
+            e
+            for e in roomy
+            if now_ms - e.self_prefill_ms >= SELF_PREFILL_SPACING_MS
+        ]
+        if not rested:
+            return None
+        decode = min(rested, key=lambda e: e.running)
+        decode.self_prefill_ms = now_ms
+        self._reserve(
+            ticket.key,
+            _Reservation(
+                decode.endpoint.endpoint_id,
+                ticket.memory_tokens,
+                '',
+                ticket.prompt_tokens,
+            ),
+        )
+        return Placement(None, decode.endpoint)
+
+    def _reserve(self, key: Key, reservation: _Reservation) -> None:
+        self._reservations[key] = reservation
+        state = self.engines.get(reservation.decode_id)
+        if state is not None:
+            state.running += 1
+            state.reserved_tokens += reservation.tokens
+
+    def _recount(self, state: EngineState) -> None:
+        for reservation in self._reservations.values():
+            if reservation.decode_id == state.endpoint.endpoint_id:
+                state.running += 1
+                state.reserved_tokens += reservation.tokens
+
+    def _refuse(self, now_ms: int) -> Refusal:
+        """Spreads the returns over the time that the queue needs."""
+        _prefills, decodes = self.roles(now_ms)
+        if not decodes:
+            return Refusal('no engine', RETURN_MAX_MS // 2)
+        per_engine = len(self._queue) / max(1, len(decodes))
+        wait_ms = RETURN_MIN_MS + int(per_engine * RETURN_MIN_MS)
+        return Refusal('engines full', min(RETURN_MAX_MS, wait_ms))
+
+
+def _rank(ticket: Ticket, now_ms: int) -> tuple:
+    """Requests that can be on time go first, then by priority and age."""
+    late = now_ms >= ticket.urgent_until_ms
+    return (late, ticket.priority, ticket.arrived_ms)
+
+
+def _decode_cost(state: EngineState, place: str) -> float:
+    used = state.reserved_tokens / max(1, state.memory_tokens)
+    cost = used * 100
+    if state.endpoint.place != place:
+        cost += OTHER_PLACE_COST_MS
+    return cost
+
+
+def expected_output(hint_tokens: int | None, limit_tokens: int) -> int:
+    """Returns how many tokens an answer is expected to have.
+
+    :param hint_tokens: the caller's estimate, right at the median
+    :param limit_tokens: the most that it may have, 0 if unknown
+    """
+    expected = DEFAULT_OUTPUT_TOKENS
+    if hint_tokens is not None:
+        expected = int(hint_tokens * HINT_FACTOR)
+    elif limit_tokens:
+        expected = limit_tokens
+    if limit_tokens:
+        expected = min(expected, limit_tokens)
+    return max(1, expected)
+
+
+Clock = typing.Callable[[], int]
--- /dev/null
+++ b/libs/serving/masticquay_serving/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server, logs, counters and clock that the daemons share."""
