--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -141,20 +141,25 @@
         LOG.info('entry host started', extra={'address': self.settings.address})
 
     def drain(self) -> None:
-        """Stops being ready and returns once every request has ended."""
+        """Stops being ready and returns once every request has ended.
+
+        Callers go on using the host until their lists have expired, so it
+        accepts connections for a while; then it ends idle ones.
+        """
         LOG.info('entry host drains', extra={'active': self.active_count})
         started_s = time.monotonic()
         self._draining.set()
         self.link.renew_now()
         self.server.drain()
+        time.sleep(min(DRAIN_MIN_MS, self.settings.grace_ms // 3) / 1000)
+        self.server.stop_accepting()
+        self.server.close_idle()
         limit_s = self.settings.grace_ms * DRAIN_SHARE / 1000
-        while time.monotonic() - started_s < limit_s:
-            time.sleep(DRAIN_POLL_MS / 1000)
-            waited_ms = (time.monotonic() - started_s) * 1000
-            if waited_ms >= DRAIN_MIN_MS and not self.active_count:
+        while self.active_count or self.server.connection_count:
+            if time.monotonic() - started_s >= limit_s:
                 break
-        self.server.shutdown()
-        self.server.close_idle()
+            time.sleep(DRAIN_POLL_MS / 1000)
+            self.server.close_idle()
         LOG.info('entry host drained', extra={'active': self.active_count})
 
     def close(self) -> None:
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -29,6 +29,9 @@
 # not be the first to close.
 IDLE_SLACK_S = 2.0
 REQUEST_LINE_LIMIT_BYTES = 16 * 1024
+# How long an end of accepting may go unnoticed.
+ACCEPT_TIMEOUT_S = 0.5
+ACCEPT_RETRY_S = 0.05
 
 Headers = list[tuple[str, str]]
 
@@ -329,18 +332,43 @@
         self.closing = False
         self._lock = threading.Lock()
         self._idle: set[_Handler] = set()
+        self._connections = 0
+        self._accepting = threading.Event()
+        self._accepting.set()
+        self._accept_ended = threading.Event()
         super().__init__(address, _Handler)
 
     def start(self) -> None:
         """Accepts in a thread of its own."""
         threading.stack_size(THREAD_STACK_BYTES)
+        self.socket.settimeout(ACCEPT_TIMEOUT_S)
         threading.Thread(
-            target=self.serve_forever,
-            kwargs={'poll_interval': 5.0},
+            target=self._accept,
             name=f'http-{self.server_address[1]}',
             daemon=True,
         ).start()
 
+    def stop_accepting(self) -> None:
+        """Takes no more connections; those accepted are served on."""
+        self._accepting.clear()
+        self._accept_ended.wait(2 * ACCEPT_TIMEOUT_S)
+        self.socket.close()
+
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open."""
+        return self._connections
+
+    def finish_request(self, request: typing.Any, address: typing.Any) -> None:
+        """Counts a connection while it is served."""
+        with self._lock:
+            self._connections += 1
+        try:
+            super().finish_request(request, address)
+        finally:
+            with self._lock:
+                self._connections -= 1
+
     def drain(self) -> None:
         """Lets each connection end after its next answer."""
         self.closing = True
@@ -363,6 +391,31 @@
         with self._lock:
             self._idle.discard(handler)
 
+    def _accept(self) -> None:
+        while self._accepting.is_set():
+            try:
+                connection, address = self.socket.accept()
+            except TimeoutError:
+                continue
+            except OSError as cause:
+                # Descriptors may run out; a connection may end early.
+                if not self._accepting.is_set():
+                    break
+                LOG.warning('not accepted', extra={'cause': str(cause)})
+                time.sleep(ACCEPT_RETRY_S)
+                continue
+            self._start_handler(connection, address)
+        self._accept_ended.set()
+
+    def _start_handler(
+        self, connection: socket.socket, address: typing.Any
+    ) -> None:
+        try:
+            self.process_request(connection, address)
+        except RuntimeError as cause:
+            LOG.error('no thread for a caller', extra={'cause': str(cause)})
+            self.shutdown_request(connection)
+
     def handle_error(self, request: object, client_address: object) -> None:
         """Logs an error that no handler expected."""
         LOG.exception('connection failed')
