Pools: steady list before orders, failure shares, resume where the prompt is kept

A broken stream was read again elsewhere. Ruled out: rejected arrivals (prefills count as not run there).

--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -27,6 +27,7 @@
 TICK_MS = 100
 LIST_TICK_MS = 100
 ORDER_TICK_MS = 300
+REPORT_INTERVAL_MS = 1_000
 MEMBERSHIP_TICK_MS = 500
 
 
@@ -135,6 +136,9 @@
             stack.callback(self.listener.close)
             self._start_duty('ticks', TICK_MS, self.leadership.run_tick)
             self._start_duty('list', LIST_TICK_MS, self.leadership.run_list)
+            self._start_duty(
+                'report', REPORT_INTERVAL_MS, self.leadership.run_report
+            )
             self._start_duty(
                 'orders', ORDER_TICK_MS, self.leadership.run_orders
             )
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -84,6 +84,7 @@
         listener.handle(messages.Renew, self._renew)
         listener.handle(messages.Admit, self._admit)
         listener.handle(messages.PrefillDone, self._finish_prefill)
+        listener.handle(messages.Decoding, self._begin_decode)
         listener.handle(messages.Finished, self._finish)
         listener.handle(messages.EndpointTrouble, self._note_trouble)
 
@@ -142,13 +143,20 @@
         term.sessions.publish_endpoints(endpoints)
         term.owner.set_endpoints(endpoints)
 
+    def run_report(self) -> None:
+        """Logs the state of the pools."""
+        term = self._term
+        if term is not None:
+            term.owner.log_pools()
+
     def run_orders(self) -> None:
         """Gives the orders that are due."""
         term = self._term
         if term is None or not self._may_order(term):
             return
         for order in term.owner.plan_orders():
-            self._orders.give(order, term.number)
+            if not self._orders.give(order, term.number):
+                term.owner.cancel_order(order)
 
     def gauges(self) -> dict[str, float]:
         """Returns figures for the metrics page."""
@@ -226,6 +234,12 @@
         if self._term is not None:
             self._term.owner.finish_prefill(done)
 
+    def _begin_decode(
+        self, begun: messages.Decoding, link: peers.Connection
+    ) -> None:
+        if self._term is not None:
+            self._term.owner.begin_decode(begun)
+
     def _finish(
         self, finished: messages.Finished, link: peers.Connection
     ) -> None:
--- a/libs/coordination/masticquay_coordination/orders.py
+++ b/libs/coordination/masticquay_coordination/orders.py
@@ -36,12 +36,15 @@
         self._holder = holder
         self._orders = engine_orders
 
-    def give(self, order: PlannedOrder, term: int) -> None:
-        """Gives one order; a failed one is planned again later."""
+    def give(self, order: PlannedOrder, term: int) -> bool:
+        """Gives one order; a failed one is planned again later.
+
+        :returns: whether it was accepted
+        """
         if self._node.term() != term:
-            return
+            return False
         if self._node.lease_remaining_ms() < LEASE_NEEDED_MS:
-            return
+            return False
         details = {
             'endpoint': order.endpoint.endpoint_id,
             'address': order.endpoint.address,
@@ -56,5 +59,6 @@
             LOG.warning(
                 'order without effect', extra={**details, 'cause': str(cause)}
             )
-            return
+            return False
         LOG.info('order accepted', extra=details)
+        return True
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -94,13 +94,20 @@
                     (done.host, done.number), done.duration_ms
                 )
 
+    def begin_decode(self, begun: messages.Decoding) -> None:
+        """Notes that the first token of a request is there."""
+        with self._lock:
+            pool = self._pools.get(begun.service)
+            if pool is not None:
+                pool.begin_decode((begun.host, begun.number))
+
     def finish(self, finished: messages.Finished) -> None:
         """Frees the place of a request."""
         key = (finished.host, finished.number)
         with self._lock:
             pool = self._pools.get(finished.service)
             if pool is not None:
-                pool.withdraw(key)
+                pool.withdraw(key, finished.sound)
             abandoned = self._waiting.pop(key, None)
         if abandoned is not None:
             abandoned.set_result(messages.Refused('caller left', 0))
@@ -111,7 +118,11 @@
         with self._lock:
             pool = self._pools.get(trouble.service)
             if pool is not None:
-                pool.note_trouble(trouble.endpoint_id, self._clock.now_ms())
+                pool.note_trouble(
+                    trouble.endpoint_id,
+                    self._clock.now_ms(),
+                    trouble.reached,
+                )
 
     def adopt(self, host: str, running: list[messages.Running]) -> None:
         """Takes up what a host runs since before this term."""
@@ -171,15 +182,22 @@
                 pool = self._pools.get(name)
                 if pool is None:
                     continue
-                order = self._balances[name].plan(
-                    pool, now_ms, engine.role_switch_ms
-                )
-                if order is not None:
-                    planned.append(
-                        orders.PlannedOrder(order.endpoint, order.role)
+                planned.extend(
+                    orders.PlannedOrder(order.endpoint, order.role)
+                    for order in self._balances[name].plan(
+                        pool, now_ms, engine.role_switch_ms
                     )
+                )
         return planned
 
+    def cancel_order(self, order: orders.PlannedOrder) -> None:
+        """Uses an engine on in its role, since an order had no effect."""
+        with self._lock:
+            for pool in self._pools.values():
+                state = pool.engines.get(order.endpoint.endpoint_id)
+                if state is not None:
+                    state.switching_until_ms = 0
+
     def fail_all(self) -> None:
         """Refuses everything that waits: the term is over."""
         with self._lock:
@@ -188,6 +206,18 @@
         for future in waiting:
             future.set_result(messages.Refused('leader changed', 0))
 
+    def log_pools(self) -> None:
+        """Writes one line on each pool that is in use."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            lines = [
+                (name, pool.describe(now_ms))
+                for name, pool in self._pools.items()
+                if pool.running_count or pool.queue_length
+            ]
+        for name, described in lines:
+            LOG.info('pool', extra={'service': name, **described})
+
     def gauges(self) -> dict[str, float]:
         """Returns figures for the metrics page."""
         with self._lock:
@@ -211,6 +241,7 @@
         urgent_until_ms=now_ms + request.urgent_ms,
         give_up_ms=now_ms + request.wait_ms,
         avoid=frozenset(request.avoid),
+        prefer=request.prefer,
     )
 
 
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -85,6 +85,7 @@
             urgent_until_ms=now_ms,
             give_up_ms=now_ms,
             avoid=frozenset(request.avoid),
+            prefer=request.prefer,
         )
         with self._lock:
             pool = self._pool(request.service)
@@ -101,12 +102,14 @@
             if pool is not None:
                 pool.release((request.host, request.number))
 
-    def note_trouble(self, service: str, endpoint_id: str) -> None:
+    def note_trouble(
+        self, service: str, endpoint_id: str, reached: bool
+    ) -> None:
         """Leaves an engine aside that failed."""
         with self._lock:
             pool = self._pools.get(service)
             if pool is not None:
-                pool.note_trouble(endpoint_id, _now_ms())
+                pool.note_trouble(endpoint_id, _now_ms(), reached)
 
     def _pool(self, service: str) -> placements.Pool:
         pool = self._pools.setdefault(service, placements.Pool())
@@ -169,6 +172,14 @@
                 )
             )
 
+    def begin_decode(self, place: Place) -> None:
+        """Notes that the first token is there."""
+        request = place.request
+        if not place.local:
+            self._link.notify(
+                messages.Decoding(self._host, request.service, request.number)
+            )
+
     def finish(self, place: Place, sound: bool) -> None:
         """Gives a place back."""
         with self._lock:
@@ -178,13 +189,17 @@
         self._tell_finished(place.request, sound)
 
     def note_trouble(
-        self, service: str, endpoint: fleets.Endpoint, reason: str
+        self,
+        service: str,
+        endpoint: fleets.Endpoint,
+        reached: bool,
+        reason: str,
     ) -> None:
         """Reports an engine that failed a request."""
-        self._local.note_trouble(service, endpoint.endpoint_id)
+        self._local.note_trouble(service, endpoint.endpoint_id, reached)
         self._link.notify(
             messages.EndpointTrouble(
-                self._host, service, endpoint.endpoint_id, reason
+                self._host, service, endpoint.endpoint_id, reached, reason
             )
         )
 
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -38,15 +38,40 @@
     """What a caller has got of a stream so far.
 
     :param started: whether the head of the answer went out
+    :param keeper: the engine that keeps the prompt after a broken stream
     """
 
-    __slots__ = ('started', 'cutter', 'first_ms')
+    __slots__ = (
+        'started',
+        'cutter',
+        'first_ms',
+        'last_s',
+        'longest_gap_ms',
+        'keeper',
+        'placed_ms',
+        'prefilled_ms',
+    )
 
     def __init__(self) -> None:
         self.started = False
+        self.last_s = 0.0
+        self.longest_gap_ms = 0.0
+        self.keeper = ''
+        self.placed_ms = 0.0
+        self.prefilled_ms = 0.0
         self.cutter = events.EventCutter()
         self.first_ms = 0.0
 
+    def note_events(self, job: jobs.Job) -> None:
+        """Notes that events went out just now."""
+        now_s = time.monotonic()
+        if not self.first_ms:
+            self.first_ms = job.elapsed_ms
+        else:
+            gap_ms = (now_s - self.last_s) * 1000
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.last_s = now_s
+
 
 class BrokenStreamError(errors.GatewayError):
     """An engine ended a stream before its end."""
@@ -107,7 +132,7 @@
         for sends in range(MAX_SENDS):
             if sends and not self._budgets.take(job.service):
                 break
-            place = self._place(job, charged=sends > 0)
+            place = self._place(job, relay, charged=sends > 0)
             if isinstance(place, messages.Refused):
                 return self._end(job, relay, refusal or _refusal_of(place))
             sound = False
@@ -143,6 +168,9 @@
                 ForeignAnswerError,
             ) as cause:
                 self._note_trouble(job, place.decode, cause)
+                if _kept_prompt(cause) and not sends:
+                    relay.keeper = place.decode.endpoint_id
+                    job.tried.discard(relay.keeper)
                 if not job.route.resumable or job.remaining_ms <= 0:
                     reason = ports.Reason.UNKNOWN
                     if job.remaining_ms <= 0:
@@ -174,7 +202,7 @@
         return refusal
 
     def _place(
-        self, job: jobs.Job, charged: bool
+        self, job: jobs.Job, relay: Relay, charged: bool
     ) -> placers.Place | messages.Refused:
         call = job.call
         prompt_tokens = call.prompt_tokens or 0
@@ -199,15 +227,20 @@
             urgent_ms=max(0, urgent_ms),
             wait_ms=max(0, min(wait_ms, job.remaining_ms)),
             avoid=sorted(job.tried),
+            prefer=relay.keeper,
             charged=charged,
         )
-        return self._placer.place(request, job.interrupt)
+        relay.keeper = ''
+        placed = self._placer.place(request, job.interrupt)
+        relay.placed_ms = job.elapsed_ms
+        return placed
 
     def _send(self, job: jobs.Job, place: placers.Place, relay: Relay) -> None:
         handle = None
         prefill = place.prefill
         if prefill is not None and relay.cutter.last_id is None:
             handle = self._prefill(job, place, prefill)
+            relay.prefilled_ms = job.elapsed_ms
         last_id = relay.cutter.last_id
         terms = job.terms(last_id)
         if handle is not None:
@@ -220,7 +253,7 @@
             )
         try:
             with self._pools.open(place.decode, job.interrupt) as exchange:
-                self._decode(job, exchange, headers, relay)
+                self._decode(job, place, exchange, headers, relay)
             handle = None
         except NotRunError:
             handle = None
@@ -271,6 +304,7 @@
     def _decode(
         self,
         job: jobs.Job,
+        place: placers.Place,
         exchange: connections.Exchange,
         headers: ports.Headers,
         relay: Relay,
@@ -296,10 +330,14 @@
         if not relay.started:
             job.reply.begin(response.status, head.headers)
             relay.started = True
-        self._relay(job, exchange, relay)
+        self._relay(job, place, exchange, relay)
 
     def _relay(
-        self, job: jobs.Job, exchange: connections.Exchange, relay: Relay
+        self,
+        job: jobs.Job,
+        place: placers.Place,
+        exchange: connections.Exchange,
+        relay: Relay,
     ) -> None:
         response = exchange.response
         cutter = events.EventCutter(relay.cutter.last_id)
@@ -314,12 +352,28 @@
             whole = cutter.feed(data)
             if whole:
                 if not relay.first_ms:
-                    relay.first_ms = job.elapsed_ms
+                    self._placer.begin_decode(place)
+                relay.note_events(job)
                 job.reply.write(whole)
         if cutter.rest:
             raise BrokenStreamError('the stream ends within an event')
         exchange.mark_finished()
         job.reply.finish()
+        LOG.info(
+            'stream served',
+            extra={
+                'call': job.call.call_id,
+                'placed_ms': round(relay.placed_ms),
+                'prefilled_ms': round(relay.prefilled_ms),
+                'first_ms': round(relay.first_ms),
+                'longest_gap_ms': round(relay.longest_gap_ms),
+                'prompt_tokens': job.call.prompt_tokens,
+                'prefill': place.prefill.endpoint_id if place.prefill else '',
+                'decode': place.decode.endpoint_id,
+                'local': place.local,
+                'comeback': job.comeback,
+            },
+        )
         self._registry.observe(
             'first_token_ms',
             relay.first_ms,
@@ -359,7 +413,8 @@
                 'cause': f'{type(cause).__name__}: {cause}',
             },
         )
-        self._placer.note_trouble(job.service, endpoint, str(cause))
+        reached = not isinstance(cause, exchanges.NotSentError)
+        self._placer.note_trouble(job.service, endpoint, reached, str(cause))
 
     def _log(
         self,
@@ -382,6 +437,13 @@
         )
 
 
+def _kept_prompt(cause: Exception) -> bool:
+    """Whether the engine seems to run on, so that it keeps the prompt."""
+    return isinstance(cause, exchanges.EndpointError) and not isinstance(
+        cause, exchanges.StalledError
+    )
+
+
 def _refusal_of(refused: messages.Refused) -> ports.Refusal:
     reason = ports.Reason.NOT_RUN
     if refused.over_rate:
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -8,8 +8,16 @@
 # Above this part of its speed a prefill engine makes prompts wait.
 PREFILL_LOAD_LIMIT = 0.9
 LOAD_WINDOW_MS = 8_000
-# Time after a change in which the effect is awaited, besides the switch.
-SETTLE_MS = 6_000
+# Memory is short above this part of it; no engine is taken from decoding.
+DECODE_LOAD_LIMIT = 0.6
+# Engines by which the need must differ before the load changes a role.
+EXTRA_MARGIN = 0.4
+# An engine lets running requests end before its role changes.
+SWITCH_SLACK_MS = 10_000
+# A list that still grows says little of the number of engines.
+STEADY_MS = 1_500
+# Between a change that the load asked for and the next one.
+SETTLE_MS = 10_000
 
 
 class RoleOrder:
@@ -23,11 +31,14 @@
 
 
 class Balance:
-    """Watches one pool and says which engine should change its role."""
+    """Watches one pool and says which engines should change their role."""
 
     def __init__(self) -> None:
         self._prompts: list[tuple[int, int]] = []
-        self._quiet_until_ms = 0
+        self._extra = 0
+        self._extra_ms = -SETTLE_MS
+        self._known: set[str] = set()
+        self._known_ms = 0
 
     def note_prompt(self, tokens: int, now_ms: int) -> None:
         """Counts a prompt that asked for a place."""
@@ -35,64 +46,82 @@
 
     def plan(
         self, pool: placements.Pool, now_ms: int, switch_ms: int
-    ) -> RoleOrder | None:
-        """Returns the next order, if one is due.
+    ) -> list[RoleOrder]:
+        """Returns the orders that are due.
 
         :param switch_ms: how long a change of role takes
         """
         listed = [e for e in pool.engines.values() if not e.endpoint.leaving]
-        if len(listed) < 2 or now_ms < self._quiet_until_ms:
-            return None
+        if len(listed) < 2 or not self._is_steady(listed, now_ms):
+            return []
+        self._follow_load(len(listed), pool, now_ms)
+        wanted = self._wanted(len(listed))
         usable = [e for e in listed if e.ejected_until_ms <= now_ms]
-        switching = [e for e in usable if e.switching_until_ms > now_ms]
-        if switching:
-            return None
-        prefills = [e for e in usable if _has_role(e, fleets.ROLE_PREFILL)]
-        decodes = [e for e in usable if _has_role(e, fleets.ROLE_DECODE)]
-        wanted = self._wanted(len(usable), pool, now_ms)
-        order = None
-        if len(prefills) > wanted and prefills:
-            order = _order_idlest(prefills, fleets.ROLE_DECODE, now_ms)
-        elif len(prefills) < wanted and len(decodes) > 1:
-            order = _order_emptiest(decodes, fleets.ROLE_PREFILL)
-        if order is not None:
-            state = pool.engines[order.endpoint.endpoint_id]
-            state.switching_until_ms = now_ms + switch_ms + 2_000
-            still = len(prefills) - wanted
-            if still <= 1:
-                self._quiet_until_ms = now_ms + SETTLE_MS
-        return order
-
-    def _wanted(
-        self, engine_count: int, pool: placements.Pool, now_ms: int
-    ) -> int:
-        self._prompts = [
-            entry
-            for entry in self._prompts
-            if entry[0] > now_ms - LOAD_WINDOW_MS
-        ]
+        coming = [e for e in usable if e.switching_until_ms > now_ms]
+        settled = [e for e in usable if e.switching_until_ms <= now_ms]
+        prefills = [e for e in settled if _has_role(e, fleets.ROLE_PREFILL)]
+        decodes = [e for e in settled if _has_role(e, fleets.ROLE_DECODE)]
+        arriving = sum(_has_role(e, fleets.ROLE_DECODE) for e in coming)
+        surplus = len(prefills) + arriving - wanted
+        if surplus > 0:
+            idlest = sorted(prefills, key=lambda e: e.backlog_until_ms)
+            chosen = idlest[: min(surplus, len(prefills) - 1)]
+            role = fleets.ROLE_DECODE
+        elif surplus < 0 and len(decodes) > 1:
+            emptiest = sorted(decodes, key=lambda e: e.reserved_tokens)
+            chosen = emptiest[: min(-surplus, len(decodes) - 1)]
+            role = fleets.ROLE_PREFILL
+        else:
+            return []
+        for state in chosen:
+            state.switching_until_ms = now_ms + switch_ms + SWITCH_SLACK_MS
+        return [RoleOrder(state.endpoint, role) for state in chosen]
+
+    def _is_steady(
+        self, listed: list[placements.EngineState], now_ms: int
+    ) -> bool:
+        known = {state.endpoint.endpoint_id for state in listed}
+        if known != self._known:
+            self._known = known
+            self._known_ms = now_ms
+        return now_ms - self._known_ms >= STEADY_MS
+
+    def _wanted(self, engine_count: int) -> int:
         wanted = max(1, round(engine_count * START_PREFILL_SHARE))
+        return min(wanted + self._extra, max(1, engine_count // 2))
+
+    def _follow_load(
+        self, engine_count: int, pool: placements.Pool, now_ms: int
+    ) -> None:
+        """Adds or takes back one prefill engine after a lasting change."""
+        oldest_ms = now_ms - LOAD_WINDOW_MS
+        self._prompts = [p for p in self._prompts if p[0] > oldest_ms]
+        if now_ms - self._extra_ms < SETTLE_MS:
+            return
         tokens = sum(entry[1] for entry in self._prompts)
         speed = pool.prefill_tokens_per_ms * LOAD_WINDOW_MS
         needed = tokens / (speed * PREFILL_LOAD_LIMIT)
-        if needed > wanted + 0.3:
-            wanted += 1
-        return min(wanted, max(1, engine_count // 2))
+        base = max(1, round(engine_count * START_PREFILL_SHARE))
+        extra = self._extra
+        tight = _decode_load(pool, now_ms) > DECODE_LOAD_LIMIT
+        if needed > base + extra + EXTRA_MARGIN and not tight:
+            extra += 1
+        elif extra and tight:
+            extra -= 1
+        elif extra and needed < base + extra - 1 - EXTRA_MARGIN:
+            extra -= 1
+        if extra != self._extra:
+            self._extra = extra
+            self._extra_ms = now_ms
+
+
+def _decode_load(pool: placements.Pool, now_ms: int) -> float:
+    """Returns the part of the decode memory that is in use."""
+    _prefills, decodes = pool.roles(now_ms)
+    memory_tokens = sum(e.memory_tokens for e in decodes)
+    reserved_tokens = sum(e.reserved_tokens for e in decodes)
+    return reserved_tokens / memory_tokens if memory_tokens else 1.0
 
 
 def _has_role(state: placements.EngineState, role: str) -> bool:
     return state.endpoint.role == role
-
-
-def _order_idlest(
-    states: list[placements.EngineState], role: str, now_ms: int
-) -> RoleOrder:
-    chosen = min(states, key=lambda e: max(0, e.backlog_until_ms - now_ms))
-    return RoleOrder(chosen.endpoint, role)
-
-
-def _order_emptiest(
-    states: list[placements.EngineState], role: str
-) -> RoleOrder:
-    chosen = min(states, key=lambda e: e.reserved_tokens)
-    return RoleOrder(chosen.endpoint, role)
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -155,6 +155,7 @@
     :param urgent_ms: for how long it can still be on time
     :param wait_ms: for how long it may wait for a place
     :param avoid: endpoints that failed it
+    :param prefer: the engine that keeps its prompt, empty for none
     :param charged: whether its cost was taken before
     """
 
@@ -170,6 +171,7 @@
         'urgent_ms',
         'wait_ms',
         'avoid',
+        'prefer',
         'charged',
     )
 
@@ -186,6 +188,7 @@
         urgent_ms: int,
         wait_ms: int,
         avoid: list[str],
+        prefer: str = '',
         charged: bool = False,
     ):
         self.host = host
@@ -199,6 +202,7 @@
         self.urgent_ms = urgent_ms
         self.wait_ms = wait_ms
         self.avoid = avoid
+        self.prefer = prefer
         self.charged = charged
 
 
@@ -248,6 +252,18 @@
         self.duration_ms = duration_ms
 
 
+@messages.register
+class Decoding(messages.Message):
+    """The first token of a placed request is there."""
+
+    __slots__ = ('host', 'service', 'number')
+
+    def __init__(self, host: str, service: str, number: int):
+        self.host = host
+        self.service = service
+        self.number = number
+
+
 @messages.register
 class Finished(messages.Message):
     """A placed request needs its place no longer, or gave up waiting.
@@ -266,14 +282,25 @@
 
 @messages.register
 class EndpointTrouble(messages.Message):
-    """An endpoint failed a host's request."""
+    """An endpoint failed a host's request.
 
-    __slots__ = ('host', 'service', 'endpoint_id', 'reason')
+    :param reached: whether a connection to it was had
+    """
+
+    __slots__ = ('host', 'service', 'endpoint_id', 'reached', 'reason')
 
-    def __init__(self, host: str, service: str, endpoint_id: str, reason: str):
+    def __init__(
+        self,
+        host: str,
+        service: str,
+        endpoint_id: str,
+        reached: bool,
+        reason: str,
+    ):
         self.host = host
         self.service = service
         self.endpoint_id = endpoint_id
+        self.reached = reached
         self.reason = reason
 
 
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -25,8 +25,17 @@
 PREFILL_BACKLOG_LIMIT_MS = 350
 TRANSFER_ALLOWANCE_MS = 60
 OTHER_PLACE_COST_MS = 25
+# How much one outcome moves an engine's failure share; an engine that could
+# not even be reached says more.
+FAILURE_GAIN = 0.25
+UNREACHED_GAIN = 0.5
+# Above this failure share an engine is left aside for a while.
+EJECT_FAILURE_SHARE = 0.55
+FAILURE_COST = 100
 EJECT_MIN_MS = 1_500
 EJECT_MAX_MS = 12_000
+# Failures are no reason to leave aside more than this part of the engines.
+EJECT_MAX_SHARE = 0.5
 LATE_WAIT_MS = 2_500
 RETURN_MIN_MS = 400
 RETURN_MAX_MS = 4_000
@@ -45,6 +54,7 @@
     :param urgent_until_ms: until when it can still be on time
     :param give_up_ms: when it is refused if there was no place
     :param avoid: endpoints that must not be used
+    :param prefer: the engine that keeps the prompt, empty for none
     """
 
     __slots__ = (
@@ -57,6 +67,7 @@
         'urgent_until_ms',
         'give_up_ms',
         'avoid',
+        'prefer',
     )
 
     def __init__(
@@ -70,6 +81,7 @@
         urgent_until_ms: int,
         give_up_ms: int,
         avoid: frozenset[str] = frozenset(),
+        prefer: str = '',
     ):
         self.key = key
         self.workspace = workspace
@@ -80,6 +92,7 @@
         self.urgent_until_ms = urgent_until_ms
         self.give_up_ms = give_up_ms
         self.avoid = avoid
+        self.prefer = prefer
 
     @property
     def memory_tokens(self) -> int:
@@ -124,6 +137,7 @@
         'running',
         'backlog_until_ms',
         'self_prefill_ms',
+        'failure_share',
         'ejected_until_ms',
         'eject_ms',
         'switching_until_ms',
@@ -139,6 +153,7 @@
         self.running = 0
         self.backlog_until_ms = 0
         self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
+        self.failure_share = 0.0
         self.ejected_until_ms = 0
         self.eject_ms = EJECT_MIN_MS
         self.switching_until_ms = 0
@@ -226,9 +241,15 @@
         """Queues a request; ``pump`` places it."""
         self._queue.append(ticket)
 
-    def withdraw(self, key: Key) -> None:
-        """Drops a request that waits, or frees what it holds."""
+    def withdraw(self, key: Key, sound: bool = False) -> None:
+        """Drops a request that waits, or frees what it holds.
+
+        :param sound: whether its decode engine served it
+        """
         self._queue = [t for t in self._queue if t.key != key]
+        reservation = self._reservations.get(key)
+        if sound and reservation is not None:
+            self._note_sound(reservation.decode_id)
         self.release(key)
 
     def adopt(
@@ -240,6 +261,12 @@
                 key, _Reservation(decode_id, tokens, '', prompt_tokens)
             )
 
+    def begin_decode(self, key: Key) -> None:
+        """Notes that the first token of a request is there."""
+        reservation = self._reservations.get(key)
+        if reservation is not None:
+            self._note_sound(reservation.decode_id)
+
     def finish_prefill(self, key: Key, duration_ms: float) -> None:
         """Notes that a prompt was read, and how long that took."""
         reservation = self._reservations.get(key)
@@ -272,18 +299,34 @@
         for key in [k for k in self._reservations if k[0] == host]:
             self.release(key)
 
-    def note_trouble(self, endpoint_id: str, now_ms: int) -> None:
-        """Leaves an engine that failed aside for a while."""
+    def note_trouble(
+        self, endpoint_id: str, now_ms: int, reached: bool = True
+    ) -> None:
+        """Leaves an engine aside that fails again and again.
+
+        :param reached: whether a connection to it was had
+        """
         state = self.engines.get(endpoint_id)
         if state is None or state.ejected_until_ms > now_ms:
             return
+        gain = FAILURE_GAIN if reached else UNREACHED_GAIN
+        state.failure_share += gain * (1 - state.failure_share)
+        if state.failure_share < EJECT_FAILURE_SHARE:
+            return
+        ejected = sum(
+            e.ejected_until_ms > now_ms for e in self.engines.values()
+        )
+        if ejected + 1 > len(self.engines) * EJECT_MAX_SHARE:
+            return
+        # The next outcome decides whether it stays in use.
+        state.failure_share = EJECT_FAILURE_SHARE - FAILURE_GAIN / 2
         state.ejected_until_ms = now_ms + state.eject_ms
         state.eject_ms = min(EJECT_MAX_MS, state.eject_ms * 2)
 
-    def note_sound(self, endpoint_id: str) -> None:
-        """Trusts an engine again that served a request."""
+    def _note_sound(self, endpoint_id: str) -> None:
         state = self.engines.get(endpoint_id)
         if state is not None:
+            state.failure_share *= 1 - FAILURE_GAIN
             state.eject_ms = EJECT_MIN_MS
 
     def pump(self, now_ms: int) -> list[Outcome]:
@@ -301,6 +344,21 @@
         self._queue = waiting
         return outcomes
 
+    def describe(self, now_ms: int) -> dict[str, object]:
+        """Returns figures on the pool for a log line."""
+        prefills, decodes = self.roles(now_ms)
+        return {
+            'waiting': len(self._queue),
+            'running': len(self._reservations),
+            'prefill_backlog_ms': [
+                max(0, e.backlog_until_ms - now_ms) for e in prefills
+            ],
+            'decode_reserved_tokens': [e.reserved_tokens for e in decodes],
+            'decode_running': [e.running for e in decodes],
+            'unusable': len(self.engines) - len(prefills) - len(decodes),
+            'prefill_tokens_per_ms': round(self._prefill_tokens_per_ms, 1),
+        }
+
     def roles(self, now_ms: int) -> tuple[list, list]:
         """Returns the usable prefill and decode engines."""
         usable = [e for e in self.engines.values() if e.usable(now_ms)]
@@ -320,11 +378,16 @@
         ]
         if not roomy:
             return None
+        keeper = self.engines.get(ticket.prefer)
+        if keeper in roomy:
+            return self._hold_whole(ticket, keeper)
         prefills = [
             e for e in prefills if e.endpoint.endpoint_id not in ticket.avoid
         ]
         prefill = min(
-            prefills, key=lambda e: e.backlog_until_ms, default=None
+            prefills,
+            key=lambda e: _prefill_cost_ms(e, now_ms),
+            default=None,
         )
         if prefill is not None:
             backlog_ms = max(0, prefill.backlog_until_ms - now_ms)
@@ -377,6 +440,9 @@
             return None
         decode = min(rested, key=lambda e: e.running)
         decode.self_prefill_ms = now_ms
+        return self._hold_whole(ticket, decode)
+
+    def _hold_whole(self, ticket: Ticket, decode: EngineState) -> Placement:
         self._reserve(
             ticket.key,
             _Reservation(
@@ -417,9 +483,15 @@
     return (late, ticket.priority, ticket.arrived_ms)
 
 
+def _prefill_cost_ms(state: EngineState, now_ms: int) -> float:
+    backlog_ms = max(0, state.backlog_until_ms - now_ms)
+    return backlog_ms + state.failure_share * PREFILL_BACKLOG_LIMIT_MS
+
+
 def _decode_cost(state: EngineState, place: str) -> float:
     used = state.reserved_tokens / max(1, state.memory_tokens)
     cost = used * 100
+    cost += state.failure_share * FAILURE_COST
     if state.endpoint.place != place:
         cost += OTHER_PLACE_COST_MS
     return cost
