Tests of routing decisions, HTTP server, forwarding and streams; an aborted answer resets its connection

Found by the new tests: an aborted answer ended with an end mark before the reset, and a closed server went on accepting with a warning each time.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 LIBS := wire bundles consensus control membership scheduling endpoints \
-        entry operator standins bench
+        entry operator standins bench routing serving gateway coordination
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)))
+export PYTHONPATH := $(subst $(space),:,$(foreach l,$(LIBS),$(CURDIR)/libs/$(l)) $(CURDIR)/platform)
 export PATH := $(BIN):$(PATH)
 
 .PHONY: demo test lint format bench soak capacity
@@ -29,7 +29,7 @@
 lint: $(VENV)/.installed
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 libs tools
+	$(BIN)/flake8 libs tools platform
 
 format: $(VENV)/.installed
 	$(BIN)/ruff check --fix-only .
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -71,9 +71,7 @@
                     return messages.Refused('over rate', wait_ms, True)
             pool = self._pools.get(request.service)
             if pool is None:
-                return messages.Refused(
-                    'no engine', placements.RETURN_MIN_MS
-                )
+                return messages.Refused('no engine', placements.RETURN_MIN_MS)
             key = (request.host, request.number)
             self._balances[request.service].note_prompt(
                 request.prompt_tokens, now_ms
@@ -90,9 +88,7 @@
         with self._lock:
             pool = self._pools.get(done.service)
             if pool is not None:
-                pool.finish_prefill(
-                    (done.host, done.number), done.duration_ms
-                )
+                pool.finish_prefill((done.host, done.number), done.duration_ms)
 
     def begin_decode(self, begun: messages.Decoding) -> None:
         """Notes that the first token of a request is there."""
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -208,5 +208,3 @@
                 'elapsed_ms': round(elapsed_ms),
             },
         )
-
-
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -138,7 +138,9 @@
                 target=self._follow_list, name='own-list', daemon=True
             ).start()
             self._stack = stack.pop_all()
-        LOG.info('entry host started', extra={'address': self.settings.address})
+        LOG.info(
+            'entry host started', extra={'address': self.settings.address}
+        )
 
     def drain(self) -> None:
         """Stops being ready and returns once every request has ended.
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -57,9 +57,7 @@
 
         :raises InterruptedCallError: when the caller left
         """
-        refusal = ports.Refusal(
-            ports.Reason.NOT_RUN, 'no endpoint', RETURN_MS
-        )
+        refusal = ports.Refusal(ports.Reason.NOT_RUN, 'no endpoint', RETURN_MS)
         self._budgets.note_request(job.service)
         kept: Answer | None = None
         while True:
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -223,9 +223,7 @@
                 self._make_renewal(running), RENEW_TIMEOUT_MS
             )
 
-    def _make_renewal(
-        self, running: list[messages.Running]
-    ) -> messages.Renew:
+    def _make_renewal(self, running: list[messages.Running]) -> messages.Renew:
         identity = self._identity
         state = self._state
         searching = self._leader is None
--- a/libs/gateway/masticquay_gateway/retries.py
+++ b/libs/gateway/masticquay_gateway/retries.py
@@ -39,9 +39,7 @@
     def take(self, service: str) -> bool:
         """Takes one repeat if the budget has one."""
         with self._lock:
-            return self._find(service).take(
-                _now_ms(), self._state.host_count
-            )
+            return self._find(service).take(_now_ms(), self._state.host_count)
 
     def _find(self, service: str) -> budgets.RetryBudget:
         found = self._budgets.get(service)
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -449,5 +449,3 @@
     if refused.over_rate:
         reason = ports.Reason.OVER_RATE
     return ports.Refusal(reason, refused.reason, refused.retry_after_ms)
-
-
--- /dev/null
+++ b/libs/gateway/tests/fakes.py
@@ -0,0 +1,159 @@
+"""Fakes at the ports of the entry daemon: callers, endpoints, control."""
+
+import threading
+import time
+
+from masticquay_endpoints import interrupts
+from masticquay_gateway import errors
+from masticquay_gateway import jobs
+from masticquay_gateway import ports
+from masticquay_routing import fleets
+from masticquay_routing import tables
+from masticquay_serving import errors as serving_errors
+from masticquay_serving import http_servers
+
+PROMPT_TOKENS = 3_000
+
+
+class FakeReply:
+    """Keeps what a caller was sent."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b''
+        self.finished = False
+        self.aborted = False
+        self.leave_after = None
+
+    def send(self, status, headers, body=b''):
+        self.status = status
+        self.body = body
+        self.finished = True
+
+    def begin(self, status, headers):
+        self.status = status
+
+    def write(self, data):
+        if self.leave_after is not None and len(self.body) > self.leave_after:
+            raise serving_errors.CallerLeftError('gone')
+        self.body += data
+
+    def finish(self):
+        self.finished = True
+
+    def abort(self):
+        self.aborted = True
+
+
+class FakeProtocol:
+    """Marks what it was asked for in plain headers."""
+
+    def run_headers(self, headers, endpoint, terms):
+        result = [('Call', dict(headers)['Call'])]
+        if terms.last_event_id is not None:
+            result.append(('Resume', terms.last_event_id))
+        return result
+
+    def prefill_headers(self, headers, endpoint, terms):
+        return [*self.run_headers(headers, endpoint, terms), ('Pre', '1')]
+
+    def decode_headers(self, headers, endpoint, terms, source, handle):
+        result = self.run_headers(headers, endpoint, terms)
+        return [*result, ('Handle', handle)]
+
+    def read_head(self, call, status, headers):
+        found = dict(headers)
+        return ports.AnswerHead(
+            status=status,
+            ran='Not-Run' not in found,
+            genuine=found.get('Call') == call.call_id,
+            load=None,
+            headers=[],
+        )
+
+    def read_handle(self, body):
+        if not body:
+            raise errors.ProtocolError('no handle')
+        return body.decode()
+
+    def release_target(self, handle):
+        return f'/release/{handle}'
+
+
+class FakeEndpoint:
+    """An endpoint whose answers a test scripts.
+
+    :param answer: called with the request and the reply
+    """
+
+    def __init__(self, stack, number, answer, role=''):
+        self.requests = []
+        self.lock = threading.Lock()
+        self.answer = answer
+        server = http_servers.Server(
+            ('127.0.0.1', 0), self.serve, http_servers.Limits
+        )
+        server.start()
+        stack.callback(server.server_close)
+        host, port = server.server_address
+        self.endpoint = fleets.Endpoint(
+            f'e{number}', 'svc', f'{host}:{port}', 'p1', 8, False, role
+        )
+
+    def serve(self, request, reply):
+        with self.lock:
+            self.requests.append(request)
+        self.answer(request, reply)
+
+
+class FakeState:
+    """A fleet of given endpoints."""
+
+    def __init__(self, endpoints):
+        self.by_id = {e.endpoint_id: e for e in endpoints}
+        self.host_count = 1
+
+    def endpoints(self, service):
+        return list(self.by_id.values())
+
+    def endpoint(self, endpoint_id):
+        return self.by_id.get(endpoint_id)
+
+
+def echo(request, reply, status=200, extra=(), body=b'ok'):
+    """Answers genuinely."""
+    headers = [('Call', request.header('call')), *extra]
+    reply.send(status, headers, body)
+
+
+def make_route(kind=tables.RouteKind.IDEMPOTENT, **more):
+    """Returns a route to the service ``svc``."""
+    fields = {
+        'timeout_ms': 2_000,
+        'target_ms': 900,
+        'priority': 1,
+        'attempts': 2,
+        'targets': [tables.Target('svc', 1.0)],
+    }
+    fields.update(more)
+    return tables.Route('r', 'a.example', '/a/', kind, **fields)
+
+
+def make_job(route, reply=None, call_id='c1'):
+    """Returns a job whose request has just arrived."""
+    request = http_servers.Request(
+        'POST', '/a/x', [('Call', call_id)], b'body', time.monotonic()
+    )
+    call = ports.Call(
+        call_id, 'a.example', '/a/x', None, 5_000, PROMPT_TOKENS, 400, 100
+    )
+    return jobs.Job(
+        request,
+        call,
+        reply or FakeReply(),
+        None,
+        route,
+        None,
+        'svc',
+        interrupts.Interrupt(),
+    )
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -106,9 +106,12 @@
         tight = _decode_load(pool, now_ms) > DECODE_LOAD_LIMIT
         if needed > base + extra + EXTRA_MARGIN and not tight:
             extra += 1
-        elif extra and tight:
-            extra -= 1
-        elif extra and needed < base + extra - 1 - EXTRA_MARGIN:
+        elif (
+            extra
+            and tight
+            or extra
+            and needed < base + extra - 1 - EXTRA_MARGIN
+        ):
             extra -= 1
         if extra != self._extra:
             self._extra = extra
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -362,9 +362,7 @@
     def roles(self, now_ms: int) -> tuple[list, list]:
         """Returns the usable prefill and decode engines."""
         usable = [e for e in self.engines.values() if e.usable(now_ms)]
-        prefill = [
-            e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL
-        ]
+        prefill = [e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL]
         decode = [e for e in usable if e.endpoint.role == fleets.ROLE_DECODE]
         return prefill, decode
 
--- /dev/null
+++ b/libs/routing/tests/test_balances.py
@@ -0,0 +1,81 @@
+"""Tests of the balance of prefill and decode engines."""
+
+import unittest
+
+from masticquay_routing import balances
+from masticquay_routing import fleets
+from tests import builders
+
+SWITCH_MS = 6_000
+
+
+class BalanceTest(unittest.TestCase):
+    def setUp(self):
+        self.balance = balances.Balance()
+
+    def plan(self, pool, now_ms):
+        return self.balance.plan(pool, now_ms, SWITCH_MS)
+
+    def test_surplus_is_ordered_at_once_before_traffic(self):
+        pool = builders.make_pool(prefills=3, decodes=3)
+        self.plan(pool, 0)
+        orders = self.plan(pool, balances.STEADY_MS)
+        self.assertEqual(2, len(orders))
+        self.assertEqual({fleets.ROLE_DECODE}, {o.role for o in orders})
+
+    def test_list_that_still_grows_decides_nothing(self):
+        pool = builders.make_pool(prefills=0, decodes=2)
+        self.assertEqual([], self.plan(pool, 0))
+        pool.set_engines(
+            [
+                builders.make_engine(n, fleets.ROLE_PREFILL if n < 3 else 'x')
+                for n in range(4)
+            ],
+            builders.MEMORY_TOKENS,
+            builders.SLOTS,
+        )
+        self.assertEqual([], self.plan(pool, 1_400))
+
+    def test_nothing_is_ordered_twice(self):
+        pool = builders.make_pool(prefills=3, decodes=3)
+        self.plan(pool, 0)
+        self.plan(pool, 2_000)
+        self.assertEqual([], self.plan(pool, 2_300))
+
+    def test_lost_prefill_engine_is_replaced(self):
+        """One stage lost: a decode engine takes its place."""
+        pool = builders.make_pool(prefills=0, decodes=5)
+        self.plan(pool, 0)
+        orders = self.plan(pool, 2_000)
+        self.assertEqual([fleets.ROLE_PREFILL], [o.role for o in orders])
+
+    def test_long_prompts_add_a_prefill_engine(self):
+        """Long prompts against long answers: the mix shifts for good."""
+        pool = builders.make_pool(prefills=1, decodes=5)
+        self.plan(pool, 0)
+        for now_ms in range(0, 10_000, 100):
+            self.balance.note_prompt(5_000, now_ms)
+        orders = self.plan(pool, 10_000)
+        self.assertEqual([fleets.ROLE_PREFILL], [o.role for o in orders])
+
+    def test_no_engine_is_taken_from_decoding_while_memory_is_short(self):
+        pool = builders.make_pool(prefills=1, decodes=5)
+        self.plan(pool, 0)
+        for number in range(40):
+            pool.adopt(('host', number), f'e{1 + number % 5}', 2_000, 1_000)
+        for now_ms in range(0, 10_000, 100):
+            self.balance.note_prompt(5_000, now_ms)
+        self.assertEqual([], self.plan(pool, 10_000))
+
+    def test_short_burst_changes_nothing(self):
+        """Burst: a change of role takes longer than the burst lasts."""
+        pool = builders.make_pool(prefills=1, decodes=5)
+        self.plan(pool, 0)
+        for now_ms in range(8_000, 9_000, 50):
+            self.balance.note_prompt(3_000, now_ms)
+        self.assertEqual([], self.plan(pool, 9_000))
+
+    def test_last_decode_engine_is_never_taken(self):
+        pool = builders.make_pool(prefills=0, decodes=1)
+        self.plan(pool, 0)
+        self.assertEqual([], self.plan(pool, 5_000))
--- /dev/null
+++ b/libs/routing/tests/test_budgets.py
@@ -0,0 +1,41 @@
+"""Tests of the budgets for repeated sends."""
+
+import unittest
+
+from masticquay_routing import budgets
+
+HOSTS = 9
+WINDOW_MS = 10_000
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_sum_over_hosts_keeps_the_bound(self):
+        """Clients that come back together: every host spends all it has."""
+        ratio, slack, per_host = 0.2, 52, 30
+        spent = 0
+        for _host in range(HOSTS):
+            budget = budgets.RetryBudget(ratio, slack, WINDOW_MS)
+            for number in range(per_host):
+                budget.note_request(number * 100)
+            while budget.take(3_000, HOSTS):
+                spent += 1
+        self.assertGreater(spent, 0)
+        self.assertLessEqual(spent, ratio * per_host * HOSTS + slack)
+
+    def test_budget_comes_back_after_the_window(self):
+        budget = budgets.RetryBudget(0.0, 3, WINDOW_MS, safety=1.0)
+        self.assertTrue(all(budget.take(0, 1) for _ in range(3)))
+        self.assertFalse(budget.take(5_000, 1))
+        self.assertTrue(budget.take(WINDOW_MS + 1_000, 1))
+
+    def test_any_sliding_window_holds(self):
+        """A fault that lasts for minutes: a window may begin anywhere."""
+        budget = budgets.RetryBudget(0.2, 5, WINDOW_MS)
+        times = []
+        for now_ms in range(0, 40_000, 50):
+            budget.note_request(now_ms)
+            if budget.take(now_ms, 1):
+                times.append(now_ms)
+        for start_ms in range(0, 30_000, 100):
+            inside = [t for t in times if start_ms <= t < start_ms + WINDOW_MS]
+            self.assertLessEqual(len(inside), 0.2 * WINDOW_MS / 50 + 5)
--- /dev/null
+++ b/libs/routing/tests/test_placements.py
@@ -0,0 +1,174 @@
+"""Tests of the placement of model requests."""
+
+import unittest
+
+from masticquay_routing import fleets
+from masticquay_routing import placements
+from tests import builders
+
+
+class PoolTest(unittest.TestCase):
+    def setUp(self):
+        self.pool = builders.make_pool()
+
+    def admit(self, number, now_ms=0, **more):
+        self.pool.admit(builders.make_ticket(number, now_ms, **more))
+
+    def pump(self, now_ms=0):
+        return [outcome for _ticket, outcome in self.pool.pump(now_ms)]
+
+    def test_prefill_apart_then_decode(self):
+        self.admit(1)
+        placement = self.pump()[0]
+        self.assertEqual('e0', placement.prefill.endpoint_id)
+        self.assertIn(placement.decode.endpoint_id, ('e1', 'e2'))
+
+    def test_memory_is_reserved_before_the_prefill(self):
+        """Burst: no prompt is read that finds no decode memory."""
+        for number in range(20):
+            self.admit(number, prompt=300, output=3_700)
+        placed = self.pump()
+        self.assertEqual(10, len(placed))
+        for state in self.pool.engines.values():
+            self.assertLessEqual(state.reserved_tokens, builders.MEMORY_TOKENS)
+        self.assertEqual(10, self.pool.queue_length)
+
+    def test_freed_memory_goes_to_who_waits(self):
+        for number in range(11):
+            self.admit(number, prompt=300, output=3_700)
+        self.assertEqual(10, len(self.pump()))
+        self.pool.withdraw(('host', 0), sound=True)
+        self.assertEqual(1, len(self.pump()))
+
+    def test_refused_when_it_would_be_late(self):
+        for number in range(11):
+            self.admit(number, prompt=300, output=3_700)
+        self.pump()
+        self.assertEqual([], self.pump(499))
+        refusal = self.pump(501)[0]
+        self.assertIsInstance(refusal, placements.Refusal)
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_who_came_back_late_waits_behind_who_can_be_on_time(self):
+        """Clients that come back together do not push others out."""
+        for number in range(10):
+            self.admit(number, prompt=300, output=3_700)
+        self.pump()
+        self.admit(90, 10, urgent_until_ms=10, give_up_ms=5_000)
+        self.admit(91, 20)
+        self.pool.withdraw(('host', 0))
+        ticket, _outcome = self.pool.pump(30)[0]
+        self.assertEqual(('host', 91), ticket.key)
+
+    def test_urgent_workspace_goes_first(self):
+        for number in range(10):
+            self.admit(number, prompt=300, output=3_700)
+        self.pump()
+        self.admit(90, 10, priority=2)
+        self.admit(91, 20, priority=0)
+        self.pool.withdraw(('host', 0))
+        ticket, _outcome = self.pool.pump(30)[0]
+        self.assertEqual(('host', 91), ticket.key)
+
+    def test_decode_engine_reads_the_prompt_without_prefill_engines(self):
+        """One stage lost: service goes on, with prompts spaced out."""
+        self.pool = builders.make_pool(prefills=0, decodes=1)
+        self.admit(1, 1_000)
+        self.admit(2, 1_000)
+        placements_made = self.pump(1_000)
+        self.assertEqual(1, len(placements_made))
+        self.assertIsNone(placements_made[0].prefill)
+        later_ms = 1_000 + placements.SELF_PREFILL_SPACING_MS
+        self.assertEqual(1, len(self.pump(later_ms)))
+
+    def test_long_prefill_queue_spills_over(self):
+        """Long prompts: decode engines help when prompts queue up."""
+        for number in range(6):
+            self.admit(number, 1_000)
+        made = self.pump(1_000)
+        self.assertTrue(any(p.prefill is None for p in made))
+        self.assertTrue(any(p.prefill is not None for p in made))
+
+    def test_failing_engine_is_left_aside_for_a_while(self):
+        for _ in range(3):
+            self.pool.note_trouble('e1', 0)
+        self.admit(1)
+        self.assertEqual('e2', self.pump()[0].decode.endpoint_id)
+        self.assertFalse(self.pool.engines['e1'].usable(0))
+        self.assertTrue(self.pool.engines['e1'].usable(60_000))
+
+    def test_some_lost_answers_are_no_reason_to_leave_it_aside(self):
+        """Grey endpoint: one answer in five is lost on its way."""
+        for number in range(50):
+            self.admit(number, number * 1_000)
+            placement = self.pump(number * 1_000)[0]
+            self.pool.begin_decode(('host', number))
+            lost = number % 5 == 0
+            if lost:
+                self.pool.note_trouble(placement.decode.endpoint_id, 0)
+            self.pool.withdraw(('host', number), sound=not lost)
+        self.assertTrue(self.pool.engines['e1'].usable(0))
+        self.assertTrue(self.pool.engines['e2'].usable(0))
+
+    def test_unreached_engine_is_left_aside_after_two(self):
+        for _ in range(2):
+            self.pool.note_trouble('e1', 0, reached=False)
+        self.assertFalse(self.pool.engines['e1'].usable(0))
+
+    def test_never_more_than_half_are_left_aside(self):
+        for name in ('e0', 'e1', 'e2'):
+            for _ in range(5):
+                self.pool.note_trouble(name, 0)
+        usable = [e for e in self.pool.engines.values() if e.usable(0)]
+        self.assertGreaterEqual(len(usable), 2)
+
+    def test_broken_stream_goes_on_where_its_prompt_is_kept(self):
+        self.admit(1, prefer='e2')
+        placement = self.pump()[0]
+        self.assertIsNone(placement.prefill)
+        self.assertEqual('e2', placement.decode.endpoint_id)
+
+    def test_leaving_engine_gets_no_new_work(self):
+        engines = [
+            builders.make_engine(0, fleets.ROLE_PREFILL),
+            builders.make_engine(1, fleets.ROLE_DECODE, leaving=True),
+            builders.make_engine(2, fleets.ROLE_DECODE),
+        ]
+        self.pool.set_engines(engines, builders.MEMORY_TOKENS, builders.SLOTS)
+        for number in range(4):
+            self.admit(number)
+        names = {p.decode.endpoint_id for p in self.pump()}
+        self.assertEqual({'e2'}, names)
+
+    def test_engine_that_returns_keeps_its_account(self):
+        self.admit(1)
+        placement = self.pump()[0]
+        engines = [e.endpoint for e in self.pool.engines.values()]
+        self.pool.set_engines([], builders.MEMORY_TOKENS, builders.SLOTS)
+        self.pool.set_engines(engines, builders.MEMORY_TOKENS, builders.SLOTS)
+        state = self.pool.engines[placement.decode.endpoint_id]
+        self.assertEqual(1, state.running)
+        self.assertEqual(4_000, state.reserved_tokens)
+
+    def test_lost_host_frees_all_it_held(self):
+        for number in range(8):
+            self.admit(number)
+        self.pump()
+        self.pool.release_host('host')
+        self.assertEqual(0, self.pool.running_count)
+        for state in self.pool.engines.values():
+            self.assertEqual(0, state.reserved_tokens)
+
+    def test_adopted_request_counts_once(self):
+        self.pool.adopt(('host', 5), 'e1', 4_000, 3_000)
+        self.pool.adopt(('host', 5), 'e1', 4_000, 3_000)
+        self.assertEqual(4_000, self.pool.engines['e1'].reserved_tokens)
+
+
+class ExpectedOutputTest(unittest.TestCase):
+    def test_hint_is_bounded_by_the_limit(self):
+        self.assertEqual(500, placements.expected_output(800, 500))
+        self.assertEqual(110, placements.expected_output(100, 500))
+
+    def test_without_hint_the_limit_counts(self):
+        self.assertEqual(500, placements.expected_output(None, 500))
--- /dev/null
+++ b/libs/routing/tests/test_tables.py
@@ -0,0 +1,96 @@
+"""Tests of the routing table."""
+
+import unittest
+
+from masticquay_routing import errors
+from masticquay_routing import table_checks
+from masticquay_routing import tables
+from tests import builders
+
+
+class MatchTest(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        table = builders.make_table(
+            routes=[
+                builders.make_route('short', prefix='/a/'),
+                builders.make_route('long', prefix='/a/b/'),
+            ]
+        )
+        self.assertEqual('long', table.match('A.example', '/a/b/c').name)
+        self.assertEqual('short', table.match('a.example', '/a/bc').name)
+
+    def test_other_host_or_prefix_has_no_route(self):
+        table = builders.make_table()
+        self.assertIsNone(table.match('b.example', '/a/'))
+        self.assertIsNone(table.match('a.example', '/a'))
+
+
+class WeightTest(unittest.TestCase):
+    def test_draw_follows_the_weights(self):
+        route = builders.make_route(
+            targets=[tables.Target('x', 90), tables.Target('y', 10)]
+        )
+        self.assertEqual('x', route.choose_service(0.0))
+        self.assertEqual('x', route.choose_service(0.89))
+        self.assertEqual('y', route.choose_service(0.91))
+
+    def test_weight_of_zero_gets_nothing(self):
+        route = builders.make_route(
+            targets=[tables.Target('x', 0), tables.Target('y', 5)]
+        )
+        self.assertEqual('y', route.choose_service(0.0))
+
+
+class WorkspaceTest(unittest.TestCase):
+    def test_key_names_its_workspace(self):
+        workspace = tables.Workspace('w', ['k1', 'k2'])
+        table = builders.make_table(workspaces=[workspace])
+        self.assertIs(workspace, table.workspace_of('k2'))
+        self.assertIsNone(table.workspace_of('k3'))
+
+    def test_cost_in_tokens_or_requests(self):
+        plain = tables.Workspace('w', [])
+        counted = tables.Workspace(
+            'w', [], counts_tokens=True, plain_tokens=200
+        )
+        self.assertEqual(1, plain.cost(3_000))
+        self.assertEqual(3_000, counted.cost(3_000))
+        self.assertEqual(200, counted.cost(None))
+
+
+class CheckTest(unittest.TestCase):
+    def assert_invalid(self, table, key):
+        with self.assertRaises(errors.TableError) as caught:
+            table_checks.check(table)
+        self.assertIn(key, caught.exception.key)
+
+    def test_valid_table(self):
+        table_checks.check(builders.make_table())
+
+    def test_unknown_service(self):
+        route = builders.make_route(service='other')
+        self.assert_invalid(builders.make_table(routes=[route]), 'routes.r')
+
+    def test_same_place_twice(self):
+        routes = [builders.make_route('one'), builders.make_route('two')]
+        self.assert_invalid(builders.make_table(routes=routes), 'two')
+
+    def test_weights_that_add_up_to_zero(self):
+        route = builders.make_route(targets=[tables.Target('svc', 0)])
+        self.assert_invalid(builders.make_table(routes=[route]), 'routes.r')
+
+    def test_timeout_of_zero(self):
+        route = builders.make_route(timeout_ms=0)
+        self.assert_invalid(builders.make_table(routes=[route]), 'routes.r')
+
+    def test_prefix_without_slash(self):
+        route = builders.make_route(prefix='/a')
+        self.assert_invalid(builders.make_table(routes=[route]), 'routes.r')
+
+    def test_key_of_two_workspaces(self):
+        workspaces = [
+            tables.Workspace('one', ['k']),
+            tables.Workspace('two', ['k']),
+        ]
+        table = builders.make_table(workspaces=workspaces)
+        self.assert_invalid(table, 'workspaces.two')
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -32,6 +32,8 @@
 # How long an end of accepting may go unnoticed.
 ACCEPT_TIMEOUT_S = 0.5
 ACCEPT_RETRY_S = 0.05
+# Lets close reset the connection.
+ABORT_LINGER = struct.pack('ii', 1, 0)
 
 Headers = list[tuple[str, str]]
 
@@ -147,7 +149,7 @@
         self._handler.close_connection = True
         with contextlib.suppress(OSError):
             self.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+                socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER
             )
 
     def _head(self, status: int, headers: Headers) -> bytes:
@@ -348,6 +350,24 @@
             daemon=True,
         ).start()
 
+    def server_close(self) -> None:
+        """Ends accepting at once."""
+        self._accepting.clear()
+        super().server_close()
+
+    def shutdown_request(self, request: typing.Any) -> None:
+        """Closes a connection; one that was aborted without an end mark."""
+        aborted = False
+        with contextlib.suppress(OSError):
+            linger = request.getsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, len(ABORT_LINGER)
+            )
+            aborted = linger == ABORT_LINGER
+        if aborted:
+            self.close_request(request)
+        else:
+            super().shutdown_request(request)
+
     def stop_accepting(self) -> None:
         """Takes no more connections; those accepted are served on."""
         self._accepting.clear()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,6 +10,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+ADAPTER = ROOT / 'platform'
 KNOWN_RED_FILE = ROOT / 'KNOWN-RED.txt'
 LIBRARY_TIMEOUT_S = 900
 RAN_PATTERN = re.compile(r'^Ran (\d+) tests?', re.MULTILINE)
@@ -45,10 +46,14 @@
 
 
 def list_libraries(names: list[str]) -> list[pathlib.Path]:
-    """Lists the library folders, all of them when no name is given."""
+    """Lists the folders with tests, all of them when no name is given."""
     if names:
-        return [ROOT / 'libs' / name for name in names]
-    return sorted(path.parent for path in ROOT.glob('libs/*/pyproject.toml'))
+        return [
+            ADAPTER if name == ADAPTER.name else ROOT / 'libs' / name
+            for name in names
+        ]
+    found = sorted(path.parent for path in ROOT.glob('libs/*/pyproject.toml'))
+    return [*found, ADAPTER]
 
 
 def read_known_red() -> set[tuple[str, str]]:
