--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -88,7 +88,10 @@
         with self._lock:
             pool = self._pools.get(done.service)
             if pool is not None:
-                pool.finish_prefill((done.host, done.number), done.duration_ms)
+                pool.finish_prefill(
+                    (done.host, done.number), self._clock.now_ms()
+                )
+        self.pump()
 
     def begin_decode(self, begun: messages.Decoding) -> None:
         """Notes that the first token of a request is there."""
@@ -238,6 +241,8 @@
         give_up_ms=now_ms + request.wait_ms,
         avoid=frozenset(request.avoid),
         prefer=request.prefer,
+        late_give_up_ms=now_ms + request.late_wait_ms,
+        prompt_key=request.prompt_key,
     )
 
 
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -9,7 +9,6 @@
 
 # Time kept back, so that the answer is out before the caller gives up.
 ANSWER_MARGIN_MS = 15
-DEFAULT_DEADLINE_MS = 30_000
 
 
 class Job:
@@ -78,19 +77,6 @@
             limit_ms = min(limit_ms, deadline_ms)
         return int(limit_ms - self.elapsed_ms) - ANSWER_MARGIN_MS
 
-    @property
-    def comeback(self) -> bool:
-        """Whether the caller seems to have asked before.
-
-        Callers shorten the deadline by the time that earlier attempts took.
-        """
-        deadline_ms = self.call.deadline_ms
-        if deadline_ms is None:
-            return False
-        return deadline_ms < 0.95 * min(
-            self.route.timeout_ms, DEFAULT_DEADLINE_MS
-        )
-
     def terms(self, last_event_id: str | None = None) -> ports.Terms:
         """Returns what an endpoint is told now."""
         return ports.Terms(
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -16,11 +16,11 @@
 
 LOG = logging.getLogger(__name__)
 
-RENEW_INTERVAL_MS = 500
-RENEW_TIMEOUT_MS = 600
+RENEW_INTERVAL_MS = 400
+RENEW_TIMEOUT_MS = 400
 SEARCH_PAUSE_MS = 100
 # Without a renewal for this long decisions are taken here.
-TOUCH_LIMIT_MS = 1_300
+TOUCH_LIMIT_MS = 850
 MAX_CONTROLS = 16
 
 
@@ -101,8 +101,8 @@
         """Ends the thread and the links."""
         self._closed = True
         self._wake.set()
-        for peer in list(self._peers.values()):
-            peer.close()
+        for address in list(self._peers):
+            self._drop(address)
 
     def renew_now(self) -> None:
         """Renews at once, since something changed here."""
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -17,7 +17,7 @@
 
 LOG = logging.getLogger(__name__)
 
-POLL_MS = 200
+POLL_MS = 100
 ANSWER_SLACK_MS = 300
 # Hosts rarely need the same engine at once, so the shares may overlap.
 LOCAL_SHARE_FACTOR = 1.5
@@ -95,6 +95,13 @@
                     return outcome
         return placements.Refusal('no engine', placements.RETURN_MIN_MS)
 
+    def finish_prefill(self, request: messages.Admit) -> None:
+        """Notes that the prompt was read."""
+        with self._lock:
+            pool = self._pools.get(request.service)
+            if pool is not None:
+                pool.finish_prefill((request.host, request.number), _now_ms())
+
     def release(self, request: messages.Admit) -> None:
         """Frees a place."""
         with self._lock:
@@ -162,15 +169,15 @@
             return answer
         return self._place_locally(request)
 
-    def finish_prefill(self, place: Place, duration_ms: float) -> None:
+    def finish_prefill(self, place: Place) -> None:
         """Notes that the prompt was read."""
         request = place.request
-        if not place.local:
-            self._link.notify(
-                messages.PrefillDone(
-                    self._host, request.service, request.number, duration_ms
-                )
-            )
+        if place.local:
+            self._local.finish_prefill(request)
+            return
+        self._link.notify(
+            messages.PrefillDone(self._host, request.service, request.number)
+        )
 
     def begin_decode(self, place: Place) -> None:
         """Notes that the first token is there."""
@@ -227,7 +234,8 @@
     def _ask_leader(
         self, request: messages.Admit, interrupt: interrupts.Interrupt
     ) -> messages.Placed | messages.Refused | None:
-        limit_ms = request.wait_ms + ANSWER_SLACK_MS
+        limit_ms = max(request.wait_ms, request.late_wait_ms)
+        limit_ms += ANSWER_SLACK_MS
         future = self._link.submit(request, limit_ms)
         deadline_ms = _now_ms() + limit_ms
         try:
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -19,6 +19,8 @@
     :param prompt_tokens: None when the caller declares no tokens
     :param limit_tokens: the most that the answer may have
     :param hint_tokens: the caller's estimate of the answer's length
+    :param prompt_key: the same for each attempt at a model request, empty
+        if unknown
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         'prompt_tokens',
         'limit_tokens',
         'hint_tokens',
+        'prompt_key',
     )
 
     def __init__(
@@ -42,6 +45,7 @@
         prompt_tokens: int | None = None,
         limit_tokens: int | None = None,
         hint_tokens: int | None = None,
+        prompt_key: str = '',
     ):
         self.call_id = call_id
         self.host = host
@@ -51,6 +55,7 @@
         self.prompt_tokens = prompt_tokens
         self.limit_tokens = limit_tokens
         self.hint_tokens = hint_tokens
+        self.prompt_key = prompt_key
 
     @property
     def tokens(self) -> int | None:
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -27,7 +27,10 @@
 # A request that cannot get its first token in time any more is refused
 # after this part of its target.
 WAIT_SHARE = 0.6
-COMEBACK_WAIT_MS = 2_500
+# One that was refused before is late anyway and may wait longer, as long as
+# the time left suffices for an answer.
+LATE_WAIT_MS = 4_000
+LATE_RESERVE_MS = 4_000
 MAX_SENDS = 4
 STREAM_GAP_LIMIT_MS = 2_500
 RELEASE_TIMEOUT_MS = 500
@@ -208,9 +211,7 @@
         prompt_tokens = call.prompt_tokens or 0
         urgent_ms = int(job.route.target_ms * WAIT_SHARE - job.elapsed_ms)
         wait_ms = urgent_ms
-        if job.comeback:
-            urgent_ms, wait_ms = 0, COMEBACK_WAIT_MS
-        elif charged:
+        if charged:
             wait_ms = max(wait_ms, RETURN_MS)
         workspace = job.workspace
         request = messages.Admit(
@@ -226,6 +227,10 @@
             priority=job.priority,
             urgent_ms=max(0, urgent_ms),
             wait_ms=max(0, min(wait_ms, job.remaining_ms)),
+            late_wait_ms=max(
+                0, min(LATE_WAIT_MS, job.remaining_ms - LATE_RESERVE_MS)
+            ),
+            prompt_key=call.prompt_key,
             avoid=sorted(job.tried),
             prefer=relay.keeper,
             charged=charged,
@@ -294,7 +299,7 @@
             job.tried.add(prefill.endpoint_id)
             return None
         duration_ms = (time.monotonic() - started_s) * 1000
-        self._placer.finish_prefill(place, duration_ms)
+        self._placer.finish_prefill(place)
         self._registry.observe('prefill_ms', duration_ms)
         return handle
 
@@ -371,7 +376,6 @@
                 'prefill': place.prefill.endpoint_id if place.prefill else '',
                 'decode': place.decode.endpoint_id,
                 'local': place.local,
-                'comeback': job.comeback,
             },
         )
         self._registry.observe(
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -36,7 +36,7 @@
         prefill, decode = place
         return placers.Place(prefill, decode, request, local=False)
 
-    def finish_prefill(self, place, duration_ms):
+    def finish_prefill(self, place):
         pass
 
     def begin_decode(self, place):
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -64,7 +64,7 @@
         arriving = sum(_has_role(e, fleets.ROLE_DECODE) for e in coming)
         surplus = len(prefills) + arriving - wanted
         if surplus > 0:
-            idlest = sorted(prefills, key=lambda e: e.backlog_until_ms)
+            idlest = sorted(prefills, key=lambda e: e.prefill_tokens)
             chosen = idlest[: min(surplus, len(prefills) - 1)]
             role = fleets.ROLE_DECODE
         elif surplus < 0 and len(decodes) > 1:
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -154,6 +154,8 @@
     :param cost: what it takes from the workspace's rate
     :param urgent_ms: for how long it can still be on time
     :param wait_ms: for how long it may wait for a place
+    :param late_wait_ms: the same, if it was refused before
+    :param prompt_key: see ``placements.Ticket``
     :param avoid: endpoints that failed it
     :param prefer: the engine that keeps its prompt, empty for none
     :param charged: whether its cost was taken before
@@ -170,6 +172,8 @@
         'priority',
         'urgent_ms',
         'wait_ms',
+        'late_wait_ms',
+        'prompt_key',
         'avoid',
         'prefer',
         'charged',
@@ -187,6 +191,8 @@
         priority: int,
         urgent_ms: int,
         wait_ms: int,
+        late_wait_ms: int,
+        prompt_key: str,
         avoid: list[str],
         prefer: str = '',
         charged: bool = False,
@@ -201,6 +207,8 @@
         self.priority = priority
         self.urgent_ms = urgent_ms
         self.wait_ms = wait_ms
+        self.late_wait_ms = late_wait_ms
+        self.prompt_key = prompt_key
         self.avoid = avoid
         self.prefer = prefer
         self.charged = charged
@@ -241,15 +249,12 @@
 class PrefillDone(messages.Message):
     """A prompt was read."""
 
-    __slots__ = ('host', 'service', 'number', 'duration_ms')
+    __slots__ = ('host', 'service', 'number')
 
-    def __init__(
-        self, host: str, service: str, number: int, duration_ms: float
-    ):
+    def __init__(self, host: str, service: str, number: int):
         self.host = host
         self.service = service
         self.number = number
-        self.duration_ms = duration_ms
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -16,12 +16,16 @@
 HINT_FACTOR = 1.1
 START_PREFILL_TOKENS_PER_MS = 30.0
 PREFILL_RATE_GAIN = 0.1
+MIN_PREFILL_TOKENS_PER_MS = 15.0
+MAX_PREFILL_TOKENS_PER_MS = 120.0
+# Shorter prompts say more of the way than of the engine.
+LEARN_MIN_TOKENS = 500
 # A decode engine reads prompts at about half of the speed.
 SELF_PREFILL_SLOWDOWN = 2.0
 # Two prompts read on one decode engine need this much time between them, or
 # its streams pause for too long.
-SELF_PREFILL_SPACING_MS = 450
-SELF_PREFILL_MAX_TOKENS = 3_600
+SELF_PREFILL_SPACING_MS = 600
+SELF_PREFILL_MAX_TOKENS = 2_600
 PREFILL_BACKLOG_LIMIT_MS = 350
 TRANSFER_ALLOWANCE_MS = 60
 OTHER_PLACE_COST_MS = 25
@@ -36,8 +40,15 @@
 EJECT_MAX_MS = 12_000
 # Failures are no reason to leave aside more than this part of the engines.
 EJECT_MAX_SHARE = 0.5
-LATE_WAIT_MS = 2_500
+# What is late already leaves this much for what can still be on time.
+LATE_MEMORY_SHARE = 0.8
+LATE_BACKLOG_LIMIT_MS = 120
 RETURN_MIN_MS = 400
+# For how long, and of how many, a refusal is remembered.
+REFUSED_MEMORY_MS = 20_000
+REFUSED_MEMORY_SIZE = 10_000
+# Refused requests come back spread over this time.
+RETURN_SPREAD_MS = 1_500
 RETURN_MAX_MS = 4_000
 
 Key = tuple[str, int]
@@ -53,6 +64,9 @@
     :param arrived_ms: when it asked
     :param urgent_until_ms: until when it can still be on time
     :param give_up_ms: when it is refused if there was no place
+    :param late_give_up_ms: the same, for a request that was refused before
+    :param prompt_key: the same for each attempt of a caller at a request,
+        empty if unknown
     :param avoid: endpoints that must not be used
     :param prefer: the engine that keeps the prompt, empty for none
     """
@@ -66,6 +80,8 @@
         'arrived_ms',
         'urgent_until_ms',
         'give_up_ms',
+        'late_give_up_ms',
+        'prompt_key',
         'avoid',
         'prefer',
     )
@@ -82,6 +98,8 @@
         give_up_ms: int,
         avoid: frozenset[str] = frozenset(),
         prefer: str = '',
+        late_give_up_ms: int = 0,
+        prompt_key: str = '',
     ):
         self.key = key
         self.workspace = workspace
@@ -93,6 +111,8 @@
         self.give_up_ms = give_up_ms
         self.avoid = avoid
         self.prefer = prefer
+        self.late_give_up_ms = late_give_up_ms
+        self.prompt_key = prompt_key
 
     @property
     def memory_tokens(self) -> int:
@@ -135,7 +155,8 @@
         'slots',
         'reserved_tokens',
         'running',
-        'backlog_until_ms',
+        'prefill_tokens',
+        'prefill_since_ms',
         'self_prefill_ms',
         'failure_share',
         'ejected_until_ms',
@@ -151,13 +172,34 @@
         self.slots = slots
         self.reserved_tokens = 0
         self.running = 0
-        self.backlog_until_ms = 0
+        self.prefill_tokens = 0
+        self.prefill_since_ms = 0
         self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
         self.failure_share = 0.0
         self.ejected_until_ms = 0
         self.eject_ms = EJECT_MIN_MS
         self.switching_until_ms = 0
 
+    def backlog_ms(self, tokens_per_ms: float, now_ms: int) -> float:
+        """Returns the time until the prompts sent there are read."""
+        if not self.prefill_tokens:
+            return 0.0
+        elapsed_ms = now_ms - self.prefill_since_ms
+        return max(0.0, self.prefill_tokens / tokens_per_ms - elapsed_ms)
+
+    def begin_prefill(self, tokens: int, now_ms: int) -> None:
+        """Adds a prompt to those that the engine reads."""
+        if not self.prefill_tokens:
+            self.prefill_since_ms = now_ms
+        self.prefill_tokens += tokens
+
+    def end_prefill(self, tokens: int, now_ms: int) -> float:
+        """Takes a prompt off; returns the time that it took alone."""
+        duration_ms = now_ms - self.prefill_since_ms
+        self.prefill_tokens = max(0, self.prefill_tokens - tokens)
+        self.prefill_since_ms = now_ms
+        return duration_ms
+
     def usable(self, now_ms: int) -> bool:
         """Whether new work may go there."""
         return (
@@ -166,9 +208,13 @@
             and self.switching_until_ms <= now_ms
         )
 
-    def has_room(self, tokens: int) -> bool:
-        """Whether memory and a slot are free."""
-        free_tokens = self.memory_tokens - self.reserved_tokens
+    def has_room(self, tokens: int, share: float = 1.0) -> bool:
+        """Whether memory and a slot are free.
+
+        :param share: the part of the memory that may be used
+        """
+        limit_tokens = int(self.memory_tokens * share)
+        free_tokens = limit_tokens - self.reserved_tokens
         return free_tokens >= tokens and self.running < self.slots
 
 
@@ -197,7 +243,9 @@
         self._reservations: dict[Key, _Reservation] = {}
         self._queue: list[Ticket] = []
         self._prefill_tokens_per_ms = START_PREFILL_TOKENS_PER_MS
-        self._freed: collections.deque[tuple[int, int]] = collections.deque()
+        self._refused: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     @property
     def queue_length(self) -> int:
@@ -238,7 +286,13 @@
             state.slots = slots
 
     def admit(self, ticket: Ticket) -> None:
-        """Queues a request; ``pump`` places it."""
+        """Queues a request; ``pump`` places it.
+
+        One that was refused before cannot be on time any more.
+        """
+        if ticket.prompt_key in self._refused:
+            ticket.urgent_until_ms = ticket.arrived_ms
+            ticket.give_up_ms = max(ticket.give_up_ms, ticket.late_give_up_ms)
         self._queue.append(ticket)
 
     def withdraw(self, key: Key, sound: bool = False) -> None:
@@ -267,27 +321,32 @@
         if reservation is not None:
             self._note_sound(reservation.decode_id)
 
-    def finish_prefill(self, key: Key, duration_ms: float) -> None:
-        """Notes that a prompt was read, and how long that took."""
+    def finish_prefill(self, key: Key, now_ms: int) -> None:
+        """Notes that a prompt was read, and learns how fast."""
         reservation = self._reservations.get(key)
-        if reservation is None or not reservation.prefill_id:
+        if reservation is None:
             return
-        reservation.prefill_id = ''
-        if duration_ms > 0 and reservation.prompt_tokens > BLOCK_TOKENS:
-            rate = reservation.prompt_tokens / duration_ms
-            # Queueing only makes it look slower.
-            gain = PREFILL_RATE_GAIN
-            if rate < self._prefill_tokens_per_ms:
-                gain /= 10
-            self._prefill_tokens_per_ms += gain * (
-                rate - self._prefill_tokens_per_ms
-            )
+        duration_ms = self._end_prefill(reservation, now_ms)
+        if duration_ms <= 0 or reservation.prompt_tokens < LEARN_MIN_TOKENS:
+            return
+        rate = reservation.prompt_tokens / duration_ms
+        rate = min(MAX_PREFILL_TOKENS_PER_MS, rate)
+        rate = max(MIN_PREFILL_TOKENS_PER_MS, rate)
+        self._prefill_tokens_per_ms += PREFILL_RATE_GAIN * (
+            rate - self._prefill_tokens_per_ms
+        )
 
     def release(self, key: Key) -> None:
         """Frees what a finished request held."""
         reservation = self._reservations.pop(key, None)
         if reservation is None:
             return
+        if reservation.prefill_id:
+            prefill = self.engines.get(reservation.prefill_id)
+            if prefill is not None:
+                prefill.prefill_tokens = max(
+                    0, prefill.prefill_tokens - reservation.prompt_tokens
+                )
         state = self.engines.get(reservation.decode_id)
         if state is not None:
             state.running -= 1
@@ -338,7 +397,7 @@
             if placement is not None:
                 outcomes.append((ticket, placement))
             elif now_ms >= ticket.give_up_ms:
-                outcomes.append((ticket, self._refuse(now_ms)))
+                outcomes.append((ticket, self._refuse(ticket, now_ms)))
             else:
                 waiting.append(ticket)
         self._queue = waiting
@@ -351,7 +410,8 @@
             'waiting': len(self._queue),
             'running': len(self._reservations),
             'prefill_backlog_ms': [
-                max(0, e.backlog_until_ms - now_ms) for e in prefills
+                round(e.backlog_ms(self._prefill_tokens_per_ms, now_ms))
+                for e in prefills
             ],
             'decode_reserved_tokens': [e.reserved_tokens for e in decodes],
             'decode_running': [e.running for e in decodes],
@@ -368,10 +428,12 @@
 
     def _place(self, ticket: Ticket, now_ms: int) -> Placement | None:
         prefills, decodes = self.roles(now_ms)
+        late = now_ms >= ticket.urgent_until_ms and not ticket.prefer
+        share = LATE_MEMORY_SHARE if late else 1.0
         roomy = [
             e
             for e in decodes
-            if e.has_room(ticket.memory_tokens)
+            if e.has_room(ticket.memory_tokens, share)
             and e.endpoint.endpoint_id not in ticket.avoid
         ]
         if not roomy:
@@ -384,13 +446,20 @@
         ]
         prefill = min(
             prefills,
-            key=lambda e: _prefill_cost_ms(e, now_ms),
+            key=lambda e: self._prefill_cost_ms(e, now_ms),
             default=None,
         )
         if prefill is not None:
-            backlog_ms = max(0, prefill.backlog_until_ms - now_ms)
-            if backlog_ms <= PREFILL_BACKLOG_LIMIT_MS:
+            backlog_ms = prefill.backlog_ms(
+                self._prefill_tokens_per_ms, now_ms
+            )
+            limit_ms = PREFILL_BACKLOG_LIMIT_MS
+            if late:
+                limit_ms = LATE_BACKLOG_LIMIT_MS
+            if backlog_ms <= limit_ms:
                 return self._place_apart(ticket, prefill, roomy, now_ms)
+            if late:
+                return None
         return self._place_whole(ticket, roomy, now_ms, prefill is None)
 
     def _place_apart(
@@ -400,9 +469,7 @@
         roomy: list[EngineState],
         now_ms: int,
     ) -> Placement:
-        duration_ms = ticket.prompt_tokens / self._prefill_tokens_per_ms
-        start_ms = max(now_ms, prefill.backlog_until_ms)
-        prefill.backlog_until_ms = int(start_ms + duration_ms)
+        prefill.begin_prefill(ticket.prompt_tokens, now_ms)
         place = prefill.endpoint.place
         decode = min(roomy, key=lambda e: _decode_cost(e, place))
         self._reserve(
@@ -452,6 +519,27 @@
         )
         return Placement(None, decode.endpoint)
 
+    def _note_refused(self, ticket: Ticket, now_ms: int) -> None:
+        if ticket.prompt_key:
+            self._refused[ticket.prompt_key] = now_ms
+        oldest_ms = now_ms - REFUSED_MEMORY_MS
+        while self._refused and (
+            len(self._refused) > REFUSED_MEMORY_SIZE
+            or next(iter(self._refused.values())) < oldest_ms
+        ):
+            self._refused.popitem(last=False)
+
+    def _prefill_cost_ms(self, state: EngineState, now_ms: int) -> float:
+        backlog_ms = state.backlog_ms(self._prefill_tokens_per_ms, now_ms)
+        return backlog_ms + state.failure_share * PREFILL_BACKLOG_LIMIT_MS
+
+    def _end_prefill(self, reservation: _Reservation, now_ms: int) -> float:
+        prefill = self.engines.get(reservation.prefill_id)
+        reservation.prefill_id = ''
+        if prefill is None:
+            return 0.0
+        return prefill.end_prefill(reservation.prompt_tokens, now_ms)
+
     def _reserve(self, key: Key, reservation: _Reservation) -> None:
         self._reservations[key] = reservation
         state = self.engines.get(reservation.decode_id)
@@ -465,13 +553,15 @@
                 state.running += 1
                 state.reserved_tokens += reservation.tokens
 
-    def _refuse(self, now_ms: int) -> Refusal:
+    def _refuse(self, ticket: Ticket, now_ms: int) -> Refusal:
         """Spreads the returns over the time that the queue needs."""
+        self._note_refused(ticket, now_ms)
         _prefills, decodes = self.roles(now_ms)
+        spread_ms = ticket.key[1] * 97 % RETURN_SPREAD_MS
         if not decodes:
-            return Refusal('no engine', RETURN_MAX_MS // 2)
+            return Refusal('no engine', RETURN_MAX_MS // 2 + spread_ms)
         per_engine = len(self._queue) / max(1, len(decodes))
-        wait_ms = RETURN_MIN_MS + int(per_engine * RETURN_MIN_MS)
+        wait_ms = RETURN_MIN_MS + int(per_engine * RETURN_MIN_MS) + spread_ms
         return Refusal('engines full', min(RETURN_MAX_MS, wait_ms))
 
 
@@ -481,11 +571,6 @@
     return (late, ticket.priority, ticket.arrived_ms)
 
 
-def _prefill_cost_ms(state: EngineState, now_ms: int) -> float:
-    backlog_ms = max(0, state.backlog_until_ms - now_ms)
-    return backlog_ms + state.failure_share * PREFILL_BACKLOG_LIMIT_MS
-
-
 def _decode_cost(state: EngineState, place: str) -> float:
     used = state.reserved_tokens / max(1, state.memory_tokens)
     cost = used * 100
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -60,6 +60,20 @@
         ticket, _outcome = self.pool.pump(30)[0]
         self.assertEqual(('host', 91), ticket.key)
 
+    def test_refused_request_that_returns_is_known_and_may_wait(self):
+        """Clients that come back together: they ask under other numbers."""
+        for number in range(10):
+            self.admit(number, prompt=300, output=3_700)
+        self.pump()
+        self.admit(20, prompt_key='k')
+        self.assertEqual(1, len(self.pump(501)))
+        self.admit(21, 1_000, prompt_key='k', late_give_up_ms=5_000)
+        self.assertEqual([], self.pump(4_000))
+        self.admit(22, 4_000)
+        self.pool.withdraw(('host', 0))
+        ticket, _outcome = self.pool.pump(4_001)[0]
+        self.assertEqual(('host', 22), ticket.key)
+
     def test_urgent_workspace_goes_first(self):
         for number in range(10):
             self.admit(number, prompt=300, output=3_700)
@@ -83,12 +97,24 @@
 
     def test_long_prefill_queue_spills_over(self):
         """Long prompts: decode engines help when prompts queue up."""
-        for number in range(6):
-            self.admit(number, 1_000)
+        for number in range(7):
+            self.admit(number, 1_000, prompt=2_500)
         made = self.pump(1_000)
         self.assertTrue(any(p.prefill is None for p in made))
         self.assertTrue(any(p.prefill is not None for p in made))
 
+    def test_speed_is_learnt_without_the_queue(self):
+        """Burst: prompts that queue do not make the engine look slow."""
+        for number in range(5):
+            self.admit(number, prompt=2_000)
+        self.pump()
+        for number in range(5):
+            self.pool.finish_prefill(('host', number), 100 * (number + 1))
+        self.assertAlmostEqual(
+            25.9, self.pool.prefill_tokens_per_ms, delta=1.5
+        )
+        self.assertEqual(0, self.pool.engines['e0'].prefill_tokens)
+
     def test_failing_engine_is_left_aside_for_a_while(self):
         for _ in range(3):
             self.pool.note_trouble('e1', 0)
