--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -29,9 +29,11 @@
 WAIT_SHARE = 0.6
 # One that was refused before is late anyway and may wait longer, as long as
 # the time left suffices for an answer.
-LATE_WAIT_MS = 4_000
-LATE_RESERVE_MS = 4_000
+LATE_WAIT_MS = 2_600
+LATE_RESERVE_MS = 1_000
 MAX_SENDS = 4
+# An engine with room begins within some tens of milliseconds.
+HEAD_TIMEOUT_MS = 1_000
 STREAM_GAP_LIMIT_MS = 2_500
 RELEASE_TIMEOUT_MS = 500
 RETURN_MS = 500
@@ -227,9 +229,7 @@
             priority=job.priority,
             urgent_ms=max(0, urgent_ms),
             wait_ms=max(0, min(wait_ms, job.remaining_ms)),
-            late_wait_ms=max(
-                0, min(LATE_WAIT_MS, job.remaining_ms - LATE_RESERVE_MS)
-            ),
+            late_wait_ms=self._late_wait_ms(job),
             prompt_key=call.prompt_key,
             avoid=sorted(job.tried),
             prefer=relay.keeper,
@@ -240,6 +240,12 @@
         relay.placed_ms = job.elapsed_ms
         return placed
 
+    def _late_wait_ms(self, job: jobs.Job) -> int:
+        left_ms = min(
+            job.remaining_ms, job.route.patience_ms - int(job.elapsed_ms)
+        )
+        return max(0, min(LATE_WAIT_MS, left_ms - LATE_RESERVE_MS))
+
     def _send(self, job: jobs.Job, place: placers.Place, relay: Relay) -> None:
         handle = None
         prefill = place.prefill
@@ -306,6 +312,13 @@
     def _prefill_timeout_ms(self, job: jobs.Job) -> int:
         return max(1, min(job.remaining_ms, 2 * job.route.target_ms))
 
+    def _head_timeout_ms(self, job: jobs.Job) -> int:
+        """A stream that may go on elsewhere does not wait on a lost answer."""
+        limit_ms = job.remaining_ms
+        if job.route.resumable:
+            limit_ms = min(limit_ms, HEAD_TIMEOUT_MS)
+        return max(1, limit_ms)
+
     def _decode(
         self,
         job: jobs.Job,
@@ -319,7 +332,7 @@
             job.request.target,
             headers,
             job.request.body,
-            max(1, job.remaining_ms),
+            self._head_timeout_ms(job),
         )
         head = self._protocol.read_head(
             job.call, response.status, exchanges.headers_of(exchange)
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -33,6 +33,8 @@
     :param model: whether its services are model engines
     :param resumable: whether a stream may go on at another endpoint
     :param gap_ms: the longest pause in a stream that counts as on time
+    :param patience_ms: a pause after which callers abandon a stream, also
+        before its first event
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         'model',
         'resumable',
         'gap_ms',
+        'patience_ms',
     )
 
     def __init__(
@@ -66,6 +69,7 @@
         model: bool = False,
         resumable: bool = False,
         gap_ms: int = 0,
+        patience_ms: int = 10_000,
     ):
         self.name = name
         self.host = host
@@ -80,6 +84,7 @@
         self.model = model
         self.resumable = resumable
         self.gap_ms = gap_ms
+        self.patience_ms = patience_ms
 
     @property
     def repeatable(self) -> bool:
