--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -12,6 +12,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# Assumed by a host that was told of no other yet.
+UNKNOWN_HOST_COUNT = 12
+
 
 class FleetState:
     """The newest table, endpoints and hosts; versions only rise.
@@ -29,6 +32,7 @@
         self.endpoints_term = 0
         self.endpoints_number = 0
         self.hosts: list[fleets.Host] = []
+        self._most_hosts = 0
         self.hosts_term = 0
         self.hosts_number = 0
 
@@ -40,8 +44,11 @@
 
     @property
     def host_count(self) -> int:
-        """How many entry hosts share budgets, at least 1."""
-        return max(1, len(self.hosts))
+        """How many entry hosts share budgets.
+
+        The most that were known, since hosts out of touch spend theirs too.
+        """
+        return self._most_hosts or UNKNOWN_HOST_COUNT
 
     def endpoints(self, service: str) -> list[fleets.Endpoint]:
         """Returns the endpoints of a service."""
@@ -109,6 +116,7 @@
                 return False
             self.hosts_term, self.hosts_number = number
             self.hosts = update.hosts
+            self._most_hosts = max(self._most_hosts, len(update.hosts))
         return True
 
     def _index(self, endpoints: list[fleets.Endpoint]) -> None:
--- a/libs/gateway/masticquay_gateway/retries.py
+++ b/libs/gateway/masticquay_gateway/retries.py
@@ -30,12 +30,18 @@
         self._state = state
         self._lock = threading.Lock()
         self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._started_ms = _now_ms()
 
     def note_request(self, service: str) -> None:
         """Counts a request of a caller."""
         with self._lock:
             self._find(service).note_request(_now_ms())
 
+    def note_repeat(self, service: str) -> None:
+        """Counts a repeat that was sent already."""
+        with self._lock:
+            self._find(service).note_repeat(_now_ms())
+
     def take(self, service: str) -> bool:
         """Takes one repeat if the budget has one."""
         with self._lock:
@@ -46,7 +52,10 @@
         if found is None:
             bounds = self._bounds
             found = budgets.RetryBudget(
-                bounds.ratio, bounds.slack, bounds.window_ms
+                bounds.ratio,
+                bounds.slack,
+                bounds.window_ms,
+                started_ms=self._started_ms,
             )
             self._budgets[service] = found
         return found
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -298,11 +298,12 @@
             raise
         except exchanges.EndpointError as cause:
             self._note_trouble(job, prefill, cause)
-            job.tried.add(prefill.endpoint_id)
+            self._budgets.note_repeat(job.service)
             return None
         except (NotRunError, errors.ProtocolError) as cause:
             self._log(job, place, 'prefill without result', cause)
             job.tried.add(prefill.endpoint_id)
+            self._budgets.note_repeat(job.service)
             return None
         duration_ms = (time.monotonic() - started_s) * 1000
         self._placer.finish_prefill(place)
--- a/libs/routing/masticquay_routing/budgets.py
+++ b/libs/routing/masticquay_routing/budgets.py
@@ -3,6 +3,8 @@
 import collections
 
 BUCKET_MS = 500
+SAFETY = 0.65
+STARTING_SHARE = 0.4
 
 
 class WindowCount:
@@ -40,14 +42,33 @@
     in each window. Each host keeps to the ratio of its own requests and to
     its share of the slack, so the sum keeps the bound without messages.
 
+    A process that starts does not know what the one before it spent, so it
+    has a smaller share at first.
+
     :param safety: the part of the bound that is used
+    :param started_ms: when the process started
     """
 
-    __slots__ = ('_ratio', '_slack', '_safety', '_requests', '_repeats')
+    __slots__ = (
+        '_ratio',
+        '_slack',
+        '_safety',
+        '_whole_from_ms',
+        '_requests',
+        '_repeats',
+    )
 
     def __init__(
-        self, ratio: float, slack: float, window_ms: int, safety: float = 0.7
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: int,
+        safety: float = SAFETY,
+        started_ms: int | None = None,
     ):
+        self._whole_from_ms = (
+            0 if started_ms is None else started_ms + window_ms
+        )
         self._ratio = ratio
         self._slack = slack
         self._safety = safety
@@ -65,8 +86,14 @@
         """
         requests = self._requests.total(now_ms)
         share = self._slack / max(1, host_count)
+        if now_ms < self._whole_from_ms:
+            share *= STARTING_SHARE
         allowed = self._safety * (self._ratio * requests + share)
         if self._repeats.total(now_ms) + 1 > allowed:
             return False
-        self._repeats.add(now_ms)
+        self.note_repeat(now_ms)
         return True
+
+    def note_repeat(self, now_ms: int) -> None:
+        """Counts a repeat that was sent already."""
+        self._repeats.add(now_ms)
--- a/libs/routing/tests/test_budgets.py
+++ b/libs/routing/tests/test_budgets.py
@@ -22,6 +22,19 @@
         self.assertGreater(spent, 0)
         self.assertLessEqual(spent, ratio * per_host * HOSTS + slack)
 
+    def test_restart_does_not_double_the_budget(self):
+        """Every host is killed and starts again within the window."""
+        ratio, slack = 0.2, 52
+        spent = 0
+        for started_ms in (None, 4_000):
+            for _host in range(HOSTS):
+                budget = budgets.RetryBudget(
+                    ratio, slack, WINDOW_MS, started_ms=started_ms
+                )
+                while budget.take(5_000, HOSTS):
+                    spent += 1
+        self.assertLessEqual(spent, slack)
+
     def test_budget_comes_back_after_the_window(self):
         budget = budgets.RetryBudget(0.0, 3, WINDOW_MS, safety=1.0)
         self.assertTrue(all(budget.take(0, 1) for _ in range(3)))
