--- /dev/null
+++ b/libs/coordination/tests/test_owners.py
@@ -0,0 +1,132 @@
+"""Tests of the leader as owner of pools and rates."""
+
+import unittest
+
+from masticquay_coordination import owners
+from masticquay_routing import messages
+from masticquay_wire import clocks
+from tests import fakes
+
+
+class OwnerTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock(100_000)
+        self.owner = self.make_owner()
+
+    def make_owner(self, first=True):
+        owner = owners.Owner(3, self.clock, first)
+        owner.set_table(fakes.NumberReader().read(b'1'))
+        owner.set_endpoints(fakes.make_engines(1, 2))
+        return owner
+
+    def test_place_is_given_at_once(self):
+        placed = self.owner.admit(fakes.make_admit(1)).result(0)
+        self.assertEqual('e0', placed.prefill_id)
+
+    def test_full_pool_answers_when_a_place_is_freed(self):
+        for number in range(10):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=3_900
+                )
+            )
+        waiting = self.owner.admit(fakes.make_admit(90))
+        self.assertFalse(waiting.done())
+        self.owner.finish(messages.Finished('h1', 'llm', 0, True))
+        self.assertIsInstance(waiting.result(0), messages.Placed)
+
+    def test_waiting_ends_in_a_refusal(self):
+        for number in range(10):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=3_900
+                )
+            )
+        waiting = self.owner.admit(fakes.make_admit(90))
+        self.clock.advance_ms(501)
+        self.owner.pump()
+        self.assertIsInstance(waiting.result(0), messages.Refused)
+
+    def test_rate_is_kept_over_all_hosts(self):
+        outcomes = [
+            self.owner.admit(
+                fakes.make_admit(n, host=f'h{n}', workspace='w', cost=2_000.0)
+            )
+            for n in range(5)
+        ]
+        refused = [o for o in outcomes if isinstance(o, messages.Refused)]
+        self.assertEqual(2, len(refused))
+        self.assertTrue(all(r.over_rate for r in refused))
+        self.assertTrue(all(r.retry_after_ms > 0 for r in refused))
+
+    def test_what_plain_requests_used_counts_too(self):
+        exhausted = self.owner.charge({'w': 7_000.0})
+        self.assertIn('w', exhausted)
+        answer = self.owner.admit(
+            fakes.make_admit(1, workspace='w', cost=10.0)
+        )
+        self.assertTrue(answer.over_rate)
+
+    def test_request_sent_again_is_charged_once(self):
+        for number in range(8):
+            answer = self.owner.admit(
+                fakes.make_admit(
+                    number,
+                    workspace='w',
+                    cost=2_000.0,
+                    charged=number > 0,
+                    prompt_tokens=10,
+                    output_tokens=10,
+                )
+            )
+            self.assertNotIsInstance(answer, messages.Refused)
+
+    def test_successor_starts_with_less(self):
+        successor = self.make_owner(first=False)
+        outcomes = [
+            successor.admit(fakes.make_admit(n, workspace='w', cost=1_000.0))
+            for n in range(6)
+        ]
+        served = [o for o in outcomes if not isinstance(o, messages.Refused)]
+        self.assertEqual(3, len(served))
+
+    def test_successor_takes_up_what_runs(self):
+        running = [
+            messages.Running(n, 'llm', f'e{1 + n % 2}', 4_000, 3_000)
+            for n in range(10)
+        ]
+        self.owner.adopt('h1', running)
+        waiting = self.owner.admit(fakes.make_admit(90))
+        self.assertFalse(waiting.done())
+
+    def test_lost_host_frees_its_places(self):
+        for number in range(10):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, host='gone', prompt_tokens=100, output_tokens=3_900
+                )
+            )
+        waiting = self.owner.admit(fakes.make_admit(90))
+        self.owner.release_host('gone')
+        self.assertIsInstance(waiting.result(0), messages.Placed)
+
+    def test_caller_that_left_waits_no_longer(self):
+        for number in range(10):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=3_900
+                )
+            )
+        waiting = self.owner.admit(fakes.make_admit(90))
+        self.owner.finish(messages.Finished('h1', 'llm', 90, False))
+        self.assertIsInstance(waiting.result(0), messages.Refused)
+
+    def test_end_of_the_term_refuses_what_waits(self):
+        for number in range(11):
+            last = self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=3_900
+                )
+            )
+        self.owner.fail_all()
+        self.assertIsInstance(last.result(0), messages.Refused)
--- /dev/null
+++ b/libs/coordination/tests/test_sessions.py
@@ -0,0 +1,104 @@
+"""Tests of the sessions of entry hosts."""
+
+import unittest
+
+from masticquay_coordination import sessions
+from masticquay_coordination import table_machines
+from masticquay_routing import messages
+from masticquay_wire import clocks
+from tests import fakes
+
+TERM = 3
+
+
+class SessionsTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.machine = table_machines.TableMachine()
+        self.sessions = sessions.Sessions(TERM, self.machine, self.clock)
+        self.clock.advance_ms(sessions.GATHER_MS)
+        self.link = fakes.FakeLink()
+
+    def put(self, version):
+        text = str(version).encode()
+        self.machine.apply(1, table_machines.encode_put(version, text))
+
+    def test_host_gets_what_it_lacks(self):
+        self.put(4)
+        self.sessions.publish_endpoints(fakes.make_engines(1, 1))
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.assertEqual(4, self.link.last(messages.TableUpdate).version)
+        update = self.link.last(messages.EndpointUpdate)
+        self.assertEqual(2, len(update.endpoints))
+        hosts = self.link.last(messages.HostUpdate).hosts
+        self.assertEqual(['h1'], [host.name for host in hosts])
+
+    def test_host_that_has_all_gets_nothing(self):
+        self.put(4)
+        self.sessions.publish_endpoints([])
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.link.notices.clear()
+        self.sessions.renew(
+            fakes.make_renewal(
+                table_version=4,
+                endpoints_number=1,
+                hosts_number=1,
+                term=TERM,
+            ),
+            self.link,
+        )
+        self.assertEqual([], self.link.notices)
+
+    def test_numbers_of_an_earlier_leader_say_nothing(self):
+        self.sessions.publish_endpoints([])
+        self.sessions.renew(
+            fakes.make_renewal(endpoints_number=1, term=TERM - 1), self.link
+        )
+        self.assertIsNotNone(self.link.last(messages.EndpointUpdate))
+
+    def test_change_goes_to_every_host_at_once(self):
+        links = {name: fakes.FakeLink() for name in ('h1', 'h2')}
+        for name, link in links.items():
+            self.sessions.renew(fakes.make_renewal(name), link)
+        links['h1'].lost = True
+        self.put(9)
+        self.sessions.publish_table()
+        self.assertEqual(9, links['h2'].last(messages.TableUpdate).version)
+
+    def test_unchanged_list_is_not_sent_again(self):
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.sessions.publish_endpoints(fakes.make_engines(1, 1))
+        self.link.notices.clear()
+        self.sessions.publish_endpoints(fakes.make_engines(1, 1))
+        self.assertEqual([], self.link.notices)
+
+    def test_silent_host_leaves_the_list(self):
+        other = fakes.FakeLink()
+        self.sessions.renew(fakes.make_renewal('h1'), self.link)
+        self.sessions.renew(fakes.make_renewal('h2'), other)
+        self.clock.advance_ms(sessions.SESSION_TIMEOUT_MS + 1)
+        self.sessions.renew(fakes.make_renewal('h2'), other)
+        self.assertEqual(['h1'], self.sessions.expire())
+        hosts = other.last(messages.HostUpdate).hosts
+        self.assertEqual(['h2'], [host.name for host in hosts])
+
+    def test_draining_host_leaves_the_list_at_once(self):
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.sessions.renew(fakes.make_renewal(ready=False), self.link)
+        self.assertEqual([], self.link.last(messages.HostUpdate).hosts)
+
+    def test_new_leader_gathers_before_it_publishes_hosts(self):
+        """Few hosts have found a new leader at first."""
+        late = sessions.Sessions(TERM + 1, self.machine, self.clock)
+        late.renew(fakes.make_renewal(), self.link)
+        self.assertIsNone(self.link.last(messages.HostUpdate))
+        self.clock.advance_ms(sessions.GATHER_MS)
+        late.renew(fakes.make_renewal(), self.link)
+        self.assertIsNotNone(self.link.last(messages.HostUpdate))
+
+    def test_restarted_host_is_told_apart(self):
+        self.assertFalse(self.sessions.renew(fakes.make_renewal(), self.link))
+        self.assertFalse(self.sessions.renew(fakes.make_renewal(), self.link))
+        self.assertTrue(
+            self.sessions.renew(fakes.make_renewal(incarnation=2), self.link)
+        )
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -338,12 +338,14 @@
         self._accepting = threading.Event()
         self._accepting.set()
         self._accept_ended = threading.Event()
+        self._started = False
         super().__init__(address, _Handler)
 
     def start(self) -> None:
         """Accepts in a thread of its own."""
         threading.stack_size(THREAD_STACK_BYTES)
         self.socket.settimeout(ACCEPT_TIMEOUT_S)
+        self._started = True
         threading.Thread(
             target=self._accept,
             name=f'http-{self.server_address[1]}',
@@ -352,8 +354,7 @@
 
     def server_close(self) -> None:
         """Ends accepting at once."""
-        self._accepting.clear()
-        super().server_close()
+        self.stop_accepting()
 
     def shutdown_request(self, request: typing.Any) -> None:
         """Closes a connection; one that was aborted without an end mark."""
@@ -371,7 +372,11 @@
     def stop_accepting(self) -> None:
         """Takes no more connections; those accepted are served on."""
         self._accepting.clear()
-        self._accept_ended.wait(2 * ACCEPT_TIMEOUT_S)
+        with contextlib.suppress(OSError):
+            # Wakes the thread that accepts.
+            self.socket.shutdown(socket.SHUT_RDWR)
+        if self._started:
+            self._accept_ended.wait(2 * ACCEPT_TIMEOUT_S)
         self.socket.close()
 
     @property
