--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -18,6 +18,7 @@
 from masticquay_coordination import tables
 from masticquay_routing import tables as routing_tables
 from masticquay_serving import clocks
+from masticquay_serving import counters
 from masticquay_wire import dialers
 from masticquay_wire import listeners
 from masticquay_wire import peers
@@ -117,6 +118,8 @@
             lambda: self.settings.seeds,
             self._dial,
         )
+        self.registry = counters.Registry()
+        self.registry.gauges(self._gauges)
         self.tables = tables.TableService(self.node, self.machine, reader)
 
     def start(self) -> None:
@@ -184,6 +187,21 @@
             log_settings,
         )
 
+    def _gauges(self) -> dict[str, float]:
+        """Returns figures of the log and of the leadership."""
+        status = self.node.status()
+        figures = {
+            'log_term': status.term,
+            'log_commit_index': status.commit_index,
+            'log_members': len(status.members),
+            'table_version': self.machine.version,
+            **self.leadership.gauges(),
+        }
+        counted = self.node.counters()
+        for name in counted.__slots__:
+            figures[f'log_{name}'] = getattr(counted, name)
+        return figures
+
     def _dial(self, address: peers.Address) -> peers.Peer:
         return dialers.WebsocketPeer(
             address, self.settings.address, self.settings.secret
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -211,8 +211,8 @@
     ) -> placers.Place | messages.Refused:
         call = job.call
         prompt_tokens = call.prompt_tokens or 0
-        urgent_ms = int(job.route.target_ms * WAIT_SHARE - job.elapsed_ms)
-        wait_ms = urgent_ms
+        urgent_ms = int(job.route.target_ms - job.elapsed_ms)
+        wait_ms = int(job.route.target_ms * WAIT_SHARE - job.elapsed_ms)
         if charged:
             wait_ms = max(wait_ms, RETURN_MS)
         workspace = job.workspace
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -24,9 +24,11 @@
 SELF_PREFILL_SLOWDOWN = 2.0
 # Two prompts read on one decode engine need this much time between them, or
 # its streams pause for too long.
-SELF_PREFILL_SPACING_MS = 600
-SELF_PREFILL_MAX_TOKENS = 2_600
+SELF_PREFILL_SPACING_MS = 350
+SELF_PREFILL_MAX_TOKENS = 3_000
 PREFILL_BACKLOG_LIMIT_MS = 350
+# With this backlog a decode engine reads a prompt of that size sooner.
+PREFILL_SPILL_MS = 150
 TRANSFER_ALLOWANCE_MS = 60
 OTHER_PLACE_COST_MS = 25
 # How much one outcome moves an engine's failure share; an engine that could
@@ -62,7 +64,7 @@
     :param output_tokens: tokens that are expected to be made
     :param priority: 0 is the most urgent
     :param arrived_ms: when it asked
-    :param urgent_until_ms: until when it can still be on time
+    :param urgent_until_ms: by when its first token is on time
     :param give_up_ms: when it is refused if there was no place
     :param late_give_up_ms: the same, for a request that was refused before
     :param prompt_key: the same for each attempt of a caller at a request,
@@ -453,13 +455,20 @@
             backlog_ms = prefill.backlog_ms(
                 self._prefill_tokens_per_ms, now_ms
             )
-            limit_ms = PREFILL_BACKLOG_LIMIT_MS
             if late:
-                limit_ms = LATE_BACKLOG_LIMIT_MS
-            if backlog_ms <= limit_ms:
+                if backlog_ms > LATE_BACKLOG_LIMIT_MS:
+                    return None
                 return self._place_apart(ticket, prefill, roomy, now_ms)
-            if late:
+            if backlog_ms > PREFILL_SPILL_MS:
+                whole = self._place_whole(ticket, roomy, now_ms, False)
+                if whole is not None:
+                    return whole
+            if backlog_ms > PREFILL_BACKLOG_LIMIT_MS:
+                return None
+            first_ms = now_ms + backlog_ms + self._read_ms(ticket)
+            if first_ms > ticket.urgent_until_ms and not ticket.prefer:
                 return None
+            return self._place_apart(ticket, prefill, roomy, now_ms)
         return self._place_whole(ticket, roomy, now_ms, prefill is None)
 
     def _place_apart(
@@ -501,12 +510,18 @@
             for e in roomy
             if now_ms - e.self_prefill_ms >= SELF_PREFILL_SPACING_MS
         ]
-        if not rested:
+        first_ms = now_ms + SELF_PREFILL_SLOWDOWN * self._read_ms(ticket)
+        if not rested or (first_ms > ticket.urgent_until_ms and not alone):
             return None
         decode = min(rested, key=lambda e: e.running)
         decode.self_prefill_ms = now_ms
         return self._hold_whole(ticket, decode)
 
+    def _read_ms(self, ticket: Ticket) -> float:
+        """Returns the time from the start of a prefill to the first token."""
+        duration_ms = ticket.prompt_tokens / self._prefill_tokens_per_ms
+        return duration_ms + TRANSFER_ALLOWANCE_MS
+
     def _hold_whole(self, ticket: Ticket, decode: EngineState) -> Placement:
         self._reserve(
             ticket.key,
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -103,6 +103,19 @@
         self.assertTrue(any(p.prefill is None for p in made))
         self.assertTrue(any(p.prefill is not None for p in made))
 
+    def test_prompt_that_could_only_be_late_is_not_read(self):
+        """Long prompts: reading one that is late already keeps others out."""
+        self.admit(1, prompt=9_000, urgent_until_ms=200, give_up_ms=500)
+        self.assertEqual([], self.pump())
+
+    def test_prompt_spacing_on_a_decode_engine(self):
+        """Long prompts against long answers: pauses stay in bounds."""
+        for number in range(12):
+            self.admit(number, 1_000, prompt=2_500, output=100)
+        whole = [p for p in self.pump(1_000) if p.prefill is None]
+        names = [p.decode.endpoint_id for p in whole]
+        self.assertEqual(len(names), len(set(names)))
+
     def test_speed_is_learnt_without_the_queue(self):
         """Burst: prompts that queue do not make the engine look slow."""
         for number in range(5):
--- a/libs/serving/masticquay_serving/counters.py
+++ b/libs/serving/masticquay_serving/counters.py
@@ -31,7 +31,7 @@
         self._lock = threading.Lock()
         self._counters: dict[tuple[str, Labels], int] = {}
         self._histograms: dict[tuple[str, Labels], Histogram] = {}
-        self._gauges: dict[str, typing.Callable[[], float]] = {}
+        self._gauges: typing.Callable[[], dict[str, float]] = dict
 
     def count(self, name: str, *labels: str, amount: int = 1) -> None:
         """Raises a counter.
@@ -50,9 +50,9 @@
             )
             histogram.add(duration_ms)
 
-    def gauge(self, name: str, read: typing.Callable[[], float]) -> None:
-        """Sets the function that reads a gauge."""
-        self._gauges[name] = read
+    def gauges(self, read: typing.Callable[[], dict[str, float]]) -> None:
+        """Sets the function that reads all gauges by their names."""
+        self._gauges = read
 
     def render(self) -> str:
         """Returns everything as Prometheus text."""
@@ -64,8 +64,8 @@
                 self._histograms.items(), key=lambda item: item[0]
             ):
                 lines.extend(_histogram_lines(name, labels, found))
-        for name, read in sorted(self._gauges.items()):
-            lines.append(f'masticquay_{name} {read()}')
+        for name, value in sorted(self._gauges().items()):
+            lines.append(f'masticquay_{name} {value}')
         return '\n'.join(lines) + '\n'
 
 
