Balance: an engine that fails for seconds is not replaced; longer wait for the first list

Two connections to the only prefill engine timed out at 15.3 s; it was left aside for up to 12 s and a decode engine ordered in its place, which took 11.7 s in the middle of a burst. At the start an engine was ordered the wrong way from a list that had stood for 1.5 s.

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -69,10 +69,16 @@
 
 
 class ConnectionPool:
-    """Connections to one address; idle ones are kept for a short time."""
+    """Connections to one address; idle ones are kept for a short time.
 
-    def __init__(self, address: str):
+    :param connect_timeout_ms: how long a new connection may take
+    """
+
+    def __init__(
+        self, address: str, connect_timeout_ms: int = CONNECT_TIMEOUT_MS
+    ):
         self.address = address
+        self._connect_timeout_ms = connect_timeout_ms
         host, _, port = address.rpartition(':')
         self._host = host
         self._port = int(port)
@@ -120,7 +126,7 @@
 
     def _connect(self) -> Connection:
         connection = http.client.HTTPConnection(
-            self._host, self._port, timeout=CONNECT_TIMEOUT_MS / 1000
+            self._host, self._port, timeout=self._connect_timeout_ms / 1000
         )
         try:
             connection.connect()
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -9,6 +9,8 @@
 from masticquay_routing import fleets
 
 MAX_POOLS = 256
+# Endpoints are some milliseconds away; one that is silent is passed by.
+CONNECT_TIMEOUT_MS = 400
 
 
 class Exchanges:
@@ -33,7 +35,9 @@
             pool = self._pools.get(key)
             if pool is None:
                 self._evict()
-                pool = connections.ConnectionPool(endpoint.address)
+                pool = connections.ConnectionPool(
+                    endpoint.address, CONNECT_TIMEOUT_MS
+                )
                 self._pools[key] = pool
         return connections.Exchange(pool, interrupt, fresh)
 
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -16,6 +16,10 @@
 SWITCH_SLACK_MS = 10_000
 # A list that still grows says little of the number of engines.
 STEADY_MS = 1_500
+FIRST_STEADY_MS = 4_000
+# An engine that fails for longer is taken for lost; a change of role takes
+# longer than most engines need to come back.
+LOST_AFTER_MS = 4_000
 # Between a change that the load asked for and the next one.
 SETTLE_MS = 10_000
 
@@ -39,6 +43,7 @@
         self._extra_ms = -SETTLE_MS
         self._known: set[str] = set()
         self._known_ms = 0
+        self._first_ms: int | None = None
 
     def note_prompt(self, tokens: int, now_ms: int) -> None:
         """Counts a prompt that asked for a place."""
@@ -51,14 +56,17 @@
 
         :param switch_ms: how long a change of role takes
         """
-        listed = [e for e in pool.engines.values() if not e.endpoint.leaving]
+        listed = [
+            e
+            for e in pool.engines.values()
+            if not e.endpoint.leaving and not _is_lost(e, now_ms)
+        ]
         if len(listed) < 2 or not self._is_steady(listed, now_ms):
             return []
         self._follow_load(len(listed), pool, now_ms)
         wanted = self._wanted(len(listed))
-        usable = [e for e in listed if e.ejected_until_ms <= now_ms]
-        coming = [e for e in usable if e.switching_until_ms > now_ms]
-        settled = [e for e in usable if e.switching_until_ms <= now_ms]
+        coming = [e for e in listed if e.switching_until_ms > now_ms]
+        settled = [e for e in listed if e.switching_until_ms <= now_ms]
         prefills = [e for e in settled if _has_role(e, fleets.ROLE_PREFILL)]
         decodes = [e for e in settled if _has_role(e, fleets.ROLE_DECODE)]
         arriving = sum(_has_role(e, fleets.ROLE_DECODE) for e in coming)
@@ -80,10 +88,14 @@
     def _is_steady(
         self, listed: list[placements.EngineState], now_ms: int
     ) -> bool:
+        if self._first_ms is None:
+            self._first_ms = now_ms
         known = {state.endpoint.endpoint_id for state in listed}
         if known != self._known:
             self._known = known
             self._known_ms = now_ms
+        if now_ms - self._first_ms < FIRST_STEADY_MS:
+            return False
         return now_ms - self._known_ms >= STEADY_MS
 
     def _wanted(self, engine_count: int) -> int:
@@ -118,6 +130,11 @@
             self._extra_ms = now_ms
 
 
+def _is_lost(state: placements.EngineState, now_ms: int) -> bool:
+    since_ms = state.failing_since_ms
+    return since_ms is not None and now_ms - since_ms > LOST_AFTER_MS
+
+
 def _decode_load(pool: placements.Pool, now_ms: int) -> float:
     """Returns the part of the decode memory that is in use."""
     _prefills, decodes = pool.roles(now_ms)
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -161,6 +161,7 @@
         'prefill_since_ms',
         'self_prefill_ms',
         'failure_share',
+        'failing_since_ms',
         'ejected_until_ms',
         'eject_ms',
         'switching_until_ms',
@@ -178,6 +179,7 @@
         self.prefill_since_ms = 0
         self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
         self.failure_share = 0.0
+        self.failing_since_ms: int | None = None
         self.ejected_until_ms = 0
         self.eject_ms = EJECT_MIN_MS
         self.switching_until_ms = 0
@@ -328,6 +330,7 @@
         reservation = self._reservations.get(key)
         if reservation is None:
             return
+        self._note_sound(reservation.prefill_id)
         duration_ms = self._end_prefill(reservation, now_ms)
         if duration_ms <= 0 or reservation.prompt_tokens < LEARN_MIN_TOKENS:
             return
@@ -381,13 +384,26 @@
             return
         # The next outcome decides whether it stays in use.
         state.failure_share = EJECT_FAILURE_SHARE - FAILURE_GAIN / 2
+        if state.failing_since_ms is None:
+            state.failing_since_ms = now_ms
+        if self._is_last_of_role(state, now_ms):
+            # Tried again soon, since nothing takes its place.
+            state.eject_ms = EJECT_MIN_MS
         state.ejected_until_ms = now_ms + state.eject_ms
         state.eject_ms = min(EJECT_MAX_MS, state.eject_ms * 2)
 
+    def _is_last_of_role(self, state: EngineState, now_ms: int) -> bool:
+        role = state.endpoint.role
+        return not any(
+            e is not state and e.endpoint.role == role and e.usable(now_ms)
+            for e in self.engines.values()
+        )
+
     def _note_sound(self, endpoint_id: str) -> None:
         state = self.engines.get(endpoint_id)
         if state is not None:
             state.failure_share *= 1 - FAILURE_GAIN
+            state.failing_since_ms = None
             state.eject_ms = EJECT_MIN_MS
 
     def pump(self, now_ms: int) -> list[Outcome]:
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -154,6 +154,13 @@
             self.pool.note_trouble('e1', 0, reached=False)
         self.assertFalse(self.pool.engines['e1'].usable(0))
 
+    def test_last_engine_of_a_role_is_tried_again_soon(self):
+        for now_ms in range(0, 40_000, 1_600):
+            for _ in range(3):
+                self.pool.note_trouble('e0', now_ms, reached=False)
+        until_ms = self.pool.engines['e0'].ejected_until_ms
+        self.assertLessEqual(until_ms, 40_000 + placements.EJECT_MIN_MS)
+
     def test_never_more_than_half_are_left_aside(self):
         for name in ('e0', 'e1', 'e2'):
             for _ in range(5):
