Prefill: a silent engine is given up in time, a failed one probed by one request, speed from sums

A dark prefill engine held each prompt for 1.8 s, and when its time aside was over several requests at once found it still dark.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -253,5 +253,7 @@
         return messages.Refused(outcome.reason, outcome.retry_after_ms)
     prefill = outcome.prefill
     return messages.Placed(
-        prefill.endpoint_id if prefill else '', outcome.decode.endpoint_id
+        prefill.endpoint_id if prefill else '',
+        outcome.decode.endpoint_id,
+        outcome.prefill_ms,
     )
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -28,9 +28,11 @@
     """A place that was given.
 
     :param prefill: None when the decode engine reads the prompt itself
+    :param prefill_ms: how long the prefill should take
+    :param local: whether this host gave it, without the leader
     """
 
-    __slots__ = ('prefill', 'decode', 'request', 'local')
+    __slots__ = ('prefill', 'decode', 'request', 'local', 'prefill_ms')
 
     def __init__(
         self,
@@ -38,7 +40,9 @@
         decode: fleets.Endpoint,
         request: messages.Admit,
         local: bool,
+        prefill_ms: int = 0,
     ):
+        self.prefill_ms = prefill_ms
         self.prefill = prefill
         self.decode = decode
         self.request = request
@@ -265,7 +269,13 @@
         outcome = self._local.admit(request)
         if isinstance(outcome, placements.Refusal):
             return messages.Refused(outcome.reason, outcome.retry_after_ms)
-        place = Place(outcome.prefill, outcome.decode, request, local=True)
+        place = Place(
+            outcome.prefill,
+            outcome.decode,
+            request,
+            True,
+            outcome.prefill_ms,
+        )
         return self._keep(place)
 
     def _find(
@@ -277,7 +287,7 @@
             prefill = self._state.endpoint(placed.prefill_id)
         if decode is None or (placed.prefill_id and prefill is None):
             return None
-        return Place(prefill, decode, request, local=False)
+        return Place(prefill, decode, request, False, placed.prefill_ms)
 
     def _keep(self, place: Place) -> Place:
         with self._lock:
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -34,6 +34,8 @@
 MAX_SENDS = 4
 # An engine with room begins within some tens of milliseconds.
 HEAD_TIMEOUT_MS = 1_000
+PREFILL_MIN_MS = 250
+PREFILL_TIMEOUT_FACTOR = 2.2
 STREAM_GAP_LIMIT_MS = 2_500
 RELEASE_TIMEOUT_MS = 500
 RETURN_MS = 500
@@ -288,7 +290,7 @@
                     job.request.target,
                     headers,
                     job.request.body,
-                    self._prefill_timeout_ms(job),
+                    self._prefill_timeout_ms(job, place),
                 )
                 body = exchange.read_body(PREFILL_ANSWER_BYTES)
             if response.status != 200:
@@ -310,8 +312,11 @@
         self._registry.observe('prefill_ms', duration_ms)
         return handle
 
-    def _prefill_timeout_ms(self, job: jobs.Job) -> int:
-        return max(1, min(job.remaining_ms, 2 * job.route.target_ms))
+    def _prefill_timeout_ms(self, job: jobs.Job, place: placers.Place) -> int:
+        """A silent engine is given up while the decode engine has time."""
+        expected_ms = max(place.prefill_ms, PREFILL_MIN_MS)
+        limit_ms = int(expected_ms * PREFILL_TIMEOUT_FACTOR)
+        return max(1, min(job.remaining_ms, limit_ms))
 
     def _head_timeout_ms(self, job: jobs.Job) -> int:
         """A stream that may go on elsewhere does not wait on a lost answer."""
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -219,13 +219,15 @@
     """Where a model request runs.
 
     :param prefill_id: empty when the decode engine reads the prompt
+    :param prefill_ms: how long the prefill should take, its queue included
     """
 
-    __slots__ = ('prefill_id', 'decode_id')
+    __slots__ = ('prefill_id', 'decode_id', 'prefill_ms')
 
-    def __init__(self, prefill_id: str, decode_id: str):
+    def __init__(self, prefill_id: str, decode_id: str, prefill_ms: int):
         self.prefill_id = prefill_id
         self.decode_id = decode_id
+        self.prefill_ms = prefill_ms
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -16,6 +16,8 @@
 HINT_FACTOR = 1.1
 START_PREFILL_TOKENS_PER_MS = 30.0
 PREFILL_RATE_GAIN = 0.1
+# The weight of the first guess against what is learnt.
+START_READ_TOKENS = 20_000.0
 MIN_PREFILL_TOKENS_PER_MS = 15.0
 MAX_PREFILL_TOKENS_PER_MS = 120.0
 # Shorter prompts say more of the way than of the engine.
@@ -24,7 +26,7 @@
 SELF_PREFILL_SLOWDOWN = 2.0
 # Two prompts read on one decode engine need this much time between them, or
 # its streams pause for too long.
-SELF_PREFILL_SPACING_MS = 350
+SELF_PREFILL_SPACING_MS = 450
 SELF_PREFILL_MAX_TOKENS = 3_000
 PREFILL_BACKLOG_LIMIT_MS = 350
 # With this backlog a decode engine reads a prompt of that size sooner.
@@ -40,6 +42,8 @@
 FAILURE_COST = 100
 EJECT_MIN_MS = 1_500
 EJECT_MAX_MS = 12_000
+# An engine that failed gets one request in this time until one succeeds.
+PROBE_MS = 600
 # Failures are no reason to leave aside more than this part of the engines.
 EJECT_MAX_SHARE = 0.5
 # What is late already leaves this much for what can still be on time.
@@ -127,15 +131,20 @@
     """Where a request runs.
 
     :param prefill: None when the decode engine reads the prompt itself
+    :param prefill_ms: how long the prefill should take, its queue included
     """
 
-    __slots__ = ('prefill', 'decode')
+    __slots__ = ('prefill', 'decode', 'prefill_ms')
 
     def __init__(
-        self, prefill: fleets.Endpoint | None, decode: fleets.Endpoint
+        self,
+        prefill: fleets.Endpoint | None,
+        decode: fleets.Endpoint,
+        prefill_ms: int = 0,
     ):
         self.prefill = prefill
         self.decode = decode
+        self.prefill_ms = prefill_ms
 
 
 class Refusal:
@@ -212,6 +221,11 @@
             and self.switching_until_ms <= now_ms
         )
 
+    def begin_probe(self, now_ms: int) -> None:
+        """Sends an engine that failed no more until this request's outcome."""
+        if self.failing_since_ms is not None:
+            self.ejected_until_ms = now_ms + PROBE_MS
+
     def has_room(self, tokens: int, share: float = 1.0) -> bool:
         """Whether memory and a slot are free.
 
@@ -247,6 +261,10 @@
         self._reservations: dict[Key, _Reservation] = {}
         self._queue: list[Ticket] = []
         self._prefill_tokens_per_ms = START_PREFILL_TOKENS_PER_MS
+        self._read_tokens = START_READ_TOKENS
+        self._read_duration_ms = (
+            START_READ_TOKENS / START_PREFILL_TOKENS_PER_MS
+        )
         self._refused: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -328,18 +346,21 @@
     def finish_prefill(self, key: Key, now_ms: int) -> None:
         """Notes that a prompt was read, and learns how fast."""
         reservation = self._reservations.get(key)
-        if reservation is None:
+        if reservation is None or not reservation.prefill_id:
             return
         self._note_sound(reservation.prefill_id)
         duration_ms = self._end_prefill(reservation, now_ms)
-        if duration_ms <= 0 or reservation.prompt_tokens < LEARN_MIN_TOKENS:
+        if reservation.prompt_tokens < LEARN_MIN_TOKENS:
             return
-        rate = reservation.prompt_tokens / duration_ms
-        rate = min(MAX_PREFILL_TOKENS_PER_MS, rate)
-        rate = max(MIN_PREFILL_TOKENS_PER_MS, rate)
-        self._prefill_tokens_per_ms += PREFILL_RATE_GAIN * (
-            rate - self._prefill_tokens_per_ms
+        # Prompts read in one batch end together, so times are added up.
+        kept = 1 - PREFILL_RATE_GAIN
+        self._read_tokens = kept * self._read_tokens + (
+            reservation.prompt_tokens
         )
+        self._read_duration_ms = kept * self._read_duration_ms + duration_ms
+        rate = self._read_tokens / self._read_duration_ms
+        rate = min(MAX_PREFILL_TOKENS_PER_MS, rate)
+        self._prefill_tokens_per_ms = max(MIN_PREFILL_TOKENS_PER_MS, rate)
 
     def release(self, key: Key) -> None:
         """Frees what a finished request held."""
@@ -403,7 +424,9 @@
         state = self.engines.get(endpoint_id)
         if state is not None:
             state.failure_share *= 1 - FAILURE_GAIN
-            state.failing_since_ms = None
+            if state.failing_since_ms is not None:
+                state.failing_since_ms = None
+                state.ejected_until_ms = 0
             state.eject_ms = EJECT_MIN_MS
 
     def pump(self, now_ms: int) -> list[Outcome]:
@@ -495,6 +518,7 @@
         now_ms: int,
     ) -> Placement:
         prefill.begin_prefill(ticket.prompt_tokens, now_ms)
+        prefill.begin_probe(now_ms)
         place = prefill.endpoint.place
         decode = min(roomy, key=lambda e: _decode_cost(e, place))
         self._reserve(
@@ -506,7 +530,9 @@
                 ticket.prompt_tokens,
             ),
         )
-        return Placement(prefill.endpoint, decode.endpoint)
+        decode.begin_probe(now_ms)
+        prefill_ms = prefill.backlog_ms(self._prefill_tokens_per_ms, now_ms)
+        return Placement(prefill.endpoint, decode.endpoint, int(prefill_ms))
 
     def _place_whole(
         self,
@@ -531,6 +557,7 @@
             return None
         decode = min(rested, key=lambda e: e.running)
         decode.self_prefill_ms = now_ms
+        decode.begin_probe(now_ms)
         return self._hold_whole(ticket, decode)
 
     def _read_ms(self, ticket: Ticket) -> float:
