--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -116,12 +116,15 @@
         """Leaves an engine aside that failed a host's request."""
         with self._lock:
             pool = self._pools.get(trouble.service)
-            if pool is not None:
-                pool.note_trouble(
-                    trouble.endpoint_id,
-                    self._clock.now_ms(),
-                    trouble.reached,
+            if pool is None:
+                return
+            now_ms = self._clock.now_ms()
+            if trouble.pause_ms:
+                pool.note_refusal(
+                    trouble.endpoint_id, now_ms, trouble.pause_ms
                 )
+            else:
+                pool.note_trouble(trouble.endpoint_id, now_ms, trouble.reached)
 
     def adopt(self, host: str, running: list[messages.Running]) -> None:
         """Takes up what a host runs since before this term."""
@@ -241,6 +244,7 @@
         give_up_ms=now_ms + request.wait_ms,
         avoid=frozenset(request.avoid),
         prefer=request.prefer,
+        prefilled=request.prefilled,
         late_give_up_ms=now_ms + request.late_wait_ms,
         prompt_key=request.prompt_key,
     )
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -90,6 +90,7 @@
             give_up_ms=now_ms,
             avoid=frozenset(request.avoid),
             prefer=request.prefer,
+            prefilled=request.prefilled,
         )
         with self._lock:
             pool = self._pool(request.service)
@@ -122,6 +123,15 @@
             if pool is not None:
                 pool.note_trouble(endpoint_id, _now_ms(), reached)
 
+    def note_refusal(
+        self, service: str, endpoint_id: str, pause_ms: int
+    ) -> None:
+        """Leaves an engine alone that refused."""
+        with self._lock:
+            pool = self._pools.get(service)
+            if pool is not None:
+                pool.note_refusal(endpoint_id, _now_ms(), pause_ms)
+
     def _pool(self, service: str) -> placements.Pool:
         pool = self._pools.setdefault(service, placements.Pool())
         table = self._state.table
@@ -214,6 +224,22 @@
             )
         )
 
+    def note_refusal(
+        self, service: str, endpoint: fleets.Endpoint, pause_ms: int
+    ) -> None:
+        """Reports an engine that refused a request that it should take."""
+        self._local.note_refusal(service, endpoint.endpoint_id, pause_ms)
+        self._link.notify(
+            messages.EndpointTrouble(
+                self._host,
+                service,
+                endpoint.endpoint_id,
+                True,
+                'refused',
+                pause_ms,
+            )
+        )
+
     def take_rate(self, workspace: tables.Workspace, cost: float) -> int:
         """Charges a plain request while out of touch; 0 if it may run."""
         if self._link.in_touch:
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -34,6 +34,14 @@
 MAX_SENDS = 4
 # An engine with room begins within some tens of milliseconds.
 HEAD_TIMEOUT_MS = 1_000
+# A handle is offered to another engine in this part of its lifetime.
+HANDLE_SHARE = 0.7
+DEFAULT_HANDLE_TTL_MS = 500
+# How long an engine is left alone that refused: as its role is another one,
+# or as it is full.
+WRONG_ROLE_PAUSE_MS = 1_500
+FULL_PAUSE_MS = 300
+STATUS_WRONG_ROLE = 421
 PREFILL_MIN_MS = 250
 PREFILL_TIMEOUT_FACTOR = 2.2
 STREAM_GAP_LIMIT_MS = 2_500
@@ -46,6 +54,7 @@
 
     :param started: whether the head of the answer went out
     :param keeper: the engine that keeps the prompt after a broken stream
+    :param handle: the prompt, read and not taken yet
     """
 
     __slots__ = (
@@ -55,6 +64,7 @@
         'last_s',
         'longest_gap_ms',
         'keeper',
+        'handle',
         'placed_ms',
         'prefilled_ms',
     )
@@ -64,6 +74,7 @@
         self.last_s = 0.0
         self.longest_gap_ms = 0.0
         self.keeper = ''
+        self.handle: Handle | None = None
         self.placed_ms = 0.0
         self.prefilled_ms = 0.0
         self.cutter = events.EventCutter()
@@ -85,7 +96,31 @@
 
 
 class NotRunError(errors.GatewayError):
-    """An engine refused a request without running it."""
+    """An engine refused a request without running it.
+
+    :param status: the HTTP status of the refusal
+    """
+
+    def __init__(self, detail: str, status: int):
+        super().__init__(detail)
+        self.status = status
+
+
+class Handle:
+    """A prompt that was read and waits to be taken."""
+
+    __slots__ = ('prefill', 'name', 'made_s', 'ttl_s')
+
+    def __init__(self, prefill: fleets.Endpoint, name: str, ttl_s: float):
+        self.prefill = prefill
+        self.name = name
+        self.made_s = time.monotonic()
+        self.ttl_s = ttl_s
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether an engine can surely still take it."""
+        return time.monotonic() - self.made_s < HANDLE_SHARE * self.ttl_s
 
 
 class ForeignAnswerError(errors.GatewayError):
@@ -141,6 +176,7 @@
                 break
             place = self._place(job, relay, charged=sends > 0)
             if isinstance(place, messages.Refused):
+                self._drop_handle(relay)
                 return self._end(job, relay, refusal or _refusal_of(place))
             sound = False
             try:
@@ -152,8 +188,7 @@
                 refusal = ports.Refusal(
                     ports.Reason.NOT_RUN, str(cause), RETURN_MS
                 )
-                self._log(job, place, 'not run', cause)
-                job.tried.add(place.decode.endpoint_id)
+                self._note_refusal(job, place, cause)
             except OwnFailure as cause:
                 self._log(job, place, 'engine failed it', cause)
                 if relay.started:
@@ -190,6 +225,7 @@
                 self._placer.finish(place, sound)
             if job.remaining_ms <= 0:
                 break
+        self._drop_handle(relay)
         return self._end(job, relay, refusal)
 
     def _end(
@@ -235,6 +271,7 @@
             prompt_key=call.prompt_key,
             avoid=sorted(job.tried),
             prefer=relay.keeper,
+            prefilled=relay.handle is not None and relay.handle.is_fresh,
             charged=charged,
         )
         relay.keeper = ''
@@ -249,35 +286,49 @@
         return max(0, min(LATE_WAIT_MS, left_ms - LATE_RESERVE_MS))
 
     def _send(self, job: jobs.Job, place: placers.Place, relay: Relay) -> None:
-        handle = None
-        prefill = place.prefill
-        if prefill is not None and relay.cutter.last_id is None:
-            handle = self._prefill(job, place, prefill)
+        if relay.handle is not None and not relay.handle.is_fresh:
+            relay.handle = None
+        if place.prefill is not None and relay.cutter.last_id is None:
+            relay.handle = self._prefill(job, place, place.prefill)
             relay.prefilled_ms = job.elapsed_ms
-        last_id = relay.cutter.last_id
-        terms = job.terms(last_id)
-        if handle is not None:
-            headers = self._protocol.decode_headers(
-                job.request.headers, place.decode, terms, prefill, handle
-            )
-        else:
-            headers = self._protocol.run_headers(
-                job.request.headers, place.decode, terms
-            )
+        headers = self._decode_headers(job, place, relay)
+        refused = False
         try:
             with self._pools.open(place.decode, job.interrupt) as exchange:
                 self._decode(job, place, exchange, headers, relay)
-            handle = None
         except NotRunError:
-            handle = None
+            refused = True
             raise
         finally:
-            if handle is not None and not relay.started:
-                self._release(prefill, handle)
+            if not refused:
+                self._drop_handle(relay)
+
+    def _decode_headers(
+        self, job: jobs.Job, place: placers.Place, relay: Relay
+    ) -> ports.Headers:
+        terms = job.terms(relay.cutter.last_id)
+        handle = relay.handle
+        if handle is None or terms.last_event_id is not None:
+            return self._protocol.run_headers(
+                job.request.headers, place.decode, terms
+            )
+        return self._protocol.decode_headers(
+            job.request.headers,
+            place.decode,
+            terms,
+            handle.prefill,
+            handle.name,
+        )
+
+    def _drop_handle(self, relay: Relay) -> None:
+        """Frees a handle unless the engine that streams took it."""
+        handle, relay.handle = relay.handle, None
+        if handle is not None and not relay.started:
+            self._release(handle.prefill, handle.name)
 
     def _prefill(
         self, job: jobs.Job, place: placers.Place, prefill: fleets.Endpoint
-    ) -> str | None:
+    ) -> Handle | None:
         """Has the prompt read; None when the decode engine must do it."""
         headers = self._protocol.prefill_headers(
             job.request.headers, prefill, job.terms()
@@ -294,8 +345,10 @@
                 )
                 body = exchange.read_body(PREFILL_ANSWER_BYTES)
             if response.status != 200:
-                raise NotRunError(f'prefill refused: {response.status}')
-            handle = self._protocol.read_handle(body)
+                raise NotRunError(
+                    f'prefill refused: {response.status}', response.status
+                )
+            name = self._protocol.read_handle(body)
         except exchanges.InterruptedCallError:
             raise
         except exchanges.EndpointError as cause:
@@ -305,12 +358,18 @@
         except (NotRunError, errors.ProtocolError) as cause:
             self._log(job, place, 'prefill without result', cause)
             job.tried.add(prefill.endpoint_id)
+            self._placer.note_refusal(job.service, prefill, FULL_PAUSE_MS)
             self._budgets.note_repeat(job.service)
             return None
         duration_ms = (time.monotonic() - started_s) * 1000
         self._placer.finish_prefill(place)
         self._registry.observe('prefill_ms', duration_ms)
-        return handle
+        return Handle(prefill, name, self._handle_ttl_ms(job) / 1000)
+
+    def _handle_ttl_ms(self, job: jobs.Job) -> int:
+        table = job.table
+        engine = table.services[job.service].engine if table else None
+        return engine.handle_ttl_ms if engine else DEFAULT_HANDLE_TTL_MS
 
     def _prefill_timeout_ms(self, job: jobs.Job, place: placers.Place) -> int:
         """A silent engine is given up while the decode engine has time."""
@@ -345,7 +404,9 @@
         )
         if not head.ran:
             exchange.read_body(PREFILL_ANSWER_BYTES)
-            raise NotRunError(f'engine refused: {response.status}')
+            raise NotRunError(
+                f'engine refused: {response.status}', response.status
+            )
         if not head.genuine:
             raise ForeignAnswerError('not the answer to this request')
         if response.status != 200:
@@ -423,6 +484,16 @@
                 extra={'endpoint': prefill.endpoint_id, 'cause': str(cause)},
             )
 
+    def _note_refusal(
+        self, job: jobs.Job, place: placers.Place, cause: NotRunError
+    ) -> None:
+        self._log(job, place, 'not run', cause)
+        job.tried.add(place.decode.endpoint_id)
+        pause_ms = FULL_PAUSE_MS
+        if cause.status == STATUS_WRONG_ROLE:
+            pause_ms = WRONG_ROLE_PAUSE_MS
+        self._placer.note_refusal(job.service, place.decode, pause_ms)
+
     def _note_trouble(
         self, job: jobs.Job, endpoint: fleets.Endpoint, cause: Exception
     ) -> None:
@@ -462,9 +533,7 @@
 
 def _kept_prompt(cause: Exception) -> bool:
     """Whether the engine seems to run on, so that it keeps the prompt."""
-    return isinstance(cause, exchanges.EndpointError) and not isinstance(
-        cause, exchanges.StalledError
-    )
+    return isinstance(cause, exchanges.EndpointError)
 
 
 def _refusal_of(refused: messages.Refused) -> ports.Refusal:
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -27,6 +27,7 @@
         self.requests = []
         self.finished = []
         self.troubles = []
+        self.refusals = []
 
     def place(self, request, interrupt):
         self.requests.append(request)
@@ -45,6 +46,9 @@
     def finish(self, place, sound):
         self.finished.append(sound)
 
+    def note_refusal(self, service, endpoint, pause_ms):
+        self.refusals.append((endpoint.endpoint_id, pause_ms))
+
     def note_trouble(self, service, endpoint, reached, reason):
         self.troubles.append((endpoint.endpoint_id, reached))
 
@@ -145,6 +149,22 @@
         self.assertEqual(['e1'], self.placer.requests[1].avoid)
         self.assertTrue(self.placer.requests[1].charged)
 
+    def test_fresh_handle_is_offered_to_another_engine(self):
+        """No prompt is read twice because one engine had no room."""
+
+        def refuse(request, reply):
+            fakes.echo(request, reply, 503, [('Not-Run', '1')])
+
+        first = self.decode(1, refuse)
+        second = self.decode(2, self.stream)
+        self.run_job(
+            [(self.prefill.endpoint, first.endpoint), (None, second.endpoint)]
+        )
+        self.assertTrue(self.placer.requests[1].prefilled)
+        self.assertEqual('h1', second.requests[0].header('handle'))
+        self.assertEqual(1, len(self.prefill.requests))
+        self.assertEqual([('e1', streams.FULL_PAUSE_MS)], self.placer.refusals)
+
     def test_broken_stream_goes_on_after_the_last_whole_event(self):
         def answer(request, reply):
             if request.header('resume') is None:
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -158,6 +158,7 @@
     :param prompt_key: see ``placements.Ticket``
     :param avoid: endpoints that failed it
     :param prefer: the engine that keeps its prompt, empty for none
+    :param prefilled: whether the host has a handle to its prompt
     :param charged: whether its cost was taken before
     """
 
@@ -176,6 +177,7 @@
         'prompt_key',
         'avoid',
         'prefer',
+        'prefilled',
         'charged',
     )
 
@@ -195,6 +197,7 @@
         prompt_key: str,
         avoid: list[str],
         prefer: str = '',
+        prefilled: bool = False,
         charged: bool = False,
     ):
         self.host = host
@@ -211,6 +214,7 @@
         self.prompt_key = prompt_key
         self.avoid = avoid
         self.prefer = prefer
+        self.prefilled = prefilled
         self.charged = charged
 
 
@@ -292,9 +296,18 @@
     """An endpoint failed a host's request.
 
     :param reached: whether a connection to it was had
+    :param pause_ms: above 0 when it only refused, and for how long it is
+        better left alone
     """
 
-    __slots__ = ('host', 'service', 'endpoint_id', 'reached', 'reason')
+    __slots__ = (
+        'host',
+        'service',
+        'endpoint_id',
+        'reached',
+        'reason',
+        'pause_ms',
+    )
 
     def __init__(
         self,
@@ -303,12 +316,14 @@
         endpoint_id: str,
         reached: bool,
         reason: str,
+        pause_ms: int = 0,
     ):
         self.host = host
         self.service = service
         self.endpoint_id = endpoint_id
         self.reached = reached
         self.reason = reason
+        self.pause_ms = pause_ms
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -42,6 +42,8 @@
 # Above this failure share an engine is left aside for a while.
 EJECT_FAILURE_SHARE = 0.55
 FAILURE_COST = 100
+# A broken stream goes back to its engine only if that is not known to fail.
+PREFER_FAILURE_LIMIT = 0.4
 EJECT_MIN_MS = 1_500
 EJECT_MAX_MS = 12_000
 # An engine that failed gets one request in this time until one succeeds.
@@ -77,6 +79,7 @@
         empty if unknown
     :param avoid: endpoints that must not be used
     :param prefer: the engine that keeps the prompt, empty for none
+    :param prefilled: whether a handle to the prompt is at hand
     """
 
     __slots__ = (
@@ -92,6 +95,7 @@
         'prompt_key',
         'avoid',
         'prefer',
+        'prefilled',
     )
 
     def __init__(
@@ -108,6 +112,7 @@
         prefer: str = '',
         late_give_up_ms: int = 0,
         prompt_key: str = '',
+        prefilled: bool = False,
     ):
         self.key = key
         self.workspace = workspace
@@ -121,6 +126,7 @@
         self.prefer = prefer
         self.late_give_up_ms = late_give_up_ms
         self.prompt_key = prompt_key
+        self.prefilled = prefilled
 
     @property
     def memory_tokens(self) -> int:
@@ -176,6 +182,7 @@
         'ejected_until_ms',
         'eject_ms',
         'switching_until_ms',
+        'paused_until_ms',
     )
 
     def __init__(
@@ -194,6 +201,7 @@
         self.ejected_until_ms = 0
         self.eject_ms = EJECT_MIN_MS
         self.switching_until_ms = 0
+        self.paused_until_ms = 0
 
     def backlog_ms(self, tokens_per_ms: float, now_ms: int) -> float:
         """Returns the time until the prompts sent there are read."""
@@ -221,6 +229,7 @@
             not self.endpoint.leaving
             and self.ejected_until_ms <= now_ms
             and self.switching_until_ms <= now_ms
+            and self.paused_until_ms <= now_ms
         )
 
     def begin_probe(self, now_ms: int) -> None:
@@ -415,6 +424,17 @@
         state.ejected_until_ms = now_ms + state.eject_ms
         state.eject_ms = min(EJECT_MAX_MS, state.eject_ms * 2)
 
+    def note_refusal(
+        self, endpoint_id: str, now_ms: int, pause_ms: int
+    ) -> None:
+        """Places nothing more on an engine that refuses, for a while.
+
+        It is sound, but its memory or role is not what is known of it.
+        """
+        state = self.engines.get(endpoint_id)
+        if state is not None:
+            state.paused_until_ms = now_ms + pause_ms
+
     def _is_last_of_role(self, state: EngineState, now_ms: int) -> bool:
         role = state.endpoint.role
         return not any(
@@ -482,8 +502,11 @@
         if not roomy:
             return None
         keeper = self.engines.get(ticket.prefer)
-        if keeper in roomy:
+        if keeper in roomy and keeper.failure_share < PREFER_FAILURE_LIMIT:
             return self._hold_whole(ticket, keeper)
+        if ticket.prefilled:
+            decode = min(roomy, key=lambda e: _decode_cost(e, ''))
+            return self._hold_whole(ticket, decode)
         prefills = [
             e for e in prefills if e.endpoint.endpoint_id not in ticket.avoid
         ]
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -203,6 +203,23 @@
         self.assertIsNone(placement.prefill)
         self.assertEqual('e2', placement.decode.endpoint_id)
 
+    def test_failing_engine_is_not_gone_back_to(self):
+        for _ in range(2):
+            self.pool.note_trouble('e2', 0)
+        self.admit(1, prefer='e2')
+        self.assertEqual('e1', self.pump()[0].decode.endpoint_id)
+
+    def test_prompt_at_hand_needs_no_prefill(self):
+        self.admit(1, prefilled=True)
+        self.assertIsNone(self.pump()[0].prefill)
+
+    def test_engine_that_refused_is_left_alone_shortly(self):
+        """Its role or memory is not what the list and the account say."""
+        self.pool.note_refusal('e1', 0, 300)
+        self.admit(1)
+        self.assertEqual('e2', self.pump()[0].decode.endpoint_id)
+        self.assertTrue(self.pool.engines['e1'].usable(300))
+
     def test_leaving_engine_gets_no_new_work(self):
         engines = [
             builders.make_engine(0, fleets.ROLE_PREFILL),
