--- a/libs/coordination/masticquay_coordination/orders.py
+++ b/libs/coordination/masticquay_coordination/orders.py
@@ -5,7 +5,7 @@
 from masticquay_consensus import nodes
 from masticquay_coordination import errors
 from masticquay_coordination import ports
-from masticquay_routing import fleets
+from masticquay_routing import balances
 
 LOG = logging.getLogger(__name__)
 
@@ -13,16 +13,6 @@
 LEASE_NEEDED_MS = 300
 
 
-class PlannedOrder:
-    """An engine and the role that it should take."""
-
-    __slots__ = ('endpoint', 'role')
-
-    def __init__(self, endpoint: fleets.Endpoint, role: str):
-        self.endpoint = endpoint
-        self.role = role
-
-
 class OrderGiver:
     """Gives orders while this replica certainly leads.
 
@@ -36,7 +26,7 @@
         self._holder = holder
         self._orders = engine_orders
 
-    def give(self, order: PlannedOrder, term: int) -> bool:
+    def give(self, order: balances.RoleOrder, term: int) -> bool:
         """Gives one order; a failed one is planned again later.
 
         :returns: whether it was accepted
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -4,13 +4,13 @@
 import logging
 import threading
 
-from masticquay_coordination import orders
 from masticquay_routing import balances
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import meters
 from masticquay_routing import placements
 from masticquay_routing import tables
+from masticquay_routing import tickets
 from masticquay_wire import clocks
 from masticquay_wire import messages as wire_messages
 
@@ -34,7 +34,7 @@
         self._balances: dict[str, balances.Balance] = {}
         self._engines: dict[str, tables.Engine] = {}
         self._meters = meters.Meters(start=1.0 if first else SUCCESSOR_START)
-        self._waiting: dict[placements.Key, futures.Future] = {}
+        self._waiting: dict[tickets.Key, futures.Future] = {}
 
     def set_table(self, table: tables.Table) -> None:
         """Takes up a table's engines and rates."""
@@ -175,7 +175,7 @@
             if future is not None:
                 future.set_result(answer)
 
-    def plan_orders(self) -> list[orders.PlannedOrder]:
+    def plan_orders(self) -> list[balances.RoleOrder]:
         """Returns the orders that are due."""
         now_ms = self._clock.now_ms()
         planned = []
@@ -185,14 +185,13 @@
                 if pool is None:
                     continue
                 planned.extend(
-                    orders.PlannedOrder(order.endpoint, order.role)
-                    for order in self._balances[name].plan(
+                    self._balances[name].plan(
                         pool, now_ms, engine.role_switch_ms
                     )
                 )
         return planned
 
-    def cancel_order(self, order: orders.PlannedOrder) -> None:
+    def cancel_order(self, order: balances.RoleOrder) -> None:
         """Uses an engine on in its role, since an order had no effect."""
         with self._lock:
             for pool in self._pools.values():
@@ -231,9 +230,9 @@
 
 
 def _ticket(
-    key: placements.Key, request: messages.Admit, now_ms: int
-) -> placements.Ticket:
-    return placements.Ticket(
+    key: tickets.Key, request: messages.Admit, now_ms: int
+) -> tickets.Ticket:
+    return tickets.Ticket(
         key=key,
         workspace=request.workspace,
         prompt_tokens=request.prompt_tokens,
@@ -251,9 +250,9 @@
 
 
 def _answer(
-    outcome: placements.Placement | placements.Refusal,
+    outcome: tickets.Placement | tickets.Refusal,
 ) -> wire_messages.Message:
-    if isinstance(outcome, placements.Refusal):
+    if isinstance(outcome, tickets.Refusal):
         return messages.Refused(outcome.reason, outcome.retry_after_ms)
     prefill = outcome.prefill
     return messages.Placed(
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -3,6 +3,7 @@
 import unittest
 
 from masticquay_coordination import orders
+from masticquay_routing import balances
 from tests import fakes
 
 TERM = 5
@@ -28,7 +29,7 @@
         self.orders = fakes.FakeOrders()
         self.giver = orders.OrderGiver(self.node, 'c1', self.orders)
         engine = fakes.make_engines(1, 0)[0]
-        self.order = orders.PlannedOrder(engine, 'decode')
+        self.order = balances.RoleOrder(engine, 'decode')
 
     def test_order_carries_the_term_as_fence(self):
         self.assertTrue(self.giver.give(self.order, TERM))
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -28,7 +28,7 @@
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
         self.table: tables.Table | None = None
-        self.caller_limits = http_servers.Limits()
+        self._first_limits = http_servers.Limits()
         self.endpoints_term = 0
         self.endpoints_number = 0
         self.hosts: list[fleets.Host] = []
@@ -42,6 +42,12 @@
         table = self.table
         return table.version if table else -1
 
+    @property
+    def caller_limits(self) -> http_servers.LimitsLike:
+        """What callers may send; defaults before the first table."""
+        table = self.table
+        return table.limits if table else self._first_limits
+
     @property
     def host_count(self) -> int:
         """How many entry hosts share budgets.
@@ -68,13 +74,6 @@
             except (routing_errors.TableError, zlib.error) as cause:
                 LOG.error('table not readable', extra={'cause': str(cause)})
                 return False
-            limits = table.limits
-            self.caller_limits = http_servers.Limits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_timeout_ms,
-                limits.idle_timeout_ms,
-            )
             self.table = table
         LOG.info(
             'table in force',
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -13,6 +13,7 @@
 from masticquay_routing import meters
 from masticquay_routing import placements
 from masticquay_routing import tables
+from masticquay_routing import tickets
 from masticquay_wire import errors as wire_errors
 
 LOG = logging.getLogger(__name__)
@@ -75,11 +76,11 @@
 
     def admit(
         self, request: messages.Admit
-    ) -> placements.Placement | placements.Refusal:
+    ) -> tickets.Placement | tickets.Refusal:
         """Places a request now or refuses it."""
         now_ms = _now_ms()
         key = (request.host, request.number)
-        ticket = placements.Ticket(
+        ticket = tickets.Ticket(
             key=key,
             workspace=request.workspace,
             prompt_tokens=request.prompt_tokens,
@@ -98,7 +99,7 @@
             for placed, outcome in pool.pump(now_ms):
                 if placed is ticket:
                     return outcome
-        return placements.Refusal('no engine', placements.RETURN_MIN_MS)
+        return tickets.Refusal('no engine', placements.RETURN_MIN_MS)
 
     def finish_prefill(self, request: messages.Admit) -> None:
         """Notes that the prompt was read."""
@@ -293,7 +294,7 @@
             if wait_ms:
                 return messages.Refused('over local rate', wait_ms, True)
         outcome = self._local.admit(request)
-        if isinstance(outcome, placements.Refusal):
+        if isinstance(outcome, tickets.Refusal):
             return messages.Refused(outcome.reason, outcome.retry_after_ms)
         place = Place(
             outcome.prefill,
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -14,10 +14,11 @@
 from masticquay_gateway import jobs
 from masticquay_gateway import placers
 from masticquay_gateway import ports
+from masticquay_gateway import relays
 from masticquay_gateway import retries
 from masticquay_routing import fleets
 from masticquay_routing import messages
-from masticquay_routing import placements
+from masticquay_routing import tickets
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
@@ -34,8 +35,6 @@
 MAX_SENDS = 4
 # An engine with room begins within some tens of milliseconds.
 HEAD_TIMEOUT_MS = 1_000
-# A handle is offered to another engine in this part of its lifetime.
-HANDLE_SHARE = 0.7
 DEFAULT_HANDLE_TTL_MS = 500
 # How long an engine is left alone that refused: as its role is another one,
 # or as it is full.
@@ -49,97 +48,6 @@
 RETURN_MS = 500
 
 
-class Relay:
-    """What a caller has got of a stream so far.
-
-    :param started: whether the head of the answer went out
-    :param keeper: the engine that keeps the prompt after a broken stream
-    :param handle: the prompt, read and not taken yet
-    """
-
-    __slots__ = (
-        'started',
-        'cutter',
-        'first_ms',
-        'last_s',
-        'longest_gap_ms',
-        'keeper',
-        'handle',
-        'placed_ms',
-        'prefilled_ms',
-    )
-
-    def __init__(self) -> None:
-        self.started = False
-        self.last_s = 0.0
-        self.longest_gap_ms = 0.0
-        self.keeper = ''
-        self.handle: Handle | None = None
-        self.placed_ms = 0.0
-        self.prefilled_ms = 0.0
-        self.cutter = events.EventCutter()
-        self.first_ms = 0.0
-
-    def note_events(self, job: jobs.Job) -> None:
-        """Notes that events went out just now."""
-        now_s = time.monotonic()
-        if not self.first_ms:
-            self.first_ms = job.elapsed_ms
-        else:
-            gap_ms = (now_s - self.last_s) * 1000
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self.last_s = now_s
-
-
-class BrokenStreamError(errors.GatewayError):
-    """An engine ended a stream before its end."""
-
-
-class NotRunError(errors.GatewayError):
-    """An engine refused a request without running it.
-
-    :param status: the HTTP status of the refusal
-    """
-
-    def __init__(self, detail: str, status: int):
-        super().__init__(detail)
-        self.status = status
-
-
-class Handle:
-    """A prompt that was read and waits to be taken."""
-
-    __slots__ = ('prefill', 'name', 'made_s', 'ttl_s')
-
-    def __init__(self, prefill: fleets.Endpoint, name: str, ttl_s: float):
-        self.prefill = prefill
-        self.name = name
-        self.made_s = time.monotonic()
-        self.ttl_s = ttl_s
-
-    @property
-    def is_fresh(self) -> bool:
-        """Whether an engine can surely still take it."""
-        return time.monotonic() - self.made_s < HANDLE_SHARE * self.ttl_s
-
-
-class ForeignAnswerError(errors.GatewayError):
-    """An engine gave an answer that is not that of the request.
-
-    :param final: the endpoint's own failure, to be passed on
-    """
-
-
-class OwnFailure(errors.GatewayError):
-    """An engine ran the request and answered with a failure."""
-
-    def __init__(self, status: int, headers: ports.Headers, body: bytes):
-        super().__init__(f'status {status}')
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class Streamer:
     """Runs model requests."""
 
@@ -169,7 +77,7 @@
         :raises InterruptedCallError: when the caller left
         """
         self._budgets.note_request(job.service)
-        relay = Relay()
+        relay = relays.Relay()
         refusal: ports.Refusal | None = None
         for sends in range(MAX_SENDS):
             if sends and not self._budgets.take(job.service):
@@ -183,13 +91,13 @@
                 self._send(job, place, relay)
                 sound = True
                 return None
-            except NotRunError as cause:
+            except errors.NotRunError as cause:
                 sound = True
                 refusal = ports.Refusal(
                     ports.Reason.NOT_RUN, str(cause), RETURN_MS
                 )
                 self._note_refusal(job, place, cause)
-            except OwnFailure as cause:
+            except errors.OwnFailureError as cause:
                 self._log(job, place, 'engine failed it', cause)
                 if relay.started:
                     refusal = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
@@ -206,8 +114,8 @@
                 raise
             except (
                 exchanges.EndpointError,
-                BrokenStreamError,
-                ForeignAnswerError,
+                errors.BrokenStreamError,
+                errors.ForeignAnswerError,
             ) as cause:
                 self._note_trouble(job, place.decode, cause)
                 if _kept_prompt(cause) and not sends:
@@ -229,7 +137,7 @@
         return self._end(job, relay, refusal)
 
     def _end(
-        self, job: jobs.Job, relay: Relay, refusal: ports.Refusal | None
+        self, job: jobs.Job, relay: relays.Relay, refusal: ports.Refusal | None
     ) -> ports.Refusal | None:
         if relay.started:
             job.reply.abort()
@@ -245,7 +153,7 @@
         return refusal
 
     def _place(
-        self, job: jobs.Job, relay: Relay, charged: bool
+        self, job: jobs.Job, relay: relays.Relay, charged: bool
     ) -> placers.Place | messages.Refused:
         call = job.call
         prompt_tokens = call.prompt_tokens or 0
@@ -261,7 +169,7 @@
             workspace=workspace.name if workspace else '',
             cost=float(workspace.cost(call.tokens)) if workspace else 0.0,
             prompt_tokens=prompt_tokens,
-            output_tokens=placements.expected_output(
+            output_tokens=tickets.expected_output(
                 call.hint_tokens, call.limit_tokens or 0
             ),
             priority=job.priority,
@@ -285,7 +193,9 @@
         )
         return max(0, min(LATE_WAIT_MS, left_ms - LATE_RESERVE_MS))
 
-    def _send(self, job: jobs.Job, place: placers.Place, relay: Relay) -> None:
+    def _send(
+        self, job: jobs.Job, place: placers.Place, relay: relays.Relay
+    ) -> None:
         if relay.handle is not None and not relay.handle.is_fresh:
             relay.handle = None
         if place.prefill is not None and relay.cutter.last_id is None:
@@ -296,7 +206,7 @@
         try:
             with self._pools.open(place.decode, job.interrupt) as exchange:
                 self._decode(job, place, exchange, headers, relay)
-        except NotRunError:
+        except errors.NotRunError:
             refused = True
             raise
         finally:
@@ -304,7 +214,7 @@
                 self._drop_handle(relay)
 
     def _decode_headers(
-        self, job: jobs.Job, place: placers.Place, relay: Relay
+        self, job: jobs.Job, place: placers.Place, relay: relays.Relay
     ) -> ports.Headers:
         terms = job.terms(relay.cutter.last_id)
         handle = relay.handle
@@ -320,7 +230,7 @@
             handle.name,
         )
 
-    def _drop_handle(self, relay: Relay) -> None:
+    def _drop_handle(self, relay: relays.Relay) -> None:
         """Frees a handle unless the engine that streams took it."""
         handle, relay.handle = relay.handle, None
         if handle is not None and not relay.started:
@@ -328,7 +238,7 @@
 
     def _prefill(
         self, job: jobs.Job, place: placers.Place, prefill: fleets.Endpoint
-    ) -> Handle | None:
+    ) -> relays.Handle | None:
         """Has the prompt read; None when the decode engine must do it."""
         headers = self._protocol.prefill_headers(
             job.request.headers, prefill, job.terms()
@@ -345,7 +255,7 @@
                 )
                 body = exchange.read_body(PREFILL_ANSWER_BYTES)
             if response.status != 200:
-                raise NotRunError(
+                raise errors.NotRunError(
                     f'prefill refused: {response.status}', response.status
                 )
             name = self._protocol.read_handle(body)
@@ -355,7 +265,7 @@
             self._note_trouble(job, prefill, cause)
             self._budgets.note_repeat(job.service)
             return None
-        except (NotRunError, errors.ProtocolError) as cause:
+        except (errors.NotRunError, errors.ProtocolError) as cause:
             self._log(job, place, 'prefill without result', cause)
             job.tried.add(prefill.endpoint_id)
             self._placer.note_refusal(job.service, prefill, FULL_PAUSE_MS)
@@ -364,7 +274,7 @@
         duration_ms = (time.monotonic() - started_s) * 1000
         self._placer.finish_prefill(place)
         self._registry.observe('prefill_ms', duration_ms)
-        return Handle(prefill, name, self._handle_ttl_ms(job) / 1000)
+        return relays.Handle(prefill, name, self._handle_ttl_ms(job) / 1000)
 
     def _handle_ttl_ms(self, job: jobs.Job) -> int:
         table = job.table
@@ -390,7 +300,7 @@
         place: placers.Place,
         exchange: connections.Exchange,
         headers: ports.Headers,
-        relay: Relay,
+        relay: relays.Relay,
     ) -> None:
         response = exchange.send(
             job.request.method,
@@ -404,14 +314,14 @@
         )
         if not head.ran:
             exchange.read_body(PREFILL_ANSWER_BYTES)
-            raise NotRunError(
+            raise errors.NotRunError(
                 f'engine refused: {response.status}', response.status
             )
         if not head.genuine:
-            raise ForeignAnswerError('not the answer to this request')
+            raise errors.ForeignAnswerError('not the answer to this request')
         if response.status != 200:
             body = exchange.read_body(PREFILL_ANSWER_BYTES)
-            raise OwnFailure(response.status, head.headers, body)
+            raise errors.OwnFailureError(response.status, head.headers, body)
         if not relay.started:
             job.reply.begin(response.status, head.headers)
             relay.started = True
@@ -422,7 +332,7 @@
         job: jobs.Job,
         place: placers.Place,
         exchange: connections.Exchange,
-        relay: Relay,
+        relay: relays.Relay,
     ) -> None:
         response = exchange.response
         cutter = events.EventCutter(relay.cutter.last_id)
@@ -441,7 +351,7 @@
                 relay.note_events(job)
                 job.reply.write(whole)
         if cutter.rest:
-            raise BrokenStreamError('the stream ends within an event')
+            raise errors.BrokenStreamError('the stream ends within an event')
         exchange.mark_finished()
         job.reply.finish()
         LOG.info(
@@ -485,7 +395,7 @@
             )
 
     def _note_refusal(
-        self, job: jobs.Job, place: placers.Place, cause: NotRunError
+        self, job: jobs.Job, place: placers.Place, cause: errors.NotRunError
     ) -> None:
         self._log(job, place, 'not run', cause)
         job.tried.add(place.decode.endpoint_id)
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -1,5 +1,6 @@
 """How many engines of a pool read prompts and how many decode."""
 
+from masticquay_routing import engine_states
 from masticquay_routing import fleets
 from masticquay_routing import placements
 
@@ -86,7 +87,7 @@
         return [RoleOrder(state.endpoint, role) for state in chosen]
 
     def _is_steady(
-        self, listed: list[placements.EngineState], now_ms: int
+        self, listed: list[engine_states.EngineState], now_ms: int
     ) -> bool:
         if self._first_ms is None:
             self._first_ms = now_ms
@@ -130,7 +131,7 @@
             self._extra_ms = now_ms
 
 
-def _is_lost(state: placements.EngineState, now_ms: int) -> bool:
+def _is_lost(state: engine_states.EngineState, now_ms: int) -> bool:
     since_ms = state.failing_since_ms
     return since_ms is not None and now_ms - since_ms > LOST_AFTER_MS
 
@@ -143,5 +144,5 @@
     return reserved_tokens / memory_tokens if memory_tokens else 1.0
 
 
-def _has_role(state: placements.EngineState, role: str) -> bool:
+def _has_role(state: engine_states.EngineState, role: str) -> bool:
     return state.endpoint.role == role
--- /dev/null
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -0,0 +1,92 @@
+"""The account of one model engine."""
+
+from masticquay_routing import fleets
+
+EJECT_MIN_MS = 1_500
+# An engine that failed gets one request in this time until one succeeds.
+PROBE_MS = 600
+# Two prompts read on one decode engine need this much time between them, or
+# its streams pause for too long.
+SELF_PREFILL_SPACING_MS = 450
+
+
+class EngineState:
+    """The account of one engine."""
+
+    __slots__ = (
+        'endpoint',
+        'memory_tokens',
+        'slots',
+        'reserved_tokens',
+        'running',
+        'prefill_tokens',
+        'prefill_since_ms',
+        'self_prefill_ms',
+        'failure_share',
+        'failing_since_ms',
+        'ejected_until_ms',
+        'eject_ms',
+        'switching_until_ms',
+        'paused_until_ms',
+    )
+
+    def __init__(
+        self, endpoint: fleets.Endpoint, memory_tokens: int, slots: int
+    ):
+        self.endpoint = endpoint
+        self.memory_tokens = memory_tokens
+        self.slots = slots
+        self.reserved_tokens = 0
+        self.running = 0
+        self.prefill_tokens = 0
+        self.prefill_since_ms = 0
+        self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
+        self.failure_share = 0.0
+        self.failing_since_ms: int | None = None
+        self.ejected_until_ms = 0
+        self.eject_ms = EJECT_MIN_MS
+        self.switching_until_ms = 0
+        self.paused_until_ms = 0
+
+    def backlog_ms(self, tokens_per_ms: float, now_ms: int) -> float:
+        """Returns the time until the prompts sent there are read."""
+        if not self.prefill_tokens:
+            return 0.0
+        elapsed_ms = now_ms - self.prefill_since_ms
+        return max(0.0, self.prefill_tokens / tokens_per_ms - elapsed_ms)
+
+    def begin_prefill(self, tokens: int, now_ms: int) -> None:
+        """Adds a prompt to those that the engine reads."""
+        if not self.prefill_tokens:
+            self.prefill_since_ms = now_ms
+        self.prefill_tokens += tokens
+
+    def end_prefill(self, tokens: int, now_ms: int) -> float:
+        """Takes a prompt off; returns the time that it took alone."""
+        duration_ms = now_ms - self.prefill_since_ms
+        self.prefill_tokens = max(0, self.prefill_tokens - tokens)
+        self.prefill_since_ms = now_ms
+        return duration_ms
+
+    def usable(self, now_ms: int) -> bool:
+        """Whether new work may go there."""
+        return (
+            not self.endpoint.leaving
+            and self.ejected_until_ms <= now_ms
+            and self.switching_until_ms <= now_ms
+            and self.paused_until_ms <= now_ms
+        )
+
+    def begin_probe(self, now_ms: int) -> None:
+        """Sends an engine that failed no more until this request's outcome."""
+        if self.failing_since_ms is not None:
+            self.ejected_until_ms = now_ms + PROBE_MS
+
+    def has_room(self, tokens: int, share: float = 1.0) -> bool:
+        """Whether memory and a slot are free.
+
+        :param share: the part of the memory that may be used
+        """
+        limit_tokens = int(self.memory_tokens * share)
+        free_tokens = limit_tokens - self.reserved_tokens
+        return free_tokens >= tokens and self.running < self.slots
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -155,7 +155,7 @@
     :param urgent_ms: for how long it can still be on time
     :param wait_ms: for how long it may wait for a place
     :param late_wait_ms: the same, if it was refused before
-    :param prompt_key: see ``placements.Ticket``
+    :param prompt_key: see ``tickets.Ticket``
     :param avoid: endpoints that failed it
     :param prefer: the engine that keeps its prompt, empty for none
     :param prefilled: whether the host has a handle to its prompt
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -199,7 +199,10 @@
 
 
 class CallerLimits:
-    """What callers may send, and how long they may take."""
+    """What callers may send, and how long they may take.
+
+    Serves as the limits of an HTTP server, too.
+    """
 
     __slots__ = (
         'max_header_bytes',
--- a/libs/routing/tests/builders.py
+++ b/libs/routing/tests/builders.py
@@ -3,6 +3,7 @@
 from masticquay_routing import fleets
 from masticquay_routing import placements
 from masticquay_routing import tables
+from masticquay_routing import tickets
 
 MEMORY_TOKENS = 20_000
 SLOTS = 16
@@ -70,7 +71,7 @@
         'give_up_ms': now_ms + 500,
     }
     fields.update(more)
-    return placements.Ticket(
+    return tickets.Ticket(
         key=('host', number),
         prompt_tokens=prompt,
         output_tokens=output,
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -2,8 +2,9 @@
 
 import unittest
 
+from masticquay_routing import engine_states
 from masticquay_routing import fleets
-from masticquay_routing import placements
+from masticquay_routing import tickets
 from tests import builders
 
 
@@ -36,9 +37,9 @@
     def test_answers_are_counted_by_what_they_hold_on_average(self):
         """Long answers: streams in all stages share one engine's memory."""
         ticket = builders.make_ticket(1, prompt=1_000, output=1_000)
-        held = 1_000 + 1_000 * placements.OUTPUT_SHARE
+        held = 1_000 + 1_000 * tickets.OUTPUT_SHARE
         self.assertGreaterEqual(ticket.memory_tokens, held)
-        self.assertLess(ticket.memory_tokens, held + placements.BLOCK_TOKENS)
+        self.assertLess(ticket.memory_tokens, held + tickets.BLOCK_TOKENS)
 
     def test_freed_memory_goes_to_who_waits(self):
         for number in range(11):
@@ -53,7 +54,7 @@
         self.pump()
         self.assertEqual([], self.pump(499))
         refusal = self.pump(501)[0]
-        self.assertIsInstance(refusal, placements.Refusal)
+        self.assertIsInstance(refusal, tickets.Refusal)
         self.assertGreater(refusal.retry_after_ms, 0)
 
     def test_who_came_back_late_waits_behind_who_can_be_on_time(self):
@@ -99,7 +100,7 @@
         placements_made = self.pump(1_000)
         self.assertEqual(1, len(placements_made))
         self.assertIsNone(placements_made[0].prefill)
-        later_ms = 1_000 + placements.SELF_PREFILL_SPACING_MS
+        later_ms = 1_000 + engine_states.SELF_PREFILL_SPACING_MS
         self.assertEqual(1, len(self.pump(later_ms)))
 
     def test_long_prefill_queue_spills_over(self):
@@ -175,7 +176,7 @@
         """One stage lost: few requests find out whether it is back."""
         for _ in range(2):
             self.pool.note_trouble('e0', 0, reached=False)
-        later_ms = placements.EJECT_MIN_MS + 1
+        later_ms = engine_states.EJECT_MIN_MS + 1
         self.admit(1, later_ms)
         self.assertEqual('e0', self.pump(later_ms)[0].prefill.endpoint_id)
         self.admit(2, later_ms)
@@ -188,7 +189,7 @@
             for _ in range(3):
                 self.pool.note_trouble('e0', now_ms, reached=False)
         until_ms = self.pool.engines['e0'].ejected_until_ms
-        self.assertLessEqual(until_ms, 40_000 + placements.EJECT_MIN_MS)
+        self.assertLessEqual(until_ms, 40_000 + engine_states.EJECT_MIN_MS)
 
     def test_never_more_than_half_are_left_aside(self):
         for name in ('e0', 'e1', 'e2'):
@@ -259,8 +260,8 @@
 
 class ExpectedOutputTest(unittest.TestCase):
     def test_hint_is_bounded_by_the_limit(self):
-        self.assertEqual(500, placements.expected_output(800, 500))
-        self.assertEqual(110, placements.expected_output(100, 500))
+        self.assertEqual(500, tickets.expected_output(800, 500))
+        self.assertEqual(110, tickets.expected_output(100, 500))
 
     def test_without_hint_the_limit_counts(self):
-        self.assertEqual(500, placements.expected_output(None, 500))
+        self.assertEqual(500, tickets.expected_output(None, 500))
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -38,6 +38,15 @@
 Headers = list[tuple[str, str]]
 
 
+class LimitsLike(typing.Protocol):
+    """The fields of ``Limits``, whoever defines them."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
 class Limits:
     """What a caller may send, and how long it may take.
 
@@ -230,7 +239,7 @@
             error = errors.BadRequestError(408, 'the request came too slowly')
             self._refuse(reply, error)
 
-    def _read_request(self, limits: Limits, started_s: float) -> Request:
+    def _read_request(self, limits: LimitsLike, started_s: float) -> Request:
         self.connection.settimeout(limits.header_timeout_ms / 1000)
         self.raw_requestline = self.rfile.readline(
             REQUEST_LINE_LIMIT_BYTES + 1
@@ -248,7 +257,7 @@
         target = self.requestline.split()[1]
         return Request(self.command, target, headers, body, started_s)
 
-    def _read_body(self, limits: Limits) -> bytes:
+    def _read_body(self, limits: LimitsLike) -> bytes:
         encodings = self.headers.get_all('Transfer-Encoding') or []
         lengths = set(self.headers.get_all('Content-Length') or [])
         self.connection.settimeout(BODY_TIMEOUT_S)
@@ -327,7 +336,7 @@
         self,
         address: tuple[str, int],
         application: Application,
-        limits: typing.Callable[[], Limits],
+        limits: typing.Callable[[], LimitsLike],
     ):
         self.application = application
         self.limits = limits
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -160,9 +160,17 @@
     def test_idle_connections_are_closed(self):
         sock = self.connect()
         self.exchange(b'GET / HTTP/1.1\r\n\r\n', sock)
-        _wait_for(lambda: self.server.connection_count == 1)
-        self.server.close_idle()
-        self.assertEqual(b'', sock.recv(10))
+        sock.settimeout(0.05)
+
+        def is_closed():
+            # The connection is idle only a moment after its answer.
+            self.server.close_idle()
+            try:
+                return sock.recv(10) == b''
+            except TimeoutError:
+                return False
+
+        _wait_for(is_closed)
 
     def test_caller_that_left_is_an_error_of_this_layer(self):
         sock = self.connect()
