--- a/libs/control/masticquay_control/daemons.py
+++ b/libs/control/masticquay_control/daemons.py
@@ -3,9 +3,7 @@
 import contextlib
 import logging
 import pathlib
-import signal
 import sys
-import threading
 import typing
 
 from absl import app
@@ -17,6 +15,7 @@
 from masticquay_bundles import settings as settings_files
 from masticquay_consensus import errors as consensus_errors
 from masticquay_control import replicas
+from masticquay_serving import signals
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
@@ -130,9 +129,7 @@
 
 
 def _serve(settings: replicas.ReplicaSettings, metrics_address: str) -> int:
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
+    notices = signals.Signals()
     with contextlib.ExitStack() as stack:
         replica = replicas.Replica(settings)
         replica.start()
@@ -140,7 +137,7 @@
         if metrics_address:
             _serve_metrics(stack, replica, metrics_address)
         LOG.info('ready', extra={'address': str(replica.listener.address)})
-        stopped.wait()
+        notices.wait_for_stop(lambda: None)
     LOG.info('stopped')
     return 0
 
--- a/libs/entry/masticquay_entry/daemons.py
+++ b/libs/entry/masticquay_entry/daemons.py
@@ -4,7 +4,6 @@
 import logging
 import pathlib
 import random
-import signal
 import sys
 import threading
 
@@ -26,6 +25,7 @@
 from masticquay_scheduling import rate_clients
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
+from masticquay_serving import signals
 from masticquay_wire import clocks
 from masticquay_wire import listeners
 from masticquay_wire import peers
@@ -172,8 +172,10 @@
         logs.set_up(entry_settings.log_file, entry_settings.name)
         secret = pathlib.Path(entry_settings.secret_file).read_bytes().strip()
         daemon = EntryDaemon(entry_settings, secret)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: daemon.stop())
+        notices = signals.Signals()
+        threading.Thread(
+            target=_stop_at_signal, args=(notices, daemon), daemon=True
+        ).start()
         status = daemon.run()
     except OSError as cause:
         LOG.error('start failed', extra={'cause': str(cause)})
@@ -182,6 +184,11 @@
     return status
 
 
+def _stop_at_signal(notices: signals.Signals, daemon: EntryDaemon) -> None:
+    notices.wait_for_stop(lambda: None)
+    daemon.stop()
+
+
 def run() -> None:
     """Runs the daemon as a program."""
     app.run(main)
