--- a/libs/bench/masticquay_bench/capacity_pages.py
+++ b/libs/bench/masticquay_bench/capacity_pages.py
@@ -71,7 +71,8 @@
 `make capacity` writes this page from `docs/measurements/*.json`.
 It extrapolates straight lines from small fleets on one machine to the target;
 nothing of the target's size was run. "{NOT_MEASURED}" stands where a slope is
-missing.
+missing. The way on the users' platform has a page of its own,
+[CAPACITY-platform](CAPACITY-platform.md).
 
 The target: {size.hosts} nodes before {size.servers} servers on \
 {size.accelerators:,} accelerators,
