What one send left unknown is not called not run by the next

A repeatable request whose first endpoint cut the connection and whose second one refused ended with a 503, which promises that it has not run. The new test failed before.

--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -57,15 +57,16 @@
 
         :raises InterruptedCallError: when the caller left
         """
-        refusal = ports.Refusal(ports.Reason.NOT_RUN, 'no endpoint', RETURN_MS)
+        nothing = ports.Refusal(ports.Reason.NOT_RUN, 'no endpoint', RETURN_MS)
+        refusal: ports.Refusal | None = None
         self._budgets.note_request(job.service)
         kept: Answer | None = None
         while True:
             endpoint = self._choose(job)
             if endpoint is None or job.remaining_ms <= 0:
-                return kept or refusal
+                return kept or refusal or nothing
             if job.tried and not self._may_repeat(job):
-                return kept or refusal
+                return kept or refusal or nothing
             job.tried.add(endpoint.endpoint_id)
             outcome = self._attempt(job, endpoint)
             if isinstance(outcome, Answer):
@@ -73,7 +74,7 @@
                     return outcome
                 kept = outcome
                 continue
-            refusal = outcome
+            refusal = ports.join_refusals(refusal, outcome)
             if outcome.reason is ports.Reason.NOT_RUN:
                 continue
             if not job.route.repeatable:
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -93,6 +93,19 @@
         self.retry_after_ms = retry_after_ms
 
 
+def join_refusals(earlier: Refusal | None, later: Refusal) -> Refusal:
+    """Returns the end of a request after two failed sends.
+
+    What an earlier send left unknown stays so: that a later one has not run
+    the request says nothing of the first.
+    """
+    if earlier is None or earlier.reason is Reason.NOT_RUN:
+        return later
+    if later.reason is Reason.NOT_RUN:
+        return earlier
+    return later
+
+
 class RefusalAnswer:
     """A refusal in the caller's protocol."""
 
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -93,9 +93,7 @@
                 return None
             except errors.NotRunError as cause:
                 sound = True
-                refusal = ports.Refusal(
-                    ports.Reason.NOT_RUN, str(cause), RETURN_MS
-                )
+                refusal = _join_not_run(refusal, cause)
                 self._note_refusal(job, place, cause)
             except errors.OwnFailureError as cause:
                 self._log(job, place, 'engine failed it', cause)
@@ -105,9 +103,7 @@
                     job.reply.send(cause.status, cause.headers, cause.body)
                     return None
             except exchanges.NotSentError as cause:
-                refusal = ports.Refusal(
-                    ports.Reason.NOT_RUN, str(cause), RETURN_MS
-                )
+                refusal = _join_not_run(refusal, cause)
                 self._note_trouble(job, place.decode, cause)
             except exchanges.InterruptedCallError:
                 sound = True
@@ -441,6 +437,13 @@
         )
 
 
+def _join_not_run(
+    earlier: ports.Refusal | None, cause: Exception
+) -> ports.Refusal:
+    refusal = ports.Refusal(ports.Reason.NOT_RUN, str(cause), RETURN_MS)
+    return ports.join_refusals(earlier, refusal)
+
+
 def _kept_prompt(cause: Exception) -> bool:
     """Whether the engine seems to run on, so that it keeps the prompt."""
     return isinstance(cause, exchanges.EndpointError)
--- a/libs/gateway/tests/test_forwards.py
+++ b/libs/gateway/tests/test_forwards.py
@@ -79,6 +79,20 @@
         self.run_job(fakes.make_route())
         self.assertEqual(2, self.count())
 
+    def test_unknown_outcome_is_never_called_not_run(self):
+        """The first endpoint cuts, the second refuses."""
+        for _ in range(2):
+            self.add(self.cut_then_refuse)
+        outcome = self.run_job(fakes.make_route())
+        self.assertIs(ports.Reason.UNKNOWN, outcome.reason)
+        self.assertEqual(2, self.count())
+
+    def cut_then_refuse(self, request, reply):
+        if self.count() == 1:
+            self.cut(request, reply)
+        else:
+            self.refuse(request, reply)
+
     def test_attempts_bound_the_endpoints(self):
         for _ in range(4):
             self.add(self.refuse)
