--- a/libs/consensus/masticquay_consensus/elections.py
+++ b/libs/consensus/masticquay_consensus/elections.py
@@ -1,14 +1,16 @@
 """Elections: probes, votes, and the rules under which they are given."""
 
 from masticquay_consensus import messages
+from masticquay_consensus import roll_calls
 from masticquay_consensus import states
 
 
 class Elections:
     """This replica as a voter and as a candidate."""
 
-    def __init__(self, state: states.State):
+    def __init__(self, state: states.State, roll_call: roll_calls.RollCall):
         self._state = state
+        self._roll_call = roll_call
         self._probing = False
         self._asked: set[str] = set()
         self._granted: set[str] = set()
@@ -16,6 +18,8 @@
     def tick(self) -> bool:
         """Starts a probe when no leader was heard for long enough.
 
+        Starts it at once when it is proven that no lease is left.
+
         :returns: whether this replica won at once, as the only voter
         """
         state = self._state
@@ -23,6 +27,8 @@
             return False
         if not state.is_voter:
             return False
+        if self._roll_call.take_turn():
+            return self._campaign(probing=True)
         if state.clock.now_ms() < state.election_deadline_ms:
             return False
         return self._campaign(probing=True)
@@ -42,6 +48,7 @@
             last_index=state.store.journal.last_index,
             last_term=state.store.journal.last_term,
             probe=self._probing,
+            proven_incarnation=self._roll_call.proven_incarnation(member_id),
         )
 
     def take_failure(self, member_id: str) -> None:
@@ -75,7 +82,8 @@
     def handle(self, request: messages.RequestVote) -> messages.Vote:
         """Answers a candidate; a vote is synced before it is returned."""
         state = self._state
-        if not state.may_vote() or state.installing:
+        may_vote = state.may_vote(request.proven_incarnation)
+        if not may_vote or state.installing:
             return messages.Vote(state.term, False)
         if request.probe:
             granted = request.term > state.term and self._is_current(request)
@@ -89,6 +97,7 @@
         )
         if granted:
             state.store.save_ballot(state.term, request.from_id)
+            state.took_part = True
             state.counters.votes_granted += 1
             state.defer_election()
         return messages.Vote(state.term, granted)
--- a/libs/consensus/masticquay_consensus/messages.py
+++ b/libs/consensus/masticquay_consensus/messages.py
@@ -107,9 +107,47 @@
         self.configuration = configuration
 
 
+@messages.register
+class AskStart(messages.Message):
+    """Asks a voter what its process has seen since it started."""
+
+    __slots__ = ('to_id', 'round_number')
+
+    def __init__(self, to_id: str, round_number: int):
+        self.to_id = to_id
+        self.round_number = round_number
+
+
+@messages.register
+class StartReport(messages.Message):
+    """The answer to AskStart.
+
+    :param incarnation: differs after each start of the process
+    :param took_part: whether the process has led, followed or voted
+    """
+
+    __slots__ = ('incarnation', 'took_part', 'last_index', 'last_term')
+
+    def __init__(
+        self,
+        incarnation: str,
+        took_part: bool,
+        last_index: int,
+        last_term: int,
+    ):
+        self.incarnation = incarnation
+        self.took_part = took_part
+        self.last_index = last_index
+        self.last_term = last_term
+
+
 @messages.register
 class RequestVote(messages.Message):
-    """Asks for a vote; with ``probe`` only whether it would be given."""
+    """Asks for a vote; with ``probe`` only whether it would be given.
+
+    :param proven_incarnation: of the voter's process, if it is proven that
+        no lease is left from before its start; see ``roll_calls``
+    """
 
     __slots__ = (
         'to_id',
@@ -118,6 +156,7 @@
         'last_index',
         'last_term',
         'probe',
+        'proven_incarnation',
     )
 
     def __init__(
@@ -128,6 +167,7 @@
         last_index: int,
         last_term: int,
         probe: bool,
+        proven_incarnation: str = '',
     ):
         self.to_id = to_id
         self.from_id = from_id
@@ -135,6 +175,7 @@
         self.last_index = last_index
         self.last_term = last_term
         self.probe = probe
+        self.proven_incarnation = proven_incarnation
 
 
 @messages.register
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -219,6 +219,7 @@
         listener.handle(messages.Identify, self._identify)
         listener.handle(messages.FormGroup, self._form_group)
         for message_type in (
+            messages.AskStart,
             messages.RequestVote,
             messages.AppendEntries,
             messages.InstallSnapshot,
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -10,6 +10,7 @@
 from masticquay_consensus import leaders
 from masticquay_consensus import messages
 from masticquay_consensus import protocols
+from masticquay_consensus import roll_calls
 from masticquay_consensus import settings as settings_module
 from masticquay_consensus import states
 from masticquay_consensus import stores
@@ -20,7 +21,10 @@
 CODE_WRONG_IDENTITY = 'wrong-identity'
 
 Addressed = (
-    messages.RequestVote | messages.AppendEntries | messages.InstallSnapshot
+    messages.AskStart
+    | messages.RequestVote
+    | messages.AppendEntries
+    | messages.InstallSnapshot
 )
 
 
@@ -42,7 +46,8 @@
         self._store = store
         self._settings = settings
         self.state = states.State(store, settings, clock, randomness)
-        self._elections = elections.Elections(self.state)
+        self._roll_call = roll_calls.RollCall(self.state)
+        self._elections = elections.Elections(self.state, self._roll_call)
         self._follower = followers.Follower(self.state)
         self._leader = leaders.Leader(self.state)
         self._applier = appliers.Applier(
@@ -89,6 +94,8 @@
                 raise wire_errors.RemoteError(
                     CODE_WRONG_IDENTITY, f'this is {self.state.replica_id}'
                 )
+            if isinstance(message, messages.AskStart):
+                return self._roll_call.report()
             self.form(messages.Configuration([]))
             if isinstance(message, messages.RequestVote):
                 return self._elections.handle(message)
@@ -104,6 +111,7 @@
                 message = self._leader.next_request(member_id)
             else:
                 message = self._elections.next_request(member_id)
+                message = message or self._roll_call.next_request(member_id)
             if message is None:
                 return None
             return states.Outgoing(member_id, message, state.clock.now_ms())
@@ -134,6 +142,10 @@
                 )
                 if won:
                     self._leader.begin()
+            elif isinstance(answer, messages.StartReport):
+                self._roll_call.take_report(
+                    request.member_id, request.message, answer
+                )
             elif isinstance(answer, messages.Appended):
                 self._leader.take_appended(request, answer)
             elif isinstance(answer, messages.SnapshotReceived):
@@ -142,7 +154,10 @@
     def take_failure(self, request: states.Outgoing) -> None:
         """Notes that a request got no answer."""
         with self.state.lock:
-            self._elections.take_failure(request.member_id)
+            if isinstance(request.message, messages.AskStart):
+                self._roll_call.take_failure(request.member_id)
+            else:
+                self._elections.take_failure(request.member_id)
 
     def propose(self, command: bytes) -> 'futures.Future[bytes]':
         """Appends a command; see ``protocols.ReplicatedLog``."""
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -15,6 +15,7 @@
 LOG = logging.getLogger(__name__)
 
 NEVER_MS = -(1 << 60)
+INCARNATION_BITS = 64
 
 
 class Counters:
@@ -69,6 +70,9 @@
 
     :param heard_ms: when a leader was last heard; this replica grants no
         vote for ``election_min_ms`` after it, on which leases rest
+    :param incarnation: differs after each start of the process
+    :param took_part: whether this process has led, followed a leader or
+        voted for another replica
     """
 
     def __init__(
@@ -95,6 +99,8 @@
         self.closed = False
         self.led_since_ms = NEVER_MS
         self.heard_ms = clock.now_ms()
+        self.incarnation = f'{randomness.getrandbits(INCARNATION_BITS):x}'
+        self.took_part = False
         self.election_deadline_ms = 0
         self.proposals: dict[int, Proposal] = {}
         self.settled: collections.deque[
@@ -196,6 +202,7 @@
         self.role = messages.ROLE_FOLLOWER
         self.leader_id = leader_id
         if leader_id:
+            self.took_part = True
             self.heard_ms = self.clock.now_ms()
         self.defer_election()
         self.peers_wake.notify_all()
@@ -203,6 +210,7 @@
     def lead(self) -> None:
         """Becomes the leader of the current term."""
         self.role = messages.ROLE_LEADER
+        self.took_part = True
         self.leader_id = self.replica_id
         self.led_since_ms = self.clock.now_ms()
         self.counters.elections_won += 1
@@ -211,10 +219,24 @@
         self.applier_wake.notify_all()
         self.peers_wake.notify_all()
 
-    def may_vote(self) -> bool:
-        """Whether no leader can hold a lease that rests on this replica."""
+    def all_voter_ids(self) -> set[str]:
+        """Returns the voters of every configuration that may be in force."""
+        return {
+            voter_id
+            for _index, configuration in self._configurations
+            for voter_id in configuration.voter_ids()
+        }
+
+    def may_vote(self, proven_incarnation: str = '') -> bool:
+        """Whether no leader can hold a lease that rests on this replica.
+
+        :param proven_incarnation: of the process for which a candidate has
+            proven that no lease is left from before its start
+        """
         if self.role == messages.ROLE_LEADER:
             return False
+        if not self.took_part and proven_incarnation == self.incarnation:
+            return True
         age_ms = self.clock.now_ms() - self.heard_ms
         return age_ms >= self.settings.election_min_ms
 
--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -41,6 +41,8 @@
         wipe=0.0,
         propose=0.5,
         steps=250,
+        heartbeat_ms=50,
+        bounce=0.0,
     ):
         self.delays_ms = delays_ms
         self.copies = copies
@@ -57,6 +59,8 @@
         self.wipe = wipe
         self.propose = propose
         self.steps = steps
+        self.heartbeat_ms = heartbeat_ms
+        self.bounce = bounce
 
 
 PROFILES = (
@@ -89,6 +93,23 @@
         flush=0.4,
         power_cut=0.01,
     ),
+    # Hosts that restart again and again, faster than leases end.
+    Profile(
+        heartbeat_ms=140,
+        delays_ms=(1, 1, 1, 1, 60),
+        step_ms=3,
+        partition=0.0,
+        one_way=0.0,
+        bounce=0.012,
+        crash=0.003,
+        disk_crash=0.001,
+        restart=0.9,
+        change=0.02,
+        flush=0.95,
+        power_cut=0.002,
+        propose=0.02,
+        steps=1500,
+    ),
 )
 
 
@@ -160,7 +181,7 @@
         self.profile = PROFILES[seed % len(PROFILES)]
         self.now_ms = 0.0
         self.settings = settings_module.Settings(
-            heartbeat_ms=50,
+            heartbeat_ms=self.profile.heartbeat_ms,
             election_min_ms=200,
             election_max_ms=400,
             drift_margin_ms=20,
@@ -191,6 +212,7 @@
         self.open = []
         self.numbers = itertools.count()
         self.lease_end_ms = {}
+        self.lease_holders = {}
         self.wiped_count = 0
 
     def run(self, steps):
@@ -309,6 +331,8 @@
         if self.chance(profile.power_cut):
             for struck in self.hosts:
                 struck.crash()
+        if self.chance(profile.bounce):
+            self.bounce()
         if self.chance(profile.crash):
             host.crash()
         if self.chance(profile.disk_crash):
@@ -330,6 +354,14 @@
                 self.cut.add((one.name, other.name))
                 self.cut.add((other.name, one.name))
 
+    def bounce(self):
+        """Restarts most hosts at once; a leader often lives on."""
+        for host in self.hosts:
+            spared = self.leads(host) and self.chance(0.5)
+            if not spared and self.chance(0.8):
+                host.crash()
+                host.start()
+
     def change_members(self):
         host = next((h for h in self.hosts if self.leads(h)), None)
         if host is None:
@@ -470,6 +502,8 @@
         state = host.replica.state
         first = self.leaders.setdefault(state.term, host.name)
         assert first == host.name, f'two leaders in term {state.term}'
+        self.drop_ended_leases()
+        self.lease_holders[state.term] = (host, host.replica)
         remaining_ms = host.replica.lease_remaining_ms() / host.clock.rate
         end_ms = self.now_ms + remaining_ms
         for term, lease_end_ms in self.lease_end_ms.items():
@@ -485,6 +519,12 @@
             if end > self.now_ms or term == state.term
         }
 
+    def drop_ended_leases(self):
+        """Forgets the leases of processes that have ended."""
+        for term, (host, replica) in self.lease_holders.items():
+            if host.replica is not replica:
+                self.lease_end_ms.pop(term, None)
+
     def check_committed(self, host):
         state = host.replica.state
         if not state.store.formed:
