Hosts find a new leader sooner, and wait a little for their first table

Cause: after a restart of everything the search for the leader waited for replicas that were not up yet (up to 400 ms), links were dialled every 500 ms, and requests of the first half second were refused. Each replica is asked on its own now, a leader tells those that asked in vain, links are dialled every 200 ms, and a host younger than 2.5 s holds a request for up to 600 ms, a quarter of the caller's time at most, until table and endpoints are there.

--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -315,6 +315,7 @@
                     state.applier_wake.wait(IDLE_WAIT_MS / 1000)
 
     def _tick(self) -> None:
+        self._watch_members()
         while not self._closed.wait(TICK_MS / 1000):
             self.replica.tick()
             self._watch_members()
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -146,6 +146,7 @@
                 self._roll_call.take_report(
                     request.member_id, request.message, answer
                 )
+                self.tick()
             elif isinstance(answer, messages.Appended):
                 self._leader.take_appended(request, answer)
             elif isinstance(answer, messages.SnapshotReceived):
--- a/libs/consensus/tests/test_nodes.py
+++ b/libs/consensus/tests/test_nodes.py
@@ -92,6 +92,8 @@
             snapshot_entries=100,
             retained_entries=20,
             chunk_bytes=1_000,
+            # A request that waits for the sleeper may not hold every entry.
+            batch_bytes=1_000,
         )
         fleet = self.make_fleet('a', 'b', 'c', settings=settings)
         fleet.start()
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -1,7 +1,9 @@
 """What a replica does while it leads."""
 
+import contextlib
 import logging
 import threading
+import time
 import typing
 
 from masticquay_consensus import errors as consensus_errors
@@ -25,6 +27,8 @@
 
 LIST_INTERVAL_MS = 900
 LIST_RETRY_MS = 300
+ANNOUNCE_POLL_MS = 5
+ANNOUNCE_LIMIT_MS = 2_000
 # Beyond the lease of a holder of engine orders.
 ORDER_MARGIN_MS = 1_500
 
@@ -75,6 +79,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._term: Term | None = None
+        self._searchers: dict[str, peers.Connection] = {}
         self._next_list_ms = 0
         self._list_failed = False
         self.list_wake = threading.Event()
@@ -96,6 +101,10 @@
                 self._term = self._begin(term)
         if ended is not None:
             ended.owner.fail_all()
+        if leads:
+            threading.Thread(
+                target=self._announce, args=(term,), daemon=True
+            ).start()
         LOG.info(
             'leadership begins' if leads else 'leadership ends',
             extra={'term': term, 'table_version': self._machine.version},
@@ -194,6 +203,27 @@
         age_ms = self._clock.now_ms() - term.since_ms
         return age_ms >= self._order_lease_ms + ORDER_MARGIN_MS
 
+    def _announce(self, number: int) -> None:
+        """Tells the hosts that look for a leader once this one serves."""
+        limit_ms = self._clock.now_ms() + ANNOUNCE_LIMIT_MS
+        while not self._serves():
+            if self._clock.now_ms() > limit_ms:
+                return
+            time.sleep(ANNOUNCE_POLL_MS / 1000)
+        with self._lock:
+            links = list(self._searchers.values())
+            self._searchers.clear()
+        for link in links:
+            with contextlib.suppress(wire_errors.WireError):
+                link.notify(messages.Leading(number))
+
+    def _serves(self) -> bool:
+        try:
+            self._current()
+        except wire_errors.RemoteError:
+            return False
+        return True
+
     def _current(self) -> Term:
         term = self._term
         if term is not None:
@@ -213,7 +243,12 @@
     def _renew(
         self, renewal: messages.Renew, link: peers.Connection
     ) -> messages.Renewed:
-        term = self._current()
+        try:
+            term = self._current()
+        except wire_errors.RemoteError:
+            with self._lock:
+                self._searchers[renewal.host] = link
+            raise
         if term.sessions.renew(renewal, link):
             term.owner.release_host(renewal.host)
         if renewal.running:
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import threading
+import time
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import exchanges
@@ -21,6 +22,11 @@
 LOG = logging.getLogger(__name__)
 
 STARTING_RETURN_MS = 500
+# A host that has just started mostly knows the fleet within this time.
+STARTING_MS = 2_500
+STARTING_WAIT_MS = 600
+# The share of a caller's time that may go into that wait.
+STARTING_WAIT_SHARE = 0.25
 
 
 class CallService:
@@ -47,6 +53,7 @@
         self._registry = registry
         self._lock = threading.Lock()
         self._active = 0
+        self._started_s = time.monotonic()
 
     @property
     def active_count(self) -> int:
@@ -69,6 +76,7 @@
         self, request: http_servers.Request, reply: http_servers.Reply
     ) -> None:
         call = self._protocol.read(request)
+        self._wait_for_fleet(call)
         accepted = self._accept(request, call, reply)
         if isinstance(accepted, ports.Refusal):
             self._refuse(call, reply, accepted, None)
@@ -90,6 +98,20 @@
         else:
             self._note_success(job)
 
+    def _wait_for_fleet(self, call: ports.Call) -> None:
+        """Waits a little for table and endpoints on a host that started.
+
+        Callers come back to their host right after a restart; one that is
+        refused then has to wait longer than control needs.
+        """
+        age_ms = (time.monotonic() - self._started_s) * 1000
+        if age_ms >= STARTING_MS:
+            return
+        wait_ms = min(STARTING_WAIT_MS, STARTING_MS - age_ms)
+        if call.deadline_ms is not None:
+            wait_ms = min(wait_ms, call.deadline_ms * STARTING_WAIT_SHARE)
+        self._state.wait_until_complete(wait_ms / 1000)
+
     def _accept(
         self,
         request: http_servers.Request,
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -25,6 +25,7 @@
     def __init__(self, reader: tables.TableReader):
         self._reader = reader
         self._lock = threading.Lock()
+        self._complete = threading.Event()
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
         self.table: tables.Table | None = None
@@ -56,6 +57,10 @@
         """
         return self._most_hosts or UNKNOWN_HOST_COUNT
 
+    def wait_until_complete(self, timeout_s: float) -> bool:
+        """Waits for the first table and the first endpoint list."""
+        return self._complete.wait(timeout_s)
+
     def endpoints(self, service: str) -> list[fleets.Endpoint]:
         """Returns the endpoints of a service."""
         return self._by_service.get(service, [])
@@ -75,6 +80,7 @@
                 LOG.error('table not readable', extra={'cause': str(cause)})
                 return False
             self.table = table
+            self._note_completeness()
         LOG.info(
             'table in force',
             extra={'version': table.version, 'routes': len(table.routes)},
@@ -124,3 +130,8 @@
             by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = by_service
         self._by_id = {e.endpoint_id: e for e in endpoints}
+        self._note_completeness()
+
+    def _note_completeness(self) -> None:
+        if self.table is not None and self._by_id:
+            self._complete.set()
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -77,6 +77,7 @@
         self._report = report
         self._peers: dict[str, dialers.WebsocketPeer] = {}
         self._controls: list[str] = []
+        self._asked: dict[str, futures.Future] = {}
         self._leader: str | None = None
         self._term = 0
         self._renewed_s = float('-inf')
@@ -147,33 +148,39 @@
             self._wake.clear()
 
     def _search(self) -> None:
-        """Asks every known replica at once; one of them may lead."""
-        candidates = dict.fromkeys([*self._controls, *self._seeds()])
-        pending = {
-            self._peer(address).submit(
+        """Asks every known replica; one of them may lead.
+
+        A replica that does not answer holds up no other: its call goes on
+        while the others are asked again.
+        """
+        for address in self._candidates():
+            asked = self._asked.get(address)
+            if asked is not None:
+                if not asked.done():
+                    continue
+                self._take_search_answer(address, asked)
+                if self._leader is not None:
+                    self._asked.clear()
+                    return
+            asked = self._peer(address).submit(
                 self._make_renewal([]), RENEW_TIMEOUT_MS
-            ): address
-            for address in list(candidates)[:MAX_CONTROLS]
-        }
-        waiting = set(pending)
-        while waiting and self._leader is None:
-            done, waiting = futures.wait(
-                waiting,
-                timeout=RENEW_TIMEOUT_MS / 1000,
-                return_when=futures.FIRST_COMPLETED,
             )
-            if not done:
-                return
-            for future in done:
-                self._take_search_answer(pending[future], future)
-
-    def _take_search_answer(
-        self, address: str, future: futures.Future
-    ) -> None:
-        error = future.exception()
+            self._asked[address] = asked
+            asked.add_done_callback(self._note_search_answer)
+
+    def _candidates(self) -> list[str]:
+        known = dict.fromkeys([*self._controls, *self._seeds()])
+        return list(known)[:MAX_CONTROLS]
+
+    def _note_search_answer(self, asked: futures.Future) -> None:
+        if asked.exception() is None:
+            self._wake.set()
+
+    def _take_search_answer(self, address: str, asked: futures.Future) -> None:
+        error = asked.exception()
         if error is None:
             self._leader = address
-            self._take_renewed(future.result())
+            self._take_renewed(asked.result())
         elif isinstance(error, wire_errors.RemoteError):
             self._note_other_leader(error)
 
@@ -274,3 +281,5 @@
             self._state.take_endpoints(message)
         elif isinstance(message, messages.HostUpdate):
             self._state.take_hosts(message)
+        elif isinstance(message, messages.Leading):
+            self._wake.set()
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -88,6 +88,16 @@
         self.running = running
 
 
+@messages.register
+class Leading(messages.Message):
+    """Tells a host that looked for a leader in vain that this one leads."""
+
+    __slots__ = ('term',)
+
+    def __init__(self, term: int):
+        self.term = term
+
+
 @messages.register
 class Renewed(messages.Message):
     """The leader's answer to a renewal.
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -25,7 +25,7 @@
 LOG = logging.getLogger(__name__)
 
 REDIAL_MIN_MS = 50
-REDIAL_MAX_MS = 500
+REDIAL_MAX_MS = 200
 REFUSED_REDIAL_MS = 2_000
 POLL_S = 0.1
 IDLE_POLL_S = 0.5
