--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -246,7 +246,8 @@
     def _dial(self, stack: contextlib.ExitStack) -> connection.Connection:
         timeout_s = peers.DIAL_TIMEOUT_MS / 1000
         sock = socket.create_connection(
-            (self.address.host, self.address.port), timeout=timeout_s
+            (self.address.host, self.address.port),
+            timeout=peers.CONNECT_TIMEOUT_MS / 1000,
         )
         stack.callback(sock.close)
         sock.settimeout(None)
--- a/libs/wire/masticquay_wire/peers.py
+++ b/libs/wire/masticquay_wire/peers.py
@@ -7,6 +7,8 @@
 from masticquay_wire import messages
 
 DIAL_TIMEOUT_MS = 1_000
+# A host that is just coming up drops the first packets without an answer.
+CONNECT_TIMEOUT_MS = 250
 CLOSE_TIMEOUT_MS = 200
 HEARTBEAT_MS = 500
 SILENCE_LIMIT_MS = 1_500
