--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -98,7 +98,9 @@
         with self._lock:
             pool = self._pools.get(begun.service)
             if pool is not None:
-                pool.begin_decode((begun.host, begun.number))
+                pool.begin_decode(
+                    (begun.host, begun.number), self._clock.now_ms()
+                )
 
     def finish(self, finished: messages.Finished) -> None:
         """Frees the place of a request."""
@@ -246,6 +248,7 @@
         prefilled=request.prefilled,
         late_give_up_ms=now_ms + request.late_wait_ms,
         prompt_key=request.prompt_key,
+        pause_ms=request.pause_ms,
     )
 
 
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -177,6 +177,7 @@
             prefer=relay.keeper,
             prefilled=relay.handle is not None and relay.handle.is_fresh,
             charged=charged,
+            pause_ms=job.route.gap_ms or tickets.DEFAULT_PAUSE_MS,
         )
         relay.keeper = ''
         placed = self._placer.place(request, job.interrupt)
--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -8,6 +8,16 @@
 # Two prompts read on one decode engine need this much time between them, or
 # its streams pause for too long.
 SELF_PREFILL_SPACING_MS = 450
+# A decode engine reads prompts at about this part of a prefill engine's
+# speed; corrected by what is seen of each engine.
+SELF_PREFILL_SLOWDOWN = 2.5
+SELF_PREFILL_GAIN = 0.3
+# An engine counts as the reader of long prompts for that long after one.
+LONG_READ_MS = 3_000
+# Shorter prompts say little about speed.
+SELF_PREFILL_LEARN_TOKENS = 500
+# No engine is taken for slower than that by one strange outcome.
+SELF_PREFILL_MAX_SLOWDOWN = 12.0
 
 
 class EngineState:
@@ -22,6 +32,8 @@
         'prefill_tokens',
         'prefill_since_ms',
         'self_prefill_ms',
+        'self_slowdown',
+        'long_read_ms',
         'failure_share',
         'failing_since_ms',
         'ejected_until_ms',
@@ -41,6 +53,8 @@
         self.prefill_tokens = 0
         self.prefill_since_ms = 0
         self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
+        self.self_slowdown = SELF_PREFILL_SLOWDOWN
+        self.long_read_ms = -LONG_READ_MS
         self.failure_share = 0.0
         self.failing_since_ms: int | None = None
         self.ejected_until_ms = 0
@@ -55,6 +69,27 @@
         elapsed_ms = now_ms - self.prefill_since_ms
         return max(0.0, self.prefill_tokens / tokens_per_ms - elapsed_ms)
 
+    def stall_ms(self, tokens: int, tokens_per_ms: float) -> float:
+        """Returns for how long streams pause while it reads a prompt.
+
+        :param tokens_per_ms: the speed of prefill engines
+        """
+        return tokens * self.self_slowdown / tokens_per_ms
+
+    def reads_long(self, now_ms: int) -> bool:
+        """Whether it is the engine that reads long prompts for now."""
+        return now_ms - self.long_read_ms < LONG_READ_MS
+
+    def learn_stall(
+        self, tokens: int, duration_ms: float, tokens_per_ms: float
+    ) -> None:
+        """Learns from a prompt that it read itself."""
+        if tokens < SELF_PREFILL_LEARN_TOKENS:
+            return
+        seen = duration_ms * tokens_per_ms / tokens
+        seen = max(1.0, min(SELF_PREFILL_MAX_SLOWDOWN, seen))
+        self.self_slowdown += SELF_PREFILL_GAIN * (seen - self.self_slowdown)
+
     def begin_prefill(self, tokens: int, now_ms: int) -> None:
         """Adds a prompt to those that the engine reads."""
         if not self.prefill_tokens:
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -1,6 +1,7 @@
 """Messages between entry hosts and control."""
 
 from masticquay_routing import fleets
+from masticquay_routing import tickets
 from masticquay_wire import messages
 from masticquay_wire import records
 
@@ -170,6 +171,7 @@
     :param prefer: the engine that keeps its prompt, empty for none
     :param prefilled: whether the host has a handle to its prompt
     :param charged: whether its cost was taken before
+    :param pause_ms: the longest pause in its stream that counts as on time
     """
 
     __slots__ = (
@@ -189,6 +191,7 @@
         'prefer',
         'prefilled',
         'charged',
+        'pause_ms',
     )
 
     def __init__(
@@ -209,6 +212,7 @@
         prefer: str = '',
         prefilled: bool = False,
         charged: bool = False,
+        pause_ms: int = tickets.DEFAULT_PAUSE_MS,
     ):
         self.host = host
         self.number = number
@@ -226,6 +230,7 @@
         self.prefer = prefer
         self.prefilled = prefilled
         self.charged = charged
+        self.pause_ms = pause_ms
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -11,9 +11,9 @@
 from masticquay_routing import speeds
 from masticquay_routing import tickets
 
-# A decode engine reads prompts at about half of the speed.
-SELF_PREFILL_SLOWDOWN = 2.0
-SELF_PREFILL_MAX_TOKENS = 3_000
+# Streams may pause for this part of what counts as on time while their
+# engine reads a prompt.
+STALL_SHARE = 0.85
 PREFILL_BACKLOG_LIMIT_MS = 350
 # With this backlog a decode engine reads a prompt of that size sooner.
 PREFILL_SPILL_MS = 150
@@ -41,17 +41,33 @@
 
 
 class _Reservation:
-    """What a placed request holds."""
+    """What a placed request holds.
 
-    __slots__ = ('decode_id', 'tokens', 'prefill_id', 'prompt_tokens')
+    :param reads_since_ms: since when the decode engine reads the prompt
+        itself, None when it does not
+    """
+
+    __slots__ = (
+        'decode_id',
+        'tokens',
+        'prefill_id',
+        'prompt_tokens',
+        'reads_since_ms',
+    )
 
     def __init__(
-        self, decode_id: str, tokens: int, prefill_id: str, prompt_tokens: int
+        self,
+        decode_id: str,
+        tokens: int,
+        prefill_id: str,
+        prompt_tokens: int,
+        reads_since_ms: int | None = None,
     ):
         self.decode_id = decode_id
         self.tokens = tokens
         self.prefill_id = prefill_id
         self.prompt_tokens = prompt_tokens
+        self.reads_since_ms = reads_since_ms
 
 
 Outcome = tuple[tickets.Ticket, tickets.Placement | tickets.Refusal]
@@ -137,11 +153,19 @@
                 key, _Reservation(decode_id, tokens, '', prompt_tokens)
             )
 
-    def begin_decode(self, key: tickets.Key) -> None:
+    def begin_decode(self, key: tickets.Key, now_ms: int) -> None:
         """Notes that the first token of a request is there."""
         reservation = self._reservations.get(key)
-        if reservation is not None:
-            self._note_sound(reservation.decode_id)
+        if reservation is None:
+            return
+        self._note_sound(reservation.decode_id)
+        state = self.engines.get(reservation.decode_id)
+        if state is not None and reservation.reads_since_ms is not None:
+            state.learn_stall(
+                reservation.prompt_tokens,
+                now_ms - reservation.reads_since_ms,
+                self._speed.tokens_per_ms,
+            )
 
     def finish_prefill(self, key: tickets.Key, now_ms: int) -> None:
         """Notes that a prompt was read, and learns how fast."""
@@ -353,21 +377,36 @@
 
         :param alone: whether there is no prefill engine
         """
-        if ticket.prompt_tokens > SELF_PREFILL_MAX_TOKENS and not alone:
-            return None
         rested = [
             e
             for e in roomy
             if now_ms - e.self_prefill_ms
             >= engine_states.SELF_PREFILL_SPACING_MS
         ]
-        first_ms = now_ms + SELF_PREFILL_SLOWDOWN * self._read_ms(ticket)
-        if not rested or (first_ms > ticket.urgent_until_ms and not alone):
+        limit_ms = ticket.pause_ms * STALL_SHARE
+        gentle = [e for e in rested if self._stall_ms(e, ticket) <= limit_ms]
+        if gentle:
+            decode = min(
+                gentle, key=lambda e: (e.reads_long(now_ms), e.running)
+            )
+        elif alone and rested:
+            # Long prompts go where streams are late already.
+            decode = max(rested, key=lambda e: (e.long_read_ms, -e.running))
+            decode.long_read_ms = now_ms
+        else:
+            return None
+        first_ms = now_ms + self._stall_ms(decode, ticket)
+        if first_ms > ticket.urgent_until_ms and not alone:
             return None
-        decode = min(rested, key=lambda e: e.running)
         decode.self_prefill_ms = now_ms
         decode.begin_probe(now_ms)
-        return self._hold_whole(ticket, decode)
+        return self._hold_whole(ticket, decode, now_ms)
+
+    def _stall_ms(
+        self, state: engine_states.EngineState, ticket: tickets.Ticket
+    ) -> float:
+        tokens_per_ms = self._speed.tokens_per_ms
+        return state.stall_ms(ticket.prompt_tokens, tokens_per_ms)
 
     def _read_ms(self, ticket: tickets.Ticket) -> float:
         """Returns the time from the start of a prefill to the first token."""
@@ -375,7 +414,10 @@
         return duration_ms + TRANSFER_ALLOWANCE_MS
 
     def _hold_whole(
-        self, ticket: tickets.Ticket, decode: engine_states.EngineState
+        self,
+        ticket: tickets.Ticket,
+        decode: engine_states.EngineState,
+        reads_since_ms: int | None = None,
     ) -> tickets.Placement:
         self._reserve(
             ticket.key,
@@ -384,6 +426,7 @@
                 ticket.memory_tokens,
                 '',
                 ticket.prompt_tokens,
+                reads_since_ms,
             ),
         )
         return tickets.Placement(None, decode.endpoint)
--- a/libs/routing/masticquay_routing/tickets.py
+++ b/libs/routing/masticquay_routing/tickets.py
@@ -4,6 +4,7 @@
 
 BLOCK_TOKENS = 16
 DEFAULT_OUTPUT_TOKENS = 1_000
+DEFAULT_PAUSE_MS = 300
 # Answers in all stages of their making hold less than their full length.
 OUTPUT_SHARE = 0.7
 # Answers are often longer than their hint says.
@@ -28,6 +29,7 @@
     :param avoid: endpoints that must not be used
     :param prefer: the engine that keeps the prompt, empty for none
     :param prefilled: whether a handle to the prompt is at hand
+    :param pause_ms: the longest pause in a stream that counts as on time
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         'avoid',
         'prefer',
         'prefilled',
+        'pause_ms',
     )
 
     def __init__(
@@ -61,6 +64,7 @@
         late_give_up_ms: int = 0,
         prompt_key: str = '',
         prefilled: bool = False,
+        pause_ms: int = DEFAULT_PAUSE_MS,
     ):
         self.key = key
         self.workspace = workspace
@@ -75,6 +79,7 @@
         self.late_give_up_ms = late_give_up_ms
         self.prompt_key = prompt_key
         self.prefilled = prefilled
+        self.pause_ms = pause_ms
 
     @property
     def memory_tokens(self) -> int:
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -134,6 +134,49 @@
         names = [p.decode.endpoint_id for p in whole]
         self.assertEqual(len(names), len(set(names)))
 
+    def place_whole(self, number, now_ms, prompt, **more):
+        self.admit(number, now_ms, prompt=prompt, output=100, **more)
+        return self.pump(now_ms)
+
+    def test_slow_decode_engine_reads_only_what_pauses_little(self):
+        """Long prompts: a slow engine's streams would pause for too long."""
+        self.pool = builders.make_pool(prefills=0, decodes=1)
+        for number in range(6):
+            now_ms = 1_000 * number
+            self.place_whole(number, now_ms, 2_000)
+            self.pool.begin_decode(('host', number), now_ms + 600)
+        self.pool.set_engines(
+            [
+                builders.make_engine(0, fleets.ROLE_DECODE),
+                builders.make_engine(1, fleets.ROLE_DECODE),
+            ],
+            builders.MEMORY_TOKENS,
+            builders.SLOTS,
+        )
+        for number in (10, 11):
+            made = self.place_whole(number, 10_000 + 1_000 * number, 2_000)
+            self.assertEqual('e1', made[0].decode.endpoint_id)
+
+    def test_prompt_that_would_pause_streams_waits_for_the_prefill(self):
+        """Long prompts: a queue at the prefill engine is the lesser evil."""
+        for number in range(6):
+            self.admit(number, 1_000, prompt=4_000, output=100)
+        made = self.pump(1_000)
+        self.assertTrue(made)
+        self.assertTrue(all(p.prefill is not None for p in made))
+
+    def test_long_prompts_share_an_engine_when_a_stage_is_lost(self):
+        """One stage lost: one engine's streams pause, not everyone's."""
+        self.pool = builders.make_pool(prefills=0, decodes=3)
+        readers = set()
+        for number in range(4):
+            now_ms = 1_000 * number
+            made = self.place_whole(number, now_ms, 4_000)
+            readers.add(made[0].decode.endpoint_id)
+            short = self.place_whole(number + 50, now_ms, 1_000)
+            self.assertNotIn(short[0].decode.endpoint_id, readers)
+        self.assertEqual(1, len(readers))
+
     def test_speed_is_learnt_without_the_queue(self):
         """Burst: prompts that queue do not make the engine look slow."""
         for number in range(5):
@@ -159,7 +202,7 @@
         for number in range(50):
             self.admit(number, number * 1_000)
             placement = self.pump(number * 1_000)[0]
-            self.pool.begin_decode(('host', number))
+            self.pool.begin_decode(('host', number), 1_000)
             lost = number % 5 == 0
             if lost:
                 self.pool.note_trouble(placement.decode.endpoint_id, 0)
