--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -31,6 +31,7 @@
         'running',
         'prefill_tokens',
         'prefill_since_ms',
+        'prefill_failed',
         'self_prefill_ms',
         'self_slowdown',
         'long_read_ms',
@@ -52,6 +53,7 @@
         self.running = 0
         self.prefill_tokens = 0
         self.prefill_since_ms = 0
+        self.prefill_failed = False
         self.self_prefill_ms = -SELF_PREFILL_SPACING_MS
         self.self_slowdown = SELF_PREFILL_SLOWDOWN
         self.long_read_ms = -LONG_READ_MS
@@ -96,13 +98,25 @@
             self.prefill_since_ms = now_ms
         self.prefill_tokens += tokens
 
-    def end_prefill(self, tokens: int, now_ms: int) -> float:
-        """Takes a prompt off; returns the time that it took alone."""
-        duration_ms = now_ms - self.prefill_since_ms
+    def end_prefill(self, tokens: int, now_ms: int) -> float | None:
+        """Takes a prompt off that was read.
+
+        :returns: the time that it took alone, None when another prompt
+            failed meanwhile, on which time was spent too
+        """
+        duration_ms = None
+        if not self.prefill_failed:
+            duration_ms = now_ms - self.prefill_since_ms
         self.prefill_tokens = max(0, self.prefill_tokens - tokens)
         self.prefill_since_ms = now_ms
+        self.prefill_failed = False
         return duration_ms
 
+    def fail_prefill(self, tokens: int) -> None:
+        """Takes a prompt off that was not read."""
+        self.prefill_tokens = max(0, self.prefill_tokens - tokens)
+        self.prefill_failed = self.prefill_tokens > 0
+
     def usable(self, now_ms: int) -> bool:
         """Whether new work may go there."""
         return (
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -174,7 +174,8 @@
             return
         self._note_sound(reservation.prefill_id)
         duration_ms = self._end_prefill(reservation, now_ms)
-        self._speed.learn(reservation.prompt_tokens, duration_ms)
+        if duration_ms is not None:
+            self._speed.learn(reservation.prompt_tokens, duration_ms)
 
     def release(self, key: tickets.Key) -> None:
         """Frees what a finished request held."""
@@ -184,9 +185,7 @@
         if reservation.prefill_id:
             prefill = self.engines.get(reservation.prefill_id)
             if prefill is not None:
-                prefill.prefill_tokens = max(
-                    0, prefill.prefill_tokens - reservation.prompt_tokens
-                )
+                prefill.fail_prefill(reservation.prompt_tokens)
         state = self.engines.get(reservation.decode_id)
         if state is not None:
             state.running -= 1
@@ -437,11 +436,13 @@
         backlog_ms = state.backlog_ms(self._speed.tokens_per_ms, now_ms)
         return backlog_ms + state.failure_share * PREFILL_BACKLOG_LIMIT_MS
 
-    def _end_prefill(self, reservation: _Reservation, now_ms: int) -> float:
+    def _end_prefill(
+        self, reservation: _Reservation, now_ms: int
+    ) -> float | None:
         prefill = self.engines.get(reservation.prefill_id)
         reservation.prefill_id = ''
         if prefill is None:
-            return 0.0
+            return None
         return prefill.end_prefill(reservation.prompt_tokens, now_ms)
 
     def _reserve(self, key: tickets.Key, reservation: _Reservation) -> None:
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -189,6 +189,16 @@
         )
         self.assertEqual(0, self.pool.engines['e0'].prefill_tokens)
 
+    def test_time_spent_on_a_failed_prompt_is_not_taken_for_slowness(self):
+        """Lost answers: the engine read what never came back."""
+        for number in range(2):
+            self.admit(number, prompt=3_000)
+        self.pump()
+        before = self.pool.prefill_tokens_per_ms
+        self.pool.withdraw(('host', 0))
+        self.pool.finish_prefill(('host', 1), 600)
+        self.assertEqual(before, self.pool.prefill_tokens_per_ms)
+
     def test_failing_engine_is_left_aside_for_a_while(self):
         for _ in range(3):
             self.pool.note_trouble('e1', 0)
