--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -214,7 +214,6 @@
         )
         streamer = streams.Streamer(
             self.settings.name,
-            self.state,
             endpoints,
             self._pools,
             self._placer,
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -26,6 +26,10 @@
         self.status = status
 
 
+class PromptNotReadError(GatewayError):
+    """No prefill engine read a prompt; no engine was asked to run it."""
+
+
 class ForeignAnswerError(GatewayError):
     """An engine gave an answer that is not that of the request."""
 
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -101,7 +101,7 @@
     """
     if earlier is None or earlier.reason is Reason.NOT_RUN:
         return later
-    if later.reason is Reason.NOT_RUN:
+    if later.reason in (Reason.NOT_RUN, Reason.OVER_RATE):
         return earlier
     return later
 
--- a/libs/gateway/masticquay_gateway/relays.py
+++ b/libs/gateway/masticquay_gateway/relays.py
@@ -14,12 +14,14 @@
     """What a caller has got of a stream so far.
 
     :param started: whether the head of the answer went out
+    :param broken: whether the stream broke once
     :param keeper: the engine that keeps the prompt after a broken stream
     :param handle: the prompt, read and not taken yet
     """
 
     __slots__ = (
         'started',
+        'broken',
         'cutter',
         'first_ms',
         'last_s',
@@ -32,6 +34,7 @@
 
     def __init__(self) -> None:
         self.started = False
+        self.broken = False
         self.last_s = 0.0
         self.longest_gap_ms = 0.0
         self.keeper = ''
