Revert: rates held, given back and returned in turn

More of the hot workspace's requests were served and others found the engines full; nobody was served better as a whole.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -63,17 +63,20 @@
         """Answers a request for a place, at once or later."""
         now_ms = self._clock.now_ms()
         with self._lock:
+            if not request.charged:
+                wait_ms = self._meters.take(
+                    request.workspace, request.cost, now_ms
+                )
+                if wait_ms:
+                    return messages.Refused('over rate', wait_ms, True)
             pool = self._pools.get(request.service)
             if pool is None:
                 return messages.Refused('no engine', placements.RETURN_MIN_MS)
-            grant = self._charge_request(request, now_ms)
-            if grant.refused:
-                return messages.Refused('over rate', grant.wait_ms, True)
             key = (request.host, request.number)
             self._balances[request.service].note_prompt(
                 request.prompt_tokens, now_ms
             )
-            pool.admit(_ticket(key, request, now_ms, grant.wait_ms))
+            pool.admit(_ticket(key, request, now_ms))
             future: futures.Future = futures.Future()
             future.set_running_or_notify_cancel()
             self._waiting[key] = future
@@ -105,9 +108,7 @@
         with self._lock:
             pool = self._pools.get(finished.service)
             if pool is not None:
-                waited = pool.withdraw(key, finished.sound)
-                if waited is not None:
-                    self._give_back(waited, self._clock.now_ms())
+                pool.withdraw(key, finished.sound)
             abandoned = self._waiting.pop(key, None)
         if abandoned is not None:
             abandoned.set_result(messages.Refused('caller left', 0))
@@ -168,9 +169,6 @@
                 for pool in self._pools.values()
                 for outcome in pool.pump(now_ms)
             ]
-            for ticket, outcome in outcomes:
-                if isinstance(outcome, tickets.Refusal):
-                    self._give_back(ticket, now_ms)
             answers = [
                 (self._waiting.pop(ticket.key, None), _answer(outcome))
                 for ticket, outcome in outcomes
@@ -179,21 +177,6 @@
             if future is not None:
                 future.set_result(answer)
 
-    def _charge_request(
-        self, request: messages.Admit, now_ms: int
-    ) -> meters.Grant:
-        if request.charged:
-            return meters.Grant(False, 0)
-        hold_ms = min(request.wait_ms, meters.HOLD_MS)
-        return self._meters.take(
-            request.workspace, request.cost, now_ms, hold_ms
-        )
-
-    def _give_back(self, ticket: tickets.Ticket, now_ms: int) -> None:
-        """Credits a workspace with what it was charged for nothing."""
-        if ticket.charged:
-            self._meters.charge(ticket.workspace, -ticket.charged, now_ms)
-
     def plan_orders(self) -> list[balances.RoleOrder]:
         """Returns the orders that are due."""
         now_ms = self._clock.now_ms()
@@ -249,7 +232,7 @@
 
 
 def _ticket(
-    key: tickets.Key, request: messages.Admit, now_ms: int, hold_ms: int
+    key: tickets.Key, request: messages.Admit, now_ms: int
 ) -> tickets.Ticket:
     return tickets.Ticket(
         key=key,
@@ -266,8 +249,6 @@
         late_give_up_ms=now_ms + request.late_wait_ms,
         prompt_key=request.prompt_key,
         pause_ms=request.pause_ms,
-        not_before_ms=now_ms + hold_ms,
-        charged=0.0 if request.charged else request.cost,
     )
 
 
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -72,7 +72,7 @@
             table = self._state.table
             workspaces = table.workspaces if table else None
             self._meters.set_limits(meters.limits_of(workspaces), now_ms)
-            return self._meters.take(workspace, cost, now_ms).wait_ms
+            return self._meters.take(workspace, cost, now_ms)
 
     def admit(
         self, request: messages.Admit
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -133,22 +133,16 @@
             ticket.give_up_ms = max(ticket.give_up_ms, ticket.late_give_up_ms)
         self._queue.append(ticket)
 
-    def withdraw(
-        self, key: tickets.Key, sound: bool = False
-    ) -> tickets.Ticket | None:
+    def withdraw(self, key: tickets.Key, sound: bool = False) -> None:
         """Drops a request that waits, or frees what it holds.
 
         :param sound: whether its decode engine served it
-        :returns: the request if it waited
         """
-        waited = next((t for t in self._queue if t.key == key), None)
-        if waited is not None:
-            self._queue.remove(waited)
+        self._queue = [t for t in self._queue if t.key != key]
         reservation = self._reservations.get(key)
         if sound and reservation is not None:
             self._note_sound(reservation.decode_id)
         self.release(key)
-        return waited
 
     def adopt(
         self, key: tickets.Key, decode_id: str, tokens: int, prompt_tokens: int
@@ -266,9 +260,7 @@
         outcomes: list[Outcome] = []
         waiting = []
         for ticket in sorted(self._queue, key=lambda t: _rank(t, now_ms)):
-            placement = None
-            if now_ms >= ticket.not_before_ms:
-                placement = self._place(ticket, now_ms)
+            placement = self._place(ticket, now_ms)
             if placement is not None:
                 outcomes.append((ticket, placement))
             elif now_ms >= ticket.give_up_ms:
--- a/libs/routing/masticquay_routing/tickets.py
+++ b/libs/routing/masticquay_routing/tickets.py
@@ -30,9 +30,6 @@
     :param prefer: the engine that keeps the prompt, empty for none
     :param prefilled: whether a handle to the prompt is at hand
     :param pause_ms: the longest pause in a stream that counts as on time
-    :param not_before_ms: until when it is held to keep its workspace's rate
-    :param charged: what its workspace was charged, and gets back if it is
-        not placed
     """
 
     __slots__ = (
@@ -50,8 +47,6 @@
         'prefer',
         'prefilled',
         'pause_ms',
-        'not_before_ms',
-        'charged',
     )
 
     def __init__(
@@ -70,8 +65,6 @@
         prompt_key: str = '',
         prefilled: bool = False,
         pause_ms: int = DEFAULT_PAUSE_MS,
-        not_before_ms: int = 0,
-        charged: float = 0.0,
     ):
         self.key = key
         self.workspace = workspace
@@ -87,8 +80,6 @@
         self.prompt_key = prompt_key
         self.prefilled = prefilled
         self.pause_ms = pause_ms
-        self.not_before_ms = not_before_ms
-        self.charged = charged
 
     @property
     def memory_tokens(self) -> int:
