--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -349,9 +349,9 @@
                     answer = link.call(
                         request.message, self._settings.call_timeout_ms
                     )
-                except wire_errors.RemoteError:
+                except wire_errors.RemoteError as cause:
                     # For example the identity of a disk that was lost.
-                    self.replica.take_failure(request)
+                    self.replica.take_failure(request, cause)
                     self._closed.wait(self._settings.heartbeat_ms / 1000)
                 except wire_errors.WireError:
                     self.replica.take_failure(request)
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -152,13 +152,25 @@
             elif isinstance(answer, messages.SnapshotReceived):
                 self._leader.take_received(request, answer)
 
-    def take_failure(self, request: states.Outgoing) -> None:
-        """Notes that a request got no answer."""
+    def take_failure(
+        self,
+        request: states.Outgoing,
+        error: wire_errors.RemoteError | None = None,
+    ) -> None:
+        """Notes that a request got no answer.
+
+        :param error: what the process at the address answered instead
+        """
         with self.state.lock:
-            if isinstance(request.message, messages.AskStart):
-                self._roll_call.take_failure(request.member_id)
-            else:
+            if not isinstance(request.message, messages.AskStart):
                 self._elections.take_failure(request.member_id)
+                return
+            self._roll_call.take_failure(request.member_id)
+            if error is not None and error.code == CODE_WRONG_IDENTITY:
+                self._roll_call.take_absence(
+                    request.member_id, request.message, error.detail
+                )
+                self.tick()
 
     def propose(self, command: bytes) -> 'futures.Future[bytes]':
         """Appends a command; see ``protocols.ReplicatedLog``."""
--- a/libs/consensus/masticquay_consensus/roll_calls.py
+++ b/libs/consensus/masticquay_consensus/roll_calls.py
@@ -13,6 +13,10 @@
 * a leader from after it holds a lease by answers of a quorum, each given by a
   process that has followed it since, or by one that started later.
 
+A voter whose address answers under another identity has lost its disk, and
+its process has ended with it: nothing else can listen there. It counts as
+answered, but can give no vote.
+
 A voter therefore accepts the proof only for its very incarnation, and only
 while it has not taken part. That it has not voted either keeps a second
 candidate from deposing one that has just won.
@@ -82,6 +86,16 @@
         if self._reports.keys() >= state.all_voter_ids() - {state.replica_id}:
             self._finish_round()
 
+    def take_absence(
+        self, member_id: str, request: messages.AskStart, found: str
+    ) -> None:
+        """Counts a voter that is gone, as its address tells.
+
+        :param found: what answers there
+        """
+        report = messages.StartReport(f'gone, {found}', False, 0, 0)
+        self.take_report(member_id, request, report)
+
     def proven_incarnation(self, member_id: str) -> str:
         """Returns for which process of a voter the proof holds, if any."""
         return self._proven.get(member_id, '')
--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -107,6 +107,7 @@
         change=0.02,
         flush=0.95,
         power_cut=0.002,
+        wipe=0.002,
         propose=0.02,
         steps=1500,
     ),
@@ -252,7 +253,14 @@
         replica = host.replica
 
         def arrive():
-            self.receive(target, request, reply)
+            self.receive(target, request, reply, refuse)
+
+        def refuse(error):
+            self.post(target, host, lambda: take_error(error))
+
+        def take_error(error):
+            if host.replica is replica:
+                host.run(replica.take_failure, request, error)
 
         def reply(answer):
             self.post(target, host, lambda: take(answer))
@@ -265,12 +273,13 @@
         if self.random.random() < 0.1:
             host.run(replica.take_failure, request)
 
-    def receive(self, target, request, reply):
+    def receive(self, target, request, reply, refuse):
         if target.replica is None:
             return
         try:
             answer = target.run(target.replica.handle, request.message)
-        except wire_errors.RemoteError:
+        except wire_errors.RemoteError as error:
+            refuse(error)
             return
         if isinstance(answer, futures.Future):
             answer.add_done_callback(lambda done: reply(done.result()))
--- a/libs/consensus/tests/test_roll_calls.py
+++ b/libs/consensus/tests/test_roll_calls.py
@@ -8,6 +8,7 @@
 from masticquay_consensus import settings as settings_module
 from masticquay_consensus import stores
 from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
 from tests import faulty_disks
 from tests import fleets
 
@@ -41,6 +42,10 @@
             store, fleets.Recorder(), SETTINGS, self.clock, self.random
         )
 
+    def wipe(self, name):
+        self.disks[name] = faulty_disks.FaultyDisk(self.random)
+        self.start(name)
+
     def stop(self, name):
         self.disks[name].crash()
         del self.replicas[name]
@@ -73,7 +78,11 @@
         if target is None:
             replica.take_failure(request)
             return
-        answer = target.handle(request.message)
+        try:
+            answer = target.handle(request.message)
+        except wire_errors.RemoteError as error:
+            replica.take_failure(request, error)
+            return
         target.flush()
         if hasattr(answer, 'result'):
             answer = answer.result(0)
@@ -112,6 +121,17 @@
         self.group.elect()
         self.assertEqual(len(self.group.leaders()), 1)
 
+    def test_a_lost_disk_keeps_the_others_from_no_election(self):
+        for name in NAMES:
+            self.group.stop(name)
+        self.group.wipe(self.first)
+        for name in self.others:
+            self.group.start(name)
+        self.group.exchange()
+        leaders = self.group.leaders()
+        self.assertEqual(len(leaders), 1)
+        self.assertIn(leaders[0], self.others)
+
     def test_a_leader_that_never_stopped_keeps_its_lease(self):
         for name in self.others:
             self.group.stop(name)
