--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -109,7 +109,7 @@
             self._clock,
         )
         self.node.on_role_change(self.leadership.change_role)
-        self.machine.on_change = self.leadership.apply_table
+        self.machine.on_change = self.leadership.note_table
         self.membership = groups.Membership(self.node, self._dial)
         self.joiner = groups.Joiner(
             self.node,
@@ -138,6 +138,7 @@
             self.listener.start()
             stack.callback(self.listener.close)
             self._start_duty('ticks', TICK_MS, self.leadership.run_tick)
+            self._start_duty('tables', 0, self.leadership.run_publication)
             self._start_duty('list', LIST_TICK_MS, self.leadership.run_list)
             self._start_duty(
                 'report', REPORT_INTERVAL_MS, self.leadership.run_report
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -27,6 +27,7 @@
 
 LIST_INTERVAL_MS = 900
 LIST_RETRY_MS = 300
+PUBLICATION_WAIT_S = 1.0
 ANNOUNCE_POLL_MS = 5
 ANNOUNCE_LIMIT_MS = 2_000
 # Beyond the lease of a holder of engine orders.
@@ -34,9 +35,19 @@
 
 
 class Term:
-    """The parts of one leadership."""
+    """The parts of one leadership.
 
-    __slots__ = ('number', 'owner', 'sessions', 'since_ms', 'first')
+    :param table_version: of the table that the owner has taken up
+    """
+
+    __slots__ = (
+        'number',
+        'owner',
+        'sessions',
+        'since_ms',
+        'first',
+        'table_version',
+    )
 
     def __init__(
         self,
@@ -51,6 +62,7 @@
         self.sessions = host_sessions
         self.since_ms = since_ms
         self.first = first
+        self.table_version = -1
 
 
 class Leadership:
@@ -79,6 +91,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._term: Term | None = None
+        self._load_lock = threading.Lock()
+        self._table_changed = threading.Event()
         self._searchers: dict[str, peers.Connection] = {}
         self._next_list_ms = 0
         self._list_failed = False
@@ -112,13 +126,23 @@
         self._next_list_ms = 0
         self.list_wake.set()
 
-    def apply_table(self) -> None:
-        """Takes up a table that was committed."""
-        term = self._term
-        if term is None:
+    def note_table(self) -> None:
+        """Notes that a table was committed; a hook of the state machine."""
+        self._table_changed.set()
+
+    def run_publication(self) -> None:
+        """Waits for a new table, takes it up and sends it to the hosts.
+
+        A replica that starts applies many tables at once; only the newest
+        is worth reading.
+        """
+        if not self._table_changed.wait(PUBLICATION_WAIT_S):
             return
-        self._load_table(term)
-        term.sessions.publish_table()
+        self._table_changed.clear()
+        term = self._term
+        if term is not None:
+            self._load_table(term)
+            term.sessions.publish_table()
 
     def run_tick(self) -> None:
         """Refuses what waited too long and drops silent hosts."""
@@ -149,6 +173,7 @@
         if self._list_failed:
             LOG.info('endpoint list regained')
         self._list_failed = False
+        self._load_table(term)
         term.sessions.publish_endpoints(endpoints)
         term.owner.set_endpoints(endpoints)
 
@@ -189,13 +214,16 @@
         return term
 
     def _load_table(self, term: Term) -> None:
-        stored = self._machine.stored
-        if stored is None:
-            return
-        try:
-            term.owner.set_table(self._reader.read(stored.text()))
-        except routing_errors.TableError:
-            LOG.exception('a stored table is not readable')
+        """Takes up the newest table unless that was done."""
+        with self._load_lock:
+            stored = self._machine.stored
+            if stored is None or stored.version <= term.table_version:
+                return
+            try:
+                term.owner.set_table(self._reader.read(stored.text()))
+            except routing_errors.TableError:
+                LOG.exception('a stored table is not readable')
+            term.table_version = stored.version
 
     def _may_order(self, term: Term) -> bool:
         if term.first:
