--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -153,15 +153,16 @@
         A replica that does not answer holds up no other: its call goes on
         while the others are asked again.
         """
-        for address in self._candidates():
-            asked = self._asked.get(address)
-            if asked is not None:
-                if not asked.done():
-                    continue
+        for address, asked in list(self._asked.items()):
+            if asked.done():
+                del self._asked[address]
                 self._take_search_answer(address, asked)
-                if self._leader is not None:
-                    self._asked.clear()
-                    return
+        if self._leader is not None:
+            self._asked.clear()
+            return
+        for address in self._candidates():
+            if address in self._asked:
+                continue
             asked = self._peer(address).submit(
                 self._make_renewal([]), RENEW_TIMEOUT_MS
             )
@@ -173,22 +174,22 @@
         return list(known)[:MAX_CONTROLS]
 
     def _note_search_answer(self, asked: futures.Future) -> None:
-        if asked.exception() is None:
+        """Goes on at once after an answer that says something new."""
+        error = asked.exception()
+        if error is None or _named_leader(error) not in ('', *self._controls):
             self._wake.set()
 
     def _take_search_answer(self, address: str, asked: futures.Future) -> None:
         error = asked.exception()
-        if error is None:
+        if error is not None:
+            self._note_other_leader(error)
+        elif self._leader is None:
             self._leader = address
             self._take_renewed(asked.result())
-        elif isinstance(error, wire_errors.RemoteError):
-            self._note_other_leader(error)
 
-    def _note_other_leader(self, error: wire_errors.RemoteError) -> None:
-        address = error.detail
-        if error.code != messages.CODE_NOT_LEADER or ':' not in address:
-            return
-        if address not in self._controls:
+    def _note_other_leader(self, error: BaseException) -> None:
+        address = _named_leader(error)
+        if address and address not in self._controls:
             self._controls.append(address)
 
     def _renew(self, leader: str) -> None:
@@ -283,3 +284,11 @@
             self._state.take_hosts(message)
         elif isinstance(message, messages.Leading):
             self._wake.set()
+
+
+def _named_leader(error: BaseException) -> str:
+    """Returns the leader's address in a replica's answer, if it knows."""
+    if not isinstance(error, wire_errors.RemoteError):
+        return ''
+    is_address = error.code == messages.CODE_NOT_LEADER and ':' in error.detail
+    return error.detail if is_address else ''
