--- a/libs/consensus/masticquay_consensus/roll_calls.py
+++ b/libs/consensus/masticquay_consensus/roll_calls.py
@@ -22,9 +22,13 @@
 candidate from deposing one that has just won.
 """
 
+import logging
+
 from masticquay_consensus import messages
 from masticquay_consensus import states
 
+LOG = logging.getLogger(__name__)
+
 
 class RollCall:
     """Asks every voter about its start, and reports this replica's own."""
@@ -80,6 +84,7 @@
         if report.took_part:
             # A leader has been there; it is heard soon, or waited out.
             self._is_over = True
+            LOG.info('roll call ends: voter %s took part before', member_id)
             return
         self._reports[member_id] = report
         state = self._state
@@ -124,6 +129,9 @@
         if incarnations == self._earlier:
             self._proven = incarnations
             self._is_over = True
+            LOG.info(
+                'roll call: no lease is left, say %s', sorted(self._proven)
+            )
             return
         self._earlier = incarnations
         self._round_number += 1
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -110,7 +110,8 @@
         wait_ms = min(STARTING_WAIT_MS, STARTING_MS - age_ms)
         if call.deadline_ms is not None:
             wait_ms = min(wait_ms, call.deadline_ms * STARTING_WAIT_SHARE)
-        self._state.wait_until_complete(wait_ms / 1000)
+        known = self._state.wait_until_complete(wait_ms / 1000)
+        self._registry.count('starting_waits', 'fleet_known', str(known))
 
     def _accept(
         self,
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -282,6 +282,7 @@
             ],
             'decode_reserved_tokens': [e.reserved_tokens for e in decodes],
             'decode_running': [e.running for e in decodes],
+            'decode_slowdown': [round(e.self_slowdown, 1) for e in decodes],
             'unusable': len(self.engines) - len(prefills) - len(decodes),
             'prefill_tokens_per_ms': round(self._speed.tokens_per_ms, 1),
         }
