HTTP server in parts; chunk sizes are read strictly, trailers are bounded

Found on the way: a chunk size went through int(), which takes 0x3, +3 and 0_3, and trailers had no end; both get a clear 4xx now.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -17,7 +17,8 @@
 from masticquay_serving import counters
 from masticquay_serving import departures
 from masticquay_serving import errors as serving_errors
-from masticquay_serving import http_servers
+from masticquay_serving import replies
+from masticquay_serving import requests
 
 LOG = logging.getLogger(__name__)
 
@@ -60,9 +61,7 @@
         """How many requests are under way."""
         return self._active
 
-    def serve(
-        self, request: http_servers.Request, reply: http_servers.Reply
-    ) -> None:
+    def serve(self, request: requests.Request, reply: replies.Reply) -> None:
         """Serves one request."""
         with self._lock:
             self._active += 1
@@ -72,9 +71,7 @@
             with self._lock:
                 self._active -= 1
 
-    def _serve(
-        self, request: http_servers.Request, reply: http_servers.Reply
-    ) -> None:
+    def _serve(self, request: requests.Request, reply: replies.Reply) -> None:
         call = self._protocol.read(request)
         self._wait_for_fleet(call)
         accepted = self._accept(request, call, reply)
@@ -115,9 +112,9 @@
 
     def _accept(
         self,
-        request: http_servers.Request,
+        request: requests.Request,
         call: ports.Call,
-        reply: http_servers.Reply,
+        reply: replies.Reply,
     ) -> jobs.Job | ports.Refusal:
         table = self._state.table
         if table is None:
@@ -179,7 +176,7 @@
     def _refuse(
         self,
         call: ports.Call,
-        reply: http_servers.Reply,
+        reply: replies.Reply,
         refusal: ports.Refusal,
         job: jobs.Job | None,
     ) -> None:
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -8,7 +8,7 @@
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import tables
-from masticquay_serving import http_servers
+from masticquay_serving import requests
 
 LOG = logging.getLogger(__name__)
 
@@ -29,7 +29,7 @@
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
         self.table: tables.Table | None = None
-        self._first_limits = http_servers.Limits()
+        self._first_limits = requests.Limits()
         self.endpoints_term = 0
         self.endpoints_number = 0
         self.hosts: list[fleets.Host] = []
@@ -44,7 +44,7 @@
         return table.version if table else -1
 
     @property
-    def caller_limits(self) -> http_servers.LimitsLike:
+    def caller_limits(self) -> requests.LimitsLike:
         """What callers may send; defaults before the first table."""
         table = self.table
         return table.limits if table else self._first_limits
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -11,7 +11,7 @@
 from masticquay_routing import choosers
 from masticquay_routing import fleets
 from masticquay_serving import counters
-from masticquay_serving import http_servers
+from masticquay_serving import replies
 
 LOG = logging.getLogger(__name__)
 
@@ -196,7 +196,7 @@
         )
 
 
-def send(reply: http_servers.Reply, answer: Answer) -> None:
+def send(reply: replies.Reply, answer: Answer) -> None:
     """Sends a whole answer to the caller."""
     reply.send(answer.status, answer.headers, answer.body)
 
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -5,7 +5,8 @@
 from masticquay_endpoints import interrupts
 from masticquay_gateway import ports
 from masticquay_routing import tables
-from masticquay_serving import http_servers
+from masticquay_serving import replies
+from masticquay_serving import requests
 
 # Time kept back, so that the answer is out before the caller gives up.
 ANSWER_MARGIN_MS = 15
@@ -31,9 +32,9 @@
 
     def __init__(
         self,
-        request: http_servers.Request,
+        request: requests.Request,
         call: ports.Call,
-        reply: http_servers.Reply,
+        reply: replies.Reply,
         table: tables.Table,
         route: tables.Route,
         workspace: tables.Workspace | None,
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -4,7 +4,7 @@
 import typing
 
 from masticquay_routing import fleets
-from masticquay_serving import http_servers
+from masticquay_serving import requests
 
 Headers = list[tuple[str, str]]
 
@@ -120,7 +120,7 @@
 class CallerProtocol(typing.Protocol):
     """The protocol of callers."""
 
-    def read(self, request: http_servers.Request) -> Call:
+    def read(self, request: requests.Request) -> Call:
         """Reads a request.
 
         :raises BadRequestError: when it cannot be served
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -11,6 +11,7 @@
 from masticquay_routing import tables
 from masticquay_serving import errors as serving_errors
 from masticquay_serving import http_servers
+from masticquay_serving import requests
 
 PROMPT_TOKENS = 3_000
 
@@ -91,7 +92,7 @@
         self.lock = threading.Lock()
         self.answer = answer
         server = http_servers.Server(
-            ('127.0.0.1', 0), self.serve, http_servers.Limits
+            ('127.0.0.1', 0), self.serve, requests.Limits
         )
         server.start()
         stack.callback(server.server_close)
@@ -141,7 +142,7 @@
 
 def make_job(route, reply=None, call_id='c1', prompt_tokens=PROMPT_TOKENS):
     """Returns a job whose request has just arrived."""
-    request = http_servers.Request(
+    request = requests.Request(
         'POST', '/a/x', [('Call', call_id)], b'body', time.monotonic()
     )
     call = ports.Call(
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -15,7 +15,7 @@
 from masticquay_routing import messages
 from masticquay_routing import tables
 from masticquay_serving import counters
-from masticquay_serving import http_servers
+from masticquay_serving import requests
 from tests import fakes
 
 
@@ -66,9 +66,7 @@
     def ask(self, service):
         reply = fakes.FakeReply()
         reply.sock = None
-        request = http_servers.Request(
-            'GET', '/a/x', [], b'', time.monotonic()
-        )
+        request = requests.Request('GET', '/a/x', [], b'', time.monotonic())
         service.serve(request, reply)
         return reply
 
--- /dev/null
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -0,0 +1,87 @@
+"""Reads the body of a request, by length or in chunks."""
+
+import string
+import typing
+
+from masticquay_serving import errors
+
+LARGEST_CHUNK_LINE_BYTES = 1_024
+LARGEST_TRAILER_LINES = 64
+HEX_DIGITS = frozenset(string.hexdigits.encode())
+LINE_ENDS = (b'\r\n', b'\n')
+
+
+class BodyReader:
+    """Reads one body from a buffered connection.
+
+    :param limit_bytes: the most that a body may have
+    """
+
+    def __init__(self, stream: typing.BinaryIO, limit_bytes: int):
+        self._stream = stream
+        self._limit_bytes = limit_bytes
+
+    def read(self, encodings: list[str], lengths: list[str]) -> bytes:
+        """Returns the whole body.
+
+        :param encodings: the values of ``Transfer-Encoding``
+        :param lengths: the values of ``Content-Length``
+        :raises BadRequestError: when its length is not clear, or too large
+        :raises CallerLeftError: when it ends early
+        """
+        if encodings:
+            named = [encoding.strip().lower() for encoding in encodings]
+            if lengths or named != ['chunked']:
+                raise errors.BadRequestError(400, 'ambiguous body length')
+            return self._read_chunks()
+        if not lengths:
+            return b''
+        return self._read_exactly(self._parse_length(lengths))
+
+    def _parse_length(self, lengths: list[str]) -> int:
+        first = lengths[0]
+        same = all(length == first for length in lengths)
+        if not same or not (first.isascii() and first.isdigit()):
+            raise errors.BadRequestError(400, 'unreadable Content-Length')
+        self._check_size(int(first))
+        return int(first)
+
+    def _read_chunks(self) -> bytes:
+        parts = []
+        total = 0
+        while True:
+            size = self._read_chunk_size()
+            if size == 0:
+                break
+            total += size
+            self._check_size(total)
+            parts.append(self._read_exactly(size))
+            if self._stream.readline(3) not in LINE_ENDS:
+                raise errors.BadRequestError(400, 'unreadable chunk')
+        self._skip_trailers()
+        return b''.join(parts)
+
+    def _read_chunk_size(self) -> int:
+        line = self._stream.readline(LARGEST_CHUNK_LINE_BYTES)
+        digits = line.split(b';', 1)[0].strip()
+        is_hex = bool(digits) and HEX_DIGITS.issuperset(digits)
+        if not is_hex or not line.endswith(b'\n'):
+            raise errors.BadRequestError(400, 'unreadable chunk')
+        return int(digits, 16)
+
+    def _skip_trailers(self) -> None:
+        for _line in range(LARGEST_TRAILER_LINES):
+            line = self._stream.readline(LARGEST_CHUNK_LINE_BYTES)
+            if not line or line in LINE_ENDS:
+                return
+        raise errors.BadRequestError(431, 'the trailers are too many')
+
+    def _check_size(self, size: int) -> None:
+        if size > self._limit_bytes:
+            raise errors.BadRequestError(413, 'the body is too large')
+
+    def _read_exactly(self, size: int) -> bytes:
+        data = self._stream.read(size)
+        if len(data) < size:
+            raise errors.CallerLeftError('the body ended early')
+        return data
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -6,24 +6,23 @@
 """
 
 import contextlib
-import http
 import http.server
 import logging
 import socket
 import socketserver
-import struct
 import threading
 import time
 import typing
 
+from masticquay_serving import bodies
 from masticquay_serving import errors
+from masticquay_serving import replies
+from masticquay_serving import requests
 
 LOG = logging.getLogger(__name__)
 
 BACKLOG = 1_024
 THREAD_STACK_BYTES = 256 * 1024
-LARGEST_CHUNK_LINE_BYTES = 1_024
-SEND_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 10.0
 # A caller may use a kept connection up to the idle timeout; the server must
 # not be the first to close.
@@ -32,159 +31,7 @@
 # How long an end of accepting may go unnoticed.
 ACCEPT_TIMEOUT_S = 0.5
 ACCEPT_RETRY_S = 0.05
-# Lets close reset the connection.
-ABORT_LINGER = struct.pack('ii', 1, 0)
-
-Headers = list[tuple[str, str]]
-
-
-class LimitsLike(typing.Protocol):
-    """The fields of ``Limits``, whoever defines them."""
-
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
-
-
-class Limits:
-    """What a caller may send, and how long it may take.
-
-    :param idle_timeout_ms: how long a kept connection may stay unused
-    """
-
-    __slots__ = (
-        'max_header_bytes',
-        'max_body_bytes',
-        'header_timeout_ms',
-        'idle_timeout_ms',
-    )
-
-    def __init__(
-        self,
-        max_header_bytes: int = 16 * 1024,
-        max_body_bytes: int = 4 * 1024 * 1024,
-        header_timeout_ms: int = 5_000,
-        idle_timeout_ms: int = 30_000,
-    ):
-        self.max_header_bytes = max_header_bytes
-        self.max_body_bytes = max_body_bytes
-        self.header_timeout_ms = header_timeout_ms
-        self.idle_timeout_ms = idle_timeout_ms
-
-
-class Request:
-    """One request of a caller.
-
-    :param started_s: monotonic time at which its first byte was there
-    """
-
-    __slots__ = ('method', 'target', 'headers', 'body', 'started_s')
-
-    def __init__(
-        self,
-        method: str,
-        target: str,
-        headers: Headers,
-        body: bytes,
-        started_s: float,
-    ):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.started_s = started_s
-
-    def header(self, name: str) -> str | None:
-        """Returns a header's first value; the name is in lower case."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-class Reply:
-    """The answer to one request, written once."""
-
-    def __init__(self, handler: '_Handler'):
-        self._handler = handler
-        self.started = False
-        self.chunked = False
-
-    @property
-    def sock(self) -> socket.socket:
-        """The caller's connection."""
-        return self._handler.connection
-
-    def send(self, status: int, headers: Headers, body: bytes = b'') -> None:
-        """Sends a whole answer.
-
-        :raises CallerLeftError: when the caller does not take it
-        """
-        handler = self._handler
-        head = self._head(status, headers)
-        if status not in (204, 304):
-            head += f'Content-Length: {len(body)}\r\n'.encode()
-        if handler.command == 'HEAD':
-            body = b''
-        self._write(head + b'\r\n' + body)
-
-    def begin(self, status: int, headers: Headers) -> None:
-        """Sends the head of an answer that is streamed."""
-        head = self._head(status, headers)
-        if self._handler.request_version == 'HTTP/1.1':
-            self.chunked = True
-            head += b'Transfer-Encoding: chunked\r\n'
-        else:
-            self._handler.close_connection = True
-        self._write(head + b'\r\n')
-
-    def write(self, data: bytes) -> None:
-        """Sends a piece of a streamed answer."""
-        if not data:
-            return
-        if self.chunked:
-            data = b'%x\r\n%s\r\n' % (len(data), data)
-        self._write(data)
-
-    def finish(self) -> None:
-        """Ends a streamed answer as complete."""
-        if self.chunked:
-            self._write(b'0\r\n\r\n')
-
-    def abort(self) -> None:
-        """Resets the connection, so that nothing sent looks complete."""
-        self.started = True
-        self._handler.close_connection = True
-        with contextlib.suppress(OSError):
-            self.sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER
-            )
-
-    def _head(self, status: int, headers: Headers) -> bytes:
-        if self._handler.server.closing:
-            self._handler.close_connection = True
-        try:
-            reason = http.HTTPStatus(status).phrase
-        except ValueError:
-            reason = 'Status'
-        lines = [f'HTTP/1.1 {status} {reason}\r\n']
-        lines.extend(f'{name}: {value}\r\n' for name, value in headers)
-        if self._handler.close_connection:
-            lines.append('Connection: close\r\n')
-        return ''.join(lines).encode('latin-1')
-
-    def _write(self, data: bytes) -> None:
-        self.started = True
-        try:
-            self.sock.settimeout(SEND_TIMEOUT_S)
-            self.sock.sendall(data)
-        except OSError as cause:
-            self._handler.close_connection = True
-            raise errors.CallerLeftError(type(cause).__name__) from cause
-
-
-Application = typing.Callable[[Request, Reply], None]
+Application = typing.Callable[[requests.Request, replies.Reply], None]
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -194,6 +41,11 @@
     disable_nagle_algorithm = True
     server: 'Server'
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the server takes no further request on connections."""
+        return self.server.closing
+
     def log_message(self, *args: object) -> None:
         """Leaves logging to the application."""
 
@@ -229,7 +81,7 @@
         self.requestline = ''
         self.request_version = 'HTTP/1.1'
         self.command = ''
-        reply = Reply(self)
+        reply = replies.Reply(self)
         try:
             request = self._read_request(limits, started_s)
             self.server.application(request, reply)
@@ -239,7 +91,9 @@
             error = errors.BadRequestError(408, 'the request came too slowly')
             self._refuse(reply, error)
 
-    def _read_request(self, limits: LimitsLike, started_s: float) -> Request:
+    def _read_request(
+        self, limits: requests.LimitsLike, started_s: float
+    ) -> requests.Request:
         self.connection.settimeout(limits.header_timeout_ms / 1000)
         self.raw_requestline = self.rfile.readline(
             REQUEST_LINE_LIMIT_BYTES + 1
@@ -255,62 +109,19 @@
         body = self._read_body(limits)
         # ``path`` has repeated slashes at its start folded.
         target = self.requestline.split()[1]
-        return Request(self.command, target, headers, body, started_s)
+        return requests.Request(self.command, target, headers, body, started_s)
 
-    def _read_body(self, limits: LimitsLike) -> bytes:
-        encodings = self.headers.get_all('Transfer-Encoding') or []
-        lengths = set(self.headers.get_all('Content-Length') or [])
+    def _read_body(self, limits: requests.LimitsLike) -> bytes:
         self.connection.settimeout(BODY_TIMEOUT_S)
-        if encodings:
-            if lengths or [e.strip().lower() for e in encodings] != [
-                'chunked'
-            ]:
-                raise errors.BadRequestError(400, 'ambiguous body length')
-            return self._read_chunks(limits.max_body_bytes)
-        if not lengths:
-            return b''
-        length = lengths.pop()
-        if lengths or not (length.isascii() and length.isdigit()):
-            raise errors.BadRequestError(400, 'unreadable Content-Length')
-        if int(length) > limits.max_body_bytes:
-            raise errors.BadRequestError(413, 'the body is too large')
-        return self._read_exactly(int(length))
-
-    def _read_chunks(self, limit_bytes: int) -> bytes:
-        parts = []
-        total = 0
-        while True:
-            line = self.rfile.readline(LARGEST_CHUNK_LINE_BYTES)
-            size_text = line.split(b';', 1)[0].strip()
-            try:
-                size = int(size_text, 16)
-            except ValueError:
-                raise errors.BadRequestError(400, 'unreadable chunk') from None
-            if size < 0 or not line.endswith(b'\n'):
-                raise errors.BadRequestError(400, 'unreadable chunk')
-            if size == 0:
-                break
-            total += size
-            if total > limit_bytes:
-                raise errors.BadRequestError(413, 'the body is too large')
-            parts.append(self._read_exactly(size))
-            if self.rfile.readline(3) not in (b'\r\n', b'\n'):
-                raise errors.BadRequestError(400, 'unreadable chunk')
-        while self.rfile.readline(LARGEST_CHUNK_LINE_BYTES) not in (
-            b'\r\n',
-            b'\n',
-            b'',
-        ):
-            pass
-        return b''.join(parts)
-
-    def _read_exactly(self, size: int) -> bytes:
-        data = self.rfile.read(size)
-        if len(data) < size:
-            raise errors.CallerLeftError('the body ended early')
-        return data
-
-    def _refuse(self, reply: Reply, cause: errors.BadRequestError) -> None:
+        reader = bodies.BodyReader(self.rfile, limits.max_body_bytes)
+        return reader.read(
+            self.headers.get_all('Transfer-Encoding') or [],
+            self.headers.get_all('Content-Length') or [],
+        )
+
+    def _refuse(
+        self, reply: replies.Reply, cause: errors.BadRequestError
+    ) -> None:
         self.close_connection = True
         if reply.started:
             return
@@ -336,7 +147,7 @@
         self,
         address: tuple[str, int],
         application: Application,
-        limits: typing.Callable[[], LimitsLike],
+        limits: typing.Callable[[], requests.LimitsLike],
     ):
         self.application = application
         self.limits = limits
@@ -370,9 +181,9 @@
         aborted = False
         with contextlib.suppress(OSError):
             linger = request.getsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, len(ABORT_LINGER)
+                socket.SOL_SOCKET, socket.SO_LINGER, len(replies.ABORT_LINGER)
             )
-            aborted = linger == ABORT_LINGER
+            aborted = linger == replies.ABORT_LINGER
         if aborted:
             self.close_request(request)
         else:
--- /dev/null
+++ b/libs/serving/masticquay_serving/requests.py
@@ -0,0 +1,70 @@
+"""Requests of callers, and the limits that they must keep."""
+
+import typing
+
+Headers = list[tuple[str, str]]
+
+
+class LimitsLike(typing.Protocol):
+    """The fields of ``Limits``, whoever defines them."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class Limits:
+    """What a caller may send, and how long it may take.
+
+    :param idle_timeout_ms: how long a kept connection may stay unused
+    """
+
+    __slots__ = (
+        'max_header_bytes',
+        'max_body_bytes',
+        'header_timeout_ms',
+        'idle_timeout_ms',
+    )
+
+    def __init__(
+        self,
+        max_header_bytes: int = 16 * 1024,
+        max_body_bytes: int = 4 * 1024 * 1024,
+        header_timeout_ms: int = 5_000,
+        idle_timeout_ms: int = 30_000,
+    ):
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+
+class Request:
+    """One request of a caller.
+
+    :param started_s: monotonic time at which its first byte was there
+    """
+
+    __slots__ = ('method', 'target', 'headers', 'body', 'started_s')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        started_s: float,
+    ):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.started_s = started_s
+
+    def header(self, name: str) -> str | None:
+        """Returns a header's first value; the name is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -7,6 +7,7 @@
 
 from masticquay_serving import errors
 from masticquay_serving import http_servers
+from masticquay_serving import requests
 
 TIMEOUT_S = 5.0
 
@@ -16,7 +17,7 @@
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
         self.requests = []
-        self.limits = http_servers.Limits(
+        self.limits = requests.Limits(
             max_header_bytes=2_000,
             max_body_bytes=1_000,
             header_timeout_ms=300,
