A leader after a total restart is not taken for the first of all

Found by reading: whether earlier orders may still be under way was asked of the applied state, which is empty when a restarted group elects, so its leader gave orders without waiting the earlier holder's lease out, and rates began full. The log is asked now. Test seen failing before.

--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -296,6 +296,21 @@
                 raise errors.NotLeaderError('')
             return self.state.commit_index
 
+    def is_blank(self) -> bool:
+        """Whether this log holds no command, committed or not.
+
+        Tells a group's first leader from one that has not applied yet what
+        earlier leaders committed.
+        """
+        with self.state.lock:
+            journal = self._store.journal
+            if self._store.snapshot_index:
+                return False
+            entries = journal.entries_between(
+                journal.base_index, journal.last_index
+            )
+            return all(e.kind != messages.KIND_COMMAND for e in entries)
+
     def leader_address(self) -> str:
         """Returns the leader's address, empty when unknown."""
         member = self.leader()
--- a/libs/consensus/tests/test_roll_calls.py
+++ b/libs/consensus/tests/test_roll_calls.py
@@ -207,6 +207,18 @@
         self.group.exchange()
         self.assertEqual(self.group.leaders(), [])
 
+    def test_a_restarted_log_with_commands_is_not_blank(self):
+        leader = self.group.replicas[self.first]
+        self.assertTrue(leader.is_blank())
+        leader.propose(b'x')
+        self.group.exchange()
+        for name in NAMES:
+            self.group.stop(name)
+        for name in NAMES:
+            self.group.start(name)
+        for replica in self.group.replicas.values():
+            self.assertFalse(replica.is_blank())
+
     def test_the_longest_log_asks_for_votes(self):
         behind = self.others[0]
         self.group.stop(behind)
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -202,7 +202,7 @@
         return figures
 
     def _begin(self, number: int) -> Term:
-        first = self._machine.stored is None
+        first = self._node.replica.is_blank()
         term = Term(
             number,
             owners.Owner(number, self._clock, first),
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -14,6 +14,7 @@
 
 TERM = 3
 WAIT_S = 10
+ORDER_LEASE_MS = 20_000
 
 
 class FakeNode:
@@ -21,6 +22,7 @@
 
     def __init__(self):
         self.leads = False
+        self.blank = True
         self.replica = self
         self.state = types.SimpleNamespace(applied_index=0)
 
@@ -29,6 +31,9 @@
             raise consensus_errors.NotLeaderError('')
         return 0
 
+    def is_blank(self):
+        return self.blank
+
     def is_leader(self):
         return self.leads
 
@@ -66,14 +71,16 @@
         self.machine = table_machines.TableMachine()
         self.reader = CountingReader()
         self.lister = fakes.FakeLister()
+        self.clock = clocks.ManualClock(10_000)
+        self.orders = []
         self.leadership = leaderships.Leadership(
             self.node,
             self.machine,
             self.reader,
             self.lister,
-            None,
-            500,
-            clocks.ManualClock(10_000),
+            self,
+            ORDER_LEASE_MS,
+            self.clock,
         )
         self.machine.on_change = self.leadership.note_table
         self.handlers = {}
@@ -125,6 +132,31 @@
         update = self.link.notices.get(timeout=WAIT_S)
         self.assertEqual(50, update.version)
 
+    def give(self, order, term):
+        """Takes the leader's orders; see ``OrderGiver``."""
+        self.orders.append(order)
+        return True
+
+    def lead_without_prefill_engines(self, blank):
+        """Leads a group that lacks a stage for ten seconds."""
+        self.node.blank = blank
+        self.lister.endpoints = fakes.make_engines(0, 6)
+        self.lead()
+        self.apply(1)
+        for _second in range(10):
+            self.leadership.run_list()
+            self.leadership.run_orders()
+            self.clock.advance_ms(1_000)
+
+    def test_first_leader_of_all_orders_soon(self):
+        self.lead_without_prefill_engines(blank=True)
+        self.assertTrue(self.orders)
+
+    def test_leader_after_a_total_restart_waits_for_earlier_orders(self):
+        """It has applied nothing yet, but its log is not empty."""
+        self.lead_without_prefill_engines(blank=False)
+        self.assertEqual([], self.orders)
+
     def test_table_is_read_before_the_first_list(self):
         self.lead()
         self.apply(1)
