A leader that stops hands over; a roll call waits until every founder is formed

Hosts are told that the leader changed; what waits for a place is placed by its host instead of being refused.

An unformed replica answers no roll call now; test seen failing before.

--- a/libs/consensus/masticquay_consensus/elections.py
+++ b/libs/consensus/masticquay_consensus/elections.py
@@ -12,6 +12,7 @@
         self._state = state
         self._roll_call = roll_call
         self._probing = False
+        self._released_term = 0
         self._asked: set[str] = set()
         self._granted: set[str] = set()
 
@@ -49,6 +50,7 @@
             last_term=state.store.journal.last_term,
             probe=self._probing,
             proven_incarnation=self._roll_call.proven_incarnation(member_id),
+            released_term=self._released_term,
         )
 
     def take_failure(self, member_id: str) -> None:
@@ -82,7 +84,9 @@
     def handle(self, request: messages.RequestVote) -> messages.Vote:
         """Answers a candidate; a vote is synced before it is returned."""
         state = self._state
-        may_vote = state.may_vote(request.proven_incarnation)
+        may_vote = state.may_vote(
+            request.proven_incarnation, request.released_term
+        )
         if not may_vote or state.installing:
             return messages.Vote(state.term, False)
         if request.probe:
@@ -102,6 +106,20 @@
             state.defer_election()
         return messages.Vote(state.term, granted)
 
+    def take_over(self, request: messages.TakeLead) -> messages.LeadOffered:
+        """Asks for votes at once, since the leader has stepped down."""
+        state = self._state
+        accepted = (
+            request.term == state.term
+            and state.role == messages.ROLE_FOLLOWER
+            and state.is_voter
+            and not state.installing
+        )
+        if accepted:
+            self._released_term = request.term
+            self._campaign(probing=False)
+        return messages.LeadOffered(accepted)
+
     def _campaign(self, probing: bool) -> bool:
         state = self._state
         state.role = messages.ROLE_CANDIDATE
--- a/libs/consensus/masticquay_consensus/leaders.py
+++ b/libs/consensus/masticquay_consensus/leaders.py
@@ -97,6 +97,18 @@
         oldest_ms = acked[state.configuration.quorum() - 1]
         return oldest_ms + settings.election_min_ms - settings.drift_margin_ms
 
+    def successor_id(self) -> str:
+        """Returns a voter that has synced the whole log, empty for none."""
+        state = self._state
+        last_index = state.store.journal.last_index
+        ready = [
+            voter
+            for voter in state.configuration.voter_ids()
+            if voter != state.replica_id
+            and self._find(voter).match_index == last_index
+        ]
+        return max(ready, key=self.acked_ms, default='')
+
     def match_index(self, member_id: str) -> int:
         """Returns the last index that a member is known to have synced."""
         if member_id == self._state.replica_id:
--- a/libs/consensus/masticquay_consensus/messages.py
+++ b/libs/consensus/masticquay_consensus/messages.py
@@ -147,6 +147,8 @@
 
     :param proven_incarnation: of the voter's process, if it is proven that
         no lease is left from before its start; see ``roll_calls``
+    :param released_term: the term whose leader gave up its lease and asked
+        the candidate to lead, 0 for none
     """
 
     __slots__ = (
@@ -157,6 +159,7 @@
         'last_term',
         'probe',
         'proven_incarnation',
+        'released_term',
     )
 
     def __init__(
@@ -168,6 +171,7 @@
         last_term: int,
         probe: bool,
         proven_incarnation: str = '',
+        released_term: int = 0,
     ):
         self.to_id = to_id
         self.from_id = from_id
@@ -176,6 +180,31 @@
         self.last_term = last_term
         self.probe = probe
         self.proven_incarnation = proven_incarnation
+        self.released_term = released_term
+
+
+@messages.register
+class TakeLead(messages.Message):
+    """Asks a follower to lead; the leader of the term has stepped down."""
+
+    __slots__ = ('to_id', 'term')
+
+    def __init__(self, to_id: str, term: int):
+        self.to_id = to_id
+        self.term = term
+
+
+@messages.register
+class LeadOffered(messages.Message):
+    """The answer to TakeLead.
+
+    :param accepted: whether the follower asks for votes now
+    """
+
+    __slots__ = ('accepted',)
+
+    def __init__(self, accepted: bool):
+        self.accepted = accepted
 
 
 @messages.register
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -134,6 +134,30 @@
         self.replica.close()
         self._stack.close()
 
+    def hand_over(self) -> bool:
+        """Lets a follower lead at once instead of after a silence.
+
+        :returns: whether one accepted; this replica leads no more then
+        """
+        request = self.replica.step_down()
+        if request is None:
+            return False
+        state = self.replica.state
+        with state.lock:
+            member = state.configuration.member(request.member_id)
+        if member is None:
+            return False
+        link = self._links(peers.Address.parse(member.address))
+        try:
+            answer = link.call(request.message, self._settings.call_timeout_ms)
+        except wire_errors.WireError as cause:
+            LOG.warning('lead not handed over: %s', cause)
+            return False
+        finally:
+            link.close()
+        LOG.info('lead handed over to %s: %s', member.name, answer.accepted)
+        return answer.accepted
+
     @property
     def replica(self) -> replicas.Replica:
         """The replica, once started."""
@@ -221,6 +245,7 @@
         for message_type in (
             messages.AskStart,
             messages.RequestVote,
+            messages.TakeLead,
             messages.AppendEntries,
             messages.InstallSnapshot,
         ):
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -19,10 +19,12 @@
 from masticquay_wire import messages as wire_messages
 
 CODE_WRONG_IDENTITY = 'wrong-identity'
+CODE_NOT_FORMED = 'not-formed'
 
 Addressed = (
     messages.AskStart
     | messages.RequestVote
+    | messages.TakeLead
     | messages.AppendEntries
     | messages.InstallSnapshot
 )
@@ -95,10 +97,12 @@
                     CODE_WRONG_IDENTITY, f'this is {self.state.replica_id}'
                 )
             if isinstance(message, messages.AskStart):
-                return self._roll_call.report()
+                return self._report_start()
             self.form(messages.Configuration([]))
             if isinstance(message, messages.RequestVote):
                 return self._elections.handle(message)
+            if isinstance(message, messages.TakeLead):
+                return self._elections.take_over(message)
             if isinstance(message, messages.AppendEntries):
                 return self._follower.handle_append(message)
             return self._follower.handle_install(message)
@@ -240,6 +244,25 @@
         """
         return self._applier.apply()
 
+    def step_down(self) -> states.Outgoing | None:
+        """Gives up the lead and its lease, if a follower can take over.
+
+        Nothing may rest on the lease any more, wherever it was announced.
+
+        :returns: what to send to that follower, None when this replica does
+            not lead, or nobody has the whole log
+        """
+        state = self.state
+        with state.lock:
+            if state.role != messages.ROLE_LEADER:
+                return None
+            successor_id = self._leader.successor_id()
+            if not successor_id:
+                return None
+            request = messages.TakeLead(successor_id, state.term)
+            state.follow(state.term, '')
+            return states.Outgoing(successor_id, request, state.clock.now_ms())
+
     def close(self) -> None:
         """Gives up the lead; open proposals fail as unknown.
 
@@ -350,6 +373,18 @@
                 ],
             )
 
+    def _report_start(self) -> messages.StartReport:
+        """Answers a roll call, once this replica knows its group.
+
+        A vote asked of it before would make it a member that does not know
+        the voters.
+        """
+        if not self._store.formed:
+            raise wire_errors.RemoteError(
+                CODE_NOT_FORMED, 'the group is being formed'
+            )
+        return self._roll_call.report()
+
     def _append(
         self, kind: int, command: bytes, future: futures.Future
     ) -> errors.ConsensusError | None:
--- a/libs/consensus/masticquay_consensus/roll_calls.py
+++ b/libs/consensus/masticquay_consensus/roll_calls.py
@@ -49,12 +49,8 @@
         return messages.StartReport(
             incarnation=state.incarnation,
             took_part=state.took_part,
-            last_index=(
-                state.store.journal.last_index if state.store.formed else 0
-            ),
-            last_term=(
-                state.store.journal.last_term if state.store.formed else 0
-            ),
+            last_index=state.store.journal.last_index,
+            last_term=state.store.journal.last_term,
         )
 
     def next_request(self, member_id: str) -> messages.AskStart | None:
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -227,14 +227,19 @@
             for voter_id in configuration.voter_ids()
         }
 
-    def may_vote(self, proven_incarnation: str = '') -> bool:
+    def may_vote(
+        self, proven_incarnation: str = '', released_term: int = 0
+    ) -> bool:
         """Whether no leader can hold a lease that rests on this replica.
 
         :param proven_incarnation: of the process for which a candidate has
             proven that no lease is left from before its start
+        :param released_term: a term whose leader gave up its lease
         """
         if self.role == messages.ROLE_LEADER:
             return False
+        if released_term and released_term == self.term:
+            return True
         if not self.took_part and proven_incarnation == self.incarnation:
             return True
         age_ms = self.clock.now_ms() - self.heard_ms
--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -43,6 +43,7 @@
         steps=250,
         heartbeat_ms=50,
         bounce=0.0,
+        hand_over=0.02,
     ):
         self.delays_ms = delays_ms
         self.copies = copies
@@ -61,6 +62,7 @@
         self.steps = steps
         self.heartbeat_ms = heartbeat_ms
         self.bounce = bounce
+        self.hand_over = hand_over
 
 
 PROFILES = (
@@ -215,6 +217,7 @@
         self.lease_end_ms = {}
         self.lease_holders = {}
         self.wiped_count = 0
+        self.handed_over = 0
 
     def run(self, steps):
         for _step in range(steps):
@@ -342,6 +345,8 @@
                 struck.crash()
         if self.chance(profile.bounce):
             self.bounce()
+        if self.chance(profile.hand_over):
+            self.hand_over()
         if self.chance(profile.crash):
             host.crash()
         if self.chance(profile.disk_crash):
@@ -363,6 +368,18 @@
                 self.cut.add((one.name, other.name))
                 self.cut.add((other.name, one.name))
 
+    def hand_over(self):
+        """Has a leader give up its lease and ask a follower to lead."""
+        leader = next((h for h in self.hosts if self.leads(h)), None)
+        if leader is None:
+            return
+        request = leader.run(leader.replica.step_down)
+        if request is not None:
+            self.handed_over += 1
+            self.lease_end_ms.pop(request.message.term, None)
+            assert not leader.replica.lease_remaining_ms()
+            self.send(leader, request)
+
     def bounce(self):
         """Restarts most hosts at once; a leader often lives on."""
         for host in self.hosts:
--- a/libs/consensus/tests/test_elections.py
+++ b/libs/consensus/tests/test_elections.py
@@ -110,6 +110,32 @@
         self.assertTrue(self.bench.ask_vote('C', 9, probe=True))
         self.assertTrue(self.bench.ask_vote('C', 9))
 
+    def test_a_lease_that_was_given_up_is_not_waited_out(self):
+        bench = Bench()
+        bench.hear(term=1)
+        request = messages.RequestVote(
+            bench.own_id, 'C', 2, 0, 0, False, released_term=1
+        )
+        self.assertTrue(bench.replica.handle(request).granted)
+
+    def test_giving_up_an_earlier_lease_frees_no_later_one(self):
+        bench = Bench()
+        bench.hear(term=2)
+        request = messages.RequestVote(
+            bench.own_id, 'C', 3, 0, 0, False, released_term=1
+        )
+        self.assertFalse(bench.replica.handle(request).granted)
+
+    def test_only_a_follower_of_that_term_takes_over(self):
+        bench = Bench()
+        bench.hear(term=2)
+        for term, accepted in ((1, False), (2, True)):
+            answer = bench.replica.handle(
+                messages.TakeLead(bench.own_id, term)
+            )
+            self.assertEqual(accepted, answer.accepted)
+        self.assertEqual(messages.ROLE_CANDIDATE, bench.replica.state.role)
+
     def test_a_restarted_voter_waits_a_lease_out(self):
         self.bench.hear('B', 1)
         self.bench.restart()
--- a/libs/consensus/tests/test_roll_calls.py
+++ b/libs/consensus/tests/test_roll_calls.py
@@ -219,6 +219,26 @@
         for replica in self.group.replicas.values():
             self.assertFalse(replica.is_blank())
 
+    def test_no_election_while_the_group_is_being_formed(self):
+        """The founder tells one voter after the other."""
+        fresh = Group()
+        for name in NAMES:
+            fresh.wipe(name)
+        fresh.ids = {r.state.replica_id: n for n, r in fresh.replicas.items()}
+        founding = messages.Configuration(
+            [messages.Member(i, n, '', True) for i, n in fresh.ids.items()]
+        )
+        for name in ('a', 'b'):
+            fresh.replicas[name].form(founding)
+        fresh.exchange()
+        self.assertEqual([], fresh.leaders())
+        self.assertFalse(fresh.replicas['c'].state.store.formed)
+        fresh.replicas['c'].form(founding)
+        fresh.exchange()
+        self.assertEqual(1, len(fresh.leaders()))
+        for replica in fresh.replicas.values():
+            self.assertTrue(replica.state.is_voter)
+
     def test_the_longest_log_asks_for_votes(self):
         behind = self.others[0]
         self.group.stop(behind)
--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -30,6 +30,8 @@
 ORDER_TICK_MS = 300
 REPORT_INTERVAL_MS = 1_000
 MEMBERSHIP_TICK_MS = 500
+HAND_OVER_MS = 400
+HAND_OVER_POLL_MS = 10
 
 
 class Settings:
@@ -166,6 +168,18 @@
             },
         )
 
+    def hand_over(self) -> None:
+        """Lets another replica lead, before this one stops.
+
+        Returns once the next leader is known here, so that hosts are told
+        of it, or after ``HAND_OVER_MS``.
+        """
+        if not self.node.hand_over():
+            return
+        limit_ms = self._clock.now_ms() + HAND_OVER_MS
+        while self.node.leader() is None and self._clock.now_ms() < limit_ms:
+            time.sleep(HAND_OVER_POLL_MS / 1000)
+
     def close(self) -> None:
         """Stops serving and closes the log."""
         self._stack.close()
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -115,6 +115,7 @@
                 self._term = self._begin(term)
         if ended is not None:
             ended.owner.fail_all()
+            ended.sessions.end()
         if leads:
             threading.Thread(
                 target=self._announce, args=(term,), daemon=True
@@ -243,7 +244,7 @@
             self._searchers.clear()
         for link in links:
             with contextlib.suppress(wire_errors.WireError):
-                link.notify(messages.Leading(number))
+                link.notify(messages.LeaderChanged(number))
 
     def _serves(self) -> bool:
         try:
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -12,6 +12,7 @@
 from masticquay_routing import tables
 from masticquay_routing import tickets
 from masticquay_wire import clocks
+from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages as wire_messages
 
 LOG = logging.getLogger(__name__)
@@ -202,12 +203,17 @@
                     state.switching_until_ms = 0
 
     def fail_all(self) -> None:
-        """Refuses everything that waits: the term is over."""
+        """Gives up everything that waits: the term is over.
+
+        The hosts place it themselves until they find the next leader.
+        """
         with self._lock:
             waiting = list(self._waiting.values())
             self._waiting.clear()
         for future in waiting:
-            future.set_result(messages.Refused('leader changed', 0))
+            future.set_exception(
+                wire_errors.RemoteError(messages.CODE_NOT_LEADER, '')
+            )
 
     def log_pools(self) -> None:
         """Writes one line on each pool that is in use."""
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -118,6 +118,10 @@
             self._endpoints_number += 1
         self._publish(self._endpoint_update())
 
+    def end(self) -> None:
+        """Tells every host that this leader leads no more."""
+        self._publish(messages.LeaderChanged(self.term))
+
     def _publish(self, update: wire_messages.Message) -> None:
         with self._lock:
             sessions = list(self._sessions.values())
--- a/libs/coordination/tests/test_daemons.py
+++ b/libs/coordination/tests/test_daemons.py
@@ -122,6 +122,19 @@
         wait_for(served)
         return found[-1]
 
+    def test_leader_that_stops_hands_over(self):
+        """No replica waits for a silence first: nobody probes."""
+        self.found()
+        self.put(1)
+        first = self.leader()
+        others = [d for d in self.daemons.values() if d is not first]
+        probes = [d.node.counters().probes for d in others]
+        first.hand_over()
+        wait_for(lambda: any(d.node.is_leader() for d in others))
+        self.assertFalse(first.node.is_leader())
+        self.assertEqual(probes, [d.node.counters().probes for d in others])
+        self.put(2)
+
     def test_founded_once_and_joined_by_others(self):
         """Nobody is told how many there are; others start at once."""
         extra = free_address()
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -282,7 +282,7 @@
             self._state.take_endpoints(message)
         elif isinstance(message, messages.HostUpdate):
             self._state.take_hosts(message)
-        elif isinstance(message, messages.Leading):
+        elif isinstance(message, messages.LeaderChanged):
             self._wake.set()
 
 
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -90,8 +90,12 @@
 
 
 @messages.register
-class Leading(messages.Message):
-    """Tells a host that looked for a leader in vain that this one leads."""
+class LeaderChanged(messages.Message):
+    """Tells a host to look for the leader at once.
+
+    Sent by a replica that begins to lead, to hosts that asked it in vain, and
+    by one that ceases to, to the hosts in touch with it.
+    """
 
     __slots__ = ('term',)
 
