--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -181,7 +181,6 @@
         job: jobs.Job | None,
     ) -> None:
         answer = self._protocol.refuse(call, refusal)
-        reply.send(answer.status, answer.headers, answer.body)
         self._registry.count(
             'refused',
             'reason',
@@ -203,6 +202,7 @@
                 'table_version': self._state.table_version,
             },
         )
+        reply.send(answer.status, answer.headers, answer.body)
 
     def _note_departure(self, job: jobs.Job) -> None:
         self._registry.count('callers_left', 'route', job.route.name)
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -41,9 +41,15 @@
         return ports.RefusalAnswer(503, [], refusal.detail.encode())
 
 
+def make_request():
+    """Returns a request that has just arrived."""
+    return requests.Request('GET', '/a/x', [], b'', time.monotonic())
+
+
 class CallServiceTest(unittest.TestCase):
     def setUp(self):
         self.state = fleet_states.FleetState(OneRouteReader())
+        self.registry = counters.Registry()
 
     def make_service(self, deadline_ms=None):
         forwarder = types.SimpleNamespace(
@@ -60,14 +66,13 @@
             None,
             None,
             leavers,
-            counters.Registry(),
+            self.registry,
         )
 
     def ask(self, service):
         reply = fakes.FakeReply()
         reply.sock = None
-        request = requests.Request('GET', '/a/x', [], b'', time.monotonic())
-        service.serve(request, reply)
+        service.serve(make_request(), reply)
         return reply
 
     def learn_fleet(self):
@@ -95,6 +100,16 @@
         waited_ms = (time.monotonic() - started_s) * 1000
         self.assertLess(waited_ms, calls.STARTING_WAIT_MS)
 
+    def test_refusal_is_counted_before_it_is_sent(self):
+        """Also when the caller has left and takes nothing."""
+        service = self.make_service(deadline_ms=1)
+        reply = fakes.FakeReply()
+        reply.sock = None
+        counted = []
+        reply.send = lambda *_answer: counted.append(self.registry.render())
+        service.serve(make_request(), reply)
+        self.assertIn('masticquay_refused', counted[0])
+
     def test_known_fleet_needs_no_wait(self):
         self.learn_fleet()
         self.assertEqual(200, self.ask(self.make_service()).status)
