--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -27,6 +27,8 @@
 
 SESSION_CHECK_INTERVAL_MS = 100
 LIST_CHECK_INTERVAL_MS = 100
+# Tables that are stored within this time are sent to the hosts as one.
+TABLE_INTERVAL_MS = 100
 ORDER_INTERVAL_MS = 300
 REPORT_INTERVAL_MS = 1_000
 MEMBERSHIP_INTERVAL_MS = 500
@@ -149,7 +151,11 @@
                 SESSION_CHECK_INTERVAL_MS,
                 self.leadership.expire_sessions,
             )
-            self._start_task('tables', 0, self.leadership.publish_new_table)
+            self._start_task(
+                'tables',
+                TABLE_INTERVAL_MS,
+                self.leadership.publish_new_table,
+            )
             self._start_task(
                 'list',
                 LIST_CHECK_INTERVAL_MS,
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -139,8 +139,8 @@
     def publish_new_table(self) -> None:
         """Waits for a new table, applies it and sends it to the hosts.
 
-        A replica that starts applies many tables from its log at once; only
-        the newest is parsed.
+        Of tables that come in quick succession, or that a replica applies
+        from its log when it starts, only the newest is parsed and sent.
         """
         if not self._table_changed.wait(TABLE_WAIT_S):
             return
@@ -151,12 +151,13 @@
             term.sessions.publish_table()
 
     def expire_sessions(self) -> None:
-        """Drops expired host sessions and refuses overdue requests."""
+        """Drops expired sessions, refuses overdue requests, lists hosts."""
         term = self._term
         if term is None:
             return
         for host in term.sessions.expire():
             term.owner.release_host(host)
+        term.sessions.publish_hosts()
         term.owner.place_waiting()
 
     def refresh_endpoints(self) -> None:
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -4,11 +4,11 @@
 import threading
 
 from masticquay_coordination import table_machines
+from masticquay_coordination import updates
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
-from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
@@ -17,28 +17,35 @@
 # A new leader publishes no host list for this long, as few hosts have found it
 # yet; callers keep their older lists until then.
 HOST_LIST_DELAY_MS = 1_200
+# Changes of the host list within this time are sent together. Many hosts that
+# restart at once would otherwise cause a list for each of them to all others.
+HOST_LIST_INTERVAL_MS = 400
 
 
 class Session:
-    """The last renewal of one entry host."""
+    """The last renewal of one entry host, and the updates sent to it."""
 
-    __slots__ = ('renewal', 'link', 'renewed_ms')
+    __slots__ = ('renewal', 'link', 'renewed_ms', 'sent')
 
     def __init__(
         self,
         renewal: messages.Renew,
         link: peers.Connection,
         renewed_ms: int,
+        sent: updates.SentUpdates,
     ):
         self.renewal = renewal
         self.link = link
         self.renewed_ms = renewed_ms
+        self.sent = sent
 
 
 class Sessions:
     """The sessions of all hosts in one term.
 
     Sends the routing table, the endpoint list and the host list to the hosts.
+    Each is encoded once and sent to a host again only if the host still lacks
+    it after a while.
 
     :param term: the leader's term
     """
@@ -56,9 +63,12 @@
         self._sessions: dict[str, Session] = {}
         self._started_ms = clock.now_ms()
         self._hosts: list[fleets.Host] = []
-        self._hosts_number = 0
+        self._hosts_changed = False
+        self._hosts_published_ms = self._started_ms - HOST_LIST_INTERVAL_MS
         self._endpoints: list[fleets.Endpoint] = []
-        self._endpoints_number = 0
+        self._table_update: updates.Update | None = None
+        self._endpoint_update: updates.Update | None = None
+        self._host_update: updates.Update | None = None
 
     @property
     def host_names(self) -> set[str]:
@@ -71,12 +81,21 @@
 
         :returns: whether the host has restarted since its last renewal
         """
+        now_ms = self._clock.now_ms()
         with self._lock:
             previous = self._sessions.get(renewal.host)
-            session = Session(renewal, link, self._clock.now_ms())
+            sent = updates.SentUpdates()
+            if previous is not None and previous.link is link:
+                sent = previous.sent
+            session = Session(renewal, link, now_ms, sent)
             self._sessions[renewal.host] = session
-            self._update_hosts()
-            self._send_missing(session)
+            if previous is None or _is_listed_differently(
+                previous.renewal, renewal
+            ):
+                self._hosts_changed = True
+            missing = self._find_missing(session, now_ms)
+        for update in missing:
+            _send(session, update)
         if previous is None:
             LOG.info(
                 'host session opened',
@@ -99,7 +118,7 @@
             ]
             for name in expired:
                 del self._sessions[name]
-            self._update_hosts()
+                self._hosts_changed = True
         for name in expired:
             LOG.warning(
                 'host session expired',
@@ -109,35 +128,75 @@
 
     def publish_table(self) -> None:
         """Sends the newest table to all hosts."""
-        stored = self._machine.stored
-        if stored is not None:
-            self._publish(
-                messages.TableUpdate(stored.version, stored.document)
-            )
+        with self._lock:
+            update = self._update_table()
+        if update is not None:
+            self._publish(update)
 
     def publish_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
         """Sends the endpoint list to all hosts if it changed."""
         with self._lock:
-            if self._endpoints_number and endpoints == self._endpoints:
+            previous = self._endpoint_update
+            if previous is not None and endpoints == self._endpoints:
                 return
             self._endpoints = endpoints
-            self._endpoints_number += 1
-        self._publish(self._endpoint_update())
+            number = previous.number + 1 if previous else 1
+            update = updates.Update(
+                updates.Kind.ENDPOINTS,
+                number,
+                messages.EndpointUpdate(self.term, number, endpoints),
+            )
+            self._endpoint_update = update
+        self._publish(update)
+
+    def publish_hosts(self) -> None:
+        """Sends the host list to all hosts if it changed and is due."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            if not self._hosts_changed or not self._is_host_list_due(now_ms):
+                return
+            self._hosts_changed = False
+            hosts = self._list_hosts()
+            previous = self._host_update
+            if previous is not None and hosts == self._hosts:
+                return
+            self._hosts = hosts
+            self._hosts_published_ms = now_ms
+            number = previous.number + 1 if previous else 1
+            update = updates.Update(
+                updates.Kind.HOSTS,
+                number,
+                messages.HostUpdate(self.term, number, hosts),
+            )
+            self._host_update = update
+        self._publish(update)
 
     def announce_end(self) -> None:
         """Tells all hosts that this replica no longer leads."""
-        self._publish(messages.LeaderChanged(self.term))
+        self._publish(
+            updates.Update(
+                updates.Kind.LEADER,
+                self.term,
+                messages.LeaderChanged(self.term),
+            )
+        )
 
-    def _publish(self, update: wire_messages.Message) -> None:
+    def _publish(self, update: updates.Update) -> None:
+        now_ms = self._clock.now_ms()
         with self._lock:
             sessions = list(self._sessions.values())
+            for session in sessions:
+                session.sent.record(update, now_ms)
         for session in sessions:
             _send(session, update)
 
-    def _update_hosts(self) -> None:
-        if self._clock.now_ms() - self._started_ms < HOST_LIST_DELAY_MS:
-            return
-        hosts = [
+    def _is_host_list_due(self, now_ms: int) -> bool:
+        if now_ms - self._started_ms < HOST_LIST_DELAY_MS:
+            return False
+        return now_ms - self._hosts_published_ms >= HOST_LIST_INTERVAL_MS
+
+    def _list_hosts(self) -> list[fleets.Host]:
+        return [
             fleets.Host(
                 session.renewal.host,
                 session.renewal.address,
@@ -146,41 +205,62 @@
             for _name, session in sorted(self._sessions.items())
             if session.renewal.ready
         ]
-        if self._hosts_number and hosts == self._hosts:
-            return
-        self._hosts = hosts
-        self._hosts_number += 1
-        self._publish(self._host_update())
 
-    def _send_missing(self, session: Session) -> None:
-        renewal = session.renewal
+    def _update_table(self) -> updates.Update | None:
+        """Returns the update with the newest table, None without a table."""
         stored = self._machine.stored
-        if stored is not None and renewal.table_version < stored.version:
-            _send(
-                session, messages.TableUpdate(stored.version, stored.document)
+        if stored is None:
+            return None
+        update = self._table_update
+        if update is None or update.number < stored.version:
+            update = updates.Update(
+                updates.Kind.TABLE,
+                stored.version,
+                messages.TableUpdate(stored.version, stored.document),
             )
+            self._table_update = update
+        return update
+
+    def _find_missing(
+        self, session: Session, now_ms: int
+    ) -> list[updates.Update]:
+        """Returns the updates that a host lacks and is not about to get."""
+        renewal = session.renewal
         same_term = renewal.term == self.term
-        if self._endpoints_number and not (
-            same_term and renewal.endpoints_number == self._endpoints_number
-        ):
-            _send(session, self._endpoint_update())
-        if self._hosts_number and not (
-            same_term and renewal.hosts_number == self._hosts_number
-        ):
-            _send(session, self._host_update())
-
-    def _endpoint_update(self) -> messages.EndpointUpdate:
-        return messages.EndpointUpdate(
-            self.term, self._endpoints_number, self._endpoints
+        held_numbers = (
+            (self._update_table(), renewal.table_version),
+            (
+                self._endpoint_update,
+                renewal.endpoints_number if same_term else 0,
+            ),
+            (self._host_update, renewal.hosts_number if same_term else 0),
         )
+        missing = [
+            update
+            for update, held_number in held_numbers
+            if update is not None
+            and held_number < update.number
+            and session.sent.is_due(update, now_ms)
+        ]
+        for update in missing:
+            session.sent.record(update, now_ms)
+        return missing
+
 
-    def _host_update(self) -> messages.HostUpdate:
-        return messages.HostUpdate(self.term, self._hosts_number, self._hosts)
+def _is_listed_differently(
+    earlier: messages.Renew, later: messages.Renew
+) -> bool:
+    """Whether two renewals of a host differ in what the host list says."""
+    return (earlier.ready, earlier.address, earlier.place) != (
+        later.ready,
+        later.address,
+        later.place,
+    )
 
 
-def _send(session: Session, update: wire_messages.Message) -> None:
+def _send(session: Session, update: updates.Update) -> None:
     try:
-        session.link.notify(update)
+        session.link.notify_encoded(update.notice)
     except wire_errors.WireError:
         # The host renews over a new link and gets the update then.
         return
--- a/libs/coordination/tests/fakes.py
+++ b/libs/coordination/tests/fakes.py
@@ -20,6 +20,9 @@
             raise wire_errors.PeerUnavailableError('disconnected')
         self.notifications.append(message)
 
+    def notify_encoded(self, notice):
+        self.notify(notice.message)
+
     def last(self, kind):
         """Returns the latest notification of a type, or None."""
         matching = [n for n in self.notifications if isinstance(n, kind)]
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -56,6 +56,9 @@
     def notify(self, message):
         self.notifications.put(message)
 
+    def notify_encoded(self, notice):
+        self.notify(notice.message)
+
 
 class CountingReader(fakes.VersionReader):
     """Counts the documents that it parses."""
--- a/libs/coordination/tests/test_sessions.py
+++ b/libs/coordination/tests/test_sessions.py
@@ -4,6 +4,7 @@
 
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
+from masticquay_coordination import updates
 from masticquay_routing import messages
 from masticquay_wire import clocks
 from tests import fakes
@@ -27,6 +28,7 @@
         self.commit_table(4)
         self.sessions.publish_endpoints(fakes.make_engines(1, 1))
         self.sessions.renew(fakes.make_renewal(), self.link)
+        self.sessions.publish_hosts()
         self.assertEqual(4, self.link.last(messages.TableUpdate).version)
         update = self.link.last(messages.EndpointUpdate)
         self.assertEqual(2, len(update.endpoints))
@@ -37,7 +39,9 @@
         self.commit_table(4)
         self.sessions.publish_endpoints([])
         self.sessions.renew(fakes.make_renewal(), self.link)
+        self.sessions.publish_hosts()
         self.link.notifications.clear()
+        self.clock.advance_ms(updates.RESEND_AFTER_MS)
         self.sessions.renew(
             fakes.make_renewal(
                 table_version=4,
@@ -47,8 +51,32 @@
             ),
             self.link,
         )
+        self.sessions.publish_hosts()
         self.assertEqual([], self.link.notifications)
 
+    def test_update_on_its_way_is_not_sent_again(self):
+        self.commit_table(4)
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.link.notifications.clear()
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.assertEqual([], self.link.notifications)
+
+    def test_update_that_stays_missing_is_sent_again(self):
+        self.commit_table(4)
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.link.notifications.clear()
+        self.clock.advance_ms(updates.RESEND_AFTER_MS)
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        self.assertEqual(4, self.link.last(messages.TableUpdate).version)
+
+    def test_host_with_a_new_link_gets_all_updates_again(self):
+        """What was sent over the lost link may not have arrived."""
+        self.commit_table(4)
+        self.sessions.renew(fakes.make_renewal(), self.link)
+        new_link = fakes.FakeLink()
+        self.sessions.renew(fakes.make_renewal(), new_link)
+        self.assertEqual(4, new_link.last(messages.TableUpdate).version)
+
     def test_list_numbers_of_another_term_are_ignored(self):
         self.sessions.publish_endpoints([])
         self.sessions.renew(
@@ -76,15 +104,20 @@
         other = fakes.FakeLink()
         self.sessions.renew(fakes.make_renewal('h1'), self.link)
         self.sessions.renew(fakes.make_renewal('h2'), other)
+        self.sessions.publish_hosts()
         self.clock.advance_ms(sessions.SESSION_TIMEOUT_MS + 1)
         self.sessions.renew(fakes.make_renewal('h2'), other)
         self.assertEqual(['h1'], self.sessions.expire())
+        self.sessions.publish_hosts()
         hosts = other.last(messages.HostUpdate).hosts
         self.assertEqual(['h2'], [host.name for host in hosts])
 
     def test_draining_host_is_removed_from_the_host_list(self):
         self.sessions.renew(fakes.make_renewal(), self.link)
+        self.sessions.publish_hosts()
+        self.clock.advance_ms(sessions.HOST_LIST_INTERVAL_MS)
         self.sessions.renew(fakes.make_renewal(ready=False), self.link)
+        self.sessions.publish_hosts()
         self.assertEqual([], self.link.last(messages.HostUpdate).hosts)
 
     def test_new_leader_delays_the_host_list(self):
@@ -93,9 +126,10 @@
             TERM + 1, self.machine, self.clock
         )
         new_leader_sessions.renew(fakes.make_renewal(), self.link)
+        new_leader_sessions.publish_hosts()
         self.assertIsNone(self.link.last(messages.HostUpdate))
         self.clock.advance_ms(sessions.HOST_LIST_DELAY_MS)
-        new_leader_sessions.renew(fakes.make_renewal(), self.link)
+        new_leader_sessions.publish_hosts()
         self.assertIsNotNone(self.link.last(messages.HostUpdate))
 
     def test_restart_of_a_host_is_detected(self):
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -157,14 +157,7 @@
             raise errors.PeerUnavailableError(
                 f'{self.address}: the link is down'
             )
-        frame = messages.encode_frame(
-            messages.Frame(messages.KIND_NOTICE, 0, message)
-        )
-        if len(frame) > messages.MAX_FRAME_BYTES:
-            raise errors.MessageError(
-                'the notice exceeds the maximum frame size'
-            )
-        if not outbox.send(frame):
+        if not outbox.send(messages.EncodedNotice(message).frame):
             raise errors.PeerUnavailableError(
                 f'{self.address}: the link is lost'
             )
--- a/libs/wire/masticquay_wire/listeners.py
+++ b/libs/wire/masticquay_wire/listeners.py
@@ -57,14 +57,14 @@
 
         :raises PeerUnavailableError: when the link is lost
         """
-        frame = messages.encode_frame(
-            messages.Frame(messages.KIND_NOTICE, 0, message)
-        )
-        if len(frame) > messages.MAX_FRAME_BYTES:
-            raise errors.MessageError(
-                'the notice exceeds the maximum frame size'
-            )
-        if not self.send(frame):
+        self.notify_encoded(messages.EncodedNotice(message))
+
+    def notify_encoded(self, notice: messages.EncodedNotice) -> None:
+        """Sends a notice that was encoded for several links.
+
+        :raises PeerUnavailableError: when the link is lost
+        """
+        if not self.send(notice.frame):
             raise errors.PeerUnavailableError(
                 f'{self._name}: the link is lost'
             )
--- a/libs/wire/masticquay_wire/messages.py
+++ b/libs/wire/masticquay_wire/messages.py
@@ -124,6 +124,23 @@
     )
 
 
+class EncodedNotice:
+    """A notice, a message without answer, encoded once for several links.
+
+    :raises MessageError: when the message is too large
+    """
+
+    __slots__ = ('message', 'frame')
+
+    def __init__(self, message: Message):
+        self.message = message
+        self.frame = encode_frame(Frame(KIND_NOTICE, 0, message))
+        if len(self.frame) > MAX_FRAME_BYTES:
+            raise errors.MessageError(
+                'the notice exceeds the maximum frame size'
+            )
+
+
 class RawFrame:
     """A frame whose message has not been decoded yet.
 
--- a/libs/wire/masticquay_wire/peers.py
+++ b/libs/wire/masticquay_wire/peers.py
@@ -75,6 +75,12 @@
         :raises WireError: when the link is lost
         """
 
+    def notify_encoded(self, notice: messages.EncodedNotice) -> None:
+        """Sends a notice that was encoded for several links.
+
+        :raises WireError: when the link is lost
+        """
+
     def on_close(self, hook: typing.Callable[[], None]) -> None:
         """Registers a hook to call once the link is lost.
 
