--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -15,6 +15,7 @@
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
 from masticquay_routing import errors as routing_errors
+from masticquay_routing import fleet_views
 from masticquay_routing import messages
 from masticquay_routing import tables
 from masticquay_wire import clocks
@@ -50,6 +51,7 @@
         'started_ms',
         'first',
         'table_version',
+        'fleet_view',
     )
 
     def __init__(
@@ -66,6 +68,7 @@
         self.started_ms = started_ms
         self.first = first
         self.table_version = -1
+        self.fleet_view = fleet_views.FleetView()
 
 
 class Leadership:
@@ -95,6 +98,7 @@
         self._lock = threading.Lock()
         self._term: LeaderTerm | None = None
         self._table_lock = threading.Lock()
+        self._view_lock = threading.Lock()
         self._table_changed = threading.Event()
         self._waiting_hosts: dict[str, peers.Connection] = {}
         self._next_list_ms = 0
@@ -157,6 +161,8 @@
             return
         for host in term.sessions.expire():
             term.owner.release_host(host)
+            with self._view_lock:
+                term.fleet_view.drop_host(host)
         term.sessions.publish_hosts()
         term.owner.place_waiting()
 
@@ -184,6 +190,8 @@
             LOG.info('endpoint list can be read again')
         self._list_read_failed = False
         self._apply_newest_table(term)
+        with self._view_lock:
+            term.fleet_view.set_endpoints(endpoints)
         term.sessions.publish_endpoints(endpoints)
         term.owner.set_endpoints(endpoints)
 
@@ -294,7 +302,29 @@
         exhausted = term.owner.charge(renewal.usage)
         members = self._node.status().members
         controls = [member.member.address for member in members]
-        return messages.Renewed(term.number, controls, exhausted)
+        return messages.Renewed(
+            term.number,
+            controls,
+            exhausted,
+            self._exchange_endpoint_views(term, renewal),
+        )
+
+    def _exchange_endpoint_views(
+        self, term: LeaderTerm, renewal: messages.Renew
+    ) -> list[messages.EndpointView]:
+        """Records what a host saw of endpoints; returns what all hosts did."""
+        now_ms = self._clock.now_ms()
+        with self._view_lock:
+            ejected = term.fleet_view.record(
+                renewal.host, renewal.endpoint_reports, now_ms
+            )
+            views = term.fleet_view.views(now_ms)
+        for endpoint_id in ejected:
+            LOG.warning(
+                'endpoint does not react to requests of several hosts',
+                extra={'endpoint': endpoint_id, 'entry_host': renewal.host},
+            )
+        return views
 
     def _handle_admit(
         self, request: messages.Admit, link: peers.Connection
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -123,6 +123,7 @@
         )
         self._placer = placers.Placer(settings.name, self.link, self.state)
         self._pools = exchanges.ConnectionPools()
+        self._chooser = choosers.Chooser(settings.place, random.Random())
         self._disconnect_watcher = disconnects.DisconnectWatcher()
         self.calls = self._make_call_service(
             caller_protocol, endpoint_protocol
@@ -206,6 +207,16 @@
         """
         self.usage.set_exhausted(exhausted)
 
+    def collect_endpoint_reports(self) -> list[messages.EndpointReport]:
+        """Returns and resets what was seen of plain services' endpoints."""
+        return self._chooser.collect_reports()
+
+    def apply_endpoint_views(self, views: list[messages.EndpointView]) -> None:
+        """Applies what all hosts together know of these endpoints."""
+        self._chooser.drop_unlisted(self.state.all_endpoints())
+        listed = [v for v in views if self.state.endpoint(v.endpoint_id)]
+        self._chooser.apply_views(listed, time.monotonic_ns() // 1_000_000)
+
     def hosts(self) -> list[fleets.Host]:
         """Returns the hosts that callers may use."""
         hosts = list(self.state.hosts)
@@ -222,12 +233,11 @@
         endpoint_protocol: ports.EndpointProtocol,
     ) -> calls.CallService:
         budgets = retries.RetryBudgets(self.settings.budget, self.state)
-        chooser = choosers.Chooser(self.settings.place, random.Random())
         forwarder = forwards.Forwarder(
             self.state,
             endpoint_protocol,
             self._pools,
-            chooser,
+            self._chooser,
             budgets,
             self.registry,
         )
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -71,6 +71,10 @@
         """Returns the endpoints of a service."""
         return self._by_service.get(service, [])
 
+    def all_endpoints(self) -> list[fleets.Endpoint]:
+        """Returns the endpoints of all services."""
+        return list(self._by_id.values())
+
     def endpoint(self, endpoint_id: str) -> fleets.Endpoint | None:
         """Returns a listed endpoint, None if it is not listed."""
         return self._by_id.get(endpoint_id)
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -106,27 +106,28 @@
         self, job: jobs.Job, endpoint: fleets.Endpoint
     ) -> Response | ports.Refusal:
         statistics = self._chooser.statistics(endpoint.endpoint_id)
-        statistics.in_flight += 1
+        statistics.begin()
         started_s = time.monotonic()
+        started_ms = _now_ms()
         try:
             outcome = self._exchange(job, endpoint, statistics)
         except exchanges.InterruptedCallError:
             raise
         except exchanges.NotSentError as cause:
-            statistics.record_failure(_now_ms(), hard=True)
+            statistics.record_failure(_now_ms(), unreachable=True)
             outcome = ports.Refusal(
                 ports.Reason.NOT_RUN,
                 f'endpoint not reached: {cause}',
                 RETRY_AFTER_MS,
             )
         except exchanges.StalledError as cause:
-            statistics.record_failure(_now_ms(), hard=True)
+            statistics.record_timeout(started_ms, _now_ms())
             outcome = ports.Refusal(ports.Reason.TIMED_OUT, str(cause))
         except exchanges.EndpointError as cause:
-            statistics.record_failure(_now_ms(), hard=True)
+            statistics.record_failure(_now_ms())
             outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
         finally:
-            statistics.in_flight -= 1
+            statistics.end()
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
@@ -156,19 +157,19 @@
         if head.load is not None:
             statistics.record_load(head.load, now_ms)
         if not head.was_run:
-            statistics.record_failure(now_ms, hard=False)
+            statistics.record_refusal(now_ms)
             return ports.Refusal(
                 ports.Reason.NOT_RUN,
                 f'endpoint refused it: status {response.status}',
                 RETRY_AFTER_MS,
             )
         if not head.matches_request:
-            statistics.record_failure(now_ms, hard=True)
+            statistics.record_failure(now_ms)
             return ports.Refusal(
                 ports.Reason.UNKNOWN, 'response does not match the request'
             )
         if response.status >= 500:
-            statistics.record_failure(now_ms, hard=False)
+            statistics.record_error(now_ms)
         else:
             statistics.record_success(
                 (time.monotonic() - started_s) * 1000, now_ms
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -63,6 +63,12 @@
             allowed again
         """
 
+    def collect_endpoint_reports(self) -> list[messages.EndpointReport]:
+        """Returns and resets what was seen of plain services' endpoints."""
+
+    def apply_endpoint_views(self, views: list[messages.EndpointView]) -> None:
+        """Applies what all hosts together know of these endpoints."""
+
 
 class ControlLink:
     """Finds the leader, renews this host's session and receives updates.
@@ -241,6 +247,7 @@
         self._renewed_s = time.monotonic()
         self._replica_addresses = renewed.controls[:MAX_REPLICAS]
         self._report.set_exhausted(renewed.exhausted)
+        self._report.apply_endpoint_views(renewed.endpoint_views)
         if renewed.term == self._term:
             return
         self._term = renewed.term
@@ -276,6 +283,9 @@
             term=self._term,
             usage={} if is_searching else self._report.collect_usage(),
             running=running,
+            endpoint_reports=(
+                [] if is_searching else self._report.collect_endpoint_reports()
+            ),
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -36,6 +36,12 @@
     def set_exhausted(self, exhausted):
         self.leader_found.set()
 
+    def collect_endpoint_reports(self):
+        return []
+
+    def apply_endpoint_views(self, views):
+        pass
+
 
 class ControlLinkTest(unittest.TestCase):
     def setUp(self):
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -38,6 +38,80 @@
         self.prompt_tokens = prompt_tokens
 
 
+class EndpointReport(records.Record):
+    """What a host saw of a plain service's endpoint since its last report.
+
+    :param in_flight: the host's requests that the endpoint is running
+    :param succeeded: number of requests with a response
+    :param errors: number of refusals and error responses
+    :param failed: number of requests without a valid response
+    :param unreachable: those of ``failed`` to which the endpoint did not react
+        at all
+    :param latency_ms: mean time of those that succeeded
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'in_flight',
+        'succeeded',
+        'errors',
+        'failed',
+        'unreachable',
+        'latency_ms',
+    )
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        in_flight: int,
+        succeeded: int,
+        errors: int,
+        failed: int,
+        unreachable: int,
+        latency_ms: float,
+    ):
+        self.endpoint_id = endpoint_id
+        self.in_flight = in_flight
+        self.succeeded = succeeded
+        self.errors = errors
+        self.failed = failed
+        self.unreachable = unreachable
+        self.latency_ms = latency_ms
+
+
+class EndpointView(records.Record):
+    """What all hosts together know of a plain service's endpoint.
+
+    :param in_flight: the requests of all hosts that it is running
+    :param latency_ms: expected time of a request, 0 if unknown
+    :param failure_rate: by how much the share of failed requests exceeds that
+        of the service's other endpoints
+    :param ejected_ms: how long it should get no requests, 0 if it may
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'in_flight',
+        'latency_ms',
+        'failure_rate',
+        'ejected_ms',
+    )
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        in_flight: int,
+        latency_ms: float,
+        failure_rate: float,
+        ejected_ms: int,
+    ):
+        self.endpoint_id = endpoint_id
+        self.in_flight = in_flight
+        self.latency_ms = latency_ms
+        self.failure_rate = failure_rate
+        self.ejected_ms = ejected_ms
+
+
 @messages.register
 class Renew(messages.Message):
     """Renews a host's session with the leader and reports its state.
@@ -54,6 +128,8 @@
         since the last renewal; the leader charges it
     :param running: the host's placed requests, sent once to each new leader
         and otherwise empty
+    :param endpoint_reports: on the endpoints that the host has used since its
+        last renewal
     """
 
     __slots__ = (
@@ -68,6 +144,7 @@
         'term',
         'usage',
         'running',
+        'endpoint_reports',
     )
 
     def __init__(
@@ -83,6 +160,7 @@
         term: int,
         usage: dict[str, float],
         running: list[Running],
+        endpoint_reports: list[EndpointReport] | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -95,6 +173,7 @@
         self.term = term
         self.usage = usage
         self.running = running
+        self.endpoint_reports = endpoint_reports or []
 
 
 @messages.register
@@ -118,16 +197,22 @@
     :param controls: ``ip:port`` of the control replicas
     :param exhausted: the workspaces over their rate limit, with the time in
         ms until each may send requests again
+    :param endpoint_views: on the endpoints of plain services that are in use
     """
 
-    __slots__ = ('term', 'controls', 'exhausted')
+    __slots__ = ('term', 'controls', 'exhausted', 'endpoint_views')
 
     def __init__(
-        self, term: int, controls: list[str], exhausted: dict[str, int]
+        self,
+        term: int,
+        controls: list[str],
+        exhausted: dict[str, int],
+        endpoint_views: list[EndpointView] | None = None,
     ):
         self.term = term
         self.controls = controls
         self.exhausted = exhausted
+        self.endpoint_views = endpoint_views or []
 
 
 @messages.register
