--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -9,6 +9,7 @@
 """
 
 from masticquay_routing import engine_states
+from masticquay_routing import failed_placements
 from masticquay_routing import fleets
 from masticquay_routing import queued_requests
 from masticquay_routing import refused_prompts
@@ -89,6 +90,23 @@
 ]
 
 
+class UsableEngines:
+    """The engines that may get requests at one moment, by role."""
+
+    __slots__ = ('prefills', 'decodes')
+
+    def __init__(
+        self, engines: dict[str, engine_states.EngineState], now_ms: int
+    ):
+        usable = [e for e in engines.values() if e.is_usable(now_ms)]
+        self.prefills = [
+            e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL
+        ]
+        self.decodes = [
+            e for e in usable if e.endpoint.role == fleets.ROLE_DECODE
+        ]
+
+
 class Pool:
     """The engines of one service, its queue and its reservations."""
 
@@ -295,12 +313,18 @@
         """Places waiting requests and refuses those that waited too long."""
         outcomes: list[Outcome] = []
         waiting = []
+        engines = UsableEngines(self.engines, now_ms)
+        failures = failed_placements.FailedPlacements()
         for request in sorted(
             self._queue, key=lambda r: _queue_order(r, now_ms)
         ):
-            placement = self._place(request, now_ms)
+            placement = None
+            if not failures.imply_failure_of(request, now_ms):
+                placement = self._place(request, engines, failures, now_ms)
             if placement is not None:
                 outcomes.append((request, placement))
+                engines = UsableEngines(self.engines, now_ms)
+                failures = failed_placements.FailedPlacements()
             elif now_ms >= request.placement_deadline_ms:
                 outcomes.append((request, self._refuse(request, now_ms)))
             else:
@@ -335,26 +359,31 @@
 
     def usable_by_role(self, now_ms: int) -> tuple[list, list]:
         """Returns the usable prefill and decode engines."""
-        usable = [e for e in self.engines.values() if e.is_usable(now_ms)]
-        prefill = [e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL]
-        decode = [e for e in usable if e.endpoint.role == fleets.ROLE_DECODE]
-        return prefill, decode
+        usable = UsableEngines(self.engines, now_ms)
+        return usable.prefills, usable.decodes
 
     def _place(
-        self, request: queued_requests.QueuedRequest, now_ms: int
+        self,
+        request: queued_requests.QueuedRequest,
+        engines: 'UsableEngines',
+        failures: failed_placements.FailedPlacements,
+        now_ms: int,
     ) -> queued_requests.Placement | None:
-        prefills, decodes = self.usable_by_role(now_ms)
-        late = (
-            now_ms >= request.target_deadline_ms and not request.preferred_id
-        )
+        """Places a request, or records why it could not be placed.
+
+        :param engines: the engines that may get requests now
+        :param failures: the requests that could not be placed on them
+        """
+        late = request.is_late(now_ms)
         memory_share = LATE_MEMORY_SHARE if late else 1.0
         candidates = [
             e
-            for e in decodes
+            for e in engines.decodes
             if e.has_capacity(request.memory_tokens, memory_share)
             and e.endpoint.endpoint_id not in request.avoided_ids
         ]
         if not candidates:
+            failures.record_full_memory(request, late)
             return None
         preferred = self.engines.get(request.preferred_id)
         if (
@@ -367,7 +396,7 @@
             return self._place_decode_only(request, decode)
         prefills = [
             e
-            for e in prefills
+            for e in engines.prefills
             if e.endpoint.endpoint_id not in request.avoided_ids
         ]
         prefill = min(
@@ -381,6 +410,7 @@
             )
             if late:
                 if backlog_ms > LATE_MAX_PREFILL_BACKLOG_MS:
+                    failures.record_long_backlog_for_late(request)
                     return None
                 return self._place_disaggregated(
                     request, prefill, candidates, now_ms
@@ -392,6 +422,8 @@
                 if placement is not None:
                     return placement
             if backlog_ms > MAX_PREFILL_BACKLOG_MS:
+                if not self._with_short_stall(request, candidates, now_ms):
+                    failures.record_long_backlog(request)
                 return None
             first_token_ms = (
                 now_ms + backlog_ms + self._time_to_first_token_ms(request)
@@ -448,28 +480,19 @@
         :param no_prefill_engine: whether no prefill engine is usable; if so,
             a longer stall is accepted
         """
-        without_recent_prefill = [
-            e
-            for e in candidates
-            if now_ms - e.last_local_prefill_ms
-            >= engine_states.LOCAL_PREFILL_INTERVAL_MS
-        ]
-        max_stall_ms = request.pause_ms * MAX_STALL_SHARE
-        with_short_stall = [
-            e
-            for e in without_recent_prefill
-            if self._expected_stall_ms(e, request) <= max_stall_ms
-        ]
+        with_short_stall = self._with_short_stall(request, candidates, now_ms)
         if with_short_stall:
             decode = min(
                 with_short_stall,
                 key=lambda e: (e.takes_long_prompts(now_ms), e.running_count),
             )
-        elif no_prefill_engine and without_recent_prefill:
+        elif no_prefill_engine and (
+            rested := _without_recent_prefill(candidates, now_ms)
+        ):
             # Keep long prompts on one engine, so that the streams of the
             # others are not stalled.
             decode = max(
-                without_recent_prefill,
+                rested,
                 key=lambda e: (e.last_long_prompt_ms, -e.running_count),
             )
             decode.last_long_prompt_ms = now_ms
@@ -485,6 +508,20 @@
         decode.begin_probe(now_ms)
         return self._place_decode_only(request, decode, now_ms)
 
+    def _with_short_stall(
+        self,
+        request: queued_requests.QueuedRequest,
+        candidates: list[engine_states.EngineState],
+        now_ms: int,
+    ) -> list[engine_states.EngineState]:
+        """Returns the engines that can prefill a prompt between streams."""
+        max_stall_ms = request.pause_ms * MAX_STALL_SHARE
+        return [
+            e
+            for e in _without_recent_prefill(candidates, now_ms)
+            if self._expected_stall_ms(e, request) <= max_stall_ms
+        ]
+
     def _expected_stall_ms(
         self,
         state: engine_states.EngineState,
@@ -576,6 +613,18 @@
         )
 
 
+def _without_recent_prefill(
+    candidates: list[engine_states.EngineState], now_ms: int
+) -> list[engine_states.EngineState]:
+    """Returns the engines whose streams were not stalled a moment ago."""
+    return [
+        e
+        for e in candidates
+        if now_ms - e.last_local_prefill_ms
+        >= engine_states.LOCAL_PREFILL_INTERVAL_MS
+    ]
+
+
 def _queue_order(request: queued_requests.QueuedRequest, now_ms: int) -> tuple:
     """Orders requests that can be on time first, then by priority and age."""
     late = now_ms >= request.target_deadline_ms
--- a/libs/routing/masticquay_routing/queued_requests.py
+++ b/libs/routing/masticquay_routing/queued_requests.py
@@ -88,6 +88,13 @@
         self.prefilled = prefilled
         self.pause_ms = pause_ms
 
+    def is_late(self, now_ms: int) -> bool:
+        """Whether a request that has no prompt in a cache misses its target.
+
+        One that resumes a stream counts as on time.
+        """
+        return now_ms >= self.target_deadline_ms and not self.preferred_id
+
     @property
     def memory_tokens(self) -> int:
         """The decode memory to reserve, rounded up to whole blocks."""
