--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -7,6 +7,7 @@
 from masticquay_consensus import errors as consensus_errors
 from masticquay_coordination import leaderships
 from masticquay_coordination import table_machines
+from masticquay_routing import fleet_views
 from masticquay_routing import messages
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -95,9 +96,9 @@
         self.leadership.register(listener)
         self.link = QueueLink()
 
-    def renew(self):
+    def renew(self, host='h', reports=()):
         renewal = messages.Renew(
-            host='h',
+            host=host,
             incarnation=1,
             address='127.0.0.1:1',
             place='p',
@@ -108,6 +109,7 @@
             term=0,
             usage={},
             running=[],
+            endpoint_reports=list(reports),
         )
         return self.handlers[messages.Renew](renewal, self.link)
 
@@ -171,3 +173,16 @@
         self.assertEqual(1, self.reader.read_count)
         self.leadership.publish_new_table()
         self.assertEqual(1, self.reader.read_count)
+
+    def test_answer_to_a_renewal_has_the_view_of_all_hosts(self):
+        self.commit_tables(1)
+        self.lister.endpoints = fakes.make_engines(1, 1)
+        self.lead()
+        self.leadership.refresh_endpoints()
+        for host in ('h1', 'h2'):
+            report = messages.EndpointReport('e0', 2, 1, 0, 0, 0, 50.0)
+            self.renew(host, [report])
+        self.clock.advance_ms(fleet_views.VIEWS_INTERVAL_MS)
+        views = self.renew('h3').endpoint_views
+        self.assertEqual(['e0'], [v.endpoint_id for v in views])
+        self.assertEqual(4, views[0].in_flight)
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -19,6 +19,10 @@
 RENEW_INTERVAL_MS = 400
 RENEW_TIMEOUT_MS = 400
 SEARCH_INTERVAL_MS = 100
+# A search that takes longer repeats less often: the next leader notifies the
+# hosts that asked it, and many hosts that search would keep replicas busy.
+LONG_SEARCH_INTERVAL_MS = 250
+QUICK_SEARCH_ROUNDS = 5
 # After this time without a renewal, the host works without the leader.
 LEADER_TIMEOUT_MS = 850
 MAX_REPLICAS = 16
@@ -96,6 +100,7 @@
         self._pending_renewals: dict[str, futures.Future] = {}
         self._leader: str | None = None
         self._term = 0
+        self._search_rounds = 0
         self._renewed_s = float('-inf')
         self._wake = threading.Event()
         self._closed = False
@@ -162,12 +167,19 @@
                     self._renew(self._leader)
             except Exception:
                 LOG.exception('unexpected error in the renewal loop')
-            pause_ms = RENEW_INTERVAL_MS
-            if self._leader is None:
-                pause_ms = SEARCH_INTERVAL_MS
-            self._wake.wait(pause_ms / 1000)
+            self._wake.wait(self._pause_ms() / 1000)
             self._wake.clear()
 
+    def _pause_ms(self) -> int:
+        """Returns the time until the next renewal or round of a search."""
+        if self._leader is not None:
+            self._search_rounds = 0
+            return RENEW_INTERVAL_MS
+        self._search_rounds += 1
+        if self._search_rounds > QUICK_SEARCH_ROUNDS:
+            return LONG_SEARCH_INTERVAL_MS
+        return SEARCH_INTERVAL_MS
+
     def _search(self) -> None:
         """Sends a renewal to every known replica to find the leader.
 
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -117,3 +117,18 @@
 
         self.assert_leader_found([self.start_replica(answer)])
         self.assertEqual(1, len(self.renewals))
+
+    def test_long_search_repeats_less_often(self):
+        """Hosts without a leader must not keep the replicas busy."""
+        state = fleet_states.FleetState(test_fleet_states.VersionReader())
+        identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
+        link = links.ControlLink(
+            identity, SECRET, lambda: [], state, self.report
+        )
+        pauses_ms = [link._pause_ms() for _ in range(10)]
+        self.assertEqual(links.SEARCH_INTERVAL_MS, pauses_ms[0])
+        self.assertEqual(links.LONG_SEARCH_INTERVAL_MS, pauses_ms[-1])
+        link._leader = '127.0.0.1:2'
+        link._pause_ms()
+        link._leader = None
+        self.assertEqual(links.SEARCH_INTERVAL_MS, link._pause_ms())
