--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -8,11 +8,13 @@
 ``engine_states``. A late request can no longer meet its latency target.
 """
 
+from masticquay_routing import ejections
 from masticquay_routing import engine_states
 from masticquay_routing import failed_placements
 from masticquay_routing import fleets
 from masticquay_routing import queued_requests
 from masticquay_routing import refused_prompts
+from masticquay_routing import reservations
 from masticquay_routing import speeds
 
 # A local prefill may stall streams for up to this fraction of the pause that
@@ -26,20 +28,11 @@
 # Cost of a decode engine in another data centre. On this scale, an engine with
 # a full memory costs 100.
 OTHER_PLACE_COST = 25
-# Weights of a new outcome in the moving average of an engine's failure rate. A
-# failed connection is stronger evidence than any other failure.
-FAILURE_SMOOTHING = 0.25
-UNREACHABLE_SMOOTHING = 0.5
-# An engine that reaches this failure rate is ejected for a while.
-EJECT_FAILURE_RATE = 0.55
 # Cost of a decode engine that fails every request, on the scale of
 # OTHER_PLACE_COST.
 FAILURE_COST = 100
 # A broken stream resumes on its former engine only below this failure rate.
 PREFER_MAX_FAILURE_RATE = 0.4
-EJECT_MAX_MS = 12_000
-# No more than this fraction of the engines is ejected at a time.
-MAX_EJECTED_SHARE = 0.5
 # Late requests use only this fraction of the memory and wait for a shorter
 # backlog, to leave capacity for requests that can still be on time.
 LATE_MEMORY_SHARE = 0.8
@@ -50,39 +43,6 @@
 RETRY_AFTER_MAX_MS = 4_000
 
 
-class _Reservation:
-    """The capacity that a placed request reserves.
-
-    :param memory_tokens: the decode memory
-    :param prefill_id: the prefill engine; empty if there is none or it has
-        completed the prefill
-    :param local_prefill_started_ms: when the local prefill was placed, None
-        if there is none
-    """
-
-    __slots__ = (
-        'decode_id',
-        'memory_tokens',
-        'prefill_id',
-        'prompt_tokens',
-        'local_prefill_started_ms',
-    )
-
-    def __init__(
-        self,
-        decode_id: str,
-        memory_tokens: int,
-        prefill_id: str,
-        prompt_tokens: int,
-        local_prefill_started_ms: int | None = None,
-    ):
-        self.decode_id = decode_id
-        self.memory_tokens = memory_tokens
-        self.prefill_id = prefill_id
-        self.prompt_tokens = prompt_tokens
-        self.local_prefill_started_ms = local_prefill_started_ms
-
-
 # A request that left the queue, and where it was placed or why not.
 Outcome = tuple[
     queued_requests.QueuedRequest,
@@ -112,7 +72,9 @@
 
     def __init__(self) -> None:
         self.engines: dict[str, engine_states.EngineState] = {}
-        self._reservations: dict[queued_requests.RequestKey, _Reservation] = {}
+        self._reservations: dict[
+            queued_requests.RequestKey, reservations.Reservation
+        ] = {}
         self._queue: list[queued_requests.QueuedRequest] = []
         self._prefill_speed = speeds.PrefillSpeed()
         self._refused_prompts = refused_prompts.RefusedPrompts()
@@ -193,7 +155,10 @@
         """Adds the reservation of a request that an earlier leader placed."""
         if key not in self._reservations:
             self._reserve(
-                key, _Reservation(decode_id, memory_tokens, '', prompt_tokens)
+                key,
+                reservations.Reservation(
+                    decode_id, memory_tokens, '', prompt_tokens
+                ),
             )
 
     def begin_decode(
@@ -256,28 +221,7 @@
 
         :param reached: whether the host could connect to the engine
         """
-        state = self.engines.get(endpoint_id)
-        if state is None or state.ejected_until_ms > now_ms:
-            return
-        smoothing = FAILURE_SMOOTHING if reached else UNREACHABLE_SMOOTHING
-        state.failure_rate += smoothing * (1 - state.failure_rate)
-        if state.failure_rate < EJECT_FAILURE_RATE:
-            return
-        ejected = sum(
-            e.ejected_until_ms > now_ms for e in self.engines.values()
-        )
-        if ejected + 1 > len(self.engines) * MAX_EJECTED_SHARE:
-            return
-        # After the ejection, one more failure ejects it again and one
-        # success leaves it in use.
-        state.failure_rate = EJECT_FAILURE_RATE - FAILURE_SMOOTHING / 2
-        if state.failing_since_ms is None:
-            state.failing_since_ms = now_ms
-        if self._is_last_usable_of_role(state, now_ms):
-            # Retry it soon, as no other engine can replace it.
-            state.ejection_ms = engine_states.EJECT_MIN_MS
-        state.ejected_until_ms = now_ms + state.ejection_ms
-        state.ejection_ms = min(EJECT_MAX_MS, state.ejection_ms * 2)
+        ejections.record_failure(self.engines, endpoint_id, now_ms, reached)
 
     def record_refusal(
         self, endpoint_id: str, now_ms: int, pause_ms: int
@@ -291,23 +235,10 @@
         if state is not None:
             state.paused_until_ms = now_ms + pause_ms
 
-    def _is_last_usable_of_role(
-        self, state: engine_states.EngineState, now_ms: int
-    ) -> bool:
-        role = state.endpoint.role
-        return not any(
-            e is not state and e.endpoint.role == role and e.is_usable(now_ms)
-            for e in self.engines.values()
-        )
-
     def _record_success(self, endpoint_id: str) -> None:
         state = self.engines.get(endpoint_id)
         if state is not None:
-            state.failure_rate *= 1 - FAILURE_SMOOTHING
-            if state.failing_since_ms is not None:
-                state.failing_since_ms = None
-                state.ejected_until_ms = 0
-            state.ejection_ms = engine_states.EJECT_MIN_MS
+            ejections.record_success(state)
 
     def place_waiting(self, now_ms: int) -> list[Outcome]:
         """Places waiting requests and refuses those that waited too long."""
@@ -453,7 +384,7 @@
         decode = min(candidates, key=lambda e: _decode_cost(e, place))
         self._reserve(
             request.key,
-            _Reservation(
+            reservations.Reservation(
                 decode.endpoint.endpoint_id,
                 request.memory_tokens,
                 prefill.endpoint.endpoint_id,
@@ -545,7 +476,7 @@
     ) -> queued_requests.Placement:
         self._reserve(
             request.key,
-            _Reservation(
+            reservations.Reservation(
                 decode.endpoint.endpoint_id,
                 request.memory_tokens,
                 '',
@@ -564,7 +495,7 @@
         return backlog_ms + state.failure_rate * MAX_PREFILL_BACKLOG_MS
 
     def _end_prefill(
-        self, reservation: _Reservation, now_ms: int
+        self, reservation: reservations.Reservation, now_ms: int
     ) -> float | None:
         prefill = self.engines.get(reservation.prefill_id)
         reservation.prefill_id = ''
@@ -573,7 +504,9 @@
         return prefill.end_prefill(reservation.prompt_tokens, now_ms)
 
     def _reserve(
-        self, key: queued_requests.RequestKey, reservation: _Reservation
+        self,
+        key: queued_requests.RequestKey,
+        reservation: reservations.Reservation,
     ) -> None:
         self._reservations[key] = reservation
         state = self.engines.get(reservation.decode_id)
