--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import logging
+import random
 import threading
 import time
 
@@ -57,7 +58,9 @@
 class LocalPlacer:
     """Places requests and limits rates while the leader is unreachable.
 
-    It uses only this host's share of each engine's memory and of each rate.
+    It uses only this host's share of each engine's memory and of each rate,
+    and chooses at random among equally good engines, as the other hosts know
+    nothing of its placements.
     """
 
     def __init__(self, state: fleet_states.FleetState):
@@ -150,7 +153,9 @@
                 pool.record_refusal(endpoint_id, _now_ms(), pause_ms)
 
     def _pool(self, service: str) -> placements.Pool:
-        pool = self._pools.setdefault(service, placements.Pool())
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = placements.Pool(random.Random())
         table = self._state.table
         engine = table.services[service].engine if table else None
         if engine is None:
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -8,6 +8,8 @@
 ``engine_states``. A late request can no longer meet its latency target.
 """
 
+import random
+
 from masticquay_routing import ejections
 from masticquay_routing import engine_states
 from masticquay_routing import failed_placements
@@ -51,14 +53,22 @@
 
 
 class UsableEngines:
-    """The engines that may get requests at one moment, by role."""
+    """The engines that may get requests at one moment, by role.
+
+    :param randomness: shuffles the engines, None to keep their order
+    """
 
     __slots__ = ('prefills', 'decodes')
 
     def __init__(
-        self, engines: dict[str, engine_states.EngineState], now_ms: int
+        self,
+        engines: dict[str, engine_states.EngineState],
+        now_ms: int,
+        randomness: random.Random | None = None,
     ):
         usable = [e for e in engines.values() if e.is_usable(now_ms)]
+        if randomness is not None:
+            randomness.shuffle(usable)
         self.prefills = [
             e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL
         ]
@@ -68,9 +78,15 @@
 
 
 class Pool:
-    """The engines of one service, its queue and its reservations."""
+    """The engines of one service, its queue and its reservations.
+
+    :param randomness: chooses among equally good engines, None for the first
+        one. Needed where several pools place on the same engines without
+        knowing of each other.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, randomness: random.Random | None = None) -> None:
+        self._randomness = randomness
         self.engines: dict[str, engine_states.EngineState] = {}
         self._reservations: dict[
             queued_requests.RequestKey, reservations.Reservation
@@ -244,7 +260,7 @@
         """Places waiting requests and refuses those that waited too long."""
         outcomes: list[Outcome] = []
         waiting = []
-        engines = UsableEngines(self.engines, now_ms)
+        engines = UsableEngines(self.engines, now_ms, self._randomness)
         failures = failed_placements.FailedPlacements()
         for request in sorted(
             self._queue, key=lambda r: _queue_order(r, now_ms)
@@ -254,7 +270,7 @@
                 placement = self._place(request, engines, failures, now_ms)
             if placement is not None:
                 outcomes.append((request, placement))
-                engines = UsableEngines(self.engines, now_ms)
+                engines = UsableEngines(self.engines, now_ms, self._randomness)
                 failures = failed_placements.FailedPlacements()
             elif now_ms >= request.placement_deadline_ms:
                 outcomes.append((request, self._refuse(request, now_ms)))
