--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import contextlib
 import logging
+import random
 import threading
 import time
 import typing
@@ -23,6 +24,11 @@
 # hosts that asked it, and many hosts that search would keep replicas busy.
 LONG_SEARCH_INTERVAL_MS = 250
 QUICK_SEARCH_ROUNDS = 5
+# A search starts with this many replicas that respond, and asks another one
+# after each further number of rounds. A new link costs a replica more than a
+# renewal, and all hosts search at once while the replicas elect a leader.
+SEARCH_FANOUT = 2
+ROUNDS_PER_FURTHER_REPLICA = 3
 # After this time without a renewal, the host works without the leader.
 LEADER_TIMEOUT_MS = 850
 MAX_REPLICAS = 16
@@ -101,6 +107,9 @@
         self._leader: str | None = None
         self._term = 0
         self._search_rounds = 0
+        self._search_order: list[str] = []
+        self._responding: set[str] = set()
+        self._named_leader = ''
         self._renewed_s = float('-inf')
         self._wake = threading.Event()
         self._closed = False
@@ -180,11 +189,17 @@
             return LONG_SEARCH_INTERVAL_MS
         return SEARCH_INTERVAL_MS
 
+    def _begin_search(self) -> None:
+        self._search_order = []
+        self._responding.clear()
+        self._named_leader = ''
+
     def _search(self) -> None:
-        """Sends a renewal to every known replica to find the leader.
+        """Sends a renewal to some replicas to find the leader.
 
-        A replica that does not respond does not delay the search: its
-        renewal stays pending while the others get further ones.
+        Each names the leader once it knows it. A replica that does not
+        respond does not delay the search: its renewal stays pending while
+        another one is asked in its place.
         """
         for address, pending in list(self._pending_renewals.items()):
             if pending.done():
@@ -193,15 +208,34 @@
         if self._leader is not None:
             self._pending_renewals.clear()
             return
-        for address in self._candidate_addresses():
-            if address in self._pending_renewals:
-                continue
+        for address in self._addresses_to_ask():
             pending = self._peer(address).submit(
                 self._make_renew([]), RENEW_TIMEOUT_MS
             )
             self._pending_renewals[address] = pending
             pending.add_done_callback(self._on_search_response)
 
+    def _addresses_to_ask(self) -> list[str]:
+        """Returns the replicas that get a renewal in this round."""
+        known = self._candidate_addresses()
+        new = [a for a in known if a not in self._search_order]
+        random.shuffle(new)
+        self._search_order += new
+        wanted = SEARCH_FANOUT
+        wanted += self._search_rounds // ROUNDS_PER_FURTHER_REPLICA
+        asked = [a for a in self._search_order if a in self._responding]
+        if self._named_leader:
+            asked.insert(0, self._named_leader)
+        others = [
+            a
+            for a in self._search_order
+            if a not in asked and a not in self._pending_renewals
+        ]
+        asked += others[: max(0, wanted - len(asked))]
+        return [
+            a for a in dict.fromkeys(asked) if a not in self._pending_renewals
+        ]
+
     def _candidate_addresses(self) -> list[str]:
         known = dict.fromkeys([*self._replica_addresses, *self._seeds()])
         return list(known)[:MAX_REPLICAS]
@@ -223,6 +257,11 @@
     ) -> None:
         error = pending.exception()
         if error is not None:
+            self._responding.discard(address)
+            if isinstance(error, wire_errors.RemoteError):
+                self._responding.add(address)
+            if address == self._named_leader:
+                self._named_leader = ''
             self._remember_leader(error)
         elif self._leader is None:
             self._leader = address
@@ -230,7 +269,10 @@
 
     def _remember_leader(self, error: BaseException) -> None:
         address = _leader_named_in(error)
-        if address and address not in self._replica_addresses:
+        if not address:
+            return
+        self._named_leader = address
+        if address not in self._replica_addresses:
             self._replica_addresses.append(address)
 
     def _renew(self, leader: str) -> None:
@@ -247,6 +289,7 @@
                 },
             )
             self._leader = None
+            self._begin_search()
             if isinstance(cause, wire_errors.RemoteError):
                 self._remember_leader(cause)
             else:
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -1,5 +1,6 @@
 """Tests of the search for the control leader."""
 
+from concurrent import futures
 import contextlib
 import socket
 import threading
@@ -132,3 +133,45 @@
         link._pause_ms()
         link._leader = None
         self.assertEqual(links.SEARCH_INTERVAL_MS, link._pause_ms())
+
+    def make_link(self, seeds):
+        state = fleet_states.FleetState(test_fleet_states.VersionReader())
+        identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
+        return links.ControlLink(
+            identity, SECRET, lambda: seeds, state, self.report
+        )
+
+    def test_search_starts_with_few_replicas(self):
+        """All hosts search at once while the replicas elect a leader."""
+        seeds = [f'127.0.0.1:{n}' for n in range(9)]
+        link = self.make_link(seeds)
+        asked = link._addresses_to_ask()
+        self.assertEqual(links.SEARCH_FANOUT, len(asked))
+
+    def test_search_that_takes_longer_asks_further_replicas(self):
+        """Those asked first may be cut off from the leader."""
+        seeds = [f'127.0.0.1:{n}' for n in range(9)]
+        link = self.make_link(seeds)
+        asked = set()
+        for _round in range(9 * links.ROUNDS_PER_FURTHER_REPLICA):
+            link._responding |= set(link._addresses_to_ask())
+            asked |= link._responding
+            link._pause_ms()
+        self.assertEqual(set(seeds), asked)
+
+    def test_replica_that_does_not_respond_is_replaced(self):
+        seeds = [f'127.0.0.1:{n}' for n in range(4)]
+        link = self.make_link(seeds)
+        first = link._addresses_to_ask()
+        for address in first:
+            link._pending_renewals[address] = futures.Future()
+        second = link._addresses_to_ask()
+        self.assertEqual(links.SEARCH_FANOUT, len(second))
+        self.assertFalse(set(first) & set(second))
+
+    def test_named_leader_is_asked_first(self):
+        link = self.make_link(['127.0.0.1:1', '127.0.0.1:2'])
+        link._remember_leader(
+            wire_errors.RemoteError(messages.CODE_NOT_LEADER, '127.0.0.1:9')
+        )
+        self.assertEqual('127.0.0.1:9', link._addresses_to_ask()[0])
