--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -39,6 +39,8 @@
             initial_level=1.0 if first else SUCCESSOR_BURST_SHARE
         )
         self._waiting: dict[queued_requests.RequestKey, futures.Future] = {}
+        # What a request was charged that waits for a placement.
+        self._charges: dict[queued_requests.RequestKey, messages.Admit] = {}
 
     def set_table(self, table: tables.Table) -> None:
         """Applies the engine sizes and rate limits of a table."""
@@ -78,12 +80,15 @@
                 )
                 if wait_ms:
                     return messages.Refused('over rate', wait_ms, True)
+            key = (request.host, request.number)
+            if not request.charged:
+                self._charges[key] = request
             pool = self._pools.get(request.service)
             if pool is None:
+                self._refund(key, now_ms)
                 return messages.Refused(
                     'no engine', placements.RETRY_AFTER_MIN_MS
                 )
-            key = (request.host, request.number)
             self._balancers[request.service].record_prompt(
                 request.prompt_tokens, now_ms
             )
@@ -121,6 +126,8 @@
             if pool is not None:
                 pool.remove(key, finished.sound)
             abandoned = self._waiting.pop(key, None)
+            if abandoned is not None:
+                self._refund(key, self._clock.now_ms())
         if abandoned is not None:
             abandoned.set_result(messages.Refused('caller left', 0))
         self.place_waiting()
@@ -138,7 +145,10 @@
                 )
             else:
                 pool.record_failure(
-                    trouble.endpoint_id, now_ms, trouble.reached
+                    trouble.endpoint_id,
+                    now_ms,
+                    trouble.reached,
+                    trouble.stalled,
                 )
 
     def adopt(self, host: str, running: list[messages.Running]) -> None:
@@ -178,6 +188,8 @@
                 pool.release_host(host)
             lost_keys = [key for key in self._waiting if key[0] == host]
             abandoned = [self._waiting.pop(key) for key in lost_keys]
+            for key in lost_keys:
+                self._refund(key, self._clock.now_ms())
         for future in abandoned:
             future.set_result(messages.Refused('host lost', 0))
         self.place_waiting()
@@ -191,14 +203,27 @@
                 for pool in self._pools.values()
                 for outcome in pool.place_waiting(now_ms)
             ]
-            answers = [
-                (self._waiting.pop(request.key, None), _make_answer(outcome))
-                for request, outcome in outcomes
-            ]
+            answers = []
+            for request, outcome in outcomes:
+                if isinstance(outcome, queued_requests.Refusal):
+                    self._refund(request.key, now_ms)
+                self._charges.pop(request.key, None)
+                answers.append(
+                    (
+                        self._waiting.pop(request.key, None),
+                        _make_answer(outcome),
+                    )
+                )
         for future, answer in answers:
             if future is not None:
                 future.set_result(answer)
 
+    def _refund(self, key: queued_requests.RequestKey, now_ms: int) -> None:
+        """Refunds a request that did not run; the caller holds the lock."""
+        request = self._charges.pop(key, None)
+        if request is not None:
+            self._rate_limiter.refund(request.workspace, request.cost, now_ms)
+
     def plan_orders(self) -> list[balances.RoleOrder]:
         """Returns the orders for the role changes that are due."""
         now_ms = self._clock.now_ms()
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -48,6 +48,47 @@
         self.owner.place_waiting()
         self.assertIsInstance(waiting.result(0), messages.Refused)
 
+    def fill_engines(self):
+        for number in range(100, 110):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=5_571
+                )
+            )
+
+    def admit_of_workspace(self, number):
+        """Admits a request that takes half of its workspace's burst."""
+        return self.owner.admit(
+            fakes.make_admit(number, workspace='w', cost=3_000.0)
+        )
+
+    def test_refused_request_is_not_charged(self):
+        """Load pattern: a workspace in surge while the engines are full.
+
+        Requests that did not run must not use up the workspace's rate.
+        """
+        self.fill_engines()
+        for number in range(2):
+            self.admit_of_workspace(number)
+        self.clock.advance_ms(501)
+        self.owner.place_waiting()
+        waiting = [self.admit_of_workspace(number) for number in (2, 3)]
+        self.assertFalse(any(isinstance(w, messages.Refused) for w in waiting))
+
+    def test_abandoned_request_is_not_charged(self):
+        self.fill_engines()
+        for number in range(2):
+            self.admit_of_workspace(number)
+            self.owner.finish(messages.Finished('h1', 'llm', number, True))
+        waiting = self.admit_of_workspace(2)
+        self.assertNotIsInstance(waiting, messages.Refused)
+
+    def test_request_that_was_placed_stays_charged(self):
+        for number in range(2):
+            self.admit_of_workspace(number).result(0)
+            self.owner.finish(messages.Finished('h1', 'llm', number, True))
+        self.assertIsInstance(self.admit_of_workspace(2), messages.Refused)
+
     def test_rate_limit_covers_all_hosts(self):
         outcomes = [
             self.owner.admit(
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -28,8 +28,8 @@
 STARTUP_PERIOD_MS = 2_500
 # Requests wait this long for them at most, and no longer than this part of the
 # caller's deadline.
-STARTUP_WAIT_MS = 600
-STARTUP_WAIT_SHARE = 0.25
+STARTUP_WAIT_MS = 1_000
+STARTUP_WAIT_SHARE = 0.5
 
 
 class CallService:
--- a/libs/gateway/masticquay_gateway/failures.py
+++ b/libs/gateway/masticquay_gateway/failures.py
@@ -67,8 +67,13 @@
                 'cause': f'{type(cause).__name__}: {cause}',
             },
         )
-        reached = not isinstance(cause, exchanges.NotSentError)
-        self._placer.report_failure(job.service, endpoint, reached, str(cause))
+        self._placer.report_failure(
+            job.service,
+            endpoint,
+            reached=not isinstance(cause, exchanges.NotSentError),
+            stalled=isinstance(cause, exchanges.StalledError),
+            reason=str(cause),
+        )
 
     def log(
         self,
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -111,6 +111,7 @@
         self._responding: set[str] = set()
         self._named_leader = ''
         self._renewed_s = float('-inf')
+        self._leader_found = threading.Event()
         self._wake = threading.Event()
         self._closed = False
 
@@ -124,6 +125,13 @@
         """Time since the last successful renewal, infinite before it."""
         return (time.monotonic() - self._renewed_s) * 1000
 
+    def wait_for_leader(self, timeout_ms: int) -> bool:
+        """Waits until a leader is known that has answered a renewal.
+
+        :returns: whether there is one
+        """
+        return self._leader_found.wait(timeout_ms / 1000)
+
     def start(self) -> None:
         """Starts the thread that finds the leader and renews."""
         threading.Thread(target=self._run, name='control', daemon=True).start()
@@ -190,6 +198,7 @@
         return SEARCH_INTERVAL_MS
 
     def _begin_search(self) -> None:
+        self._leader_found.clear()
         self._search_order = []
         self._responding.clear()
         self._named_leader = ''
@@ -300,6 +309,7 @@
 
     def _handle_renewed(self, renewed: messages.Renewed) -> None:
         self._renewed_s = time.monotonic()
+        self._leader_found.set()
         self._replica_addresses = renewed.controls[:MAX_REPLICAS]
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -20,12 +20,18 @@
 LOG = logging.getLogger(__name__)
 
 POLL_INTERVAL_MS = 100
+# A request waits this long for a leader that is about to be found: the first
+# renewal is answered a moment after the routing table has arrived.
+LEADER_WAIT_MS = 120
 # Added to the longest wait for a placement so that the leader's response can
 # arrive.
 RESPONSE_MARGIN_MS = 300
 # Each host may use this multiple of its equal share of an engine. Hosts rarely
 # need the same engine at the same time, so the shares may overlap.
 LOCAL_CAPACITY_FACTOR = 1.5
+# Part of the prompts that decode engines prefill themselves. The prefill
+# engines alone would get a queue that no host sees.
+LOCAL_PREFILL_SHARE = 0.5
 # Part of each workspace's rate that all hosts together use without the leader.
 LOCAL_RATE_SHARE = 0.5
 
@@ -135,13 +141,13 @@
                 pool.release((request.host, request.number))
 
     def record_failure(
-        self, service: str, endpoint_id: str, reached: bool
+        self, service: str, endpoint_id: str, reached: bool, stalled: bool
     ) -> None:
         """Records a failure, after which an engine may be ejected."""
         with self._lock:
             pool = self._pools.get(service)
             if pool is not None:
-                pool.record_failure(endpoint_id, _now_ms(), reached)
+                pool.record_failure(endpoint_id, _now_ms(), reached, stalled)
 
     def record_refusal(
         self, service: str, endpoint_id: str, pause_ms: int
@@ -155,7 +161,9 @@
     def _pool(self, service: str) -> placements.Pool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = placements.Pool(random.Random())
+            pool = self._pools[service] = placements.Pool(
+                random.Random(), LOCAL_PREFILL_SHARE
+            )
         table = self._state.table
         engine = table.services[service].engine if table else None
         if engine is None:
@@ -193,6 +201,8 @@
         :raises InterruptedCallError: if the caller disconnected meanwhile
         """
         response = None
+        if not self._link.is_leader_reachable:
+            self._link.wait_for_leader(LEADER_WAIT_MS)
         if self._link.is_leader_reachable:
             response = self._ask_leader(request, interrupt)
         if isinstance(response, messages.Placed):
@@ -241,16 +251,25 @@
         service: str,
         endpoint: fleets.Endpoint,
         reached: bool,
+        stalled: bool,
         reason: str,
     ) -> None:
         """Reports an engine that failed a request.
 
         :param reached: whether a connection to it was established
+        :param stalled: whether it sent nothing within the timeout
         """
-        self._local.record_failure(service, endpoint.endpoint_id, reached)
+        self._local.record_failure(
+            service, endpoint.endpoint_id, reached, stalled
+        )
         self._link.notify(
             messages.EndpointTrouble(
-                self._host, service, endpoint.endpoint_id, reached, reason
+                self._host,
+                service,
+                endpoint.endpoint_id,
+                reached,
+                reason,
+                stalled=stalled,
             )
         )
 
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -53,7 +53,7 @@
     def report_refusal(self, service, endpoint, pause_ms):
         self.refusals.append((endpoint.endpoint_id, pause_ms))
 
-    def report_failure(self, service, endpoint, reached, reason):
+    def report_failure(self, service, endpoint, reached, stalled, reason):
         self.failures.append((endpoint.endpoint_id, reached))
 
 
--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -22,6 +22,9 @@
 LONG_PROMPT_AFFINITY_MS = 3_000
 # Shorter prompts give no reliable sample of the slowdown.
 LOCAL_PREFILL_MIN_SAMPLE_TOKENS = 500
+# An engine that served a request within this time was alive while another one
+# waited for it in vain.
+SERVED_RECENTLY_MS = 500
 # Caps a sample, so that a single outlier has little effect.
 LOCAL_PREFILL_MAX_SLOWDOWN = 12.0
 
@@ -51,6 +54,7 @@
         'ejection_ms',
         'role_switch_until_ms',
         'paused_until_ms',
+        'last_served_ms',
     )
 
     def __init__(
@@ -73,6 +77,7 @@
         self.ejection_ms = EJECT_MIN_MS
         self.role_switch_until_ms = 0
         self.paused_until_ms = 0
+        self.last_served_ms: int | None = None
 
     def prefill_backlog_ms(self, tokens_per_ms: float, now_ms: int) -> float:
         """Returns the time until all queued prompts are prefilled.
@@ -150,6 +155,12 @@
             and self.paused_until_ms <= now_ms
         )
 
+    def served_recently(self, now_ms: int) -> bool:
+        """Whether the engine has finished a prefill or begun a decode."""
+        if self.last_served_ms is None:
+            return False
+        return now_ms - self.last_served_ms < SERVED_RECENTLY_MS
+
     def begin_probe(self, now_ms: int) -> None:
         """Holds back further requests to a failing engine.
 
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -414,6 +414,7 @@
     :param reached: whether the host could connect to the endpoint
     :param pause_ms: how long an endpoint that refused the request should get
         no new requests; 0 for other failures
+    :param stalled: whether the endpoint sent nothing within the timeout
     """
 
     __slots__ = (
@@ -423,6 +424,7 @@
         'reached',
         'reason',
         'pause_ms',
+        'stalled',
     )
 
     def __init__(
@@ -433,6 +435,7 @@
         reached: bool,
         reason: str,
         pause_ms: int = 0,
+        stalled: bool = False,
     ):
         self.host = host
         self.service = service
@@ -440,6 +443,7 @@
         self.reached = reached
         self.reason = reason
         self.pause_ms = pause_ms
+        self.stalled = stalled
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/meters.py
+++ b/libs/routing/masticquay_routing/meters.py
@@ -41,6 +41,11 @@
         self._refill(now_ms)
         self._level -= cost
 
+    def refund(self, cost: float, now_ms: int) -> None:
+        """Adds the cost of a request that did not run, up to the burst."""
+        self._refill(now_ms)
+        self._level = min(self.burst, self._level + cost)
+
     def wait_ms(self, cost: float, now_ms: int) -> int:
         """Returns the time in ms until a cost is allowed, 0 if it is now."""
         self._refill(now_ms)
@@ -112,6 +117,12 @@
         if bucket is not None:
             bucket.charge(cost, now_ms)
 
+    def refund(self, workspace: str, cost: float, now_ms: int) -> None:
+        """Refunds the cost of a request that was charged and did not run."""
+        bucket = self._buckets.get(workspace)
+        if bucket is not None:
+            bucket.refund(cost, now_ms)
+
     def exhausted(self, now_ms: int) -> dict[str, int]:
         """Returns the workspaces that are over their rate limit.
 
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -83,10 +83,17 @@
     :param randomness: chooses among equally good engines, None for the first
         one. Needed where several pools place on the same engines without
         knowing of each other.
+    :param local_prefill_share: the part of the prompts that decode engines
+        prefill themselves, chosen by ``randomness``
     """
 
-    def __init__(self, randomness: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        randomness: random.Random | None = None,
+        local_prefill_share: float = 0.0,
+    ) -> None:
         self._randomness = randomness
+        self._local_prefill_share = local_prefill_share
         self.engines: dict[str, engine_states.EngineState] = {}
         self._reservations: dict[
             queued_requests.RequestKey, reservations.Reservation
@@ -184,7 +191,7 @@
         reservation = self._reservations.get(key)
         if reservation is None:
             return
-        self._record_success(reservation.decode_id)
+        self._record_success(reservation.decode_id, now_ms)
         state = self.engines.get(reservation.decode_id)
         if (
             state is not None
@@ -203,7 +210,7 @@
         reservation = self._reservations.get(key)
         if reservation is None or not reservation.prefill_id:
             return
-        self._record_success(reservation.prefill_id)
+        self._record_success(reservation.prefill_id, now_ms)
         duration_ms = self._end_prefill(reservation, now_ms)
         if duration_ms is not None:
             self._prefill_speed.add_sample(
@@ -231,12 +238,21 @@
             self.release(key)
 
     def record_failure(
-        self, endpoint_id: str, now_ms: int, reached: bool = True
+        self,
+        endpoint_id: str,
+        now_ms: int,
+        reached: bool = True,
+        stalled: bool = False,
     ) -> None:
         """Records a failure, and ejects an engine that fails repeatedly.
 
         :param reached: whether the host could connect to the engine
+        :param stalled: whether the engine sent nothing within the timeout; no
+            failure if it has served others meanwhile, as its queue is long
         """
+        state = self.engines.get(endpoint_id)
+        if stalled and state is not None and state.served_recently(now_ms):
+            return
         ejections.record_failure(self.engines, endpoint_id, now_ms, reached)
 
     def record_refusal(
@@ -251,10 +267,15 @@
         if state is not None:
             state.paused_until_ms = now_ms + pause_ms
 
-    def _record_success(self, endpoint_id: str) -> None:
+    def _record_success(
+        self, endpoint_id: str, now_ms: int | None = None
+    ) -> None:
         state = self.engines.get(endpoint_id)
-        if state is not None:
-            ejections.record_success(state)
+        if state is None:
+            return
+        ejections.record_success(state)
+        if now_ms is not None:
+            state.last_served_ms = now_ms
 
     def place_waiting(self, now_ms: int) -> list[Outcome]:
         """Places waiting requests and refuses those that waited too long."""
@@ -362,7 +383,7 @@
                 return self._place_disaggregated(
                     request, prefill, candidates, now_ms
                 )
-            if backlog_ms > PREFILL_SPILLOVER_MS:
+            if backlog_ms > PREFILL_SPILLOVER_MS or self._spills_at_random():
                 placement = self._place_local_prefill(
                     request, candidates, now_ms, False
                 )
@@ -455,6 +476,11 @@
         decode.begin_probe(now_ms)
         return self._place_decode_only(request, decode, now_ms)
 
+    def _spills_at_random(self) -> bool:
+        if self._randomness is None:
+            return False
+        return self._randomness.random() < self._local_prefill_share
+
     def _with_short_stall(
         self,
         request: queued_requests.QueuedRequest,
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -52,6 +52,20 @@
         self.pool.remove(('host', 0), succeeded=True)
         self.assertEqual(1, len(self.place_waiting()))
 
+    def test_stall_of_an_engine_that_serves_others_is_no_failure(self):
+        """Its queue is long; without it, no prompt could be prefilled."""
+        self.admit(1)
+        self.place_waiting()
+        self.pool.finish_prefill(('host', 1), 100)
+        for _ in range(10):
+            self.pool.record_failure('e0', 200, reached=True, stalled=True)
+        self.assertTrue(self.pool.engines['e0'].is_usable(200))
+
+    def test_stall_of_an_engine_that_serves_nothing_is_a_failure(self):
+        for _ in range(10):
+            self.pool.record_failure('e0', 5_000, reached=True, stalled=True)
+        self.assertFalse(self.pool.engines['e0'].is_usable(5_000))
+
     def test_request_is_refused_after_its_wait(self):
         for number in range(11):
             self.admit(number, prompt=300, output=5_285)
