--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -87,7 +87,10 @@
 
     def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
         return self._chooser.choose(
-            self._state.endpoints(job.service), job.tried_ids, _now_ms()
+            self._state.endpoints(job.service),
+            job.tried_ids,
+            _now_ms(),
+            repeatable=job.route.retryable,
         )
 
     def _may_retry(self, job: jobs.Job) -> bool:
--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -303,11 +303,14 @@
         endpoints: list[fleets.Endpoint],
         tried: set[str],
         now_ms: int,
+        repeatable: bool = True,
     ) -> fleets.Endpoint | None:
         """Returns the endpoint with the lowest cost that was not tried yet.
 
         Endpoints that are full or ejected are used only if there are no
         others; see ``_rank``.
+
+        :param repeatable: whether the request may run more than once
         """
         usable = [
             endpoint
@@ -316,17 +319,22 @@
         ]
         if not usable:
             return None
-        ranks = {e.endpoint_id: self._rank(e, now_ms) for e in usable}
+        ranks = {
+            e.endpoint_id: self._rank(e, now_ms, repeatable) for e in usable
+        }
         best_rank = min(ranks.values())
         candidates = [e for e in usable if ranks[e.endpoint_id] == best_rank]
         self._random.shuffle(candidates)
         return min(candidates, key=lambda e: self._cost(e, now_ms))
 
-    def _rank(self, endpoint: fleets.Endpoint, now_ms: int) -> int:
+    def _rank(
+        self, endpoint: fleets.Endpoint, now_ms: int, repeatable: bool
+    ) -> int:
         """Returns how readily an endpoint is used; 0 comes first.
 
-        One that loses part of its responses is better than one that refuses
-        the request, and one that does not react at all is the last.
+        A request that may be repeated rather goes to an endpoint that loses
+        part of its responses than to one that may refuse it; any other rather
+        is refused than lost. An endpoint that does not react is the last.
         """
         statistics = self.statistics(endpoint.endpoint_id)
         is_ejected = statistics.is_ejected(now_ms)
@@ -334,9 +342,11 @@
             return 3
         if is_ejected and statistics.unreachable:
             return 3
+        if is_ejected:
+            return 1 if repeatable else 2
         if statistics.is_full(now_ms):
-            return 2
-        return 1 if is_ejected else 0
+            return 2 if repeatable else 1
+        return 0
 
     def _cost(self, endpoint: fleets.Endpoint, now_ms: int) -> float:
         statistics = self.statistics(endpoint.endpoint_id)
--- a/libs/routing/tests/test_choosers.py
+++ b/libs/routing/tests/test_choosers.py
@@ -113,6 +113,15 @@
             self.chooser.statistics(name).record_refusal(0)
         self.assertEqual('e0', self.choose(1).endpoint_id)
 
+    def test_request_that_must_not_be_repeated_is_rather_refused(self):
+        """Its caller could not know whether a lost one has run."""
+        for _ in range(2):
+            self.chooser.statistics('e0').record_failure(0)
+        for name in ('e1', 'e2'):
+            self.chooser.statistics(name).record_refusal(0)
+        chosen = self.chooser.choose(self.endpoints, set(), 1, False)
+        self.assertNotEqual('e0', chosen.endpoint_id)
+
     def test_unreachable_endpoint_is_worse_than_full_ones(self):
         for _ in range(2):
             self.chooser.statistics('e0').record_failure(0, unreachable=True)
