--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -281,17 +281,19 @@
         """Places waiting requests and refuses those that waited too long."""
         outcomes: list[Outcome] = []
         waiting = []
-        engines = UsableEngines(self.engines, now_ms, self._randomness)
+        engines: UsableEngines | None = None
         failures = failed_placements.FailedPlacements()
         for request in sorted(
             self._queue, key=lambda r: _queue_order(r, now_ms)
         ):
             placement = None
             if not failures.imply_failure_of(request, now_ms):
+                if engines is None:
+                    engines = self._list_usable(now_ms)
                 placement = self._place(request, engines, failures, now_ms)
             if placement is not None:
                 outcomes.append((request, placement))
-                engines = UsableEngines(self.engines, now_ms, self._randomness)
+                engines = None
                 failures = failed_placements.FailedPlacements()
             elif now_ms >= request.placement_deadline_ms:
                 outcomes.append((request, self._refuse(request, now_ms)))
@@ -330,10 +332,13 @@
         usable = UsableEngines(self.engines, now_ms)
         return usable.prefills, usable.decodes
 
+    def _list_usable(self, now_ms: int) -> UsableEngines:
+        return UsableEngines(self.engines, now_ms, self._randomness)
+
     def _place(
         self,
         request: queued_requests.QueuedRequest,
-        engines: 'UsableEngines',
+        engines: UsableEngines,
         failures: failed_placements.FailedPlacements,
         now_ms: int,
     ) -> queued_requests.Placement | None:
