--- a/libs/routing/masticquay_routing/meters.py
+++ b/libs/routing/masticquay_routing/meters.py
@@ -1,5 +1,8 @@
 """Token buckets that enforce the rate limits of workspaces."""
 
+# No refused caller is told to return later than this.
+MAX_RETURN_MS = 4_000
+
 
 class TokenBucket:
     """A token bucket whose level may drop below zero.
@@ -7,7 +10,13 @@
     :param initial_level: the initial level as a fraction of the burst
     """
 
-    __slots__ = ('rate_per_s', 'burst', '_level', '_updated_ms')
+    __slots__ = (
+        'rate_per_s',
+        'burst',
+        '_level',
+        '_updated_ms',
+        '_last_return_ms',
+    )
 
     def __init__(
         self,
@@ -20,6 +29,7 @@
         self.burst = burst
         self._level = burst * initial_level
         self._updated_ms = now_ms
+        self._last_return_ms = now_ms
 
     def set_limit(self, rate_per_s: float, burst: float, now_ms: int) -> None:
         """Changes the rate and burst; the level is capped at the burst."""
@@ -54,6 +64,22 @@
             return 0
         return int(shortfall * 1000 / self.rate_per_s) + 1
 
+    def plan_return_ms(self, cost: float, now_ms: int) -> int:
+        """Returns when a refused caller should retry, as a time from now.
+
+        Callers that are refused one after the other return one after the
+        other, at the rate. If all came back as soon as one request is
+        allowed, all but one would be refused again.
+        """
+        earliest_ms = now_ms + max(1, self.wait_ms(cost, now_ms))
+        return_ms = max(earliest_ms, self._last_return_ms)
+        return_ms = min(return_ms, now_ms + MAX_RETURN_MS)
+        duration_ms = 0
+        if self.rate_per_s > 0:
+            duration_ms = int(min(cost, self.burst) * 1000 / self.rate_per_s)
+        self._last_return_ms = return_ms + duration_ms
+        return return_ms - now_ms
+
     def _refill(self, now_ms: int) -> None:
         elapsed_ms = max(0, now_ms - self._updated_ms)
         self._updated_ms = max(now_ms, self._updated_ms)
@@ -107,7 +133,7 @@
         if bucket is None:
             return 0
         if not bucket.allows(cost, now_ms):
-            return max(1, bucket.wait_ms(cost, now_ms))
+            return bucket.plan_return_ms(cost, now_ms)
         bucket.charge(cost, now_ms)
         return 0
 
--- a/libs/routing/tests/test_meters.py
+++ b/libs/routing/tests/test_meters.py
@@ -22,6 +22,26 @@
         bucket.charge(BURST * 2, 0)
         self.assertFalse(bucket.allows(1, 1_000))
 
+    def test_refused_callers_return_one_after_the_other(self):
+        """Load pattern: a workspace sends many times its rate for a while."""
+        bucket = meters.TokenBucket(RATE, BURST, 0)
+        bucket.charge(BURST, 0)
+        returns_ms = [bucket.plan_return_ms(500, 0) for _ in range(4)]
+        self.assertEqual([501, 1_001, 1_501, 2_001], returns_ms)
+
+    def test_refused_callers_return_within_the_maximum(self):
+        bucket = meters.TokenBucket(RATE, BURST, 0)
+        bucket.charge(BURST, 0)
+        returns_ms = [bucket.plan_return_ms(500, 0) for _ in range(50)]
+        self.assertEqual(meters.MAX_RETURN_MS, max(returns_ms))
+
+    def test_caller_refused_after_a_pause_returns_soon(self):
+        bucket = meters.TokenBucket(RATE, BURST, 0)
+        bucket.charge(BURST, 0)
+        bucket.plan_return_ms(500, 0)
+        bucket.charge(BURST, 60_000)
+        self.assertEqual(501, bucket.plan_return_ms(500, 60_000))
+
     def test_lower_limit_applies_immediately(self):
         bucket = meters.TokenBucket(RATE, BURST, 0)
         bucket.set_limit(10.0, 100.0, 0)
