--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -9,6 +9,7 @@
 from masticquay_gateway import ports
 from masticquay_gateway import retries
 from masticquay_routing import choosers
+from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
 from masticquay_serving import counters
 from masticquay_serving import replies
@@ -138,7 +139,7 @@
         self,
         job: jobs.Job,
         endpoint: fleets.Endpoint,
-        statistics: choosers.EndpointStatistics,
+        statistics: endpoint_statistics.EndpointStatistics,
     ) -> Response | ports.Refusal:
         headers = self._protocol.run_headers(
             job.request.headers, endpoint, job.endpoint_context()
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -190,15 +190,14 @@
     def _pause_ms(self) -> int:
         """Returns the time until the next renewal or round of a search."""
         if self._leader is not None:
-            self._search_rounds = 0
             return RENEW_INTERVAL_MS
-        self._search_rounds += 1
         if self._search_rounds > QUICK_SEARCH_ROUNDS:
             return LONG_SEARCH_INTERVAL_MS
         return SEARCH_INTERVAL_MS
 
     def _begin_search(self) -> None:
         self._leader_found.clear()
+        self._search_rounds = 0
         self._search_order = []
         self._responding.clear()
         self._named_leader = ''
@@ -210,6 +209,7 @@
         respond does not delay the search: its renewal stays pending while
         another one is asked in its place.
         """
+        self._search_rounds += 1
         for address, pending in list(self._pending_renewals.items()):
             if pending.done():
                 del self._pending_renewals[address]
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -121,17 +121,18 @@
 
     def test_long_search_repeats_less_often(self):
         """Hosts without a leader must not keep the replicas busy."""
-        state = fleet_states.FleetState(test_fleet_states.VersionReader())
-        identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
-        link = links.ControlLink(
-            identity, SECRET, lambda: [], state, self.report
-        )
-        pauses_ms = [link._pause_ms() for _ in range(10)]
-        self.assertEqual(links.SEARCH_INTERVAL_MS, pauses_ms[0])
-        self.assertEqual(links.LONG_SEARCH_INTERVAL_MS, pauses_ms[-1])
+        link = self.make_link([])
+        link._search_rounds = links.QUICK_SEARCH_ROUNDS
+        self.assertEqual(links.SEARCH_INTERVAL_MS, link._pause_ms())
+        link._search_rounds += 1
+        self.assertEqual(links.LONG_SEARCH_INTERVAL_MS, link._pause_ms())
         link._leader = '127.0.0.1:2'
-        link._pause_ms()
-        link._leader = None
+        self.assertEqual(links.RENEW_INTERVAL_MS, link._pause_ms())
+
+    def test_search_after_a_lost_leader_starts_anew(self):
+        link = self.make_link([])
+        link._search_rounds = links.QUICK_SEARCH_ROUNDS + 1
+        link._begin_search()
         self.assertEqual(links.SEARCH_INTERVAL_MS, link._pause_ms())
 
     def make_link(self, seeds):
@@ -156,7 +157,7 @@
         for _round in range(9 * links.ROUNDS_PER_FURTHER_REPLICA):
             link._responding |= set(link._addresses_to_ask())
             asked |= link._responding
-            link._pause_ms()
+            link._search_rounds += 1
         self.assertEqual(set(seeds), asked)
 
     def test_replica_that_does_not_respond_is_replaced(self):
--- a/libs/routing/masticquay_routing/fleet_views.py
+++ b/libs/routing/masticquay_routing/fleet_views.py
@@ -6,8 +6,8 @@
 """
 
 import collections
-import math
 
+from masticquay_routing import endpoint_totals
 from masticquay_routing import fleets
 from masticquay_routing import messages
 
@@ -25,13 +25,6 @@
 EJECT_MAX_MS = 8_000
 # No more than this share of a service's endpoints is ejected at a time.
 MAX_EJECTED_SHARE = 0.5
-# An endpoint is slow if its requests take this many times as long as those of
-# the others of its service; smaller differences are chance.
-SLOW_FACTOR = 1.5
-SLOW_MIN_REQUESTS = 5
-# Failures beyond those of the other endpoints count from this many standard
-# deviations on: all hosts avoid an endpoint at once, so chance must not do it.
-FAILURE_DEVIATIONS = 2.0
 # Hosts that renew within this time get the same views.
 VIEWS_INTERVAL_MS = 100
 # The views in one answer; the ejected and failing endpoints come first.
@@ -90,9 +83,9 @@
         )
         return _are_enough([r for r in failures if r.at_ms > last_success_ms])
 
-    def totals(self) -> '_Totals':
+    def totals(self) -> endpoint_totals.Totals:
         """Returns the sums over the recent results."""
-        totals = _Totals()
+        totals = endpoint_totals.Totals()
         for result in self.results:
             totals.add(result.report)
         return totals
@@ -105,70 +98,6 @@
     return len(hosts) >= EJECT_MIN_HOSTS and failed >= EJECT_MIN_FAILURES
 
 
-class _Totals:
-    """Sums over the results of one or several endpoints."""
-
-    __slots__ = ('succeeded', 'failed', 'latency_sum_ms')
-
-    def __init__(self) -> None:
-        self.succeeded = 0
-        self.failed = 0
-        self.latency_sum_ms = 0.0
-
-    def add(self, report: messages.EndpointReport) -> None:
-        self.succeeded += report.succeeded
-        self.failed += report.failed + report.errors
-        self.latency_sum_ms += report.latency_ms * report.succeeded
-
-    def plus(self, other: '_Totals', sign: int = 1) -> '_Totals':
-        """Returns the sum with, or the difference from, other totals."""
-        result = _Totals()
-        result.succeeded = self.succeeded + sign * other.succeeded
-        result.failed = self.failed + sign * other.failed
-        result.latency_sum_ms = (
-            self.latency_sum_ms + sign * other.latency_sum_ms
-        )
-        return result
-
-    @property
-    def count(self) -> int:
-        return self.succeeded + self.failed
-
-    @property
-    def failure_rate(self) -> float:
-        return self.failed / self.count if self.count else 0.0
-
-    @property
-    def latency_ms(self) -> float:
-        if not self.succeeded:
-            return 0.0
-        return self.latency_sum_ms / self.succeeded
-
-
-def _excess_failure_rate(own: _Totals, others: _Totals) -> float:
-    """Returns how much more often an endpoint fails than the others.
-
-    0 if that may be chance, or if there are no others to compare with.
-    """
-    if not own.count or not others.count:
-        return 0.0
-    pooled_rate = own.plus(others).failure_rate
-    deviation = math.sqrt(pooled_rate * (1 - pooled_rate) / own.count)
-    excess = own.failure_rate - others.failure_rate
-    return max(0.0, excess - FAILURE_DEVIATIONS * deviation)
-
-
-def _expected_latency_ms(own: _Totals, others: _Totals) -> float:
-    """Returns an endpoint's mean latency if it is slow, else the service's."""
-    is_slow = (
-        own.succeeded >= SLOW_MIN_REQUESTS
-        and own.latency_ms >= SLOW_FACTOR * others.latency_ms
-    )
-    if is_slow and others.succeeded:
-        return own.latency_ms
-    return own.plus(others).latency_ms
-
-
 class FleetView:
     """Collects the hosts' reports; uses neither the network nor a clock."""
 
@@ -222,10 +151,10 @@
     def _make_views(self, now_ms: int) -> list[messages.EndpointView]:
         active_ids = self._find_active(now_ms)
         totals_by_id = {i: self._states[i].totals() for i in active_ids}
-        totals_by_service: dict[str, _Totals] = {}
+        totals_by_service: dict[str, endpoint_totals.Totals] = {}
         for endpoint_id, totals in totals_by_id.items():
             service = self._service_by_id[endpoint_id]
-            sums = totals_by_service.get(service, _Totals())
+            sums = totals_by_service.get(service, endpoint_totals.Totals())
             totals_by_service[service] = sums.plus(totals)
         views = []
         for endpoint_id, totals in totals_by_id.items():
@@ -236,8 +165,12 @@
                 messages.EndpointView(
                     endpoint_id,
                     in_flight=sum(state.in_flight_by_host.values()),
-                    latency_ms=_expected_latency_ms(totals, others),
-                    failure_rate=_excess_failure_rate(totals, others),
+                    latency_ms=endpoint_totals.expected_latency_ms(
+                        totals, others
+                    ),
+                    failure_rate=endpoint_totals.excess_failure_rate(
+                        totals, others
+                    ),
                     ejected_ms=max(0, state.ejected_until_ms - now_ms),
                 )
             )
--- a/libs/routing/tests/test_choosers.py
+++ b/libs/routing/tests/test_choosers.py
@@ -4,6 +4,7 @@
 import unittest
 
 from masticquay_routing import choosers
+from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
 from masticquay_routing import messages
 
@@ -53,7 +54,7 @@
         chosen = {self.choose(1).endpoint_id for _ in range(50)}
         self.assertNotIn('e0', chosen)
         statistics.failure_rate = 0.0
-        later_ms = choosers.EJECT_MIN_MS + 1
+        later_ms = endpoint_statistics.EJECT_MIN_MS + 1
         chosen = {self.choose(later_ms).endpoint_id for _ in range(50)}
         self.assertIn('e0', chosen)
 
