--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -18,6 +18,7 @@
 from masticquay_routing import refused_prompts
 from masticquay_routing import reservations
 from masticquay_routing import speeds
+from masticquay_routing import usable_engines
 
 # A local prefill may stall streams for up to this fraction of the pause that
 # still meets the latency target.
@@ -52,31 +53,6 @@
 ]
 
 
-class UsableEngines:
-    """The engines that may get requests at one moment, by role.
-
-    :param randomness: shuffles the engines, None to keep their order
-    """
-
-    __slots__ = ('prefills', 'decodes')
-
-    def __init__(
-        self,
-        engines: dict[str, engine_states.EngineState],
-        now_ms: int,
-        randomness: random.Random | None = None,
-    ):
-        usable = [e for e in engines.values() if e.is_usable(now_ms)]
-        if randomness is not None:
-            randomness.shuffle(usable)
-        self.prefills = [
-            e for e in usable if e.endpoint.role == fleets.ROLE_PREFILL
-        ]
-        self.decodes = [
-            e for e in usable if e.endpoint.role == fleets.ROLE_DECODE
-        ]
-
-
 class Pool:
     """The engines of one service, its queue and its reservations.
 
@@ -281,7 +257,7 @@
         """Places waiting requests and refuses those that waited too long."""
         outcomes: list[Outcome] = []
         waiting = []
-        engines: UsableEngines | None = None
+        engines: usable_engines.UsableEngines | None = None
         failures = failed_placements.FailedPlacements()
         for request in sorted(
             self._queue, key=lambda r: _queue_order(r, now_ms)
@@ -329,16 +305,18 @@
 
     def usable_by_role(self, now_ms: int) -> tuple[list, list]:
         """Returns the usable prefill and decode engines."""
-        usable = UsableEngines(self.engines, now_ms)
+        usable = usable_engines.UsableEngines(self.engines, now_ms)
         return usable.prefills, usable.decodes
 
-    def _list_usable(self, now_ms: int) -> UsableEngines:
-        return UsableEngines(self.engines, now_ms, self._randomness)
+    def _list_usable(self, now_ms: int) -> usable_engines.UsableEngines:
+        return usable_engines.UsableEngines(
+            self.engines, now_ms, self._randomness
+        )
 
     def _place(
         self,
         request: queued_requests.QueuedRequest,
-        engines: UsableEngines,
+        engines: usable_engines.UsableEngines,
         failures: failed_placements.FailedPlacements,
         now_ms: int,
     ) -> queued_requests.Placement | None:
