--- a/libs/coordination/tests/test_daemons.py
+++ b/libs/coordination/tests/test_daemons.py
@@ -26,9 +26,12 @@
 
 
 def wait_for(condition):
-    """Waits until a condition is true."""
+    """Waits until a condition is true; returns its value."""
     deadline_s = time.monotonic() + TIMEOUT_S
-    while not condition():
+    while True:
+        value = condition()
+        if value:
+            return value
         if time.monotonic() > deadline_s:
             raise AssertionError(
                 'the condition is still false after the timeout'
@@ -128,7 +131,7 @@
         """No election timeout passes, so no replica starts a pre-vote."""
         self.start_group()
         self.put_table(1)
-        first_leader = self.leader()
+        first_leader = wait_for(self.leader)
         others = [d for d in self.daemons.values() if d is not first_leader]
         probes = [d.node.counters().probes for d in others]
         first_leader.hand_over()
@@ -178,7 +181,7 @@
 
         wait_for(is_replaced)
         # The group tolerates another loss right after the replacement.
-        leader = self.leader()
+        leader = wait_for(self.leader)
         second_address = next(
             a
             for a in self.seeds
@@ -191,7 +194,7 @@
     def test_committed_table_survives_the_loss_of_the_leader(self):
         self.start_group()
         self.put_table(5)
-        leader = self.leader()
+        leader = wait_for(self.leader)
         self.daemons.pop(leader.settings.address).close()
         self.assertEqual(b'5', self.read_table())
 
@@ -210,12 +213,12 @@
         self.put_table(5)
         self.assertEqual(b'6', self.read_table())
         with self.assertRaises(routing_errors.TableError):
-            self.leader().tables.put(b'bad')
+            wait_for(self.leader).tables.put(b'bad')
 
     def test_minority_neither_reads_nor_stores(self):
         self.start_group()
         self.put_table(6)
-        leader = self.leader()
+        leader = wait_for(self.leader)
         for address in self.seeds:
             if address != leader.settings.address:
                 self.daemons.pop(address).close()
@@ -244,7 +247,7 @@
             a for a in self.seeds if not self.daemons[a].node.is_leader()
         )
         self.daemons.pop(stopped_address).close()
-        membership = self.leader().membership
+        membership = wait_for(self.leader).membership
         membership._unused_replacements = 1
         time.sleep(groups.EVICT_REPLACED_AFTER_MS / 1000 + 1)
         self.assertEqual(3, len(self.voter_addresses()))
