--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -321,7 +321,7 @@
             views = term.fleet_view.views(now_ms)
         for endpoint_id in ejected:
             LOG.warning(
-                'endpoint does not react to requests of several hosts',
+                'endpoint takes no connections of several hosts',
                 extra={'endpoint': endpoint_id, 'entry_host': renewal.host},
             )
         return views
--- a/libs/routing/masticquay_routing/endpoint_statistics.py
+++ b/libs/routing/masticquay_routing/endpoint_statistics.py
@@ -123,27 +123,24 @@
     def record_failure(self, now_ms: int, unreachable: bool = False) -> None:
         """Records a request without a valid response.
 
-        :param unreachable: whether the endpoint did not react at all
+        :param unreachable: whether no connection could be established
         """
         with self._lock:
-            self._failed += 1
             self._unreachable += unreachable
-            self._raise_failure_rate(FAILURE_SMOOTHING, now_ms)
-            self.unreachable = unreachable
-            self.consecutive_failures += 1
-            if self.consecutive_failures >= EJECT_AFTER_FAILURES:
-                self.ejected_until_ms = now_ms + self.ejection_ms
-                self.ejection_ms = min(EJECT_MAX_MS, self.ejection_ms * 2)
+            self._record_failure(now_ms, unreachable)
 
     def record_timeout(self, started_ms: int, now_ms: int) -> None:
         """Records that a request got no response in its time.
 
         It is a failure of the endpoint only if the endpoint has answered no
-        other request meanwhile; else the request itself took too long.
+        other request of this host meanwhile; else the request itself took too
+        long. It does not count as unreachable for other hosts, as a host with
+        few requests cannot tell the two apart.
         """
-        last_ms = self.last_response_ms
-        if last_ms is None or last_ms < started_ms:
-            self.record_failure(now_ms, unreachable=True)
+        with self._lock:
+            last_ms = self.last_response_ms
+            if last_ms is None or last_ms < started_ms:
+                self._record_failure(now_ms, unreachable=True)
 
     def record_load(self, load: int, now_ms: int) -> None:
         """Records the number of requests in flight at the endpoint."""
@@ -188,7 +185,7 @@
         return self.ejected_until_ms > now_ms
 
     def is_ejected_by_fleet(self, now_ms: int) -> bool:
-        """Whether the endpoint does not react to requests of several hosts."""
+        """Whether the endpoint takes no connections of several hosts."""
         view = self._view
         return view is not None and now_ms < self._view_ms + view.ejected_ms
 
@@ -229,6 +226,15 @@
         freshness = 1 - (now_ms - reported_ms) / LOAD_REPORT_TTL_MS
         return load * max(0.0, freshness)
 
+    def _record_failure(self, now_ms: int, unreachable: bool) -> None:
+        self._failed += 1
+        self._raise_failure_rate(FAILURE_SMOOTHING, now_ms)
+        self.unreachable = unreachable
+        self.consecutive_failures += 1
+        if self.consecutive_failures >= EJECT_AFTER_FAILURES:
+            self.ejected_until_ms = now_ms + self.ejection_ms
+            self.ejection_ms = min(EJECT_MAX_MS, self.ejection_ms * 2)
+
     def _record_response(self, now_ms: int) -> None:
         self.consecutive_failures = 0
         self.unreachable = False
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -45,8 +45,8 @@
     :param succeeded: number of requests with a response
     :param errors: number of refusals and error responses
     :param failed: number of requests without a valid response
-    :param unreachable: those of ``failed`` to which the endpoint did not react
-        at all
+    :param unreachable: those of ``failed`` for which no connection could be
+        established
     :param latency_ms: mean time of those that succeeded
     """
 
--- a/libs/routing/tests/test_choosers.py
+++ b/libs/routing/tests/test_choosers.py
@@ -156,6 +156,17 @@
         expected = messages.EndpointReport('e0', 1, 0, 0, 0, 0, 0.0)
         self.assertEqual([expected], self.chooser.collect_reports())
 
+    def test_timeout_is_not_reported_as_unreachable(self):
+        """Load pattern: a service of many hosts is overloaded.
+
+        Each host sees few responses, so timeouts of slow but sound endpoints
+        must not make all hosts avoid them.
+        """
+        statistics = self.chooser.statistics('e0')
+        statistics.record_timeout(started_ms=100, now_ms=1_100)
+        report = self.chooser.collect_reports()[0]
+        self.assertEqual((1, 0), (report.failed, report.unreachable))
+
     def test_end_of_the_last_request_is_reported(self):
         statistics = self.chooser.statistics('e0')
         statistics.begin()
