--- a/libs/routing/masticquay_routing/fleet_views.py
+++ b/libs/routing/masticquay_routing/fleet_views.py
@@ -15,7 +15,7 @@
 WINDOW_MS = 2_000
 # A host's requests in flight count for this long after its last report.
 IN_FLIGHT_TTL_MS = 1_500
-# An endpoint is ejected if it took no connection for at least this share of the
+# An endpoint is ejected if it took no connection for at least this share of
 # recent requests, or for all since its last success, and if these were this
 # many and from this many hosts. One host alone may be cut off.
 EJECT_UNREACHABLE_SHARE = 0.5
