--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -140,7 +140,7 @@
             if previous is not None and endpoints == self._endpoints:
                 return
             self._endpoints = endpoints
-            number = previous.number + 1 if previous else 1
+            number = _next_number(previous)
             update = updates.Update(
                 updates.Kind.ENDPOINTS,
                 number,
@@ -162,7 +162,7 @@
                 return
             self._hosts = hosts
             self._hosts_published_ms = now_ms
-            number = previous.number + 1 if previous else 1
+            number = _next_number(previous)
             update = updates.Update(
                 updates.Kind.HOSTS,
                 number,
@@ -247,6 +247,10 @@
         return missing
 
 
+def _next_number(previous: updates.Update | None) -> int:
+    return previous.number + 1 if previous else 1
+
+
 def _is_listed_differently(
     earlier: messages.Renew, later: messages.Renew
 ) -> bool:
