Logs and metrics tell where a stream began and who resumed it

The endpoint list now carries the software version of each endpoint, the caller's port the last event and the first request of a stream that is taken up. 'stream began' names engine, version and the caller's resumption; 'stream resumed' a resumption by the host within one response; 'endpoint list updated' the versions in use; masticquay_streams_resumed counts by who resumed. No decision reads any of it yet.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -21,6 +21,10 @@
 HEAD_TIMEOUT_MS = 1_000
 # A stream that sends no data for this time counts as broken.
 MAX_STREAM_GAP_MS = 2_500
+# Who resumed a broken stream, in logs and metrics: its caller with another
+# request, or this host within one response.
+RESUMED_BY_CALLER = 'caller'
+RESUMED_BY_HOST = 'host'
 
 
 class Decoder:
@@ -57,6 +61,8 @@
         headers = self._request_headers(job, placement, stream)
         with self._pools.open(placement.decode, job.interrupt) as exchange:
             head = self._send_request(job, exchange, headers)
+            if stream.splitter.last_id is not None:
+                self._record_resumption(job, placement, stream)
             if not stream.started:
                 job.reply.begin(head.status, head.headers)
                 stream.started = True
@@ -146,6 +152,7 @@
             if complete_events:
                 if not stream.first_ms:
                     self._placer.begin_decode(placement)
+                    self._record_first_events(job, placement)
                 stream.record_events(job)
                 job.reply.write(complete_events)
         if splitter.incomplete:
@@ -153,6 +160,51 @@
         exchange.mark_finished()
         job.reply.finish()
 
+    def _record_first_events(
+        self, job: jobs.Job, placement: placers.RequestPlacement
+    ) -> None:
+        """Logs where a stream begins, or where its caller resumes it."""
+        call = job.call
+        decode = placement.decode
+        resumed_by = RESUMED_BY_CALLER if call.resumes_stream else ''
+        if resumed_by:
+            self._count_resumption(resumed_by)
+        LOG.info(
+            'stream began',
+            extra={
+                'call': call.call_id,
+                'decode': decode.endpoint_id,
+                'software_version': decode.software_version,
+                'resumed_by': resumed_by,
+                'first_call': call.first_call_id,
+                'last_event': call.last_event_id,
+                'local': placement.local,
+            },
+        )
+
+    def _record_resumption(
+        self,
+        job: jobs.Job,
+        placement: placers.RequestPlacement,
+        stream: relays.RelayedStream,
+    ) -> None:
+        """Logs that this host resumes a broken stream at an engine."""
+        self._count_resumption(RESUMED_BY_HOST)
+        LOG.warning(
+            'stream resumed',
+            extra={
+                'call': job.call.call_id,
+                'decode': placement.decode.endpoint_id,
+                'software_version': placement.decode.software_version,
+                'resumed_by': RESUMED_BY_HOST,
+                'last_event': stream.splitter.last_id,
+                'local': placement.local,
+            },
+        )
+
+    def _count_resumption(self, resumed_by: str) -> None:
+        self._registry.count('streams_resumed', 'resumed_by', resumed_by)
+
     def _record_success(
         self,
         job: jobs.Job,
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -120,6 +120,7 @@
                 'leaving': [
                     e.endpoint_id for e in update.endpoints if e.leaving
                 ],
+                'software_versions': _count_versions(update.endpoints),
             },
         )
         return True
@@ -158,3 +159,15 @@
     def _update_completeness(self) -> None:
         if self.table is not None and self._by_id:
             self._complete.set()
+
+
+def _count_versions(
+    endpoints: list[fleets.Endpoint],
+) -> dict[str, dict[str, int]]:
+    """Returns the number of endpoints by service and software version."""
+    counts: dict[str, dict[str, int]] = {}
+    for endpoint in endpoints:
+        by_version = counts.setdefault(endpoint.service, {})
+        version = endpoint.software_version
+        by_version[version] = by_version.get(version, 0) + 1
+    return counts
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -8,6 +8,9 @@
 
 Headers = list[tuple[str, str]]
 
+# Last event id of a caller that has no event yet.
+NO_EVENT_ID = '0'
+
 
 class Call:
     """The protocol-independent content of a caller's request.
@@ -22,6 +25,10 @@
     :param expected_output_tokens: the caller's estimate of the output's length
     :param prompt_key: identifies a prompt across the caller's attempts, empty
         if unknown
+    :param last_event_id: id of the last event that the caller has of a stream
+        that it resumes, empty for a new request
+    :param first_call_id: request id under which the caller got the first event
+        of that stream, empty if it names none
     """
 
     __slots__ = (
@@ -34,6 +41,8 @@
         'max_output_tokens',
         'expected_output_tokens',
         'prompt_key',
+        'last_event_id',
+        'first_call_id',
     )
 
     def __init__(
@@ -47,6 +56,8 @@
         max_output_tokens: int | None = None,
         expected_output_tokens: int | None = None,
         prompt_key: str = '',
+        last_event_id: str = '',
+        first_call_id: str = '',
     ):
         self.call_id = call_id
         self.host = host
@@ -57,6 +68,13 @@
         self.max_output_tokens = max_output_tokens
         self.expected_output_tokens = expected_output_tokens
         self.prompt_key = prompt_key
+        self.last_event_id = last_event_id
+        self.first_call_id = first_call_id
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has a part of the stream."""
+        return self.last_event_id not in ('', NO_EVENT_ID)
 
     @property
     def tokens(self) -> int | None:
--- a/libs/routing/masticquay_routing/fleets.py
+++ b/libs/routing/masticquay_routing/fleets.py
@@ -15,6 +15,8 @@
     :param slots: the requests that it runs at once
     :param leaving: whether it is draining and must get no new requests
     :param role: the role of a model engine, empty for other services
+    :param software_version: the version of its software, empty if unknown;
+        endpoints of several versions may serve side by side
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         'slots',
         'leaving',
         'role',
+        'software_version',
     )
 
     def __init__(
@@ -36,6 +39,7 @@
         slots: int = 1,
         leaving: bool = False,
         role: str = ROLE_NONE,
+        software_version: str = '',
     ):
         self.endpoint_id = endpoint_id
         self.service = service
@@ -44,6 +48,7 @@
         self.slots = slots
         self.leaving = leaving
         self.role = role
+        self.software_version = software_version
 
 
 class Host(records.Record):
