ORDER: streams go on only at the software version that began them

Cause: a decision that needs a fact which nobody keeps. No part of the system read the version of an endpoint's software, and a host at which a caller takes a stream up cannot know where another host let it begin. Placement treated a resumption like a new request; within one response it looked only at failures. Class of fault: state of a finished or lost attempt that the next attempt needs is bound to the process that made it.

Change: - The endpoint list carries software versions. A host tells the leader with the first event at which version a stream began, and tells a leader that it finds (again) all of its recent origins, as notices may have been lost. - Admit says that it resumes, and of which request; the leader looks up the origin, places only on engines of that version, before new streams, and refuses at once when no such engine is left or the origin is unknown. The host checks the placement once more. Without the leader, hosts use what they know themselves. - With a single possible version an unknown origin does no harm.

Why it works: no path to an engine with a Last-Event-Id is left that does not name a version; in doubt the request is refused as not run.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -1,5 +1,6 @@
 """The duties of the leader of the control group."""
 
+from concurrent import futures
 import contextlib
 import logging
 import threading
@@ -16,7 +17,9 @@
 from masticquay_coordination import table_machines
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleet_views
+from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import software_versions
 from masticquay_routing import tables
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -34,12 +37,14 @@
 ANNOUNCE_TIMEOUT_MS = 2_000
 # Added to the lease under which an earlier leader sent orders to engines.
 ORDER_LEASE_MARGIN_MS = 1_500
+VERSIONS_COMMIT_TIMEOUT_S = 1.0
 
 
 class LeaderTerm:
     """The state of the leader during one term.
 
     ``table_version`` is the version of the table that was applied last.
+    ``software_versions`` is None until the first endpoint list of the term.
 
     :param first: whether the group has had no leader before
     """
@@ -52,6 +57,7 @@
         'first',
         'table_version',
         'fleet_view',
+        'software_versions',
     )
 
     def __init__(
@@ -69,6 +75,9 @@
         self.first = first
         self.table_version = -1
         self.fleet_view = fleet_views.FleetView()
+        self.software_versions: software_versions.SoftwareVersions | None = (
+            None
+        )
 
 
 class Leadership:
@@ -190,10 +199,56 @@
             LOG.info('endpoint list can be read again')
         self._list_read_failed = False
         self._apply_newest_table(term)
+        if not self._store_software_versions(term, endpoints):
+            self._next_list_ms = now_ms + LIST_RETRY_MS
+            return
         with self._view_lock:
             term.fleet_view.set_endpoints(endpoints)
-        term.sessions.publish_endpoints(endpoints)
-        term.owner.set_endpoints(endpoints)
+        stream_versions = self._possible_versions(term)
+        term.sessions.publish_endpoints(endpoints, stream_versions)
+        term.owner.set_endpoints(endpoints, stream_versions)
+
+    def _store_software_versions(
+        self, term: LeaderTerm, endpoints: list[fleets.Endpoint]
+    ) -> bool:
+        """Stores the versions at which streams may begin from now on.
+
+        They are committed before the hosts get the endpoint list, so that a
+        stream never begins at a version that the next leader does not know.
+
+        :returns: whether the list may be sent to the hosts
+        """
+        now_ms = self._clock.now_ms()
+        if term.software_versions is None:
+            known = {} if term.first else self._machine.software_versions
+            term.software_versions = software_versions.SoftwareVersions(
+                known, now_ms
+            )
+        term.software_versions.record(endpoints, now_ms)
+        possible = term.software_versions.possible(now_ms)
+        if possible is None or possible == self._machine.software_versions:
+            return True
+        command = table_machines.encode_software_versions(possible)
+        try:
+            self._node.propose(command).result(VERSIONS_COMMIT_TIMEOUT_S)
+        except (
+            consensus_errors.ConsensusError,
+            futures.TimeoutError,
+        ) as cause:
+            LOG.warning(
+                'software versions could not be stored',
+                extra={'cause': type(cause).__name__, 'versions': possible},
+            )
+            return False
+        LOG.info('software versions stored', extra={'versions': possible})
+        return True
+
+    def _possible_versions(
+        self, term: LeaderTerm
+    ) -> software_versions.Versions | None:
+        if term.software_versions is None:
+            return None
+        return term.software_versions.possible(self._clock.now_ms())
 
     def log_pools(self) -> None:
         """Logs the state of the pools."""
@@ -299,6 +354,7 @@
             term.owner.release_host(renewal.host)
         if renewal.running:
             term.owner.adopt(renewal.host, renewal.running)
+        term.owner.add_origins(renewal.origins)
         exhausted = term.owner.charge(renewal.usage)
         members = self._node.status().members
         controls = [member.member.address for member in members]
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -10,6 +10,8 @@
 from masticquay_routing import meters
 from masticquay_routing import placements
 from masticquay_routing import queued_requests
+from masticquay_routing import software_versions
+from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -41,6 +43,8 @@
         self._waiting: dict[queued_requests.RequestKey, futures.Future] = {}
         # What a request was charged that waits for a placement.
         self._charges: dict[queued_requests.RequestKey, messages.Admit] = {}
+        self._origins = stream_origins.StreamOrigins()
+        self._stream_versions: software_versions.Versions | None = None
 
     def set_table(self, table: tables.Table) -> None:
         """Applies the engine sizes and rate limits of a table."""
@@ -53,9 +57,18 @@
             limits = meters.rate_limits(table.workspaces)
             self._rate_limiter.set_limits(limits, self._clock.now_ms())
 
-    def set_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
-        """Applies the endpoint list."""
+    def set_endpoints(
+        self,
+        endpoints: list[fleets.Endpoint],
+        stream_versions: software_versions.Versions | None = None,
+    ) -> None:
+        """Applies the endpoint list.
+
+        :param stream_versions: the software versions at which recent streams
+            may have begun, None if they are not known
+        """
         with self._lock:
+            self._stream_versions = stream_versions
             for name, engine in self._engines.items():
                 pool = self._pools.setdefault(name, placements.Pool())
                 self._balancers.setdefault(name, balances.RoleBalancer())
@@ -74,6 +87,12 @@
         """
         now_ms = self._clock.now_ms()
         with self._lock:
+            software_version = self._version_to_resume(request, now_ms)
+            if software_version is None:
+                return messages.Refused(
+                    'software version of the resumed stream is unknown',
+                    placements.RETRY_AFTER_MAX_MS,
+                )
             if not request.charged:
                 wait_ms = self._rate_limiter.charge_if_allowed(
                     request.workspace, request.cost, now_ms
@@ -92,7 +111,9 @@
             self._balancers[request.service].record_prompt(
                 request.prompt_tokens, now_ms
             )
-            pool.admit(_make_queued_request(key, request, now_ms))
+            pool.admit(
+                _make_queued_request(key, request, software_version, now_ms)
+            )
             future: futures.Future = futures.Future()
             future.set_running_or_notify_cancel()
             self._waiting[key] = future
@@ -111,12 +132,22 @@
 
     def begin_decode(self, begun: messages.Decoding) -> None:
         """Records that the first token of a request arrived."""
+        now_ms = self._clock.now_ms()
+        origin = stream_origins.StreamOrigin(
+            begun.first_call_id, begun.service, begun.software_version
+        )
         with self._lock:
+            self._origins.add(origin, now_ms)
             pool = self._pools.get(begun.service)
             if pool is not None:
-                pool.begin_decode(
-                    (begun.host, begun.number), self._clock.now_ms()
-                )
+                pool.begin_decode((begun.host, begun.number), now_ms)
+
+    def add_origins(self, origins: list[stream_origins.StreamOrigin]) -> None:
+        """Records where a host's streams began before this term."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            for origin in origins:
+                self._origins.add(origin, now_ms)
 
     def finish(self, finished: messages.Finished) -> None:
         """Frees the reservation of a request, or refuses it if it waits."""
@@ -211,13 +242,36 @@
                 answers.append(
                     (
                         self._waiting.pop(request.key, None),
-                        _make_answer(outcome),
+                        _make_answer(request, outcome),
                     )
                 )
         for future, answer in answers:
             if future is not None:
                 future.set_result(answer)
 
+    def _version_to_resume(
+        self, request: messages.Admit, now_ms: int
+    ) -> str | None:
+        """Returns the version at which a stream goes on.
+
+        The caller holds the lock.
+
+        :returns: an empty text for a new stream, None if it is not known or
+            if another service began the stream
+        """
+        if not request.resumes:
+            return ''
+        if request.software_version:
+            return request.software_version
+        origin = self._origins.find(request.first_call_id, now_ms)
+        if origin is None:
+            return software_versions.only_version(
+                self._stream_versions, request.service
+            )
+        if origin.service != request.service:
+            return None
+        return origin.software_version
+
     def _refund(self, key: queued_requests.RequestKey, now_ms: int) -> None:
         """Refunds a request that did not run; the caller holds the lock."""
         request = self._charges.pop(key, None)
@@ -285,7 +339,10 @@
 
 
 def _make_queued_request(
-    key: queued_requests.RequestKey, request: messages.Admit, now_ms: int
+    key: queued_requests.RequestKey,
+    request: messages.Admit,
+    software_version: str,
+    now_ms: int,
 ) -> queued_requests.QueuedRequest:
     return queued_requests.QueuedRequest(
         key=key,
@@ -302,10 +359,12 @@
         late_placement_deadline_ms=now_ms + request.late_wait_ms,
         prompt_key=request.prompt_key,
         pause_ms=request.pause_ms,
+        software_version=software_version,
     )
 
 
 def _make_answer(
+    request: queued_requests.QueuedRequest,
     outcome: queued_requests.Placement | queued_requests.Refusal,
 ) -> wire_messages.Message:
     if isinstance(outcome, queued_requests.Refusal):
@@ -315,4 +374,5 @@
         prefill.endpoint_id if prefill else '',
         outcome.decode.endpoint_id,
         outcome.prefill_ms,
+        request.software_version,
     )
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -7,6 +7,7 @@
 from masticquay_coordination import updates
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import software_versions
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import peers
@@ -66,6 +67,7 @@
         self._hosts_changed = False
         self._hosts_published_ms = self._started_ms - HOST_LIST_INTERVAL_MS
         self._endpoints: list[fleets.Endpoint] = []
+        self._stream_versions: software_versions.Versions | None = None
         self._table_update: updates.Update | None = None
         self._endpoint_update: updates.Update | None = None
         self._host_update: updates.Update | None = None
@@ -133,18 +135,31 @@
         if update is not None:
             self._publish(update)
 
-    def publish_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
-        """Sends the endpoint list to all hosts if it changed."""
+    def publish_endpoints(
+        self,
+        endpoints: list[fleets.Endpoint],
+        stream_versions: software_versions.Versions | None = None,
+    ) -> None:
+        """Sends the endpoint list to all hosts if it changed.
+
+        :param stream_versions: the software versions at which recent streams
+            may have begun, None if they are not known
+        """
         with self._lock:
             previous = self._endpoint_update
-            if previous is not None and endpoints == self._endpoints:
+            is_same = endpoints == self._endpoints
+            is_same = is_same and stream_versions == self._stream_versions
+            if previous is not None and is_same:
                 return
             self._endpoints = endpoints
+            self._stream_versions = stream_versions
             number = _next_number(previous)
             update = updates.Update(
                 updates.Kind.ENDPOINTS,
                 number,
-                messages.EndpointUpdate(self.term, number, endpoints),
+                messages.EndpointUpdate(
+                    self.term, number, endpoints, stream_versions
+                ),
             )
             self._endpoint_update = update
         self._publish(update)
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -1,5 +1,6 @@
 """Tests of the leader of the control group."""
 
+from concurrent import futures
 import queue
 import types
 import unittest
@@ -26,6 +27,8 @@
 
     def __init__(self):
         self.is_leading = False
+        self.fails_proposals = False
+        self.apply = None
         self.log_is_blank = True
         self.replica = self
         self.state = types.SimpleNamespace(applied_index=0)
@@ -35,6 +38,14 @@
             raise consensus_errors.NotLeaderError('')
         return 0
 
+    def propose(self, command):
+        proposal = futures.Future()
+        if self.fails_proposals:
+            proposal.set_exception(consensus_errors.NotLeaderError(''))
+        else:
+            proposal.set_result(self.apply(1, command))
+        return proposal
+
     def has_no_commands(self):
         return self.log_is_blank
 
@@ -76,6 +87,7 @@
     def setUp(self):
         self.node = FakeNode()
         self.machine = table_machines.TableMachine()
+        self.node.apply = self.machine.apply
         self.reader = CountingReader()
         self.lister = fakes.FakeLister()
         self.clock = clocks.ManualClock(10_000)
@@ -186,3 +198,53 @@
         views = self.renew('h3').endpoint_views
         self.assertEqual(['e0'], [v.endpoint_id for v in views])
         self.assertEqual(4, views[0].in_flight)
+
+    def lead_with_engines(self, *versions):
+        self.commit_tables(1)
+        self.lister.endpoints = fakes.make_engines(0, len(versions))
+        for engine, version in zip(
+            self.lister.endpoints, versions, strict=True
+        ):
+            engine.software_version = version
+        self.lead()
+        self.renew()
+        self.leadership.refresh_endpoints()
+
+    def next_endpoint_update(self):
+        while True:
+            update = self.link.notifications.get(timeout=WAIT_S)
+            if isinstance(update, messages.EndpointUpdate):
+                return update
+
+    def test_versions_are_stored_before_hosts_get_the_list(self):
+        self.lead_with_engines('v1', 'v2')
+        self.assertEqual({'llm': ['v1', 'v2']}, self.machine.software_versions)
+        update = self.next_endpoint_update()
+        self.assertEqual({'llm': ['v1', 'v2']}, update.stream_versions)
+
+    def test_list_is_held_back_until_its_versions_are_stored(self):
+        """The next leader must know every version at which streams begin."""
+        self.node.fails_proposals = True
+        self.lead_with_engines('v1')
+        self.renew()
+        self.node.fails_proposals = False
+        self.clock.advance_ms(leaderships.LIST_RETRY_MS)
+        self.leadership.refresh_endpoints()
+        self.assertEqual(1, self.next_endpoint_update().number)
+        self.assertTrue(self.link.notifications.empty())
+
+    def test_next_leader_knows_the_versions_of_the_previous_one(self):
+        self.node.log_is_blank = False
+        self.machine.apply(
+            1, table_machines.encode_software_versions({'llm': ['v1']})
+        )
+        self.lead_with_engines('v2')
+        update = self.next_endpoint_update()
+        self.assertEqual({'llm': ['v1', 'v2']}, update.stream_versions)
+
+    def test_leader_whose_log_has_no_versions_knows_none(self):
+        """The previous leader ran an earlier release."""
+        self.node.log_is_blank = False
+        self.lead_with_engines('v1')
+        self.assertIsNone(self.next_endpoint_update().stream_versions)
+        self.assertIsNone(self.machine.software_versions)
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -4,6 +4,7 @@
 
 from masticquay_coordination import owners
 from masticquay_routing import messages
+from masticquay_routing import stream_origins
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 from tests import fakes
@@ -24,6 +25,60 @@
         placed = self.owner.admit(fakes.make_admit(1)).result(0)
         self.assertEqual('e0', placed.prefill_id)
 
+    def set_versions(self, *versions, possible=None):
+        """Gives the decode engines e1, e2 these software versions."""
+        engines = fakes.make_engines(1, 2)
+        for engine, version in zip(engines[1:], versions, strict=True):
+            engine.software_version = version
+        self.owner.set_endpoints(engines, possible)
+
+    def resume(self, number, **fields):
+        return self.owner.admit(
+            fakes.make_admit(number, resumes=True, **fields)
+        )
+
+    # Guards against ORDER, where a stream that a caller took up at another
+    # host went on at another software version.
+    def test_stream_of_another_host_goes_on_at_its_version(self):
+        self.set_versions('v1', 'v2')
+        for number, version in enumerate(('v1', 'v2')):
+            self.owner.begin_decode(
+                messages.Decoding('h2', 'llm', number, f'c{number}', version)
+            )
+            placed = self.resume(number, first_call_id=f'c{number}').result(0)
+            self.assertEqual(f'e{number + 1}', placed.decode_id)
+            self.assertEqual(version, placed.software_version)
+
+    def test_origins_of_a_host_are_known_to_the_next_leader(self):
+        self.set_versions('v1', 'v2')
+        origin = stream_origins.StreamOrigin('c1', 'llm', 'v2')
+        self.owner.add_origins([origin])
+        placed = self.resume(1, first_call_id='c1').result(0)
+        self.assertEqual('e2', placed.decode_id)
+
+    def test_stream_of_unknown_origin_is_refused_at_once(self):
+        self.set_versions('v1', 'v2', possible={'llm': ['v1', 'v2']})
+        refused = self.resume(1, first_call_id='c1')
+        self.assertIsInstance(refused, messages.Refused)
+        self.assertGreater(refused.retry_after_ms, 0)
+
+    def test_stream_of_unknown_origin_goes_on_at_the_only_version(self):
+        self.set_versions('v1', 'v1', possible={'llm': ['v1']})
+        placed = self.resume(1).result(0)
+        self.assertEqual('v1', placed.software_version)
+
+    def test_stream_of_unknown_origin_is_refused_after_a_release(self):
+        """Only one version is listed, but another one has just left."""
+        self.set_versions('v2', 'v2', possible={'llm': ['v1', 'v2']})
+        self.assertIsInstance(self.resume(1), messages.Refused)
+
+    def test_stream_of_another_service_is_refused(self):
+        self.set_versions('v1', 'v1', possible={'llm': ['v1']})
+        origin = stream_origins.StreamOrigin('c1', 'other', 'v1')
+        self.owner.add_origins([origin])
+        refused = self.resume(1, first_call_id='c1')
+        self.assertIsInstance(refused, messages.Refused)
+
     def test_waiting_request_is_placed_when_capacity_is_freed(self):
         for number in range(10):
             self.owner.admit(
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -14,6 +14,7 @@
 from masticquay_gateway import ports
 from masticquay_gateway import streams
 from masticquay_gateway import usages
+from masticquay_routing import tables
 from masticquay_serving import counters
 from masticquay_serving import disconnects
 from masticquay_serving import errors as serving_errors
@@ -151,10 +152,19 @@
             table,
             route,
             workspace,
-            route.choose_service(random.random()),
+            self._choose_service(route, call),
             interrupts.Interrupt(),
         )
 
+    def _choose_service(self, route: tables.Route, call: ports.Call) -> str:
+        """Returns the service that began a resumed stream, if it is known."""
+        if call.resumes_stream:
+            origin = self._placer.find_origin(call.first_call_id)
+            services = [target.service for target in route.targets]
+            if origin is not None and origin.service in services:
+                return origin.service
+        return route.choose_service(random.random())
+
     def _run(self, job: jobs.Job) -> ports.Refusal | None:
         """Runs a request; returns None if the caller got a response."""
         service = job.table.services[job.service]
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -21,6 +21,7 @@
 from masticquay_routing import choosers
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_serving import counters
 from masticquay_serving import disconnects
@@ -199,6 +200,10 @@
         """Returns the placed requests that this host is running."""
         return self._placer.running_requests()
 
+    def recent_origins(self) -> list[stream_origins.StreamOrigin]:
+        """Returns where the host's recent streams began."""
+        return self._placer.recent_origins()
+
     def set_exhausted(self, exhausted: dict[str, int]) -> None:
         """Replaces the workspaces that are over their rate limit.
 
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -151,7 +151,8 @@
             complete_events = splitter.feed(data)
             if complete_events:
                 if not stream.first_ms:
-                    self._placer.begin_decode(placement)
+                    stream.software_version = placement.decode.software_version
+                    self._placer.begin_decode(placement, job.first_call_id)
                     self._record_first_events(job, placement)
                 stream.record_events(job)
                 job.reply.write(complete_events)
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -7,6 +7,7 @@
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import software_versions
 from masticquay_routing import tables
 from masticquay_serving import requests
 
@@ -30,6 +31,7 @@
         self._complete = threading.Event()
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
+        self._stream_versions: software_versions.Versions | None = None
         self.table: tables.Table | None = None
         self._default_limits = requests.Limits()
         self.endpoints_term = 0
@@ -111,6 +113,7 @@
                 return False
             self.endpoints_term, self.endpoints_number = term_and_number
             self._index_endpoints(update.endpoints)
+            self._stream_versions = update.stream_versions
         LOG.info(
             'endpoint list updated',
             extra={
@@ -133,6 +136,7 @@
         """
         with self._lock:
             self._index_endpoints(endpoints)
+            self._add_stream_versions(endpoints)
 
     def apply_hosts(self, update: messages.HostUpdate) -> bool:
         """Applies a host list if it is newer.
@@ -148,6 +152,32 @@
             self._max_host_count = max(self._max_host_count, len(update.hosts))
         return True
 
+    def only_stream_version(self, service: str) -> str | None:
+        """Returns the only version at which a service's streams may go on.
+
+        :returns: None if there are several or if they are not known; empty if
+            an older leader's endpoint list names no versions
+        """
+        with self._lock:
+            versions = self._stream_versions
+            listed = {
+                e.software_version for e in self._by_service.get(service, [])
+            }
+        if versions is None and listed == {''}:
+            return ''
+        return software_versions.only_version(versions, service)
+
+    def _add_stream_versions(self, endpoints: list[fleets.Endpoint]) -> None:
+        """Adds the versions of a list that control did not send."""
+        if self._stream_versions is None:
+            return
+        versions = {s: list(v) for s, v in self._stream_versions.items()}
+        for endpoint in endpoints:
+            of_service = versions.setdefault(endpoint.service, [])
+            if endpoint.software_version not in of_service:
+                of_service.append(endpoint.software_version)
+        self._stream_versions = versions
+
     def _index_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
         by_service: dict[str, list[fleets.Endpoint]] = {}
         for endpoint in endpoints:
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -88,12 +88,24 @@
 
     def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
         return self._chooser.choose(
-            self._state.endpoints(job.service),
+            self._list_endpoints(job),
             job.tried_ids,
             _now_ms(),
             repeatable=job.route.retryable,
         )
 
+    def _list_endpoints(self, job: jobs.Job) -> list[fleets.Endpoint]:
+        """Returns the endpoints that may run a request.
+
+        A caller's resumed stream goes on only if a single software version
+        can have begun it.
+        """
+        endpoints = self._state.endpoints(job.service)
+        if not job.call.resumes_stream:
+            return endpoints
+        version = self._state.only_stream_version(job.service)
+        return [e for e in endpoints if e.software_version == version]
+
     def _may_retry(self, job: jobs.Job) -> bool:
         if len(job.tried_ids) >= max(job.route.attempts, 1):
             return False
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -60,6 +60,13 @@
         """The workspace's name, None without a workspace."""
         return self.workspace.name if self.workspace else None
 
+    @property
+    def first_call_id(self) -> str:
+        """The id of the request under which the caller's stream began."""
+        if self.call.resumes_stream:
+            return self.call.first_call_id
+        return self.call.call_id
+
     @property
     def priority(self) -> int:
         """The workspace's priority if it has one, else the route's."""
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -10,6 +10,7 @@
 
 from masticquay_gateway import fleet_states
 from masticquay_routing import messages
+from masticquay_routing import stream_origins
 from masticquay_wire import dialers
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages as wire_messages
@@ -66,6 +67,9 @@
     def running_requests(self) -> list[messages.Running]:
         """Returns the placed requests that this host is running."""
 
+    def recent_origins(self) -> list[stream_origins.StreamOrigin]:
+        """Returns where the host's recent streams began."""
+
     def set_exhausted(self, exhausted: dict[str, int]) -> None:
         """Replaces the workspaces that are over their rate limit.
 
@@ -106,6 +110,7 @@
         self._pending_renewals: dict[str, futures.Future] = {}
         self._leader: str | None = None
         self._term = 0
+        self._must_report_streams = True
         self._search_rounds = 0
         self._search_order: list[str] = []
         self._responding: set[str] = set()
@@ -197,6 +202,8 @@
 
     def _begin_search(self) -> None:
         self._leader_found.clear()
+        # Notices that were sent to the leader meanwhile may be lost.
+        self._must_report_streams = True
         self._search_rounds = 0
         self._search_order = []
         self._responding.clear()
@@ -313,20 +320,26 @@
         self._replica_addresses = renewed.controls[:MAX_REPLICAS]
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
-        if renewed.term == self._term:
+        if renewed.term == self._term and not self._must_report_streams:
             return
+        self._must_report_streams = False
         self._term = renewed.term
         LOG.info(
             'control leader found',
             extra={'leader': self._leader, 'term': renewed.term},
         )
         running = self._report.running_requests()
-        if running and self._leader:
+        origins = self._report.recent_origins()
+        if (running or origins) and self._leader:
             self._peer(self._leader).submit(
-                self._make_renew(running), RENEW_TIMEOUT_MS
+                self._make_renew(running, origins), RENEW_TIMEOUT_MS
             )
 
-    def _make_renew(self, running: list[messages.Running]) -> messages.Renew:
+    def _make_renew(
+        self,
+        running: list[messages.Running],
+        origins: list[stream_origins.StreamOrigin] | None = None,
+    ) -> messages.Renew:
         identity = self._identity
         state = self._state
         is_searching = self._leader is None
@@ -351,6 +364,7 @@
             endpoint_reports=(
                 [] if is_searching else self._report.collect_endpoint_reports()
             ),
+            origins=origins,
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -8,12 +8,14 @@
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import fleet_states
+from masticquay_gateway import jobs
 from masticquay_gateway import links
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import meters
 from masticquay_routing import placements
 from masticquay_routing import queued_requests
+from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_wire import errors as wire_errors
 
@@ -115,6 +117,7 @@
             avoided_ids=frozenset(request.avoid),
             preferred_id=request.prefer,
             prefilled=request.prefilled,
+            software_version=request.software_version,
         )
         with self._lock:
             pool = self._pool(request.service)
@@ -192,6 +195,27 @@
         self._local = LocalPlacer(state)
         self._lock = threading.Lock()
         self._placements: dict[int, RequestPlacement] = {}
+        self._origins = stream_origins.StreamOrigins()
+
+    def find_origin(self, call_id: str) -> stream_origins.StreamOrigin | None:
+        """Returns where a stream began, None if this host does not know."""
+        with self._lock:
+            return self._origins.find(call_id, _now_ms())
+
+    def find_version(self, job: jobs.Job) -> str:
+        """Returns the software version that began a caller's stream.
+
+        :returns: empty if this host does not know it
+        """
+        origin = self.find_origin(job.call.first_call_id)
+        if origin is None or origin.service != job.service:
+            return ''
+        return origin.software_version
+
+    def recent_origins(self) -> list[stream_origins.StreamOrigin]:
+        """Returns the origins of the streams that recently began here."""
+        with self._lock:
+            return self._origins.list_all(_now_ms())
 
     def place(
         self, request: messages.Admit, interrupt: interrupts.Interrupt
@@ -211,7 +235,9 @@
                 return self._add(placement)
             self._notify_finished(request, engine_ok=True)
             return messages.Refused(
-                'placed on an endpoint unknown to this host', 500
+                'placed on an endpoint unknown to this host, or not of the '
+                'software version that began the stream',
+                500,
             )
         if isinstance(response, messages.Refused):
             return response
@@ -227,13 +253,28 @@
             messages.PrefillDone(self._host, request.service, request.number)
         )
 
-    def begin_decode(self, placement: RequestPlacement) -> None:
-        """Records that the first token of a request has arrived."""
+    def begin_decode(
+        self, placement: RequestPlacement, first_call_id: str
+    ) -> None:
+        """Records that the first token of a request has arrived.
+
+        :param first_call_id: id of the request that began the stream
+        """
         request = placement.request
-        if not placement.local:
-            self._link.notify(
-                messages.Decoding(self._host, request.service, request.number)
+        origin = stream_origins.StreamOrigin(
+            first_call_id, request.service, placement.decode.software_version
+        )
+        with self._lock:
+            self._origins.add(origin, _now_ms())
+        self._link.notify(
+            messages.Decoding(
+                self._host,
+                request.service,
+                request.number,
+                origin.call_id,
+                origin.software_version,
             )
+        )
 
     def release(self, placement: RequestPlacement, engine_ok: bool) -> None:
         """Releases the engines of a request.
@@ -349,6 +390,14 @@
     def _place_locally(
         self, request: messages.Admit
     ) -> RequestPlacement | messages.Refused:
+        if request.resumes and not request.software_version:
+            only_version = self._state.only_stream_version(request.service)
+            if only_version is None:
+                return messages.Refused(
+                    'software version of the resumed stream is unknown',
+                    placements.RETRY_AFTER_MAX_MS,
+                )
+            request.software_version = only_version
         if not request.charged:
             wait_ms = self._local.charge_rate(request.workspace, request.cost)
             if wait_ms:
@@ -376,10 +425,28 @@
             prefill = self._state.endpoint(placed.prefill_id)
         if decode is None or (placed.prefill_id and prefill is None):
             return None
+        if request.resumes and not self._may_resume(request, placed, decode):
+            return None
         return RequestPlacement(
             prefill, decode, request, False, placed.prefill_ms
         )
 
+    def _may_resume(
+        self,
+        request: messages.Admit,
+        placed: messages.Placed,
+        decode: fleets.Endpoint,
+    ) -> bool:
+        """Whether a stream may go on at an engine.
+
+        A leader of an earlier release names no version.
+        """
+        version: str | None
+        version = request.software_version or placed.software_version
+        if not version:
+            version = self._state.only_stream_version(request.service)
+        return version == decode.software_version
+
     def _add(self, placement: RequestPlacement) -> RequestPlacement:
         with self._lock:
             self._placements[placement.request.number] = placement
--- a/libs/gateway/masticquay_gateway/relays.py
+++ b/libs/gateway/masticquay_gateway/relays.py
@@ -26,6 +26,8 @@
     :ivar prefilled_ms: time from the request to the end of its prefill
     :ivar last_event_s: monotonic time at which events were last sent
     :ivar longest_gap_ms: longest time between two sends of events
+    :ivar software_version: the version of the engines that wrote its events,
+        empty before the first one or if unknown
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         'handle',
         'placed_ms',
         'prefilled_ms',
+        'software_version',
     )
 
     def __init__(self) -> None:
@@ -52,6 +55,7 @@
         self.prefilled_ms = 0.0
         self.splitter = events.EventSplitter()
         self.first_ms = 0.0
+        self.software_version = ''
 
     def record_events(self, job: jobs.Job) -> None:
         """Records that events are sent to the caller now."""
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -86,6 +86,8 @@
         """
         self._budgets.record_request(job.service)
         stream = relays.RelayedStream()
+        if job.call.resumes_stream:
+            stream.software_version = self._placer.find_version(job)
         refusal: ports.Refusal | None = None
         is_first_send = True
         for attempt in range(MAX_ATTEMPTS):
@@ -285,6 +287,9 @@
             charged=charged,
             pause_ms=job.route.max_pause_ms
             or queued_requests.DEFAULT_PAUSE_MS,
+            resumes=call.resumes_stream or stream.splitter.last_id is not None,
+            first_call_id=call.first_call_id,
+            software_version=stream.software_version,
         )
 
     def _wait_ms(self, job: jobs.Job, charged: bool) -> int:
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -55,3 +55,36 @@
         self.assertIs(endpoint, self.state.endpoint('e1'))
         self.state.apply_endpoints(messages.EndpointUpdate(1, 1, []))
         self.assertIsNone(self.state.endpoint('e1'))
+
+    def apply_versions(self, listed, possible):
+        """Applies a list of one endpoint of each software version."""
+        endpoints = [
+            fleets.Endpoint(
+                f'e{n}', 'svc', '127.0.0.1:1', 'p', software_version=version
+            )
+            for n, version in enumerate(listed)
+        ]
+        number = self.state.endpoints_number + 1
+        self.state.apply_endpoints(
+            messages.EndpointUpdate(1, number, endpoints, possible)
+        )
+
+    def test_only_version_is_the_one_at_which_streams_may_have_begun(self):
+        self.apply_versions(['v1'], {'svc': ['v1']})
+        self.assertEqual('v1', self.state.only_stream_version('svc'))
+        self.apply_versions(['v2'], {'svc': ['v1', 'v2']})
+        self.assertIsNone(self.state.only_stream_version('svc'))
+        self.apply_versions(['v2'], None)
+        self.assertIsNone(self.state.only_stream_version('svc'))
+
+    def test_list_of_an_earlier_release_names_no_versions(self):
+        self.apply_versions(['', ''], None)
+        self.assertEqual('', self.state.only_stream_version('svc'))
+
+    def test_version_that_this_host_listed_itself_is_possible(self):
+        self.apply_versions(['v1'], {'svc': ['v1']})
+        endpoint = fleets.Endpoint(
+            'e1', 'svc', '127.0.0.1:1', 'p', software_version='v2'
+        )
+        self.state.apply_local_list([endpoint])
+        self.assertIsNone(self.state.only_stream_version('svc'))
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -9,6 +9,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import links
 from masticquay_routing import messages
+from masticquay_routing import stream_origins
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
 from masticquay_wire import peers
@@ -24,6 +25,7 @@
 
     def __init__(self):
         self.leader_found = threading.Event()
+        self.origins = []
 
     def is_ready(self):
         return False
@@ -34,6 +36,9 @@
     def running_requests(self):
         return []
 
+    def recent_origins(self):
+        return self.origins
+
     def set_exhausted(self, exhausted):
         self.leader_found.set()
 
@@ -135,6 +140,28 @@
         link._begin_search()
         self.assertEqual(links.SEARCH_INTERVAL_MS, link._pause_ms())
 
+    # Guards against ORDER after a change of the leader: the next one did not
+    # know where streams had begun.
+    def test_leader_that_is_found_gets_the_origins_of_recent_streams(self):
+        origin = stream_origins.StreamOrigin('c1', 'llm', 'v1')
+        self.report.origins = [origin]
+        received = threading.Event()
+
+        def renew(renewal, link):
+            if renewal.origins == [origin]:
+                received.set()
+            return self.renew_as_leader(renewal, link)
+
+        self.assert_leader_found([self.start_replica(renew)])
+        self.assertTrue(received.wait(TIMEOUT_S))
+
+    def test_leader_that_is_found_again_gets_the_streams_again(self):
+        """Notices that were sent while it could not be reached are lost."""
+        link = self.make_link([])
+        link._must_report_streams = False
+        link._begin_search()
+        self.assertTrue(link._must_report_streams)
+
     def make_link(self, seeds):
         state = fleet_states.FleetState(test_fleet_states.VersionReader())
         identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -32,6 +32,8 @@
         self.released = []
         self.failures = []
         self.refusals = []
+        self.origins = []
+        self.known_version = ''
 
     def place(self, request, interrupt):
         self.requests.append(request)
@@ -44,8 +46,11 @@
     def finish_prefill(self, placement):
         pass
 
-    def begin_decode(self, placement):
-        pass
+    def find_version(self, job):
+        return self.known_version
+
+    def begin_decode(self, placement, first_call_id):
+        self.origins.append((first_call_id, placement.decode.software_version))
 
     def release(self, placement, engine_ok):
         self.released.append(engine_ok)
@@ -59,6 +64,7 @@
 
 class StreamerTest(unittest.TestCase):
     budget_slack = 10
+    resume_job = False
 
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -107,6 +113,10 @@
         self.job = fakes.make_job(
             fakes.make_route(STREAM, resumable=resumable), reply, **job_options
         )
+        if self.resume_job:
+            self.placer.known_version = 'v1'
+            self.job.call.last_event_id = '2'
+            self.job.call.first_call_id = 'c0'
         return streamer.run(self.job)
 
     def test_prefill_handle_is_passed_to_the_decode_engine(self):
@@ -227,6 +237,38 @@
         self.assertEqual('2', decode.requests[1].header('resume'))
         self.assertEqual('e1', self.placer.requests[1].prefer)
 
+    # Guards against ORDER within one response: a broken stream went on at an
+    # engine of another software version.
+    def test_broken_stream_asks_for_the_software_version_that_began_it(self):
+        def answer(request, reply):
+            if request.header('resume') is None:
+                self.send_stream(request, reply, end=2, complete=False)
+            else:
+                self.send_stream(request, reply, start=2)
+
+        decode = self.make_decode_engine(1, answer)
+        decode.endpoint.software_version = 'v2'
+        self.run_job(
+            [(None, decode.endpoint), (None, decode.endpoint)],
+            resumable=True,
+        )
+        first, second = self.placer.requests
+        self.assertEqual((False, ''), (first.resumes, first.software_version))
+        self.assertEqual(
+            (True, 'v2'), (second.resumes, second.software_version)
+        )
+        self.assertEqual([('c1', 'v2')], self.placer.origins)
+
+    def test_stream_of_a_caller_asks_for_the_version_that_is_known_here(self):
+        decode = self.make_decode_engine(1, self.send_stream)
+        self.resume_job = True
+        self.run_job([(None, decode.endpoint)])
+        request = self.placer.requests[0]
+        self.assertTrue(request.resumes)
+        self.assertEqual('c0', request.first_call_id)
+        self.assertEqual('v1', request.software_version)
+        self.assertEqual('c0', self.placer.origins[0][0])
+
     def test_broken_stream_that_is_not_resumable_is_aborted(self):
         decode = self.make_decode_engine(
             1,
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -89,7 +89,13 @@
             chosen = by_backlog[: min(surplus, len(prefills) - 1)]
             role = fleets.ROLE_DECODE
         elif surplus < 0 and len(decodes) > 1:
-            by_memory = sorted(decodes, key=lambda e: e.reserved_tokens)
+            by_memory = sorted(
+                decodes,
+                key=lambda e: (
+                    _is_only_of_version(e, decodes),
+                    e.reserved_tokens,
+                ),
+            )
             chosen = by_memory[: min(-surplus, len(decodes) - 1)]
             role = fleets.ROLE_PREFILL
         else:
@@ -168,3 +174,14 @@
 
 def _has_role(state: engine_states.EngineState, role: str) -> bool:
     return state.endpoint.role == role
+
+
+def _is_only_of_version(
+    state: engine_states.EngineState, decodes: list[engine_states.EngineState]
+) -> bool:
+    """Whether the streams of a software version can go on nowhere else."""
+    version = state.endpoint.software_version
+    return not any(
+        e is not state and e.endpoint.software_version == version
+        for e in decodes
+    )
--- a/libs/routing/masticquay_routing/failed_placements.py
+++ b/libs/routing/masticquay_routing/failed_placements.py
@@ -28,7 +28,7 @@
         self, request: queued_requests.QueuedRequest, late: bool
     ) -> None:
         """Records that no engine had room for a request."""
-        if request.avoided_ids:
+        if _has_fewer_engines(request):
             return
         if late:
             self._full_memory_tokens_of_late = request.memory_tokens
@@ -39,7 +39,7 @@
         self, request: queued_requests.QueuedRequest
     ) -> None:
         """Records that a late request found too long a prefill backlog."""
-        if not request.avoided_ids:
+        if not _has_fewer_engines(request):
             self._late_blocked = True
 
     def record_long_backlog(
@@ -49,7 +49,7 @@
 
         No decode engine could prefill it without a long stall either.
         """
-        if not request.avoided_ids:
+        if not _has_fewer_engines(request):
             self._long_backlog = request
 
     def imply_failure_of(
@@ -59,7 +59,7 @@
         late = request.is_late(now_ms)
         if self._finds_no_memory(request, late):
             return True
-        if request.prefilled or request.preferred_id or request.avoided_ids:
+        if request.prefilled or request.resumes_stream or request.avoided_ids:
             return False
         if late:
             return self._late_blocked
@@ -90,3 +90,8 @@
             and request.prompt_tokens >= other.prompt_tokens
             and request.pause_ms <= other.pause_ms
         )
+
+
+def _has_fewer_engines(request: queued_requests.QueuedRequest) -> bool:
+    """Whether a request may not use every engine, as others may."""
+    return bool(request.avoided_ids or request.software_version)
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -2,6 +2,7 @@
 
 from masticquay_routing import fleets
 from masticquay_routing import queued_requests
+from masticquay_routing import stream_origins
 from masticquay_wire import messages
 from masticquay_wire import records
 
@@ -130,6 +131,8 @@
         and otherwise empty
     :param endpoint_reports: on the endpoints that the host has used since its
         last renewal
+    :param origins: the origins of the host's recent streams, sent with
+        ``running``
     """
 
     __slots__ = (
@@ -145,6 +148,7 @@
         'usage',
         'running',
         'endpoint_reports',
+        'origins',
     )
 
     def __init__(
@@ -161,6 +165,7 @@
         usage: dict[str, float],
         running: list[Running],
         endpoint_reports: list[EndpointReport] | None = None,
+        origins: list[stream_origins.StreamOrigin] | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -174,6 +179,7 @@
         self.usage = usage
         self.running = running
         self.endpoint_reports = endpoint_reports or []
+        self.origins = origins or []
 
 
 @messages.register
@@ -231,16 +237,25 @@
 
 @messages.register
 class EndpointUpdate(messages.Message):
-    """The endpoint list, with a number that is unique within the term."""
+    """The endpoint list, with a number that is unique within the term.
 
-    __slots__ = ('term', 'number', 'endpoints')
+    :param stream_versions: the software versions at which recent streams may
+        have begun, by service; None if they are not known
+    """
+
+    __slots__ = ('term', 'number', 'endpoints', 'stream_versions')
 
     def __init__(
-        self, term: int, number: int, endpoints: list[fleets.Endpoint]
+        self,
+        term: int,
+        number: int,
+        endpoints: list[fleets.Endpoint],
+        stream_versions: dict[str, list[str]] | None = None,
     ):
         self.term = term
         self.number = number
         self.endpoints = endpoints
+        self.stream_versions = stream_versions
 
 
 @messages.register
@@ -273,6 +288,11 @@
     :param prefer: id of the engine that has the prompt in its cache; empty
         for none
     :param charged: whether the cost was charged by an earlier attempt
+    :param resumes: whether the caller already has a part of the stream
+    :param first_call_id: id of the request that began that stream, empty if
+        unknown
+    :param software_version: the version that began it, empty if the host does
+        not know it
     """
 
     __slots__ = (
@@ -293,6 +313,9 @@
         'prefilled',
         'charged',
         'pause_ms',
+        'resumes',
+        'first_call_id',
+        'software_version',
     )
 
     def __init__(
@@ -314,6 +337,9 @@
         prefilled: bool = False,
         charged: bool = False,
         pause_ms: int = queued_requests.DEFAULT_PAUSE_MS,
+        resumes: bool = False,
+        first_call_id: str = '',
+        software_version: str = '',
     ):
         self.host = host
         self.number = number
@@ -332,6 +358,9 @@
         self.prefilled = prefilled
         self.charged = charged
         self.pause_ms = pause_ms
+        self.resumes = resumes
+        self.first_call_id = first_call_id
+        self.software_version = software_version
 
 
 @messages.register
@@ -340,14 +369,23 @@
 
     :param prefill_id: empty if the decode engine needs no prefill engine
     :param prefill_ms: the expected time of the prefill, queueing included
+    :param software_version: the version at which the resumed stream goes on,
+        empty for a new stream
     """
 
-    __slots__ = ('prefill_id', 'decode_id', 'prefill_ms')
+    __slots__ = ('prefill_id', 'decode_id', 'prefill_ms', 'software_version')
 
-    def __init__(self, prefill_id: str, decode_id: str, prefill_ms: int):
+    def __init__(
+        self,
+        prefill_id: str,
+        decode_id: str,
+        prefill_ms: int,
+        software_version: str = '',
+    ):
         self.prefill_id = prefill_id
         self.decode_id = decode_id
         self.prefill_ms = prefill_ms
+        self.software_version = software_version
 
 
 @messages.register
@@ -381,14 +419,33 @@
 
 @messages.register
 class Decoding(messages.Message):
-    """The first token of a placed request has arrived."""
+    """The first token of a placed request has arrived.
 
-    __slots__ = ('host', 'service', 'number')
+    :param first_call_id: id of the request that began the stream
+    :param software_version: the version of the decode engine
+    """
 
-    def __init__(self, host: str, service: str, number: int):
+    __slots__ = (
+        'host',
+        'service',
+        'number',
+        'first_call_id',
+        'software_version',
+    )
+
+    def __init__(
+        self,
+        host: str,
+        service: str,
+        number: int,
+        first_call_id: str = '',
+        software_version: str = '',
+    ):
         self.host = host
         self.service = service
         self.number = number
+        self.first_call_id = first_call_id
+        self.software_version = software_version
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -271,6 +271,8 @@
                 outcomes.append((request, placement))
                 engines = None
                 failures = failed_placements.FailedPlacements()
+            elif self._lost_version(request):
+                outcomes.append((request, _refuse_lost_version(request)))
             elif now_ms >= request.placement_deadline_ms:
                 outcomes.append((request, self._refuse(request, now_ms)))
             else:
@@ -308,6 +310,16 @@
         usable = usable_engines.UsableEngines(self.engines, now_ms)
         return usable.prefills, usable.decodes
 
+    def _lost_version(self, request: queued_requests.QueuedRequest) -> bool:
+        """Whether no engine is left at which a stream may go on."""
+        if not request.software_version:
+            return False
+        return not any(
+            request.fits(e.endpoint)
+            for e in self.engines.values()
+            if e.endpoint.role == fleets.ROLE_DECODE and not e.endpoint.leaving
+        )
+
     def _list_usable(self, now_ms: int) -> usable_engines.UsableEngines:
         return usable_engines.UsableEngines(
             self.engines, now_ms, self._randomness
@@ -331,7 +343,7 @@
             e
             for e in engines.decodes
             if e.has_capacity(request.memory_tokens, memory_share)
-            and e.endpoint.endpoint_id not in request.avoided_ids
+            and request.fits(e.endpoint)
         ]
         if not candidates:
             failures.record_full_memory(request, late)
@@ -381,7 +393,7 @@
             )
             if (
                 first_token_ms > request.target_deadline_ms
-                and not request.preferred_id
+                and not request.resumes_stream
             ):
                 return None
             return self._place_disaggregated(
@@ -583,10 +595,23 @@
     ]
 
 
+def _refuse_lost_version(
+    request: queued_requests.QueuedRequest,
+) -> queued_requests.Refusal:
+    return queued_requests.Refusal(
+        f'no engine of software version {request.software_version}',
+        RETRY_AFTER_MAX_MS // 2,
+    )
+
+
 def _queue_order(request: queued_requests.QueuedRequest, now_ms: int) -> tuple:
-    """Orders requests that can be on time first, then by priority and age."""
+    """Orders streams that go on first, as they fit on few engines.
+
+    Then come requests that can be on time, by priority and age.
+    """
     late = now_ms >= request.target_deadline_ms
-    return (late, request.priority, request.arrived_ms)
+    is_new = not request.software_version
+    return (is_new, late, request.priority, request.arrived_ms)
 
 
 def _decode_cost(state: engine_states.EngineState, place: str) -> float:
--- a/libs/routing/masticquay_routing/queued_requests.py
+++ b/libs/routing/masticquay_routing/queued_requests.py
@@ -37,6 +37,8 @@
     :param prefilled: whether the host holds a handle to the prefilled prompt
     :param pause_ms: the longest pause in a stream that meets the latency
         target
+    :param software_version: the version of decode engines at which a stream
+        goes on; empty for a new stream
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         'preferred_id',
         'prefilled',
         'pause_ms',
+        'software_version',
     )
 
     def __init__(
@@ -72,6 +75,7 @@
         prompt_key: str = '',
         prefilled: bool = False,
         pause_ms: int = DEFAULT_PAUSE_MS,
+        software_version: str = '',
     ):
         self.key = key
         self.workspace = workspace
@@ -87,13 +91,25 @@
         self.prompt_key = prompt_key
         self.prefilled = prefilled
         self.pause_ms = pause_ms
+        self.software_version = software_version
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has a part of the stream."""
+        return bool(self.preferred_id or self.software_version)
 
     def is_late(self, now_ms: int) -> bool:
-        """Whether a request that has no prompt in a cache misses its target.
+        """Whether the request misses its target.
 
         One that resumes a stream counts as on time.
         """
-        return now_ms >= self.target_deadline_ms and not self.preferred_id
+        return now_ms >= self.target_deadline_ms and not self.resumes_stream
+
+    def fits(self, endpoint: fleets.Endpoint) -> bool:
+        """Whether the request may be decoded on an engine."""
+        if endpoint.endpoint_id in self.avoided_ids:
+            return False
+        return self.software_version in ('', endpoint.software_version)
 
     @property
     def memory_tokens(self) -> int:
--- a/libs/routing/tests/test_balances.py
+++ b/libs/routing/tests/test_balances.py
@@ -49,6 +49,20 @@
         orders = self.plan(pool, 4_000)
         self.assertEqual([fleets.ROLE_PREFILL], [o.role for o in orders])
 
+    # Guards against LOST: the last decode engine of a software version took
+    # another role, and its streams could go on nowhere.
+    def test_last_decode_engine_of_a_version_keeps_its_role(self):
+        pool = builders.make_pool(prefills=0, decodes=5)
+        versions = ['v1', 'v2', 'v2', 'v2', 'v2']
+        for engine, version in zip(
+            pool.engines.values(), versions, strict=True
+        ):
+            engine.endpoint.software_version = version
+            engine.reserved_tokens = 100 if version == 'v2' else 0
+        self.plan(pool, 0)
+        orders = self.plan(pool, 4_000)
+        self.assertEqual(['v2'], [o.endpoint.software_version for o in orders])
+
     def test_short_outage_of_a_prefill_engine_changes_no_role(self):
         """A role change takes longer than an outage of a few seconds."""
         pool = builders.make_pool(prefills=1, decodes=5)
