Logs name the prompt's parts and how long an engine wrote when it failed

The caller's port gives the parts of a prompt that others may share; 'engine request failed' names them with the prompt, the engine's role and written_ms. No decision reads them.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -59,6 +59,7 @@
         :raises CallerDisconnectedError: if sending to the caller failed
         """
         headers = self._request_headers(job, placement, stream)
+        stream.engine_began_s = 0.0
         with self._pools.open(placement.decode, job.interrupt) as exchange:
             head = self._send_request(job, exchange, headers)
             if stream.splitter.last_id is not None:
--- a/libs/gateway/masticquay_gateway/failures.py
+++ b/libs/gateway/masticquay_gateway/failures.py
@@ -54,9 +54,17 @@
             )
 
     def report_failure(
-        self, job: jobs.Job, endpoint: fleets.Endpoint, cause: Exception
+        self,
+        job: jobs.Job,
+        endpoint: fleets.Endpoint,
+        cause: Exception,
+        written_ms: float | None = None,
     ) -> None:
-        """Reports that an engine failed a request or was unreachable."""
+        """Reports that an engine failed a request or was unreachable.
+
+        :param written_ms: how long it had been writing the stream, None if it
+            had not begun
+        """
         job.tried_ids.add(endpoint.endpoint_id)
         self._registry.count('engine_trouble', 'service', job.service)
         LOG.warning(
@@ -64,7 +72,13 @@
             extra={
                 'call': job.call.call_id,
                 'endpoint': endpoint.endpoint_id,
+                'role': endpoint.role,
                 'cause': f'{type(cause).__name__}: {cause}',
+                'written_ms': None
+                if written_ms is None
+                else round(written_ms),
+                'prompt_parts': job.call.prompt_parts,
+                'prompt': job.call.prompt_key,
             },
         )
         self._placer.report_failure(
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -25,6 +25,8 @@
     :param expected_output_tokens: the caller's estimate of the output's length
     :param prompt_key: identifies a prompt across the caller's attempts, empty
         if unknown
+    :param prompt_parts: ids of the parts of the prompt that other prompts may
+        share, in order
     :param last_event_id: id of the last event that the caller has of a stream
         that it resumes, empty for a new request
     :param first_call_id: request id under which the caller got the first event
@@ -41,6 +43,7 @@
         'max_output_tokens',
         'expected_output_tokens',
         'prompt_key',
+        'prompt_parts',
         'last_event_id',
         'first_call_id',
     )
@@ -56,6 +59,7 @@
         max_output_tokens: int | None = None,
         expected_output_tokens: int | None = None,
         prompt_key: str = '',
+        prompt_parts: list[str] | None = None,
         last_event_id: str = '',
         first_call_id: str = '',
     ):
@@ -68,6 +72,7 @@
         self.max_output_tokens = max_output_tokens
         self.expected_output_tokens = expected_output_tokens
         self.prompt_key = prompt_key
+        self.prompt_parts = prompt_parts or []
         self.last_event_id = last_event_id
         self.first_call_id = first_call_id
 
--- a/libs/gateway/masticquay_gateway/relays.py
+++ b/libs/gateway/masticquay_gateway/relays.py
@@ -28,6 +28,8 @@
     :ivar longest_gap_ms: longest time between two sends of events
     :ivar software_version: the version of the engines that wrote its events,
         empty before the first one or if unknown
+    :ivar engine_began_s: monotonic time at which the present engine wrote its
+        first event, 0 before it
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         'placed_ms',
         'prefilled_ms',
         'software_version',
+        'engine_began_s',
     )
 
     def __init__(self) -> None:
@@ -56,6 +59,14 @@
         self.splitter = events.EventSplitter()
         self.first_ms = 0.0
         self.software_version = ''
+        self.engine_began_s = 0.0
+
+    @property
+    def written_ms(self) -> float | None:
+        """How long its engine has been writing it, None before that."""
+        if not self.engine_began_s:
+            return None
+        return (time.monotonic() - self.engine_began_s) * 1000
 
     def record_events(self, job: jobs.Job) -> None:
         """Records that events are sent to the caller now."""
@@ -66,6 +77,7 @@
             gap_ms = (now_s - self.last_event_s) * 1000
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.last_event_s = now_s
+        self.engine_began_s = self.engine_began_s or now_s
 
 
 class PrefillHandle:
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -221,7 +221,9 @@
         cause: Exception,
     ) -> _FailedAttempt:
         """Decides whether a broken stream is resumed, and where."""
-        self._failure_reporter.report_failure(job, placement.decode, cause)
+        self._failure_reporter.report_failure(
+            job, placement.decode, cause, stream.written_ms
+        )
         if _may_hold_kv_cache(cause) and not stream.was_broken:
             stream.cache_engine_id = placement.decode.endpoint_id
             job.tried_ids.discard(stream.cache_engine_id)
