BUDGET: prompts with a part under which engines ended are refused

Cause: nobody relates the ends of engines to what the requests have in common. Each host saw single broken streams of unrelated calls, the leader single failures of unrelated engines; the pool only learnt to avoid the engine that was gone, and placed the next such request on the next one. Class of fault: a failure is charged to the place where it shows instead of to its cause, so that retrying and balancing spread it.

Change: - A host that has a young stream broken off tries a connection to the engine; if that is refused, it reports the engine's end with the prompt's parts and how long the engine had been writing. - routing.harmful_prompts, on the leader: requests that an engine had written for less than a second are suspects of its end; completed answers and those written for longer clear their parts. The part that explains the most ends (four, under two prompts) is quarantined for 3 minutes, the one that fewest requests have if several do, and what it explains is not held against the others. A single prompt is refused after two ends. After the quarantine one request at a time is let through. - Renewals carry the quarantine to all hosts, which refuse such requests at once as not run, also between prefill and decode, and tell it to the next leader.

Why it works: the harmful part is the only one that has every end and no survivor.

The other tests of routing, gateway and coordination pass.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -355,6 +355,8 @@
         if renewal.running:
             term.owner.adopt(renewal.host, renewal.running)
         term.owner.add_origins(renewal.origins)
+        if renewal.quarantined:
+            term.owner.adopt_quarantined(renewal.quarantined)
         exhausted = term.owner.charge(renewal.usage)
         members = self._node.status().members
         controls = [member.member.address for member in members]
@@ -363,6 +365,7 @@
             controls,
             exhausted,
             self._exchange_endpoint_views(term, renewal),
+            term.owner.quarantined_prompts(),
         )
 
     def _exchange_endpoint_views(
@@ -416,6 +419,8 @@
                 'endpoint': trouble.endpoint_id,
                 'entry_host': trouble.host,
                 'reason': trouble.reason,
+                'has_ended': trouble.has_ended,
+                'prompt_parts': trouble.prompt_parts,
             },
         )
         self._term.owner.record_failure(trouble)
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -3,6 +3,7 @@
 import unittest
 
 from masticquay_coordination import owners
+from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import stream_origins
 from masticquay_wire import clocks
@@ -230,3 +231,85 @@
         with self.assertRaises(wire_errors.RemoteError) as raised:
             last.result(0)
         self.assertEqual(messages.CODE_NOT_LEADER, raised.exception.code)
+
+    def admit_prompt(self, number, *parts, **fields):
+        return self.owner.admit(
+            fakes.make_admit(
+                number,
+                prompt_key=f'last{number}:9',
+                prompt_parts=list(parts),
+                **fields,
+            )
+        )
+
+    def end_engines(self, *parts):
+        """Ends enough engines under prompts to quarantine the last part."""
+        for number in range(harmful_prompts.MIN_ENDS):
+            self.admit_prompt(number, *parts)
+            trouble = messages.EndpointTrouble(
+                f'h{number}',
+                'llm',
+                f'i{number}',
+                False,
+                'ended',
+                written_ms=40,
+                has_ended=True,
+                prompt_key=f'last{number}:9',
+                prompt_parts=list(parts),
+            )
+            self.owner.record_failure(trouble)
+            self.owner.finish(messages.Finished('h1', 'llm', number, False))
+            self.clock.advance_ms(1_000)
+
+    # Guards against BUDGET, where requests with one part in their prompts were
+    # placed on engine after engine.
+    def test_prompt_with_a_part_that_ended_engines_is_refused(self):
+        self.end_engines('first', 'bad')
+        refused = self.admit_prompt(90, 'first', 'bad')
+        self.assertEqual(messages.REASON_HARMFUL_PROMPT, refused.reason)
+        self.assertGreater(refused.retry_after_ms, 100_000)
+        self.assertEqual(['bad'], list(self.owner.quarantined_prompts()))
+        placed = self.admit_prompt(91, 'first').result(0)
+        self.assertIsInstance(placed, messages.Placed)
+
+    def test_waiting_prompt_is_refused_when_its_part_is_quarantined(self):
+        self.fill_engines()
+        waiting = self.admit_prompt(90, 'first', 'bad', wait_ms=60_000)
+        self.assertFalse(waiting.done())
+        self.end_engines('first', 'bad')
+        refused = waiting.result(0)
+        self.assertEqual(messages.REASON_HARMFUL_PROMPT, refused.reason)
+
+    def test_refused_harmful_prompt_is_not_charged(self):
+        self.end_engines('bad')
+        for number in (90, 91, 92):
+            self.admit_prompt(number, 'bad', workspace='w', cost=3_000.0)
+        for number in (93, 94):
+            waiting = self.admit_of_workspace(number)
+            self.assertNotIsInstance(waiting, messages.Refused)
+
+    def test_stream_that_goes_on_elsewhere_clears_its_part(self):
+        """It has been written for a while when other engines end."""
+        self.admit_prompt(80, 'first')
+        self.owner.begin_decode(messages.Decoding('h1', 'llm', 80))
+        self.clock.advance_ms(harmful_prompts.SUSPECT_MS)
+        self.end_engines('first')
+        self.assertEqual({}, self.owner.quarantined_prompts())
+
+    def test_completed_answer_clears_its_part(self):
+        self.end_engines('first')
+        self.owner.adopt_quarantined({'first': 0})
+        self.clock.advance_ms(harmful_prompts.QUARANTINE_MS)
+        self.admit_prompt(80, 'first')
+        self.owner.finish(messages.Finished('h1', 'llm', 80, True, True))
+        self.assertIsInstance(
+            self.admit_prompt(81, 'first').result(0), messages.Placed
+        )
+
+    def test_next_leader_takes_over_the_quarantine(self):
+        self.end_engines('bad')
+        quarantined = self.owner.quarantined_prompts()
+        self.owner = self.make_owner(first=False)
+        self.owner.adopt_quarantined(quarantined)
+        refused = self.admit_prompt(90, 'bad')
+        self.assertEqual(messages.REASON_HARMFUL_PROMPT, refused.reason)
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -15,6 +15,7 @@
 from masticquay_gateway import links
 from masticquay_gateway import placers
 from masticquay_gateway import ports
+from masticquay_gateway import quarantines
 from masticquay_gateway import retries
 from masticquay_gateway import streams
 from masticquay_gateway import usages
@@ -123,6 +124,7 @@
             self,
         )
         self._placer = placers.Placer(settings.name, self.link, self.state)
+        self.quarantine = quarantines.Quarantine()
         self._pools = exchanges.ConnectionPools()
         self._chooser = choosers.Chooser(settings.place, random.Random())
         self._disconnect_watcher = disconnects.DisconnectWatcher()
@@ -200,6 +202,14 @@
         """Returns the placed requests that this host is running."""
         return self._placer.running_requests()
 
+    def quarantined_prompts(self) -> dict[str, int]:
+        """Returns the parts of prompts to refuse, with the time left in ms."""
+        return self.quarantine.remaining()
+
+    def set_quarantined_prompts(self, quarantined: dict[str, int]) -> None:
+        """Replaces the parts of prompts to refuse."""
+        self.quarantine.apply(quarantined)
+
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
         """Returns where the host's recent streams began."""
         return self._placer.recent_origins()
@@ -252,6 +262,7 @@
             self._pools,
             self._placer,
             budgets,
+            self.quarantine,
             self.registry,
         )
         return calls.CallService(
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -1,5 +1,7 @@
 """Errors of the entry daemon."""
 
+from masticquay_routing import messages
+
 Headers = list[tuple[str, str]]
 
 
@@ -26,6 +28,17 @@
         self.status = status
 
 
+class HarmfulPromptError(GatewayError):
+    """Engines ended on prompts with a part that this one has, too.
+
+    :param wait_ms: how long such prompts are refused
+    """
+
+    def __init__(self, wait_ms: int):
+        super().__init__(messages.REASON_HARMFUL_PROMPT)
+        self.wait_ms = wait_ms
+
+
 class PrefillFailedError(GatewayError):
     """Prefill failed, and the request was not sent to a decode engine."""
 
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -1,5 +1,6 @@
 """Connection pools for requests to endpoints."""
 
+import socket
 import threading
 
 from masticquay_endpoints import connections
@@ -56,6 +57,18 @@
             self._pools.pop(oldest).close()
 
 
+def accepts_connections(endpoint: fleets.Endpoint) -> bool:
+    """Whether an endpoint accepts a new connection, which is closed again."""
+    host, _, port = endpoint.address.rpartition(':')
+    try:
+        with socket.create_connection(
+            (host, int(port)), CONNECT_TIMEOUT_MS / 1000
+        ):
+            return True
+    except OSError:
+        return False
+
+
 def response_headers(exchange: connections.Exchange) -> ports.Headers:
     """Returns the headers of an exchange's response."""
     return list(exchange.response.headers.items())
--- a/libs/gateway/masticquay_gateway/failures.py
+++ b/libs/gateway/masticquay_gateway/failures.py
@@ -1,12 +1,14 @@
 """Reports engines that failed or refused requests."""
 
 import logging
+import threading
 
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import jobs
 from masticquay_gateway import placers
 from masticquay_routing import fleets
+from masticquay_routing import harmful_prompts
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
@@ -81,12 +83,56 @@
                 'prompt': job.call.prompt_key,
             },
         )
+        broken = None
+        if endpoint.role == fleets.ROLE_DECODE and _broke_off(cause):
+            broken = placers.BrokenStream(
+                job.call, -1 if written_ms is None else int(written_ms)
+            )
         self._placer.report_failure(
             job.service,
             endpoint,
             reached=not isinstance(cause, exchanges.NotSentError),
             stalled=isinstance(cause, exchanges.StalledError),
             reason=str(cause),
+            broken=broken,
+        )
+        if broken and broken.written_ms < harmful_prompts.SUSPECT_MS:
+            threading.Thread(
+                target=self._report_if_ended,
+                args=(job, endpoint, broken),
+                daemon=True,
+            ).start()
+
+    def _report_if_ended(
+        self,
+        job: jobs.Job,
+        endpoint: fleets.Endpoint,
+        broken: placers.BrokenStream,
+    ) -> None:
+        """Reports an engine that takes no connections after a broken stream.
+
+        It tells the end of an engine from that of a connection.
+        """
+        if exchanges.accepts_connections(endpoint):
+            return
+        self._registry.count('engines_ended', 'service', job.service)
+        LOG.warning(
+            'engine ended as it began to answer a prompt',
+            extra={
+                'call': job.call.call_id,
+                'endpoint': endpoint.endpoint_id,
+                'written_ms': broken.written_ms,
+                'prompt_parts': job.call.prompt_parts,
+                'prompt': job.call.prompt_key,
+            },
+        )
+        self._placer.report_failure(
+            job.service,
+            endpoint,
+            reached=False,
+            stalled=False,
+            reason='takes no connections after it broke a stream off',
+            broken=broken,
         )
 
     def log(
@@ -109,3 +155,12 @@
                 'elapsed_ms': round(job.elapsed_ms),
             },
         )
+
+
+def _broke_off(cause: Exception) -> bool:
+    """Whether an engine that had the request ended its connection."""
+    if isinstance(cause, errors.TruncatedStreamError):
+        return True
+    if isinstance(cause, (exchanges.NotSentError, exchanges.StalledError)):
+        return False
+    return isinstance(cause, exchanges.EndpointError)
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -70,6 +70,12 @@
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
         """Returns where the host's recent streams began."""
 
+    def quarantined_prompts(self) -> dict[str, int]:
+        """Returns the parts of prompts to refuse, with the time left in ms."""
+
+    def set_quarantined_prompts(self, quarantined: dict[str, int]) -> None:
+        """Replaces the parts of prompts to refuse."""
+
     def set_exhausted(self, exhausted: dict[str, int]) -> None:
         """Replaces the workspaces that are over their rate limit.
 
@@ -321,7 +327,9 @@
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
         if renewed.term == self._term and not self._must_report_streams:
+            self._report.set_quarantined_prompts(renewed.quarantined)
             return
+        # A new leader gets to know what hosts refuse before it replaces it.
         self._must_report_streams = False
         self._term = renewed.term
         LOG.info(
@@ -330,15 +338,18 @@
         )
         running = self._report.running_requests()
         origins = self._report.recent_origins()
-        if (running or origins) and self._leader:
+        quarantined = self._report.quarantined_prompts()
+        if (running or origins or quarantined) and self._leader:
             self._peer(self._leader).submit(
-                self._make_renew(running, origins), RENEW_TIMEOUT_MS
+                self._make_renew(running, origins, quarantined),
+                RENEW_TIMEOUT_MS,
             )
 
     def _make_renew(
         self,
         running: list[messages.Running],
         origins: list[stream_origins.StreamOrigin] | None = None,
+        quarantined: dict[str, int] | None = None,
     ) -> messages.Renew:
         identity = self._identity
         state = self._state
@@ -365,6 +376,7 @@
                 [] if is_searching else self._report.collect_endpoint_reports()
             ),
             origins=origins,
+            quarantined=quarantined,
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -10,6 +10,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
 from masticquay_gateway import links
+from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import meters
@@ -63,6 +64,20 @@
         self.local = local
 
 
+class BrokenStream:
+    """A stream that its decode engine broke off.
+
+    :param written_ms: how long the engine had been writing it, -1 if it had
+        not begun
+    """
+
+    __slots__ = ('call', 'written_ms')
+
+    def __init__(self, call: ports.Call, written_ms: int):
+        self.call = call
+        self.written_ms = written_ms
+
+
 class LocalPlacer:
     """Places requests and limits rates while the leader is unreachable.
 
@@ -276,16 +291,22 @@
             )
         )
 
-    def release(self, placement: RequestPlacement, engine_ok: bool) -> None:
+    def release(
+        self,
+        placement: RequestPlacement,
+        engine_ok: bool,
+        completed: bool = False,
+    ) -> None:
         """Releases the engines of a request.
 
         :param engine_ok: False if the decode engine failed
+        :param completed: whether it wrote the whole answer
         """
         with self._lock:
             self._placements.pop(placement.request.number, None)
         if placement.local:
             self._local.release(placement.request)
-        self._notify_finished(placement.request, engine_ok)
+        self._notify_finished(placement.request, engine_ok, completed)
 
     def report_failure(
         self,
@@ -294,11 +315,13 @@
         reached: bool,
         stalled: bool,
         reason: str,
+        broken: BrokenStream | None = None,
     ) -> None:
         """Reports an engine that failed a request.
 
         :param reached: whether a connection to it was established
         :param stalled: whether it sent nothing within the timeout
+        :param broken: the stream that the engine broke off, if it did
         """
         self._local.record_failure(
             service, endpoint.endpoint_id, reached, stalled
@@ -311,6 +334,10 @@
                 reached,
                 reason,
                 stalled=stalled,
+                written_ms=broken.written_ms if broken else -1,
+                has_ended=broken is not None and not reached,
+                prompt_key=broken.call.prompt_key if broken else '',
+                prompt_parts=broken.call.prompt_parts if broken else [],
             )
         )
 
@@ -453,11 +480,18 @@
         return placement
 
     def _notify_finished(
-        self, request: messages.Admit, engine_ok: bool
+        self,
+        request: messages.Admit,
+        engine_ok: bool,
+        completed: bool = False,
     ) -> None:
         self._link.notify(
             messages.Finished(
-                self._host, request.service, request.number, engine_ok
+                self._host,
+                request.service,
+                request.number,
+                engine_ok,
+                completed,
             )
         )
 
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -12,6 +12,7 @@
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import prefills
+from masticquay_gateway import quarantines
 from masticquay_gateway import relays
 from masticquay_gateway import retries
 from masticquay_routing import messages
@@ -66,9 +67,11 @@
         pools: exchanges.ConnectionPools,
         placer: placers.Placer,
         budgets: retries.RetryBudgets,
+        quarantine: quarantines.Quarantine,
         registry: counters.Registry,
     ):
         self._host = host
+        self._quarantine = quarantine
         self._placer = placer
         self._budgets = budgets
         self._failure_reporter = failures.FailureReporter(placer, registry)
@@ -93,6 +96,12 @@
         for attempt in range(MAX_ATTEMPTS):
             if not is_first_send and not self._budgets.acquire(job.service):
                 break
+            wait_ms = self._quarantine.wait_ms(job.call)
+            if wait_ms:
+                refusal = ports.join_refusals(
+                    refusal, _harmful_refusal(wait_ms)
+                )
+                break
             placement = self._get_placement(job, stream, charged=attempt > 0)
             if isinstance(placement, messages.Refused):
                 refusal = ports.join_refusals(refusal, _to_refusal(placement))
@@ -123,9 +132,15 @@
         :returns: None if the caller got an engine's response
         """
         engine_ok = True
+        completed = False
         try:
             self._send(job, placement, stream, can_place_again)
+            completed = True
             return None
+        except errors.HarmfulPromptError as cause:
+            return _FailedAttempt(
+                _harmful_refusal(cause.wait_ms), can_retry=False
+            )
         except errors.PrefillFailedError as cause:
             return _FailedAttempt(
                 _not_run_refusal(cause), can_retry=True, not_sent=True
@@ -150,7 +165,7 @@
             engine_ok = False
             return self._handle_broken_stream(job, placement, stream, cause)
         finally:
-            self._placer.release(placement, engine_ok)
+            self._placer.release(placement, engine_ok, completed)
 
     def _send(
         self,
@@ -171,6 +186,9 @@
                 self._request_new_placement(job)
         refused = False
         try:
+            # It may have been found meanwhile that such prompts end engines.
+            if wait_ms := self._quarantine.wait_ms(job.call):
+                raise errors.HarmfulPromptError(wait_ms)
             self._decoder.run(job, placement, stream)
         except errors.NotRunError:
             refused = True
@@ -292,6 +310,7 @@
             resumes=call.resumes_stream or stream.splitter.last_id is not None,
             first_call_id=call.first_call_id,
             software_version=stream.software_version,
+            prompt_parts=call.prompt_parts,
         )
 
     def _wait_ms(self, job: jobs.Job, charged: bool) -> int:
@@ -316,6 +335,12 @@
     return ports.Refusal(ports.Reason.NOT_RUN, str(cause), RETRY_AFTER_MS)
 
 
+def _harmful_refusal(wait_ms: int) -> ports.Refusal:
+    return ports.Refusal(
+        ports.Reason.NOT_RUN, messages.REASON_HARMFUL_PROMPT, wait_ms
+    )
+
+
 def _may_hold_kv_cache(cause: Exception) -> bool:
     """Whether the engine may still run and hold the prompt's KV cache."""
     return isinstance(cause, exchanges.EndpointError)
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -102,6 +102,7 @@
         server = http_servers.Server(
             ('127.0.0.1', 0), self.serve, requests.Limits
         )
+        self.server = server
         server.start()
         stack.callback(server.server_close)
         host, port = server.server_address
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.leader_found = threading.Event()
         self.origins = []
+        self.quarantined = {}
 
     def is_ready(self):
         return False
@@ -36,6 +37,12 @@
     def running_requests(self):
         return []
 
+    def quarantined_prompts(self):
+        return self.quarantined
+
+    def set_quarantined_prompts(self, quarantined):
+        self.quarantined = quarantined
+
     def recent_origins(self):
         return self.origins
 
@@ -155,6 +162,20 @@
         self.assert_leader_found([self.start_replica(renew)])
         self.assertTrue(received.wait(TIMEOUT_S))
 
+    # Guards against BUDGET after a change of the leader: the next one let
+    # prompts run again that end engines.
+    def test_leader_that_is_found_gets_the_quarantined_prompts(self):
+        self.report.quarantined = {'bad': 9_000}
+        received = threading.Event()
+
+        def renew(renewal, link):
+            if renewal.quarantined:
+                received.set()
+            return self.renew_as_leader(renewal, link)
+
+        self.assert_leader_found([self.start_replica(renew)])
+        self.assertTrue(received.wait(TIMEOUT_S))
+
     def test_leader_that_is_found_again_gets_the_streams_again(self):
         """Notices that were sent while it could not be reached are lost."""
         link = self.make_link([])
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of running model requests."""
 
 import contextlib
+import queue
 import threading
 import unittest
 
@@ -8,6 +9,7 @@
 from masticquay_gateway import failures
 from masticquay_gateway import placers
 from masticquay_gateway import ports
+from masticquay_gateway import quarantines
 from masticquay_gateway import retries
 from masticquay_gateway import streams
 from masticquay_routing import fleets
@@ -33,6 +35,8 @@
         self.failures = []
         self.refusals = []
         self.origins = []
+        self.completed = []
+        self.ends = queue.Queue()
         self.known_version = ''
 
     def place(self, request, interrupt):
@@ -52,24 +56,31 @@
     def begin_decode(self, placement, first_call_id):
         self.origins.append((first_call_id, placement.decode.software_version))
 
-    def release(self, placement, engine_ok):
+    def release(self, placement, engine_ok, completed=False):
         self.released.append(engine_ok)
+        self.completed.append(completed)
 
     def report_refusal(self, service, endpoint, pause_ms):
         self.refusals.append((endpoint.endpoint_id, pause_ms))
 
-    def report_failure(self, service, endpoint, reached, stalled, reason):
+    def report_failure(
+        self, service, endpoint, reached, stalled, reason, broken=None
+    ):
         self.failures.append((endpoint.endpoint_id, reached))
+        if broken is not None and not reached:
+            self.ends.put((endpoint.endpoint_id, broken.written_ms))
 
 
 class StreamerTest(unittest.TestCase):
     budget_slack = 10
     resume_job = False
+    prompt_parts = ()
 
     def setUp(self):
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
         self.handle_released = threading.Event()
+        self.quarantine = quarantines.Quarantine()
         self.prefill = fakes.FakeEndpoint(
             self.stack, 0, self.serve_prefill, fleets.ROLE_PREFILL
         )
@@ -108,11 +119,13 @@
             pools,
             self.placer,
             retries.RetryBudgets(limits, state),
+            self.quarantine,
             counters.Registry(),
         )
         self.job = fakes.make_job(
             fakes.make_route(STREAM, resumable=resumable), reply, **job_options
         )
+        self.job.call.prompt_parts = self.prompt_parts
         if self.resume_job:
             self.placer.known_version = 'v1'
             self.job.call.last_event_id = '2'
@@ -321,3 +334,50 @@
         with self.assertRaises(fakes.serving_errors.CallerDisconnectedError):
             self.run_job([(None, decode.endpoint)], reply=reply)
         self.assertTrue(ended.wait(5))
+
+    # Guards against BUDGET: nothing told the end of an engine under a prompt
+    # from a connection that broke.
+    def test_end_of_an_engine_that_began_to_write_is_reported(self):
+        def end(request, reply):
+            decode.server.stop_accepting()
+            self.send_stream(request, reply, end=1, complete=False)
+
+        decode = self.make_decode_engine(1, end)
+        self.run_job([(None, decode.endpoint)])
+        endpoint_id, written_ms = self.placer.ends.get(timeout=5)
+        self.assertEqual('e1', endpoint_id)
+        self.assertLess(written_ms, 1_000)
+        self.assertEqual([False], self.placer.completed)
+
+    def test_broken_connection_to_a_running_engine_is_no_end(self):
+        decode = self.make_decode_engine(
+            1,
+            lambda request, reply: self.send_stream(
+                request, reply, end=1, complete=False
+            ),
+        )
+        self.run_job([(None, decode.endpoint)])
+        with self.assertRaises(queue.Empty):
+            self.placer.ends.get(timeout=0.5)
+
+    # Guards against BUDGET: such prompts were sent on to engines.
+    def test_quarantined_prompt_is_refused_before_it_is_placed(self):
+        self.quarantine.apply({'bad': 5_000})
+        self.prompt_parts = ['first', 'bad']
+        refusal = self.run_job([])
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertGreater(refusal.retry_after_ms, 4_000)
+        self.assertEqual([], self.placer.requests)
+
+    def test_prompt_quarantined_during_its_prefill_is_not_decoded(self):
+        def quarantine(request, reply):
+            self.quarantine.apply({'bad': 5_000})
+            self.serve_prefill(request, reply)
+
+        self.prefill.answer = quarantine
+        self.prompt_parts = ['bad']
+        decode = self.make_decode_engine(1, self.send_stream)
+        refusal = self.run_job([(self.prefill.endpoint, decode.endpoint)])
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertEqual([], decode.requests)
+        self.assertTrue(self.handle_released.wait(5))
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -7,6 +7,7 @@
 from masticquay_wire import records
 
 CODE_NOT_LEADER = 'not-leader'
+REASON_HARMFUL_PROMPT = 'engines ended on prompts with a part of this one'
 
 
 class Running(records.Record):
@@ -133,6 +134,8 @@
         last renewal
     :param origins: the origins of the host's recent streams, sent with
         ``running``
+    :param quarantined: the parts of prompts that the host refuses, with the
+        remaining time in ms; sent with ``running``
     """
 
     __slots__ = (
@@ -149,6 +152,7 @@
         'running',
         'endpoint_reports',
         'origins',
+        'quarantined',
     )
 
     def __init__(
@@ -166,6 +170,7 @@
         running: list[Running],
         endpoint_reports: list[EndpointReport] | None = None,
         origins: list[stream_origins.StreamOrigin] | None = None,
+        quarantined: dict[str, int] | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -180,6 +185,7 @@
         self.running = running
         self.endpoint_reports = endpoint_reports or []
         self.origins = origins or []
+        self.quarantined = quarantined or {}
 
 
 @messages.register
@@ -204,9 +210,17 @@
     :param exhausted: the workspaces over their rate limit, with the time in
         ms until each may send requests again
     :param endpoint_views: on the endpoints of plain services that are in use
+    :param quarantined: the parts of prompts to refuse, with the remaining time
+        in ms
     """
 
-    __slots__ = ('term', 'controls', 'exhausted', 'endpoint_views')
+    __slots__ = (
+        'term',
+        'controls',
+        'exhausted',
+        'endpoint_views',
+        'quarantined',
+    )
 
     def __init__(
         self,
@@ -214,11 +228,13 @@
         controls: list[str],
         exhausted: dict[str, int],
         endpoint_views: list[EndpointView] | None = None,
+        quarantined: dict[str, int] | None = None,
     ):
         self.term = term
         self.controls = controls
         self.exhausted = exhausted
         self.endpoint_views = endpoint_views or []
+        self.quarantined = quarantined or {}
 
 
 @messages.register
@@ -293,6 +309,7 @@
         unknown
     :param software_version: the version that began it, empty if the host does
         not know it
+    :param prompt_parts: ids of the parts that other prompts may share
     """
 
     __slots__ = (
@@ -316,6 +333,7 @@
         'resumes',
         'first_call_id',
         'software_version',
+        'prompt_parts',
     )
 
     def __init__(
@@ -340,6 +358,7 @@
         resumes: bool = False,
         first_call_id: str = '',
         software_version: str = '',
+        prompt_parts: list[str] | None = None,
     ):
         self.host = host
         self.number = number
@@ -361,6 +380,7 @@
         self.resumes = resumes
         self.first_call_id = first_call_id
         self.software_version = software_version
+        self.prompt_parts = prompt_parts or []
 
 
 @messages.register
@@ -453,15 +473,24 @@
     """A placed request has ended, or a waiting request was abandoned.
 
     :param sound: whether the decode engine worked correctly
+    :param completed: whether it wrote the whole answer
     """
 
-    __slots__ = ('host', 'service', 'number', 'sound')
+    __slots__ = ('host', 'service', 'number', 'sound', 'completed')
 
-    def __init__(self, host: str, service: str, number: int, sound: bool):
+    def __init__(
+        self,
+        host: str,
+        service: str,
+        number: int,
+        sound: bool,
+        completed: bool = False,
+    ):
         self.host = host
         self.service = service
         self.number = number
         self.sound = sound
+        self.completed = completed
 
 
 @messages.register
@@ -472,6 +501,12 @@
     :param pause_ms: how long an endpoint that refused the request should get
         no new requests; 0 for other failures
     :param stalled: whether the endpoint sent nothing within the timeout
+    :param written_ms: how long the engine had been writing the request's
+        stream; -1 if it had not begun
+    :param has_ended: whether the engine broke the stream off and takes no
+        connections any more
+    :param prompt_key: identifies the request's prompt, empty if unknown
+    :param prompt_parts: ids of the parts that other prompts may share
     """
 
     __slots__ = (
@@ -482,6 +517,10 @@
         'reason',
         'pause_ms',
         'stalled',
+        'written_ms',
+        'has_ended',
+        'prompt_key',
+        'prompt_parts',
     )
 
     def __init__(
@@ -493,6 +532,10 @@
         reason: str,
         pause_ms: int = 0,
         stalled: bool = False,
+        written_ms: int = -1,
+        has_ended: bool = False,
+        prompt_key: str = '',
+        prompt_parts: list[str] | None = None,
     ):
         self.host = host
         self.service = service
@@ -501,6 +544,10 @@
         self.reason = reason
         self.pause_ms = pause_ms
         self.stalled = stalled
+        self.written_ms = written_ms
+        self.has_ended = has_ended
+        self.prompt_key = prompt_key
+        self.prompt_parts = prompt_parts or []
 
 
 @messages.register
