What endpoints say in their answers holds on the host at once

- gateway.notices hears the head of every answer of every exchange.
Leaving endpoints get nothing new from this host; those that want a pause get nothing at all from it, handles are left to expire.
An engine that spoke up between placement and sending gets no request either.
The return is spread.
- Leaving is told to the leader with a renewal that goes out at once, and marked on the list of all hosts; words from before an endpoint's return, on another start of it, or that the leader does not confirm, are dropped.
A pause is told to nobody; the leader keeps those asked of it for orders.
- If all endpoints of a service pause or leave, requests are refused at once with the shortest Retry-After that holds.
- The endpoint list carries the start of endpoints ('born').

--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -106,7 +106,7 @@
         )
         self.node = self._make_node(log_settings)
         order_sender = orders.OrderSender(
-            self.node, settings.name, engine_orders
+            self.node, settings.name, engine_orders, self._clock
         )
         self.leadership = leaderships.Leadership(
             self.node,
--- a/libs/coordination/masticquay_coordination/errors.py
+++ b/libs/coordination/masticquay_coordination/errors.py
@@ -26,4 +26,12 @@
 
 
 class OrderError(CoordinationError):
-    """An engine did not accept an order, or its answer was lost."""
+    """An engine did not accept an order, or its answer was lost.
+
+    :param pause_ms: how long the engine wants no requests from this replica,
+        0 if it asked for no pause
+    """
+
+    def __init__(self, reason: str, pause_ms: int = 0):
+        super().__init__(reason)
+        self.pause_ms = pause_ms
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -15,6 +15,7 @@
 from masticquay_coordination import ports
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
+from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleet_views
 from masticquay_routing import fleets
@@ -44,7 +45,9 @@
     """The state of the leader during one term.
 
     ``table_version`` is the version of the table that was applied last.
-    ``software_versions`` is None until the first endpoint list of the term.
+    ``software_versions`` and ``listed``, the platform's last list, are
+    None until the first list of the term. ``leaving`` holds what hosts heard
+    from the endpoints themselves.
 
     :param first: whether the group has had no leader before
     """
@@ -58,6 +61,8 @@
         'table_version',
         'fleet_view',
         'software_versions',
+        'listed',
+        'leaving',
     )
 
     def __init__(
@@ -78,6 +83,8 @@
         self.software_versions: software_versions.SoftwareVersions | None = (
             None
         )
+        self.listed: list[fleets.Endpoint] | None = None
+        self.leaving = endpoint_notices.LeavingEndpoints()
 
 
 class Leadership:
@@ -108,6 +115,7 @@
         self._term: LeaderTerm | None = None
         self._table_lock = threading.Lock()
         self._view_lock = threading.Lock()
+        self._list_lock = threading.RLock()
         self._table_changed = threading.Event()
         self._waiting_hosts: dict[str, peers.Connection] = {}
         self._next_list_ms = 0
@@ -202,11 +210,52 @@
         if not self._store_software_versions(term, endpoints):
             self._next_list_ms = now_ms + LIST_RETRY_MS
             return
-        with self._view_lock:
-            term.fleet_view.set_endpoints(endpoints)
-        stream_versions = self._possible_versions(term)
-        term.sessions.publish_endpoints(endpoints, stream_versions)
-        term.owner.set_endpoints(endpoints, stream_versions)
+        with self._list_lock:
+            term.listed = endpoints
+            term.leaving.apply_list(endpoints, now_ms)
+        self._publish_endpoints(term)
+
+    def _publish_endpoints(self, term: LeaderTerm) -> None:
+        """Applies and sends the endpoint list with those known to leave."""
+        with self._list_lock:
+            if term.listed is None:
+                return
+            endpoints = term.leaving.mark(term.listed)
+            with self._view_lock:
+                term.fleet_view.set_endpoints(endpoints)
+            stream_versions = self._possible_versions(term)
+            term.sessions.publish_endpoints(endpoints, stream_versions)
+            term.owner.set_endpoints(endpoints, stream_versions)
+
+    def _add_leaving(self, renewal: messages.Renew, term: LeaderTerm) -> None:
+        """Tells all hosts of endpoints that told one host that they leave.
+
+        An endpoint's word on itself is believed at once: an answer of another
+        one at its address does not reach the host's report.
+        """
+        now_ms = self._clock.now_ms()
+        with self._list_lock:
+            started_ms_by_id = {
+                e.endpoint_id: e.started_ms for e in term.listed or []
+            }
+            added = [
+                report.endpoint_id
+                for report in renewal.leaving
+                if started_ms_by_id.get(report.endpoint_id)
+                == report.started_ms
+                and term.leaving.add(
+                    report.endpoint_id,
+                    report.started_ms,
+                    now_ms - report.age_ms,
+                )
+            ]
+        for endpoint_id in added:
+            LOG.info(
+                'endpoint says that it leaves',
+                extra={'endpoint': endpoint_id, 'entry_host': renewal.host},
+            )
+        if added:
+            self._publish_endpoints(term)
 
     def _store_software_versions(
         self, term: LeaderTerm, endpoints: list[fleets.Endpoint]
@@ -355,6 +404,8 @@
         if renewal.running:
             term.owner.adopt(renewal.host, renewal.running)
         term.owner.add_origins(renewal.origins)
+        if renewal.leaving:
+            self._add_leaving(renewal, term)
         if renewal.quarantined:
             term.owner.adopt_quarantined(renewal.quarantined)
         exhausted = term.owner.charge(renewal.usage)
--- a/libs/coordination/masticquay_coordination/orders.py
+++ b/libs/coordination/masticquay_coordination/orders.py
@@ -1,11 +1,14 @@
 """Sending of orders to engines, which only the leader may do."""
 
 import logging
+import random
 
 from masticquay_consensus import nodes
 from masticquay_coordination import errors
 from masticquay_coordination import ports
 from masticquay_routing import balances
+from masticquay_routing import endpoint_notices
+from masticquay_wire import clocks
 
 LOG = logging.getLogger(__name__)
 
@@ -21,11 +24,17 @@
     """
 
     def __init__(
-        self, node: nodes.Node, holder: str, engine_orders: ports.EngineOrders
+        self,
+        node: nodes.Node,
+        holder: str,
+        engine_orders: ports.EngineOrders,
+        clock: clocks.Clock,
     ):
         self._node = node
         self._holder = holder
         self._engine_orders = engine_orders
+        self._clock = clock
+        self._pauses = endpoint_notices.Pauses(random.Random())
 
     def send(self, order: balances.RoleOrder, term: int) -> bool:
         """Sends one order; the caller plans it again if that failed.
@@ -36,6 +45,9 @@
             return False
         if self._node.lease_remaining_ms() < MIN_LEASE_MS:
             return False
+        now_ms = self._clock.now_ms()
+        if self._pauses.remaining_ms(order.endpoint.endpoint_id, now_ms):
+            return False
         log_fields = {
             'endpoint': order.endpoint.endpoint_id,
             'address': order.endpoint.address,
@@ -49,8 +61,16 @@
         except errors.OrderError as cause:
             LOG.warning(
                 'engine order failed',
-                extra={**log_fields, 'cause': str(cause)},
+                extra={
+                    **log_fields,
+                    'cause': str(cause),
+                    'pause_ms': cause.pause_ms,
+                },
             )
+            if cause.pause_ms:
+                self._pauses.add(
+                    order.endpoint.endpoint_id, cause.pause_ms, now_ms
+                )
             return False
         LOG.info('order accepted by the engine', extra=log_fields)
         return True
--- a/libs/coordination/tests/fakes.py
+++ b/libs/coordination/tests/fakes.py
@@ -65,8 +65,11 @@
 
     def __init__(self):
         self.sent = []
+        self.error = None
 
     def change_role(self, endpoint, role, holder, fence):
+        if self.error is not None:
+            raise self.error
         self.sent.append((endpoint.endpoint_id, role, holder, fence))
 
 
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -8,6 +8,7 @@
 from masticquay_consensus import errors as consensus_errors
 from masticquay_coordination import leaderships
 from masticquay_coordination import table_machines
+from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
 from masticquay_routing import messages
 from masticquay_wire import clocks
@@ -248,3 +249,46 @@
         self.lead_with_engines('v1')
         self.assertIsNone(self.next_endpoint_update().stream_versions)
         self.assertIsNone(self.machine.software_versions)
+
+    def renew_leaving(self, host, *endpoint_ids, started_ms=0, age_ms=0):
+        reports = [
+            endpoint_notices.LeavingReport(endpoint_id, started_ms, age_ms)
+            for endpoint_id in endpoint_ids
+        ]
+        renewal = fakes.make_renewal(host, leaving=reports)
+        self.handlers[messages.Renew](renewal, QueueLink())
+
+    def leaving_ids(self):
+        return [
+            e.endpoint_id
+            for e in self.next_endpoint_update().endpoints
+            if e.leaving
+        ]
+
+    def test_endpoint_that_told_one_host_that_it_leaves_leaves_for_all(self):
+        """The platform's list shows it as leaving only seconds later."""
+        self.lead_with_engines('v1', 'v1')
+        self.assertEqual([], self.leaving_ids())
+        self.renew_leaving('h2', 'e1')
+        self.assertEqual(['e1'], self.leaving_ids())
+
+    def test_word_on_an_earlier_start_of_an_endpoint_is_ignored(self):
+        self.lead_with_engines('v1')
+        self.next_endpoint_update()
+        self.renew_leaving('h2', 'e0', started_ms=77)
+        self.renew_leaving('h2', 'e9')
+        self.assertTrue(self.link.notifications.empty())
+
+    def test_endpoint_that_the_list_shows_as_back_is_used_again(self):
+        self.lead_with_engines('v1', 'v1')
+        self.next_endpoint_update()
+        self.renew_leaving('h2', 'e1')
+        self.assertEqual(['e1'], self.leaving_ids())
+        for is_leaving in (True, False):
+            self.lister.endpoints[1].leaving = is_leaving
+            self.clock.advance_ms(leaderships.LIST_INTERVAL_MS)
+            self.leadership.refresh_endpoints()
+        self.assertEqual([], self.leaving_ids())
+        # A host that was cut off meanwhile tells what it heard before.
+        self.renew_leaving('h3', 'e1', age_ms=1_000)
+        self.assertTrue(self.link.notifications.empty())
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+from masticquay_coordination import errors
 from masticquay_coordination import orders
 from masticquay_routing import balances
+from masticquay_routing import endpoint_notices
+from masticquay_wire import clocks
 from tests import fakes
 
 TERM = 5
@@ -27,7 +30,10 @@
     def setUp(self):
         self.node = FakeNode()
         self.engine_orders = fakes.FakeEngineOrders()
-        self.sender = orders.OrderSender(self.node, 'c1', self.engine_orders)
+        self.clock = clocks.ManualClock(1_000)
+        self.sender = orders.OrderSender(
+            self.node, 'c1', self.engine_orders, self.clock
+        )
         engine = fakes.make_engines(1, 0)[0]
         self.order = balances.RoleOrder(engine, 'decode')
 
@@ -47,3 +53,13 @@
         self.node.lease_ms = 0
         self.assertFalse(self.sender.send(self.order, TERM))
         self.assertEqual([], self.engine_orders.sent)
+
+    def test_engine_that_wants_a_pause_gets_no_order_meanwhile(self):
+        self.engine_orders.error = errors.OrderError('status 503', 2_000)
+        self.assertFalse(self.sender.send(self.order, TERM))
+        self.engine_orders.error = None
+        self.clock.advance_ms(1_900)
+        self.assertFalse(self.sender.send(self.order, TERM))
+        self.assertEqual([], self.engine_orders.sent)
+        self.clock.advance_ms(100 + endpoint_notices.MAX_SPREAD_MS)
+        self.assertTrue(self.sender.send(self.order, TERM))
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -13,6 +13,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import forwards
 from masticquay_gateway import links
+from masticquay_gateway import notices
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
@@ -125,7 +126,10 @@
         )
         self._placer = placers.Placer(settings.name, self.link, self.state)
         self.quarantine = quarantines.Quarantine()
-        self._pools = exchanges.ConnectionPools()
+        self._notices = notices.EndpointNotices(
+            endpoint_protocol, self.state, self.registry, self.link.renew_now
+        )
+        self._pools = exchanges.ConnectionPools(self._notices)
         self._chooser = choosers.Chooser(settings.place, random.Random())
         self._disconnect_watcher = disconnects.DisconnectWatcher()
         self.calls = self._make_call_service(
@@ -254,15 +258,18 @@
             self._pools,
             self._chooser,
             budgets,
+            self._notices,
             self.registry,
         )
         streamer = streams.Streamer(
             self.settings.name,
+            self.state,
             endpoint_protocol,
             self._pools,
             self._placer,
             budgets,
             self.quarantine,
+            self._notices,
             self.registry,
         )
         return calls.CallService(
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -39,6 +39,10 @@
         self.wait_ms = wait_ms
 
 
+class WithheldError(GatewayError):
+    """An engine that leaves or wants a pause got no request."""
+
+
 class PrefillFailedError(GatewayError):
     """Prefill failed, and the request was not sent to a decode engine."""
 
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -2,8 +2,10 @@
 
 import logging
 import threading
+import time
 import zlib
 
+from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleets
 from masticquay_routing import messages
@@ -31,6 +33,8 @@
         self._complete = threading.Event()
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
+        self._listed: list[fleets.Endpoint] = []
+        self._leaving = endpoint_notices.LeavingEndpoints()
         self._stream_versions: software_versions.Versions | None = None
         self.table: tables.Table | None = None
         self._default_limits = requests.Limits()
@@ -178,7 +182,37 @@
                 of_service.append(endpoint.software_version)
         self._stream_versions = versions
 
-    def _index_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
+    def record_leaving(self, endpoint: fleets.Endpoint) -> bool:
+        """Records that an endpoint says that it leaves.
+
+        It counts as leaving at once, whatever the list says.
+
+        :returns: whether that was not known before
+        """
+        with self._lock:
+            listed = self._by_id.get(endpoint.endpoint_id)
+            if listed is None or listed.started_ms != endpoint.started_ms:
+                return False
+            is_new = self._leaving.add(
+                endpoint.endpoint_id, endpoint.started_ms, _now_ms()
+            )
+            if is_new:
+                self._index_endpoints(self._listed)
+        return is_new
+
+    def report_leaving(self) -> list[endpoint_notices.LeavingReport]:
+        """Returns the endpoints to tell the leader of, which decides."""
+        with self._lock:
+            count = len(self._leaving)
+            reports = self._leaving.report(_now_ms())
+            if len(reports) != count:
+                self._index_endpoints(self._listed)
+        return reports
+
+    def _index_endpoints(self, listed: list[fleets.Endpoint]) -> None:
+        self._listed = listed
+        self._leaving.apply_list(listed, _now_ms())
+        endpoints = self._leaving.mark(listed)
         by_service: dict[str, list[fleets.Endpoint]] = {}
         for endpoint in endpoints:
             by_service.setdefault(endpoint.service, []).append(endpoint)
@@ -191,6 +225,10 @@
             self._complete.set()
 
 
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
 def _count_versions(
     endpoints: list[fleets.Endpoint],
 ) -> dict[str, dict[str, int]]:
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -6,6 +6,7 @@
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
+from masticquay_gateway import notices
 from masticquay_gateway import ports
 from masticquay_gateway import retries
 from masticquay_routing import choosers
@@ -46,8 +47,10 @@
         pools: exchanges.ConnectionPools,
         chooser: choosers.Chooser,
         budgets: retries.RetryBudgets,
+        endpoint_notices: notices.EndpointNotices,
         registry: counters.Registry,
     ):
+        self._notices = endpoint_notices
         self._state = state
         self._protocol = protocol
         self._pools = pools
@@ -61,18 +64,15 @@
         :returns: an endpoint's response, or a refusal if no endpoint gave one
         :raises InterruptedCallError: if the caller disconnected
         """
-        no_endpoint = ports.Refusal(
-            ports.Reason.NOT_RUN, 'no endpoint', RETRY_AFTER_MS
-        )
         refusal: ports.Refusal | None = None
         self._budgets.record_request(job.service)
         error_response: Response | None = None
         while True:
             endpoint = self._choose(job)
             if endpoint is None or job.remaining_ms <= 0:
-                return error_response or refusal or no_endpoint
+                return error_response or refusal or self._no_endpoint(job)
             if job.tried_ids and not self._may_retry(job):
-                return error_response or refusal or no_endpoint
+                return error_response or refusal or self._no_endpoint(job)
             job.tried_ids.add(endpoint.endpoint_id)
             outcome = self._attempt(job, endpoint)
             if isinstance(outcome, Response):
@@ -86,10 +86,21 @@
             if not job.route.retryable:
                 return outcome
 
+    def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
+        """Returns the refusal of a request that no endpoint may get."""
+        wait_ms = self._notices.refusal_ms(self._state.endpoints(job.service))
+        if wait_ms:
+            return ports.Refusal(
+                ports.Reason.NOT_RUN, 'all endpoints leave or pause', wait_ms
+            )
+        return ports.Refusal(
+            ports.Reason.NOT_RUN, 'no endpoint', RETRY_AFTER_MS
+        )
+
     def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
         return self._chooser.choose(
             self._list_endpoints(job),
-            job.tried_ids,
+            job.tried_ids | self._notices.withheld_ids(job.service),
             _now_ms(),
             repeatable=job.route.retryable,
         )
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -377,6 +377,7 @@
             ),
             origins=origins,
             quarantined=quarantined,
+            leaving=[] if is_searching else state.report_leaving(),
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -212,6 +212,21 @@
         self.headers = headers
 
 
+class EndpointNotice:
+    """What an endpoint says of itself in an answer.
+
+    :param is_leaving: whether it leaves and should get no new requests
+    :param pause_ms: how long it wants no requests from this host, 0 for no
+        pause
+    """
+
+    __slots__ = ('is_leaving', 'pause_ms')
+
+    def __init__(self, is_leaving: bool = False, pause_ms: int = 0):
+        self.is_leaving = is_leaving
+        self.pause_ms = pause_ms
+
+
 class EndpointProtocol(typing.Protocol):
     """The protocol of endpoints.
 
@@ -256,6 +271,9 @@
     ) -> ResponseHead:
         """Parses the status and headers of a response."""
 
+    def parse_notice(self, status: int, headers: Headers) -> EndpointNotice:
+        """Parses what an endpoint says of itself in any answer."""
+
     def read_handle(self, body: bytes) -> str:
         """Parses the response to a prefill and returns the handle.
 
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -9,6 +9,7 @@
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
 from masticquay_gateway import jobs
+from masticquay_gateway import notices
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
@@ -40,6 +41,7 @@
         placer: placers.Placer,
         budgets: retries.RetryBudgets,
         failure_reporter: failures.FailureReporter,
+        endpoint_notices: notices.EndpointNotices,
         registry: counters.Registry,
     ):
         self._protocol = protocol
@@ -47,6 +49,7 @@
         self._placer = placer
         self._budgets = budgets
         self._failure_reporter = failure_reporter
+        self._notices = endpoint_notices
         self._registry = registry
 
     def prefill(
@@ -87,9 +90,15 @@
         )
 
     def release_unused(self, stream: relays.RelayedStream) -> None:
-        """Releases a stream's handle unless a decode engine has used it."""
+        """Releases a stream's handle unless a decode engine has used it.
+
+        An engine that wants a pause gets no such request either: the handle
+        expires soon by itself.
+        """
         handle, stream.handle = stream.handle, None
-        if handle is not None and not stream.started:
+        if handle is None or stream.started:
+            return
+        if not self._notices.is_pausing(handle.prefill):
             threading.Thread(
                 target=self._delete_handle, args=(handle,), daemon=True
             ).start()
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -8,13 +8,16 @@
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
+from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
+from masticquay_gateway import notices
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import prefills
 from masticquay_gateway import quarantines
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import queued_requests
 from masticquay_serving import counters
@@ -63,20 +66,30 @@
     def __init__(
         self,
         host: str,
+        state: fleet_states.FleetState,
         protocol: ports.EndpointProtocol,
         pools: exchanges.ConnectionPools,
         placer: placers.Placer,
         budgets: retries.RetryBudgets,
         quarantine: quarantines.Quarantine,
+        endpoint_notices: notices.EndpointNotices,
         registry: counters.Registry,
     ):
+        self._notices = endpoint_notices
         self._host = host
+        self._state = state
         self._quarantine = quarantine
         self._placer = placer
         self._budgets = budgets
         self._failure_reporter = failures.FailureReporter(placer, registry)
         self._prefiller = prefills.Prefiller(
-            protocol, pools, placer, budgets, self._failure_reporter, registry
+            protocol,
+            pools,
+            placer,
+            budgets,
+            self._failure_reporter,
+            endpoint_notices,
+            registry,
         )
         self._decoder = decodes.Decoder(protocol, pools, placer, registry)
         self._request_numbers = itertools.count(random.getrandbits(40))
@@ -102,6 +115,12 @@
                     refusal, _harmful_refusal(wait_ms)
                 )
                 break
+            wait_ms = self._notices.refusal_ms(self._decode_engines(job))
+            if wait_ms:
+                refusal = ports.join_refusals(
+                    refusal, _withheld_refusal(wait_ms)
+                )
+                break
             placement = self._get_placement(job, stream, charged=attempt > 0)
             if isinstance(placement, messages.Refused):
                 refusal = ports.join_refusals(refusal, _to_refusal(placement))
@@ -118,6 +137,13 @@
         self._prefiller.release_unused(stream)
         return self._end_failed(job, stream, refusal)
 
+    def _decode_engines(self, job: jobs.Job) -> list[fleets.Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._state.endpoints(job.service)
+            if endpoint.role == fleets.ROLE_DECODE
+        ]
+
     def _attempt(
         self,
         job: jobs.Job,
@@ -141,7 +167,7 @@
             return _FailedAttempt(
                 _harmful_refusal(cause.wait_ms), can_retry=False
             )
-        except errors.PrefillFailedError as cause:
+        except (errors.PrefillFailedError, errors.WithheldError) as cause:
             return _FailedAttempt(
                 _not_run_refusal(cause), can_retry=True, not_sent=True
             )
@@ -178,6 +204,7 @@
         if stream.handle is not None and not stream.handle.is_fresh:
             stream.handle = None
         if placement.prefill is not None and stream.splitter.last_id is None:
+            self._require_not_withheld(placement.prefill)
             stream.handle = self._prefiller.prefill(
                 job, placement, placement.prefill
             )
@@ -189,14 +216,25 @@
             # It may have been found meanwhile that such prompts end engines.
             if wait_ms := self._quarantine.wait_ms(job.call):
                 raise errors.HarmfulPromptError(wait_ms)
+            self._require_not_withheld(placement.decode)
             self._decoder.run(job, placement, stream)
-        except errors.NotRunError:
+        except (errors.NotRunError, errors.WithheldError):
             refused = True
             raise
         finally:
             if not refused:
                 self._prefiller.release_unused(stream)
 
+    def _require_not_withheld(self, endpoint: fleets.Endpoint) -> None:
+        """Checks what an engine said since the request was placed.
+
+        :raises WithheldError: if it leaves or wants a pause
+        """
+        if self._notices.is_withheld(endpoint):
+            raise errors.WithheldError(
+                f'{endpoint.endpoint_id} leaves or wants a pause'
+            )
+
     def _request_new_placement(self, job: jobs.Job) -> None:
         """Requests another placement for a long prompt without a prefill.
 
@@ -301,7 +339,9 @@
             wait_ms=self._wait_ms(job, charged),
             late_wait_ms=self._late_wait_ms(job),
             prompt_key=call.prompt_key,
-            avoid=sorted(job.tried_ids),
+            avoid=sorted(
+                job.tried_ids | self._notices.withheld_ids(job.service)
+            ),
             prefer=stream.cache_engine_id,
             prefilled=stream.handle is not None and stream.handle.is_fresh,
             charged=charged,
@@ -341,6 +381,12 @@
     )
 
 
+def _withheld_refusal(wait_ms: int) -> ports.Refusal:
+    return ports.Refusal(
+        ports.Reason.NOT_RUN, 'all engines leave or pause', wait_ms
+    )
+
+
 def _may_hold_kv_cache(cause: Exception) -> bool:
     """Whether the engine may still run and hold the prompt's KV cache."""
     return isinstance(cause, exchanges.EndpointError)
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -6,9 +6,11 @@
 from masticquay_endpoints import interrupts
 from masticquay_gateway import errors
 from masticquay_gateway import jobs
+from masticquay_gateway import notices
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import tables
+from masticquay_serving import counters
 from masticquay_serving import errors as serving_errors
 from masticquay_serving import http_servers
 from masticquay_serving import requests
@@ -79,6 +81,12 @@
             headers=[],
         )
 
+    def parse_notice(self, status, headers):
+        fields = dict(headers)
+        return ports.EndpointNotice(
+            'Leaving' in fields, int(fields.get('Pause-Ms', 0))
+        )
+
     def read_handle(self, body):
         if not body:
             raise errors.ProtocolError('no handle')
@@ -117,7 +125,10 @@
 
 
 class FakeState:
-    """A fleet state with fixed endpoints."""
+    """A fleet state with fixed endpoints.
+
+    One that says that it leaves is marked in place.
+    """
 
     def __init__(self, endpoints):
         self.by_id = {e.endpoint_id: e for e in endpoints}
@@ -129,6 +140,18 @@
     def endpoint(self, endpoint_id):
         return self.by_id.get(endpoint_id)
 
+    def record_leaving(self, endpoint):
+        is_new = not endpoint.leaving
+        endpoint.leaving = True
+        return is_new
+
+
+def make_notices(state):
+    """Returns notices that change the endpoints of a fake state."""
+    return notices.EndpointNotices(
+        FakeProtocol(), state, counters.Registry(), lambda: None
+    )
+
 
 def send_matching_response(request, reply, status=200, extra=(), body=b'ok'):
     """Sends a response that matches the request."""
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -88,3 +88,42 @@
         )
         self.state.apply_local_list([endpoint])
         self.assertIsNone(self.state.only_stream_version('svc'))
+
+    def make_endpoint(self, leaving=False, started_ms=7):
+        return fleets.Endpoint(
+            'e1', 'svc', '127.0.0.1:1', 'p', 1, leaving, started_ms=started_ms
+        )
+
+    def apply_list(self, *endpoints):
+        number = self.state.endpoints_number + 1
+        self.state.apply_endpoints(
+            messages.EndpointUpdate(1, number, list(endpoints))
+        )
+
+    def test_endpoint_that_says_that_it_leaves_counts_as_leaving(self):
+        """The list does not show it yet."""
+        endpoint = self.make_endpoint()
+        self.apply_list(endpoint)
+        self.assertTrue(self.state.record_leaving(endpoint))
+        self.assertFalse(self.state.record_leaving(endpoint))
+        self.assertTrue(self.state.endpoint('e1').leaving)
+        self.apply_list(endpoint)
+        self.assertTrue(self.state.endpoints('svc')[0].leaving)
+        report = self.state.report_leaving()[0]
+        self.assertEqual(('e1', 7), (report.endpoint_id, report.started_ms))
+
+    def test_endpoint_that_was_listed_as_leaving_and_is_back_is_used(self):
+        endpoint = self.make_endpoint()
+        self.apply_list(endpoint)
+        self.state.record_leaving(endpoint)
+        self.apply_list(self.make_endpoint(leaving=True))
+        self.apply_list(endpoint)
+        self.assertFalse(self.state.endpoint('e1').leaving)
+
+    def test_endpoint_that_started_again_under_its_id_is_used(self):
+        endpoint = self.make_endpoint()
+        self.apply_list(endpoint)
+        self.state.record_leaving(endpoint)
+        self.apply_list(self.make_endpoint(started_ms=8))
+        self.assertFalse(self.state.endpoint('e1').leaving)
+        self.assertFalse(self.state.record_leaving(endpoint))
--- a/libs/gateway/tests/test_forwards.py
+++ b/libs/gateway/tests/test_forwards.py
@@ -21,6 +21,7 @@
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
         self.endpoints = []
+        self.notices = None
 
     def add_endpoint(self, answer):
         number = len(self.endpoints)
@@ -28,7 +29,9 @@
 
     def run_job(self, route, slack=10):
         state = fakes.FakeState([e.endpoint for e in self.endpoints])
-        pools = exchanges.ConnectionPools()
+        if self.notices is None:
+            self.notices = fakes.make_notices(state)
+        pools = exchanges.ConnectionPools(self.notices)
         self.stack.callback(pools.close)
         limits = retries.RetryBudgetLimits(0.2, slack, 10_000)
         forwarder = forwards.Forwarder(
@@ -37,6 +40,7 @@
             pools,
             choosers.Chooser('p1', random.Random(1)),
             retries.RetryBudgets(limits, state),
+            self.notices,
             counters.Registry(),
         )
         return forwarder.run(fakes.make_job(route))
@@ -144,3 +148,32 @@
         self.endpoints[0].endpoint.address = '127.0.0.1:1'
         outcome = self.run_job(fakes.make_route(ONCE))
         self.assertIs(ports.Reason.NOT_RUN, outcome.reason)
+
+    def pause(self, request, reply):
+        headers = [('Not-Run', '1'), ('Pause-Ms', '30000')]
+        fakes.send_matching_response(request, reply, 503, headers)
+
+    def leave(self, request, reply):
+        fakes.send_matching_response(request, reply, extra=[('Leaving', '1')])
+
+    def test_endpoint_that_wants_a_pause_gets_no_further_request(self):
+        self.add_endpoint(self.pause)
+        self.add_endpoint(fakes.send_matching_response)
+        for _ in range(6):
+            self.assertEqual(200, self.run_job(fakes.make_route()).status)
+        self.assertLessEqual(len(self.endpoints[0].requests), 1)
+
+    def test_request_is_refused_while_all_endpoints_want_a_pause(self):
+        self.add_endpoint(self.pause)
+        self.run_job(fakes.make_route())
+        refusal = self.run_job(fakes.make_route())
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertGreaterEqual(refusal.retry_after_ms, 29_000)
+        self.assertEqual(1, self.count_requests())
+
+    def test_endpoint_that_says_that_it_leaves_gets_no_further_request(self):
+        self.add_endpoint(self.leave)
+        self.add_endpoint(fakes.send_matching_response)
+        for _ in range(6):
+            self.assertEqual(200, self.run_job(fakes.make_route()).status)
+        self.assertLessEqual(len(self.endpoints[0].requests), 1)
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -81,6 +81,8 @@
         self.addCleanup(self.stack.close)
         self.handle_released = threading.Event()
         self.quarantine = quarantines.Quarantine()
+        self.notices = None
+        self.listed = []
         self.prefill = fakes.FakeEndpoint(
             self.stack, 0, self.serve_prefill, fleets.ROLE_PREFILL
         )
@@ -108,18 +110,22 @@
             reply.abort()
 
     def run_job(self, placements, resumable=False, reply=None, **job_options):
-        state = fakes.FakeState([])
-        pools = exchanges.ConnectionPools()
+        state = fakes.FakeState(self.listed)
+        if self.notices is None:
+            self.notices = fakes.make_notices(state)
+        pools = exchanges.ConnectionPools(self.notices)
         self.stack.callback(pools.close)
         self.placer = FakePlacer(placements)
         limits = retries.RetryBudgetLimits(0.2, self.budget_slack, 10_000)
         streamer = streams.Streamer(
             'host',
+            state,
             fakes.FakeProtocol(),
             pools,
             self.placer,
             retries.RetryBudgets(limits, state),
             self.quarantine,
+            self.notices,
             counters.Registry(),
         )
         self.job = fakes.make_job(
@@ -381,3 +387,65 @@
         self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
         self.assertEqual([], decode.requests)
         self.assertTrue(self.handle_released.wait(5))
+
+    def pause(self, request, reply):
+        headers = [('Not-Run', '1'), ('Pause-Ms', '30000')]
+        fakes.send_matching_response(request, reply, 503, headers)
+
+    def test_engine_that_wants_a_pause_is_avoided_by_the_next_request(self):
+        first = self.make_decode_engine(1, self.pause)
+        second = self.make_decode_engine(2, self.send_stream)
+        self.listed = [first.endpoint, second.endpoint]
+        self.run_job([(None, first.endpoint), (None, second.endpoint)])
+        self.run_job([(None, second.endpoint)])
+        self.assertEqual(['e1'], self.placer.requests[0].avoid)
+
+    def test_engine_that_began_to_pause_since_placement_gets_no_request(self):
+        first = self.make_decode_engine(1, self.pause)
+        second = self.make_decode_engine(2, self.send_stream)
+        self.listed = [first.endpoint, second.endpoint]
+        self.run_job([(None, first.endpoint), (None, second.endpoint)])
+        self.run_job([(None, first.endpoint), (None, second.endpoint)])
+        self.assertTrue(self.job.reply.finished)
+        self.assertEqual(1, len(first.requests))
+
+    def test_request_is_refused_at_once_while_all_engines_want_a_pause(self):
+        engine = self.make_decode_engine(1, self.pause)
+        self.listed = [engine.endpoint]
+        refused = messages.Refused('engines full', 700)
+        self.run_job([(None, engine.endpoint), refused])
+        refusal = self.run_job([])
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertGreaterEqual(refusal.retry_after_ms, 29_000)
+        self.assertEqual(1, len(engine.requests))
+
+    def test_handle_at_an_engine_that_wants_a_pause_is_left_to_expire(self):
+        prefill = self.prefill.endpoint
+        unreachable = fleets.Endpoint('e7', 'svc', '127.0.0.1:1', 'p1')
+        state = fakes.FakeState([])
+        self.notices = fakes.make_notices(state)
+
+        def serve(request, reply):
+            self.notices.record(prefill, 503, [('Pause-Ms', '30000')])
+            self.serve_prefill(request, reply)
+
+        self.prefill.answer = serve
+        refused = messages.Refused('engines full', 700)
+        self.run_job([(prefill, unreachable), refused])
+        self.assertFalse(self.handle_released.wait(0.5))
+
+    def test_engine_that_leaves_gets_no_request_after_its_answer(self):
+        def leave(request, reply):
+            reply.begin(
+                200, [('Call', request.header('call')), ('Leaving', '1')]
+            )
+            reply.write(b''.join(EVENTS))
+            reply.finish()
+
+        first = self.make_decode_engine(1, leave)
+        second = self.make_decode_engine(2, self.send_stream)
+        self.listed = [first.endpoint, second.endpoint]
+        self.run_job([(None, first.endpoint)])
+        self.run_job([(None, first.endpoint), (None, second.endpoint)])
+        self.assertTrue(self.job.reply.finished)
+        self.assertEqual(1, len(first.requests))
--- a/libs/routing/masticquay_routing/fleets.py
+++ b/libs/routing/masticquay_routing/fleets.py
@@ -17,6 +17,8 @@
     :param role: the role of a model engine, empty for other services
     :param software_version: the version of its software, empty if unknown;
         endpoints of several versions may serve side by side
+    :param started_ms: Unix time of its start, 0 if unknown; an endpoint may
+        start again under its id
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         'leaving',
         'role',
         'software_version',
+        'started_ms',
     )
 
     def __init__(
@@ -40,6 +43,7 @@
         leaving: bool = False,
         role: str = ROLE_NONE,
         software_version: str = '',
+        started_ms: int = 0,
     ):
         self.endpoint_id = endpoint_id
         self.service = service
@@ -49,6 +53,7 @@
         self.leaving = leaving
         self.role = role
         self.software_version = software_version
+        self.started_ms = started_ms
 
 
 class Host(records.Record):
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -1,5 +1,6 @@
 """Messages between entry hosts and control replicas."""
 
+from masticquay_routing import endpoint_notices
 from masticquay_routing import fleets
 from masticquay_routing import queued_requests
 from masticquay_routing import stream_origins
@@ -136,6 +137,7 @@
         ``running``
     :param quarantined: the parts of prompts that the host refuses, with the
         remaining time in ms; sent with ``running``
+    :param leaving: the endpoints that told the host that they leave
     """
 
     __slots__ = (
@@ -153,6 +155,7 @@
         'endpoint_reports',
         'origins',
         'quarantined',
+        'leaving',
     )
 
     def __init__(
@@ -171,6 +174,7 @@
         endpoint_reports: list[EndpointReport] | None = None,
         origins: list[stream_origins.StreamOrigin] | None = None,
         quarantined: dict[str, int] | None = None,
+        leaving: list[endpoint_notices.LeavingReport] | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -186,6 +190,7 @@
         self.endpoint_reports = endpoint_reports or []
         self.origins = origins or []
         self.quarantined = quarantined or {}
+        self.leaving = leaving or []
 
 
 @messages.register
