Placers without a leader and the watch over prompts have their own modules

LocalPlacer moves to gateway.local_placers; what an owner knows of the prompts of its requests moves to coordination.prompt_watches.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -4,9 +4,9 @@
 import logging
 import threading
 
+from masticquay_coordination import prompt_watches
 from masticquay_routing import balances
 from masticquay_routing import fleets
-from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import meters
 from masticquay_routing import placements
@@ -25,19 +25,6 @@
 SUCCESSOR_BURST_SHARE = 0.5
 
 
-class _RunningPrompt:
-    """The prompt of a request that waits or runs.
-
-    :ivar began_ms: when its answer began, None before that
-    """
-
-    __slots__ = ('prompt', 'began_ms')
-
-    def __init__(self, prompt: harmful_prompts.Prompt):
-        self.prompt = prompt
-        self.began_ms: int | None = None
-
-
 class Owner:
     """Places model requests and enforces rate limits during one term.
 
@@ -58,8 +45,7 @@
         # What a request was charged that waits for a placement.
         self._charges: dict[queued_requests.RequestKey, messages.Admit] = {}
         self._origins = stream_origins.StreamOrigins()
-        self._harmful_prompts = harmful_prompts.HarmfulPrompts()
-        self._prompts: dict[queued_requests.RequestKey, _RunningPrompt] = {}
+        self._prompts = prompt_watches.PromptWatch()
         self._stream_versions: software_versions.Versions | None = None
 
     def set_table(self, table: tables.Table) -> None:
@@ -103,10 +89,7 @@
         """
         now_ms = self._clock.now_ms()
         with self._lock:
-            prompt = harmful_prompts.Prompt(
-                request.prompt_key, request.prompt_parts
-            )
-            wait_ms = self._harmful_prompts.wait_ms(prompt, now_ms)
+            wait_ms = self._prompts.wait_ms(request, now_ms)
             if wait_ms:
                 return _refuse_harmful(wait_ms)
             software_version = self._version_to_resume(request, now_ms)
@@ -133,10 +116,7 @@
             self._balancers[request.service].record_prompt(
                 request.prompt_tokens, now_ms
             )
-            if not request.charged:
-                self._harmful_prompts.add_request(prompt, now_ms)
-            self._harmful_prompts.begin_probe(prompt, now_ms)
-            self._prompts[key] = _RunningPrompt(prompt)
+            self._prompts.admit(key, request, now_ms)
             pool.admit(
                 _make_queued_request(key, request, software_version, now_ms)
             )
@@ -164,9 +144,7 @@
         )
         with self._lock:
             self._origins.add(origin, now_ms)
-            running = self._prompts.get((begun.host, begun.number))
-            if running is not None:
-                running.began_ms = now_ms
+            self._prompts.begin_answer((begun.host, begun.number), now_ms)
             pool = self._pools.get(begun.service)
             if pool is not None:
                 pool.begin_decode((begun.host, begun.number), now_ms)
@@ -182,9 +160,7 @@
         """Frees the reservation of a request, or refuses it if it waits."""
         key = (finished.host, finished.number)
         with self._lock:
-            running = self._prompts.pop(key, None)
-            if running is not None and finished.completed:
-                self._harmful_prompts.add_survivor(running.prompt)
+            self._prompts.finish(key, finished.completed)
             pool = self._pools.get(finished.service)
             if pool is not None:
                 pool.remove(key, finished.sound)
@@ -197,13 +173,12 @@
 
     def record_failure(self, trouble: messages.EndpointTrouble) -> None:
         """Records that an engine failed or refused a host's request."""
-        if trouble.has_ended or trouble.written_ms >= 0:
-            self._record_broken_prompt(trouble)
+        now_ms = self._clock.now_ms()
         with self._lock:
+            is_harmful = self._prompts.record_trouble(trouble, now_ms)
             pool = self._pools.get(trouble.service)
             if pool is None:
                 return
-            now_ms = self._clock.now_ms()
             if trouble.pause_ms:
                 pool.record_refusal(
                     trouble.endpoint_id, now_ms, trouble.pause_ms
@@ -215,63 +190,21 @@
                     trouble.reached,
                     trouble.stalled,
                 )
+        if is_harmful:
+            self._refuse_waiting_harmful(now_ms)
 
-    def _record_broken_prompt(self, trouble: messages.EndpointTrouble) -> None:
-        """Looks for parts of prompts that end engines."""
-        now_ms = self._clock.now_ms()
-        prompt = harmful_prompts.Prompt(
-            trouble.prompt_key, trouble.prompt_parts
-        )
-        quarantined: list[str] = []
-        with self._lock:
-            if trouble.written_ms >= harmful_prompts.SUSPECT_MS:
-                self._harmful_prompts.add_survivor(prompt)
-            elif trouble.has_ended:
-                self._add_running_survivors(now_ms)
-                quarantined = self._harmful_prompts.add_end(
-                    prompt, trouble.endpoint_id, now_ms
-                )
-        for part in quarantined:
-            LOG.warning(
-                'prompts with a part are refused, as engines ended on them',
-                extra={
-                    'part': part,
-                    'last_endpoint': trouble.endpoint_id,
-                    'entry_host': trouble.host,
-                    'written_ms': trouble.written_ms,
-                },
-            )
-        if quarantined:
-            self._refuse_waiting_harmful()
-
-    def _add_running_survivors(self, now_ms: int) -> None:
-        """Clears the prompts that engines have been writing for a while.
-
-        The caller holds the lock.
-        """
-        began_before_ms = now_ms - harmful_prompts.SUSPECT_MS
-        for running in self._prompts.values():
-            if (
-                running.began_ms is not None
-                and running.began_ms <= began_before_ms
-            ):
-                self._harmful_prompts.add_survivor(running.prompt)
-
-    def _refuse_waiting_harmful(self) -> None:
+    def _refuse_waiting_harmful(self, now_ms: int) -> None:
         """Refuses the waiting requests whose prompts were quarantined."""
-        now_ms = self._clock.now_ms()
         refused = []
         with self._lock:
             for key in list(self._waiting):
-                wait_ms = self._harmful_prompts.wait_ms(
-                    self._prompts[key].prompt, now_ms
-                )
+                wait_ms = self._prompts.wait_ms_of(key, now_ms)
                 if not wait_ms:
                     continue
                 for pool in self._pools.values():
                     pool.remove(key)
                 self._refund(key, now_ms)
-                del self._prompts[key]
+                self._prompts.finish(key)
                 refused.append((self._waiting.pop(key), wait_ms))
         for future, wait_ms in refused:
             future.set_result(_refuse_harmful(wait_ms))
@@ -279,12 +212,12 @@
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts to refuse, with the remaining time in ms."""
         with self._lock:
-            return self._harmful_prompts.quarantined(self._clock.now_ms())
+            return self._prompts.quarantined(self._clock.now_ms())
 
     def adopt_quarantined(self, quarantined: dict[str, int]) -> None:
         """Takes over the parts that an earlier leader let hosts refuse."""
         with self._lock:
-            self._harmful_prompts.adopt(quarantined, self._clock.now_ms())
+            self._prompts.adopt(quarantined, self._clock.now_ms())
 
     def adopt(self, host: str, running: list[messages.Running]) -> None:
         """Reserves capacity for the requests that an earlier leader placed."""
@@ -325,8 +258,7 @@
             abandoned = [self._waiting.pop(key) for key in lost_keys]
             for key in lost_keys:
                 self._refund(key, self._clock.now_ms())
-            for key in [key for key in self._prompts if key[0] == host]:
-                del self._prompts[key]
+            self._prompts.release_host(host)
         for future in abandoned:
             future.set_result(messages.Refused('host lost', 0))
         self.place_waiting()
@@ -344,7 +276,7 @@
             for request, outcome in outcomes:
                 if isinstance(outcome, queued_requests.Refusal):
                     self._refund(request.key, now_ms)
-                    self._prompts.pop(request.key, None)
+                    self._prompts.finish(request.key)
                 self._charges.pop(request.key, None)
                 answers.append(
                     (
@@ -443,7 +375,7 @@
                 'placed_requests': sum(p.running_count for p in pools),
                 'waiting_requests': sum(p.queue_length for p in pools),
                 'quarantined_prompts': len(
-                    self._harmful_prompts.quarantined(self._clock.now_ms())
+                    self._prompts.quarantined(self._clock.now_ms())
                 ),
             }
 
--- a/libs/gateway/tests/test_leaderless_loads.py
+++ b/libs/gateway/tests/test_leaderless_loads.py
@@ -8,7 +8,7 @@
 import unittest
 
 from masticquay_gateway import fleet_states
-from masticquay_gateway import placers
+from masticquay_gateway import local_placers
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import queued_requests
@@ -75,7 +75,7 @@
         prefills = collections.Counter()
         decodes = collections.Counter()
         for number in range(HOST_COUNT):
-            placer = placers.LocalPlacer(state)
+            placer = local_placers.LocalPlacer(state)
             outcome = placer.admit(make_admit(f'h{number}'))
             self.assertIsInstance(outcome, queued_requests.Placement)
             prefills[outcome.prefill.endpoint_id] += 1
