BUDGET: ends of engines outlive their leader and are kept for rare prompts

With a harmful prompt every 3 s and a change of the leader, or one every 70 s, more requests than the rule allows could reach engines (by reading; no run showed it). Hosts keep the ends that they reported and tell them, with their age, to each leader that they find; the same end is counted once. Evidence of ends is kept for 10 minutes.

Tests, each failing by construction before: coordination/test_owners next_leader_counts_the_ends_before_its_term, gateway/test_links leader_that_is_found_gets_the_ends_of_engines, routing/test_harmful_prompts part_that_comes_rarely_is_quarantined. 324 tests of the three libraries pass.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -177,13 +177,13 @@
         with self._lock:
             is_harmful = self._prompts.record_trouble(trouble, now_ms)
             pool = self._pools.get(trouble.service)
-            if pool is None:
-                return
-            if trouble.pause_ms:
+            # The engine that ended a while ago may have started again.
+            is_recent = not trouble.age_ms
+            if pool is not None and is_recent and trouble.pause_ms:
                 pool.record_refusal(
                     trouble.endpoint_id, now_ms, trouble.pause_ms
                 )
-            else:
+            elif pool is not None and is_recent:
                 pool.record_failure(
                     trouble.endpoint_id,
                     now_ms,
--- a/libs/coordination/masticquay_coordination/prompt_watches.py
+++ b/libs/coordination/masticquay_coordination/prompt_watches.py
@@ -95,7 +95,7 @@
             return False
         self._add_running_survivors(now_ms)
         quarantined = self._harmful.add_end(
-            prompt, trouble.endpoint_id, now_ms
+            prompt, trouble.endpoint_id, now_ms, trouble.age_ms
         )
         for part in quarantined:
             LOG.warning(
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -242,22 +242,27 @@
             )
         )
 
+    def report_end(self, number, *parts, age_ms=0):
+        """Reports the end of an engine under a prompt of its own."""
+        trouble = messages.EndpointTrouble(
+            f'h{number}',
+            'llm',
+            f'i{number}',
+            False,
+            'ended',
+            written_ms=40,
+            has_ended=True,
+            prompt_key=f'last{number}:9',
+            prompt_parts=list(parts),
+            age_ms=age_ms,
+        )
+        self.owner.record_failure(trouble)
+
     def end_engines(self, *parts):
         """Ends enough engines under prompts to quarantine the last part."""
         for number in range(harmful_prompts.MIN_ENDS):
             self.admit_prompt(number, *parts)
-            trouble = messages.EndpointTrouble(
-                f'h{number}',
-                'llm',
-                f'i{number}',
-                False,
-                'ended',
-                written_ms=40,
-                has_ended=True,
-                prompt_key=f'last{number}:9',
-                prompt_parts=list(parts),
-            )
-            self.owner.record_failure(trouble)
+            self.report_end(number, *parts)
             self.owner.finish(messages.Finished('h1', 'llm', number, False))
             self.clock.advance_ms(1_000)
 
@@ -313,3 +318,14 @@
         self.owner.adopt_quarantined(quarantined)
         refused = self.admit_prompt(90, 'bad')
         self.assertEqual(messages.REASON_HARMFUL_PROMPT, refused.reason)
+
+    # Guards against BUDGET while leaders change: each one waited for as many
+    # ends as the first.
+    def test_next_leader_counts_the_ends_before_its_term(self):
+        for number in range(harmful_prompts.MIN_ENDS - 1):
+            for _host in range(2):
+                age_ms = 3_000 * (harmful_prompts.MIN_ENDS - number)
+                self.report_end(number, 'first', 'bad', age_ms=age_ms)
+        self.assertEqual({}, self.owner.quarantined_prompts())
+        self.report_end(90, 'first', 'bad')
+        self.assertEqual(['bad'], list(self.owner.quarantined_prompts()))
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -206,6 +206,10 @@
         """Returns the placed requests that this host is running."""
         return self._placer.running_requests()
 
+    def recent_ends(self) -> list[messages.EndpointTrouble]:
+        """Returns the ends of engines that the host has reported."""
+        return self._placer.recent_ends()
+
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts of prompts to refuse, with the time left in ms."""
         return self.quarantine.remaining()
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -70,6 +70,9 @@
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
         """Returns where the host's recent streams began."""
 
+    def recent_ends(self) -> list[messages.EndpointTrouble]:
+        """Returns the ends of engines that the host has reported."""
+
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts of prompts to refuse, with the time left in ms."""
 
@@ -344,6 +347,8 @@
                 self._make_renew(running, origins, quarantined),
                 RENEW_TIMEOUT_MS,
             )
+        for report in self._report.recent_ends():
+            self.notify(report)
 
     def _make_renew(
         self,
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -6,6 +6,7 @@
 import time
 
 from masticquay_endpoints import interrupts
+from masticquay_gateway import ended_engines
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
 from masticquay_gateway import links
@@ -85,6 +86,7 @@
         self._lock = threading.Lock()
         self._placements: dict[int, RequestPlacement] = {}
         self._origins = stream_origins.StreamOrigins()
+        self._ended_engines = ended_engines.EndedEngines()
 
     def find_origin(self, call_id: str) -> stream_origins.StreamOrigin | None:
         """Returns where a stream began, None if this host does not know."""
@@ -101,6 +103,10 @@
             return ''
         return origin.software_version
 
+    def recent_ends(self) -> list[messages.EndpointTrouble]:
+        """Returns the ends of engines that this host has reported."""
+        return self._ended_engines.recent()
+
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
         """Returns the origins of the streams that recently began here."""
         with self._lock:
@@ -200,20 +206,21 @@
         self._local.record_failure(
             service, endpoint.endpoint_id, reached, stalled
         )
-        self._link.notify(
-            messages.EndpointTrouble(
-                self._host,
-                service,
-                endpoint.endpoint_id,
-                reached,
-                reason,
-                stalled=stalled,
-                written_ms=broken.written_ms if broken else -1,
-                has_ended=broken is not None and not reached,
-                prompt_key=broken.call.prompt_key if broken else '',
-                prompt_parts=broken.call.prompt_parts if broken else [],
-            )
+        report = messages.EndpointTrouble(
+            self._host,
+            service,
+            endpoint.endpoint_id,
+            reached,
+            reason,
+            stalled=stalled,
+            written_ms=broken.written_ms if broken else -1,
+            has_ended=broken is not None and not reached,
+            prompt_key=broken.call.prompt_key if broken else '',
+            prompt_parts=broken.call.prompt_parts if broken else [],
         )
+        if report.has_ended:
+            self._ended_engines.add(report)
+        self._link.notify(report)
 
     def report_refusal(
         self, service: str, endpoint: fleets.Endpoint, pause_ms: int
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import queue
 import socket
 import threading
 import unittest
@@ -27,6 +28,7 @@
         self.leader_found = threading.Event()
         self.origins = []
         self.quarantined = {}
+        self.ends = []
 
     def is_ready(self):
         return False
@@ -37,6 +39,9 @@
     def running_requests(self):
         return []
 
+    def recent_ends(self):
+        return self.ends
+
     def quarantined_prompts(self):
         return self.quarantined
 
@@ -63,11 +68,13 @@
         self.report = EmptyReport()
         self.renewals = []
 
-    def start_replica(self, handler):
+    def start_replica(self, handler, trouble_handler=None):
         listener = listeners.Listener(
             peers.Address('127.0.0.1', 0), 'control', SECRET
         )
         listener.handle(messages.Renew, handler)
+        if trouble_handler is not None:
+            listener.handle(messages.EndpointTrouble, trouble_handler)
         listener.start()
         self.stack.callback(listener.close)
         return str(listener.address)
@@ -176,6 +183,20 @@
         self.assert_leader_found([self.start_replica(renew)])
         self.assertTrue(received.wait(TIMEOUT_S))
 
+    # Guards against BUDGET after a change of the leader: the next one did not
+    # know which engines had ended before.
+    def test_leader_that_is_found_gets_the_ends_of_engines(self):
+        end = messages.EndpointTrouble(
+            'h', 'llm', 'e1', False, 'ended', has_ended=True, age_ms=700
+        )
+        self.report.ends = [end]
+        received = queue.Queue()
+        leader = self.start_replica(
+            self.renew_as_leader, lambda report, link: received.put(report)
+        )
+        self.assert_leader_found([leader])
+        self.assertEqual(end, received.get(timeout=TIMEOUT_S))
+
     def test_leader_that_is_found_again_gets_the_streams_again(self):
         """Notices that were sent while it could not be reached are lost."""
         link = self.make_link([])
--- a/libs/routing/masticquay_routing/harmful_prompts.py
+++ b/libs/routing/masticquay_routing/harmful_prompts.py
@@ -36,6 +36,8 @@
 PROBE_MS = 5_000
 # Evidence that did not change for this long is dropped.
 EVIDENCE_MS = 60_000
+# Evidence of ends is kept for longer, for prompts that come rarely.
+EVIDENCE_OF_ENDS_MS = 600_000
 MAX_ENTRIES = 20_000
 
 
@@ -157,13 +159,14 @@
                 evidence.quarantined_until_ms = 0
 
     def add_end(
-        self, prompt: Prompt, endpoint_id: str, now_ms: int
+        self, prompt: Prompt, endpoint_id: str, now_ms: int, age_ms: int = 0
     ) -> list[str]:
         """Records the end of an engine that began to write an answer.
 
+        :param age_ms: how long ago it was reported first
         :returns: what is quarantined because of it
         """
-        end = _End(endpoint_id, now_ms)
+        end = _End(endpoint_id, now_ms - age_ms)
         if self._is_explained(end, prompt):
             return []
         for part in prompt.ids:
@@ -286,7 +289,8 @@
                 evidence.updated_ms,
                 evidence.quarantined_until_ms + evidence.quarantine_ms,
             )
-            is_old = now_ms - kept_until_ms > EVIDENCE_MS
+            kept_ms = EVIDENCE_OF_ENDS_MS if evidence.ends else EVIDENCE_MS
+            is_old = now_ms - kept_until_ms > kept_ms
             if not is_old and len(self._entries) < MAX_ENTRIES:
                 return
             del self._entries[part]
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -512,6 +512,7 @@
         connections any more
     :param prompt_key: identifies the request's prompt, empty if unknown
     :param prompt_parts: ids of the parts that other prompts may share
+    :param age_ms: how long ago it was, if an earlier leader was told before
     """
 
     __slots__ = (
@@ -526,6 +527,7 @@
         'has_ended',
         'prompt_key',
         'prompt_parts',
+        'age_ms',
     )
 
     def __init__(
@@ -541,6 +543,7 @@
         has_ended: bool = False,
         prompt_key: str = '',
         prompt_parts: list[str] | None = None,
+        age_ms: int = 0,
     ):
         self.host = host
         self.service = service
@@ -553,6 +556,7 @@
         self.has_ended = has_ended
         self.prompt_key = prompt_key
         self.prompt_parts = prompt_parts or []
+        self.age_ms = age_ms
 
 
 @messages.register
--- a/libs/routing/tests/test_harmful_prompts.py
+++ b/libs/routing/tests/test_harmful_prompts.py
@@ -244,6 +244,15 @@
 
     def test_old_evidence_is_dropped(self):
         self.end_engines(MIN_ENDS - 1, 'once')
-        late_ms = 10_000 + harmful_prompts.EVIDENCE_MS
+        late_ms = 10_000 + harmful_prompts.EVIDENCE_OF_ENDS_MS
         self.harmful.add_request(make_prompt(1, 'other'), late_ms)
         self.assertEqual([], self.end_engines(1, 'once', start_ms=late_ms))
+
+    def test_part_that_comes_rarely_is_quarantined(self):
+        """Each prompt ends an engine, more than a minute after the last."""
+        interval_ms = 2 * harmful_prompts.EVIDENCE_MS
+        for number in range(MIN_ENDS):
+            now_ms = number * interval_ms
+            self.harmful.add_request(make_prompt(500, 'other'), now_ms)
+            found = self.end_engines(1, 'bad', start_ms=now_ms)
+        self.assertEqual(['bad'], found)
