ORDER: a host without the leader goes on only with streams it knows

Other hosts may begin streams at a new version meanwhile, and the rule binds machines that are out of touch, too.

Now a stream whose first request is named, and did not begin here, is refused as not run without the leader, with a Retry-After of 1 s. Callers that name none cannot be looked up by anyone and go on as before.

gateway/test_placers: stream_of_another_host_is_refused_without_the_leader failed before.

--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -29,6 +29,8 @@
 # Added to the longest wait for a placement so that the leader's response can
 # arrive.
 RESPONSE_MARGIN_MS = 300
+# Retry-After of a stream whose origin the leader knows, once it is found.
+ORIGIN_RETRY_MS = 1_000
 
 
 class RequestPlacement:
@@ -299,13 +301,13 @@
         self, request: messages.Admit
     ) -> RequestPlacement | messages.Refused:
         if request.resumes and not request.software_version:
-            only_version = self._state.only_stream_version(request.service)
-            if only_version is None:
+            version = self._version_without_leader(request)
+            if version is None:
                 return messages.Refused(
-                    'software version of the resumed stream is unknown',
-                    placements.RETRY_AFTER_MAX_MS,
+                    'software version of the resumed stream is unknown here',
+                    ORIGIN_RETRY_MS,
                 )
-            request.software_version = only_version
+            request.software_version = version
         if not request.charged:
             wait_ms = self._local.charge_rate(request.workspace, request.cost)
             if wait_ms:
@@ -324,6 +326,17 @@
         )
         return self._add(placement)
 
+    def _version_without_leader(self, request: messages.Admit) -> str | None:
+        """Returns the version at which a stream goes on, None if unknown.
+
+        Other hosts may use versions by now that this host has not heard of,
+        so a stream whose first request is named waits for the leader. Nobody
+        can look up a stream of which no request is named.
+        """
+        if request.first_call_id:
+            return None
+        return self._state.only_stream_version(request.service)
+
     def _resolve(
         self, request: messages.Admit, placed: messages.Placed
     ) -> RequestPlacement | None:
--- /dev/null
+++ b/libs/gateway/tests/test_placers.py
@@ -0,0 +1,102 @@
+"""Tests of placing requests with and without the leader."""
+
+from concurrent import futures
+import unittest
+
+from masticquay_endpoints import interrupts
+from masticquay_gateway import fleet_states
+from masticquay_gateway import placers
+from masticquay_routing import fleets
+from masticquay_routing import messages
+from tests import test_fleet_states
+from tests import test_leaderless_loads
+
+
+class FakeLink:
+    """A link to a leader that gives ``answer``, None while there is none."""
+
+    def __init__(self):
+        self.answer = None
+        self.notices = []
+
+    @property
+    def is_leader_reachable(self):
+        return self.answer is not None
+
+    def wait_for_leader(self, timeout_ms):
+        return self.is_leader_reachable
+
+    def submit(self, message, timeout_ms):
+        future = futures.Future()
+        future.set_result(self.answer)
+        return future
+
+    def notify(self, message):
+        self.notices.append(message)
+
+
+def make_engine(number, version):
+    return fleets.Endpoint(
+        f'e{number}',
+        'llm',
+        f'127.0.0.1:{number}',
+        'p',
+        32,
+        False,
+        fleets.ROLE_DECODE,
+        version,
+    )
+
+
+class ResumptionTest(unittest.TestCase):
+    def setUp(self):
+        state = fleet_states.FleetState(
+            test_leaderless_loads.EngineTableReader()
+        )
+        state.apply_table(test_fleet_states.make_update(1))
+        engines = [make_engine(1, 'v1'), make_engine(2, 'v1')]
+        state.apply_endpoints(
+            messages.EndpointUpdate(1, 1, engines, {'llm': ['v1']})
+        )
+        self.state = state
+        self.link = FakeLink()
+        self.placer = placers.Placer('h', self.link, state)
+
+    def place(self, **fields):
+        request = test_leaderless_loads.make_admit('h')
+        request.resumes = True
+        for name, value in fields.items():
+            setattr(request, name, value)
+        return self.placer.place(request, interrupts.Interrupt())
+
+    # Guards against ORDER on a host that is cut off from control: others may
+    # have begun the stream at a version that this host has not heard of.
+    def test_stream_of_another_host_is_refused_without_the_leader(self):
+        refused = self.place(first_call_id='c0')
+        self.assertIsInstance(refused, messages.Refused)
+        self.assertEqual(placers.ORIGIN_RETRY_MS, refused.retry_after_ms)
+
+    def test_stream_without_a_named_request_goes_on_at_the_only_version(self):
+        placement = self.place()
+        self.assertEqual('v1', placement.decode.software_version)
+
+    def test_stream_that_began_here_goes_on_without_the_leader(self):
+        placement = self.place(first_call_id='c0', software_version='v1')
+        self.assertEqual('v1', placement.decode.software_version)
+
+    # Guards against ORDER: the leader placed by an older list than this host
+    # has.
+    def test_placement_on_another_version_is_given_back(self):
+        self.link.answer = messages.Placed('', 'e1', 0, 'v2')
+        refused = self.place(first_call_id='c0')
+        self.assertIsInstance(refused, messages.Refused)
+        self.assertIsInstance(self.link.notices[-1], messages.Finished)
+
+    def test_placement_by_a_leader_of_an_earlier_release_is_checked(self):
+        """It names no version, and its endpoint list has none."""
+        engines = [make_engine(1, ''), make_engine(2, '')]
+        self.state.apply_endpoints(messages.EndpointUpdate(2, 1, engines))
+        self.link.answer = messages.Placed('', 'e1', 0)
+        self.assertEqual(
+            'e1', self.place(first_call_id='c0').decode.endpoint_id
+        )
