--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -14,7 +14,6 @@
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import messages
-from masticquay_routing import placements
 from masticquay_routing import queued_requests
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
