--- a/libs/routing/masticquay_routing/harmful_prompts.py
+++ b/libs/routing/masticquay_routing/harmful_prompts.py
@@ -135,9 +135,11 @@
 class HarmfulPrompts:
     """Finds and quarantines the parts of prompts that end engines."""
 
-    __slots__ = ('_entries',)
+    __slots__ = ('_entries', '_with_ends')
 
     def __init__(self) -> None:
+        # Those that ends are held against.
+        self._with_ends: dict[str, _Evidence] = {}
         # The one that was updated last is at the end.
         self._entries: collections.OrderedDict[str, _Evidence] = (
             collections.OrderedDict()
@@ -157,6 +159,7 @@
                 evidence.clear()
                 evidence.quarantine_ms = 0
                 evidence.quarantined_until_ms = 0
+                self._with_ends.pop(part, None)
 
     def add_end(
         self, prompt: Prompt, endpoint_id: str, now_ms: int, age_ms: int = 0
@@ -170,7 +173,9 @@
         if self._is_explained(end, prompt):
             return []
         for part in prompt.ids:
-            self._entry(part, now_ms).add_end(end, prompt.key)
+            evidence = self._entry(part, now_ms)
+            evidence.add_end(end, prompt.key)
+            self._with_ends[part] = evidence
         found = []
         culprit = self._find_culprit(prompt)
         if culprit:
@@ -224,7 +229,7 @@
         """Whether an end came under a quarantined part of other prompts."""
         return any(
             any(end.is_same(other) for other in evidence.ends)
-            for part, evidence in self._entries.items()
+            for part, evidence in self._with_ends.items()
             if evidence.quarantined_until_ms > end.reported_ms
             and part not in prompt.ids
         )
@@ -263,7 +268,7 @@
         return any(
             len(evidence.ends) >= len(own.ends) - 1
             and evidence.request_count <= own.request_count + RIVAL_REQUESTS
-            for part, evidence in self._entries.items()
+            for part, evidence in self._with_ends.items()
             if part not in prompt.ids
             and evidence.quarantine_ms == 0
             and len(evidence.prompts) >= MIN_PROMPTS
@@ -272,9 +277,12 @@
     def _quarantine(self, part: str, now_ms: int) -> None:
         culprit = self._entries[part]
         culprit.quarantine(now_ms)
-        for evidence in self._entries.values():
-            if evidence is not culprit:
-                evidence.drop_ends(culprit.ends)
+        for other, evidence in list(self._with_ends.items()):
+            if evidence is culprit:
+                continue
+            evidence.drop_ends(culprit.ends)
+            if not evidence.ends:
+                del self._with_ends[other]
 
     def _entry(self, part: str, now_ms: int) -> _Evidence:
         evidence = self._entries.pop(part, None) or _Evidence()
@@ -294,6 +302,7 @@
             if not is_old and len(self._entries) < MAX_ENTRIES:
                 return
             del self._entries[part]
+            self._with_ends.pop(part, None)
 
 
 def _is_guilty(evidence: _Evidence) -> bool:
