Logs and metrics tell why an endpoint's answer was not passed on

'attempt failed' had only the status, so a late answer to another request, an answer that contradicts itself and a true refusal looked the same. No decision changes.

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -29,14 +29,16 @@
     """A connection with the time of its last use.
 
     :ivar reused: whether an earlier exchange used the connection
+    :ivar exchange_count: number of exchanges that have used it
     """
 
-    __slots__ = ('http', 'last_used_s', 'reused')
+    __slots__ = ('http', 'last_used_s', 'reused', 'exchange_count')
 
     def __init__(self, http_connection: http.client.HTTPConnection):
         self.http = http_connection
         self.last_used_s = time.monotonic()
         self.reused = False
+        self.exchange_count = 0
 
     def shut_down(self) -> None:
         """Shuts the socket down, which wakes a thread blocked on it."""
@@ -206,6 +208,7 @@
         self._interrupt.check()
         connection = self._pool.acquire(self._fresh)
         self.connection = connection
+        connection.exchange_count += 1
         self._stack.callback(self._return_connection)
         self._stack.enter_context(
             self._interrupt.registered(connection.shut_down)
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -3,6 +3,7 @@
 import logging
 
 from masticquay_endpoints import connections
+from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import events
 from masticquay_gateway import exchanges
@@ -10,6 +11,7 @@
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
+from masticquay_routing import fleets
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
@@ -41,6 +43,7 @@
         self._pools = pools
         self._placer = placer
         self._registry = registry
+        self._recorder = answers.AnswerRecorder(registry)
 
     def run(
         self,
@@ -61,7 +64,7 @@
         headers = self._request_headers(job, placement, stream)
         stream.engine_began_s = 0.0
         with self._pools.open(placement.decode, job.interrupt) as exchange:
-            head = self._send_request(job, exchange, headers)
+            head = self._send_request(job, placement.decode, exchange, headers)
             if stream.splitter.last_id is not None:
                 self._record_resumption(job, placement, stream)
             if not stream.started:
@@ -93,6 +96,7 @@
     def _send_request(
         self,
         job: jobs.Job,
+        decode: fleets.Endpoint,
         exchange: connections.Exchange,
         headers: ports.Headers,
     ) -> ports.ResponseHead:
@@ -107,6 +111,8 @@
         head = self._protocol.parse_response_head(
             job.call, response.status, exchanges.response_headers(exchange)
         )
+        if not head.was_run or not head.matches_request:
+            self._recorder.record(job.call, decode, head, exchange.connection)
         if not head.was_run:
             exchange.read_body(MAX_ERROR_BODY_BYTES)
             raise errors.NotRunError(
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -3,6 +3,7 @@
 import logging
 import time
 
+from masticquay_gateway import answers
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
@@ -57,6 +58,7 @@
         self._chooser = chooser
         self._budgets = budgets
         self._registry = registry
+        self._recorder = answers.AnswerRecorder(registry)
 
     def run(self, job: jobs.Job) -> Response | ports.Refusal:
         """Runs a request, at several endpoints in turn if necessary.
@@ -183,6 +185,10 @@
         now_ms = _now_ms()
         if head.load is not None:
             statistics.record_load(head.load, now_ms)
+        if not head.was_run or not head.matches_request:
+            self._recorder.record(
+                job.call, endpoint, head, exchange.connection
+            )
         if not head.was_run:
             statistics.record_refusal(now_ms)
             return ports.Refusal(
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -193,9 +193,21 @@
     :param load: number of running and waiting requests at the endpoint, None
         if not reported
     :param headers: headers to pass on to the caller
+    :param answered_id: id of the request that it answers, None without one
+    :param has_not_run_mark: whether it is marked as not run
+    :param has_stamp: whether it has an endpoint's stamp
     """
 
-    __slots__ = ('status', 'was_run', 'matches_request', 'load', 'headers')
+    __slots__ = (
+        'status',
+        'was_run',
+        'matches_request',
+        'load',
+        'headers',
+        'answered_id',
+        'has_not_run_mark',
+        'has_stamp',
+    )
 
     def __init__(
         self,
@@ -204,12 +216,18 @@
         matches_request: bool,
         load: int | None,
         headers: Headers,
+        answered_id: str | None = None,
+        has_not_run_mark: bool = False,
+        has_stamp: bool = False,
     ):
         self.status = status
         self.was_run = was_run
         self.matches_request = matches_request
         self.load = load
         self.headers = headers
+        self.answered_id = answered_id
+        self.has_not_run_mark = has_not_run_mark
+        self.has_stamp = has_stamp
 
 
 class EndpointNotice:
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -79,6 +79,8 @@
             matches_request=fields.get('Call') == call.call_id,
             load=None,
             headers=[],
+            answered_id=fields.get('Call'),
+            has_not_run_mark='Not-Run' in fields,
         )
 
     def parse_notice(self, status, headers):
