--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -56,7 +56,10 @@
 
 
 class FakeProtocol:
-    """Encodes its arguments in short headers that tests can check."""
+    """Encodes its arguments in short headers that tests can check.
+
+    An answer without the mark of a refusal counts as stamped.
+    """
 
     def run_headers(self, headers, endpoint, context):
         result = [('Call', dict(headers)['Call'])]
@@ -81,6 +84,7 @@
             headers=[],
             answered_id=fields.get('Call'),
             has_not_run_mark='Not-Run' in fields,
+            has_stamp='Stamp' in fields or 'Not-Run' not in fields,
         )
 
     def parse_notice(self, status, headers):
