REFUSED: the request id of an answer is compared before its mark

What callers saw: non-idempotent requests answered 503, a promise that they did not run and never would, that ran. Cause: an answer's mark (or status 421) was believed before its request id was compared, so a late answer for an earlier request, or one that names no request, refused the request whose answer was due. The adapter judged a part, forwards and decodes the rest, each in its own order. Now the adapter only decodes (ids, mark, stamp, status), and answers.judge is the one place where a head is judged: whose is it, then is it marked or stamped, then does the status agree. A refusal must also be whole. Logs and metrics name the verdict and tell an endpoint's refusal from our own.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -1,54 +1,128 @@
-"""Records the endpoints' answers that the host does not pass on."""
+"""Checks endpoints' answers before anything in them is believed."""
 
+import enum
 import logging
 
 from masticquay_endpoints import connections
+from masticquay_gateway import errors
+from masticquay_gateway import exchanges
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
 
-# Why an answer is not passed on, in logs and metrics.
-CAUSE_REFUSED = 'refused'
-CAUSE_OTHER_REQUEST = 'other request'
-CAUSE_UNPROVEN = 'unproven'
+MAX_REFUSAL_BODY_BYTES = 64 * 1024
+STATUS_WRONG_ENDPOINT = 421
+# To a caller, each of these promises that the request was not run.
+PROMISE_STATUSES = frozenset({408, STATUS_WRONG_ENDPOINT, 429, 503})
 
 
-class AnswerRecorder:
-    """Logs and counts answers that are not passed on, with what they show."""
+class Verdict(enum.Enum):
+    """What an answer proves about the request that it was read for."""
 
-    def __init__(self, registry: counters.Registry):
+    RUN = 'run'
+    NOT_RUN = 'not run'
+    OTHER_REQUEST = 'answers another request'
+    NO_REQUEST = 'names no request'
+    UNPROVEN = 'neither stamped nor marked as not run'
+    CONTRADICTORY = 'status, mark and stamp disagree'
+
+
+def judge(
+    call_id: str, head: ports.ResponseHead, needs_stamp: bool = True
+) -> Verdict:
+    """Returns what the head of an answer proves.
+
+    The request id comes first: mark, stamp and status of another request's
+    answer say nothing of this one.
+
+    :param call_id: id of the request, empty if its caller gave none
+    :param needs_stamp: whether an endpoint stamps its answer when it has run
+        such a request
+    """
+    if head.answered_ids - {call_id}:
+        return Verdict.OTHER_REQUEST
+    if call_id and not head.answered_ids:
+        return Verdict.NO_REQUEST
+    if head.has_not_run_mark or head.status == STATUS_WRONG_ENDPOINT:
+        return Verdict.NOT_RUN
+    if head.status in PROMISE_STATUSES:
+        return Verdict.CONTRADICTORY
+    if needs_stamp and not head.has_stamp:
+        return Verdict.UNPROVEN
+    return Verdict.RUN
+
+
+class AnswerChecker:
+    """Reads the heads of answers and passes on only what they prove."""
+
+    def __init__(
+        self, protocol: ports.EndpointProtocol, registry: counters.Registry
+    ):
+        self._protocol = protocol
         self._registry = registry
 
-    def record(
+    def check(
+        self,
+        call: ports.Call,
+        endpoint: fleets.Endpoint,
+        exchange: connections.Exchange,
+        needs_stamp: bool = True,
+    ) -> ports.ResponseHead:
+        """Returns the head of an answer of an endpoint that ran a request.
+
+        :param needs_stamp: see ``judge``
+        :raises NotRunError: if the endpoint certainly did not run it
+        :raises ResponseMismatchError: if the answer proves nothing of this
+            request
+        :raises EndpointError: if a refusal is not whole
+        """
+        head = self._protocol.parse_response_head(
+            exchange.response.status, exchanges.response_headers(exchange)
+        )
+        verdict = judge(call.call_id, head, needs_stamp)
+        if verdict is Verdict.RUN:
+            return head
+        self._record(call, endpoint, head, verdict, exchange.connection)
+        if verdict is not Verdict.NOT_RUN:
+            exchange.read_body(MAX_REFUSAL_BODY_BYTES)
+            raise errors.ResponseMismatchError(
+                f'answer not believed: {verdict.value}'
+            )
+        exchange.read_body(MAX_REFUSAL_BODY_BYTES)
+        raise errors.NotRunError(
+            f'endpoint refused it: status {head.status}',
+            head.status,
+            head.load,
+        )
+
+    def _record(
         self,
         call: ports.Call,
         endpoint: fleets.Endpoint,
         head: ports.ResponseHead,
+        verdict: Verdict,
         connection: connections.Connection,
     ) -> None:
-        """Records an answer that refuses a request or does not match it."""
-        cause = _cause_of(call, head)
+        """Logs and counts an answer that is not passed on."""
         self._registry.count(
-            'answers_rejected', 'cause', cause, 'service', endpoint.service
+            'answers_rejected',
+            'verdict',
+            verdict.value,
+            'service',
+            endpoint.service,
         )
         LOG.warning(
             'answer of an endpoint not passed on',
             extra={
                 'call': call.call_id,
                 'endpoint': endpoint.endpoint_id,
-                'cause': cause,
+                'verdict': verdict.value,
                 'status': head.status,
-                'answered_call': head.answered_id,
+                'answered_calls': sorted(head.answered_ids),
                 'not_run_mark': head.has_not_run_mark,
                 'stamp': head.has_stamp,
                 'connection_exchanges': connection.exchange_count,
             },
         )
-
-
-def _cause_of(call: ports.Call, head: ports.ResponseHead) -> str:
-    if head.answered_id is not None and head.answered_id != call.call_id:
-        return CAUSE_OTHER_REQUEST
-    return CAUSE_UNPROVEN if head.was_run else CAUSE_REFUSED
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -31,6 +31,9 @@
 # caller's deadline.
 STARTUP_WAIT_MS = 1_000
 STARTUP_WAIT_SHARE = 0.5
+# Who refused a request, in logs and metrics.
+REFUSED_BY_ENDPOINT = 'endpoint'
+REFUSED_BY_HOST = 'host'
 
 
 class CallService:
@@ -213,6 +216,8 @@
             'refused',
             'reason',
             refusal.reason.value,
+            'by',
+            _refused_by(refusal),
             'workspace',
             (job.workspace_name or '') if job else '',
         )
@@ -222,6 +227,7 @@
                 'call': call.call_id,
                 'status': response.status,
                 'reason': refusal.reason.value,
+                'by': _refused_by(refusal),
                 'detail': refusal.detail,
                 'route': job.route.name if job else None,
                 'workspace': job.workspace_name if job else None,
@@ -256,3 +262,7 @@
                 'elapsed_ms': round(elapsed_ms),
             },
         )
+
+
+def _refused_by(refusal: ports.Refusal) -> str:
+    return REFUSED_BY_ENDPOINT if refusal.by_endpoint else REFUSED_BY_HOST
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -43,7 +43,7 @@
         self._pools = pools
         self._placer = placer
         self._registry = registry
-        self._recorder = answers.AnswerRecorder(registry)
+        self._checker = answers.AnswerChecker(protocol, registry)
 
     def run(
         self,
@@ -101,31 +101,17 @@
         headers: ports.Headers,
     ) -> ports.ResponseHead:
         """Sends a request and returns the head of a successful response."""
-        response = exchange.send(
+        exchange.send(
             job.request.method,
             job.request.target,
             headers,
             job.request.body,
             self._head_timeout_ms(job),
         )
-        head = self._protocol.parse_response_head(
-            job.call, response.status, exchanges.response_headers(exchange)
-        )
-        if not head.was_run or not head.matches_request:
-            self._recorder.record(job.call, decode, head, exchange.connection)
-        if not head.was_run:
-            exchange.read_body(MAX_ERROR_BODY_BYTES)
-            raise errors.NotRunError(
-                f'engine refused with status {response.status}',
-                response.status,
-            )
-        if not head.matches_request:
-            raise errors.ResponseMismatchError(
-                'response does not match the request'
-            )
-        if response.status != 200:
+        head = self._checker.check(job.call, decode, exchange)
+        if head.status != 200:
             body = exchange.read_body(MAX_ERROR_BODY_BYTES)
-            raise errors.EngineFailedError(response.status, head.headers, body)
+            raise errors.EngineFailedError(head.status, head.headers, body)
         return head
 
     def _head_timeout_ms(self, job: jobs.Job) -> int:
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -18,14 +18,16 @@
 
 
 class NotRunError(GatewayError):
-    """An engine refused a request without running it.
+    """An endpoint refused a request without running it.
 
     :param status: HTTP status of the refusal
+    :param load: running and waiting requests there, None if not reported
     """
 
-    def __init__(self, detail: str, status: int):
+    def __init__(self, detail: str, status: int, load: int | None = None):
         super().__init__(detail)
         self.status = status
+        self.load = load
 
 
 class HarmfulPromptError(GatewayError):
@@ -48,7 +50,7 @@
 
 
 class ResponseMismatchError(GatewayError):
-    """An engine's response cannot be trusted to belong to this request."""
+    """An endpoint's answer proves nothing of this request."""
 
 
 class EngineFailedError(GatewayError):
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -4,6 +4,7 @@
 import time
 
 from masticquay_gateway import answers
+from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
@@ -58,7 +59,7 @@
         self._chooser = chooser
         self._budgets = budgets
         self._registry = registry
-        self._recorder = answers.AnswerRecorder(registry)
+        self._checker = answers.AnswerChecker(protocol, registry)
 
     def run(self, job: jobs.Job) -> Response | ports.Refusal:
         """Runs a request, at several endpoints in turn if necessary.
@@ -149,6 +150,11 @@
                 f'endpoint not reached: {cause}',
                 RETRY_AFTER_MS,
             )
+        except errors.NotRunError as cause:
+            outcome = self._record_refusal(statistics, cause)
+        except errors.ResponseMismatchError as cause:
+            statistics.record_failure(_now_ms())
+            outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
         except exchanges.StalledError as cause:
             statistics.record_timeout(started_ms, _now_ms())
             outcome = ports.Refusal(ports.Reason.TIMED_OUT, str(cause))
@@ -165,49 +171,47 @@
         job: jobs.Job,
         endpoint: fleets.Endpoint,
         statistics: endpoint_statistics.EndpointStatistics,
-    ) -> Response | ports.Refusal:
+    ) -> Response:
         headers = self._protocol.run_headers(
             job.request.headers, endpoint, job.endpoint_context()
         )
         started_s = time.monotonic()
         with self._pools.open(endpoint, job.interrupt) as exchange:
-            response = exchange.send(
+            exchange.send(
                 job.request.method,
                 job.request.target,
                 headers,
                 job.request.body,
                 self._timeout_ms(job),
             )
-            head = self._protocol.parse_response_head(
-                job.call, response.status, exchanges.response_headers(exchange)
-            )
+            head = self._checker.check(job.call, endpoint, exchange)
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         now_ms = _now_ms()
         if head.load is not None:
             statistics.record_load(head.load, now_ms)
-        if not head.was_run or not head.matches_request:
-            self._recorder.record(
-                job.call, endpoint, head, exchange.connection
-            )
-        if not head.was_run:
-            statistics.record_refusal(now_ms)
-            return ports.Refusal(
-                ports.Reason.NOT_RUN,
-                f'endpoint refused it: status {response.status}',
-                RETRY_AFTER_MS,
-            )
-        if not head.matches_request:
-            statistics.record_failure(now_ms)
-            return ports.Refusal(
-                ports.Reason.UNKNOWN, 'response does not match the request'
-            )
-        if response.status >= 500:
+        if head.status >= 500:
             statistics.record_error(now_ms)
         else:
             statistics.record_success(
                 (time.monotonic() - started_s) * 1000, now_ms
             )
-        return Response(response.status, head.headers, body)
+        return Response(head.status, head.headers, body)
+
+    def _record_refusal(
+        self,
+        statistics: endpoint_statistics.EndpointStatistics,
+        cause: errors.NotRunError,
+    ) -> ports.Refusal:
+        now_ms = _now_ms()
+        if cause.load is not None:
+            statistics.record_load(cause.load, now_ms)
+        statistics.record_refusal(now_ms)
+        return ports.Refusal(
+            ports.Reason.NOT_RUN,
+            str(cause),
+            RETRY_AFTER_MS,
+            by_endpoint=True,
+        )
 
     def _timeout_ms(self, job: jobs.Job) -> int:
         remaining_ms = max(1, job.remaining_ms)
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -110,16 +110,22 @@
     :param detail: explanation, for the log only
     :param retry_after_ms: time after which the caller may retry, None for no
         such advice
+    :param by_endpoint: whether an endpoint refused it, not this host
     """
 
-    __slots__ = ('reason', 'detail', 'retry_after_ms')
+    __slots__ = ('reason', 'detail', 'retry_after_ms', 'by_endpoint')
 
     def __init__(
-        self, reason: Reason, detail: str, retry_after_ms: int | None = None
+        self,
+        reason: Reason,
+        detail: str,
+        retry_after_ms: int | None = None,
+        by_endpoint: bool = False,
     ):
         self.reason = reason
         self.detail = detail
         self.retry_after_ms = retry_after_ms
+        self.by_endpoint = by_endpoint
 
 
 def join_refusals(earlier: Refusal | None, later: Refusal) -> Refusal:
@@ -184,50 +190,43 @@
 
 
 class ResponseHead:
-    """Status and headers of an endpoint's response.
+    """What the status and headers of an endpoint's answer say.
+
+    It is to be believed only after ``answers.judge``.
 
-    :param was_run: False if the endpoint reports that it did not run the
+    :param answered_ids: the different ids of requests that it answers
+    :param has_not_run_mark: whether it says that the request was not run
+    :param has_stamp: whether it has the stamp of an endpoint that ran the
         request
-    :param matches_request: whether it is certainly the endpoint's own
-        response to this request
     :param load: number of running and waiting requests at the endpoint, None
         if not reported
     :param headers: headers to pass on to the caller
-    :param answered_id: id of the request that it answers, None without one
-    :param has_not_run_mark: whether it is marked as not run
-    :param has_stamp: whether it has an endpoint's stamp
     """
 
     __slots__ = (
         'status',
-        'was_run',
-        'matches_request',
-        'load',
-        'headers',
-        'answered_id',
+        'answered_ids',
         'has_not_run_mark',
         'has_stamp',
+        'load',
+        'headers',
     )
 
     def __init__(
         self,
         status: int,
-        was_run: bool,
-        matches_request: bool,
+        answered_ids: frozenset[str],
+        has_not_run_mark: bool,
+        has_stamp: bool,
         load: int | None,
         headers: Headers,
-        answered_id: str | None = None,
-        has_not_run_mark: bool = False,
-        has_stamp: bool = False,
     ):
         self.status = status
-        self.was_run = was_run
-        self.matches_request = matches_request
-        self.load = load
-        self.headers = headers
-        self.answered_id = answered_id
+        self.answered_ids = answered_ids
         self.has_not_run_mark = has_not_run_mark
         self.has_stamp = has_stamp
+        self.load = load
+        self.headers = headers
 
 
 class EndpointNotice:
@@ -285,7 +284,7 @@
         """
 
     def parse_response_head(
-        self, call: Call, status: int, headers: Headers
+        self, status: int, headers: Headers
     ) -> ResponseHead:
         """Parses the status and headers of a response."""
 
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -5,7 +5,6 @@
 import time
 
 from masticquay_endpoints import interrupts
-from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
@@ -52,7 +51,6 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
-        self._recorder = answers.AnswerRecorder(registry)
 
     def prefill(
         self,
@@ -122,13 +120,6 @@
                 job.request.body,
                 self._timeout_ms(job, placement),
             )
-            head = self._protocol.parse_response_head(
-                job.call, response.status, exchanges.response_headers(exchange)
-            )
-            if not head.was_run or head.answered_id != job.call.call_id:
-                self._recorder.record(
-                    job.call, prefill, head, exchange.connection
-                )
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         if response.status != 200:
             raise errors.NotRunError(
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -173,7 +173,8 @@
             )
         except errors.NotRunError as cause:
             self._failure_reporter.report_refusal(job, placement, cause)
-            return _FailedAttempt(_not_run_refusal(cause), can_retry=True)
+            refusal = _not_run_refusal(cause, by_endpoint=True)
+            return _FailedAttempt(refusal, can_retry=True)
         except errors.EngineFailedError as cause:
             engine_ok = False
             return self._handle_engine_failure(job, placement, stream, cause)
@@ -371,8 +372,12 @@
         return max(0, min(LATE_WAIT_MS, available_ms - LATE_RESERVE_MS))
 
 
-def _not_run_refusal(cause: Exception) -> ports.Refusal:
-    return ports.Refusal(ports.Reason.NOT_RUN, str(cause), RETRY_AFTER_MS)
+def _not_run_refusal(
+    cause: Exception, by_endpoint: bool = False
+) -> ports.Refusal:
+    return ports.Refusal(
+        ports.Reason.NOT_RUN, str(cause), RETRY_AFTER_MS, by_endpoint
+    )
 
 
 def _harmful_refusal(wait_ms: int) -> ports.Refusal:
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -74,17 +74,15 @@
         result = self.run_headers(headers, endpoint, context)
         return [*result, ('Handle', handle)]
 
-    def parse_response_head(self, call, status, headers):
+    def parse_response_head(self, status, headers):
         fields = dict(headers)
         return ports.ResponseHead(
             status=status,
-            was_run='Not-Run' not in fields,
-            matches_request=fields.get('Call') == call.call_id,
-            load=None,
-            headers=[],
-            answered_id=fields.get('Call'),
+            answered_ids=frozenset(v for k, v in headers if k == 'Call'),
             has_not_run_mark='Not-Run' in fields,
             has_stamp='Stamp' in fields or 'Not-Run' not in fields,
+            load=None,
+            headers=[],
         )
 
     def parse_notice(self, status, headers):
