REFUSED: an answer that contradicts itself promises nothing

Cause: the mark alone was believed, whatever stood beside it. An answer with the mark and the stamp of an endpoint that ran the request, or with the mark and a status other than a refusal's, says both that it ran and that it did not.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -14,6 +14,8 @@
 
 MAX_REFUSAL_BODY_BYTES = 64 * 1024
 STATUS_WRONG_ENDPOINT = 421
+# An endpoint may refuse a request without running it with these.
+REFUSAL_STATUSES = frozenset({400, STATUS_WRONG_ENDPOINT, 429, 503})
 # To a caller, each of these promises that the request was not run.
 PROMISE_STATUSES = frozenset({408, STATUS_WRONG_ENDPOINT, 429, 503})
 
@@ -46,6 +48,8 @@
     if call_id and not head.answered_ids:
         return Verdict.NO_REQUEST
     if head.has_not_run_mark or head.status == STATUS_WRONG_ENDPOINT:
+        if head.has_stamp or head.status not in REFUSAL_STATUSES:
+            return Verdict.CONTRADICTORY
         return Verdict.NOT_RUN
     if head.status in PROMISE_STATUSES:
         return Verdict.CONTRADICTORY
