REFUSED: a connection that brought another request's answer is closed

Cause: an answer with another request's id was read to its end, and the connection went back to the pool while the request's own answer was still to come. Each later request on it then got the answer of the one before: one extra answer cost many. The head is now judged before the body is read, and an answer that is not believed leaves the exchange unfinished, so the connection is closed.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -90,7 +90,6 @@
             return head
         self._record(call, endpoint, head, verdict, exchange.connection)
         if verdict is not Verdict.NOT_RUN:
-            exchange.read_body(MAX_REFUSAL_BODY_BYTES)
             raise errors.ResponseMismatchError(
                 f'answer not believed: {verdict.value}'
             )
