Prefill: an answer to another request gives no handle

Answers of prefill engines now pass the same check as all others, only a stamp is not asked for: a prefill does not run the request.

--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -5,6 +5,7 @@
 import time
 
 from masticquay_endpoints import interrupts
+from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
@@ -51,6 +52,7 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
+        self._checker = answers.AnswerChecker(protocol, registry)
 
     def prefill(
         self,
@@ -69,7 +71,10 @@
             handle_id = self._exchange(job, placement, prefill)
         except exchanges.InterruptedCallError:
             raise
-        except exchanges.EndpointError as cause:
+        except (
+            exchanges.EndpointError,
+            errors.ResponseMismatchError,
+        ) as cause:
             self._failure_reporter.report_failure(job, prefill, cause)
             if not isinstance(cause, UNRESPONSIVE_ERRORS):
                 # Only the response was lost, so the engine may be used again.
@@ -113,18 +118,21 @@
             job.request.headers, prefill, job.endpoint_context()
         )
         with self._pools.open(prefill, job.interrupt) as exchange:
-            response = exchange.send(
+            exchange.send(
                 job.request.method,
                 job.request.target,
                 headers,
                 job.request.body,
                 self._timeout_ms(job, placement),
             )
+            head = self._checker.check(
+                job.call, prefill, exchange, needs_stamp=False
+            )
             body = exchange.read_body(MAX_RESPONSE_BYTES)
-        if response.status != 200:
+        if head.status != 200:
             raise errors.NotRunError(
-                f'prefill engine refused with status {response.status}',
-                response.status,
+                f'prefill engine refused with status {head.status}',
+                head.status,
             )
         return self._protocol.read_handle(body)
 
--- /dev/null
+++ b/libs/gateway/tests/test_prefills.py
@@ -0,0 +1,90 @@
+"""Tests of prefill on prefill engines."""
+
+import contextlib
+import unittest
+
+from masticquay_gateway import exchanges
+from masticquay_gateway import failures
+from masticquay_gateway import placers
+from masticquay_gateway import prefills
+from masticquay_gateway import retries
+from masticquay_routing import fleets
+from masticquay_routing import tables
+from masticquay_serving import counters
+from tests import fakes
+from tests import raw_endpoints
+
+STREAM = tables.RouteKind.STREAM
+
+
+class FakePlacer:
+    """Takes all reports."""
+
+    def finish_prefill(self, placement):
+        pass
+
+    def report_failure(self, *args, **options):
+        pass
+
+    def report_refusal(self, *args):
+        pass
+
+
+class PrefillerTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.stray_answer = b''
+
+    def make_prefiller(self, state):
+        notices = fakes.make_notices(state)
+        pools = exchanges.ConnectionPools(notices)
+        self.stack.callback(pools.close)
+        limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
+        registry = counters.Registry()
+        placer = FakePlacer()
+        return prefills.Prefiller(
+            fakes.FakeProtocol(),
+            pools,
+            placer,
+            retries.RetryBudgets(limits, state),
+            failures.FailureReporter(placer, registry),
+            notices,
+            registry,
+        )
+
+    def answer(self, call_id, count):
+        own = raw_endpoints.format_answer(call_id, body=b'own-handle')
+        return own if count == 1 else self.stray_answer + own
+
+    def prefill_two(self, stray_answer):
+        """Prefills for two calls; returns the handle of the second.
+
+        :param stray_answer: arrives before the second's own answer
+        """
+        self.stray_answer = stray_answer
+        server = raw_endpoints.RawEndpoint(
+            self.stack, 0, self.answer, fleets.ROLE_PREFILL
+        )
+        prefiller = self.make_prefiller(fakes.FakeState([server.endpoint]))
+        handles = []
+        for call_id in ('c1', 'c2'):
+            job = fakes.make_job(fakes.make_route(STREAM), call_id=call_id)
+            placement = placers.RequestPlacement(
+                server.endpoint, server.endpoint, None, False
+            )
+            handles.append(prefiller.prefill(job, placement, server.endpoint))
+        self.assertEqual([1, 1], server.connection_numbers)
+        self.assertEqual('own-handle', handles[0].handle_id)
+        return handles[1]
+
+    # Found with incident REFUSED: the request id in the answer of a prefill
+    # engine was not read, so a request could go on from another's KV cache.
+    def test_handle_of_another_request_is_not_used(self):
+        for stray_id in ('c1', None):
+            stray = raw_endpoints.format_answer(stray_id, body=b'foreign')
+            self.assertIsNone(self.prefill_two(stray))
+
+    def test_handle_in_an_answer_to_the_request_is_used(self):
+        handle = self.prefill_two(b'')
+        self.assertEqual('own-handle', handle.handle_id)
