Notices in answers to other requests are not believed

A late 503 with a pause kept all requests of the host from an endpoint. Notices are now recorded by the check of the answer, and not from answers that name another request or none. The test failed before: the endpoint counted as pausing.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import typing
 
 from masticquay_endpoints import connections
 from masticquay_gateway import errors
@@ -31,6 +32,10 @@
     CONTRADICTORY = 'status, mark and stamp disagree'
 
 
+# What such an answer says of its endpoint is not believed either.
+FOREIGN_VERDICTS = (Verdict.OTHER_REQUEST, Verdict.NO_REQUEST)
+
+
 def judge(
     call_id: str, head: ports.ResponseHead, needs_stamp: bool = True
 ) -> Verdict:
@@ -58,37 +63,53 @@
     return Verdict.RUN
 
 
+class NoticeListener(typing.Protocol):
+    """Learns what endpoints say of themselves in their answers."""
+
+    def record(
+        self, endpoint: fleets.Endpoint, status: int, headers: ports.Headers
+    ) -> None:
+        """Records the head of an endpoint's answer."""
+
+
 class AnswerChecker:
     """Reads the heads of answers and passes on only what they prove."""
 
     def __init__(
-        self, protocol: ports.EndpointProtocol, registry: counters.Registry
+        self,
+        protocol: ports.EndpointProtocol,
+        listener: NoticeListener,
+        registry: counters.Registry,
     ):
         self._protocol = protocol
+        self._listener = listener
         self._registry = registry
 
     def check(
         self,
-        call: ports.Call,
+        call_id: str,
         endpoint: fleets.Endpoint,
         exchange: connections.Exchange,
         needs_stamp: bool = True,
     ) -> ports.ResponseHead:
         """Returns the head of an answer of an endpoint that ran a request.
 
+        :param call_id: see ``judge``
         :param needs_stamp: see ``judge``
         :raises NotRunError: if the endpoint certainly did not run it
         :raises ResponseMismatchError: if the answer proves nothing of this
             request
         :raises EndpointError: if a refusal is not whole
         """
-        head = self._protocol.parse_response_head(
-            exchange.response.status, exchanges.response_headers(exchange)
-        )
-        verdict = judge(call.call_id, head, needs_stamp)
+        status = exchange.response.status
+        headers = exchanges.response_headers(exchange)
+        head = self._protocol.parse_response_head(status, headers)
+        verdict = judge(call_id, head, needs_stamp)
+        if verdict not in FOREIGN_VERDICTS:
+            self._listener.record(endpoint, status, headers)
         if verdict is Verdict.RUN:
             return head
-        self._record(call, endpoint, head, verdict, exchange.connection)
+        self._record(call_id, endpoint, head, verdict, exchange.connection)
         if verdict is not Verdict.NOT_RUN:
             raise errors.ResponseMismatchError(
                 f'answer not believed: {verdict.value}'
@@ -102,7 +123,7 @@
 
     def _record(
         self,
-        call: ports.Call,
+        call_id: str,
         endpoint: fleets.Endpoint,
         head: ports.ResponseHead,
         verdict: Verdict,
@@ -119,7 +140,7 @@
         LOG.warning(
             'answer of an endpoint not passed on',
             extra={
-                'call': call.call_id,
+                'call': call_id,
                 'endpoint': endpoint.endpoint_id,
                 'verdict': verdict.value,
                 'status': head.status,
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -129,7 +129,7 @@
         self._notices = notices.EndpointNotices(
             endpoint_protocol, self.state, self.registry, self.link.renew_now
         )
-        self._pools = exchanges.ConnectionPools(self._notices)
+        self._pools = exchanges.ConnectionPools()
         self._chooser = choosers.Chooser(settings.place, random.Random())
         self._disconnect_watcher = disconnects.DisconnectWatcher()
         self.calls = self._make_call_service(
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -8,6 +8,7 @@
 from masticquay_gateway import events
 from masticquay_gateway import exchanges
 from masticquay_gateway import jobs
+from masticquay_gateway import notices
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
@@ -37,13 +38,16 @@
         protocol: ports.EndpointProtocol,
         pools: exchanges.ConnectionPools,
         placer: placers.Placer,
+        endpoint_notices: notices.EndpointNotices,
         registry: counters.Registry,
     ):
         self._protocol = protocol
         self._pools = pools
         self._placer = placer
         self._registry = registry
-        self._checker = answers.AnswerChecker(protocol, registry)
+        self._checker = answers.AnswerChecker(
+            protocol, endpoint_notices, registry
+        )
 
     def run(
         self,
@@ -108,7 +112,7 @@
             job.request.body,
             self._head_timeout_ms(job),
         )
-        head = self._checker.check(job.call, decode, exchange)
+        head = self._checker.check(job.call.call_id, decode, exchange)
         if head.status != 200:
             body = exchange.read_body(MAX_ERROR_BODY_BYTES)
             raise errors.EngineFailedError(head.status, head.headers, body)
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -1,9 +1,7 @@
 """Connection pools for requests to endpoints."""
 
-import functools
 import socket
 import threading
-import typing
 
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors as endpoint_errors
@@ -17,20 +15,10 @@
 CONNECT_TIMEOUT_MS = 400
 
 
-class AnswerListener(typing.Protocol):
-    """Learns from the heads of all answers."""
-
-    def record(
-        self, endpoint: fleets.Endpoint, status: int, headers: ports.Headers
-    ) -> None:
-        """Records the head of an endpoint's answer."""
-
-
 class ConnectionPools:
     """Connection pools by endpoint; evicts the oldest above ``MAX_POOLS``."""
 
-    def __init__(self, listener: AnswerListener | None = None) -> None:
-        self._listener = listener
+    def __init__(self) -> None:
         self._lock = threading.Lock()
         self._pools: dict[str, connections.ConnectionPool] = {}
 
@@ -54,10 +42,7 @@
                     endpoint.address, CONNECT_TIMEOUT_MS
                 )
                 self._pools[key] = pool
-        on_response = None
-        if self._listener is not None:
-            on_response = functools.partial(self._listener.record, endpoint)
-        return connections.Exchange(pool, interrupt, fresh, on_response)
+        return connections.Exchange(pool, interrupt, fresh)
 
     def close(self) -> None:
         """Closes all idle connections."""
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -59,7 +59,9 @@
         self._chooser = chooser
         self._budgets = budgets
         self._registry = registry
-        self._checker = answers.AnswerChecker(protocol, registry)
+        self._checker = answers.AnswerChecker(
+            protocol, endpoint_notices, registry
+        )
 
     def run(self, job: jobs.Job) -> Response | ports.Refusal:
         """Runs a request, at several endpoints in turn if necessary.
@@ -184,7 +186,7 @@
                 job.request.body,
                 self._timeout_ms(job),
             )
-            head = self._checker.check(job.call, endpoint, exchange)
+            head = self._checker.check(job.call.call_id, endpoint, exchange)
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         now_ms = _now_ms()
         if head.load is not None:
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -28,6 +28,8 @@
 MIN_EXPECTED_PREFILL_MS = 250
 TIMEOUT_FACTOR = 2.2
 RELEASE_TIMEOUT_MS = 500
+# A release belongs to no request of a caller.
+NO_CALL_ID = ''
 
 UNRESPONSIVE_ERRORS = (exchanges.NotSentError, exchanges.StalledError)
 
@@ -52,7 +54,9 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
-        self._checker = answers.AnswerChecker(protocol, registry)
+        self._checker = answers.AnswerChecker(
+            protocol, endpoint_notices, registry
+        )
 
     def prefill(
         self,
@@ -126,7 +130,7 @@
                 self._timeout_ms(job, placement),
             )
             head = self._checker.check(
-                job.call, prefill, exchange, needs_stamp=False
+                job.call.call_id, prefill, exchange, needs_stamp=False
             )
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         if head.status != 200:
@@ -154,8 +158,15 @@
             interrupt = interrupts.Interrupt()
             with self._pools.open(handle.prefill, interrupt) as exchange:
                 exchange.send('DELETE', path, [], b'', RELEASE_TIMEOUT_MS)
+                self._checker.check(
+                    NO_CALL_ID, handle.prefill, exchange, needs_stamp=False
+                )
                 exchange.read_body(MAX_RESPONSE_BYTES)
-        except exchanges.EndpointError as cause:
+        except (
+            exchanges.EndpointError,
+            errors.NotRunError,
+            errors.ResponseMismatchError,
+        ) as cause:
             LOG.info(
                 'releasing a prefill handle failed',
                 extra={
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -91,7 +91,9 @@
             endpoint_notices,
             registry,
         )
-        self._decoder = decodes.Decoder(protocol, pools, placer, registry)
+        self._decoder = decodes.Decoder(
+            protocol, pools, placer, endpoint_notices, registry
+        )
         self._request_numbers = itertools.count(random.getrandbits(40))
 
     def run(self, job: jobs.Job) -> ports.Refusal | None:
--- a/libs/gateway/tests/test_forwards.py
+++ b/libs/gateway/tests/test_forwards.py
@@ -31,7 +31,7 @@
         state = fakes.FakeState([e.endpoint for e in self.endpoints])
         if self.notices is None:
             self.notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools(self.notices)
+        pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
         limits = retries.RetryBudgetLimits(0.2, slack, 10_000)
         forwarder = forwards.Forwarder(
--- a/libs/gateway/tests/test_prefills.py
+++ b/libs/gateway/tests/test_prefills.py
@@ -38,7 +38,7 @@
 
     def make_prefiller(self, state):
         notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools(notices)
+        pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
         limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
         registry = counters.Registry()
--- a/libs/gateway/tests/test_refused_requests.py
+++ b/libs/gateway/tests/test_refused_requests.py
@@ -36,7 +36,7 @@
         self.server = raw_endpoints.RawEndpoint(self.stack, 0, script)
         state = fakes.FakeState([self.server.endpoint])
         self.notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools(self.notices)
+        pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
         limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
         return forwards.Forwarder(
@@ -138,3 +138,18 @@
             outcome = self.run_call(self.forwarder, f'c{number}')
             self.assertIsInstance(outcome, forwards.Response)
         self.assertNotIn(1, self.server.connection_numbers[2:])
+
+    # Found with incident REFUSED: a pause in a late answer of another request
+    # kept all requests from an endpoint.
+    def test_notice_in_an_answer_to_another_request_is_not_believed(self):
+        for stray_id in ('c0', None):
+            stray = raw_endpoints.format_answer(
+                stray_id, 503, extra=[MARK, ('Pause-Ms', '30000')]
+            )
+            self.run_two(stray)
+            self.assertFalse(self.notices.is_withheld(self.server.endpoint))
+            stray = raw_endpoints.format_answer(
+                stray_id, extra=[STAMP, ('Leaving', '1')]
+            )
+            self.run_two(stray)
+            self.assertFalse(self.notices.is_withheld(self.server.endpoint))
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -113,7 +113,7 @@
         state = fakes.FakeState(self.listed)
         if self.notices is None:
             self.notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools(self.notices)
+        pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
         self.placer = FakePlacer(placements)
         limits = retries.RetryBudgetLimits(0.2, self.budget_slack, 10_000)
