A caller's head and body must arrive within a total time

The timeouts of the HTTP server were those of the socket, so each byte began them anew: a caller that sent one byte at a time held a thread and a connection for as long as it liked. A reader below the handler's buffer now has a deadline for the request line and headers together, header_timeout_ms after their first byte, and one for the body, 10 s and a second for each 16 KiB received, up to max_body_bytes. Size lines of chunks and trailers are included. The answer is 408, and the connection closes.

On the code before, the tests of heads and bodies sent byte by byte (request line, headers, length, chunk, size line, trailers) and of endless size lines got no answer within 2 s; now 408 after about 0.3 s.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import http.server
+import io
 import logging
 import socket
 import socketserver
@@ -19,13 +20,16 @@
 from masticquay_serving import errors
 from masticquay_serving import replies
 from masticquay_serving import requests
+from masticquay_serving import timed_readers
 
 LOG = logging.getLogger(__name__)
 
 ACCEPT_BACKLOG = 1_024
 THREAD_STACK_BYTES = 256 * 1024
-# For each wait for data of a request body.
+# A body must arrive within this time and a second for each
+# BODY_RATE_BYTES_PER_S received of it.
 BODY_TIMEOUT_S = 10.0
+BODY_RATE_BYTES_PER_S = 16 * 1024
 # Added to the idle timeout: callers may reuse a keep-alive connection until
 # the timeout, so the server must not close it first.
 IDLE_MARGIN_S = 2.0
@@ -49,6 +53,13 @@
         """Whether the connection must close after its current request."""
         return self.server.draining
 
+    def setup(self) -> None:
+        """Prepares the connection's streams."""
+        super().setup()
+        self.rfile.close()
+        self._timed_reader = timed_readers.TimedReader(self.connection)
+        self.rfile = io.BufferedReader(self._timed_reader)
+
     def log_message(self, *args: object) -> None:
         """Disables the access log; applications log their requests."""
 
@@ -74,7 +85,7 @@
     def _serve_request(self) -> None:
         limits = self.server.limits()
         idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        self.connection.settimeout(idle_s)
+        self._timed_reader.set_deadline(time.monotonic() + idle_s)
         self.server.mark_idle(self)
         try:
             first_bytes = self.rfile.peek(1)
@@ -100,7 +111,9 @@
     def _read_request(
         self, limits: requests.LimitsLike, started_s: float
     ) -> requests.Request:
-        self.connection.settimeout(limits.header_timeout_ms / 1000)
+        self._timed_reader.set_deadline(
+            started_s + limits.header_timeout_ms / 1000
+        )
         self.raw_requestline = self.rfile.readline(
             REQUEST_LINE_LIMIT_BYTES + 1
         )
@@ -118,7 +131,11 @@
         return requests.Request(self.command, target, headers, body, started_s)
 
     def _read_body(self, limits: requests.LimitsLike) -> bytes:
-        self.connection.settimeout(BODY_TIMEOUT_S)
+        self._timed_reader.set_deadline(
+            time.monotonic() + BODY_TIMEOUT_S,
+            BODY_RATE_BYTES_PER_S,
+            limits.max_body_bytes,
+        )
         reader = bodies.BodyReader(self.rfile, limits.max_body_bytes)
         return reader.read(
             self.headers.get_all('Transfer-Encoding') or [],
--- a/libs/serving/masticquay_serving/requests.py
+++ b/libs/serving/masticquay_serving/requests.py
@@ -19,7 +19,8 @@
 
     :param max_header_bytes: for all header fields of a request together
     :param max_body_bytes: for the decoded body
-    :param header_timeout_ms: for each wait for data of the request head
+    :param header_timeout_ms: for the request line and all headers together,
+        from their first byte
     :param idle_timeout_ms: how long a keep-alive connection may stay unused
     """
 
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 from masticquay_serving import errors
 from masticquay_serving import http_servers
@@ -127,6 +128,97 @@
     def test_unfinished_headers_are_rejected_after_the_timeout(self):
         self.assert_rejected(408, b'GET / HTTP/1.1\r\nA: b\r\n')
 
+    def trickle(self, parts, first, interval_s=0.05):
+        """Sends parts of a request one by one until the server answers.
+
+        :returns: the answer and the time until it ended
+        """
+        sock = self.connect()
+        sock.sendall(first)
+        sock.settimeout(interval_s)
+        started_s = time.monotonic()
+        for part in parts:
+            sock.sendall(part)
+            with contextlib.suppress(TimeoutError):
+                response = sock.recv(65536)
+                break
+        else:
+            raise AssertionError('no answer')
+        sock.settimeout(TIMEOUT_S)
+        with contextlib.suppress(ConnectionResetError):
+            while part := sock.recv(65536):
+                response += part
+        return response, time.monotonic() - started_s
+
+    def assert_cut_off(self, parts, first=b''):
+        response, elapsed_s = self.trickle(parts, first)
+        self.assertIn(b' 408 ', response.split(b'\r\n')[0])
+        self.assertIn(b'Connection: close', response)
+        self.assertLess(elapsed_s, 1.5)
+        self.assertEqual([], self.received)
+
+    def test_head_sent_byte_by_byte_is_rejected_after_the_timeout(self):
+        """Seen: each byte began the timeout anew, without a total limit."""
+        self.assert_cut_off(_split(b'GET /' + b'x' * 40))
+        self.assert_cut_off(_split(b'A: b\r\n' * 7), b'GET / HTTP/1.1\r\n')
+
+    def limit_body_time(self, timeout_s, rate_bytes_per_s):
+        for name, value in (
+            ('BODY_TIMEOUT_S', timeout_s),
+            ('BODY_RATE_BYTES_PER_S', rate_bytes_per_s),
+        ):
+            self.stack.enter_context(
+                mock.patch.object(http_servers, name, value)
+            )
+
+    def test_body_sent_byte_by_byte_is_rejected_after_the_timeout(self):
+        """Seen: each byte began the timeout anew, without a total limit."""
+        self.limit_body_time(0.3, 1_000)
+        head = b'POST / HTTP/1.1\r\n'
+        length = head + b'Content-Length: 100\r\n\r\n'
+        chunked = head + b'Transfer-Encoding: chunked\r\n\r\n'
+        for first, rest in (
+            (length, b'x' * 40),
+            (chunked, b'30\r\n' + b'x' * 36),
+            (chunked, b'3;' + b'x' * 40),
+            (chunked + b'0\r\n', b'T: v\r\n' * 7),
+        ):
+            with self.subTest(first=first, rest=rest):
+                self.assert_cut_off(_split(rest), first)
+
+    def test_endless_chunk_size_lines_are_rejected_after_the_timeout(self):
+        """Seen: such lines count to no limit, so they held a thread."""
+        self.limit_body_time(0.3, 10_000)
+        chunk = b'1;' + b'x' * 1_000 + b'\r\nx\r\n'
+        self.assert_cut_off(
+            [chunk] * 100,
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n',
+        )
+
+    def test_body_above_the_rate_is_served_after_the_timeout(self):
+        self.limit_body_time(0.4, 50)
+        sock = self.connect()
+        sock.sendall(b'POST / HTTP/1.1\r\nContent-Length: 160\r\n\r\n')
+        for _ in range(7):
+            sock.sendall(b'x' * 20)
+            time.sleep(0.1)
+        self.assertIn(b' 200 ', self.exchange(b'x' * 20, sock))
+
+    def test_head_in_parts_within_the_timeout_is_served(self):
+        self.limits.header_timeout_ms = 2_000
+        sock = self.connect()
+        for part in (b'GET / HT', b'TP/1.1\r\nA', b': b\r\n'):
+            sock.sendall(part)
+            time.sleep(0.05)
+        self.assertIn(b' 200 ', self.exchange(b'\r\n', sock))
+
+    def test_timeout_of_a_head_starts_with_its_first_byte(self):
+        sock = self.connect()
+        for _ in range(2):
+            time.sleep(0.4)
+            response = self.exchange(b'GET / HTTP/1.1\r\n\r\n', sock)
+            self.assertIn(b' 200 ', response)
+
     def test_streamed_response_is_chunked(self):
         response = self.exchange(b'GET /stream HTTP/1.1\r\n\r\n')
         self.assertTrue(response.endswith(b'3\r\none\r\n0\r\n\r\n'))
@@ -194,6 +286,10 @@
         _wait_for(lambda: bool(caught))
 
 
+def _split(data):
+    return [data[i : i + 1] for i in range(len(data))]
+
+
 def _is_complete(response):
     head, _, body = response.partition(b'\r\n\r\n')
     for line in head.split(b'\r\n'):
