The limit on headers holds while they are read

max_header_bytes was compared with the size of the parsed headers, after the standard library had read up to 100 lines of 64 KiB each: 6.4 MiB for each connection at a limit of 16 KiB. The lines now come from a stream that stops at the limit, so the 431 is sent without waiting for the end of the headers.

On the code before, headers above the limit without an end got 408 after the timeout; now 431 at once. Headers of exactly the limit are served as before.

--- /dev/null
+++ b/libs/serving/masticquay_serving/heads.py
@@ -0,0 +1,31 @@
+"""Limits the header lines of a request while they are read."""
+
+import typing
+
+from masticquay_serving import errors
+
+END_LINE_BYTES = 2
+
+
+class HeaderLines:
+    """The header lines of a stream, for the parser of ``http.client``.
+
+    :param limit_bytes: for all lines together, without the empty one
+    """
+
+    __slots__ = ('_stream', '_left_bytes')
+
+    def __init__(self, stream: typing.BinaryIO, limit_bytes: int):
+        self._stream = stream
+        self._left_bytes = limit_bytes + END_LINE_BYTES
+
+    def readline(self, size: int) -> bytes:
+        """Returns the next line, at most ``size`` bytes of it.
+
+        :raises BadRequestError: when the lines are larger than the limit
+        """
+        line = self._stream.readline(min(size, self._left_bytes + 1))
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise errors.BadRequestError(431, 'the headers are too large')
+        return line
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -18,6 +18,7 @@
 
 from masticquay_serving import bodies
 from masticquay_serving import errors
+from masticquay_serving import heads
 from masticquay_serving import replies
 from masticquay_serving import requests
 from masticquay_serving import timed_readers
@@ -119,8 +120,7 @@
         )
         if len(self.raw_requestline) > REQUEST_LINE_LIMIT_BYTES:
             raise errors.BadRequestError(414, 'the request line is too long')
-        if not self.parse_request():
-            raise errors.BadRequestError(400, 'unreadable request line')
+        self._parse_head(limits.max_header_bytes)
         headers = list(self.headers.items())
         size_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
         if size_bytes > limits.max_header_bytes:
@@ -130,6 +130,17 @@
         target = self.requestline.split()[1]
         return requests.Request(self.command, target, headers, body, started_s)
 
+    def _parse_head(self, limit_bytes: int) -> None:
+        stream = self.rfile
+        # ``parse_request`` reads the headers, and nothing else, from here.
+        self.rfile = heads.HeaderLines(stream, limit_bytes)
+        try:
+            is_readable = self.parse_request()
+        finally:
+            self.rfile = stream
+        if not is_readable:
+            raise errors.BadRequestError(400, 'unreadable request line')
+
     def _read_body(self, limits: requests.LimitsLike) -> bytes:
         self._timed_reader.set_deadline(
             time.monotonic() + BODY_TIMEOUT_S,
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -125,6 +125,19 @@
             431, b'GET / HTTP/1.1\r\nA: ' + b'x' * 3_000 + b'\r\n\r\n'
         )
 
+    def test_headers_above_the_limit_are_rejected_before_their_end(self):
+        """Seen: the limit was checked once all lines were in memory."""
+        head = b'GET / HTTP/1.1\r\n'
+        self.assert_rejected(431, head + b'A: ' + b'x' * 3_000)
+        self.assert_rejected(431, head + b'A: b\r\n' * 90 + b'C: d' * 500)
+
+    def test_headers_as_large_as_the_limit_are_served(self):
+        value = b'x' * (self.limits.max_header_bytes - len('A: \r\n'))
+        head = b'GET / HTTP/1.1\r\nA: '
+        self.assertIn(b' 200 ', self.exchange(head + value + b'\r\n\r\n'))
+        self.received.clear()
+        self.assert_rejected(431, head + value + b'x\r\n\r\n')
+
     def test_unfinished_headers_are_rejected_after_the_timeout(self):
         self.assert_rejected(408, b'GET / HTTP/1.1\r\nA: b\r\n')
 
