Only a slow request gets a 408

Any TimeoutError that escaped the application became a 408, which promises the caller that the request was not run; other errors of its sockets and files ended the connection without a line in the log. The handler now catches timeouts around the reading of the request only, and the reader turns the errors of the caller's socket into CallerDisconnectedError. What else the application raises ends the connection without an answer and is logged, as other unexpected errors were.

On the code before, an application that raised TimeoutError gave a 408, and one that raised OSError left no log line.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -70,9 +70,21 @@
         try:
             while not self.close_connection:
                 self._serve_request()
-        except (OSError, errors.CallerDisconnectedError):
+        except errors.CallerDisconnectedError:
             return
 
+    def handle_expect_100(self) -> bool:
+        """Tells the caller to send the body.
+
+        :raises CallerDisconnectedError: when it does not accept the message
+        """
+        try:
+            return super().handle_expect_100()
+        except OSError as cause:
+            raise errors.CallerDisconnectedError(
+                type(cause).__name__
+            ) from cause
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
@@ -86,13 +98,7 @@
     def _serve_request(self) -> None:
         limits = self.server.limits()
         idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        self._timed_reader.set_deadline(time.monotonic() + idle_s)
-        self.server.mark_idle(self)
-        try:
-            first_bytes = self.rfile.peek(1)
-        finally:
-            self.server.mark_busy(self)
-        if not first_bytes:
+        if not self._wait_for_request(idle_s):
             self.close_connection = True
             return
         started_s = time.monotonic()
@@ -101,13 +107,31 @@
         self.command = ''
         reply = replies.Reply(self)
         try:
-            request = self._read_request(limits, started_s)
+            request = self._read_request_in_time(limits, started_s)
             self.server.application(request, reply)
         except errors.BadRequestError as cause:
             self._reject(reply, cause)
+
+    def _wait_for_request(self, idle_s: float) -> bool:
+        """Returns whether the first byte of a request arrived in time."""
+        self._timed_reader.set_deadline(time.monotonic() + idle_s)
+        self.server.mark_idle(self)
+        try:
+            return bool(self.rfile.peek(1))
         except TimeoutError:
-            error = errors.BadRequestError(408, 'the request came too slowly')
-            self._reject(reply, error)
+            return False
+        finally:
+            self.server.mark_busy(self)
+
+    def _read_request_in_time(
+        self, limits: requests.LimitsLike, started_s: float
+    ) -> requests.Request:
+        try:
+            return self._read_request(limits, started_s)
+        except TimeoutError as cause:
+            raise errors.BadRequestError(
+                408, 'the request came too slowly'
+            ) from cause
 
     def _read_request(
         self, limits: requests.LimitsLike, started_s: float
--- a/libs/serving/masticquay_serving/timed_readers.py
+++ b/libs/serving/masticquay_serving/timed_readers.py
@@ -5,6 +5,8 @@
 import time
 import typing
 
+from masticquay_serving import errors
+
 # The socket's timeout may exceed the time left by this much: changing it is a
 # system call, too costly for every read.
 TIMEOUT_SLACK_S = 0.05
@@ -56,6 +58,7 @@
 
         :returns: the number of bytes read, 0 at the end of the stream
         :raises TimeoutError: when the deadline has passed
+        :raises CallerDisconnectedError: when the connection is broken
         """
         is_early_timeout = False
         while True:
@@ -65,6 +68,10 @@
             except TimeoutError:
                 is_early_timeout = True
                 continue
+            except OSError as cause:
+                raise errors.CallerDisconnectedError(
+                    type(cause).__name__
+                ) from cause
             self._extend_deadline(count)
             return count
 
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -279,6 +279,29 @@
 
         _wait_for(is_closed)
 
+    def assert_ended_without_answer(self, error):
+        def serve(request, reply):
+            self.received.append(request)
+            raise error
+
+        self.server.application = serve
+        with self.assertLogs('masticquay_serving.http_servers', 'ERROR'):
+            response = self.exchange(b'GET / HTTP/1.1\r\n\r\n')
+            self.assertEqual(b'', response)
+            _wait_for(lambda: self.server.connection_count == 0)
+        self.assertEqual(1, len(self.received))
+
+    def test_timeout_of_the_application_does_not_answer_408(self):
+        """Seen: any TimeoutError became a 408, which promises 'not run'."""
+        self.assert_ended_without_answer(TimeoutError('a peer is slow'))
+
+    def test_unexpected_error_of_the_application_ends_the_connection(self):
+        """Seen: an OSError ended the connection without a log line."""
+        for error in (OSError('disk'), ValueError('bug')):
+            with self.subTest(error=error):
+                self.received.clear()
+                self.assert_ended_without_answer(error)
+
     def test_write_to_a_disconnected_caller_raises(self):
         sock = self.connect()
         caught = []
--- a/libs/serving/tests/test_timed_readers.py
+++ b/libs/serving/tests/test_timed_readers.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from masticquay_serving import errors
 from masticquay_serving import timed_readers
 
 
@@ -39,6 +40,13 @@
         with self.assertRaises(TimeoutError):
             self.stream.read(1)
 
+    def test_read_of_a_broken_connection_raises_disconnected(self):
+        self.near.sendall(b'unread')
+        self.far.close()
+        self.set_limit(5)
+        with self.assertRaises(errors.CallerDisconnectedError):
+            self.stream.read(1)
+
     def test_short_timeout_of_the_socket_does_not_end_a_read_early(self):
         self.near.settimeout(0.02)
         self.set_limit(5)
