A head that the connection's end cuts off is not served

The standard library takes the end of the stream for the end of the headers, so a request line and some headers of a caller that left were run as a whole request, without the headers that were missing. The header lines now raise CallerDisconnectedError there.

On the code before, a head without its end and a shutdown got 200.

--- a/libs/serving/masticquay_serving/heads.py
+++ b/libs/serving/masticquay_serving/heads.py
@@ -23,9 +23,15 @@
         """Returns the next line, at most ``size`` bytes of it.
 
         :raises BadRequestError: when the lines are larger than the limit
+        :raises CallerDisconnectedError: at the end of the stream, which the
+            parser would take for the end of the headers
         """
         line = self._stream.readline(min(size, self._left_bytes + 1))
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise errors.BadRequestError(431, 'the headers are too large')
+        if not line.endswith(b'\n') and len(line) < size:
+            raise errors.CallerDisconnectedError(
+                'connection closed before the end of the headers'
+            )
         return line
--- a/libs/serving/tests/test_http_servers.py
+++ b/libs/serving/tests/test_http_servers.py
@@ -138,6 +138,20 @@
         self.received.clear()
         self.assert_rejected(431, head + value + b'x\r\n\r\n')
 
+    def test_head_cut_off_by_the_end_of_the_stream_is_not_served(self):
+        """Seen: the headers up to the end were served as the whole head."""
+        for data in (
+            b'GET /',
+            b'GET / HTTP/1.1',
+            b'GET / HTTP/1.1\r\nA: b\r\nC: ',
+        ):
+            with self.subTest(data=data):
+                sock = self.connect()
+                sock.sendall(data)
+                sock.shutdown(socket.SHUT_WR)
+                self.assertEqual(b'', sock.recv(65536))
+                self.assertEqual([], self.received)
+
     def test_unfinished_headers_are_rejected_after_the_timeout(self):
         self.assert_rejected(408, b'GET / HTTP/1.1\r\nA: b\r\n')
 
