--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import http.server
+import io
 import logging
 import socket
 import socketserver
@@ -17,15 +18,19 @@
 
 from masticquay_serving import bodies
 from masticquay_serving import errors
+from masticquay_serving import heads
 from masticquay_serving import replies
 from masticquay_serving import requests
+from masticquay_serving import timed_readers
 
 LOG = logging.getLogger(__name__)
 
 ACCEPT_BACKLOG = 1_024
 THREAD_STACK_BYTES = 256 * 1024
-# For each wait for data of a request body.
+# A body must arrive within this time and a second for each
+# BODY_RATE_BYTES_PER_S received of it.
 BODY_TIMEOUT_S = 10.0
+BODY_RATE_BYTES_PER_S = 16 * 1024
 # Added to the idle timeout: callers may reuse a keep-alive connection until
 # the timeout, so the server must not close it first.
 IDLE_MARGIN_S = 2.0
@@ -49,6 +54,13 @@
         """Whether the connection must close after its current request."""
         return self.server.draining
 
+    def setup(self) -> None:
+        """Prepares the connection's streams."""
+        super().setup()
+        self.rfile.close()
+        self._timed_reader = timed_readers.TimedReader(self.connection)
+        self.rfile = io.BufferedReader(self._timed_reader)
+
     def log_message(self, *args: object) -> None:
         """Disables the access log; applications log their requests."""
 
@@ -58,9 +70,21 @@
         try:
             while not self.close_connection:
                 self._serve_request()
-        except (OSError, errors.CallerDisconnectedError):
+        except errors.CallerDisconnectedError:
             return
 
+    def handle_expect_100(self) -> bool:
+        """Tells the caller to send the body.
+
+        :raises CallerDisconnectedError: when it does not accept the message
+        """
+        try:
+            return super().handle_expect_100()
+        except OSError as cause:
+            raise errors.CallerDisconnectedError(
+                type(cause).__name__
+            ) from cause
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
@@ -74,13 +98,7 @@
     def _serve_request(self) -> None:
         limits = self.server.limits()
         idle_s = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
-        self.connection.settimeout(idle_s)
-        self.server.mark_idle(self)
-        try:
-            first_bytes = self.rfile.peek(1)
-        finally:
-            self.server.mark_busy(self)
-        if not first_bytes:
+        if not self._wait_for_request(idle_s):
             self.close_connection = True
             return
         started_s = time.monotonic()
@@ -89,25 +107,44 @@
         self.command = ''
         reply = replies.Reply(self)
         try:
-            request = self._read_request(limits, started_s)
+            request = self._read_request_in_time(limits, started_s)
             self.server.application(request, reply)
         except errors.BadRequestError as cause:
             self._reject(reply, cause)
+
+    def _wait_for_request(self, idle_s: float) -> bool:
+        """Returns whether the first byte of a request arrived in time."""
+        self._timed_reader.set_deadline(time.monotonic() + idle_s)
+        self.server.mark_idle(self)
+        try:
+            return bool(self.rfile.peek(1))
         except TimeoutError:
-            error = errors.BadRequestError(408, 'the request came too slowly')
-            self._reject(reply, error)
+            return False
+        finally:
+            self.server.mark_busy(self)
+
+    def _read_request_in_time(
+        self, limits: requests.LimitsLike, started_s: float
+    ) -> requests.Request:
+        try:
+            return self._read_request(limits, started_s)
+        except TimeoutError as cause:
+            raise errors.BadRequestError(
+                408, 'the request came too slowly'
+            ) from cause
 
     def _read_request(
         self, limits: requests.LimitsLike, started_s: float
     ) -> requests.Request:
-        self.connection.settimeout(limits.header_timeout_ms / 1000)
+        self._timed_reader.set_deadline(
+            started_s + limits.header_timeout_ms / 1000
+        )
         self.raw_requestline = self.rfile.readline(
             REQUEST_LINE_LIMIT_BYTES + 1
         )
         if len(self.raw_requestline) > REQUEST_LINE_LIMIT_BYTES:
             raise errors.BadRequestError(414, 'the request line is too long')
-        if not self.parse_request():
-            raise errors.BadRequestError(400, 'unreadable request line')
+        self._parse_head(limits.max_header_bytes)
         headers = list(self.headers.items())
         size_bytes = sum(len(name) + len(value) + 4 for name, value in headers)
         if size_bytes > limits.max_header_bytes:
@@ -117,8 +154,23 @@
         target = self.requestline.split()[1]
         return requests.Request(self.command, target, headers, body, started_s)
 
+    def _parse_head(self, limit_bytes: int) -> None:
+        stream = self.rfile
+        # ``parse_request`` reads the headers, and nothing else, from here.
+        self.rfile = heads.HeaderLines(stream, limit_bytes)
+        try:
+            is_readable = self.parse_request()
+        finally:
+            self.rfile = stream
+        if not is_readable:
+            raise errors.BadRequestError(400, 'unreadable request line')
+
     def _read_body(self, limits: requests.LimitsLike) -> bytes:
-        self.connection.settimeout(BODY_TIMEOUT_S)
+        self._timed_reader.set_deadline(
+            time.monotonic() + BODY_TIMEOUT_S,
+            BODY_RATE_BYTES_PER_S,
+            limits.max_body_bytes,
+        )
         reader = bodies.BodyReader(self.rfile, limits.max_body_bytes)
         return reader.read(
             self.headers.get_all('Transfer-Encoding') or [],
