Caller that reuses a file descriptor is no longer taken for gone

The watching thread fetched the event of a connection and looked its hook up by file descriptor. If that connection closed in between and another one got its number, the hook of the new caller ran: its request was interrupted, also in the middle of its run, and the caller got no answer.

The connection that is watched now is asked whether it has ended. A watch that the stale event may have disabled is armed again.

--- a/libs/serving/masticquay_serving/disconnects.py
+++ b/libs/serving/masticquay_serving/disconnects.py
@@ -8,6 +8,7 @@
 
 # The watching thread ends at most this long after ``close``.
 _POLL_INTERVAL_S = 5.0
+_WATCHED_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
 class DisconnectWatcher:
@@ -38,7 +39,7 @@
         fd = sock.fileno()
         with self._lock:
             self._hooks[fd] = hook
-            self._epoll.register(fd, select.EPOLLRDHUP | select.EPOLLONESHOT)
+            self._epoll.register(fd, _WATCHED_EVENTS)
         try:
             yield
         finally:
@@ -54,7 +55,28 @@
     def _run(self) -> None:
         while not self._closed:
             for fd, _events in self._epoll.poll(_POLL_INTERVAL_S):
-                with self._lock:
-                    hook = self._hooks.pop(fd, None)
+                hook = self._take_hook(fd)
                 if hook is not None:
                     hook()
+
+    def _take_hook(self, fd: int) -> typing.Callable[[], None] | None:
+        """Removes and returns the hook of a connection that has ended.
+
+        An event may be that of an earlier connection with the same file
+        descriptor, so the connection itself is asked.
+        """
+        with self._lock:
+            if fd not in self._hooks:
+                return None
+            if not _has_ended(fd):
+                # The event may have disabled the watch of this connection.
+                self._epoll.modify(fd, _WATCHED_EVENTS)
+                return None
+            return self._hooks.pop(fd)
+
+
+def _has_ended(fd: int) -> bool:
+    """Whether the other side closed a connection or its sending side."""
+    poller = select.poll()
+    poller.register(fd, select.POLLRDHUP)
+    return bool(poller.poll(0))
