Interrupted request ends its connection with a reset

A request whose caller was seen to leave got no answer, and its connection was served on. A request that waited on the connection was answered next, and the caller had to take that answer for the one to its earlier request. A caller that had only shut down its sending side saw a stream of HTTP/1.0 end as if it were complete.

Both new tests failed before: the connection was not aborted, and a caller with two requests on the way that shut down its sending side got the answer to the second as the first.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -91,6 +91,8 @@
             exchanges.InterruptedCallError,
             serving_errors.CallerDisconnectedError,
         ):
+            # A later answer on this connection would be taken for this one's.
+            reply.abort()
             self._record_disconnect(job)
             return
         if refusal is not None:
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -1,6 +1,8 @@
 """Tests of serving callers' requests."""
 
+from concurrent import futures
 import contextlib
+import socket
 import threading
 import time
 import types
@@ -8,6 +10,7 @@
 import zlib
 
 from masticquay_gateway import calls
+from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import forwards
 from masticquay_gateway import ports
@@ -15,9 +18,13 @@
 from masticquay_routing import messages
 from masticquay_routing import tables
 from masticquay_serving import counters
+from masticquay_serving import disconnects
+from masticquay_serving import http_servers
 from masticquay_serving import requests
 from tests import fakes
 
+TIMEOUT_S = 5.0
+
 
 class OneRouteReader:
     """Returns a table with one route for any document."""
@@ -51,12 +58,12 @@
         self.state = fleet_states.FleetState(OneRouteReader())
         self.registry = counters.Registry()
 
-    def make_service(self, deadline_ms=None):
+    def make_service(self, deadline_ms=None, run=None, watched=None):
         forwarder = types.SimpleNamespace(
-            run=lambda job: forwards.Response(200, [], b'ok')
+            run=run or (lambda job: forwards.Response(200, [], b'ok'))
         )
         disconnect_watcher = types.SimpleNamespace(
-            watched=lambda sock, hook: contextlib.nullcontext()
+            watched=watched or (lambda sock, hook: contextlib.nullcontext())
         )
         return calls.CallService(
             self.state,
@@ -113,3 +120,45 @@
     def test_request_is_served_if_the_fleet_state_is_known(self):
         self.set_fleet_state()
         self.assertEqual(200, self.serve(self.make_service()).status)
+
+    # Guards against the answer to a caller's next request on the connection,
+    # which the caller would take for the answer to the interrupted one.
+    def test_interrupted_request_ends_its_connection(self):
+        def raise_interrupted(job):
+            raise exchanges.InterruptedCallError('caller disconnected')
+
+        self.set_fleet_state()
+        reply = self.serve(self.make_service(run=raise_interrupted))
+        self.assertTrue(reply.aborted)
+
+    # As above, over a connection on which the next request waits already.
+    def test_caller_gets_no_answer_to_the_request_after_an_interrupted_one(
+        self,
+    ):
+        served = []
+
+        def run(job):
+            served.append(job)
+            if len(served) == 1:
+                job.interrupt.wait(futures.Future(), TIMEOUT_S * 1_000)
+            return forwards.Response(200, [], b'second')
+
+        self.set_fleet_state()
+        watcher = disconnects.DisconnectWatcher()
+        self.addCleanup(watcher.close)
+        service = self.make_service(run=run, watched=watcher.watched)
+        limits = requests.Limits(10_000, 10_000, 5_000, 5_000)
+        server = http_servers.Server(
+            ('127.0.0.1', 0), service.serve, lambda: limits
+        )
+        server.start()
+        self.addCleanup(server.server_close)
+        caller = socket.create_connection(server.server_address, TIMEOUT_S)
+        self.addCleanup(caller.close)
+        caller.sendall(b'GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n' * 2)
+        caller.shutdown(socket.SHUT_WR)
+        received = b''
+        with contextlib.suppress(ConnectionResetError):
+            received = caller.recv(10_000)
+        self.assertEqual(b'', received)
+        self.assertEqual(1, len(served))
