Only an engine's refusal counts as not run, and only of its own request

Any status other than 200 of a prefill or decode engine undid the mark that the request may have run, whatever it said and whichever request it named. An engine that failed with 500 in the middle of a run, a 429 without a readable error and the refusal of another request or attempt gave the caller 'not-run', and its tokens back, for a request that an engine had worked on.

Now the ids are compared before the status is looked at, in the headers and in the body of all answers, and only a readable error with status 404, 409 or 429 says that nothing was run; docs/ENGINE-API.md knows no other refusals.

--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -15,6 +15,9 @@
 MAX_RESPONSE_BYTES = 1_048_576
 JSON_HEADERS = [('Content-Type', 'application/json')]
 EVENT_SEPARATOR = b'\n\n'
+# With these statuses, the error of an engine says that it did not execute the
+# request. After any other, it may have failed in the middle of it.
+NOT_RUN_STATUSES = frozenset([404, 409, 429])
 
 # The usual form of a token event. The text is kept as a JSON string literal,
 # so that a token need not be decoded and encoded again.
@@ -59,7 +62,6 @@
         response_fields = self._post(
             '/v1/prefill', body, timeout_ms, interrupt
         )
-        _check_request(response_fields, request_id, attempt)
         try:
             return protocols.PrefillResult(
                 str(response_fields['handle']),
@@ -143,9 +145,12 @@
                 'POST', path, JSON_HEADERS, data, timeout_ms
             )
             content = exchange.read_body(MAX_RESPONSE_BYTES)
-            if response.status != 200:
-                raise _make_refused_error(response.status, content)
-        return _parse_object(content)
+        _check_response_headers(response, body)
+        if response.status != 200:
+            raise _make_refused_error(response.status, content, body)
+        fields = _parse_object(content)
+        _check_request(fields, body)
+        return fields
 
     def _stream(
         self,
@@ -162,10 +167,10 @@
             response = exchange.send(
                 'POST', path, JSON_HEADERS, data, first_token_timeout_ms
             )
+            _check_response_headers(response, body)
             if response.status != 200:
                 content = exchange.read_body(MAX_RESPONSE_BYTES)
-                raise _make_refused_error(response.status, content)
-            _check_response_headers(response, body)
+                raise _make_refused_error(response.status, content, body)
             stream_body = bodies.StreamBody(
                 response, exchange.connection.http.sock
             )
@@ -300,12 +305,25 @@
         return ''
 
 
-def _make_refused_error(status: int, content: bytes) -> errors.RefusedError:
-    code = ''
+def _make_refused_error(
+    status: int, content: bytes, body: dict[str, typing.Any]
+) -> errors.RefusedError:
+    """Returns the error for an answer that is no success.
+
+    Only a readable error with one of ``NOT_RUN_STATUSES`` says that the
+    engine did not execute the request in ``body``.
+
+    :raises ProtocolViolationError: when the answer names another request or
+        attempt
+    """
     try:
-        code = str(json.loads(content)['error']['code'])
+        fields = json.loads(content)
+        code = str(fields['error']['code'])
     except (ValueError, LookupError, TypeError):
-        code = 'unreadable'
+        return errors.RefusedError(status, 'unreadable')
+    _check_request(fields, body)
+    if status in NOT_RUN_STATUSES:
+        return errors.NotRunError(status, code)
     return errors.RefusedError(status, code)
 
 
@@ -324,29 +342,29 @@
 
 
 def _check_request(
-    fields: abc.Mapping[str, typing.Any], request_id: str, attempt: int
+    fields: abc.Mapping[str, typing.Any], body: dict[str, typing.Any]
 ) -> None:
     """Raises an error if a response belongs to another request or attempt.
 
     A response without these fields is accepted.
 
+    :param body: the request, which names no attempt if it covers all
     :raises ProtocolViolationError: when a field names another request or
         attempt
     """
-    if str(fields.get('request_id', request_id)) != request_id:
-        raise errors.ProtocolViolationError(
-            'response belongs to another request'
-        )
-    if str(fields.get('attempt', attempt)) != str(attempt):
-        raise errors.ProtocolViolationError(
-            'response belongs to another attempt'
-        )
+    for name in ('request_id', 'attempt'):
+        if name not in fields or name not in body:
+            continue
+        if str(fields[name]) != str(body[name]):
+            raise errors.ProtocolViolationError(
+                f'response has another {name} than the request'
+            )
 
 
 def _check_response_headers(
     response: typing.Any, body: dict[str, typing.Any]
 ) -> None:
-    """Checks that a streamed response belongs to the request in ``body``.
+    """Checks that a response belongs to the request in ``body``.
 
     :raises ProtocolViolationError: when a header names another request or
         attempt
@@ -356,4 +374,4 @@
         value = response.headers.get(name)
         if value is not None:
             fields[key] = value
-    _check_request(fields, body['request_id'], body['attempt'])
+    _check_request(fields, body)
--- a/libs/endpoints/masticquay_endpoints/errors.py
+++ b/libs/endpoints/masticquay_endpoints/errors.py
@@ -13,7 +13,9 @@
 
 
 class RefusedError(EndpointError):
-    """The endpoint refused the request.
+    """The endpoint answered with another status than that of a success.
+
+    It may have executed the request unless the error is a ``NotRunError``.
 
     :param status: HTTP status of the response
     :param detail: error code of the response, or the requested path
@@ -25,6 +27,10 @@
         self.detail = detail
 
 
+class NotRunError(RefusedError):
+    """The endpoint refused the request and said that it did not execute it."""
+
+
 class StalledError(EndpointError):
     """The endpoint sent nothing within the timeout."""
 
--- a/libs/endpoints/tests/test_engines.py
+++ b/libs/endpoints/tests/test_engines.py
@@ -9,7 +9,10 @@
 from masticquay_endpoints import bodies
 from masticquay_endpoints import engines
 from masticquay_endpoints import errors
+from masticquay_endpoints import protocols
+from tests import test_connections
 
+TIMEOUT_MS = 5_000
 TOKEN_TEXTS = strategies.lists(strategies.text(max_size=12), max_size=12)
 PIECE_SIZES = strategies.lists(
     strategies.integers(1, 40), min_size=1, max_size=60
@@ -115,3 +118,76 @@
         ):
             with self.assertRaises(errors.ProtocolViolationError):
                 bodies.ChunkDecoder().feed(data)
+
+
+class AnswerTest(unittest.TestCase):
+    """Tests of what is believed of the answer to the first attempt of one."""
+
+    def start_engine(self, status, body=b'', headers=''):
+        answer = (
+            f'HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n'
+            f'{headers}\r\n'
+        ).encode()
+        server = test_connections.ScriptedServer(
+            lambda sock: sock.sendall(answer + body)
+        )
+        self.addCleanup(server.close)
+        engine = engines.HttpEngine(server.address)
+        self.addCleanup(engine.close)
+        return engine
+
+    def prefill(self, engine):
+        return engine.prefill('one', 1, 'm', b'text', 0, TIMEOUT_MS)
+
+    def decode(self, engine):
+        request = protocols.DecodeRequest(
+            'one', 1, 'm', b'text', '', '', 10, 0, '', 0
+        )
+        return list(engine.decode(request, TIMEOUT_MS, TIMEOUT_MS))
+
+    def refusal_of(self, call, status, fields, headers=''):
+        body = fields if isinstance(fields, bytes) else json.dumps(fields)
+        if isinstance(body, str):
+            body = body.encode()
+        engine = self.start_engine(status, body, headers)
+        with self.assertRaises(errors.RefusedError) as caught:
+            call(engine)
+        return caught.exception
+
+    # Guards against a retry as not run of what the engine refused.
+    def test_error_of_a_refusal_says_that_nothing_was_executed(self):
+        for call in (self.prefill, self.decode):
+            for status in (404, 409, 429):
+                fields = {'error': {'code': 'full'}}
+                refusal = self.refusal_of(call, status, fields)
+                self.assertIsInstance(refusal, errors.NotRunError)
+
+    # Guards against "not run" for a request that failed while it ran.
+    def test_other_error_does_not_say_that_nothing_was_executed(self):
+        for call in (self.prefill, self.decode):
+            for status in (500, 502, 503, 504):
+                fields = {'error': {'code': 'broken'}}
+                refusal = self.refusal_of(call, status, fields)
+                self.assertNotIsInstance(refusal, errors.NotRunError)
+
+    # Guards against "not run" by an answer that is not an engine's error.
+    def test_unreadable_error_does_not_say_that_nothing_was_executed(self):
+        for call in (self.prefill, self.decode):
+            for body in (b'', b'{"error": {"co', b'{"handle": "h"}', b'[1]'):
+                refusal = self.refusal_of(call, 429, body)
+                self.assertNotIsInstance(refusal, errors.NotRunError)
+
+    # Guards against "not run" by the refusal of another request or attempt.
+    def test_refusal_of_another_request_is_rejected(self):
+        error = {'code': 'full'}
+        for call in (self.prefill, self.decode):
+            for headers, fields in (
+                ('Request-Id: two\r\n', {'error': error}),
+                ('Attempt: 2\r\n', {'error': error}),
+                ('', {'error': error, 'request_id': 'two'}),
+                ('', {'error': error, 'attempt': 2}),
+            ):
+                body = json.dumps(fields).encode()
+                engine = self.start_engine(429, body, headers)
+                with self.assertRaises(errors.ProtocolViolationError):
+                    call(engine)
--- a/libs/entry/masticquay_entry/runs.py
+++ b/libs/entry/masticquay_entry/runs.py
@@ -90,13 +90,14 @@
     def sending(self) -> typing.Iterator[None]:
         """Marks that the request may have run, around a call of an endpoint.
 
-        The mark is undone when nothing was sent or the endpoint refused.
+        The mark is undone when nothing was sent, or when the endpoint said
+        that it did not execute the request.
         """
         before = self.may_have_run
         self.may_have_run = True
         try:
             yield
-        except (errors.NotSentError, errors.RefusedError):
+        except (errors.NotSentError, errors.NotRunError):
             self.may_have_run = before
             raise
 
--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -132,6 +132,14 @@
             self.host.rates.charged_tokens, self.host.rates.refunded_tokens
         )
 
+    # Guards against "not run" for a prompt that engines may have read.
+    def test_outcome_is_unknown_when_all_engines_fail_with_a_status(self):
+        for name in self.fleet.engine_names:
+            self.fleet.inject_faults(name, refuse=10**6)
+        reply = self.host.complete(PROMPT)
+        self.assertIn(reply.status, (502, 503))
+        self.assertEqual('unknown', reply.outcome)
+
     def test_retry_budget_limits_attempts_when_all_engines_refuse(self):
         for name in self.fleet.engine_names:
             self.fleet.inject_faults(name, refuse=10**6)
