Response that cannot be sent leaves the outcome unknown

waitress answers a request whose application failed, also after the call, with its error task. Ours is meant for requests that could not be parsed and said 'not-run' with the code 'malformed-request', whatever an endpoint had done. It says 'unknown' and 'internal' with status 500 now.

The new test failed before: the renderer fails on the first tokens of a stream, and the caller got 500, malformed-request, not-run.

--- a/libs/entry/masticquay_entry/servers.py
+++ b/libs/entry/masticquay_entry/servers.py
@@ -32,6 +32,7 @@
     400: 'malformed-request',
     413: 'body-too-large',
     431: 'header-too-large',
+    500: 'internal',
     501: 'unsupported-encoding',
 }
 
@@ -39,7 +40,11 @@
 
 
 class ErrorTask(tasks.ErrorTask):
-    """Responds to a request that waitress could not parse."""
+    """Responds to a request that waitress could not parse.
+
+    It also responds with 500 to one whose response could not be sent. An
+    endpoint may have worked on that one.
+    """
 
     def execute(self) -> None:
         error = self.request.error
@@ -47,6 +52,7 @@
             error.code,
             ERROR_CODES.get(error.code, 'malformed-request'),
             error.reason,
+            refusals.UNKNOWN if error.code == 500 else refusals.NOT_RUN,
         )
         body = refusal.body()
         self.status = refusals.status_line(error.code)
--- a/libs/entry/tests/test_model_calls.py
+++ b/libs/entry/tests/test_model_calls.py
@@ -4,7 +4,9 @@
 import json
 import threading
 import unittest
+from unittest import mock
 
+from masticquay_entry import renderers
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_standins import answers
 from tests import fakes
@@ -132,6 +134,17 @@
             self.host.rates.charged_tokens, self.host.rates.refunded_tokens
         )
 
+    # Guards against "not run" for a request that failed in this host after
+    # an engine had begun to answer it.
+    def test_outcome_is_unknown_when_the_answer_cannot_be_sent(self):
+        with mock.patch.object(
+            renderers.Renderer, 'render_batch', side_effect=ValueError
+        ):
+            reply = self.host.complete(PROMPT, stream=True)
+        self.assertEqual(500, reply.status)
+        self.assertEqual('internal', reply.code)
+        self.assertEqual('unknown', reply.outcome)
+
     # Guards against "not run" for a prompt that engines may have read.
     def test_outcome_is_unknown_when_all_engines_fail_with_a_status(self):
         for name in self.fleet.engine_names:
