Answers with any hop-by-hop header are passed on

waitress refuses a response with Trailers or Proxy-Authorization. A service that sent one of them ran a call that must not be repeated, its outcome was stored as ran, and the caller got 500 with 'not-run' and the advice to send it again. Both headers are left out now, as the other hop-by-hop headers are.

The new test failed before: 500 and not-run for the first call.

--- a/libs/entry/masticquay_entry/service_calls.py
+++ b/libs/entry/masticquay_entry/service_calls.py
@@ -31,10 +31,12 @@
         'date',
         'keep-alive',
         'proxy-authenticate',
+        'proxy-authorization',
         'proxy-connection',
         'server',
         'te',
         'trailer',
+        'trailers',
         'transfer-encoding',
         'upgrade',
     ]
--- a/libs/entry/tests/test_service_calls.py
+++ b/libs/entry/tests/test_service_calls.py
@@ -210,6 +210,27 @@
         self.assertEqual('true', reply.headers['Masticquay-Replayed'])
         self.assertEqual(1, self.run_count())
 
+    # Guards against "not run" for a call whose answer cannot be passed on.
+    def test_call_is_answered_whatever_headers_its_answer_has(self):
+        service = self.fleet.standins['service-0'].application
+        serve = service.serve
+
+        def serve_with_headers(request):
+            response = serve(request)
+            response.headers = {
+                'Proxy-Authorization': 'Basic eA==',
+                'Trailers': 'x',
+                'X-Kept': 'kept',
+            }
+            return response
+
+        service.serve = serve_with_headers
+        for _ in range(2):
+            reply = self.pay()
+            self.assertEqual((200, 'ran'), (reply.status, reply.outcome))
+            self.assertEqual('kept', reply.headers['X-Kept'])
+        self.assertEqual(1, self.run_count())
+
     def test_too_long_answer_is_stored_without_its_body(self):
         body = b'x' * (service_calls.MAX_STORED_BODY_BYTES + 1)
         stored = service_calls._make_stored_answer(
