Control believes no answer over HTTP that broke off

An answer with a length whose connection ended at once after its head counted as the empty object. An order whose state was asked for then counted as failed while the engine carried it out, the engine counted as serving, and another one could get its order as well, below the minimum of serving engines.

The new test of answers that break off failed before (no error).

--- a/libs/control/masticquay_control/http_calls.py
+++ b/libs/control/masticquay_control/http_calls.py
@@ -74,7 +74,10 @@
     connection.request(method, path, data, headers)
     connection.sock.settimeout(_remaining_s(deadline_s))
     response = connection.getresponse()
-    payload = json.loads(response.read(MAX_RESPONSE_BYTES) or b'{}')
+    content = response.read(MAX_RESPONSE_BYTES)
+    if response.length:
+        raise http.client.IncompleteRead(content, response.length)
+    payload = json.loads(content or b'{}')
     if not isinstance(payload, dict):
         raise ValueError('the response is not a JSON object')
     return JsonResponse(response.status, payload)
