An error of the platform list is no list

The status of the answer was not looked at, so hosts in the body of a failure replaced the last states.

The new test failed before: a 500 ended the leaving state of an endpoint.

--- a/libs/control/masticquay_control/platform_lists.py
+++ b/libs/control/masticquay_control/platform_lists.py
@@ -48,6 +48,8 @@
                 None,
                 POLL_TIMEOUT_MS,
             )
+            if response.status != 200:
+                raise errors.CallError(f'status {response.status}')
             states = _parse_states(response.body, bundle)
         except errors.CallError as cause:
             self._record_failure(cause)
--- a/libs/control/tests/test_http_calls.py
+++ b/libs/control/tests/test_http_calls.py
@@ -1,14 +1,18 @@
 """Tests of what is believed of the answers to HTTP calls."""
 
 import contextlib
+import json
 import socket
 import threading
+import types
 import unittest
 
 from masticquay_control import errors
 from masticquay_control import http_calls
+from masticquay_control import platform_lists
 
 TIMEOUT_MS = 5_000
+ADDRESS = '10.0.0.1:1'
 
 
 class AnswerTest(unittest.TestCase):
@@ -50,3 +54,28 @@
         ):
             with self.assertRaises(errors.CallError):
                 self.call(answer)
+
+    # Guards against states that stand in an error of the list.
+    def test_list_with_a_failure_status_keeps_the_last_states(self):
+        def make_answer(status, state):
+            hosts = [{'address': ADDRESS, 'state': state}]
+            body = json.dumps({'hosts': hosts})
+            return (
+                f'HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n\r\n'
+                f'{body}'
+            ).encode()
+
+        address = self.start_server(
+            make_answer(200, platform_lists.STATE_LEAVING),
+            make_answer(500, platform_lists.STATE_LIVE),
+        )
+        endpoint = types.SimpleNamespace(name='e', address=ADDRESS)
+        bundle = types.SimpleNamespace(
+            platform_list=address, endpoints=[endpoint]
+        )
+        platform_list = platform_lists.PlatformList()
+        self.assertEqual(['e'], platform_list.poll(bundle))
+        self.assertIsNone(platform_list.poll(bundle))
+        self.assertEqual(
+            platform_lists.STATE_LEAVING, platform_list.state_of('e')
+        )
