An endpoint's whole answer is limited in time, not each wait for it

Each wait was limited, so an endpoint that sent a byte now and then held its exchange, its thread and its caller for as long as it liked. Bodies without a length allocated their limit of 16 MB in advance.

A connection's socket has one time until which all waits end: to connect, to send, for interim answers, head, chunk sizes, body and trailers. It is set by send() for the whole exchange. At its end the exchange raises ExchangeTimeoutError if data has come, a StalledError otherwise, and attempts_timed_out counts the two by cause. All 1xx answers are interim. Limits, with names: line, head, interim answers, chunk size and trailers. Bodies are read piece by piece; those of the process together hold 16 MiB at most, beyond 32 KiB each. While that is used up a body waits, and the largest fails. The socket is set to another timeout only when that differs by more than 10 ms.

The reader of a connection lives as long as it, so a connection with data beyond its response is seen and not reused; that data was dropped unseen before.

--- a/libs/endpoints/masticquay_endpoints/bodies.py
+++ b/libs/endpoints/masticquay_endpoints/bodies.py
@@ -5,10 +5,9 @@
 processor time per token.
 """
 
-import http.client
-import socket
-
+from masticquay_endpoints import connections
 from masticquay_endpoints import errors
+from masticquay_endpoints import responses
 
 READ_BYTES = 65_536
 MAX_SIZE_LINE_BYTES = 256
@@ -19,13 +18,15 @@
 class StreamBody:
     """The body of a response whose headers ``http.client`` has read."""
 
-    __slots__ = ('_sock', '_buffered', '_decoder', '_ended')
+    __slots__ = ('_channel', '_buffered', '_decoder', '_ended')
 
     def __init__(
-        self, response: http.client.HTTPResponse, sock: socket.socket
+        self,
+        response: responses.Response,
+        connection: connections.Connection,
     ):
-        self._sock = sock
-        self._buffered = _read_buffered(response, sock)
+        self._channel = connection.channel
+        self._buffered = connection.reader.read_arrived(READ_BYTES)
         self._decoder = ChunkDecoder() if response.chunked else None
         self._ended = False
 
@@ -39,7 +40,7 @@
         :raises OSError: when the connection fails or stalls
         """
         while not self._ended:
-            data = self._buffered or self._sock.recv(READ_BYTES)
+            data = self._buffered or self._channel.recv(READ_BYTES)
             self._buffered = b''
             if not data:
                 return b''
@@ -114,15 +115,3 @@
             'chunk size is malformed or too large'
         )
     return size_bytes
-
-
-def _read_buffered(
-    response: http.client.HTTPResponse, sock: socket.socket
-) -> bytes:
-    """Returns the body bytes that have already arrived; never blocks."""
-    timeout_s = sock.gettimeout()
-    sock.settimeout(0)
-    try:
-        return response.fp.read1(READ_BYTES)
-    finally:
-        sock.settimeout(timeout_s)
--- /dev/null
+++ b/libs/endpoints/masticquay_endpoints/byte_budgets.py
@@ -0,0 +1,103 @@
+"""Bounds the memory of all response bodies that are being read."""
+
+import threading
+import time
+
+from masticquay_endpoints import errors
+
+# Of all bodies of this process together, beyond what each may take freely.
+TOTAL_BYTES = 16 * 1024 * 1024
+# Most bodies are smaller, so they never wait for the lock of the budget.
+FREE_BYTES = 32 * 1024
+# Taken at a time.
+STEP_BYTES = 64 * 1024
+
+
+class ByteBudget:
+    """A number of bytes shared by all bodies that are being read.
+
+    While the budget is used up, a body waits until another one is complete.
+    The largest body does not wait but fails, so that others can go on.
+    """
+
+    __slots__ = ('_total_bytes', '_taken_bytes', '_shares', '_freed')
+
+    def __init__(self, total_bytes: int = TOTAL_BYTES):
+        self._total_bytes = total_bytes
+        self._taken_bytes = 0
+        self._shares: set[Share] = set()
+        self._freed = threading.Condition()
+
+    @property
+    def taken_bytes(self) -> int:
+        """The bytes taken by all bodies."""
+        return self._taken_bytes
+
+    def take(self, share: 'Share', due_s: float) -> None:
+        """Adds a step to a body's share.
+
+        :param due_s: monotonic time until which it may wait
+        :raises BodyBudgetError: if the body is the largest
+        :raises TimeoutError: if others use up the budget for too long
+        """
+        with self._freed:
+            self._shares.add(share)
+            while self._taken_bytes + STEP_BYTES > self._total_bytes:
+                if all(s.bytes <= share.bytes for s in self._shares):
+                    raise errors.BodyBudgetError(
+                        f'body exceeds {share.bytes} bytes, and all bodies '
+                        f'together {self._total_bytes}'
+                    )
+                remaining_s = due_s - time.monotonic()
+                if remaining_s <= 0:
+                    raise TimeoutError('too many large bodies')
+                self._freed.wait(remaining_s)
+            share.bytes += STEP_BYTES
+            self._taken_bytes += STEP_BYTES
+
+    def free(self, share: 'Share') -> None:
+        """Gives back all that a body has taken."""
+        with self._freed:
+            if share not in self._shares:
+                return
+            self._shares.remove(share)
+            self._taken_bytes -= share.bytes
+            share.bytes = 0
+            self._freed.notify_all()
+
+
+class Share:
+    """What one body has taken of the budget.
+
+    A context manager, which gives it back.
+
+    :ivar bytes: what it has taken, without the free bytes
+    """
+
+    __slots__ = ('_budget', 'bytes')
+
+    def __init__(self, budget: ByteBudget):
+        self._budget = budget
+        self.bytes = 0
+
+    def __enter__(self) -> 'Share':
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        if self.bytes:
+            self._budget.free(self)
+
+    def require(self, size_bytes: int, due_s: float) -> None:
+        """Takes bytes until there are enough for a body of this size.
+
+        :param due_s: monotonic time until which it may wait
+        :raises BodyBudgetError: if the budget is used up, and no body is
+            larger
+        :raises TimeoutError: if the budget remains used up by others
+        """
+        while size_bytes > FREE_BYTES + self.bytes:
+            self._budget.take(self, due_s)
+
+
+# Of the whole process.
+BUDGET = ByteBudget()
--- /dev/null
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -0,0 +1,219 @@
+"""Sockets that limit the time of an exchange, and the lines read from them."""
+
+import contextlib
+import io
+import socket
+import struct
+import time
+import typing
+
+from masticquay_endpoints import errors
+
+# The socket's timeout may end this much after the time that is due. It is set
+# again only beyond that, as each change is a system call.
+TIMEOUT_SLACK_S = 0.01
+# Added to a timeout, so that one like it need not be set again.
+TIMEOUT_MARGIN_S = 0.002
+READ_BUFFER_BYTES = 8 * 1024
+# Any line of an answer's head, chunk sizes and trailers.
+MAX_LINE_BYTES = 16 * 1024
+
+
+class Channel:
+    """A connected socket whose waits all end at a time that is due.
+
+    :ivar due_s: the monotonic time
+    :ivar received: whether data has come since it was set
+    """
+
+    __slots__ = (
+        '_sock',
+        '_timeout_s',
+        '_in_kernel',
+        'due_s',
+        'received',
+    )
+
+    def __init__(self, sock: socket.socket):
+        self._sock = sock
+        self._timeout_s = -1.0
+        self._in_kernel = False
+        self.due_s = time.monotonic()
+        self.received = False
+
+    def set_due(self, due_s: float) -> None:
+        """Sets the time until which further data must be sent or received."""
+        self.due_s = due_s
+        self.received = False
+
+    def use_kernel_timeout(self) -> None:
+        """Limits waits by a receive timeout in the kernel from now on.
+
+        Meant for long streams: a timeout of the socket object would cost a
+        ``poll`` call before each read. Nothing is sent any more.
+        """
+        if not self._in_kernel:
+            self._in_kernel = True
+            self._timeout_s = -1.0
+
+    def recv(self, size_bytes: int) -> bytes:
+        """Receives data, past the reader.
+
+        :raises OSError: if the connection fails or the time is over
+        """
+        self._limit_wait()
+        data = self._sock.recv(size_bytes)
+        self.received = self.received or bool(data)
+        return data
+
+    def recv_into(self, buffer: memoryview) -> int:
+        """Receives data into a buffer.
+
+        :raises OSError: if the connection fails or the time is over
+        """
+        self._limit_wait()
+        size = self._sock.recv_into(buffer)
+        self.received = self.received or size > 0
+        return size
+
+    def sendall(self, data: bytes) -> None:
+        """Sends data.
+
+        :raises OSError: if the connection fails or the time is over
+        """
+        self._limit_wait()
+        self._sock.sendall(data)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._sock.close()
+
+    def shut_down(self) -> None:
+        """Shuts the socket down, which wakes a thread blocked on it."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def fileno(self) -> int:
+        """Returns the socket's descriptor, -1 once it is closed."""
+        return self._sock.fileno()
+
+    def _limit_wait(self) -> None:
+        remaining_s = self.due_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError('time is over')
+        if not 0 <= self._timeout_s - remaining_s <= TIMEOUT_SLACK_S:
+            self._set_timeout(remaining_s + TIMEOUT_MARGIN_S)
+
+    def _set_timeout(self, timeout_s: float) -> None:
+        if self._in_kernel:
+            timeval = struct.pack(
+                '@ll', int(timeout_s), int(timeout_s % 1 * 1_000_000)
+            )
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval
+            )
+            if self._sock.gettimeout() is not None:
+                self._sock.settimeout(None)
+        else:
+            self._sock.settimeout(timeout_s)
+        self._timeout_s = timeout_s
+
+
+class LineReader(io.BufferedReader):
+    """Buffered reader of a channel, with limits on lines.
+
+    It stays open when ``http.client`` closes it after each response.
+    """
+
+    def __init__(self, channel: Channel):
+        super().__init__(_RawReader(channel), READ_BUFFER_BYTES)
+        self._part_name = ''
+        self._part_bytes = 0
+
+    def begin_part(self, name: str, limit_bytes: int) -> None:
+        """Begins a part of an answer that consists of lines.
+
+        :param limit_bytes: limit of all its lines together
+        """
+        self._part_name = name
+        self._part_bytes = limit_bytes
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Reads a line of the present part.
+
+        :raises ProtocolViolationError: if a limit is exceeded
+        """
+        limit_bytes = min(self._part_bytes, MAX_LINE_BYTES)
+        line = super().readline(limit_bytes + 1)
+        if len(line) > limit_bytes:
+            raise errors.ProtocolViolationError(
+                f'{self._part_name} of the response is too long'
+            )
+        self._part_bytes -= len(line)
+        return line
+
+    def read_arrived(self, size_bytes: int) -> bytes:
+        """Returns data that the buffer holds, without a wait."""
+        with self.raw.paused():
+            return self.read1(size_bytes)
+
+    def has_data(self) -> bool:
+        """Whether the buffer holds data."""
+        with self.raw.paused():
+            return bool(self.peek(1))
+
+    def close(self) -> None:
+        """Does nothing, as the next response is read with it, too."""
+
+
+class HttpSocket:
+    """What ``http.client`` uses in place of a socket.
+
+    It closes its socket before it reads some responses, so this does nothing.
+    """
+
+    __slots__ = ('_channel', '_reader')
+
+    def __init__(self, channel: Channel, reader: LineReader):
+        self._channel = channel
+        self._reader = reader
+
+    def sendall(self, data: bytes) -> None:
+        """Sends data."""
+        self._channel.sendall(data)
+
+    def makefile(self, mode: str) -> LineReader:
+        """Returns the reader that all responses are read with."""
+        return self._reader
+
+    def fileno(self) -> int:
+        """Returns the socket's descriptor, -1 once it is closed."""
+        return self._channel.fileno()
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
+class _RawReader(io.RawIOBase):
+    """Reads from a channel, unless it is paused."""
+
+    def __init__(self, channel: Channel):
+        self._channel = channel
+        self._is_paused = False
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        if self._is_paused:
+            return None
+        return self._channel.recv_into(buffer)
+
+    @contextlib.contextmanager
+    def paused(self) -> typing.Iterator[None]:
+        """Has reads return at once in the block, as if no data had come."""
+        self._is_paused = True
+        try:
+            yield
+        finally:
+            self._is_paused = False
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -5,13 +5,15 @@
 import http.client
 import select
 import socket
-import struct
 import threading
 import time
 import typing
 
+from masticquay_endpoints import channels
 from masticquay_endpoints import errors
 from masticquay_endpoints import interrupts
+from masticquay_endpoints import responses
+from masticquay_endpoints import whole_bodies
 
 # A connection may break unnoticed while idle, so it is not reused later than
 # this.
@@ -28,42 +30,52 @@
 class Connection:
     """A connection with the time of its last use.
 
+    :ivar channel: its socket
+    :ivar reader: reads from it, beyond the end of a response
     :ivar reused: whether an earlier exchange used the connection
     :ivar exchange_count: number of exchanges that have used it
     """
 
-    __slots__ = ('http', 'last_used_s', 'reused', 'exchange_count')
+    __slots__ = (
+        'http',
+        'channel',
+        'reader',
+        'last_used_s',
+        'reused',
+        'exchange_count',
+    )
 
     def __init__(self, http_connection: http.client.HTTPConnection):
         self.http = http_connection
+        self.channel = channels.Channel(http_connection.sock)
+        self.reader = channels.LineReader(self.channel)
+        self.http.sock = channels.HttpSocket(self.channel, self.reader)
+        self.http.response_class = responses.Response
         self.last_used_s = time.monotonic()
         self.reused = False
         self.exchange_count = 0
 
     def shut_down(self) -> None:
         """Shuts the socket down, which wakes a thread blocked on it."""
-        sock = self.http.sock
-        if sock is None:
-            return
-        with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_RDWR)
+        self.channel.shut_down()
 
-    def set_timeout(self, timeout_ms: int) -> None:
-        """Limits each later wait for the endpoint."""
-        if self.http.sock is not None:
-            self.http.sock.settimeout(max(1, timeout_ms) / 1000)
+    def close(self) -> None:
+        """Closes the socket."""
+        self.http.close()
+        self.channel.close()
 
-    def set_stream_timeout(self, timeout_ms: int) -> None:
-        """Limits each later wait by a receive timeout in the kernel.
+    def set_timeout(self, timeout_ms: int) -> None:
+        """Limits the time from now until all further waits end.
 
-        Meant for long streams: a timeout of the socket object would cost a
-        ``poll`` call before each read.
+        It replaces the limit set before. To limit pauses, it is to be called
+        after each progress.
         """
-        sock = self.http.sock
-        seconds, remainder_ms = divmod(max(1, timeout_ms), 1000)
-        timeval = struct.pack('@ll', seconds, remainder_ms * 1000)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, timeval)
-        sock.settimeout(None)
+        self.channel.set_due(time.monotonic() + max(1, timeout_ms) / 1000)
+
+    def set_stream_timeout(self, timeout_ms: int) -> None:
+        """Does so with less effort for each read; no more can be sent."""
+        self.set_timeout(timeout_ms)
+        self.channel.use_kernel_timeout()
 
     def is_usable(self) -> bool:
         """Whether an idle connection can be reused for another request.
@@ -73,11 +85,12 @@
         """
         if (time.monotonic() - self.last_used_s) * 1000 > IDLE_TIMEOUT_MS:
             return False
-        sock = self.http.sock
-        if sock is None:
+        if self.http.sock is None or self.reader.has_data():
             return False
         poller = select.poll()
-        poller.register(sock, select.POLLIN | select.POLLHUP | select.POLLERR)
+        poller.register(
+            self.channel, select.POLLIN | select.POLLHUP | select.POLLERR
+        )
         return not poller.poll(0)
 
 
@@ -99,10 +112,13 @@
         self._lock = threading.Lock()
         self._closed = False
 
-    def acquire(self, fresh: bool = False) -> Connection:
+    def acquire(
+        self, fresh: bool = False, timeout_ms: int | None = None
+    ) -> Connection:
         """Returns an open connection, if possible an idle one.
 
         :param fresh: always open a new connection
+        :param timeout_ms: limit for opening one, if below that of the pool
         :raises NotSentError: when the endpoint cannot be reached
         """
         while not fresh:
@@ -112,8 +128,8 @@
             if connection.is_usable():
                 connection.reused = True
                 return connection
-            connection.http.close()
-        return self._connect()
+            connection.close()
+        return self._connect(timeout_ms)
 
     def release(self, connection: Connection) -> None:
         """Keeps a connection for reuse; its response must be fully read."""
@@ -122,7 +138,7 @@
             if not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS:
                 self._idle.append(connection)
                 return
-        connection.http.close()
+        connection.close()
 
     def close(self) -> None:
         """Closes the idle connections; others are closed on release."""
@@ -131,15 +147,18 @@
             idle = list(self._idle)
             self._idle.clear()
         for connection in idle:
-            connection.http.close()
+            connection.close()
 
     def _pop_idle(self) -> Connection | None:
         with self._lock:
             return self._idle.pop() if self._idle else None
 
-    def _connect(self) -> Connection:
+    def _connect(self, timeout_ms: int | None) -> Connection:
+        limit_ms = self._connect_timeout_ms
+        if timeout_ms is not None:
+            limit_ms = max(1, min(limit_ms, timeout_ms))
         connection = http.client.HTTPConnection(
-            self._host, self._port, timeout=self._connect_timeout_ms / 1000
+            self._host, self._port, timeout=limit_ms / 1000
         )
         try:
             connection.connect()
@@ -179,7 +198,7 @@
         self._stack = contextlib.ExitStack()
         self._finished = False
         self.connection: Connection | None = None
-        self.response: http.client.HTTPResponse | None = None
+        self.response: responses.Response | None = None
 
     def __enter__(self) -> typing.Self:
         return self
@@ -194,26 +213,29 @@
         headers: Headers,
         body: bytes,
         timeout_ms: int,
-    ) -> http.client.HTTPResponse:
+    ) -> responses.Response:
         """Sends the request and waits for the headers of the response.
 
+        :param timeout_ms: limit for the whole exchange, with the body, unless
+            ``Connection.set_timeout`` is called later
         :raises NotSentError: when no connection could be opened, so that no
             byte of the request was sent
         :raises InterruptedCallError: when the interrupt was fired
-        :raises StalledError: when a wait exceeds the timeout; the endpoint
-            may have received the request
+        :raises StalledError: when the time is over; the endpoint may have
+            received the request
         :raises EndpointError: after any other failure; the endpoint may have
             received the request
         """
         self._interrupt.check()
-        connection = self._pool.acquire(self._fresh)
+        due_s = time.monotonic() + max(1, timeout_ms) / 1000
+        connection = self._pool.acquire(self._fresh, timeout_ms)
         self.connection = connection
         connection.exchange_count += 1
         self._stack.callback(self._return_connection)
         self._stack.enter_context(
             self._interrupt.registered(connection.shut_down)
         )
-        connection.set_timeout(timeout_ms)
+        connection.channel.set_due(due_s)
         with self.translate_errors():
             _write_request(connection.http, method, path, headers, body)
             self.response = connection.http.getresponse()
@@ -227,19 +249,14 @@
         """Reads the remaining body of the response.
 
         :raises ProtocolViolationError: when the body exceeds the limit
+        :raises StalledError: when the time is over
         :raises EndpointError: when the body is incomplete
         """
         with self.translate_errors():
-            body = self.response.read(limit_bytes + 1)
-            if len(body) > limit_bytes:
-                raise errors.ProtocolViolationError(
-                    f'response body exceeds {limit_bytes} bytes'
-                )
-            missing_bytes = self.response.length
-            if missing_bytes:
-                raise errors.EndpointError(
-                    f'response body is {missing_bytes} bytes short'
-                )
+            body = whole_bodies.read(
+                self.response, limit_bytes, self.connection.channel.due_s
+            )
+        self._interrupt.check()
         self.mark_finished()
         return body
 
@@ -256,16 +273,19 @@
         """Translates socket and HTTP errors into endpoint errors.
 
         :raises InterruptedCallError: when the interrupt caused the error
-        :raises StalledError: when a wait exceeded the timeout
+        :raises ExchangeTimeoutError: when the time was over, and data had
+            come since it was set
+        :raises StalledError: when the time was over, and none had
         :raises EndpointError: for any other error
         """
         try:
             yield
+        except errors.EndpointError:
+            self._interrupt.check()
+            raise
         except (TimeoutError, BlockingIOError) as cause:
             self._interrupt.check()
-            raise errors.StalledError(
-                f'{self._pool.address}: no data within the timeout'
-            ) from cause
+            raise self._make_timeout_error() from cause
         except (OSError, http.client.HTTPException, ValueError) as cause:
             self._interrupt.check()
             name = type(cause).__name__
@@ -273,22 +293,31 @@
                 f'{self._pool.address}: {name}'
             ) from cause
 
+    def _make_timeout_error(self) -> errors.StalledError:
+        address = self._pool.address
+        if self.connection is not None and self.connection.channel.received:
+            return errors.ExchangeTimeoutError(
+                f'{address}: data unfinished within the timeout'
+            )
+        return errors.StalledError(f'{address}: no data within the timeout')
+
     def _return_connection(self) -> None:
         connection = self.connection
         response = self.response
+        if response is not None:
+            response.close()
         reusable = (
             self._finished
             and not self._fresh
             and response is not None
             and not response.will_close
             and not self._interrupt.reason
+            and not connection.reader.has_data()
         )
         if reusable:
             self._pool.release(connection)
-            return
-        if response is not None:
-            response.close()
-        connection.http.close()
+        else:
+            connection.close()
 
 
 def _write_request(
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -166,9 +166,7 @@
                 content = exchange.read_body(MAX_RESPONSE_BYTES)
                 raise _make_refused_error(response.status, content)
             _check_response_headers(response, body)
-            stream_body = bodies.StreamBody(
-                response, exchange.connection.http.sock
-            )
+            stream_body = bodies.StreamBody(response, exchange.connection)
             with exchange.translate_errors():
                 yield from _read_batches(
                     stream_body,
@@ -186,11 +184,11 @@
 ) -> abc.Iterator[protocols.TokenBatch]:
     """Yields tokens as they arrive.
 
-    The stall timeout applies from the first token on.
+    The stall timeout applies from the first token on, between tokens: data
+    without one does not prolong it.
 
     :raises EndpointError: when the connection closes before the last event
     """
-    awaiting_first = True
     while not parser.finished:
         chunk = stream_body.read()
         if not chunk:
@@ -200,10 +198,8 @@
         batch = parser.feed(chunk)
         if batch is None:
             continue
-        if awaiting_first:
-            connection.set_stream_timeout(stall_timeout_ms)
-            awaiting_first = False
         yield batch
+        connection.set_stream_timeout(stall_timeout_ms)
 
 
 class EventParser:
--- a/libs/endpoints/masticquay_endpoints/errors.py
+++ b/libs/endpoints/masticquay_endpoints/errors.py
@@ -29,6 +29,17 @@
     """The endpoint sent nothing within the timeout."""
 
 
+class ExchangeTimeoutError(StalledError):
+    """The endpoint sent data, but not all that was due within the timeout.
+
+    It is an endless answer, or a slow one.
+    """
+
+
+class BodyBudgetError(EndpointError):
+    """The bodies being read took too much memory; this was the largest."""
+
+
 class ProtocolViolationError(EndpointError):
     """The response of the endpoint violates its protocol."""
 
--- a/libs/endpoints/masticquay_endpoints/protocols.py
+++ b/libs/endpoints/masticquay_endpoints/protocols.py
@@ -127,8 +127,8 @@
 
         Closing the iterator closes the connection.
 
-        :param first_token_timeout_ms: limit of each wait up to the first token
-        :param stall_timeout_ms: limit of each wait after it
+        :param first_token_timeout_ms: limit of the time to the first token
+        :param stall_timeout_ms: limit of the time between tokens after it
         """
 
     def resume(
--- /dev/null
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -0,0 +1,46 @@
+"""Responses of endpoints, with limits on all that they consist of."""
+
+import http.client
+
+from masticquay_endpoints import channels
+from masticquay_endpoints import errors
+
+# The status line and all header lines; ``http.client`` allows 100 of these.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_INTERIM_ANSWERS = 8
+# With its extensions.
+MAX_CHUNK_SIZE_BYTES = 256
+MAX_TRAILER_BYTES = 8 * 1024
+HEX_DIGITS = frozenset(b'0123456789abcdefABCDEF')
+
+
+class Response(http.client.HTTPResponse):
+    """A response whose lines and interim answers are limited.
+
+    It overrides the steps in which ``http.client`` reads these.
+    """
+
+    fp: channels.LineReader
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Reads the status line after all interim answers."""
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            self.fp.begin_part('head', MAX_HEAD_BYTES)
+            version, status, reason = super()._read_status()
+            if status >= 200:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+        raise errors.ProtocolViolationError('too many interim answers')
+
+    def _read_next_chunk_size(self) -> int:
+        self.fp.begin_part('chunk size', MAX_CHUNK_SIZE_BYTES)
+        digits = self.fp.readline().partition(b';')[0].strip()
+        if not digits or not HEX_DIGITS.issuperset(digits):
+            raise errors.ProtocolViolationError(
+                'chunk size is not a hexadecimal number'
+            )
+        return int(digits, 16)
+
+    def _read_and_discard_trailer(self) -> None:
+        self.fp.begin_part('trailers', MAX_TRAILER_BYTES)
+        super()._read_and_discard_trailer()
--- /dev/null
+++ b/libs/endpoints/masticquay_endpoints/whole_bodies.py
@@ -0,0 +1,50 @@
+"""Reading of whole response bodies within limits."""
+
+import io
+
+from masticquay_endpoints import byte_budgets
+from masticquay_endpoints import errors
+from masticquay_endpoints import responses
+
+READ_BYTES = 16 * 1024
+
+
+def read(
+    response: responses.Response,
+    limit_bytes: int,
+    due_s: float,
+    budget: byte_budgets.ByteBudget = byte_budgets.BUDGET,
+) -> bytes:
+    """Reads the remaining body of a response piece by piece.
+
+    :param due_s: monotonic time until which it may wait for memory
+    :raises ProtocolViolationError: when the body exceeds the limit
+    :raises BodyBudgetError: when the bodies being read take too much memory,
+        and this is the largest
+    :raises EndpointError: when the body is incomplete
+    :raises OSError: when the connection fails or the time is over
+    """
+    _check_size(response.length or 0, limit_bytes)
+    body = io.BytesIO()
+    size_bytes = 0
+    with byte_budgets.Share(budget) as share:
+        while response.length != 0:
+            share.require(size_bytes + READ_BYTES, due_s)
+            piece = response.read1(READ_BYTES)
+            if not piece:
+                break
+            size_bytes += len(piece)
+            _check_size(size_bytes, limit_bytes)
+            body.write(piece)
+        if response.length:
+            raise errors.EndpointError(
+                f'response body is {response.length} bytes short'
+            )
+        return body.getvalue()
+
+
+def _check_size(size_bytes: int, limit_bytes: int) -> None:
+    if size_bytes > limit_bytes:
+        raise errors.ProtocolViolationError(
+            f'response body exceeds {limit_bytes} bytes'
+        )
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -91,6 +91,7 @@
 
 # Errors of an exchange, under the names that this library uses.
 EndpointError = endpoint_errors.EndpointError
+ExchangeTimeoutError = endpoint_errors.ExchangeTimeoutError
 InterruptedCallError = endpoint_errors.InterruptedCallError
 NotSentError = endpoint_errors.NotSentError
 StalledError = endpoint_errors.StalledError
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -23,6 +23,9 @@
 # reused connection whose peer has disappeared without a reset would otherwise
 # use up all of it.
 ATTEMPT_TIME_SHARE = 0.5
+# How an endpoint used up the time of an attempt, in metrics.
+CAUSE_SILENT = 'silent'
+CAUSE_UNFINISHED = 'unfinished'
 # Retry-After of requests that no endpoint ran.
 RETRY_AFTER_MS = 300
 
@@ -151,6 +154,9 @@
             )
         except exchanges.StalledError as cause:
             statistics.record_timeout(started_ms, _now_ms())
+            self._registry.count(
+                'attempts_timed_out', 'cause', _timeout_cause(cause)
+            )
             outcome = ports.Refusal(ports.Reason.TIMED_OUT, str(cause))
         except exchanges.EndpointError as cause:
             statistics.record_failure(_now_ms())
@@ -248,5 +254,11 @@
     reply.send(response.status, response.headers, response.body)
 
 
+def _timeout_cause(cause: exchanges.StalledError) -> str:
+    if isinstance(cause, exchanges.ExchangeTimeoutError):
+        return CAUSE_UNFINISHED
+    return CAUSE_SILENT
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
