Data that completes no event does not prolong a stream

Any byte began a new pause, so an engine that sent parts of an event, or events that the caller had, held its stream for as long as it sent. After the time of a route a stream went on while data was there at once. An event above its limit raised a ValueError that nobody caught.

The pause is measured from complete new events. A stream that goes on beyond its request's time ends, and a too large event is an EndpointError. Events are searched for their end once only.

On the code before, with an engine that sends for 2 s, a pause of 400 ms: the tests of an incomplete first or later event, of repeated events and of a stream beyond its time ended only with the engine's data, as IncompleteRead; that of a large event by the ValueError.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -16,12 +16,12 @@
 
 LOG = logging.getLogger(__name__)
 
-READ_SIZE_BYTES = 64 * 1024
+READ_SIZE_BYTES = 16 * 1024
 MAX_ERROR_BODY_BYTES = 64 * 1024
 # An engine with free capacity sends the response head within some tens of
 # milliseconds.
 HEAD_TIMEOUT_MS = 1_000
-# A stream that sends no data for this time counts as broken.
+# A stream without a complete event for this time counts as broken.
 MAX_STREAM_GAP_MS = 2_500
 # Who resumed a broken stream, in logs and metrics: its caller with another
 # request, or this host within one response.
@@ -148,14 +148,9 @@
     ) -> None:
         splitter = events.EventSplitter(stream.splitter.last_id)
         stream.splitter = splitter
-        while True:
-            timeout_ms = max(1, min(job.remaining_ms, MAX_STREAM_GAP_MS))
-            exchange.connection.set_timeout(timeout_ms)
-            with exchange.translate_errors():
-                data = exchange.response.read1(READ_SIZE_BYTES)
-            if not data:
-                break
-            complete_events = splitter.feed(data)
+        _limit_gap(job, exchange)
+        while data := _read_stream(job, exchange):
+            complete_events = _split(splitter, data)
             if complete_events:
                 if not stream.first_ms:
                     stream.software_version = placement.decode.software_version
@@ -163,6 +158,7 @@
                     self._record_first_events(job, placement)
                 stream.record_events(job)
                 job.reply.write(complete_events)
+                _limit_gap(job, exchange)
         if splitter.incomplete:
             raise errors.TruncatedStreamError('stream ended within an event')
         exchange.mark_finished()
@@ -241,3 +237,33 @@
             'workspace',
             job.workspace_name or '',
         )
+
+
+def _limit_gap(job: jobs.Job, exchange: connections.Exchange) -> None:
+    """Limits the time from now to the next complete event."""
+    exchange.connection.set_timeout(min(job.remaining_ms, MAX_STREAM_GAP_MS))
+
+
+def _read_stream(job: jobs.Job, exchange: connections.Exchange) -> bytes:
+    """Returns further data of a stream, nothing at its end.
+
+    :raises ExchangeTimeoutError: if it goes on beyond the request's time
+    :raises EndpointError: if the connection failed
+    """
+    is_late = job.remaining_ms <= 0
+    with exchange.translate_errors():
+        data = exchange.response.read1(READ_SIZE_BYTES)
+    if data and is_late:
+        raise exchanges.ExchangeTimeoutError('stream unfinished in its time')
+    return data
+
+
+def _split(splitter: events.EventSplitter, data: bytes) -> bytes:
+    """Returns the events that are now complete.
+
+    :raises EndpointError: if an event is too large
+    """
+    try:
+        return splitter.feed(data)
+    except ValueError as cause:
+        raise exchanges.EndpointError(str(cause)) from cause
--- a/libs/gateway/masticquay_gateway/events.py
+++ b/libs/gateway/masticquay_gateway/events.py
@@ -30,8 +30,10 @@
 
         :raises ValueError: if an event exceeds ``MAX_EVENT_BYTES``
         """
+        # The separator's first byte may have come before.
+        start = max(0, len(self._buffer) - 1)
         self._buffer += data
-        end = self._buffer.rfind(SEPARATOR)
+        end = self._buffer.rfind(SEPARATOR, start)
         if end < 0:
             if len(self._buffer) > MAX_EVENT_BYTES:
                 raise ValueError('event is too large')
