--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -181,7 +181,6 @@
 
     :param interrupt: ends the exchange while it is waiting
     :param fresh: use a new connection, and close it afterwards
-    :param on_response: called with the status and the headers of the response
     """
 
     def __init__(
@@ -189,10 +188,8 @@
         pool: ConnectionPool,
         interrupt: interrupts.Interrupt | None = None,
         fresh: bool = False,
-        on_response: typing.Callable[[int, Headers], None] | None = None,
     ):
         self._pool = pool
-        self._on_response = on_response
         self._interrupt = interrupt or interrupts.Interrupt()
         self._fresh = fresh
         self._stack = contextlib.ExitStack()
@@ -239,10 +236,6 @@
         with self.translate_errors():
             _write_request(connection.http, method, path, headers, body)
             self.response = connection.http.getresponse()
-        if self._on_response is not None:
-            self._on_response(
-                self.response.status, list(self.response.headers.items())
-            )
         return self.response
 
     def read_body(self, limit_bytes: int) -> bytes:
