An answer that its connection's end cuts off in the head or trailers is not whole

Cause: http.client takes the end of a connection for the end of the header lines or trailers. The connection's reader now raises an error there.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -129,19 +129,27 @@
         super().__init__(_RawReader(channel), READ_BUFFER_BYTES)
         self._part_name = ''
         self._part_bytes = 0
+        self._part_begun = False
 
-    def begin_part(self, name: str, limit_bytes: int) -> None:
+    def begin_part(
+        self, name: str, limit_bytes: int, is_first: bool = False
+    ) -> None:
         """Begins a part of an answer that consists of lines.
 
         :param limit_bytes: limit of all its lines together
+        :param is_first: whether the connection may end before it
         """
         self._part_name = name
         self._part_bytes = limit_bytes
+        self._part_begun = not is_first
 
     def readline(self, size: int | None = -1) -> bytes:
         """Reads a line of the present part.
 
+        :returns: empty only if the connection ended before the response
         :raises ProtocolViolationError: if a limit is exceeded
+        :raises EndpointError: if the connection ended within the part, which
+            ``http.client`` would take for its end
         """
         limit_bytes = min(self._part_bytes, MAX_LINE_BYTES)
         line = super().readline(limit_bytes + 1)
@@ -149,6 +157,11 @@
             raise errors.ProtocolViolationError(
                 f'{self._part_name} of the response is too long'
             )
+        if not line.endswith(b'\n') and (line or self._part_begun):
+            raise errors.EndpointError(
+                f'connection ended within {self._part_name} of the response'
+            )
+        self._part_begun = True
         self._part_bytes -= len(line)
         return line
 
--- a/libs/endpoints/masticquay_endpoints/responses.py
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -25,7 +25,7 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Reads the status line after all interim answers."""
         for _ in range(MAX_INTERIM_ANSWERS + 1):
-            self.fp.begin_part('head', MAX_HEAD_BYTES)
+            self.fp.begin_part('head', MAX_HEAD_BYTES, is_first=True)
             version, status, reason = super()._read_status()
             if status >= 200:
                 return version, status, reason
