--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -28,6 +28,8 @@
 MIN_EXPECTED_PREFILL_MS = 250
 TIMEOUT_FACTOR = 2.2
 RELEASE_TIMEOUT_MS = 500
+# A release belongs to no request of a caller.
+NO_CALL_ID = ''
 
 UNRESPONSIVE_ERRORS = (exchanges.NotSentError, exchanges.StalledError)
 
@@ -52,7 +54,9 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
-        self._recorder = answers.AnswerRecorder(registry)
+        self._checker = answers.AnswerChecker(
+            protocol, endpoint_notices, registry
+        )
 
     def prefill(
         self,
@@ -71,7 +75,10 @@
             handle_id = self._exchange(job, placement, prefill)
         except exchanges.InterruptedCallError:
             raise
-        except exchanges.EndpointError as cause:
+        except (
+            exchanges.EndpointError,
+            errors.ResponseMismatchError,
+        ) as cause:
             self._failure_reporter.report_failure(job, prefill, cause)
             if not isinstance(cause, UNRESPONSIVE_ERRORS):
                 # Only the response was lost, so the engine may be used again.
@@ -115,25 +122,21 @@
             job.request.headers, prefill, job.endpoint_context()
         )
         with self._pools.open(prefill, job.interrupt) as exchange:
-            response = exchange.send(
+            exchange.send(
                 job.request.method,
                 job.request.target,
                 headers,
                 job.request.body,
                 self._timeout_ms(job, placement),
             )
-            head = self._protocol.parse_response_head(
-                job.call, response.status, exchanges.response_headers(exchange)
+            head = self._checker.check(
+                job.call.call_id, prefill, exchange, needs_stamp=False
             )
-            if not head.was_run or head.answered_id != job.call.call_id:
-                self._recorder.record(
-                    job.call, prefill, head, exchange.connection
-                )
             body = exchange.read_body(MAX_RESPONSE_BYTES)
-        if response.status != 200:
+        if head.status != 200:
             raise errors.NotRunError(
-                f'prefill engine refused with status {response.status}',
-                response.status,
+                f'prefill engine refused with status {head.status}',
+                head.status,
             )
         return self._protocol.read_handle(body)
 
@@ -155,8 +158,15 @@
             interrupt = interrupts.Interrupt()
             with self._pools.open(handle.prefill, interrupt) as exchange:
                 exchange.send('DELETE', path, [], b'', RELEASE_TIMEOUT_MS)
+                self._checker.check(
+                    NO_CALL_ID, handle.prefill, exchange, needs_stamp=False
+                )
                 exchange.read_body(MAX_RESPONSE_BYTES)
-        except exchanges.EndpointError as cause:
+        except (
+            exchanges.EndpointError,
+            errors.NotRunError,
+            errors.ResponseMismatchError,
+        ) as cause:
             LOG.info(
                 'releasing a prefill handle failed',
                 extra={
