A wait for memory is not held against an endpoint; streams read in one call

A body that waited for others' memory until its time was over looked like an endless answer of its endpoint. It raises BudgetTimeoutError now, which attempts_timed_out counts as memory and statistics leave out.

Tokens pass through one call less, and waits of engine streams are limited by the kernel from the head on.

--- a/libs/endpoints/masticquay_endpoints/byte_budgets.py
+++ b/libs/endpoints/masticquay_endpoints/byte_budgets.py
@@ -38,7 +38,7 @@
 
         :param due_s: monotonic time until which it may wait
         :raises BodyBudgetError: if the body is the largest
-        :raises TimeoutError: if others use up the budget for too long
+        :raises BudgetTimeoutError: if others use up the budget for too long
         """
         with self._freed:
             self._shares.add(share)
@@ -50,7 +50,9 @@
                     )
                 remaining_s = due_s - time.monotonic()
                 if remaining_s <= 0:
-                    raise TimeoutError('too many large bodies')
+                    raise errors.BudgetTimeoutError(
+                        'no memory for the body within the timeout'
+                    )
                 self._freed.wait(remaining_s)
             share.bytes += STEP_BYTES
             self._taken_bytes += STEP_BYTES
@@ -93,7 +95,7 @@
         :param due_s: monotonic time until which it may wait
         :raises BodyBudgetError: if the budget is used up, and no body is
             larger
-        :raises TimeoutError: if the budget remains used up by others
+        :raises BudgetTimeoutError: if the budget remains used up by others
         """
         while size_bytes > FREE_BYTES + self.bytes:
             self._budget.take(self, due_s)
--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -61,9 +61,13 @@
 
         :raises OSError: if the connection fails or the time is over
         """
-        self._limit_wait()
+        # As in _limit_wait, but each token of a stream passes here.
+        remaining_s = self.due_s - time.monotonic()
+        excess_s = self._timeout_s - remaining_s
+        if remaining_s <= 0 or not 0 <= excess_s <= TIMEOUT_SLACK_S:
+            self._limit_wait()
         data = self._sock.recv(size_bytes)
-        self.received = self.received or bool(data)
+        self.received = True
         return data
 
     def recv_into(self, buffer: memoryview) -> int:
@@ -73,7 +77,7 @@
         """
         self._limit_wait()
         size = self._sock.recv_into(buffer)
-        self.received = self.received or size > 0
+        self.received = True
         return size
 
     def sendall(self, data: bytes) -> None:
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -85,7 +85,7 @@
         """
         if (time.monotonic() - self.last_used_s) * 1000 > IDLE_TIMEOUT_MS:
             return False
-        if self.http.sock is None or self.reader.has_data():
+        if self.http.sock is None:
             return False
         poller = select.poll()
         poller.register(
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -3,6 +3,7 @@
 from collections import abc
 import json
 import re
+import time
 import typing
 
 from masticquay_endpoints import bodies
@@ -189,6 +190,9 @@
 
     :raises EndpointError: when the connection closes before the last event
     """
+    stall_timeout_s = stall_timeout_ms / 1000
+    channel = connection.channel
+    channel.use_kernel_timeout()
     while not parser.finished:
         chunk = stream_body.read()
         if not chunk:
@@ -199,7 +203,7 @@
         if batch is None:
             continue
         yield batch
-        connection.set_stream_timeout(stall_timeout_ms)
+        channel.set_due(time.monotonic() + stall_timeout_s)
 
 
 class EventParser:
--- a/libs/endpoints/masticquay_endpoints/errors.py
+++ b/libs/endpoints/masticquay_endpoints/errors.py
@@ -36,6 +36,13 @@
     """
 
 
+class BudgetTimeoutError(StalledError):
+    """The time passed while other bodies took up this process's memory.
+
+    The endpoint is not to blame.
+    """
+
+
 class BodyBudgetError(EndpointError):
     """The bodies being read took too much memory; this was the largest."""
 
--- a/libs/endpoints/masticquay_endpoints/whole_bodies.py
+++ b/libs/endpoints/masticquay_endpoints/whole_bodies.py
@@ -10,10 +10,7 @@
 
 
 def read(
-    response: responses.Response,
-    limit_bytes: int,
-    due_s: float,
-    budget: byte_budgets.ByteBudget = byte_budgets.BUDGET,
+    response: responses.Response, limit_bytes: int, due_s: float
 ) -> bytes:
     """Reads the remaining body of a response piece by piece.
 
@@ -21,13 +18,14 @@
     :raises ProtocolViolationError: when the body exceeds the limit
     :raises BodyBudgetError: when the bodies being read take too much memory,
         and this is the largest
+    :raises BudgetTimeoutError: when there is no memory until then
     :raises EndpointError: when the body is incomplete
     :raises OSError: when the connection fails or the time is over
     """
     _check_size(response.length or 0, limit_bytes)
     body = io.BytesIO()
     size_bytes = 0
-    with byte_budgets.Share(budget) as share:
+    with byte_budgets.Share(byte_budgets.BUDGET) as share:
         while response.length != 0:
             share.require(size_bytes + READ_BYTES, due_s)
             piece = response.read1(READ_BYTES)
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -90,6 +90,7 @@
 
 
 # Errors of an exchange, under the names that this library uses.
+BudgetTimeoutError = endpoint_errors.BudgetTimeoutError
 EndpointError = endpoint_errors.EndpointError
 ExchangeTimeoutError = endpoint_errors.ExchangeTimeoutError
 InterruptedCallError = endpoint_errors.InterruptedCallError
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -26,6 +26,8 @@
 # How an endpoint used up the time of an attempt, in metrics.
 CAUSE_SILENT = 'silent'
 CAUSE_UNFINISHED = 'unfinished'
+# Or this host, which had no memory for the answer.
+CAUSE_MEMORY = 'memory'
 # Retry-After of requests that no endpoint ran.
 RETRY_AFTER_MS = 300
 
@@ -153,7 +155,8 @@
                 RETRY_AFTER_MS,
             )
         except exchanges.StalledError as cause:
-            statistics.record_timeout(started_ms, _now_ms())
+            if not isinstance(cause, exchanges.BudgetTimeoutError):
+                statistics.record_timeout(started_ms, _now_ms())
             self._registry.count(
                 'attempts_timed_out', 'cause', _timeout_cause(cause)
             )
@@ -257,6 +260,8 @@
 def _timeout_cause(cause: exchanges.StalledError) -> str:
     if isinstance(cause, exchanges.ExchangeTimeoutError):
         return CAUSE_UNFINISHED
+    if isinstance(cause, exchanges.BudgetTimeoutError):
+        return CAUSE_MEMORY
     return CAUSE_SILENT
 
 
