--- a/libs/serving/masticquay_serving/errors.py
+++ b/libs/serving/masticquay_serving/errors.py
@@ -20,3 +20,7 @@
 
 class CallerDisconnectedError(ServingError):
     """The caller closed the connection or accepts no more data."""
+
+
+class ExchangeError(ServingError):
+    """A request to a peer failed, or its answer exceeds a limit."""
--- /dev/null
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -0,0 +1,165 @@
+"""HTTP client with limits on the time and size of all it receives.
+
+The timeouts of ``http.client`` are for each wait, and it reads bodies without
+an end. Here both limits hold for all exchanges of a client together.
+"""
+
+import http.client
+import io
+import socket
+import struct
+import time
+import typing
+
+from masticquay_serving import errors
+from masticquay_serving import requests
+
+# SO_LINGER switched on with a time of 0 makes close() reset the connection.
+ABORT_LINGER = struct.pack('ii', 1, 0)
+
+
+class Answer:
+    """The answer to a request."""
+
+    __slots__ = ('status', 'headers', 'body')
+
+    def __init__(self, status: int, headers: requests.Headers, body: bytes):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Client:
+    """Exchanges requests and answers with one peer, over one connection.
+
+    The connection is opened anew when the peer closes it after an answer.
+
+    :param address: ``ip:port`` of the peer
+    :param timeout_s: for all exchanges together, from now
+    :param limit_bytes: for all answers together, with their heads
+    """
+
+    __slots__ = ('_limits', '_connection', '_sock')
+
+    def __init__(self, address: str, timeout_s: float, limit_bytes: int):
+        host, _, port = address.rpartition(':')
+        self._limits = _Limits(time.monotonic() + timeout_s, limit_bytes)
+        self._connection = http.client.HTTPConnection(host, int(port))
+        self._sock: socket.socket | None = None
+
+    def connect(self) -> None:
+        """Opens a connection, and closes an earlier one.
+
+        :raises ExchangeError: when that failed
+        """
+        self.close()
+        try:
+            self._connection.timeout = self._limits.remaining_s()
+            self._connection.connect()
+        except OSError as cause:
+            raise errors.ExchangeError(type(cause).__name__) from cause
+        self._sock = self._connection.sock
+        self._connection.sock = _LimitedSocket(self._sock, self._limits)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Answer:
+        """Sends a request and returns the whole answer.
+
+        :raises ExchangeError: when no whole answer arrived within the limits
+        """
+        if self._connection.sock is None:
+            self.connect()
+        try:
+            self._connection.request(method, target, body, headers or {})
+            response = self._connection.getresponse()
+            content = self._read_body(response)
+        except (OSError, http.client.HTTPException, ValueError) as cause:
+            raise errors.ExchangeError(type(cause).__name__) from cause
+        return Answer(response.status, response.getheaders(), content)
+
+    def abort(self) -> None:
+        """Resets the connection; data not yet delivered is discarded."""
+        if self._sock is not None:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER
+            )
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._connection.close()
+        if self._sock is not None:
+            self._sock.close()
+        self._sock = None
+
+    def _read_body(self, response: http.client.HTTPResponse) -> bytes:
+        # A length as announced by the peer may be larger than the memory.
+        content = response.read(self._limits.limit_bytes + 1)
+        if response.length:
+            raise errors.ExchangeError('the answer is too large or not whole')
+        return content
+
+
+class _Limits:
+    """What is left of the limits of a client."""
+
+    __slots__ = ('_deadline_s', 'limit_bytes', '_left_bytes')
+
+    def __init__(self, deadline_s: float, limit_bytes: int):
+        self._deadline_s = deadline_s
+        self.limit_bytes = limit_bytes
+        self._left_bytes = limit_bytes
+
+    def remaining_s(self) -> float:
+        remaining_s = self._deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise TimeoutError('the deadline has passed')
+        return remaining_s
+
+    def take(self, count: int) -> None:
+        self._left_bytes -= count
+        if self._left_bytes < 0:
+            raise errors.ExchangeError('the answer is too large')
+
+
+class _LimitedSocket:
+    """The methods of a socket that ``http.client`` uses, with limits."""
+
+    __slots__ = ('_sock', '_limits')
+
+    def __init__(self, sock: socket.socket, limits: _Limits):
+        self._sock = sock
+        self._limits = limits
+
+    def sendall(self, data: bytes) -> None:
+        self._sock.settimeout(self._limits.remaining_s())
+        self._sock.sendall(data)
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        return io.BufferedReader(_LimitedReader(self._sock, self._limits))
+
+    def close(self) -> None:
+        """Does nothing: the answer may still be read."""
+
+
+class _LimitedReader(io.RawIOBase):
+    __slots__ = ('_sock', '_limits')
+
+    def __init__(self, sock: socket.socket, limits: _Limits):
+        super().__init__()
+        self._sock = sock
+        self._limits = limits
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        self._sock.settimeout(self._limits.remaining_s())
+        count = self._sock.recv_into(buffer)
+        self._limits.take(count)
+        return count
