--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -37,13 +37,21 @@
     :param address: ``ip:port`` of the peer
     :param timeout_s: for all exchanges together, from now
     :param limit_bytes: for all answers together, with their heads
+    :param call_timeout_s: for each exchange, None for no limit of its own
     """
 
-    __slots__ = ('_limits', '_connection', '_sock')
+    __slots__ = ('_limits', '_connection', '_sock', '_call_timeout_s')
 
-    def __init__(self, address: str, timeout_s: float, limit_bytes: int):
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float,
+        limit_bytes: int,
+        call_timeout_s: float | None = None,
+    ):
         host, _, port = address.rpartition(':')
         self._limits = _Limits(time.monotonic() + timeout_s, limit_bytes)
+        self._call_timeout_s = call_timeout_s
         self._connection = http.client.HTTPConnection(host, int(port))
         self._sock: socket.socket | None = None
 
@@ -72,6 +80,7 @@
 
         :raises ExchangeError: when no whole answer arrived within the limits
         """
+        self._limits.begin_call(self._call_timeout_s)
         if self._connection.sock is None:
             self.connect()
         try:
@@ -108,13 +117,25 @@
 class _Limits:
     """What is left of the limits of a client."""
 
-    __slots__ = ('_deadline_s', 'limit_bytes', '_left_bytes')
+    __slots__ = (
+        '_last_deadline_s',
+        '_deadline_s',
+        'limit_bytes',
+        '_left_bytes',
+    )
 
     def __init__(self, deadline_s: float, limit_bytes: int):
+        self._last_deadline_s = deadline_s
         self._deadline_s = deadline_s
         self.limit_bytes = limit_bytes
         self._left_bytes = limit_bytes
 
+    def begin_call(self, timeout_s: float | None) -> None:
+        if timeout_s is not None:
+            self._deadline_s = min(
+                time.monotonic() + timeout_s, self._last_deadline_s
+            )
+
     def remaining_s(self) -> float:
         remaining_s = self._deadline_s - time.monotonic()
         if remaining_s <= 0:
--- a/libs/serving/tests/test_http_clients.py
+++ b/libs/serving/tests/test_http_clients.py
@@ -135,6 +135,21 @@
         with self.assertRaises(errors.ExchangeError):
             self.client.call('GET', '/')
 
+    def test_timeout_of_a_call_starts_with_the_call(self):
+        host, port = self.listener.getsockname()
+        self.client = http_clients.Client(
+            f'{host}:{port}', 2 * PEER_TIME_S, LIMIT_BYTES, TIMEOUT_S
+        )
+        answer = [b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n']
+        self.answer([answer, answer, [b'HTTP'] * 100])
+        for _ in range(2):
+            time.sleep(0.6 * TIMEOUT_S)
+            self.client.call('GET', '/')
+        started_s = time.monotonic()
+        with self.assertRaises(errors.ExchangeError):
+            self.client.call('GET', '/')
+        self.assertLess(time.monotonic() - started_s, PEER_TIME_S / 2)
+
     def test_unreachable_peer_fails(self):
         client = http_clients.Client('127.0.0.1:1', TIMEOUT_S, LIMIT_BYTES)
         with self.assertRaises(errors.ExchangeError):
