Control's JSON calls keep their deadline for the whole answer

The deadline of a call was given to the socket as a timeout before the answer was read, so each byte of the answer began it anew, and what an answer had beyond 4 MiB was ignored. Calls now use the client of `serving`, whose deadline and limit hold for the whole answer.

On the code before, a trickled answer was waited for until the test's peer ended after 3 s, and one above the limit was accepted; now both raise CallError.

--- a/libs/control/masticquay_control/http_calls.py
+++ b/libs/control/masticquay_control/http_calls.py
@@ -1,14 +1,13 @@
 """JSON requests over HTTP to engines and to the platform list."""
 
-import http.client
 import json
-import socket
-import struct
-import time
 import typing
 
 from masticquay_control import errors
+from masticquay_serving import errors as serving_errors
+from masticquay_serving import http_clients
 
+# With its head.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
 MaySend = typing.Callable[[], bool]
@@ -37,62 +36,42 @@
     If the call fails, data not yet delivered is discarded, so that it cannot
     arrive after the deadline.
 
+    :param timeout_ms: for the whole call
     :param may_send: called once connected, just before sending; if it returns
         False, the request is not sent
     :raises CallError: when the request was not sent, or no valid response
         arrived in time
     """
-    deadline_s = time.monotonic() + timeout_ms / 1000
-    connection = http.client.HTTPConnection(address, timeout=timeout_ms / 1000)
+    client = http_clients.Client(
+        address, timeout_ms / 1000, MAX_RESPONSE_BYTES
+    )
     try:
-        connection.connect()
+        client.connect()
         if not may_send():
             raise errors.CallError(
                 f'{address}: request not sent: the lease is lost or too short'
             )
-        return _send_request(connection, method, path, body, deadline_s)
-    except (OSError, http.client.HTTPException, ValueError) as cause:
-        _reset_on_close(connection)
+        return _send_request(client, method, path, body)
+    except (serving_errors.ExchangeError, ValueError) as cause:
+        client.abort()
         raise errors.CallError(f'{address}: {cause!r}') from cause
     finally:
-        connection.close()
+        client.close()
 
 
 def _send_request(
-    connection: http.client.HTTPConnection,
+    client: http_clients.Client,
     method: str,
     path: str,
     body: dict[str, typing.Any] | None,
-    deadline_s: float,
 ) -> JsonResponse:
     headers = {'Connection': 'close'}
     data = None
     if body is not None:
         data = json.dumps(body).encode()
         headers['Content-Type'] = 'application/json'
-    connection.sock.settimeout(_remaining_s(deadline_s))
-    connection.request(method, path, data, headers)
-    connection.sock.settimeout(_remaining_s(deadline_s))
-    response = connection.getresponse()
-    payload = json.loads(response.read(MAX_RESPONSE_BYTES) or b'{}')
+    answer = client.call(method, path, headers, data)
+    payload = json.loads(answer.body or b'{}')
     if not isinstance(payload, dict):
         raise ValueError('the response is not a JSON object')
-    return JsonResponse(response.status, payload)
-
-
-def _remaining_s(deadline_s: float) -> float:
-    remaining_s = deadline_s - time.monotonic()
-    if remaining_s <= 0:
-        raise TimeoutError('the deadline has passed')
-    return remaining_s
-
-
-def _reset_on_close(connection: http.client.HTTPConnection) -> None:
-    """Makes the next close reset the connection and discard unsent data."""
-    if connection.sock is None:
-        return
-    linger = struct.pack('ii', 1, 0)  # on, for 0 seconds
-    try:
-        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    except OSError:
-        return
+    return JsonResponse(answer.status, payload)
--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -4,19 +4,17 @@
 an end. Here both limits hold for all exchanges of a client together.
 """
 
+import contextlib
 import http.client
 import io
 import socket
-import struct
 import time
 import typing
 
 from masticquay_serving import errors
+from masticquay_serving import replies
 from masticquay_serving import requests
 
-# SO_LINGER switched on with a time of 0 makes close() reset the connection.
-ABORT_LINGER = struct.pack('ii', 1, 0)
-
 
 class Answer:
     """The answer to a request."""
@@ -94,9 +92,10 @@
     def abort(self) -> None:
         """Resets the connection; data not yet delivered is discarded."""
         if self._sock is not None:
-            self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER
-            )
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, replies.ABORT_LINGER
+                )
         self.close()
 
     def close(self) -> None:
