--- /dev/null
+++ b/libs/endpoints/tests/test_responses.py
@@ -0,0 +1,118 @@
+"""Tests of which responses are believed, and of connections after them."""
+
+import threading
+import time
+import unittest
+
+from masticquay_endpoints import connections
+from masticquay_endpoints import engines
+from masticquay_endpoints import errors
+from masticquay_endpoints import interrupts
+from masticquay_endpoints import protocols
+from tests import test_connections
+
+TIMEOUT_MS = 5_000
+PAUSE_S = 0.1
+CLOSING_HEAD = b'HTTP/1.1 200 x\r\nConnection: close\r\n'
+STREAM = (
+    b'data: {"index": 0, "text": "a"}\n\n'
+    b'data: {"index": 1, "finish_reason": "stop"}\n\n'
+)
+
+
+def make_response(body):
+    head = f'HTTP/1.1 200 x\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+class ResponseTest(unittest.TestCase):
+    def start_server(self, *scripts):
+        server = test_connections.ScriptedServer(*scripts)
+        self.addCleanup(server.close)
+        return server
+
+    def start_pool(self, *scripts):
+        pool = connections.ConnectionPool(self.start_server(*scripts).address)
+        self.addCleanup(pool.close)
+        return pool
+
+    def exchange(self, pool):
+        with connections.Exchange(pool) as exchange:
+            response = exchange.send('GET', '/x', [], b'', TIMEOUT_MS)
+            return response.status, exchange.read_body(100)
+
+    # Guards against the answer to one request being taken for that to the
+    # next one, on a connection that is a response behind.
+    def test_interim_response_is_not_taken_for_the_response(self):
+        def send_hints_first(sock):
+            for body in (b'first', b'second'):
+                sock.sendall(b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n')
+                time.sleep(PAUSE_S)
+                sock.sendall(make_response(body))
+                sock.recv(65_536)
+
+        pool = self.start_pool(send_hints_first)
+        for body in (b'first', b'second'):
+            self.assertEqual((200, body), self.exchange(pool))
+
+    # Guards against a connection that is used again in the middle of bytes
+    # that belong to no request.
+    def test_connection_with_bytes_after_the_response_is_not_reused(self):
+        def send_too_much(sock):
+            sock.sendall(make_response(b'ok') + b'HTTP/1.1 503 x\r\nA: ')
+            sock.recv(65_536)
+            sock.sendall(make_response(b'from the wrong connection'))
+
+        pool = self.start_pool(
+            send_too_much, lambda sock: sock.sendall(make_response(b'next'))
+        )
+        self.assertEqual((200, b'ok'), self.exchange(pool))
+        self.assertEqual((200, b'next'), self.exchange(pool))
+
+    # Guards against an endpoint that works on for a caller that has left.
+    def test_interrupt_ends_the_wait_for_a_response_that_closes(self):
+        released = threading.Event()
+        self.addCleanup(released.set)
+
+        def send_head_and_wait(sock):
+            sock.sendall(CLOSING_HEAD + b'Content-Length: 9\r\n\r\n')
+            released.wait(TIMEOUT_MS / 1000)
+
+        pool = self.start_pool(send_head_and_wait)
+        interrupt = interrupts.Interrupt()
+        with connections.Exchange(pool, interrupt) as exchange:
+            exchange.send('GET', '/x', [], b'', TIMEOUT_MS)
+            threading.Timer(PAUSE_S, interrupt.fire, ['gone']).start()
+            began_s = time.monotonic()
+            with self.assertRaises(errors.InterruptedCallError):
+                exchange.read_body(100)
+        self.assertLess(time.monotonic() - began_s, TIMEOUT_MS / 1000 / 2)
+
+    # Guards against a stream that counts as broken because its timeout is
+    # still the one of the wait for its head.
+    def test_timeout_can_be_changed_while_a_response_closes(self):
+        def send_slowly(sock):
+            sock.sendall(CLOSING_HEAD + b'Content-Length: 2\r\n\r\n')
+            time.sleep(4 * PAUSE_S)
+            sock.sendall(b'ok')
+
+        pool = self.start_pool(send_slowly)
+        with connections.Exchange(pool) as exchange:
+            exchange.send('GET', '/x', [], b'', int(PAUSE_S * 1000))
+            exchange.connection.set_timeout(TIMEOUT_MS)
+            self.assertEqual(b'ok', exchange.read_body(100))
+            exchange.connection.set_timeout(TIMEOUT_MS)
+
+    # Guards against engines that cannot be used once they close connections.
+    def test_stream_that_closes_its_connection_is_read(self):
+        def send_stream(sock):
+            sock.sendall(CLOSING_HEAD + b'\r\n' + STREAM)
+
+        engine = engines.HttpEngine(self.start_server(send_stream).address)
+        self.addCleanup(engine.close)
+        request = protocols.DecodeRequest(
+            'one', 1, 'm', b'text', '', '', 10, 0, '', 0
+        )
+        batches = list(engine.decode(request, TIMEOUT_MS, TIMEOUT_MS))
+        self.assertEqual([b'"a"'], batches[0].texts)
+        self.assertEqual('stop', batches[-1].finish_reason)
