Call that a lost link carried counts as sent

A link that was established and lost while a call was being submitted sent the call, and the submission then marked it as not sent. Such a call was not failed when the listener had restarted meanwhile, but sent again, so it could run twice.

The new test failed before: the call was still pending after the restart.

--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -202,7 +202,8 @@
             return call
         with self._lock:
             outbox = self._outbox
-            call.sent = outbox is not None
+            # A link that is lost again may have carried the call already.
+            call.sent = call.sent or outbox is not None
         self._start_thread()
         if outbox is not None:
             outbox.send(call.frame)
--- a/libs/wire/tests/test_dialers.py
+++ b/libs/wire/tests/test_dialers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from masticquay_wire import dialers
 from masticquay_wire import errors
@@ -98,6 +99,38 @@
         self.assertEqual([], self.handled)
         self.assertEqual('new', self.call('new'))
 
+    # Guards against a call that runs again at a restarted listener, since a
+    # link that was established and lost during its submission carried it.
+    def test_call_that_a_lost_link_carried_counts_as_sent(self):
+        near, far = socket.socketpair()
+        self.addCleanup(near.close)
+        self.addCleanup(far.close)
+        link = BlockedWebsocket(near)
+        link.released.set()
+        add = self.peer._pending_calls.add
+
+        def add_while_a_link_comes_and_goes(message, timeout_ms):
+            call = add(message, timeout_ms)
+            self.peer._attach_link(link)
+            self.peer._detach_link()
+            return call
+
+        with (
+            mock.patch.object(self.peer, '_start_thread'),
+            mock.patch.object(
+                self.peer._pending_calls,
+                'add',
+                add_while_a_link_comes_and_goes,
+            ),
+        ):
+            pending = self.peer.submit(Echo('x'), TIMEOUT_MS)
+        self.assertEqual(1, len(link.sent))
+        self.peer._listener_instance = b'earlier'
+        self.peer._fail_calls_of_previous_instance(b'later')
+        self.assertIsInstance(
+            pending.exception(0), errors.PeerUnavailableError
+        )
+
     def test_answer_of_unknown_type_fails_only_its_call(self):
         class Unknown(messages.Message):
             __slots__ = ()
