Lost answers and faults of a replica do not count as refusals by control

A call whose answer a replica no longer had, or whose handler failed, counted as refused 'without effect'. The outcome of a call that must not be repeated was then given up after such an answer, and its key stayed in progress at a live host for good; so did a key whose begin had been committed. The client sends the call again now, as it does after a lost reply; commands are idempotent.

--- a/libs/membership/masticquay_membership/clients.py
+++ b/libs/membership/masticquay_membership/clients.py
@@ -8,6 +8,7 @@
 from masticquay_wire import clocks
 from masticquay_wire import dialers
 from masticquay_wire import errors as wire_errors
+from masticquay_wire import listeners
 from masticquay_wire import messages
 from masticquay_wire import peers
 
@@ -16,7 +17,15 @@
 CONNECT_WAIT_MS = 400
 RETRY_DELAY_MS = 100
 # Failure codes after which the call may succeed at another replica or later.
-RETRIED_CODES = frozenset([membership_messages.CODE_NO_LEADER, 'uncertain'])
+# Only the first of them says that it has had no effect.
+RETRIED_CODES = frozenset(
+    [
+        membership_messages.CODE_NO_LEADER,
+        'uncertain',
+        listeners.CODE_ANSWER_LOST,
+        listeners.CODE_INTERNAL,
+    ]
+)
 
 
 class ControlClient:
