Polls do not use a connection again after an answer they cannot read

The watcher polls the load and the cache events of an engine over one kept connection. After an extra answer on it, each poll got the answer to the one before, could not be read, and the connection was kept: the engine had no readable load for as long as polls went on.

The new test failed before: the load after such an answer was None.

--- a/libs/endpoints/masticquay_endpoints/watchers.py
+++ b/libs/endpoints/masticquay_endpoints/watchers.py
@@ -22,6 +22,10 @@
 STATE_LEAVING = 'leaving'
 
 BundleSource = typing.Callable[[], models.Bundle | None]
+Fields = dict[str, typing.Any]
+Parsed = typing.TypeVar('Parsed')
+
+_UNREADABLE_ERRORS = (errors.EndpointError, KeyError, TypeError, ValueError)
 
 
 class HttpWatcher:
@@ -54,16 +58,10 @@
         is_engine = known_endpoint.kind == models.KIND_ENGINE
         path = '/v1/load' if is_engine else '/load'
         try:
-            fields = self._get(known_endpoint.address, path, LOAD_TIMEOUT_MS)
-            return protocols.EndpointLoad(
-                int(fields['slots_used']),
-                int(fields.get('pieces_used', 0)),
-                int(fields.get('queued', 0)),
-                int(fields.get('incarnation', 0)),
-                str(fields.get('version', '')),
-                int(fields.get('age_ms', 0)),
+            return self._get(
+                known_endpoint.address, path, LOAD_TIMEOUT_MS, _parse_load
             )
-        except (errors.EndpointError, KeyError, TypeError, ValueError):
+        except _UNREADABLE_ERRORS:
             return None
 
     def read_cache_events(
@@ -78,18 +76,13 @@
             return []
         path = f'/v1/cache-events?after={after_sequence}'
         try:
-            fields = self._get(
-                known_endpoint.address, path, CACHE_EVENTS_TIMEOUT_MS
+            return self._get(
+                known_endpoint.address,
+                path,
+                CACHE_EVENTS_TIMEOUT_MS,
+                _parse_cache_events,
             )
-            return [
-                protocols.CacheEvent(
-                    int(event['sequence']),
-                    event['kind'] == 'stored',
-                    int(event['block_hash']),
-                )
-                for event in fields['events']
-            ]
-        except (errors.EndpointError, KeyError, TypeError, ValueError):
+        except _UNREADABLE_ERRORS:
             return []
 
     def cancel(self, endpoint: str, request: messages.RequestId) -> bool:
@@ -146,19 +139,30 @@
         bundle = self._bundle_source()
         if bundle is None or not bundle.platform_list:
             return
-        with contextlib.suppress(
-            errors.EndpointError, KeyError, TypeError, ValueError
-        ):
-            fields = self._get(
-                bundle.platform_list, '/v1/hosts', PLATFORM_LIST_TIMEOUT_MS
-            )
-            self._leaving_endpoints = _find_leaving_endpoints(
-                fields['hosts'], bundle
+        with contextlib.suppress(*_UNREADABLE_ERRORS):
+            self._leaving_endpoints = self._get(
+                bundle.platform_list,
+                '/v1/hosts',
+                PLATFORM_LIST_TIMEOUT_MS,
+                lambda fields: _find_leaving_endpoints(
+                    fields['hosts'], bundle
+                ),
             )
 
     def _get(
-        self, address: str, path: str, timeout_ms: int
-    ) -> dict[str, typing.Any]:
+        self,
+        address: str,
+        path: str,
+        timeout_ms: int,
+        parse: typing.Callable[[Fields], Parsed],
+    ) -> Parsed:
+        """Returns the parsed answer to a request.
+
+        The connection is used again only after an answer that can be parsed:
+        another one may belong to an earlier request.
+
+        :param parse: called with the JSON object of the answer
+        """
         with self._lock:
             pool = self._pools.get(address)
             if pool is None:
@@ -167,14 +171,44 @@
         with connections.Exchange(pool) as exchange:
             response = exchange.send('GET', path, [], b'', timeout_ms)
             content = exchange.read_body(MAX_RESPONSE_BYTES)
-            if response.status != 200:
-                raise errors.RefusedError(response.status, path)
-        fields = json.loads(content)
-        if not isinstance(fields, dict):
-            raise errors.ProtocolViolationError(
-                'endpoint sent a response that is not a JSON object'
-            )
-        return fields
+            try:
+                if response.status != 200:
+                    raise errors.RefusedError(response.status, path)
+                return parse(_parse_object(content))
+            except _UNREADABLE_ERRORS:
+                exchange.connection.shut_down()
+                raise
+
+
+def _parse_object(content: bytes) -> Fields:
+    fields = json.loads(content)
+    if not isinstance(fields, dict):
+        raise errors.ProtocolViolationError(
+            'endpoint sent a response that is not a JSON object'
+        )
+    return fields
+
+
+def _parse_load(fields: Fields) -> protocols.EndpointLoad:
+    return protocols.EndpointLoad(
+        int(fields['slots_used']),
+        int(fields.get('pieces_used', 0)),
+        int(fields.get('queued', 0)),
+        int(fields.get('incarnation', 0)),
+        str(fields.get('version', '')),
+        int(fields.get('age_ms', 0)),
+    )
+
+
+def _parse_cache_events(fields: Fields) -> list[protocols.CacheEvent]:
+    return [
+        protocols.CacheEvent(
+            int(event['sequence']),
+            event['kind'] == 'stored',
+            int(event['block_hash']),
+        )
+        for event in fields['events']
+    ]
 
 
 def _find_leaving_endpoints(
--- a/libs/endpoints/tests/test_watchers.py
+++ b/libs/endpoints/tests/test_watchers.py
@@ -1,5 +1,10 @@
 """Tests of the polling of endpoints and the platform list."""
 
+import contextlib
+import json
+import socket
+import threading
+import types
 import unittest
 
 from masticquay_bundles import models
@@ -65,3 +70,40 @@
     def test_only_endpoint_listed_as_leaving_is_leaving(self):
         self.assertTrue(self.watcher.is_leaving('service'))
         self.assertFalse(self.watcher.is_leaving('engine'))
+
+
+class OutOfStepTest(unittest.TestCase):
+    def start_engine(self, *connections):
+        """Answers the requests on each connection with the given objects."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def run():
+            for answers in connections:
+                with contextlib.suppress(OSError):
+                    sock, _ = listener.accept()
+                    self.addCleanup(sock.close)
+                    for answer in answers:
+                        sock.recv(65_536)
+                        body = json.dumps(answer)
+                        sock.sendall(
+                            f'HTTP/1.1 200 x\r\nContent-Length: {len(body)}'
+                            f'\r\n\r\n{body}'.encode()
+                        )
+
+        threading.Thread(target=run, daemon=True).start()
+        host, port = listener.getsockname()
+        return f'{host}:{port}'
+
+    # Guards against a connection that stays an answer behind, so that every
+    # answer on it belongs to an earlier request.
+    def test_connection_is_not_used_after_an_answer_to_another_request(self):
+        load, events = {'slots_used': 3}, {'events': []}
+        address = self.start_engine((load, load, events), ({'slots_used': 4},))
+        engine = models.Endpoint('engine', 'engine', address, 'p', 4)
+        bundle = types.SimpleNamespace(endpoints=[engine])
+        watcher = watchers.HttpWatcher(lambda: bundle, None)
+        self.addCleanup(watcher.close)
+        self.assertEqual(3, watcher.read_load('engine').slots_used)
+        self.assertEqual([], watcher.read_cache_events('engine', 0))
+        self.assertEqual(4, watcher.read_load('engine').slots_used)
