Replies that have no body are sent without one

A streamed reply to HEAD had the chunks of a body, at least the last one, and a reply with status 204 or 304 its body without a length. The caller took these bytes for the beginning of the next answer on the connection.

Both new tests failed before: the next answer came after '0' and after the bytes of the body.

--- a/libs/serving/masticquay_serving/replies.py
+++ b/libs/serving/masticquay_serving/replies.py
@@ -13,6 +13,7 @@
 SEND_TIMEOUT_S = 10.0
 # SO_LINGER switched on with a time of 0 makes close() reset the connection.
 ABORT_LINGER = struct.pack('ii', 1, 0)
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class Handler(typing.Protocol):
@@ -34,13 +35,14 @@
     ``started`` is set once a part of the response may have been sent or the
     connection is to be reset, after which no other response can be sent.
     ``chunked`` tells whether the body of a streamed response is sent in
-    chunks.
+    chunks. A body is left out where the caller expects none.
     """
 
     def __init__(self, handler: Handler):
         self._handler = handler
         self.started = False
         self.chunked = False
+        self._omits_body = False
 
     @property
     def sock(self) -> socket.socket:
@@ -55,11 +57,10 @@
         :raises CallerDisconnectedError: if the caller closed the
             connection or did not accept the response within 10 s
         """
-        handler = self._handler
         head = self._format_head(status, headers)
-        if status not in (204, 304):
+        if status not in STATUSES_WITHOUT_BODY:
             head += f'Content-Length: {len(body)}\r\n'.encode()
-        if handler.command == 'HEAD':
+        if not self._has_body(status):
             body = b''
         self._write(head + b'\r\n' + body)
 
@@ -69,11 +70,9 @@
         :raises CallerDisconnectedError: as by ``send``
         """
         head = self._format_head(status, headers)
-        if self._handler.request_version == 'HTTP/1.1':
-            self.chunked = True
-            head += b'Transfer-Encoding: chunked\r\n'
-        else:
-            self._handler.close_connection = True
+        self._omits_body = not self._has_body(status)
+        if not self._omits_body:
+            head += self._begin_body()
         self._write(head + b'\r\n')
 
     def write(self, data: bytes) -> None:
@@ -81,7 +80,7 @@
 
         :raises CallerDisconnectedError: as by ``send``
         """
-        if not data:
+        if not data or self._omits_body:
             return
         if self.chunked:
             data = b'%x\r\n%s\r\n' % (len(data), data)
@@ -107,6 +106,21 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER
             )
 
+    def _begin_body(self) -> bytes:
+        """Returns the header that tells how the end of a body is found."""
+        if self._handler.request_version != 'HTTP/1.1':
+            self._handler.close_connection = True
+            return b''
+        self.chunked = True
+        return b'Transfer-Encoding: chunked\r\n'
+
+    def _has_body(self, status: int) -> bool:
+        """Whether the caller expects a body after the head."""
+        return (
+            self._handler.command != 'HEAD'
+            and status not in STATUSES_WITHOUT_BODY
+        )
+
     def _format_head(self, status: int, headers: requests.Headers) -> bytes:
         if self._handler.is_draining:
             self._handler.close_connection = True
