--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -136,7 +136,9 @@
         other_body = byte_budgets.Share(budget)
         other_body.require(byte_budgets.FREE_BYTES + 1, 0)
         body = b'y' * 4 * byte_budgets.FREE_BYTES
-        head = raw_endpoints.HEAD + b'Content-Length: %d\r\n\r\n' % len(body)
+        head = endless_endpoints.HEAD + b'Content-Length: %d\r\n\r\n' % len(
+            body
+        )
         raw = self.open_endpoint(lambda sock: sock.sendall(head + body))
         forwarder = self.make_forwarder(raw.endpoint)
         with unittest.mock.patch.object(byte_budgets, 'BUDGET', budget):
