A stream shorter than its length is broken off, not complete

Cause: read1 returns nothing at the end of a connection, also when a part of the announced length is missing, and the stream was then finished as complete.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -151,6 +151,10 @@
                 _limit_gap(job, exchange)
         if splitter.incomplete:
             raise errors.TruncatedStreamError('stream ended within an event')
+        if exchange.response.length:
+            raise errors.TruncatedStreamError(
+                f'stream is {exchange.response.length} bytes short'
+            )
         exchange.mark_finished()
         job.reply.finish()
 
