Incomplete events of streams count in the memory that all answers share

Each stream could hold an event of up to 1 MiB, so many at once held more than the 16 MiB for whole bodies. An exchange holds a share of that memory for what it keeps; the largest fails while it is used up.

--- a/libs/endpoints/masticquay_endpoints/byte_budgets.py
+++ b/libs/endpoints/masticquay_endpoints/byte_budgets.py
@@ -1,4 +1,4 @@
-"""Bounds the memory of all response bodies that are being read."""
+"""Bounds the memory of all responses that are being read."""
 
 import threading
 import time
@@ -86,6 +86,10 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.give_back()
+
+    def give_back(self) -> None:
+        """Gives back all that was taken."""
         if self.bytes:
             self._budget.free(self)
 
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from masticquay_endpoints import byte_budgets
 from masticquay_endpoints import channels
 from masticquay_endpoints import errors
 from masticquay_endpoints import interrupts
@@ -197,6 +198,7 @@
         self._fresh = fresh
         self._stack = contextlib.ExitStack()
         self._finished = False
+        self._memory = byte_budgets.Share(byte_budgets.BUDGET)
         self.connection: Connection | None = None
         self.response: responses.Response | None = None
 
@@ -252,14 +254,31 @@
         :raises StalledError: when the time is over
         :raises EndpointError: when the body is incomplete
         """
-        with self.translate_errors():
+        with self.translate_errors(), self._memory:
             body = whole_bodies.read(
-                self.response, limit_bytes, self.connection.channel.due_s
+                self.response,
+                limit_bytes,
+                self._memory,
+                self.connection.channel.due_s,
             )
         self._interrupt.check()
         self.mark_finished()
         return body
 
+    def hold_memory(self, size_bytes: int) -> None:
+        """Takes memory for data that is kept until more of it has come.
+
+        It replaces what was taken before.
+
+        :raises BodyBudgetError: when all exchanges take too much memory, and
+            this one most
+        :raises BudgetTimeoutError: when the others take too much for too long
+        """
+        if size_bytes > byte_budgets.FREE_BYTES:
+            self._memory.require(size_bytes, self.connection.channel.due_s)
+        else:
+            self._memory.give_back()
+
     def mark_finished(self) -> None:
         """Marks the response as read to the end."""
         self._finished = True
@@ -304,6 +323,7 @@
     def _return_connection(self) -> None:
         connection = self.connection
         response = self.response
+        self._memory.give_back()
         if response is not None:
             response.close()
         reusable = (
--- a/libs/endpoints/masticquay_endpoints/whole_bodies.py
+++ b/libs/endpoints/masticquay_endpoints/whole_bodies.py
@@ -10,10 +10,14 @@
 
 
 def read(
-    response: responses.Response, limit_bytes: int, due_s: float
+    response: responses.Response,
+    limit_bytes: int,
+    memory: byte_budgets.Share,
+    due_s: float,
 ) -> bytes:
     """Reads the remaining body of a response piece by piece.
 
+    :param memory: takes what the body needs
     :param due_s: monotonic time until which it may wait for memory
     :raises ProtocolViolationError: when the body exceeds the limit
     :raises BodyBudgetError: when the bodies being read take too much memory,
@@ -25,20 +29,19 @@
     _check_size(response.length or 0, limit_bytes)
     body = io.BytesIO()
     size_bytes = 0
-    with byte_budgets.Share(byte_budgets.BUDGET) as share:
-        while response.length != 0:
-            share.require(size_bytes + READ_BYTES, due_s)
-            piece = response.read1(READ_BYTES)
-            if not piece:
-                break
-            size_bytes += len(piece)
-            _check_size(size_bytes, limit_bytes)
-            body.write(piece)
-        if response.length:
-            raise errors.EndpointError(
-                f'response body is {response.length} bytes short'
-            )
-        return body.getvalue()
+    while response.length != 0:
+        memory.require(size_bytes + READ_BYTES, due_s)
+        piece = response.read1(READ_BYTES)
+        if not piece:
+            break
+        size_bytes += len(piece)
+        _check_size(size_bytes, limit_bytes)
+        body.write(piece)
+    if response.length:
+        raise errors.EndpointError(
+            f'response body is {response.length} bytes short'
+        )
+    return body.getvalue()
 
 
 def _check_size(size_bytes: int, limit_bytes: int) -> None:
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -159,6 +159,7 @@
                 stream.record_events(job)
                 job.reply.write(complete_events)
                 _limit_gap(job, exchange)
+            exchange.hold_memory(len(splitter.incomplete) + READ_SIZE_BYTES)
         if splitter.incomplete:
             raise errors.TruncatedStreamError('stream ended within an event')
         exchange.mark_finished()
--- a/libs/gateway/tests/raw_endpoints.py
+++ b/libs/gateway/tests/raw_endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints that write their answers to the socket, whatever they are."""
 
+import multiprocessing
 import socket
 import threading
 import time
@@ -137,6 +138,10 @@
     SENDING_MS,
     b'\r\n',
 )
+# An endless body, and an endless event of a stream.
+ENDLESS_CHUNKS = make_script(
+    CHUNKED_HEAD, b'%x\r\n%b\r\n' % (len(BLOCK), BLOCK), 0, SENDING_MS
+)
 ENDLESS_SCRIPTS = [
     SLOW_BODY,
     SLOW_HEAD,
@@ -147,9 +152,25 @@
     SLOW_TRAILERS,
     ENDLESS_BODY,
     ENDLESS_TRAILERS,
+    ENDLESS_CHUNKS,
 ]
 
 
+def start_endless(add_cleanup):
+    """Starts a process with an endpoint for each endless script.
+
+    :param add_cleanup: called with the steps that end it
+    :returns: the addresses
+    """
+    context = multiprocessing.get_context('spawn')
+    pipe, remote_pipe = context.Pipe()
+    process = context.Process(target=serve_endless, args=(remote_pipe,))
+    process.start()
+    add_cleanup(process.join)
+    add_cleanup(pipe.send, None)
+    return pipe.recv()
+
+
 def serve_endless(pipe):
     """Serves an endpoint for each endless script until told to end.
 
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -2,7 +2,6 @@
 
 from concurrent import futures
 import contextlib
-import multiprocessing
 import random
 import threading
 import time
@@ -165,19 +164,11 @@
 
     def setUp(self):
         super().setUp()
-        context = multiprocessing.get_context('spawn')
-        self.pipe, remote_pipe = context.Pipe()
-        process = context.Process(
-            target=raw_endpoints.serve_endless, args=(remote_pipe,)
-        )
-        process.start()
-        self.addCleanup(process.join)
-        self.addCleanup(self.pipe.send, None)
         self.forwarders = [
             self.make_forwarder(
                 fleets.Endpoint('e', 'svc', address, 'p1', 8, False)
             )
-            for address in self.pipe.recv()
+            for address in raw_endpoints.start_endless(self.addCleanup)
         ]
         good = fakes.FakeEndpoint(self.stack, 9, fakes.send_matching_response)
         self.good_forwarder = self.make_forwarder(good.endpoint)
--- a/libs/gateway/tests/test_endless_streams.py
+++ b/libs/gateway/tests/test_endless_streams.py
@@ -1,7 +1,9 @@
 """Tests of engines whose answers go on without what was asked for."""
 
+from concurrent import futures
 import contextlib
 import time
+import tracemalloc
 import unittest
 import unittest.mock
 
@@ -144,6 +146,35 @@
             self.run_decode(make_stream_script(b'', raw_endpoints.BLOCK, 0))
 
 
+class ManyEndlessStreamsTest(EngineTest):
+    STREAM_COUNT = 200
+    # Of all exchanges together, as the users ask.
+    MAX_HELD_BYTES = 32 * 1024 * 1024
+
+    def run_decode(self, endpoint):
+        decoder = decodes.Decoder(
+            fakes.FakeProtocol(), self.pools, self.placer, self.registry
+        )
+        placement = placers.RequestPlacement(None, endpoint, None, False)
+        job = self.make_job()
+        with self.assertRaises(exchanges.EndpointError):
+            decoder.run(job, placement, relays.RelayedStream())
+
+    # Each held up to the limit of an event.
+    def test_200_streams_with_endless_events_hold_bounded_memory(self):
+        address = raw_endpoints.start_endless(self.addCleanup)[-1]
+        endpoint = fleets.Endpoint(
+            'e0', 'svc', address, 'p1', 8, False, fleets.ROLE_DECODE
+        )
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        with futures.ThreadPoolExecutor(self.STREAM_COUNT) as executor:
+            list(executor.map(self.run_decode, [endpoint] * self.STREAM_COUNT))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes - before_bytes, self.MAX_HELD_BYTES)
+
+
 class EndlessPrefillsTest(EngineTest):
     def make_prefiller(self):
         limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
