Incomplete chunks of engines' streams count in the shared memory, too

Chunks of up to 1 MiB and events of up to 256 KiB were kept by each stream for itself. They are charged to the exchange's share while they are kept; a stream of complete tokens makes no call for it.

--- a/libs/endpoints/masticquay_endpoints/bodies.py
+++ b/libs/endpoints/masticquay_endpoints/bodies.py
@@ -9,7 +9,7 @@
 from masticquay_endpoints import errors
 from masticquay_endpoints import responses
 
-READ_BYTES = 65_536
+READ_BYTES = 16 * 1024
 MAX_SIZE_LINE_BYTES = 256
 MAX_CHUNK_BYTES = 1_048_576
 CRLF = b'\r\n'
@@ -18,36 +18,55 @@
 class StreamBody:
     """The body of a response whose headers ``http.client`` has read."""
 
-    __slots__ = ('_channel', '_buffered', '_decoder', '_ended')
+    __slots__ = (
+        '_exchange',
+        '_channel',
+        '_buffered',
+        '_decoder',
+        '_ended',
+        '_holds_memory',
+    )
 
     def __init__(
         self,
         response: responses.Response,
-        connection: connections.Connection,
+        exchange: connections.Exchange,
     ):
+        connection = exchange.connection
+        self._exchange = exchange
         self._channel = connection.channel
         self._buffered = connection.reader.read_arrived(READ_BYTES)
         self._decoder = ChunkDecoder() if response.chunked else None
         self._ended = False
+        self._holds_memory = False
 
-    def read(self) -> bytes:
+    def read(self, kept_bytes: int) -> bytes:
         """Waits for the next bytes of the body and returns them.
 
         Returns ``b''`` at the end of the body, and also when the endpoint
         closes the connection before it.
 
+        :param kept_bytes: size of what the caller keeps meanwhile
+        :raises BodyBudgetError: when there is no memory for it
         :raises ProtocolViolationError: when the chunked coding is invalid
         :raises OSError: when the connection fails or stalls
         """
+        decoder = self._decoder
         while not self._ended:
+            size_bytes = kept_bytes + (
+                len(decoder.incomplete) if decoder else 0
+            )
+            if size_bytes or self._holds_memory:
+                self._exchange.hold_memory(size_bytes + READ_BYTES)
+                self._holds_memory = size_bytes > 0
             data = self._buffered or self._channel.recv(READ_BYTES)
             self._buffered = b''
             if not data:
                 return b''
-            if self._decoder is None:
+            if decoder is None:
                 return data
-            content = self._decoder.feed(data)
-            self._ended = self._decoder.ended
+            content = decoder.feed(data)
+            self._ended = decoder.ended
             if content:
                 return content
         return b''
@@ -56,13 +75,14 @@
 class ChunkDecoder:
     """Decodes the chunked transfer coding incrementally.
 
+    :ivar incomplete: data of a chunk that is not complete yet
     :ivar ended: whether the final chunk, which is empty, was received
     """
 
-    __slots__ = ('_incomplete', 'ended')
+    __slots__ = ('incomplete', 'ended')
 
     def __init__(self) -> None:
-        self._incomplete = b''
+        self.incomplete = b''
         self.ended = False
 
     def feed(self, data: bytes) -> bytes:
@@ -71,8 +91,9 @@
         :raises ProtocolViolationError: when the data is not valid chunked
             coding
         """
-        if self._incomplete:
-            data = self._incomplete + data
+        if self.incomplete:
+            data = self.incomplete + data
+            self.incomplete = b''
         contents = []
         position = 0
         while True:
@@ -98,7 +119,7 @@
                 )
             contents.append(data[chunk_start:chunk_end])
             position = chunk_end + 2
-        self._incomplete = data[position:]
+        self.incomplete = data[position:]
         return contents[0] if len(contents) == 1 else b''.join(contents)
 
 
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -167,7 +167,7 @@
                 content = exchange.read_body(MAX_RESPONSE_BYTES)
                 raise _make_refused_error(response.status, content)
             _check_response_headers(response, body)
-            stream_body = bodies.StreamBody(response, exchange.connection)
+            stream_body = bodies.StreamBody(response, exchange)
             with exchange.translate_errors():
                 yield from _read_batches(
                     stream_body,
@@ -194,7 +194,7 @@
     channel = connection.channel
     channel.use_kernel_timeout()
     while not parser.finished:
-        chunk = stream_body.read()
+        chunk = stream_body.read(len(parser.incomplete))
         if not chunk:
             raise errors.EndpointError(
                 'connection closed before the end of the stream'
@@ -207,13 +207,17 @@
 
 
 class EventParser:
-    """Parses the event stream of a generation and checks the token indexes."""
+    """Parses the event stream of a generation and checks the token indexes.
 
-    __slots__ = ('_next_index', '_incomplete', 'finished')
+    :ivar incomplete: data of an event that is not complete yet
+    :ivar finished: whether the last event was parsed
+    """
+
+    __slots__ = ('_next_index', 'incomplete', 'finished')
 
     def __init__(self, first_index: int):
         self._next_index = first_index
-        self._incomplete = b''
+        self.incomplete = b''
         self.finished = False
 
     def feed(self, chunk: bytes) -> protocols.TokenBatch | None:
@@ -223,12 +227,12 @@
 
         :raises ProtocolViolationError: when the data violates the protocol
         """
-        data = self._incomplete + chunk if self._incomplete else chunk
+        data = self.incomplete + chunk if self.incomplete else chunk
         first_index = self._next_index
         token = TOKEN_EVENT_PATTERN.fullmatch(data)
         if token is not None and int(token[1]) == first_index:
             self._next_index = first_index + 1
-            self._incomplete = b''
+            self.incomplete = b''
             return protocols.TokenBatch(first_index, [token[2]])
         texts: list[bytes] = []
         finish_reason = ''
@@ -245,8 +249,8 @@
                 break
             finish_reason = self._parse_event(data[position:end], texts)
             position = end + len(EVENT_SEPARATOR)
-        self._incomplete = data[position:]
-        if len(self._incomplete) > MAX_EVENT_BYTES:
+        self.incomplete = data[position:]
+        if len(self.incomplete) > MAX_EVENT_BYTES:
             raise errors.ProtocolViolationError(
                 'event of the stream is too long'
             )
--- a/libs/endpoints/tests/test_endless_answers.py
+++ b/libs/endpoints/tests/test_endless_answers.py
@@ -1,12 +1,15 @@
 """Tests of the limits on what an endpoint may send in an exchange."""
 
+from concurrent import futures
 import contextlib
 import socket
 import threading
 import time
+import tracemalloc
 import unittest
 import unittest.mock
 
+from masticquay_endpoints import bodies
 from masticquay_endpoints import channels
 from masticquay_endpoints import connections
 from masticquay_endpoints import engines
@@ -309,6 +312,10 @@
 
 
 class EngineStreamsTest(ExchangeTest):
+    STREAM_COUNT = 100
+    # Of all exchanges together, as the users ask.
+    MAX_HELD_BYTES = 32 * 1024 * 1024
+
     def decode(self, script, first_token_timeout_ms, stall_timeout_ms):
         """Returns an iterator over the batches of a generation."""
         self.open_pool(script)
@@ -372,6 +379,33 @@
         time.sleep(2.5 * TIMEOUT_MS / 1000)
         self.assertEqual('stop', next(batches).finish_reason)
 
+    def assert_fails(self, batches):
+        """Asserts it, and drops the error, whose frames keep the data."""
+        with self.assertRaises(errors.EndpointError):
+            list(batches)
+
+    # Each held up to the limit of a chunk.
+    def test_100_streams_with_endless_chunks_hold_bounded_memory(self):
+        size = bodies.MAX_CHUNK_BYTES
+        send = make_dripper(
+            CHUNKED + b'%x\r\n' % size + b'x' * (size - 100), b'x'
+        )
+
+        def send_in_thread(sock):
+            threading.Thread(target=send, args=(sock,), daemon=True).start()
+
+        streams = [
+            self.decode(send_in_thread, 1_500, TIMEOUT_MS)
+            for _ in range(self.STREAM_COUNT)
+        ]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        with futures.ThreadPoolExecutor(self.STREAM_COUNT) as executor:
+            list(executor.map(self.assert_fails, streams))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertLess(peak_bytes - before_bytes, self.MAX_HELD_BYTES)
+
     def test_stream_without_length_is_read_to_its_end(self):
         """The socket was gone, since the response closes the connection."""
         end = b'data: {"index": 1, "finish_reason": "stop"}\n\n'
