An unauthenticated peer may send no large message on a link

Both ends of a new link accepted messages of 16 MiB from the first one on, and the library queues up to 16 frames, so anybody could make a process hold that much memory for each connection. The limit is now 4 KiB; the listener lifts it once the dialer has proved that it knows the secret, before it sends Welcome, and the dialer when it sends Hello, since a large notice may follow Welcome at once. So a false listener is limited for the challenge only; a larger Welcome is refused, but read first.

The time was bounded already: peers that trickle the upgrade, frames, fragments, pings or bytes after a malformed frame are cut off by open_timeout, by the deadline of recv and by close_timeout.

--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -281,13 +281,17 @@
                 open_timeout=timeout_s,
                 ping_interval=None,
                 close_timeout=peers.CLOSE_TIMEOUT_MS / 1000,
-                max_size=messages.MAX_FRAME_BYTES,
+                max_size=handshakes.MAX_HANDSHAKE_BYTES,
                 logger=peers.WEBSOCKET_LOG,
                 user_agent_header=None,
             )
         )
         welcome = handshakes.dial(
-            link, self._secret, self._name, self._session_id
+            link,
+            self._secret,
+            self._name,
+            self._session_id,
+            lift_size_limit=lambda: sockets.allow_large_messages(link),
         )
         self._counters.established_links += 1
         self._refusal_logged = False
--- a/libs/wire/masticquay_wire/handshakes.py
+++ b/libs/wire/masticquay_wire/handshakes.py
@@ -21,6 +21,8 @@
 
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_S = 2.0
+# A peer that has not authenticated may send no larger message.
+MAX_HANDSHAKE_BYTES = 4 * 1024
 MAX_VERSION_DIFFERENCE = 1
 
 # Reasons why a listener refuses a link: an invalid proof, or an incompatible
@@ -96,10 +98,14 @@
     name: str,
     session: bytes,
     version: int = messages.PROTOCOL_VERSION,
+    lift_size_limit: typing.Callable[[], None] = lambda: None,
 ) -> Welcome:
     """Runs the dialer's side of a handshake.
 
     :param session: identifies this dialer across reconnects
+    :param lift_size_limit: called before the listener can know that the
+        handshake is complete, since the messages of the link may follow
+        ``Welcome`` at once
     :returns: the listener's reply
     :raises AuthenticationError: when the proof of either side is invalid,
         or a message of the listener is malformed
@@ -110,6 +116,7 @@
     hello_parts = (nonce, name.encode(), session, str(version).encode())
     proof = _compute_proof(secret, b'dial', challenge, *hello_parts)
     hello = Hello(version, name, session, nonce, proof)
+    lift_size_limit()
     transport.send(cbor2.dumps(hello.to_wire()))
     welcome = _decode(Welcome, _receive(transport))
     if welcome.refusal == REFUSAL_VERSION:
@@ -132,6 +139,7 @@
     secret: bytes,
     instance: bytes = b'',
     version: int = messages.PROTOCOL_VERSION,
+    lift_size_limit: typing.Callable[[], None] = lambda: None,
 ) -> Hello:
     """Runs the listener's side of a handshake.
 
@@ -139,6 +147,8 @@
     of the two versions.
 
     :param instance: random identifier, new at each start of the listener
+    :param lift_size_limit: called once the dialer has authenticated, before
+        it can know that
     :returns: the dialer's ``Hello``
     :raises AuthenticationError: when the dialer's proof is invalid or its
         message is malformed
@@ -172,6 +182,7 @@
         raise error
     proof = _compute_proof(secret, b'listen', hello.nonce, challenge, instance)
     welcome = Welcome(min(version, hello.version), instance, proof)
+    lift_size_limit()
     transport.send(cbor2.dumps(welcome.to_wire()))
     return hello
 
@@ -189,6 +200,8 @@
         raise errors.AuthenticationError(
             'a handshake message must be binary, not text'
         )
+    if len(data) > MAX_HANDSHAKE_BYTES:
+        raise errors.AuthenticationError('a handshake message is too large')
     return data
 
 
--- a/libs/wire/masticquay_wire/listeners.py
+++ b/libs/wire/masticquay_wire/listeners.py
@@ -165,7 +165,7 @@
                 ping_interval=None,
                 open_timeout=handshakes.HANDSHAKE_TIMEOUT_S,
                 close_timeout=peers.CLOSE_TIMEOUT_MS / 1000,
-                max_size=messages.MAX_FRAME_BYTES,
+                max_size=handshakes.MAX_HANDSHAKE_BYTES,
                 logger=peers.WEBSOCKET_LOG,
                 server_header=None,
             )
@@ -190,7 +190,12 @@
         try:
             sockets.set_options(websocket.socket)
             hello = handshakes.listen(
-                websocket, self._secret, self._instance_id
+                websocket,
+                self._secret,
+                self._instance_id,
+                lift_size_limit=lambda: sockets.allow_large_messages(
+                    websocket
+                ),
             )
         except (
             errors.WireError,
--- a/libs/wire/masticquay_wire/sockets.py
+++ b/libs/wire/masticquay_wire/sockets.py
@@ -1,8 +1,11 @@
-"""Options of the TCP sockets that links use."""
+"""Options of the TCP sockets and websockets that links use."""
 
 import socket
 import struct
 
+from websockets.sync import connection
+
+from masticquay_wire import messages
 from masticquay_wire import peers
 
 SEND_TIMEOUT_MS = 2_000
@@ -39,6 +42,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
 
 
+def allow_large_messages(websocket: connection.Connection) -> None:
+    """Lets a websocket receive messages as large as a link may send."""
+    websocket.protocol.max_message_size = messages.MAX_FRAME_BYTES
+
+
 def shut_down(sock: socket.socket) -> None:
     """Shuts a socket down, which wakes the threads blocked on it."""
     try:
