Peers of the HTTP client's tests read the whole request

test_answer_is_read of control failed once in six runs: the peer closed its connection while the body of the request was still unread, which resets the connection and may discard the answer.

--- a/libs/control/tests/test_http_calls.py
+++ b/libs/control/tests/test_http_calls.py
@@ -35,7 +35,11 @@
         end_s = time.monotonic() + PEER_TIME_S
         sock.settimeout(PEER_TIME_S)
         with sock, contextlib.suppress(OSError):
-            self.received.append(sock.recv(65536))
+            # Unread data would reset the connection when it is closed.
+            while data := sock.recv(65536):
+                self.received.append(data)
+                if data.endswith(b'}'):
+                    break
             sock.sendall(first)
             while part and time.monotonic() < end_s:
                 sock.sendall(part)
@@ -51,8 +55,9 @@
         response = self.call()
         self.assertEqual(200, response.status)
         self.assertEqual({'b': 2}, response.body)
-        self.assertIn(b'POST /x HTTP/1.1', self.received[0])
-        self.assertTrue(self.received[0].endswith(b'{"a": 1}'))
+        request = b''.join(self.received)
+        self.assertIn(b'POST /x HTTP/1.1', request)
+        self.assertTrue(request.endswith(b'{"a": 1}'))
 
     def test_request_that_may_not_be_sent_is_not_sent(self):
         self.answer(HEAD + b'\r\n{}')
--- a/libs/serving/tests/test_http_clients.py
+++ b/libs/serving/tests/test_http_clients.py
@@ -16,6 +16,19 @@
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
+def _receive_request(sock):
+    data = b''
+    while b'\r\n\r\n' not in data:
+        part = sock.recv(65536)
+        if not part:
+            return data
+        data += part
+    if b'Content-Length: 4' in data:
+        while not data.endswith(b'body'):
+            data += sock.recv(65536)
+    return data
+
+
 class ClientTest(unittest.TestCase):
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -46,7 +59,7 @@
             sock.settimeout(PEER_TIME_S)
             with sock, contextlib.suppress(OSError):
                 for parts in answers:
-                    self.received.append(sock.recv(65536))
+                    self.received.append(_receive_request(sock))
                     for part in parts:
                         sock.sendall(part)
                         time.sleep(0.02)
