Framing and length of a caller's body are limited

A chunked body could have a size line of 1 KiB for each byte of data, 4 GiB of lines for 4 MiB of body, all within the time that its data rate allows. Beyond 16 bytes for each chunk, size lines may now have 16 KiB together; more gets 400. A Content-Length of more than 4,300 digits made int() raise a ValueError, which ended the connection without an answer and logged a traceback; it gets 413.

--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -7,6 +7,12 @@
 
 MAX_LINE_BYTES = 1_024
 MAX_TRAILER_LINES = 64
+# Longer numbers exceed any limit; ``int`` refuses those of thousands of
+# digits.
+MAX_LENGTH_DIGITS = 18
+# Size lines of chunks may have this much beyond FRAMING_BYTES_PER_CHUNK each.
+MAX_EXCESS_FRAMING_BYTES = 16 * 1024
+FRAMING_BYTES_PER_CHUNK = 16
 HEX_DIGITS = frozenset(string.hexdigits.encode())
 LINE_ENDS = (b'\r\n', b'\n')
 
@@ -20,6 +26,7 @@
     def __init__(self, stream: typing.BinaryIO, limit_bytes: int):
         self._stream = stream
         self._limit_bytes = limit_bytes
+        self._excess_bytes = 0
 
     def read(self, encodings: list[str], lengths: list[str]) -> bytes:
         """Reads and returns the whole body, empty if neither header is sent.
@@ -49,6 +56,8 @@
         all_equal = all(length == first for length in lengths)
         if not all_equal or not (first.isascii() and first.isdigit()):
             raise errors.BadRequestError(400, 'unreadable Content-Length')
+        if len(first) > MAX_LENGTH_DIGITS:
+            raise errors.BadRequestError(413, 'the body is too large')
         self._check_size(int(first))
         return int(first)
 
@@ -73,6 +82,9 @@
         is_hex = bool(digits) and HEX_DIGITS.issuperset(digits)
         if not is_hex or not line.endswith(b'\n'):
             raise errors.BadRequestError(400, 'unreadable chunk')
+        self._excess_bytes += max(0, len(line) - FRAMING_BYTES_PER_CHUNK)
+        if self._excess_bytes > MAX_EXCESS_FRAMING_BYTES:
+            raise errors.BadRequestError(400, 'the chunk extensions are large')
         return int(digits, 16)
 
     def _skip_trailers(self) -> None:
--- a/libs/serving/tests/test_bodies.py
+++ b/libs/serving/tests/test_bodies.py
@@ -41,6 +41,10 @@
         self.assert_rejected(413, self.read, b'', lengths=['101'])
         self.assert_rejected(413, self.read_chunks, b'65\r\n')
 
+    def test_length_of_thousands_of_digits_is_rejected(self):
+        """Seen: ``int`` refuses more than 4,300 digits with a ValueError."""
+        self.assert_rejected(413, self.read, b'', lengths=['9' * 5_000])
+
     def test_chunked_body_is_decoded(self):
         data = b'3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nT: v\r\n\r\n'
         self.assertEqual(b'abc0123456789', self.read_chunks(data))
@@ -68,3 +72,12 @@
             self.read(b'ab', lengths=['3'])
         with self.assertRaises(errors.CallerDisconnectedError):
             self.read_chunks(b'3\r\nab')
+
+    def test_chunked_body_of_more_framing_than_data_is_rejected(self):
+        """Seen: size lines of any number and length counted to no limit."""
+        extended = (b'1;' + b'x' * 1_000 + b'\r\nx\r\n') * 90
+        self.assert_rejected(400, self.read_chunks, extended + b'0\r\n\r\n')
+
+    def test_body_in_chunks_of_one_byte_is_decoded(self):
+        data = b'001;a=b\r\nx\r\n' * LIMIT_BYTES + b'0\r\n\r\n'
+        self.assertEqual(b'x' * LIMIT_BYTES, self.read_chunks(data))
