--- a/libs/control/masticquay_control/http_calls.py
+++ b/libs/control/masticquay_control/http_calls.py
@@ -52,7 +52,7 @@
                 f'{address}: request not sent: the lease is lost or too short'
             )
         return _send_request(client, method, path, body)
-    except (serving_errors.ExchangeError, ValueError) as cause:
+    except (serving_errors.ExchangeError, ValueError, RecursionError) as cause:
         client.abort()
         raise errors.CallError(f'{address}: {cause!r}') from cause
     finally:
--- a/libs/control/tests/test_http_calls.py
+++ b/libs/control/tests/test_http_calls.py
@@ -76,6 +76,12 @@
                     self.call()
                 self.assertLess(time.monotonic() - started_s, 1.5)
 
+    def test_answer_nested_too_deeply_fails(self):
+        """Seen: a RecursionError, not a CallError."""
+        self.answer(HEAD + b'\r\n' + b'[' * 100_000)
+        with self.assertRaises(errors.CallError):
+            self.call()
+
     def test_answer_above_the_limit_fails(self):
         """Seen: what the answer had beyond the limit was ignored."""
         self.answer(HEAD + b'\r\n{}' + b' ' * 10_000)
