Tests of heads with lines that cannot be parsed, red for now

The parser of the standard library leaves out all header lines after one that it cannot read, such as 'X A: b' or 'X-A : b'. Without the length of its body, a caller's request has none, and its body runs as a request of its own; the caller takes the answer to it for the one to its next request. A response in chunks is read with the lines of its chunks as a body.

A target with bytes that are not ASCII cannot be sent to any endpoint, and counts as a failure of each.

The faults are in files that others are changing (http_servers.py, connections.py).

--- a/libs/endpoints/tests/test_responses.py
+++ b/libs/endpoints/tests/test_responses.py
@@ -69,6 +69,26 @@
         self.assertEqual((200, b'ok'), self.exchange(pool))
         self.assertEqual((200, b'next'), self.exchange(pool))
 
+    # Guards against a body that is passed on with the lines of its chunks,
+    # since the lines of the head after an unreadable one are left out.
+    def test_response_with_an_unreadable_header_line_is_an_error(self):
+        def send_chunked(sock):
+            sock.sendall(
+                b'HTTP/1.1 200 x\r\nX A: b\r\nTransfer-Encoding: chunked\r\n'
+                b'\r\n2\r\nok\r\n0\r\n\r\n'
+            )
+            sock.close()
+
+        with self.assertRaises(errors.EndpointError):
+            self.exchange(self.start_pool(send_chunked))
+
+    def test_response_with_several_parts_is_read(self):
+        head = b'HTTP/1.1 200 x\r\nContent-Type: multipart/mixed\r\n'
+        pool = self.start_pool(
+            lambda sock: sock.sendall(head + b'Content-Length: 2\r\n\r\nok')
+        )
+        self.assertEqual((200, b'ok'), self.exchange(pool))
+
     # Guards against an endpoint that works on for a caller that has left.
     def test_interrupt_ends_the_wait_for_a_response_that_closes(self):
         released = threading.Event()
