--- a/libs/endpoints/tests/test_responses.py
+++ b/libs/endpoints/tests/test_responses.py
@@ -89,24 +89,31 @@
         )
         self.assertEqual((200, b'ok'), self.exchange(pool))
 
-    # Guards against an endpoint that works on for a caller that has left.
+    # Guards against an endpoint that works on for a caller that has left, and
+    # against a part that counts as whole since the interrupt ended it.
     def test_interrupt_ends_the_wait_for_a_response_that_closes(self):
         released = threading.Event()
         self.addCleanup(released.set)
 
-        def send_head_and_wait(sock):
-            sock.sendall(CLOSING_HEAD + b'Content-Length: 9\r\n\r\n')
-            released.wait(TIMEOUT_MS / 1000)
-
-        pool = self.start_pool(send_head_and_wait)
-        interrupt = interrupts.Interrupt()
-        with connections.Exchange(pool, interrupt) as exchange:
-            exchange.send('GET', '/x', [], b'', TIMEOUT_MS)
-            threading.Timer(PAUSE_S, interrupt.fire, ['gone']).start()
-            began_s = time.monotonic()
-            with self.assertRaises(errors.InterruptedCallError):
-                exchange.read_body(100)
-        self.assertLess(time.monotonic() - began_s, TIMEOUT_MS / 1000 / 2)
+        for length in (b'Content-Length: 9\r\n', b''):
+
+            def send_part_and_wait(sock, length=length):
+                sock.sendall(CLOSING_HEAD + length + b'\r\npart')
+                released.wait(TIMEOUT_MS / 1000)
+
+            pool = self.start_pool(send_part_and_wait)
+            interrupt = interrupts.Interrupt()
+            with (
+                self.subTest(length=length),
+                connections.Exchange(pool, interrupt) as exchange,
+            ):
+                exchange.send('GET', '/x', [], b'', TIMEOUT_MS)
+                threading.Timer(PAUSE_S, interrupt.fire, ['gone']).start()
+                began_s = time.monotonic()
+                with self.assertRaises(errors.InterruptedCallError):
+                    exchange.read_body(100)
+                waited_s = time.monotonic() - began_s
+                self.assertLess(waited_s, TIMEOUT_MS / 1000 / 2)
 
     # Guards against a stream that counts as broken because its timeout is
     # still the one of the wait for its head.
