--- a/libs/serving/masticquay_serving/heads.py
+++ b/libs/serving/masticquay_serving/heads.py
@@ -1,10 +1,25 @@
-"""Limits the header lines of a request while they are read."""
+"""Limits and checks the header lines of a request."""
 
+import email.errors
+import email.message
 import typing
 
 from masticquay_serving import errors
 
 END_LINE_BYTES = 2
+# The parser leaves out all lines after an unreadable one, with these defects.
+# Others tell of the body, which it does not see.
+HEAD_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.InvalidHeaderDefect,
+    email.errors.MisplacedEnvelopeHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
+
+
+def has_unreadable_line(headers: email.message.Message) -> bool:
+    """Whether parsed headers are incomplete, as a line was unreadable."""
+    return any(isinstance(d, HEAD_DEFECTS) for d in headers.defects)
 
 
 class HeaderLines:
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -162,8 +162,10 @@
             is_readable = self.parse_request()
         finally:
             self.rfile = stream
-        if not is_readable:
+        if not is_readable or not self.requestline.isascii():
             raise errors.BadRequestError(400, 'unreadable request line')
+        if heads.has_unreadable_line(self.headers):
+            raise errors.BadRequestError(400, 'unreadable header line')
 
     def _read_body(self, limits: requests.LimitsLike) -> bytes:
         self._timed_reader.set_deadline(
