Answers with an unreadable header line or two lengths are not believed

The same cause on the endpoints' side: lines after an unreadable one were left out, a mark, a stamp or the framing among them; with two lengths, or a length beside chunks, one was believed.

--- a/libs/endpoints/masticquay_endpoints/responses.py
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -1,5 +1,6 @@
 """Responses of endpoints, with limits on all that they consist of."""
 
+import email.errors
 import http.client
 
 from masticquay_endpoints import channels
@@ -11,6 +12,14 @@
 # With its extensions.
 MAX_CHUNK_SIZE_BYTES = 256
 MAX_TRAILER_BYTES = 8 * 1024
+# The parser leaves out all lines after an unreadable one, with these defects.
+# Others tell of the body, which it does not see.
+HEAD_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.InvalidHeaderDefect,
+    email.errors.MisplacedEnvelopeHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
 HEX_DIGITS = frozenset(b'0123456789abcdefABCDEF')
 
 
@@ -22,6 +31,18 @@
 
     fp: channels.LineReader
 
+    def begin(self) -> None:
+        """Reads the head.
+
+        :raises ProtocolViolationError: if it is too long or unreadable
+        """
+        super().begin()
+        if any(isinstance(d, HEAD_DEFECTS) for d in self.headers.defects):
+            raise errors.ProtocolViolationError('unreadable header line')
+        lengths = self.headers.get_all('Content-Length') or []
+        if len(set(lengths)) > 1 or (lengths and self.chunked):
+            raise errors.ProtocolViolationError('ambiguous body length')
+
     def _read_status(self) -> tuple[str, int, str]:
         """Reads the status line after all interim answers."""
         for _ in range(MAX_INTERIM_ANSWERS + 1):
--- a/libs/endpoints/tests/test_cut_responses.py
+++ b/libs/endpoints/tests/test_cut_responses.py
@@ -1,4 +1,4 @@
-"""Tests of responses that the end of their connection cuts off."""
+"""Tests of responses whose end is missing or unclear."""
 
 import contextlib
 import socket
@@ -50,3 +50,12 @@
         for end in (b'', b'0', b'0\r\n', b'0\r\nX-A: b\r\n'):
             with self.assertRaises(errors.EndpointError):
                 self.read(CHUNKED + end)
+
+    # The same class: a length that is not one says nothing of the end.
+    def test_response_with_two_lengths_is_no_response(self):
+        for lines in (
+            b'Content-Length: 2\r\nContent-Length: 1\r\n',
+            b'Content-Length: 2\r\nTransfer-Encoding: chunked\r\n',
+        ):
+            with self.assertRaises(errors.EndpointError):
+                self.read(HEAD + lines + b'\r\n2\r\nok\r\n0\r\n\r\n')
