--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -115,6 +115,8 @@
             term_and_number = (update.term, update.number)
             if term_and_number <= (self.endpoints_term, self.endpoints_number):
                 return False
+            if update.term > self.endpoints_term:
+                self._leaving.begin_term()
             self.endpoints_term, self.endpoints_number = term_and_number
             self._index_endpoints(update.endpoints)
             self._stream_versions = update.stream_versions
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -112,6 +112,19 @@
         report = self.state.report_leaving()[0]
         self.assertEqual(('e1', 7), (report.endpoint_id, report.started_ms))
 
+    # Found by the soak (seed 10): the first list of a new leader, which had
+    # not been told yet, sent requests to an endpoint that leaves.
+    def test_endpoint_that_leaves_does_so_under_a_leader_not_told_yet(self):
+        endpoint = self.make_endpoint()
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 1, [endpoint]))
+        self.state.record_leaving(endpoint)
+        self.state.report_leaving()
+        listed = [self.make_endpoint(leaving=True)]
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 2, listed))
+        self.state.apply_endpoints(messages.EndpointUpdate(2, 1, [endpoint]))
+        self.assertTrue(self.state.endpoint('e1').leaving)
+        self.assertEqual(1, len(self.state.report_leaving()))
+
     def test_endpoint_that_was_listed_as_leaving_and_is_back_is_used(self):
         endpoint = self.make_endpoint()
         self.apply_list(endpoint)
--- a/libs/routing/masticquay_routing/endpoint_notices.py
+++ b/libs/routing/masticquay_routing/endpoint_notices.py
@@ -55,9 +55,9 @@
 class LeavingEndpoints:
     """The endpoints that said that they leave, by id.
 
-    An endpoint is used again when a list that has shown it as leaving does so
-    no longer, or shows another start of it. A word that was heard before that
-    counts no more, whoever tells it.
+    An endpoint is used again when the lists of one leader have shown it as
+    leaving and do so no longer, or show another start of it. A word that was
+    heard before that counts no more, whoever tells it.
     """
 
     __slots__ = ('_words', '_over_ms')
@@ -82,6 +82,12 @@
         self._words[endpoint_id] = _Word(started_ms, heard_ms)
         return True
 
+    def begin_term(self) -> None:
+        """Keeps all words until a new leader was told of them."""
+        for word in self._words.values():
+            word.told_ms = None
+            word.was_listed = False
+
     def report(self, now_ms: int) -> list[LeavingReport]:
         """Returns what to tell the leader.
 
