A request that crosses the close of idle connections is served

Cause: a draining host shuts down the reading side of idle connections. The handler now notes that its own side ended the reading, and such a connection tells nothing of its caller. The test forces the interleaving; it failed before with a reset.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -87,7 +87,7 @@
         job = job_or_refusal
         try:
             with self._disconnect_watcher.watched(
-                reply.sock, lambda: job.interrupt.fire('caller disconnected')
+                reply.sock, lambda: self._interrupt(job, reply)
             ):
                 refusal = self._run(job)
         except (
@@ -103,6 +103,10 @@
         else:
             self._record_success(job)
 
+    def _interrupt(self, job: jobs.Job, reply: replies.Reply) -> None:
+        if reply.shows_disconnect:
+            job.interrupt.fire('caller disconnected')
+
     def _wait_for_fleet(self, call: ports.Call) -> None:
         """Waits briefly for the fleet state on a newly started host.
 
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -24,6 +24,7 @@
 from tests import fakes
 
 TIMEOUT_S = 5.0
+REQUEST = b'GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n'
 
 
 class OneRouteReader:
@@ -131,6 +132,20 @@
         reply = self.serve(self.make_service(run=raise_interrupted))
         self.assertTrue(reply.aborted)
 
+    def start_server(self, run):
+        """Starts an HTTP server that watches its callers."""
+        self.set_fleet_state()
+        watcher = disconnects.DisconnectWatcher()
+        self.addCleanup(watcher.close)
+        service = self.make_service(run=run, watched=watcher.watched)
+        limits = requests.Limits(10_000, 10_000, 5_000, 5_000)
+        server = http_servers.Server(
+            ('127.0.0.1', 0), service.serve, lambda: limits
+        )
+        server.start()
+        self.addCleanup(server.server_close)
+        return server
+
     # As above, over a connection on which the next request waits already.
     def test_caller_gets_no_answer_to_the_request_after_an_interrupted_one(
         self,
@@ -143,22 +158,36 @@
                 job.interrupt.wait(futures.Future(), TIMEOUT_S * 1_000)
             return forwards.Response(200, [], b'second')
 
-        self.set_fleet_state()
-        watcher = disconnects.DisconnectWatcher()
-        self.addCleanup(watcher.close)
-        service = self.make_service(run=run, watched=watcher.watched)
-        limits = requests.Limits(10_000, 10_000, 5_000, 5_000)
-        server = http_servers.Server(
-            ('127.0.0.1', 0), service.serve, lambda: limits
-        )
-        server.start()
-        self.addCleanup(server.server_close)
+        server = self.start_server(run)
         caller = socket.create_connection(server.server_address, TIMEOUT_S)
         self.addCleanup(caller.close)
-        caller.sendall(b'GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n' * 2)
+        caller.sendall(REQUEST * 2)
         caller.shutdown(socket.SHUT_WR)
         received = b''
         with contextlib.suppress(ConnectionResetError):
             received = caller.recv(10_000)
         self.assertEqual(b'', received)
         self.assertEqual(1, len(served))
+
+    # Guards against a host that takes its own end of reading for its caller's
+    # and resets a request that came in while it closed idle connections.
+    def test_request_that_crosses_the_close_of_idle_connections_is_served(
+        self,
+    ):
+        def run(job):
+            with contextlib.suppress(exchanges.StalledError):
+                job.interrupt.wait(futures.Future(), 300)
+            return forwards.Response(200, [], b'ok')
+
+        server = self.start_server(run)
+        mark_busy = server.mark_busy
+
+        def close_idle_first(handler):
+            server.close_idle()
+            mark_busy(handler)
+
+        server.mark_busy = close_idle_first
+        caller = socket.create_connection(server.server_address, TIMEOUT_S)
+        self.addCleanup(caller.close)
+        caller.sendall(REQUEST)
+        self.assertIn(b' 200 ', caller.recv(10_000))
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -48,6 +48,9 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
     server: 'Server'
+    # Set when this side has ended the reading: the connection then looks as if
+    # the caller had closed it.
+    reading_ended = False
 
     @property
     def is_draining(self) -> bool:
@@ -288,6 +291,7 @@
         with self._lock:
             idle_handlers = list(self._idle_handlers)
         for handler in idle_handlers:
+            handler.reading_ended = True
             with contextlib.suppress(OSError):
                 handler.connection.shutdown(socket.SHUT_RD)
 
