Answers to control and lists that break off in the head are not believed

Cause: as for endpoints' answers, http.client took the end of the stream for the end of the head or trailers; a report or a list that was cut there counted as an empty object. The test failed before for all three answers.

--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -161,7 +161,7 @@
         self._sock.sendall(data)
 
     def makefile(self, mode: str) -> io.BufferedReader:
-        return io.BufferedReader(_LimitedReader(self._sock, self._limits))
+        return _LineReader(_LimitedReader(self._sock, self._limits))
 
     def close(self) -> None:
         """Does nothing: the answer may still be read."""
@@ -183,3 +183,22 @@
         count = self._sock.recv_into(buffer)
         self._limits.take(count)
         return count
+
+
+class _LineReader(io.BufferedReader):
+    """Raises an error at a line that the end of the stream cuts off.
+
+    ``http.client`` would take it for the end of the head or the trailers.
+    """
+
+    def __init__(self, raw: io.RawIOBase):
+        super().__init__(raw)
+        self._has_begun = False
+
+    def readline(self, size: int | None = -1) -> bytes:
+        line = super().readline(size)
+        is_cut = not line.endswith(b'\n') and len(line) != size
+        if is_cut and (line or self._has_begun):
+            raise errors.ExchangeError('the answer is not whole')
+        self._has_begun = True
+        return line
--- a/libs/serving/tests/test_http_clients.py
+++ b/libs/serving/tests/test_http_clients.py
@@ -141,6 +141,20 @@
                 self.setUp()
                 self.assert_fails([answer])
 
+    # Guards against reports and lists that count as empty, as http.client
+    # takes the end of the stream for the end of the head or of the trailers.
+    def test_head_or_trailers_cut_off_by_the_end_of_the_stream_fail(self):
+        for answer in (
+            b'HTTP/1.1 200 OK\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Le',
+            CHUNKED + b'2\r\n{}\r\n0\r\n',
+        ):
+            with self.subTest(answer=answer):
+                self.answer([[answer]])
+                with self.assertRaises(errors.ExchangeError):
+                    self.client.call('GET', '/')
+                self.client.close()
+
     def test_limits_hold_for_all_answers_together(self):
         answer = b'HTTP/1.1 200 OK\r\nContent-Length: 6000\r\n\r\n'
         self.answer([[answer + b'x' * 6_000], [answer + b'x' * 6_000]])
