--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -1,13 +1,18 @@
 """Fakes of callers, endpoints and fleet state for the entry daemon."""
 
+import random
 import threading
 import time
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import errors
+from masticquay_gateway import exchanges
+from masticquay_gateway import forwards
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
 from masticquay_gateway import ports
+from masticquay_gateway import retries
+from masticquay_routing import choosers
 from masticquay_routing import fleets
 from masticquay_routing import tables
 from masticquay_serving import counters
@@ -157,6 +162,25 @@
     )
 
 
+def make_forwarder(stack, state, endpoint_notices, slack=10, registry=None):
+    """Returns a forwarder with connections of its own.
+
+    :param slack: what the retry budget allows beyond its share
+    """
+    pools = exchanges.ConnectionPools()
+    stack.callback(pools.close)
+    limits = retries.RetryBudgetLimits(0.2, slack, 10_000)
+    return forwards.Forwarder(
+        state,
+        FakeProtocol(),
+        pools,
+        choosers.Chooser('p1', random.Random(1)),
+        retries.RetryBudgets(limits, state),
+        endpoint_notices,
+        registry or counters.Registry(),
+    )
+
+
 def send_matching_response(request, reply, status=200, extra=(), body=b'ok'):
     """Sends a response that matches the request."""
     headers = [('Call', request.header('call')), *extra]
--- a/libs/gateway/tests/test_forwards.py
+++ b/libs/gateway/tests/test_forwards.py
@@ -1,16 +1,10 @@
 """Tests of forwarding requests to plain services."""
 
 import contextlib
-import random
 import unittest
 
-from masticquay_gateway import exchanges
-from masticquay_gateway import forwards
 from masticquay_gateway import ports
-from masticquay_gateway import retries
-from masticquay_routing import choosers
 from masticquay_routing import tables
-from masticquay_serving import counters
 from tests import fakes
 
 ONCE = tables.RouteKind.ONCE
@@ -31,17 +25,8 @@
         state = fakes.FakeState([e.endpoint for e in self.endpoints])
         if self.notices is None:
             self.notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools()
-        self.stack.callback(pools.close)
-        limits = retries.RetryBudgetLimits(0.2, slack, 10_000)
-        forwarder = forwards.Forwarder(
-            state,
-            fakes.FakeProtocol(),
-            pools,
-            choosers.Chooser('p1', random.Random(1)),
-            retries.RetryBudgets(limits, state),
-            self.notices,
-            counters.Registry(),
+        forwarder = fakes.make_forwarder(
+            self.stack, state, self.notices, slack
         )
         return forwarder.run(fakes.make_job(route))
 
--- a/libs/gateway/tests/test_refused_requests.py
+++ b/libs/gateway/tests/test_refused_requests.py
@@ -5,16 +5,11 @@
 """
 
 import contextlib
-import random
 import unittest
 
-from masticquay_gateway import exchanges
 from masticquay_gateway import forwards
 from masticquay_gateway import ports
-from masticquay_gateway import retries
-from masticquay_routing import choosers
 from masticquay_routing import tables
-from masticquay_serving import counters
 from tests import fakes
 from tests import raw_endpoints
 
@@ -36,18 +31,7 @@
         self.server = raw_endpoints.RawEndpoint(self.stack, 0, script)
         state = fakes.FakeState([self.server.endpoint])
         self.notices = fakes.make_notices(state)
-        pools = exchanges.ConnectionPools()
-        self.stack.callback(pools.close)
-        limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
-        return forwards.Forwarder(
-            state,
-            fakes.FakeProtocol(),
-            pools,
-            choosers.Chooser('p1', random.Random(1)),
-            retries.RetryBudgets(limits, state),
-            self.notices,
-            counters.Registry(),
-        )
+        return fakes.make_forwarder(self.stack, state, self.notices)
 
     def run_call(self, forwarder, call_id):
         job = fakes.make_job(fakes.make_route(ONCE), call_id=call_id)
