--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -32,8 +32,9 @@
     CONTRADICTORY = 'status, mark and stamp disagree'
 
 
-# What such an answer says of its endpoint is not believed either.
-FOREIGN_VERDICTS = (Verdict.OTHER_REQUEST, Verdict.NO_REQUEST)
+# Such an answer may be that of another endpoint, so what it says of its endpoint
+# is not believed either.
+UNATTRIBUTED_VERDICTS = (Verdict.OTHER_REQUEST, Verdict.NO_REQUEST)
 
 
 def judge(
@@ -105,7 +106,7 @@
         headers = exchanges.response_headers(exchange)
         head = self._protocol.parse_response_head(status, headers)
         verdict = judge(call_id, head, needs_stamp)
-        if verdict not in FOREIGN_VERDICTS:
+        if verdict not in UNATTRIBUTED_VERDICTS:
             self._listener.record(endpoint, status, headers)
         if verdict is Verdict.RUN:
             return head
