--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -192,8 +192,8 @@
 class ResponseHead:
     """What the status and headers of an endpoint's answer say.
 
-    It is to be believed only after ``answers.judge``, which takes the head to be
-    whole.
+    It is to be believed only after ``answers.judge``, which takes the head
+    to be whole.
 
     :param answered_ids: the different ids of requests that it answers
     :param has_not_run_mark: whether it says that the request was not run
