--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -32,8 +32,8 @@
     CONTRADICTORY = 'status, mark and stamp disagree'
 
 
-# Such an answer may be that of another endpoint, so what it says of its endpoint
-# is not believed either.
+# Such an answer may be that of another endpoint, so what it says of its
+# endpoint is not believed either.
 UNATTRIBUTED_VERDICTS = (Verdict.OTHER_REQUEST, Verdict.NO_REQUEST)
 
 
