--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -15,9 +15,9 @@
 
 MAX_REFUSAL_BODY_BYTES = 64 * 1024
 STATUS_WRONG_ENDPOINT = 421
-# An endpoint may refuse a request without running it with these.
+# Statuses with which an endpoint may refuse a request without running it.
 REFUSAL_STATUSES = frozenset({400, STATUS_WRONG_ENDPOINT, 429, 503})
-# To a caller, each of these promises that the request was not run.
+# Statuses that promise a caller that its request was not run.
 PROMISE_STATUSES = frozenset({408, STATUS_WRONG_ENDPOINT, 429, 503})
 
 
