LIMIT, observability: limits that endpoints name are logged and counted

The incident's hypotheses could not be told apart: no line named a limit, repeats at an endpoint were not counted. Each host now logs when an endpoint names, changes or ends a limit, and counts its requests to an endpoint that names one, first attempts and repeats apart. Nothing is decided by it yet. A missing header says something only in the answer of an endpoint that ran the request.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -68,9 +68,16 @@
     """Learns what endpoints say of themselves in their answers."""
 
     def record(
-        self, endpoint: fleets.Endpoint, status: int, headers: ports.Headers
+        self,
+        endpoint: fleets.Endpoint,
+        status: int,
+        headers: ports.Headers,
+        has_run: bool,
     ) -> None:
-        """Records the head of an endpoint's answer."""
+        """Records the head of an endpoint's answer.
+
+        :param has_run: whether the endpoint ran the request
+        """
 
 
 class AnswerChecker:
@@ -107,7 +114,8 @@
         head = self._protocol.parse_response_head(status, headers)
         verdict = judge(call_id, head, needs_stamp)
         if verdict not in UNATTRIBUTED_VERDICTS:
-            self._listener.record(endpoint, status, headers)
+            has_run = verdict is Verdict.RUN
+            self._listener.record(endpoint, status, headers, has_run)
         if verdict is Verdict.RUN:
             return head
         self._record(call_id, endpoint, head, verdict, exchange.connection)
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -195,6 +195,7 @@
                 job.request.body,
                 self._timeout_ms(job),
             )
+            self._notices.count_sent(endpoint, len(job.tried_ids) > 1)
             head = self._checker.check(job.call.call_id, endpoint, exchange)
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         now_ms = _now_ms()
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -236,13 +236,21 @@
     :param is_leaving: whether it leaves and should get no new requests
     :param pause_ms: how long it wants no requests from this host, 0 for no
         pause
+    :param limit_per_s: how many requests a second it takes from all hosts
+        together, None if it names no limit
     """
 
-    __slots__ = ('is_leaving', 'pause_ms')
+    __slots__ = ('is_leaving', 'pause_ms', 'limit_per_s')
 
-    def __init__(self, is_leaving: bool = False, pause_ms: int = 0):
+    def __init__(
+        self,
+        is_leaving: bool = False,
+        pause_ms: int = 0,
+        limit_per_s: float | None = None,
+    ):
         self.is_leaving = is_leaving
         self.pause_ms = pause_ms
+        self.limit_per_s = limit_per_s
 
 
 class EndpointProtocol(typing.Protocol):
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -92,8 +92,11 @@
 
     def parse_notice(self, status, headers):
         fields = dict(headers)
+        limit_per_s = fields.get('Limit-Per-S')
         return ports.EndpointNotice(
-            'Leaving' in fields, int(fields.get('Pause-Ms', 0))
+            'Leaving' in fields,
+            int(fields.get('Pause-Ms', 0)),
+            None if limit_per_s is None else float(limit_per_s),
         )
 
     def read_handle(self, body):
--- a/libs/gateway/tests/test_answer_checks.py
+++ b/libs/gateway/tests/test_answer_checks.py
@@ -122,7 +122,7 @@
     def __init__(self):
         self.record_count = 0
 
-    def record(self, endpoint, status, headers):
+    def record(self, endpoint, status, headers, has_run):
         self.record_count += 1
 
 
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -426,7 +426,9 @@
         self.notices = fakes.make_notices(state)
 
         def serve(request, reply):
-            self.notices.record(prefill, 503, [('Pause-Ms', '30000')])
+            self.notices.record(
+                prefill, 503, [('Pause-Ms', '30000')], has_run=False
+            )
             self.serve_prefill(request, reply)
 
         self.prefill.answer = serve
