LIMIT: hosts together keep the limits that plain servers name

Cause: nobody read the limit; each host balanced by load and latency alone (hypothesis 1: in the red test each of two hosts alone sent more than the whole limit, and no request was a repeat).

Class of fault: what an endpoint asks of the whole fleet is heard by one host at a time. Hosts now tell the leader what they hear, with the renewals and each question, and the leader tells all. Each request to such an endpoint, repeats too, needs a permit of the leader, from one token bucket of at most 4; without a leader the hosts keep to half of the limit, divided by their number. What finds no permit goes to another server, or is refused at once with a Retry-After at which there is room. The end of a limit is believed only in the answer of a server that ran the request.

Tests of gateway, coordination and routing pass.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -126,6 +126,7 @@
         """Registers the handlers for messages of entry hosts."""
         listener.handle(messages.Renew, self._handle_renew)
         listener.handle(messages.Admit, self._handle_admit)
+        listener.handle(messages.AskPermit, self._handle_ask_permit)
         listener.handle(messages.PrefillDone, self._handle_prefill_done)
         listener.handle(messages.Decoding, self._handle_decoding)
         listener.handle(messages.Finished, self._handle_finished)
@@ -417,6 +418,7 @@
             exhausted,
             self._exchange_endpoint_views(term, renewal),
             term.owner.quarantined_prompts(),
+            term.owner.exchange_limits(renewal.host, renewal.limits),
         )
 
     def _exchange_endpoint_views(
@@ -441,6 +443,11 @@
     ) -> wire_messages.Message | typing.Any:
         return self._require_serving_term().owner.admit(request)
 
+    def _handle_ask_permit(
+        self, ask: messages.AskPermit, link: peers.Connection
+    ) -> messages.PermitAnswer:
+        return self._require_serving_term().owner.give_permit(ask)
+
     def _handle_prefill_done(
         self, done: messages.PrefillDone, link: peers.Connection
     ) -> None:
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -9,6 +9,7 @@
 import typing
 
 from masticquay_gateway import calls
+from masticquay_gateway import endpoint_limits
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import forwards
@@ -23,6 +24,7 @@
 from masticquay_routing import choosers
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import named_limits
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_serving import counters
@@ -126,8 +128,18 @@
         )
         self._placer = placers.Placer(settings.name, self.link, self.state)
         self.quarantine = quarantines.Quarantine()
+        self._limits = endpoint_limits.EndpointLimits(
+            self.state,
+            self.registry,
+            endpoint_limits.PermitSource(settings.name, self.link),
+            self.link.renew_now,
+        )
         self._notices = notices.EndpointNotices(
-            endpoint_protocol, self.state, self.registry, self.link.renew_now
+            endpoint_protocol,
+            self.state,
+            self.registry,
+            self.link.renew_now,
+            self._limits,
         )
         self._pools = exchanges.ConnectionPools()
         self._chooser = choosers.Chooser(settings.place, random.Random())
@@ -240,6 +252,14 @@
         listed = [v for v in views if self.state.endpoint(v.endpoint_id)]
         self._chooser.apply_views(listed, time.monotonic_ns() // 1_000_000)
 
+    def report_limits(self) -> list[named_limits.LimitWord]:
+        """Returns what this host knows of the limits that endpoints name."""
+        return self._limits.report()
+
+    def apply_limits(self, words: list[named_limits.LimitWord]) -> None:
+        """Applies what the leader knows of them."""
+        self._limits.apply(words)
+
     def hosts(self) -> list[fleets.Host]:
         """Returns the hosts that callers may use."""
         hosts = list(self.state.hosts)
@@ -263,6 +283,7 @@
             self._chooser,
             budgets,
             self._notices,
+            self._limits,
             self.registry,
         )
         streamer = streams.Streamer(
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -4,6 +4,7 @@
 import time
 
 from masticquay_gateway import answers
+from masticquay_gateway import endpoint_limits
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
@@ -55,9 +56,11 @@
         chooser: choosers.Chooser,
         budgets: retries.RetryBudgets,
         endpoint_notices: notices.EndpointNotices,
+        limits: endpoint_limits.EndpointLimits,
         registry: counters.Registry,
     ):
         self._notices = endpoint_notices
+        self._limits = limits
         self._state = state
         self._protocol = protocol
         self._pools = pools
@@ -78,10 +81,12 @@
         self._budgets.record_request(job.service)
         error_response: Response | None = None
         while True:
-            endpoint = self._choose(job)
+            endpoint = None
+            if self._has_attempts_left(job):
+                endpoint = self._choose(job)
             if endpoint is None or job.remaining_ms <= 0:
                 return error_response or refusal or self._no_endpoint(job)
-            if job.tried_ids and not self._may_retry(job):
+            if job.tried_ids and not self._budgets.acquire(job.service):
                 return error_response or refusal or self._no_endpoint(job)
             job.tried_ids.add(endpoint.endpoint_id)
             outcome = self._attempt(job, endpoint)
@@ -98,22 +103,42 @@
 
     def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
         """Returns the refusal of a request that no endpoint may get."""
-        wait_ms = self._notices.refusal_ms(self._state.endpoints(job.service))
+        endpoints = self._state.endpoints(job.service)
+        wait_ms = self._notices.refusal_ms(endpoints)
         if wait_ms:
             return ports.Refusal(
                 ports.Reason.NOT_RUN, 'all endpoints leave or pause', wait_ms
             )
+        withheld_ids = self._notices.withheld_ids(job.service)
+        wait_ms = self._limits.plan_return_ms(
+            [e for e in endpoints if e.endpoint_id not in withheld_ids]
+        )
+        if wait_ms:
+            return ports.Refusal(
+                ports.Reason.NOT_RUN,
+                'all endpoints have reached the limits that they name',
+                wait_ms,
+            )
         return ports.Refusal(
             ports.Reason.NOT_RUN, 'no endpoint', RETRY_AFTER_MS
         )
 
     def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
-        return self._chooser.choose(
-            self._list_endpoints(job),
-            job.tried_ids | self._notices.withheld_ids(job.service),
-            _now_ms(),
-            repeatable=job.route.retryable,
-        )
+        """Chooses an endpoint and takes a permit if it names a limit."""
+        endpoints = self._list_endpoints(job)
+        excluded_ids = job.tried_ids | self._notices.withheld_ids(job.service)
+        excluded_ids |= self._limits.full_ids(endpoints)
+        while True:
+            endpoint = self._chooser.choose(
+                endpoints,
+                excluded_ids,
+                _now_ms(),
+                repeatable=job.route.retryable,
+            )
+            if endpoint is None or self._limits.take(endpoint):
+                return endpoint
+            # Another request has taken the last permit meanwhile.
+            excluded_ids.add(endpoint.endpoint_id)
 
     def _list_endpoints(self, job: jobs.Job) -> list[fleets.Endpoint]:
         """Returns the endpoints that may run a request.
@@ -127,10 +152,8 @@
         version = self._state.only_stream_version(job.service)
         return [e for e in endpoints if e.software_version == version]
 
-    def _may_retry(self, job: jobs.Job) -> bool:
-        if len(job.tried_ids) >= max(job.route.attempts, 1):
-            return False
-        return self._budgets.acquire(job.service)
+    def _has_attempts_left(self, job: jobs.Job) -> bool:
+        return len(job.tried_ids) < max(job.route.attempts, 1)
 
     def _should_retry(self, job: jobs.Job, response: Response) -> bool:
         return (
@@ -195,7 +218,7 @@
                 job.request.body,
                 self._timeout_ms(job),
             )
-            self._notices.count_sent(endpoint, len(job.tried_ids) > 1)
+            self._limits.count_sent(endpoint, len(job.tried_ids) > 1)
             head = self._checker.check(job.call.call_id, endpoint, exchange)
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         now_ms = _now_ms()
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -10,6 +10,7 @@
 
 from masticquay_gateway import fleet_states
 from masticquay_routing import messages
+from masticquay_routing import named_limits
 from masticquay_routing import stream_origins
 from masticquay_wire import dialers
 from masticquay_wire import errors as wire_errors
@@ -92,6 +93,12 @@
     def apply_endpoint_views(self, views: list[messages.EndpointView]) -> None:
         """Applies what all hosts together know of these endpoints."""
 
+    def report_limits(self) -> list[named_limits.LimitWord]:
+        """Returns what this host knows of the limits that endpoints name."""
+
+    def apply_limits(self, words: list[named_limits.LimitWord]) -> None:
+        """Applies what the leader knows of them."""
+
 
 class ControlLink:
     """Finds the leader, renews this host's session and receives updates.
@@ -329,6 +336,7 @@
         self._replica_addresses = renewed.controls[:MAX_REPLICAS]
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
+        self._report.apply_limits(renewed.limits)
         if renewed.term == self._term and not self._must_report_streams:
             self._report.set_quarantined_prompts(renewed.quarantined)
             return
@@ -383,6 +391,7 @@
             origins=origins,
             quarantined=quarantined,
             leaving=[] if is_searching else state.report_leaving(),
+            limits=[] if is_searching else self._report.report_limits(),
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/masticquay_gateway/notices.py
+++ b/libs/gateway/masticquay_gateway/notices.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from masticquay_gateway import endpoint_limits
 from masticquay_gateway import fleet_states
 from masticquay_gateway import ports
 from masticquay_routing import endpoint_notices
@@ -25,6 +26,7 @@
 
     :param on_leaving: called when an endpoint says for the first time that it
         leaves
+    :param limits: told of the limits that endpoints name
     """
 
     def __init__(
@@ -33,6 +35,7 @@
         state: fleet_states.FleetState,
         registry: counters.Registry,
         on_leaving: typing.Callable[[], None],
+        limits: endpoint_limits.EndpointLimits,
     ):
         self._protocol = protocol
         self._state = state
@@ -40,7 +43,7 @@
         self._on_leaving = on_leaving
         self._lock = threading.Lock()
         self._pauses = endpoint_notices.Pauses(random.Random())
-        self._limits_per_s: dict[str, float] = {}
+        self._limits = limits
 
     def record(
         self,
@@ -56,7 +59,7 @@
         """
         notice = self._protocol.parse_notice(status, headers)
         if has_run or notice.limit_per_s is not None:
-            self._record_limit(endpoint, notice.limit_per_s)
+            self._limits.record(endpoint, notice.limit_per_s)
         if notice.pause_ms:
             self._record_pause(endpoint, notice.pause_ms)
         if notice.is_leaving and self._state.record_leaving(endpoint):
@@ -69,17 +72,6 @@
             )
             self._on_leaving()
 
-    def count_sent(self, endpoint: fleets.Endpoint, is_repeat: bool) -> None:
-        """Counts a request to an endpoint if that names a limit."""
-        if endpoint.endpoint_id in self._limits_per_s:
-            self._registry.count(
-                'sent_to_limited',
-                'endpoint',
-                endpoint.endpoint_id,
-                'attempt',
-                'repeat' if is_repeat else 'first',
-            )
-
     def is_withheld(self, endpoint: fleets.Endpoint) -> bool:
         """Whether an endpoint may get no new request from this host now."""
         cause = self._cause(endpoint)
@@ -116,27 +108,6 @@
         with self._lock:
             return self._pauses.shortest_ms(endpoints, _now_ms())
 
-    def _record_limit(
-        self, endpoint: fleets.Endpoint, limit_per_s: float | None
-    ) -> None:
-        with self._lock:
-            previous_per_s = self._limits_per_s.pop(endpoint.endpoint_id, None)
-            if limit_per_s is not None:
-                self._limits_per_s[endpoint.endpoint_id] = limit_per_s
-        if limit_per_s == previous_per_s:
-            return
-        LOG.info(
-            'endpoint names no limit any more'
-            if limit_per_s is None
-            else 'endpoint names a limit',
-            extra={
-                'endpoint': endpoint.endpoint_id,
-                'service': endpoint.service,
-                'limit_per_s': limit_per_s,
-                'previous_per_s': previous_per_s,
-            },
-        )
-
     def _record_pause(self, endpoint: fleets.Endpoint, pause_ms: int) -> None:
         with self._lock:
             self._pauses.add(endpoint.endpoint_id, pause_ms, _now_ms())
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -5,6 +5,7 @@
 import time
 
 from masticquay_endpoints import interrupts
+from masticquay_gateway import endpoint_limits
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import forwards
@@ -14,6 +15,7 @@
 from masticquay_gateway import retries
 from masticquay_routing import choosers
 from masticquay_routing import fleets
+from masticquay_routing import messages
 from masticquay_routing import tables
 from masticquay_serving import counters
 from masticquay_serving import errors as serving_errors
@@ -158,28 +160,59 @@
         return is_new
 
 
-def make_notices(state):
+def make_notices(state, limits=None):
     """Returns notices that change the endpoints of a fake state."""
     return notices.EndpointNotices(
-        FakeProtocol(), state, counters.Registry(), lambda: None
+        FakeProtocol(),
+        state,
+        counters.Registry(),
+        lambda: None,
+        limits or make_limits(state),
+    )
+
+
+class FakePermits:
+    """Grants as many permits as the test sets."""
+
+    def __init__(self, granted=1_000_000, wait_ms=500, reachable=True):
+        self.granted = granted
+        self.wait_ms = wait_ms
+        self.is_reachable = reachable
+        self.asked = 0
+
+    def ask(self, limit):
+        self.asked += 1
+        if self.granted > 0:
+            self.granted -= 1
+            return messages.PermitAnswer(True, 0, 0)
+        return messages.PermitAnswer(False, self.wait_ms, self.wait_ms)
+
+
+def make_limits(state, permits=None):
+    """Returns limits whose permits come from the test."""
+    return endpoint_limits.EndpointLimits(
+        state, counters.Registry(), permits or FakePermits(), lambda: None
     )
 
 
-def make_forwarder(stack, state, endpoint_notices, slack=10, registry=None):
+def make_forwarder(
+    stack, state, endpoint_notices, slack=10, registry=None, limits=None
+):
     """Returns a forwarder with connections of its own.
 
     :param slack: what the retry budget allows beyond its share
     """
     pools = exchanges.ConnectionPools()
     stack.callback(pools.close)
-    limits = retries.RetryBudgetLimits(0.2, slack, 10_000)
+    budget = retries.RetryBudgetLimits(0.2, slack, 10_000)
     return forwards.Forwarder(
         state,
         FakeProtocol(),
         pools,
         choosers.Chooser('p1', random.Random(1)),
-        retries.RetryBudgets(limits, state),
+        retries.RetryBudgets(budget, state),
         endpoint_notices,
+        limits or make_limits(state),
         registry or counters.Registry(),
     )
 
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -47,6 +47,7 @@
             self.chooser,
             retries.RetryBudgets(limits, state),
             notices,
+            fakes.make_limits(state),
             self.registry,
         )
 
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -54,6 +54,12 @@
     def set_exhausted(self, exhausted):
         self.leader_found.set()
 
+    def report_limits(self):
+        return []
+
+    def apply_limits(self, grants):
+        pass
+
     def collect_endpoint_reports(self):
         return []
 
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -2,6 +2,7 @@
 
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleets
+from masticquay_routing import named_limits
 from masticquay_routing import queued_requests
 from masticquay_routing import stream_origins
 from masticquay_wire import messages
@@ -138,6 +139,7 @@
     :param quarantined: the parts of prompts that the host refuses, with the
         remaining time in ms; sent with ``running``
     :param leaving: the endpoints that told the host that they leave
+    :param limits: the limits that endpoints name
     """
 
     __slots__ = (
@@ -156,6 +158,7 @@
         'origins',
         'quarantined',
         'leaving',
+        'limits',
     )
 
     def __init__(
@@ -175,6 +178,7 @@
         origins: list[stream_origins.StreamOrigin] | None = None,
         quarantined: dict[str, int] | None = None,
         leaving: list[endpoint_notices.LeavingReport] | None = None,
+        limits: list[named_limits.LimitWord] | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -191,6 +195,7 @@
         self.origins = origins or []
         self.quarantined = quarantined or {}
         self.leaving = leaving or []
+        self.limits = limits or []
 
 
 @messages.register
@@ -217,6 +222,7 @@
     :param endpoint_views: on the endpoints of plain services that are in use
     :param quarantined: the parts of prompts to refuse, with the remaining time
         in ms
+    :param limits: the limits that endpoints name
     """
 
     __slots__ = (
@@ -225,6 +231,7 @@
         'exhausted',
         'endpoint_views',
         'quarantined',
+        'limits',
     )
 
     def __init__(
@@ -234,12 +241,14 @@
         exhausted: dict[str, int],
         endpoint_views: list[EndpointView] | None = None,
         quarantined: dict[str, int] | None = None,
+        limits: list[named_limits.LimitWord] | None = None,
     ):
         self.term = term
         self.controls = controls
         self.exhausted = exhausted
         self.endpoint_views = endpoint_views or []
         self.quarantined = quarantined or {}
+        self.limits = limits or []
 
 
 @messages.register
@@ -559,6 +568,32 @@
         self.age_ms = age_ms
 
 
+@messages.register
+class AskPermit(messages.Message):
+    """Asks the leader for a permit to send a request to an endpoint.
+
+    :param limit: what the host knows of the endpoint's limit
+    """
+
+    __slots__ = ('host', 'limit')
+
+    def __init__(self, host: str, limit: named_limits.LimitWord):
+        self.host = host
+        self.limit = limit
+
+
+@messages.register
+class PermitAnswer(messages.Message):
+    """The leader's answer; see ``shared_limits.Permit``."""
+
+    __slots__ = ('granted', 'wait_ms', 'return_ms')
+
+    def __init__(self, granted: bool, wait_ms: int, return_ms: int):
+        self.granted = granted
+        self.wait_ms = wait_ms
+        self.return_ms = return_ms
+
+
 @messages.register
 class JoinGroup(messages.Message):
     """A control replica asks to join the control group.
--- a/libs/routing/masticquay_routing/meters.py
+++ b/libs/routing/masticquay_routing/meters.py
@@ -38,6 +38,11 @@
         self.burst = burst
         self._level = min(self._level, burst)
 
+    def level(self, now_ms: int) -> float:
+        """Returns what may be charged now; negative if too much was."""
+        self._refill(now_ms)
+        return self._level
+
     def allows(self, cost: float, now_ms: int) -> bool:
         """Whether the level covers a cost.
 
