LIMIT, red tests: engines get more requests than the limits they name

The same cause elsewhere: the leader places model requests and does not heed limits. Real daemons and stand-in engines: 106 in 4 s at an engine that named 2 a second, 17 allowed.

--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -5,11 +5,14 @@
 from masticquay_coordination import owners
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
+from masticquay_routing import named_limits
 from masticquay_routing import stream_origins
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 from tests import fakes
 
+LIMIT_PER_S = 1.0
+
 
 class OwnerTest(unittest.TestCase):
     def setUp(self):
@@ -26,6 +29,27 @@
         placed = self.owner.admit(fakes.make_admit(1)).result(0)
         self.assertEqual('e0', placed.prefill_id)
 
+    # Guards against LIMIT at model engines, whose requests the leader places.
+    def test_engines_get_no_more_requests_than_the_limits_they_name(self):
+        words = [
+            named_limits.LimitWord(f'e{n}', 0, LIMIT_PER_S, 0)
+            for n in range(3)
+        ]
+        placed_count = 0
+        for number in range(40):
+            self.clock.advance_ms(100)
+            self.owner.exchange_limits('h1', words)
+            future = self.owner.admit(fakes.make_admit(number))
+            if not future.done():
+                self.owner.finish(messages.Finished('h1', 'llm', number, True))
+                continue
+            if isinstance(future.result(0), messages.Placed):
+                placed_count += 1
+                self.owner.finish(messages.Finished('h1', 'llm', number, True))
+        # Each of the two decode engines takes 4 s of its limit and 5 more.
+        self.assertLessEqual(placed_count, 2 * (4 * LIMIT_PER_S + 5))
+        self.assertGreaterEqual(placed_count, 2 * 3 * LIMIT_PER_S)
+
     def set_versions(self, *versions, possible=None):
         """Gives the decode engines e1, e2 these software versions."""
         engines = fakes.make_engines(1, 2)
