LIMIT: engines get no more requests than the limits they name

The same cause elsewhere: the leader placed model requests whatever limit an engine named, and hosts without a leader too. Placements now draw on the limit's one bucket, prefill and decode each, beside the permits of hosts; an engine without room is passed over. Without a leader hosts place within their small part. Orders of the leader count; the release of a handle, which ends by itself, is not sent to an engine that names a limit.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -25,6 +25,8 @@
 # Initial level of the token buckets under a new leader, as a fraction of the
 # burst. It does not know which requests its predecessor allowed last.
 SUCCESSOR_BURST_SHARE = 0.5
+# An engine gets an order and, before it, a question about its state.
+ORDER_REQUESTS = 2
 
 
 class Owner:
@@ -76,7 +78,7 @@
             self._stream_versions = stream_versions
             self._limits.apply_list(endpoints)
             for name, engine in self._engines.items():
-                pool = self._pools.setdefault(name, placements.Pool())
+                pool = self._pool(name)
                 self._balancers.setdefault(name, balances.RoleBalancer())
                 service_endpoints = [e for e in endpoints if e.service == name]
                 pool.set_engines(
@@ -251,9 +253,7 @@
         """Reserves capacity for the requests that an earlier leader placed."""
         with self._lock:
             for request in running:
-                pool = self._pools.setdefault(
-                    request.service, placements.Pool()
-                )
+                pool = self._pool(request.service)
                 self._balancers.setdefault(
                     request.service, balances.RoleBalancer()
                 )
@@ -316,6 +316,14 @@
             if future is not None:
                 future.set_result(answer)
 
+    def _pool(self, service: str) -> placements.Pool:
+        """Returns the pool of a service; the caller holds the lock."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = placements.Pool(limits=self._limits)
+            self._pools[service] = pool
+        return pool
+
     def _version_to_resume(
         self, request: messages.Admit, now_ms: int
     ) -> str | None:
@@ -359,6 +367,9 @@
                         pool, now_ms, engine.role_switch_ms
                     )
                 )
+            for order in planned:
+                endpoint_id = order.endpoint.endpoint_id
+                self._limits.charge(endpoint_id, now_ms, ORDER_REQUESTS)
         return planned
 
     def cancel_order(self, order: balances.RoleOrder) -> None:
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -126,7 +126,6 @@
             self.state,
             self,
         )
-        self._placer = placers.Placer(settings.name, self.link, self.state)
         self.quarantine = quarantines.Quarantine()
         self._limits = endpoint_limits.EndpointLimits(
             self.state,
@@ -134,6 +133,9 @@
             endpoint_limits.PermitSource(settings.name, self.link),
             self.link.renew_now,
         )
+        self._placer = placers.Placer(
+            settings.name, self.link, self.state, self._limits
+        )
         self._notices = notices.EndpointNotices(
             endpoint_protocol,
             self.state,
--- a/libs/gateway/masticquay_gateway/endpoint_limits.py
+++ b/libs/gateway/masticquay_gateway/endpoint_limits.py
@@ -152,6 +152,23 @@
             self._count_denied(endpoint_id)
         return granted
 
+    def has_room(self, endpoint_id: str, now_ms: int) -> bool:
+        """Whether this host may place a request on an engine without a leader.
+
+        :param now_ms: on the monotonic clock
+        """
+        with self._lock:
+            return not self._limits.is_full(
+                endpoint_id, now_ms, self._state.host_count, has_leader=False
+            )
+
+    def charge(self, endpoint_id: str, now_ms: int) -> None:
+        """Counts a request that this host places without a leader."""
+        with self._lock:
+            self._limits.take_without_leader(
+                endpoint_id, now_ms, self._state.host_count
+            )
+
     def plan_return_ms(self, endpoints: list[fleets.Endpoint]) -> int:
         """Returns when a request that none of them has room for may return.
 
--- a/libs/gateway/masticquay_gateway/local_placers.py
+++ b/libs/gateway/masticquay_gateway/local_placers.py
@@ -27,10 +27,17 @@
     It uses only this host's share of each engine's memory and of each rate,
     and chooses at random among equally good engines, as the other hosts know
     nothing of its placements.
+
+    :param limits: the limits that engines name, None if they name none
     """
 
-    def __init__(self, state: fleet_states.FleetState):
+    def __init__(
+        self,
+        state: fleet_states.FleetState,
+        limits: placements.RequestLimits | None = None,
+    ):
         self._state = state
+        self._limits = limits
         self._lock = threading.Lock()
         self._pools: dict[str, placements.Pool] = {}
         self._rate_limiter: meters.RateLimiter | None = None
@@ -123,7 +130,7 @@
         pool = self._pools.get(service)
         if pool is None:
             pool = self._pools[service] = placements.Pool(
-                random.Random(), LOCAL_PREFILL_SHARE
+                random.Random(), LOCAL_PREFILL_SHARE, self._limits
             )
         table = self._state.table
         engine = table.services[service].engine if table else None
--- a/libs/gateway/masticquay_gateway/notices.py
+++ b/libs/gateway/masticquay_gateway/notices.py
@@ -86,6 +86,11 @@
                 self._pauses.remaining_ms(endpoint.endpoint_id, _now_ms())
             )
 
+    def takes_releases(self, endpoint: fleets.Endpoint) -> bool:
+        """Whether an endpoint may get requests that no caller waits for."""
+        is_limited = self._limits.is_limited(endpoint)
+        return not is_limited and not self.is_pausing(endpoint)
+
     def withheld_ids(self, service: str) -> set[str]:
         """Returns the endpoints of a service that may get no new request."""
         withheld = set()
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -14,6 +14,7 @@
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import placements
 from masticquay_routing import queued_requests
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
@@ -72,18 +73,22 @@
 
 
 class Placer:
-    """Gets placements from the leader, or makes them without it."""
+    """Gets placements from the leader, or makes them without it.
+
+    :param limits: the limits that engines name, for placements without it
+    """
 
     def __init__(
         self,
         host: str,
         link: links.ControlLink,
         state: fleet_states.FleetState,
+        limits: placements.RequestLimits | None = None,
     ):
         self._host = host
         self._link = link
         self._state = state
-        self._local = local_placers.LocalPlacer(state)
+        self._local = local_placers.LocalPlacer(state, limits)
         self._lock = threading.Lock()
         self._placements: dict[int, RequestPlacement] = {}
         self._origins = stream_origins.StreamOrigins()
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -101,13 +101,13 @@
     def release_unused(self, stream: relays.RelayedStream) -> None:
         """Releases a stream's handle unless a decode engine has used it.
 
-        An engine that wants a pause gets no such request either: the handle
-        expires soon by itself.
+        An engine that wants a pause or names a limit gets no such request
+        either: the handle expires soon by itself.
         """
         handle, stream.handle = stream.handle, None
         if handle is None or stream.started:
             return
-        if not self._notices.is_pausing(handle.prefill):
+        if self._notices.takes_releases(handle.prefill):
             threading.Thread(
                 target=self._delete_handle, args=(handle,), daemon=True
             ).start()
--- a/libs/gateway/tests/test_endpoint_limits.py
+++ b/libs/gateway/tests/test_endpoint_limits.py
@@ -70,6 +70,18 @@
             self.run_job(forwarder)
         self.assertLessEqual(len(self.endpoints[0].requests), 1)
 
+    def test_engine_placed_on_without_a_leader_keeps_to_a_small_part(self):
+        self.make_forwarder(fakes.send_matching_response)
+        self.limits.record(self.endpoints[0].endpoint, 2.0)
+        placed_ms = []
+        for now_ms in range(0, 20_000, 100):
+            if self.limits.has_room('e0', now_ms):
+                self.limits.charge('e0', now_ms)
+                placed_ms.append(now_ms)
+        # Half of the limit, as this host is the only one.
+        self.assertGreaterEqual(len(placed_ms), 18)
+        self.assertLessEqual(len(placed_ms), 21)
+
     def test_no_permit_is_asked_for_a_request_without_attempts_left(self):
         def refuse(request, reply):
             fakes.send_matching_response(
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -9,6 +9,7 @@
 """
 
 import random
+import typing
 
 from masticquay_routing import ejections
 from masticquay_routing import engine_states
@@ -53,6 +54,27 @@
 ]
 
 
+class RequestLimits(typing.Protocol):
+    """The limits that engines name on the requests they get."""
+
+    def has_room(self, endpoint_id: str, now_ms: int) -> bool:
+        """Whether a request may be placed on an engine now."""
+
+    def charge(self, endpoint_id: str, now_ms: int) -> None:
+        """Counts a request that is placed on an engine."""
+
+
+class NoLimits:
+    """Limits of engines that name none."""
+
+    def has_room(self, endpoint_id: str, now_ms: int) -> bool:
+        """Whether a request may be placed on an engine now."""
+        return True
+
+    def charge(self, endpoint_id: str, now_ms: int) -> None:
+        """Counts a request that is placed on an engine."""
+
+
 class Pool:
     """The engines of one service, its queue and its reservations.
 
@@ -61,13 +83,16 @@
         knowing of each other.
     :param local_prefill_share: the part of the prompts that decode engines
         prefill themselves, chosen by ``randomness``
+    :param limits: the limits that engines name, None if they name none
     """
 
     def __init__(
         self,
         randomness: random.Random | None = None,
         local_prefill_share: float = 0.0,
+        limits: RequestLimits | None = None,
     ) -> None:
+        self._limits = NoLimits() if limits is None else limits
         self._randomness = randomness
         self._local_prefill_share = local_prefill_share
         self.engines: dict[str, engine_states.EngineState] = {}
@@ -268,6 +293,7 @@
                     engines = self._list_usable(now_ms)
                 placement = self._place(request, engines, failures, now_ms)
             if placement is not None:
+                self._charge_limits(placement, now_ms)
                 outcomes.append((request, placement))
                 engines = None
                 failures = failed_placements.FailedPlacements()
@@ -321,9 +347,20 @@
         )
 
     def _list_usable(self, now_ms: int) -> usable_engines.UsableEngines:
-        return usable_engines.UsableEngines(
-            self.engines, now_ms, self._randomness
-        )
+        engines = {
+            endpoint_id: state
+            for endpoint_id, state in self.engines.items()
+            if self._limits.has_room(endpoint_id, now_ms)
+        }
+        return usable_engines.UsableEngines(engines, now_ms, self._randomness)
+
+    def _charge_limits(
+        self, placement: queued_requests.Placement, now_ms: int
+    ) -> None:
+        """Counts the requests that a placement sends to engines."""
+        for endpoint in (placement.prefill, placement.decode):
+            if endpoint is not None:
+                self._limits.charge(endpoint.endpoint_id, now_ms)
 
     def _place(
         self,
