BUDGET, observability: an endpoint's end under a request is logged by key

The incident's hypotheses could not be told apart: attempt failed named neither path, caller nor body, nor whether the server still took connections. Each host now asks for a connection when a plain server breaks a request off; if it is refused, the line endpoint ended under a request names the key that all requests with the same path, caller and body share, and a counter goes up. Nothing is decided by it yet.

--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -13,6 +13,8 @@
 # Endpoints are a few milliseconds away, so one that does not accept the
 # connection within this time counts as unreachable.
 CONNECT_TIMEOUT_MS = 400
+# A host without a listener refuses a connection within a round trip.
+REFUSAL_TIMEOUT_MS = 150
 
 
 class ConnectionPools:
@@ -59,14 +61,39 @@
 
 def accepts_connections(endpoint: fleets.Endpoint) -> bool:
     """Whether an endpoint accepts a new connection, which is closed again."""
-    host, _, port = endpoint.address.rpartition(':')
     try:
-        with socket.create_connection(
-            (host, int(port)), CONNECT_TIMEOUT_MS / 1000
-        ):
-            return True
+        _connect(endpoint, CONNECT_TIMEOUT_MS)
+    except OSError:
+        return False
+    return True
+
+
+def refuses_connections(endpoint: fleets.Endpoint) -> bool:
+    """Whether an endpoint's host is there but no process listens.
+
+    So it is when the endpoint has ended. One that is cut off does not react
+    at all.
+    """
+    try:
+        _connect(endpoint, REFUSAL_TIMEOUT_MS)
+    except ConnectionRefusedError:
+        return True
     except OSError:
         return False
+    return False
+
+
+def broke_off(cause: Exception) -> bool:
+    """Whether an endpoint that had a request ended its connection."""
+    if isinstance(cause, (NotSentError, StalledError, InterruptedCallError)):
+        return False
+    return isinstance(cause, EndpointError)
+
+
+def _connect(endpoint: fleets.Endpoint, timeout_ms: int) -> None:
+    host, _, port = endpoint.address.rpartition(':')
+    with socket.create_connection((host, int(port)), timeout_ms / 1000):
+        pass
 
 
 def response_headers(exchange: connections.Exchange) -> ports.Headers:
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
 from masticquay_gateway import ports
+from masticquay_gateway import request_keys
 from masticquay_gateway import retries
 from masticquay_routing import choosers
 from masticquay_routing import endpoint_statistics
@@ -195,11 +196,30 @@
         except exchanges.EndpointError as cause:
             statistics.record_failure(_now_ms())
             outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
+            if exchanges.broke_off(cause):
+                self._record_if_ended(job, endpoint)
         finally:
             statistics.end()
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
+    def _record_if_ended(
+        self, job: jobs.Job, endpoint: fleets.Endpoint
+    ) -> None:
+        """Records an endpoint that broke a request off because it ended."""
+        if not exchanges.refuses_connections(endpoint):
+            return
+        self._registry.count('endpoints_ended', 'service', job.service)
+        LOG.warning(
+            'endpoint ended under a request',
+            extra={
+                'call': job.call.call_id,
+                'endpoint': endpoint.endpoint_id,
+                'attempt': len(job.tried_ids),
+                'request': request_keys.key_of(job),
+            },
+        )
+
     def _exchange(
         self,
         job: jobs.Job,
--- /dev/null
+++ b/libs/gateway/masticquay_gateway/request_keys.py
@@ -0,0 +1,20 @@
+"""Keys by which a request is known when it comes again at any host."""
+
+import hashlib
+
+from masticquay_gateway import jobs
+
+# Tells these keys from those of prompts.
+PREFIX = 'request:'
+DIGEST_BYTES = 16
+
+
+def key_of(job: jobs.Job) -> str:
+    """Returns the key of a request: the same path, caller and body."""
+    caller = job.workspace_name or job.call.api_key or ''
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (job.request.target.encode(), caller.encode()):
+        digest.update(len(part).to_bytes(4, 'big'))
+        digest.update(part)
+    digest.update(job.request.body)
+    return PREFIX + digest.hexdigest()
