BUDGET: a request under which servers end is kept from further ones

Cause: nobody related the ends to what the requests had in common; each copy, at any host and repeat, went to a server that worked. Class of fault: a failure is charged to the place where it shows, so that balancing and repeats spread it.

A request is known by path, caller and body. A plain server that breaks one off and then refuses connections has ended; the host reports it, and the request is a suspect for all hosts. One copy of a suspect runs at a time in the whole fleet, by leave of the leader; an answer clears it. After the first end and those of two trials all hosts refuse it at once, as they refuse harmful prompts, and tell the next leader what they know. Copies that ran beside others prove nothing beyond the first end, as many servers may crash at a time.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -13,12 +13,14 @@
 from masticquay_coordination import orders
 from masticquay_coordination import owners
 from masticquay_coordination import ports
+from masticquay_coordination import request_watches
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleet_views
 from masticquay_routing import fleets
+from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import software_versions
 from masticquay_routing import tables
@@ -63,6 +65,7 @@
         'software_versions',
         'listed',
         'leaving',
+        'requests',
     )
 
     def __init__(
@@ -70,12 +73,14 @@
         number: int,
         owner: owners.Owner,
         host_sessions: sessions.Sessions,
+        requests: request_watches.RequestWatch,
         started_ms: int,
         first: bool,
     ):
         self.number = number
         self.owner = owner
         self.sessions = host_sessions
+        self.requests = requests
         self.started_ms = started_ms
         self.first = first
         self.table_version = -1
@@ -127,6 +132,11 @@
         listener.handle(messages.Renew, self._handle_renew)
         listener.handle(messages.Admit, self._handle_admit)
         listener.handle(messages.AskPermit, self._handle_ask_permit)
+        listener.handle(messages.AskTrial, self._handle_ask_trial)
+        listener.handle(messages.TrialEnded, self._handle_trial_ended)
+        listener.handle(
+            messages.EndedUnderRequest, self._handle_ended_under_request
+        )
         listener.handle(messages.PrefillDone, self._handle_prefill_done)
         listener.handle(messages.Decoding, self._handle_decoding)
         listener.handle(messages.Finished, self._handle_finished)
@@ -322,6 +332,7 @@
         if term is not None:
             gauges['hosts_in_touch'] = len(term.sessions.host_names)
             gauges.update(term.owner.gauges())
+            gauges.update(term.requests.gauges())
         return gauges
 
     def _begin_term(self, number: int) -> LeaderTerm:
@@ -330,6 +341,7 @@
             number,
             owners.Owner(number, self._clock, first),
             sessions.Sessions(number, self._machine, self._clock),
+            request_watches.RequestWatch(self._clock),
             self._clock.now_ms(),
             first,
         )
@@ -408,7 +420,9 @@
         if renewal.leaving:
             self._add_leaving(renewal, term)
         if renewal.quarantined:
-            term.owner.adopt_quarantined(renewal.quarantined)
+            prompts, requests = harmful_prompts.split_keys(renewal.quarantined)
+            term.owner.adopt_quarantined(prompts)
+            term.requests.adopt(requests)
         exhausted = term.owner.charge(renewal.usage)
         members = self._node.status().members
         controls = [member.member.address for member in members]
@@ -417,8 +431,9 @@
             controls,
             exhausted,
             self._exchange_endpoint_views(term, renewal),
-            term.owner.quarantined_prompts(),
+            term.owner.quarantined_prompts() | term.requests.quarantined(),
             term.owner.exchange_limits(renewal.host, renewal.limits),
+            term.requests.suspects(),
         )
 
     def _exchange_endpoint_views(
@@ -448,6 +463,23 @@
     ) -> messages.PermitAnswer:
         return self._require_serving_term().owner.give_permit(ask)
 
+    def _handle_ask_trial(
+        self, ask: messages.AskTrial, link: peers.Connection
+    ) -> messages.TrialAnswer:
+        return self._require_serving_term().requests.begin_trial(ask)
+
+    def _handle_trial_ended(
+        self, ended: messages.TrialEnded, link: peers.Connection
+    ) -> None:
+        if self._term is not None:
+            self._term.requests.end_trial(ended)
+
+    def _handle_ended_under_request(
+        self, ended: messages.EndedUnderRequest, link: peers.Connection
+    ) -> None:
+        if self._term is not None:
+            self._term.requests.record_end(ended)
+
     def _handle_prefill_done(
         self, done: messages.PrefillDone, link: peers.Connection
     ) -> None:
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -18,6 +18,7 @@
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
+from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_gateway import streams
 from masticquay_gateway import usages
@@ -30,6 +31,7 @@
 from masticquay_serving import counters
 from masticquay_serving import disconnects
 from masticquay_serving import http_servers
+from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
@@ -127,6 +129,11 @@
             self,
         )
         self.quarantine = quarantines.Quarantine()
+        self._watch = request_watches.RequestWatch(
+            settings.name,
+            self.quarantine,
+            request_watches.LeaderTrials(settings.name, self.link),
+        )
         self._limits = endpoint_limits.EndpointLimits(
             self.state,
             self.registry,
@@ -220,9 +227,13 @@
         """Returns the placed requests that this host is running."""
         return self._placer.running_requests()
 
-    def recent_ends(self) -> list[messages.EndpointTrouble]:
-        """Returns the ends of engines that the host has reported."""
-        return self._placer.recent_ends()
+    def recent_ends(self) -> list[wire_messages.Message]:
+        """Returns the ends of endpoints that the host has reported."""
+        return [*self._placer.recent_ends(), *self._watch.recent_ends()]
+
+    def apply_suspects(self, suspects: list[str]) -> None:
+        """Replaces the requests of which one copy may run at a time."""
+        self._watch.apply_suspects(suspects)
 
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts of prompts to refuse, with the time left in ms."""
@@ -286,6 +297,7 @@
             budgets,
             self._notices,
             self._limits,
+            self._watch,
             self.registry,
         )
         streamer = streams.Streamer(
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -11,7 +11,7 @@
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
 from masticquay_gateway import ports
-from masticquay_gateway import request_keys
+from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_routing import choosers
 from masticquay_routing import endpoint_statistics
@@ -58,10 +58,12 @@
         budgets: retries.RetryBudgets,
         endpoint_notices: notices.EndpointNotices,
         limits: endpoint_limits.EndpointLimits,
+        watch: request_watches.RequestWatch,
         registry: counters.Registry,
     ):
         self._notices = endpoint_notices
         self._limits = limits
+        self._watch = watch
         self._state = state
         self._protocol = protocol
         self._pools = pools
@@ -81,16 +83,16 @@
         refusal: ports.Refusal | None = None
         self._budgets.record_request(job.service)
         error_response: Response | None = None
-        while True:
-            endpoint = None
-            if self._has_attempts_left(job):
-                endpoint = self._choose(job)
-            if endpoint is None or job.remaining_ms <= 0:
-                return error_response or refusal or self._no_endpoint(job)
-            if job.tried_ids and not self._budgets.acquire(job.service):
-                return error_response or refusal or self._no_endpoint(job)
-            job.tried_ids.add(endpoint.endpoint_id)
-            outcome = self._attempt(job, endpoint)
+        while self._has_attempts_left(job):
+            with self._watch.begin(job) as watched:
+                if watched.wait_ms:
+                    refused = _harmful_refusal(watched.wait_ms)
+                    joined = ports.join_refusals(refusal, refused)
+                    return error_response or joined
+                outcome = self._run_once(job, watched.is_trial)
+                watched.survived = isinstance(outcome, Response)
+            if outcome is None:
+                break
             if isinstance(outcome, Response):
                 if not self._should_retry(job, outcome):
                     return outcome
@@ -101,6 +103,22 @@
                 continue
             if not job.route.retryable:
                 return outcome
+        return error_response or refusal or self._no_endpoint(job)
+
+    def _run_once(
+        self, job: jobs.Job, is_trial: bool
+    ) -> Response | ports.Refusal | None:
+        """Makes one attempt; returns None if no endpoint may get one.
+
+        :param is_trial: whether no other copy of the request runs meanwhile
+        """
+        endpoint = self._choose(job)
+        if endpoint is None or job.remaining_ms <= 0:
+            return None
+        if job.tried_ids and not self._budgets.acquire(job.service):
+            return None
+        job.tried_ids.add(endpoint.endpoint_id)
+        return self._attempt(job, endpoint, is_trial)
 
     def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
         """Returns the refusal of a request that no endpoint may get."""
@@ -164,7 +182,7 @@
         )
 
     def _attempt(
-        self, job: jobs.Job, endpoint: fleets.Endpoint
+        self, job: jobs.Job, endpoint: fleets.Endpoint, is_trial: bool
     ) -> Response | ports.Refusal:
         statistics = self._chooser.statistics(endpoint.endpoint_id)
         statistics.begin()
@@ -197,18 +215,19 @@
             statistics.record_failure(_now_ms())
             outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
             if exchanges.broke_off(cause):
-                self._record_if_ended(job, endpoint)
+                self._record_if_ended(job, endpoint, is_trial)
         finally:
             statistics.end()
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
     def _record_if_ended(
-        self, job: jobs.Job, endpoint: fleets.Endpoint
+        self, job: jobs.Job, endpoint: fleets.Endpoint, is_trial: bool
     ) -> None:
         """Records an endpoint that broke a request off because it ended."""
         if not exchanges.refuses_connections(endpoint):
             return
+        key = self._watch.record_end(job, endpoint, is_trial)
         self._registry.count('endpoints_ended', 'service', job.service)
         LOG.warning(
             'endpoint ended under a request',
@@ -216,7 +235,7 @@
                 'call': job.call.call_id,
                 'endpoint': endpoint.endpoint_id,
                 'attempt': len(job.tried_ids),
-                'request': request_keys.key_of(job),
+                'request': key,
             },
         )
 
@@ -307,6 +326,12 @@
     reply.send(response.status, response.headers, response.body)
 
 
+def _harmful_refusal(wait_ms: int) -> ports.Refusal:
+    return ports.Refusal(
+        ports.Reason.NOT_RUN, 'endpoints ended under this request', wait_ms
+    )
+
+
 def _timeout_cause(cause: exchanges.StalledError) -> str:
     if isinstance(cause, exchanges.ExchangeTimeoutError):
         return CAUSE_UNFINISHED
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -71,8 +71,11 @@
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
         """Returns where the host's recent streams began."""
 
-    def recent_ends(self) -> list[messages.EndpointTrouble]:
-        """Returns the ends of engines that the host has reported."""
+    def recent_ends(self) -> list[wire_messages.Message]:
+        """Returns the ends of endpoints that the host has reported."""
+
+    def apply_suspects(self, suspects: list[str]) -> None:
+        """Replaces the requests of which one copy may run at a time."""
 
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts of prompts to refuse, with the time left in ms."""
@@ -337,6 +340,7 @@
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
         self._report.apply_limits(renewed.limits)
+        self._report.apply_suspects(renewed.suspects)
         if renewed.term == self._term and not self._must_report_streams:
             self._report.set_quarantined_prompts(renewed.quarantined)
             return
--- a/libs/gateway/masticquay_gateway/quarantines.py
+++ b/libs/gateway/masticquay_gateway/quarantines.py
@@ -1,4 +1,4 @@
-"""Prompts that this host refuses because engines ended on them."""
+"""Prompts and requests that this host refuses as endpoints ended on them."""
 
 import threading
 import time
@@ -13,6 +13,7 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._until_ms: dict[str, int] = {}
+        self._has_requests = False
 
     def apply(self, quarantined: dict[str, int]) -> None:
         """Replaces the quarantined parts.
@@ -23,6 +24,17 @@
         until_ms = {part: now_ms + ms for part, ms in quarantined.items()}
         with self._lock:
             self._until_ms = until_ms
+            self._has_requests = bool(harmful_prompts.split_keys(until_ms)[1])
+
+    @property
+    def has_requests(self) -> bool:
+        """Whether whole requests are refused."""
+        return self._has_requests
+
+    def wait_ms_of(self, key: str) -> int:
+        """Returns for how long a whole request is to be refused."""
+        with self._lock:
+            return max(0, self._until_ms.get(key, 0) - _now_ms())
 
     def remaining(self) -> dict[str, int]:
         """Returns the quarantined parts with the remaining time in ms."""
--- a/libs/gateway/masticquay_gateway/request_keys.py
+++ b/libs/gateway/masticquay_gateway/request_keys.py
@@ -3,9 +3,8 @@
 import hashlib
 
 from masticquay_gateway import jobs
+from masticquay_routing import harmful_prompts
 
-# Tells these keys from those of prompts.
-PREFIX = 'request:'
 DIGEST_BYTES = 16
 
 
@@ -17,4 +16,4 @@
         digest.update(len(part).to_bytes(4, 'big'))
         digest.update(part)
     digest.update(job.request.body)
-    return PREFIX + digest.hexdigest()
+    return harmful_prompts.REQUEST_PREFIX + digest.hexdigest()
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -12,6 +12,8 @@
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
 from masticquay_gateway import ports
+from masticquay_gateway import quarantines
+from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_routing import choosers
 from masticquay_routing import fleets
@@ -195,8 +197,42 @@
     )
 
 
+class FakeTrials:
+    """Answers as the test sets, and keeps what it is told."""
+
+    def __init__(self, wait_ms=0, reachable=True):
+        self.wait_ms = wait_ms
+        self.is_reachable = reachable
+        self.asked = []
+        self.ended = []
+        self.reports = []
+
+    def ask(self, key):
+        self.asked.append(key)
+        return self.wait_ms
+
+    def end(self, key, survived):
+        self.ended.append((key, survived))
+
+    def report(self, ended):
+        self.reports.append(ended)
+
+
+def make_watch(trials=None, quarantine=None):
+    """Returns a watch whose trials are allowed by the test."""
+    return request_watches.RequestWatch(
+        'h1', quarantine or quarantines.Quarantine(), trials or FakeTrials()
+    )
+
+
 def make_forwarder(
-    stack, state, endpoint_notices, slack=10, registry=None, limits=None
+    stack,
+    state,
+    endpoint_notices,
+    slack=10,
+    registry=None,
+    limits=None,
+    watch=None,
 ):
     """Returns a forwarder with connections of its own.
 
@@ -213,6 +249,7 @@
         retries.RetryBudgets(budget, state),
         endpoint_notices,
         limits or make_limits(state),
+        watch or make_watch(),
         registry or counters.Registry(),
     )
 
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -48,6 +48,7 @@
             retries.RetryBudgets(limits, state),
             notices,
             fakes.make_limits(state),
+            fakes.make_watch(),
             self.registry,
         )
 
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -57,7 +57,10 @@
     def report_limits(self):
         return []
 
-    def apply_limits(self, grants):
+    def apply_limits(self, words):
+        pass
+
+    def apply_suspects(self, suspects):
         pass
 
     def collect_endpoint_reports(self):
--- a/libs/routing/masticquay_routing/harmful_prompts.py
+++ b/libs/routing/masticquay_routing/harmful_prompts.py
@@ -10,6 +10,10 @@
 quarantined; of those that explain equally many, the one that the fewest
 requests have, as sound prompts share the others. What it explains is no longer
 held against other parts.
+
+A whole request may end endpoints in the same way, of plain services too. It
+has no parts, and its key tells it when it comes again. After the first end it
+is a suspect, of which one copy runs at a time.
 """
 
 import collections
@@ -24,6 +28,15 @@
 MIN_PROMPTS = 2
 # A single prompt is refused after this many ends.
 MIN_ENDS_OF_PROMPT = 2
+# A whole request is refused after this many ends: the first, and those of the
+# trials that follow.
+MIN_ENDS_OF_REQUEST = 3
+# Begins the keys of whole requests.
+REQUEST_PREFIX = 'request:'
+# Suspects that hosts are told of, those with the latest ends.
+MAX_SUSPECTS = 50
+# A request under which no endpoint has ended for this long is no suspect.
+SUSPICION_MS = 120_000
 # Two parts that explain as many ends are told apart by the number of requests
 # only if it differs by more than this.
 RIVAL_REQUESTS = 2
@@ -116,6 +129,18 @@
         if not any(end.is_same(other) for other in self.ends):
             self.ends.append(end)
 
+    @property
+    def suspected_ms(self) -> int:
+        """When the last end or quarantine was, 0 if there is none."""
+        ended_ms = self.ends[-1].reported_ms if self.ends else 0
+        return max(ended_ms, self.quarantined_until_ms)
+
+    def is_suspect(self, now_ms: int) -> bool:
+        """Whether engines may still end on it."""
+        if not self.ends and not self.quarantine_ms:
+            return False
+        return now_ms - self.suspected_ms <= SUSPICION_MS
+
     def drop_ends(self, explained: list[_End]) -> None:
         """Drops the ends that another part explains."""
         self.ends = [
@@ -133,11 +158,16 @@
 
 
 class HarmfulPrompts:
-    """Finds and quarantines the parts of prompts that end engines."""
+    """Finds and quarantines what ends engines: parts, prompts or requests.
 
-    __slots__ = ('_entries', '_with_ends')
+    :param min_ends_of_prompt: a single prompt, or a whole request, is
+        quarantined after this many ends
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_entries', '_with_ends', '_min_ends_of_prompt')
+
+    def __init__(self, min_ends_of_prompt: int = MIN_ENDS_OF_PROMPT) -> None:
+        self._min_ends_of_prompt = min_ends_of_prompt
         # Those that ends are held against.
         self._with_ends: dict[str, _Evidence] = {}
         # The one that was updated last is at the end.
@@ -162,16 +192,26 @@
                 self._with_ends.pop(part, None)
 
     def add_end(
-        self, prompt: Prompt, endpoint_id: str, now_ms: int, age_ms: int = 0
+        self,
+        prompt: Prompt,
+        endpoint_id: str,
+        now_ms: int,
+        age_ms: int = 0,
+        is_trial: bool | None = None,
     ) -> list[str]:
         """Records the end of an engine that began to write an answer.
 
         :param age_ms: how long ago it was reported first
+        :param is_trial: whether the copy of a whole request was the only one
+            that ran. Other copies make it a suspect and prove no more, as many
+            endpoints may end at a time. None for prompts
         :returns: what is quarantined because of it
         """
         end = _End(endpoint_id, now_ms - age_ms)
         if self._is_explained(end, prompt):
             return []
+        if is_trial is False and self._has_ends(prompt.key):
+            return []
         for part in prompt.ids:
             evidence = self._entry(part, now_ms)
             evidence.add_end(end, prompt.key)
@@ -182,7 +222,8 @@
             found.append(culprit)
         if prompt.key:
             own = self._entries[prompt.key]
-            if len(own.ends) >= MIN_ENDS_OF_PROMPT:
+            needed = 1 if own.quarantine_ms else self._min_ends_of_prompt
+            if len(own.ends) >= needed:
                 found.append(prompt.key)
         for part in found:
             self._quarantine(part, now_ms)
@@ -207,6 +248,37 @@
             if evidence is not None and evidence.quarantine_ms:
                 evidence.probe_until_ms = now_ms + PROBE_MS
 
+    def begin_trial(self, key: str, now_ms: int) -> int:
+        """Lets one copy of a suspect run.
+
+        :returns: 0 if it may run, else the time in ms until one may
+        """
+        self._drop_old(now_ms)
+        evidence = self._entries.get(key)
+        if evidence is None or not evidence.is_suspect(now_ms):
+            return 0
+        until_ms = max(evidence.quarantined_until_ms, evidence.probe_until_ms)
+        if until_ms > now_ms:
+            return until_ms - now_ms
+        evidence.probe_until_ms = now_ms + PROBE_MS
+        return 0
+
+    def end_trial(self, key: str) -> None:
+        """Records that the copy of a suspect that ran has ended."""
+        evidence = self._entries.get(key)
+        if evidence is not None:
+            evidence.probe_until_ms = 0
+
+    def suspects(self, now_ms: int) -> list[str]:
+        """Returns what must be tried one at a time."""
+        latest = sorted(
+            (-evidence.suspected_ms, key)
+            for key, evidence in self._entries.items()
+            if evidence.is_suspect(now_ms)
+            and evidence.quarantined_until_ms <= now_ms
+        )
+        return [key for _, key in latest[:MAX_SUSPECTS]]
+
     def quarantined(self, now_ms: int) -> dict[str, int]:
         """Returns the remaining time in ms of each quarantine."""
         return {
@@ -225,6 +297,10 @@
             )
             evidence.quarantine_ms = max(evidence.quarantine_ms, QUARANTINE_MS)
 
+    def _has_ends(self, key: str) -> bool:
+        evidence = self._entries.get(key)
+        return evidence is not None and bool(evidence.ends)
+
     def _is_explained(self, end: _End, prompt: Prompt) -> bool:
         """Whether an end came under a quarantined part of other prompts."""
         return any(
@@ -311,3 +387,18 @@
     return (
         len(evidence.ends) >= MIN_ENDS and len(evidence.prompts) >= MIN_PROMPTS
     )
+
+
+def split_keys(
+    quarantined: dict[str, int],
+) -> tuple[dict[str, int], dict[str, int]]:
+    """Returns the entries of prompts and their parts, and of requests."""
+    requests = {
+        key: ms
+        for key, ms in quarantined.items()
+        if key.startswith(REQUEST_PREFIX)
+    }
+    prompts = {
+        key: ms for key, ms in quarantined.items() if key not in requests
+    }
+    return prompts, requests
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -223,6 +223,8 @@
     :param quarantined: the parts of prompts to refuse, with the remaining time
         in ms
     :param limits: the limits that endpoints name
+    :param suspects: keys of requests under which endpoints ended; the leader
+        lets one copy of each run at a time
     """
 
     __slots__ = (
@@ -232,6 +234,7 @@
         'endpoint_views',
         'quarantined',
         'limits',
+        'suspects',
     )
 
     def __init__(
@@ -242,6 +245,7 @@
         endpoint_views: list[EndpointView] | None = None,
         quarantined: dict[str, int] | None = None,
         limits: list[named_limits.LimitWord] | None = None,
+        suspects: list[str] | None = None,
     ):
         self.term = term
         self.controls = controls
@@ -249,6 +253,7 @@
         self.endpoint_views = endpoint_views or []
         self.quarantined = quarantined or {}
         self.limits = limits or []
+        self.suspects = suspects or []
 
 
 @messages.register
@@ -594,6 +599,71 @@
         self.return_ms = return_ms
 
 
+@messages.register
+class EndedUnderRequest(messages.Message):
+    """A plain service's endpoint ended under a request.
+
+    :param key: the key of the request, see ``gateway.request_keys``
+    :param is_trial: whether the leader had let this copy run alone
+    :param age_ms: how long ago it was, if an earlier leader was told before
+    """
+
+    __slots__ = ('host', 'endpoint_id', 'key', 'is_trial', 'age_ms')
+
+    def __init__(
+        self,
+        host: str,
+        endpoint_id: str,
+        key: str,
+        is_trial: bool,
+        age_ms: int = 0,
+    ):
+        self.host = host
+        self.endpoint_id = endpoint_id
+        self.key = key
+        self.is_trial = is_trial
+        self.age_ms = age_ms
+
+
+@messages.register
+class AskTrial(messages.Message):
+    """Asks the leader whether a copy of a suspect may run."""
+
+    __slots__ = ('host', 'key')
+
+    def __init__(self, host: str, key: str):
+        self.host = host
+        self.key = key
+
+
+@messages.register
+class TrialAnswer(messages.Message):
+    """The leader's answer.
+
+    :param wait_ms: 0 if the copy may run, else the time until one may
+    """
+
+    __slots__ = ('wait_ms',)
+
+    def __init__(self, wait_ms: int):
+        self.wait_ms = wait_ms
+
+
+@messages.register
+class TrialEnded(messages.Message):
+    """The copy of a suspect that ran has ended.
+
+    :param survived: whether an endpoint answered it and did not end
+    """
+
+    __slots__ = ('host', 'key', 'survived')
+
+    def __init__(self, host: str, key: str, survived: bool):
+        self.host = host
+        self.key = key
+        self.survived = survived
+
+
 @messages.register
 class JoinGroup(messages.Message):
     """A control replica asks to join the control group.
