--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -16,6 +16,7 @@
 from masticquay_gateway import prefills
 from masticquay_gateway import quarantines
 from masticquay_gateway import relays
+from masticquay_gateway import request_keys
 from masticquay_gateway import retries
 from masticquay_routing import fleets
 from masticquay_routing import messages
@@ -103,6 +104,8 @@
         :raises InterruptedCallError: if the caller disconnected
         """
         self._budgets.record_request(job.service)
+        if not job.call.prompt_key:
+            job.call.prompt_key = request_keys.prompt_key_of(job)
         stream = relays.RelayedStream()
         if job.call.resumes_stream:
             stream.software_version = self._placer.find_version(job)
