--- /dev/null
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -0,0 +1,144 @@
+"""Handlers of the messages that entry hosts send to the leader."""
+
+import logging
+import typing
+
+from masticquay_routing import harmful_prompts
+from masticquay_routing import messages
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import listeners
+from masticquay_wire import messages as wire_messages
+from masticquay_wire import peers
+
+if typing.TYPE_CHECKING:
+    from masticquay_coordination import leaderships
+
+LOG = logging.getLogger(__name__)
+
+
+class HostMessages:
+    """Passes each message on to the part of the leader that it is for.
+
+    A request is answered only by a leader that can serve. A notice that
+    reaches no leader is dropped.
+    """
+
+    def __init__(self, leadership: 'leaderships.Leadership'):
+        self._leadership = leadership
+
+    def register(self, listener: listeners.Listener) -> None:
+        """Registers the handlers at a listener."""
+        listener.handle(messages.Renew, self._handle_renew)
+        listener.handle(messages.Admit, self._handle_admit)
+        listener.handle(messages.AskPermit, self._handle_ask_permit)
+        listener.handle(messages.AskTrial, self._handle_ask_trial)
+        listener.handle(messages.TrialEnded, self._handle_trial_ended)
+        listener.handle(
+            messages.EndedUnderRequest, self._handle_ended_under_request
+        )
+        listener.handle(messages.PrefillDone, self._handle_prefill_done)
+        listener.handle(messages.Decoding, self._handle_decoding)
+        listener.handle(messages.Finished, self._handle_finished)
+        listener.handle(
+            messages.EndpointTrouble, self._handle_endpoint_trouble
+        )
+
+    def _handle_renew(
+        self, renewal: messages.Renew, link: peers.Connection
+    ) -> messages.Renewed:
+        try:
+            term = self._leadership.require_serving_term()
+        except wire_errors.RemoteError:
+            self._leadership.add_waiting_host(renewal.host, link)
+            raise
+        if term.sessions.renew(renewal, link):
+            term.owner.release_host(renewal.host)
+        if renewal.running:
+            term.owner.adopt(renewal.host, renewal.running)
+        term.owner.add_origins(renewal.origins)
+        if renewal.leaving:
+            self._leadership.add_leaving(renewal, term)
+        if renewal.quarantined:
+            prompts, requests = harmful_prompts.split_keys(renewal.quarantined)
+            term.owner.adopt_quarantined(prompts)
+            term.requests.adopt(requests)
+        exhausted = term.owner.charge(renewal.usage)
+        return messages.Renewed(
+            term.number,
+            self._leadership.members(),
+            exhausted,
+            self._leadership.exchange_endpoint_views(term, renewal),
+            term.owner.quarantined_prompts() | term.requests.quarantined(),
+            term.limits.exchange(renewal.host, renewal.limits),
+            term.requests.suspects(),
+        )
+
+    def _handle_admit(
+        self, request: messages.Admit, link: peers.Connection
+    ) -> wire_messages.Message | typing.Any:
+        return self._leadership.require_serving_term().owner.admit(request)
+
+    def _handle_ask_permit(
+        self, ask: messages.AskPermit, link: peers.Connection
+    ) -> messages.PermitAnswer:
+        return self._leadership.require_serving_term().limits.give_permit(ask)
+
+    def _handle_ask_trial(
+        self, ask: messages.AskTrial, link: peers.Connection
+    ) -> messages.TrialAnswer:
+        return self._leadership.require_serving_term().requests.begin_trial(
+            ask
+        )
+
+    def _handle_trial_ended(
+        self, ended: messages.TrialEnded, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is not None:
+            term.requests.end_trial(ended)
+
+    def _handle_ended_under_request(
+        self, ended: messages.EndedUnderRequest, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is not None:
+            term.requests.record_end(ended)
+
+    def _handle_prefill_done(
+        self, done: messages.PrefillDone, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is not None:
+            term.owner.finish_prefill(done)
+
+    def _handle_decoding(
+        self, decoding: messages.Decoding, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is not None:
+            term.owner.begin_decode(decoding)
+
+    def _handle_finished(
+        self, finished: messages.Finished, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is not None:
+            term.owner.finish(finished)
+
+    def _handle_endpoint_trouble(
+        self, trouble: messages.EndpointTrouble, link: peers.Connection
+    ) -> None:
+        term = self._leadership.term
+        if term is None:
+            return
+        LOG.warning(
+            'endpoint failed or refused a request',
+            extra={
+                'endpoint': trouble.endpoint_id,
+                'entry_host': trouble.host,
+                'reason': trouble.reason,
+                'has_ended': trouble.has_ended,
+                'prompt_parts': trouble.prompt_parts,
+            },
+        )
+        term.owner.record_failure(trouble)
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -5,11 +5,12 @@
 import logging
 import threading
 import time
-import typing
 
 from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
+from masticquay_coordination import endpoint_limits
 from masticquay_coordination import errors
+from masticquay_coordination import host_messages
 from masticquay_coordination import orders
 from masticquay_coordination import owners
 from masticquay_coordination import ports
@@ -20,14 +21,12 @@
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleet_views
 from masticquay_routing import fleets
-from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import software_versions
 from masticquay_routing import tables
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
-from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
@@ -65,6 +64,7 @@
         'software_versions',
         'listed',
         'leaving',
+        'limits',
         'requests',
     )
 
@@ -73,6 +73,7 @@
         number: int,
         owner: owners.Owner,
         host_sessions: sessions.Sessions,
+        limits: endpoint_limits.EndpointLimits,
         requests: request_watches.RequestWatch,
         started_ms: int,
         first: bool,
@@ -80,6 +81,7 @@
         self.number = number
         self.owner = owner
         self.sessions = host_sessions
+        self.limits = limits
         self.requests = requests
         self.started_ms = started_ms
         self.first = first
@@ -129,20 +131,7 @@
 
     def register(self, listener: listeners.Listener) -> None:
         """Registers the handlers for messages of entry hosts."""
-        listener.handle(messages.Renew, self._handle_renew)
-        listener.handle(messages.Admit, self._handle_admit)
-        listener.handle(messages.AskPermit, self._handle_ask_permit)
-        listener.handle(messages.AskTrial, self._handle_ask_trial)
-        listener.handle(messages.TrialEnded, self._handle_trial_ended)
-        listener.handle(
-            messages.EndedUnderRequest, self._handle_ended_under_request
-        )
-        listener.handle(messages.PrefillDone, self._handle_prefill_done)
-        listener.handle(messages.Decoding, self._handle_decoding)
-        listener.handle(messages.Finished, self._handle_finished)
-        listener.handle(
-            messages.EndpointTrouble, self._handle_endpoint_trouble
-        )
+        host_messages.HostMessages(self).register(listener)
 
     def change_role(self, is_leader: bool, term: int) -> None:
         """Starts or ends a term as leader; called by the consensus node."""
@@ -236,9 +225,10 @@
                 term.fleet_view.set_endpoints(endpoints)
             stream_versions = self._possible_versions(term)
             term.sessions.publish_endpoints(endpoints, stream_versions)
+            term.limits.apply_list(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
-    def _add_leaving(self, renewal: messages.Renew, term: LeaderTerm) -> None:
+    def add_leaving(self, renewal: messages.Renew, term: LeaderTerm) -> None:
         """Tells all hosts of endpoints that told one host that they leave.
 
         An endpoint's word on itself is believed at once: an answer of another
@@ -332,15 +322,18 @@
         if term is not None:
             gauges['hosts_in_touch'] = len(term.sessions.host_names)
             gauges.update(term.owner.gauges())
+            gauges.update(term.limits.gauges())
             gauges.update(term.requests.gauges())
         return gauges
 
     def _begin_term(self, number: int) -> LeaderTerm:
         first = self._node.replica.has_no_commands()
+        limits = endpoint_limits.EndpointLimits(self._clock)
         term = LeaderTerm(
             number,
-            owners.Owner(number, self._clock, first),
+            owners.Owner(number, self._clock, first, limits),
             sessions.Sessions(number, self._machine, self._clock),
+            limits,
             request_watches.RequestWatch(self._clock),
             self._clock.now_ms(),
             first,
@@ -382,12 +375,21 @@
 
     def _can_serve(self) -> bool:
         try:
-            self._require_serving_term()
+            self.require_serving_term()
         except wire_errors.RemoteError:
             return False
         return True
 
-    def _require_serving_term(self) -> LeaderTerm:
+    @property
+    def term(self) -> 'LeaderTerm | None':
+        """The present term as leader, None while another replica leads."""
+        return self._term
+
+    def require_serving_term(self) -> LeaderTerm:
+        """Returns the present term once it can serve.
+
+        :raises RemoteError: with the leader's address, if another one leads
+        """
         term = self._term
         if term is not None:
             try:
@@ -403,40 +405,17 @@
             messages.CODE_NOT_LEADER, leader.address if leader else ''
         )
 
-    def _handle_renew(
-        self, renewal: messages.Renew, link: peers.Connection
-    ) -> messages.Renewed:
-        try:
-            term = self._require_serving_term()
-        except wire_errors.RemoteError:
-            with self._lock:
-                self._waiting_hosts[renewal.host] = link
-            raise
-        if term.sessions.renew(renewal, link):
-            term.owner.release_host(renewal.host)
-        if renewal.running:
-            term.owner.adopt(renewal.host, renewal.running)
-        term.owner.add_origins(renewal.origins)
-        if renewal.leaving:
-            self._add_leaving(renewal, term)
-        if renewal.quarantined:
-            prompts, requests = harmful_prompts.split_keys(renewal.quarantined)
-            term.owner.adopt_quarantined(prompts)
-            term.requests.adopt(requests)
-        exhausted = term.owner.charge(renewal.usage)
+    def add_waiting_host(self, host: str, link: peers.Connection) -> None:
+        """Records a host to notify when this replica can serve."""
+        with self._lock:
+            self._waiting_hosts[host] = link
+
+    def members(self) -> list[str]:
+        """Returns the addresses of the control replicas."""
         members = self._node.status().members
-        controls = [member.member.address for member in members]
-        return messages.Renewed(
-            term.number,
-            controls,
-            exhausted,
-            self._exchange_endpoint_views(term, renewal),
-            term.owner.quarantined_prompts() | term.requests.quarantined(),
-            term.owner.exchange_limits(renewal.host, renewal.limits),
-            term.requests.suspects(),
-        )
+        return [member.member.address for member in members]
 
-    def _exchange_endpoint_views(
+    def exchange_endpoint_views(
         self, term: LeaderTerm, renewal: messages.Renew
     ) -> list[messages.EndpointView]:
         """Records what a host saw of endpoints; returns what all hosts did."""
@@ -452,65 +431,3 @@
                 extra={'endpoint': endpoint_id, 'entry_host': renewal.host},
             )
         return views
-
-    def _handle_admit(
-        self, request: messages.Admit, link: peers.Connection
-    ) -> wire_messages.Message | typing.Any:
-        return self._require_serving_term().owner.admit(request)
-
-    def _handle_ask_permit(
-        self, ask: messages.AskPermit, link: peers.Connection
-    ) -> messages.PermitAnswer:
-        return self._require_serving_term().owner.give_permit(ask)
-
-    def _handle_ask_trial(
-        self, ask: messages.AskTrial, link: peers.Connection
-    ) -> messages.TrialAnswer:
-        return self._require_serving_term().requests.begin_trial(ask)
-
-    def _handle_trial_ended(
-        self, ended: messages.TrialEnded, link: peers.Connection
-    ) -> None:
-        if self._term is not None:
-            self._term.requests.end_trial(ended)
-
-    def _handle_ended_under_request(
-        self, ended: messages.EndedUnderRequest, link: peers.Connection
-    ) -> None:
-        if self._term is not None:
-            self._term.requests.record_end(ended)
-
-    def _handle_prefill_done(
-        self, done: messages.PrefillDone, link: peers.Connection
-    ) -> None:
-        if self._term is not None:
-            self._term.owner.finish_prefill(done)
-
-    def _handle_decoding(
-        self, decoding: messages.Decoding, link: peers.Connection
-    ) -> None:
-        if self._term is not None:
-            self._term.owner.begin_decode(decoding)
-
-    def _handle_finished(
-        self, finished: messages.Finished, link: peers.Connection
-    ) -> None:
-        if self._term is not None:
-            self._term.owner.finish(finished)
-
-    def _handle_endpoint_trouble(
-        self, trouble: messages.EndpointTrouble, link: peers.Connection
-    ) -> None:
-        if self._term is None:
-            return
-        LOG.warning(
-            'endpoint failed or refused a request',
-            extra={
-                'endpoint': trouble.endpoint_id,
-                'entry_host': trouble.host,
-                'reason': trouble.reason,
-                'has_ended': trouble.has_ended,
-                'prompt_parts': trouble.prompt_parts,
-            },
-        )
-        self._term.owner.record_failure(trouble)
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -4,15 +4,14 @@
 import logging
 import threading
 
+from masticquay_coordination import endpoint_limits
 from masticquay_coordination import prompt_watches
 from masticquay_routing import balances
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import meters
-from masticquay_routing import named_limits
 from masticquay_routing import placements
 from masticquay_routing import queued_requests
-from masticquay_routing import shared_limits
 from masticquay_routing import software_versions
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
@@ -33,9 +32,16 @@
     """Places model requests and enforces rate limits during one term.
 
     :param first: whether no earlier leader can have allowed any request
+    :param limits: the limits that engines name, None if nobody else uses them
     """
 
-    def __init__(self, term: int, clock: clocks.Clock, first: bool):
+    def __init__(
+        self,
+        term: int,
+        clock: clocks.Clock,
+        first: bool,
+        limits: endpoint_limits.EndpointLimits | None = None,
+    ):
         self.term = term
         self._clock = clock
         self._lock = threading.Lock()
@@ -50,7 +56,7 @@
         self._charges: dict[queued_requests.RequestKey, messages.Admit] = {}
         self._origins = stream_origins.StreamOrigins()
         self._prompts = prompt_watches.PromptWatch()
-        self._limits = shared_limits.SharedLimits()
+        self._limits = limits or endpoint_limits.EndpointLimits(clock)
         self._stream_versions: software_versions.Versions | None = None
 
     def set_table(self, table: tables.Table) -> None:
@@ -76,7 +82,6 @@
         """
         with self._lock:
             self._stream_versions = stream_versions
-            self._limits.apply_list(endpoints)
             for name, engine in self._engines.items():
                 pool = self._pool(name)
                 self._balancers.setdefault(name, balances.RoleBalancer())
@@ -215,30 +220,6 @@
         for future, wait_ms in refused:
             future.set_result(_refuse_harmful(wait_ms))
 
-    def exchange_limits(
-        self, host: str, words: list[named_limits.LimitWord]
-    ) -> list[named_limits.LimitWord]:
-        """Records the limits that a host knows; returns all known ones."""
-        if not words and not self._limits:
-            return []
-        now_ms = self._clock.now_ms()
-        with self._lock:
-            news = self._limits.record(words, now_ms)
-            known = self._limits.words(now_ms)
-        _log_limits(news, host)
-        return known
-
-    def give_permit(self, ask: messages.AskPermit) -> messages.PermitAnswer:
-        """Permits a request to an endpoint that names a limit, or not yet."""
-        now_ms = self._clock.now_ms()
-        with self._lock:
-            news = self._limits.record([ask.limit], now_ms)
-            permit = self._limits.take(ask.limit.endpoint_id, now_ms)
-        _log_limits(news, ask.host)
-        return messages.PermitAnswer(
-            permit.granted, permit.wait_ms, permit.return_ms
-        )
-
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts to refuse, with the remaining time in ms."""
         with self._lock:
@@ -416,23 +397,9 @@
                 'quarantined_prompts': len(
                     self._prompts.quarantined(self._clock.now_ms())
                 ),
-                'limits_in_force': len(self._limits),
             }
 
 
-def _log_limits(words: list[named_limits.LimitWord], host: str) -> None:
-    for word in words:
-        LOG.info(
-            'limit of an endpoint changed',
-            extra={
-                'endpoint': word.endpoint_id,
-                'limit_per_s': word.limit_per_s,
-                'entry_host': host,
-                'age_ms': word.age_ms,
-            },
-        )
-
-
 def _refuse_harmful(wait_ms: int) -> messages.Refused:
     return messages.Refused(messages.REASON_HARMFUL_PROMPT, wait_ms)
 
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from masticquay_coordination import endpoint_limits
 from masticquay_coordination import owners
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
@@ -19,8 +20,8 @@
         self.clock = clocks.ManualClock(100_000)
         self.owner = self.make_owner()
 
-    def make_owner(self, first=True):
-        owner = owners.Owner(3, self.clock, first)
+    def make_owner(self, first=True, limits=None):
+        owner = owners.Owner(3, self.clock, first, limits)
         owner.set_table(fakes.VersionReader().read(b'1'))
         owner.set_endpoints(fakes.make_engines(1, 2))
         return owner
@@ -31,6 +32,8 @@
 
     # Guards against LIMIT at model engines, whose requests the leader places.
     def test_engines_get_no_more_requests_than_the_limits_they_name(self):
+        limits = endpoint_limits.EndpointLimits(self.clock)
+        self.owner = self.make_owner(limits=limits)
         words = [
             named_limits.LimitWord(f'e{n}', 0, LIMIT_PER_S, 0)
             for n in range(3)
@@ -38,7 +41,7 @@
         placed_count = 0
         for number in range(40):
             self.clock.advance_ms(100)
-            self.owner.exchange_limits('h1', words)
+            limits.exchange('h1', words)
             future = self.owner.admit(fakes.make_admit(number))
             if not future.done():
                 self.owner.finish(messages.Finished('h1', 'llm', number, True))
