--- a/libs/bench/masticquay_bench/placement_slopes.py
+++ b/libs/bench/masticquay_bench/placement_slopes.py
@@ -9,7 +9,7 @@
 
 from masticquay_coordination import owners
 from masticquay_routing import fleets
-from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import tables
 from masticquay_wire import clocks
 
@@ -62,17 +62,21 @@
     for number in range(REQUESTS):
         clock.advance_ms(REQUEST_INTERVAL_MS)
         owner.admit(_make_admit(number))
-        owner.finish_prefill(messages.PrefillDone('h', 'llm', number))
-        owner.begin_decode(messages.Decoding('h', 'llm', number))
+        owner.finish_prefill(
+            placement_messages.PrefillDone('h', 'llm', number)
+        )
+        owner.begin_decode(placement_messages.Decoding('h', 'llm', number))
         running.append(number)
         if len(running) > max_running:
             finished = running.pop(0)
-            owner.finish(messages.Finished('h', 'llm', finished, True))
+            owner.finish(
+                placement_messages.Finished('h', 'llm', finished, True)
+            )
     return (time.process_time() - started_s) * 1e6 / REQUESTS
 
 
-def _make_admit(number: int) -> messages.Admit:
-    return messages.Admit(
+def _make_admit(number: int) -> placement_messages.Admit:
+    return placement_messages.Admit(
         host='h',
         number=number,
         service='llm',
--- a/libs/coordination/masticquay_coordination/endpoint_limits.py
+++ b/libs/coordination/masticquay_coordination/endpoint_limits.py
@@ -3,8 +3,8 @@
 import logging
 import threading
 
+from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
-from masticquay_routing import messages
 from masticquay_routing import named_limits
 from masticquay_routing import shared_limits
 from masticquay_wire import clocks
@@ -31,14 +31,16 @@
         _log(news, host)
         return known
 
-    def give_permit(self, ask: messages.AskPermit) -> messages.PermitAnswer:
+    def give_permit(
+        self, ask: endpoint_messages.AskPermit
+    ) -> endpoint_messages.PermitAnswer:
         """Permits a request to an endpoint that names a limit, or not yet."""
         now_ms = self._clock.now_ms()
         with self._lock:
             news = self._limits.record([ask.limit], now_ms)
             permit = self._limits.take(ask.limit.endpoint_id, now_ms)
         _log(news, ask.host)
-        return messages.PermitAnswer(
+        return endpoint_messages.PermitAnswer(
             permit.granted, permit.wait_ms, permit.return_ms
         )
 
--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -3,8 +3,10 @@
 import logging
 import typing
 
+from masticquay_routing import endpoint_messages
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
 from masticquay_wire import messages as wire_messages
@@ -29,18 +31,21 @@
     def register(self, listener: listeners.Listener) -> None:
         """Registers the handlers at a listener."""
         listener.handle(messages.Renew, self._handle_renew)
-        listener.handle(messages.Admit, self._handle_admit)
-        listener.handle(messages.AskPermit, self._handle_ask_permit)
-        listener.handle(messages.AskTrial, self._handle_ask_trial)
-        listener.handle(messages.TrialEnded, self._handle_trial_ended)
+        listener.handle(placement_messages.Admit, self._handle_admit)
+        listener.handle(endpoint_messages.AskPermit, self._handle_ask_permit)
+        listener.handle(endpoint_messages.AskTrial, self._handle_ask_trial)
+        listener.handle(endpoint_messages.TrialEnded, self._handle_trial_ended)
         listener.handle(
-            messages.EndedUnderRequest, self._handle_ended_under_request
+            endpoint_messages.EndedUnderRequest,
+            self._handle_ended_under_request,
         )
-        listener.handle(messages.PrefillDone, self._handle_prefill_done)
-        listener.handle(messages.Decoding, self._handle_decoding)
-        listener.handle(messages.Finished, self._handle_finished)
         listener.handle(
-            messages.EndpointTrouble, self._handle_endpoint_trouble
+            placement_messages.PrefillDone, self._handle_prefill_done
+        )
+        listener.handle(placement_messages.Decoding, self._handle_decoding)
+        listener.handle(placement_messages.Finished, self._handle_finished)
+        listener.handle(
+            placement_messages.EndpointTrouble, self._handle_endpoint_trouble
         )
 
     def _handle_renew(
@@ -74,59 +79,63 @@
         )
 
     def _handle_admit(
-        self, request: messages.Admit, link: peers.Connection
+        self, request: placement_messages.Admit, link: peers.Connection
     ) -> wire_messages.Message | typing.Any:
         return self._leadership.require_serving_term().owner.admit(request)
 
     def _handle_ask_permit(
-        self, ask: messages.AskPermit, link: peers.Connection
-    ) -> messages.PermitAnswer:
+        self, ask: endpoint_messages.AskPermit, link: peers.Connection
+    ) -> endpoint_messages.PermitAnswer:
         return self._leadership.require_serving_term().limits.give_permit(ask)
 
     def _handle_ask_trial(
-        self, ask: messages.AskTrial, link: peers.Connection
-    ) -> messages.TrialAnswer:
+        self, ask: endpoint_messages.AskTrial, link: peers.Connection
+    ) -> endpoint_messages.TrialAnswer:
         return self._leadership.require_serving_term().requests.begin_trial(
             ask
         )
 
     def _handle_trial_ended(
-        self, ended: messages.TrialEnded, link: peers.Connection
+        self, ended: endpoint_messages.TrialEnded, link: peers.Connection
     ) -> None:
         term = self._leadership.term
         if term is not None:
             term.requests.end_trial(ended)
 
     def _handle_ended_under_request(
-        self, ended: messages.EndedUnderRequest, link: peers.Connection
+        self,
+        ended: endpoint_messages.EndedUnderRequest,
+        link: peers.Connection,
     ) -> None:
         term = self._leadership.term
         if term is not None:
             term.requests.record_end(ended)
 
     def _handle_prefill_done(
-        self, done: messages.PrefillDone, link: peers.Connection
+        self, done: placement_messages.PrefillDone, link: peers.Connection
     ) -> None:
         term = self._leadership.term
         if term is not None:
             term.owner.finish_prefill(done)
 
     def _handle_decoding(
-        self, decoding: messages.Decoding, link: peers.Connection
+        self, decoding: placement_messages.Decoding, link: peers.Connection
     ) -> None:
         term = self._leadership.term
         if term is not None:
             term.owner.begin_decode(decoding)
 
     def _handle_finished(
-        self, finished: messages.Finished, link: peers.Connection
+        self, finished: placement_messages.Finished, link: peers.Connection
     ) -> None:
         term = self._leadership.term
         if term is not None:
             term.owner.finish(finished)
 
     def _handle_endpoint_trouble(
-        self, trouble: messages.EndpointTrouble, link: peers.Connection
+        self,
+        trouble: placement_messages.EndpointTrouble,
+        link: peers.Connection,
     ) -> None:
         term = self._leadership.term
         if term is None:
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -10,6 +10,7 @@
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import meters
+from masticquay_routing import placement_messages
 from masticquay_routing import placements
 from masticquay_routing import queued_requests
 from masticquay_routing import software_versions
@@ -53,7 +54,9 @@
         )
         self._waiting: dict[queued_requests.RequestKey, futures.Future] = {}
         # What a request was charged that waits for a placement.
-        self._charges: dict[queued_requests.RequestKey, messages.Admit] = {}
+        self._charges: dict[
+            queued_requests.RequestKey, placement_messages.Admit
+        ] = {}
         self._origins = stream_origins.StreamOrigins()
         self._prompts = prompt_watches.PromptWatch()
         self._limits = limits or endpoint_limits.EndpointLimits(clock)
@@ -92,7 +95,7 @@
         self.place_waiting()
 
     def admit(
-        self, request: messages.Admit
+        self, request: placement_messages.Admit
     ) -> wire_messages.Message | futures.Future:
         """Queues a request, or refuses it if it is over the rate limit.
 
@@ -105,7 +108,7 @@
                 return _refuse_harmful(wait_ms)
             software_version = self._version_to_resume(request, now_ms)
             if software_version is None:
-                return messages.Refused(
+                return placement_messages.Refused(
                     'software version of the resumed stream is unknown',
                     placements.RETRY_AFTER_MAX_MS,
                 )
@@ -114,14 +117,16 @@
                     request.workspace, request.cost, now_ms
                 )
                 if wait_ms:
-                    return messages.Refused('over rate', wait_ms, True)
+                    return placement_messages.Refused(
+                        'over rate', wait_ms, True
+                    )
             key = (request.host, request.number)
             if not request.charged:
                 self._charges[key] = request
             pool = self._pools.get(request.service)
             if pool is None:
                 self._refund(key, now_ms)
-                return messages.Refused(
+                return placement_messages.Refused(
                     'no engine', placements.RETRY_AFTER_MIN_MS
                 )
             self._balancers[request.service].record_prompt(
@@ -137,7 +142,7 @@
         self.place_waiting()
         return future
 
-    def finish_prefill(self, done: messages.PrefillDone) -> None:
+    def finish_prefill(self, done: placement_messages.PrefillDone) -> None:
         """Records that the prefill of a request completed."""
         with self._lock:
             pool = self._pools.get(done.service)
@@ -147,7 +152,7 @@
                 )
         self.place_waiting()
 
-    def begin_decode(self, begun: messages.Decoding) -> None:
+    def begin_decode(self, begun: placement_messages.Decoding) -> None:
         """Records that the first token of a request arrived."""
         now_ms = self._clock.now_ms()
         origin = stream_origins.StreamOrigin(
@@ -167,7 +172,7 @@
             for origin in origins:
                 self._origins.add(origin, now_ms)
 
-    def finish(self, finished: messages.Finished) -> None:
+    def finish(self, finished: placement_messages.Finished) -> None:
         """Frees the reservation of a request, or refuses it if it waits."""
         key = (finished.host, finished.number)
         with self._lock:
@@ -179,10 +184,12 @@
             if abandoned is not None:
                 self._refund(key, self._clock.now_ms())
         if abandoned is not None:
-            abandoned.set_result(messages.Refused('caller left', 0))
+            abandoned.set_result(placement_messages.Refused('caller left', 0))
         self.place_waiting()
 
-    def record_failure(self, trouble: messages.EndpointTrouble) -> None:
+    def record_failure(
+        self, trouble: placement_messages.EndpointTrouble
+    ) -> None:
         """Records that an engine failed or refused a host's request."""
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -269,7 +276,7 @@
                 self._refund(key, self._clock.now_ms())
             self._prompts.release_host(host)
         for future in abandoned:
-            future.set_result(messages.Refused('host lost', 0))
+            future.set_result(placement_messages.Refused('host lost', 0))
         self.place_waiting()
 
     def place_waiting(self) -> None:
@@ -306,7 +313,7 @@
         return pool
 
     def _version_to_resume(
-        self, request: messages.Admit, now_ms: int
+        self, request: placement_messages.Admit, now_ms: int
     ) -> str | None:
         """Returns the version at which a stream goes on.
 
@@ -400,13 +407,13 @@
             }
 
 
-def _refuse_harmful(wait_ms: int) -> messages.Refused:
-    return messages.Refused(messages.REASON_HARMFUL_PROMPT, wait_ms)
+def _refuse_harmful(wait_ms: int) -> placement_messages.Refused:
+    return placement_messages.Refused(messages.REASON_HARMFUL_PROMPT, wait_ms)
 
 
 def _make_queued_request(
     key: queued_requests.RequestKey,
-    request: messages.Admit,
+    request: placement_messages.Admit,
     software_version: str,
     now_ms: int,
 ) -> queued_requests.QueuedRequest:
@@ -434,9 +441,11 @@
     outcome: queued_requests.Placement | queued_requests.Refusal,
 ) -> wire_messages.Message:
     if isinstance(outcome, queued_requests.Refusal):
-        return messages.Refused(outcome.reason, outcome.retry_after_ms)
+        return placement_messages.Refused(
+            outcome.reason, outcome.retry_after_ms
+        )
     prefill = outcome.prefill
-    return messages.Placed(
+    return placement_messages.Placed(
         prefill.endpoint_id if prefill else '',
         outcome.decode.endpoint_id,
         outcome.prefill_ms,
--- a/libs/coordination/masticquay_coordination/prompt_watches.py
+++ b/libs/coordination/masticquay_coordination/prompt_watches.py
@@ -3,7 +3,7 @@
 import logging
 
 from masticquay_routing import harmful_prompts
-from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import queued_requests
 
 LOG = logging.getLogger(__name__)
@@ -34,7 +34,7 @@
         self._harmful = harmful_prompts.HarmfulPrompts()
         self._running: dict[queued_requests.RequestKey, _RunningPrompt] = {}
 
-    def wait_ms(self, request: messages.Admit, now_ms: int) -> int:
+    def wait_ms(self, request: placement_messages.Admit, now_ms: int) -> int:
         """Returns for how long a request is to be refused, 0 if it may run."""
         return self._harmful.wait_ms(_prompt_of(request), now_ms)
 
@@ -46,7 +46,7 @@
     def admit(
         self,
         key: queued_requests.RequestKey,
-        request: messages.Admit,
+        request: placement_messages.Admit,
         now_ms: int,
     ) -> None:
         """Records a request that may run."""
@@ -81,7 +81,7 @@
             del self._running[key]
 
     def record_trouble(
-        self, trouble: messages.EndpointTrouble, now_ms: int
+        self, trouble: placement_messages.EndpointTrouble, now_ms: int
     ) -> bool:
         """Records a stream that an engine broke off.
 
@@ -127,6 +127,6 @@
 
 
 def _prompt_of(
-    message: messages.Admit | messages.EndpointTrouble,
+    message: placement_messages.Admit | placement_messages.EndpointTrouble,
 ) -> harmful_prompts.Prompt:
     return harmful_prompts.Prompt(message.prompt_key, message.prompt_parts)
--- a/libs/coordination/masticquay_coordination/request_watches.py
+++ b/libs/coordination/masticquay_coordination/request_watches.py
@@ -3,8 +3,8 @@
 import logging
 import threading
 
+from masticquay_routing import endpoint_messages
 from masticquay_routing import harmful_prompts
-from masticquay_routing import messages
 from masticquay_wire import clocks
 
 LOG = logging.getLogger(__name__)
@@ -24,7 +24,7 @@
             harmful_prompts.MIN_ENDS_OF_REQUEST
         )
 
-    def record_end(self, ended: messages.EndedUnderRequest) -> None:
+    def record_end(self, ended: endpoint_messages.EndedUnderRequest) -> None:
         """Records the end of an endpoint under a request."""
         now_ms = self._clock.now_ms()
         with self._lock:
@@ -51,7 +51,9 @@
                 extra={'request': key, 'last_endpoint': ended.endpoint_id},
             )
 
-    def begin_trial(self, ask: messages.AskTrial) -> messages.TrialAnswer:
+    def begin_trial(
+        self, ask: endpoint_messages.AskTrial
+    ) -> endpoint_messages.TrialAnswer:
         """Lets a copy of a suspect run, or says when one may."""
         with self._lock:
             wait_ms = self._harmful.begin_trial(ask.key, self._clock.now_ms())
@@ -65,9 +67,9 @@
                 'wait_ms': wait_ms,
             },
         )
-        return messages.TrialAnswer(wait_ms)
+        return endpoint_messages.TrialAnswer(wait_ms)
 
-    def end_trial(self, ended: messages.TrialEnded) -> None:
+    def end_trial(self, ended: endpoint_messages.TrialEnded) -> None:
         """Records the outcome of a trial; a survivor is no suspect."""
         with self._lock:
             self._harmful.end_trial(ended.key)
--- a/libs/coordination/tests/fakes.py
+++ b/libs/coordination/tests/fakes.py
@@ -4,6 +4,7 @@
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import tables
 from masticquay_wire import errors as wire_errors
 
@@ -124,4 +125,4 @@
         'avoid': [],
     }
     fields.update(overrides)
-    return messages.Admit(number=number, **fields)
+    return placement_messages.Admit(number=number, **fields)
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -7,6 +7,7 @@
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import named_limits
+from masticquay_routing import placement_messages
 from masticquay_routing import stream_origins
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -44,11 +45,15 @@
             limits.exchange('h1', words)
             future = self.owner.admit(fakes.make_admit(number))
             if not future.done():
-                self.owner.finish(messages.Finished('h1', 'llm', number, True))
+                self.owner.finish(
+                    placement_messages.Finished('h1', 'llm', number, True)
+                )
                 continue
-            if isinstance(future.result(0), messages.Placed):
+            if isinstance(future.result(0), placement_messages.Placed):
                 placed_count += 1
-                self.owner.finish(messages.Finished('h1', 'llm', number, True))
+                self.owner.finish(
+                    placement_messages.Finished('h1', 'llm', number, True)
+                )
         # Each of the two decode engines takes 4 s of its limit and 5 more.
         self.assertLessEqual(placed_count, 2 * (4 * LIMIT_PER_S + 5))
         self.assertGreaterEqual(placed_count, 2 * 3 * LIMIT_PER_S)
@@ -71,7 +76,9 @@
         self.set_versions('v1', 'v2')
         for number, version in enumerate(('v1', 'v2')):
             self.owner.begin_decode(
-                messages.Decoding('h2', 'llm', number, f'c{number}', version)
+                placement_messages.Decoding(
+                    'h2', 'llm', number, f'c{number}', version
+                )
             )
             placed = self.resume(number, first_call_id=f'c{number}').result(0)
             self.assertEqual(f'e{number + 1}', placed.decode_id)
@@ -87,7 +94,7 @@
     def test_stream_of_unknown_origin_is_refused_at_once(self):
         self.set_versions('v1', 'v2', possible={'llm': ['v1', 'v2']})
         refused = self.resume(1, first_call_id='c1')
-        self.assertIsInstance(refused, messages.Refused)
+        self.assertIsInstance(refused, placement_messages.Refused)
         self.assertGreater(refused.retry_after_ms, 0)
 
     def test_stream_of_unknown_origin_goes_on_at_the_only_version(self):
@@ -98,14 +105,14 @@
     def test_stream_of_unknown_origin_is_refused_after_a_release(self):
         """Only one version is listed, but another one has just left."""
         self.set_versions('v2', 'v2', possible={'llm': ['v1', 'v2']})
-        self.assertIsInstance(self.resume(1), messages.Refused)
+        self.assertIsInstance(self.resume(1), placement_messages.Refused)
 
     def test_stream_of_another_service_is_refused(self):
         self.set_versions('v1', 'v1', possible={'llm': ['v1']})
         origin = stream_origins.StreamOrigin('c1', 'other', 'v1')
         self.owner.add_origins([origin])
         refused = self.resume(1, first_call_id='c1')
-        self.assertIsInstance(refused, messages.Refused)
+        self.assertIsInstance(refused, placement_messages.Refused)
 
     def test_waiting_request_is_placed_when_capacity_is_freed(self):
         for number in range(10):
@@ -116,8 +123,8 @@
             )
         waiting = self.owner.admit(fakes.make_admit(90))
         self.assertFalse(waiting.done())
-        self.owner.finish(messages.Finished('h1', 'llm', 0, True))
-        self.assertIsInstance(waiting.result(0), messages.Placed)
+        self.owner.finish(placement_messages.Finished('h1', 'llm', 0, True))
+        self.assertIsInstance(waiting.result(0), placement_messages.Placed)
 
     def test_waiting_request_is_refused_after_its_wait(self):
         for number in range(10):
@@ -129,7 +136,7 @@
         waiting = self.owner.admit(fakes.make_admit(90))
         self.clock.advance_ms(501)
         self.owner.place_waiting()
-        self.assertIsInstance(waiting.result(0), messages.Refused)
+        self.assertIsInstance(waiting.result(0), placement_messages.Refused)
 
     def fill_engines(self):
         for number in range(100, 110):
@@ -156,21 +163,29 @@
         self.clock.advance_ms(501)
         self.owner.place_waiting()
         waiting = [self.admit_of_workspace(number) for number in (2, 3)]
-        self.assertFalse(any(isinstance(w, messages.Refused) for w in waiting))
+        self.assertFalse(
+            any(isinstance(w, placement_messages.Refused) for w in waiting)
+        )
 
     def test_abandoned_request_is_not_charged(self):
         self.fill_engines()
         for number in range(2):
             self.admit_of_workspace(number)
-            self.owner.finish(messages.Finished('h1', 'llm', number, True))
+            self.owner.finish(
+                placement_messages.Finished('h1', 'llm', number, True)
+            )
         waiting = self.admit_of_workspace(2)
-        self.assertNotIsInstance(waiting, messages.Refused)
+        self.assertNotIsInstance(waiting, placement_messages.Refused)
 
     def test_request_that_was_placed_stays_charged(self):
         for number in range(2):
             self.admit_of_workspace(number).result(0)
-            self.owner.finish(messages.Finished('h1', 'llm', number, True))
-        self.assertIsInstance(self.admit_of_workspace(2), messages.Refused)
+            self.owner.finish(
+                placement_messages.Finished('h1', 'llm', number, True)
+            )
+        self.assertIsInstance(
+            self.admit_of_workspace(2), placement_messages.Refused
+        )
 
     def test_rate_limit_covers_all_hosts(self):
         outcomes = [
@@ -179,7 +194,9 @@
             )
             for n in range(5)
         ]
-        refused = [o for o in outcomes if isinstance(o, messages.Refused)]
+        refused = [
+            o for o in outcomes if isinstance(o, placement_messages.Refused)
+        ]
         self.assertEqual(2, len(refused))
         self.assertTrue(all(r.over_rate for r in refused))
         self.assertTrue(all(r.retry_after_ms > 0 for r in refused))
@@ -204,7 +221,7 @@
                     output_tokens=10,
                 )
             )
-            self.assertNotIsInstance(answer, messages.Refused)
+            self.assertNotIsInstance(answer, placement_messages.Refused)
 
     def test_successor_starts_with_part_of_the_burst(self):
         successor = self.make_owner(first=False)
@@ -212,7 +229,11 @@
             successor.admit(fakes.make_admit(n, workspace='w', cost=1_000.0))
             for n in range(6)
         ]
-        placed = [o for o in outcomes if not isinstance(o, messages.Refused)]
+        placed = [
+            o
+            for o in outcomes
+            if not isinstance(o, placement_messages.Refused)
+        ]
         self.assertEqual(3, len(placed))
 
     def test_successor_adopts_running_requests(self):
@@ -233,7 +254,7 @@
             )
         waiting = self.owner.admit(fakes.make_admit(90))
         self.owner.release_host('gone')
-        self.assertIsInstance(waiting.result(0), messages.Placed)
+        self.assertIsInstance(waiting.result(0), placement_messages.Placed)
 
     def test_abandoned_request_is_refused(self):
         for number in range(10):
@@ -243,8 +264,8 @@
                 )
             )
         waiting = self.owner.admit(fakes.make_admit(90))
-        self.owner.finish(messages.Finished('h1', 'llm', 90, False))
-        self.assertIsInstance(waiting.result(0), messages.Refused)
+        self.owner.finish(placement_messages.Finished('h1', 'llm', 90, False))
+        self.assertIsInstance(waiting.result(0), placement_messages.Refused)
 
     def test_waiting_requests_fail_at_the_end_of_the_term(self):
         """The host places the request itself after an error, not a refusal."""
@@ -271,7 +292,7 @@
 
     def report_end(self, number, *parts, age_ms=0):
         """Reports the end of an engine under a prompt of its own."""
-        trouble = messages.EndpointTrouble(
+        trouble = placement_messages.EndpointTrouble(
             f'h{number}',
             'llm',
             f'i{number}',
@@ -290,7 +311,9 @@
         for number in range(harmful_prompts.MIN_ENDS):
             self.admit_prompt(number, *parts)
             self.report_end(number, *parts)
-            self.owner.finish(messages.Finished('h1', 'llm', number, False))
+            self.owner.finish(
+                placement_messages.Finished('h1', 'llm', number, False)
+            )
             self.clock.advance_ms(1_000)
 
     # Guards against BUDGET, where requests with one part in their prompts were
@@ -302,7 +325,7 @@
         self.assertGreater(refused.retry_after_ms, 100_000)
         self.assertEqual(['bad'], list(self.owner.quarantined_prompts()))
         placed = self.admit_prompt(91, 'first').result(0)
-        self.assertIsInstance(placed, messages.Placed)
+        self.assertIsInstance(placed, placement_messages.Placed)
 
     def test_waiting_prompt_is_refused_when_its_part_is_quarantined(self):
         self.fill_engines()
@@ -318,12 +341,12 @@
             self.admit_prompt(number, 'bad', workspace='w', cost=3_000.0)
         for number in (93, 94):
             waiting = self.admit_of_workspace(number)
-            self.assertNotIsInstance(waiting, messages.Refused)
+            self.assertNotIsInstance(waiting, placement_messages.Refused)
 
     def test_stream_that_goes_on_elsewhere_clears_its_part(self):
         """It has been written for a while when other engines end."""
         self.admit_prompt(80, 'first')
-        self.owner.begin_decode(messages.Decoding('h1', 'llm', 80))
+        self.owner.begin_decode(placement_messages.Decoding('h1', 'llm', 80))
         self.clock.advance_ms(harmful_prompts.SUSPECT_MS)
         self.end_engines('first')
         self.assertEqual({}, self.owner.quarantined_prompts())
@@ -333,9 +356,11 @@
         self.owner.adopt_quarantined({'first': 0})
         self.clock.advance_ms(harmful_prompts.QUARANTINE_MS)
         self.admit_prompt(80, 'first')
-        self.owner.finish(messages.Finished('h1', 'llm', 80, True, True))
+        self.owner.finish(
+            placement_messages.Finished('h1', 'llm', 80, True, True)
+        )
         self.assertIsInstance(
-            self.admit_prompt(81, 'first').result(0), messages.Placed
+            self.admit_prompt(81, 'first').result(0), placement_messages.Placed
         )
 
     def test_next_leader_takes_over_the_quarantine(self):
--- a/libs/coordination/tests/test_request_watches.py
+++ b/libs/coordination/tests/test_request_watches.py
@@ -3,7 +3,7 @@
 import unittest
 
 from masticquay_coordination import request_watches
-from masticquay_routing import messages
+from masticquay_routing import endpoint_messages
 from masticquay_wire import clocks
 
 KEY = 'request:1'
@@ -17,13 +17,15 @@
     def end(self, number, is_trial=True, age_ms=0):
         self.clock.advance_ms(1_000)
         self.watch.record_end(
-            messages.EndedUnderRequest(
+            endpoint_messages.EndedUnderRequest(
                 'h1', f'e{number}', KEY, is_trial, age_ms
             )
         )
 
     def wait_ms(self):
-        return self.watch.begin_trial(messages.AskTrial('h2', KEY)).wait_ms
+        return self.watch.begin_trial(
+            endpoint_messages.AskTrial('h2', KEY)
+        ).wait_ms
 
     # Guards against incident BUDGET, where a request that ends servers was
     # sent to one after the other.
@@ -33,7 +35,7 @@
             self.assertEqual([KEY], self.watch.suspects())
             self.assertEqual(0, self.wait_ms())
             self.end(number)
-            ended = messages.TrialEnded('h2', KEY, False)
+            ended = endpoint_messages.TrialEnded('h2', KEY, False)
             self.watch.end_trial(ended)
         self.assertEqual([KEY], list(self.watch.quarantined()))
         self.assertGreater(self.wait_ms(), 0)
@@ -42,7 +44,7 @@
     def test_trial_that_survives_clears_the_request(self):
         self.end(1, is_trial=False)
         self.wait_ms()
-        self.watch.end_trial(messages.TrialEnded('h2', KEY, True))
+        self.watch.end_trial(endpoint_messages.TrialEnded('h2', KEY, True))
         self.assertEqual([], self.watch.suspects())
         self.assertEqual(0, self.wait_ms())
         self.assertEqual(0, self.wait_ms())
--- a/libs/gateway/masticquay_gateway/ended_engines.py
+++ b/libs/gateway/masticquay_gateway/ended_engines.py
@@ -5,7 +5,7 @@
 import time
 
 from masticquay_routing import harmful_prompts
-from masticquay_routing import messages
+from masticquay_routing import placement_messages
 
 MAX_REPORTS = 50
 
@@ -16,15 +16,15 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._reports: collections.deque[
-            tuple[float, messages.EndpointTrouble]
+            tuple[float, placement_messages.EndpointTrouble]
         ] = collections.deque(maxlen=MAX_REPORTS)
 
-    def add(self, report: messages.EndpointTrouble) -> None:
+    def add(self, report: placement_messages.EndpointTrouble) -> None:
         """Adds a report that is being sent to the present leader."""
         with self._lock:
             self._reports.append((time.monotonic(), report))
 
-    def recent(self) -> list[messages.EndpointTrouble]:
+    def recent(self) -> list[placement_messages.EndpointTrouble]:
         """Returns the recent reports with their present age."""
         now_s = time.monotonic()
         with self._lock:
@@ -35,5 +35,5 @@
             if age_ms <= harmful_prompts.EVIDENCE_OF_ENDS_MS:
                 fields = {n: getattr(report, n) for n in report.__slots__}
                 fields['age_ms'] = age_ms
-                recent.append(messages.EndpointTrouble(**fields))
+                recent.append(placement_messages.EndpointTrouble(**fields))
         return recent
--- a/libs/gateway/masticquay_gateway/endpoint_limits.py
+++ b/libs/gateway/masticquay_gateway/endpoint_limits.py
@@ -9,8 +9,8 @@
 
 from masticquay_gateway import fleet_states
 from masticquay_gateway import links
+from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
-from masticquay_routing import messages
 from masticquay_routing import named_limits
 from masticquay_serving import counters
 from masticquay_wire import errors as wire_errors
@@ -31,7 +31,7 @@
 
     def ask(
         self, limit: named_limits.LimitWord
-    ) -> messages.PermitAnswer | None:
+    ) -> endpoint_messages.PermitAnswer | None:
         """Asks for one permit; returns None without an answer."""
 
 
@@ -49,9 +49,9 @@
 
     def ask(
         self, limit: named_limits.LimitWord
-    ) -> messages.PermitAnswer | None:
+    ) -> endpoint_messages.PermitAnswer | None:
         """Asks for one permit; returns None without an answer."""
-        message = messages.AskPermit(self._host, limit)
+        message = endpoint_messages.AskPermit(self._host, limit)
         future = self._link.submit(message, ASK_TIMEOUT_MS)
         try:
             return future.result(ASK_TIMEOUT_MS / 1000)
--- a/libs/gateway/masticquay_gateway/local_placers.py
+++ b/libs/gateway/masticquay_gateway/local_placers.py
@@ -5,10 +5,11 @@
 import time
 
 from masticquay_gateway import fleet_states
-from masticquay_routing import messages
 from masticquay_routing import meters
+from masticquay_routing import placement_messages
 from masticquay_routing import placements
 from masticquay_routing import queued_requests
+from masticquay_routing import request_limits
 from masticquay_routing import tables
 
 # Each host may use this multiple of its equal share of an engine. Hosts rarely
@@ -34,7 +35,7 @@
     def __init__(
         self,
         state: fleet_states.FleetState,
-        limits: placements.RequestLimits | None = None,
+        limits: request_limits.RequestLimits | None = None,
     ):
         self._state = state
         self._limits = limits
@@ -65,7 +66,7 @@
             )
 
     def admit(
-        self, request: messages.Admit
+        self, request: placement_messages.Admit
     ) -> queued_requests.Placement | queued_requests.Refusal:
         """Places a request immediately or refuses it."""
         now_ms = _now_ms()
@@ -94,14 +95,14 @@
             'no engine available', placements.RETRY_AFTER_MIN_MS
         )
 
-    def finish_prefill(self, request: messages.Admit) -> None:
+    def finish_prefill(self, request: placement_messages.Admit) -> None:
         """Records that the prefill of a request has ended."""
         with self._lock:
             pool = self._pools.get(request.service)
             if pool is not None:
                 pool.finish_prefill((request.host, request.number), _now_ms())
 
-    def release(self, request: messages.Admit) -> None:
+    def release(self, request: placement_messages.Admit) -> None:
         """Releases the engines of a request."""
         with self._lock:
             pool = self._pools.get(request.service)
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -14,8 +14,9 @@
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import messages
-from masticquay_routing import placements
+from masticquay_routing import placement_messages
 from masticquay_routing import queued_requests
+from masticquay_routing import request_limits
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_wire import errors as wire_errors
@@ -47,7 +48,7 @@
         self,
         prefill: fleets.Endpoint | None,
         decode: fleets.Endpoint,
-        request: messages.Admit,
+        request: placement_messages.Admit,
         local: bool,
         prefill_ms: int = 0,
     ):
@@ -83,7 +84,7 @@
         host: str,
         link: links.ControlLink,
         state: fleet_states.FleetState,
-        limits: placements.RequestLimits | None = None,
+        limits: request_limits.RequestLimits | None = None,
     ):
         self._host = host
         self._link = link
@@ -109,7 +110,7 @@
             return ''
         return origin.software_version
 
-    def recent_ends(self) -> list[messages.EndpointTrouble]:
+    def recent_ends(self) -> list[placement_messages.EndpointTrouble]:
         """Returns the ends of engines that this host has reported."""
         return self._ended_engines.recent()
 
@@ -119,8 +120,10 @@
             return self._origins.list_all(_now_ms())
 
     def place(
-        self, request: messages.Admit, interrupt: interrupts.Interrupt
-    ) -> RequestPlacement | messages.Refused:
+        self,
+        request: placement_messages.Admit,
+        interrupt: interrupts.Interrupt,
+    ) -> RequestPlacement | placement_messages.Refused:
         """Returns the placement of a request or a refusal.
 
         :raises InterruptedCallError: if the caller disconnected meanwhile
@@ -130,17 +133,17 @@
             self._link.wait_for_leader(LEADER_WAIT_MS)
         if self._link.is_leader_reachable:
             response = self._ask_leader(request, interrupt)
-        if isinstance(response, messages.Placed):
+        if isinstance(response, placement_messages.Placed):
             placement = self._resolve(request, response)
             if placement is not None:
                 return self._add(placement)
             self._notify_finished(request, engine_ok=True)
-            return messages.Refused(
+            return placement_messages.Refused(
                 'placed on an endpoint unknown to this host, or not of the '
                 'software version that began the stream',
                 500,
             )
-        if isinstance(response, messages.Refused):
+        if isinstance(response, placement_messages.Refused):
             return response
         return self._place_locally(request)
 
@@ -151,7 +154,9 @@
             self._local.finish_prefill(request)
             return
         self._link.notify(
-            messages.PrefillDone(self._host, request.service, request.number)
+            placement_messages.PrefillDone(
+                self._host, request.service, request.number
+            )
         )
 
     def begin_decode(
@@ -168,7 +173,7 @@
         with self._lock:
             self._origins.add(origin, _now_ms())
         self._link.notify(
-            messages.Decoding(
+            placement_messages.Decoding(
                 self._host,
                 request.service,
                 request.number,
@@ -212,7 +217,7 @@
         self._local.record_failure(
             service, endpoint.endpoint_id, reached, stalled
         )
-        report = messages.EndpointTrouble(
+        report = placement_messages.EndpointTrouble(
             self._host,
             service,
             endpoint.endpoint_id,
@@ -237,7 +242,7 @@
         """
         self._local.record_refusal(service, endpoint.endpoint_id, pause_ms)
         self._link.notify(
-            messages.EndpointTrouble(
+            placement_messages.EndpointTrouble(
                 self._host,
                 service,
                 endpoint.endpoint_id,
@@ -274,8 +279,10 @@
         ]
 
     def _ask_leader(
-        self, request: messages.Admit, interrupt: interrupts.Interrupt
-    ) -> messages.Placed | messages.Refused | None:
+        self,
+        request: placement_messages.Admit,
+        interrupt: interrupts.Interrupt,
+    ) -> placement_messages.Placed | placement_messages.Refused | None:
         """Asks the leader for a placement; returns None if it gives none.
 
         The leader is then told to release any placement that it still makes.
@@ -302,12 +309,12 @@
         return None
 
     def _place_locally(
-        self, request: messages.Admit
-    ) -> RequestPlacement | messages.Refused:
+        self, request: placement_messages.Admit
+    ) -> RequestPlacement | placement_messages.Refused:
         if request.resumes and not request.software_version:
             version = self._version_without_leader(request)
             if version is None:
-                return messages.Refused(
+                return placement_messages.Refused(
                     'software version of the resumed stream is unknown here',
                     ORIGIN_RETRY_MS,
                 )
@@ -315,12 +322,14 @@
         if not request.charged:
             wait_ms = self._local.charge_rate(request.workspace, request.cost)
             if wait_ms:
-                return messages.Refused(
+                return placement_messages.Refused(
                     'over the local share of the rate', wait_ms, True
                 )
         outcome = self._local.admit(request)
         if isinstance(outcome, queued_requests.Refusal):
-            return messages.Refused(outcome.reason, outcome.retry_after_ms)
+            return placement_messages.Refused(
+                outcome.reason, outcome.retry_after_ms
+            )
         placement = RequestPlacement(
             outcome.prefill,
             outcome.decode,
@@ -330,7 +339,9 @@
         )
         return self._add(placement)
 
-    def _version_without_leader(self, request: messages.Admit) -> str | None:
+    def _version_without_leader(
+        self, request: placement_messages.Admit
+    ) -> str | None:
         """Returns the version at which a stream goes on, None if unknown.
 
         Other hosts may use versions by now that this host has not heard of,
@@ -342,7 +353,9 @@
         return self._state.only_stream_version(request.service)
 
     def _resolve(
-        self, request: messages.Admit, placed: messages.Placed
+        self,
+        request: placement_messages.Admit,
+        placed: placement_messages.Placed,
     ) -> RequestPlacement | None:
         decode = self._state.endpoint(placed.decode_id)
         prefill = None
@@ -358,8 +371,8 @@
 
     def _may_resume(
         self,
-        request: messages.Admit,
-        placed: messages.Placed,
+        request: placement_messages.Admit,
+        placed: placement_messages.Placed,
         decode: fleets.Endpoint,
     ) -> bool:
         """Whether a stream may go on at an engine.
@@ -379,12 +392,12 @@
 
     def _notify_finished(
         self,
-        request: messages.Admit,
+        request: placement_messages.Admit,
         engine_ok: bool,
         completed: bool = False,
     ) -> None:
         self._link.notify(
-            messages.Finished(
+            placement_messages.Finished(
                 self._host,
                 request.service,
                 request.number,
--- a/libs/gateway/masticquay_gateway/request_watches.py
+++ b/libs/gateway/masticquay_gateway/request_watches.py
@@ -13,9 +13,9 @@
 from masticquay_gateway import links
 from masticquay_gateway import quarantines
 from masticquay_gateway import request_keys
+from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
 from masticquay_routing import harmful_prompts
-from masticquay_routing import messages
 from masticquay_wire import errors as wire_errors
 
 LOG = logging.getLogger(__name__)
@@ -42,7 +42,7 @@
     def end(self, key: str, survived: bool) -> None:
         """Tells that a copy that was allowed to run has ended."""
 
-    def report(self, ended: messages.EndedUnderRequest) -> None:
+    def report(self, ended: endpoint_messages.EndedUnderRequest) -> None:
         """Tells that an endpoint ended under a request."""
 
 
@@ -60,7 +60,7 @@
 
     def ask(self, key: str) -> int | None:
         """Returns when a copy may run, 0 for now; None without an answer."""
-        message = messages.AskTrial(self._host, key)
+        message = endpoint_messages.AskTrial(self._host, key)
         future = self._link.submit(message, ASK_TIMEOUT_MS)
         with contextlib.suppress(wire_errors.WireError, futures.TimeoutError):
             return future.result(ASK_TIMEOUT_MS / 1000).wait_ms
@@ -68,9 +68,11 @@
 
     def end(self, key: str, survived: bool) -> None:
         """Tells that a copy that was allowed to run has ended."""
-        self._link.notify(messages.TrialEnded(self._host, key, survived))
+        self._link.notify(
+            endpoint_messages.TrialEnded(self._host, key, survived)
+        )
 
-    def report(self, ended: messages.EndedUnderRequest) -> None:
+    def report(self, ended: endpoint_messages.EndedUnderRequest) -> None:
         """Tells that an endpoint ended under a request."""
         self._link.notify(ended)
 
@@ -129,7 +131,7 @@
             harmful_prompts.MIN_ENDS_OF_REQUEST
         )
         self._reports: collections.deque[
-            tuple[int, messages.EndedUnderRequest]
+            tuple[int, endpoint_messages.EndedUnderRequest]
         ] = collections.deque(maxlen=MAX_REPORTS)
 
     def begin(self, job: jobs.Job) -> WatchedAttempt:
@@ -154,7 +156,7 @@
         """
         key = request_keys.key_of(job)
         now_ms = _now_ms()
-        ended = messages.EndedUnderRequest(
+        ended = endpoint_messages.EndedUnderRequest(
             self._host, endpoint.endpoint_id, key, is_trial
         )
         with self._lock:
@@ -188,13 +190,13 @@
                 if found_ms < oldest_ms:
                     del self._own[key]
 
-    def recent_ends(self) -> list[messages.EndedUnderRequest]:
+    def recent_ends(self) -> list[endpoint_messages.EndedUnderRequest]:
         """Returns the recent reports with their present age."""
         now_ms = _now_ms()
         with self._lock:
             reports = list(self._reports)
         return [
-            messages.EndedUnderRequest(
+            endpoint_messages.EndedUnderRequest(
                 ended.host,
                 ended.endpoint_id,
                 ended.key,
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -20,6 +20,7 @@
 from masticquay_gateway import retries
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import queued_requests
 from masticquay_serving import counters
 
@@ -127,7 +128,7 @@
                 )
                 break
             placement = self._get_placement(job, stream, charged=attempt > 0)
-            if isinstance(placement, messages.Refused):
+            if isinstance(placement, placement_messages.Refused):
                 refusal = ports.join_refusals(refusal, _to_refusal(placement))
                 break
             failure = self._attempt(
@@ -318,7 +319,7 @@
 
     def _get_placement(
         self, job: jobs.Job, stream: relays.RelayedStream, charged: bool
-    ) -> placers.RequestPlacement | messages.Refused:
+    ) -> placers.RequestPlacement | placement_messages.Refused:
         request = self._make_admit(job, stream, charged)
         stream.cache_engine_id = ''
         placement = self._placer.place(request, job.interrupt)
@@ -327,10 +328,10 @@
 
     def _make_admit(
         self, job: jobs.Job, stream: relays.RelayedStream, charged: bool
-    ) -> messages.Admit:
+    ) -> placement_messages.Admit:
         call = job.call
         workspace = job.workspace
-        return messages.Admit(
+        return placement_messages.Admit(
             host=self._host,
             number=next(self._request_numbers),
             service=job.service,
@@ -402,7 +403,7 @@
     return isinstance(cause, exchanges.EndpointError)
 
 
-def _to_refusal(refused: messages.Refused) -> ports.Refusal:
+def _to_refusal(refused: placement_messages.Refused) -> ports.Refusal:
     reason = ports.Reason.NOT_RUN
     if refused.over_rate:
         reason = ports.Reason.OVER_RATE
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -16,8 +16,8 @@
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_routing import choosers
+from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
-from masticquay_routing import messages
 from masticquay_routing import tables
 from masticquay_serving import counters
 from masticquay_serving import errors as serving_errors
@@ -186,8 +186,10 @@
         self.asked += 1
         if self.granted > 0:
             self.granted -= 1
-            return messages.PermitAnswer(True, 0, 0)
-        return messages.PermitAnswer(False, self.wait_ms, self.wait_ms)
+            return endpoint_messages.PermitAnswer(True, 0, 0)
+        return endpoint_messages.PermitAnswer(
+            False, self.wait_ms, self.wait_ms
+        )
 
 
 def make_limits(state, permits=None):
--- a/libs/gateway/tests/test_ended_engines.py
+++ b/libs/gateway/tests/test_ended_engines.py
@@ -3,13 +3,13 @@
 import unittest
 
 from masticquay_gateway import ended_engines
-from masticquay_routing import messages
+from masticquay_routing import placement_messages
 
 
 class EndedEnginesTest(unittest.TestCase):
     def test_recent_report_is_returned_with_its_age(self):
         ended = ended_engines.EndedEngines()
-        report = messages.EndpointTrouble(
+        report = placement_messages.EndpointTrouble(
             'h', 'llm', 'e1', False, 'ended', has_ended=True, prompt_key='k'
         )
         ended.add(report)
@@ -22,6 +22,8 @@
         ended = ended_engines.EndedEngines()
         for number in range(ended_engines.MAX_REPORTS + 5):
             ended.add(
-                messages.EndpointTrouble('h', 'llm', f'e{number}', False, '')
+                placement_messages.EndpointTrouble(
+                    'h', 'llm', f'e{number}', False, ''
+                )
             )
         self.assertEqual(ended_engines.MAX_REPORTS, len(ended.recent()))
--- a/libs/gateway/tests/test_leaderless_loads.py
+++ b/libs/gateway/tests/test_leaderless_loads.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import local_placers
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import queued_requests
 from masticquay_routing import tables
 from tests import test_fleet_states
@@ -50,7 +51,7 @@
 
 
 def make_admit(host):
-    return messages.Admit(
+    return placement_messages.Admit(
         host=host,
         number=1,
         service='llm',
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -10,6 +10,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import links
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import stream_origins
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
@@ -83,7 +84,9 @@
         )
         listener.handle(messages.Renew, handler)
         if trouble_handler is not None:
-            listener.handle(messages.EndpointTrouble, trouble_handler)
+            listener.handle(
+                placement_messages.EndpointTrouble, trouble_handler
+            )
         listener.start()
         self.stack.callback(listener.close)
         return str(listener.address)
@@ -195,7 +198,7 @@
     # Guards against BUDGET after a change of the leader: the next one did not
     # know which engines had ended before.
     def test_leader_that_is_found_gets_the_ends_of_engines(self):
-        end = messages.EndpointTrouble(
+        end = placement_messages.EndpointTrouble(
             'h', 'llm', 'e1', False, 'ended', has_ended=True, age_ms=700
         )
         self.report.ends = [end]
--- a/libs/gateway/tests/test_placers.py
+++ b/libs/gateway/tests/test_placers.py
@@ -8,6 +8,7 @@
 from masticquay_gateway import placers
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from tests import test_fleet_states
 from tests import test_leaderless_loads
 
@@ -73,7 +74,7 @@
     # have begun the stream at a version that this host has not heard of.
     def test_stream_of_another_host_is_refused_without_the_leader(self):
         refused = self.place(first_call_id='c0')
-        self.assertIsInstance(refused, messages.Refused)
+        self.assertIsInstance(refused, placement_messages.Refused)
         self.assertEqual(placers.ORIGIN_RETRY_MS, refused.retry_after_ms)
 
     def test_stream_without_a_named_request_goes_on_at_the_only_version(self):
@@ -87,16 +88,18 @@
     # Guards against ORDER: the leader placed by an older list than this host
     # has.
     def test_placement_on_another_version_is_given_back(self):
-        self.link.answer = messages.Placed('', 'e1', 0, 'v2')
+        self.link.answer = placement_messages.Placed('', 'e1', 0, 'v2')
         refused = self.place(first_call_id='c0')
-        self.assertIsInstance(refused, messages.Refused)
-        self.assertIsInstance(self.link.notices[-1], messages.Finished)
+        self.assertIsInstance(refused, placement_messages.Refused)
+        self.assertIsInstance(
+            self.link.notices[-1], placement_messages.Finished
+        )
 
     def test_placement_by_a_leader_of_an_earlier_release_is_checked(self):
         """It names no version, and its endpoint list has none."""
         engines = [make_engine(1, ''), make_engine(2, '')]
         self.state.apply_endpoints(messages.EndpointUpdate(2, 1, engines))
-        self.link.answer = messages.Placed('', 'e1', 0)
+        self.link.answer = placement_messages.Placed('', 'e1', 0)
         self.assertEqual(
             'e1', self.place(first_call_id='c0').decode.endpoint_id
         )
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -13,7 +13,7 @@
 from masticquay_gateway import retries
 from masticquay_gateway import streams
 from masticquay_routing import fleets
-from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_routing import tables
 from masticquay_serving import counters
 from tests import fakes
@@ -42,7 +42,7 @@
     def place(self, request, interrupt):
         self.requests.append(request)
         placement = self.placements.pop(0)
-        if isinstance(placement, messages.Refused):
+        if isinstance(placement, placement_messages.Refused):
             return placement
         prefill, decode = placement
         return placers.RequestPlacement(prefill, decode, request, local=False)
@@ -148,13 +148,15 @@
         self.assertEqual([True], self.placer.released)
 
     def test_refused_placement_is_returned_as_a_refusal(self):
-        refused = messages.Refused('engines full', 700)
+        refused = placement_messages.Refused('engines full', 700)
         refusal = self.run_job([refused])
         self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
         self.assertEqual(700, refusal.retry_after_ms)
 
     def test_placement_refused_over_rate_has_its_own_reason(self):
-        refusal = self.run_job([messages.Refused('over rate', 90, True)])
+        refusal = self.run_job(
+            [placement_messages.Refused('over rate', 90, True)]
+        )
         self.assertIs(ports.Reason.OVER_RATE, refusal.reason)
 
     def test_short_prompt_is_not_placed_again_after_failed_prefill(self):
@@ -194,7 +196,7 @@
         self.prefill.answer = lambda request, reply: reply.abort()
         decode = self.make_decode_engine(1, self.send_stream)
         placement = (self.prefill.endpoint, decode.endpoint)
-        refused = messages.Refused('engines full', 1_700)
+        refused = placement_messages.Refused('engines full', 1_700)
         refusal = self.run_job([placement, refused])
         self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
         self.assertEqual(1_700, refusal.retry_after_ms)
@@ -318,7 +320,7 @@
 
     def test_handle_that_no_engine_used_is_released(self):
         unreachable = fleets.Endpoint('e7', 'svc', '127.0.0.1:1', 'p1')
-        refused = messages.Refused('engines full', 700)
+        refused = placement_messages.Refused('engines full', 700)
         self.run_job([(self.prefill.endpoint, unreachable), refused])
         self.assertTrue(self.handle_released.wait(5))
 
@@ -412,7 +414,7 @@
     def test_request_is_refused_at_once_while_all_engines_want_a_pause(self):
         engine = self.make_decode_engine(1, self.pause)
         self.listed = [engine.endpoint]
-        refused = messages.Refused('engines full', 700)
+        refused = placement_messages.Refused('engines full', 700)
         self.run_job([(None, engine.endpoint), refused])
         refusal = self.run_job([])
         self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
@@ -432,7 +434,7 @@
             self.serve_prefill(request, reply)
 
         self.prefill.answer = serve
-        refused = messages.Refused('engines full', 700)
+        refused = placement_messages.Refused('engines full', 700)
         self.run_job([(prefill, unreachable), refused])
         self.assertFalse(self.handle_released.wait(0.5))
 
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -9,7 +9,6 @@
 """
 
 import random
-import typing
 
 from masticquay_routing import ejections
 from masticquay_routing import engine_states
@@ -17,6 +16,7 @@
 from masticquay_routing import fleets
 from masticquay_routing import queued_requests
 from masticquay_routing import refused_prompts
+from masticquay_routing import request_limits
 from masticquay_routing import reservations
 from masticquay_routing import speeds
 from masticquay_routing import usable_engines
@@ -54,27 +54,6 @@
 ]
 
 
-class RequestLimits(typing.Protocol):
-    """The limits that engines name on the requests they get."""
-
-    def has_room(self, endpoint_id: str, now_ms: int) -> bool:
-        """Whether a request may be placed on an engine now."""
-
-    def charge(self, endpoint_id: str, now_ms: int) -> None:
-        """Counts a request that is placed on an engine."""
-
-
-class NoLimits:
-    """Limits of engines that name none."""
-
-    def has_room(self, endpoint_id: str, now_ms: int) -> bool:
-        """Whether a request may be placed on an engine now."""
-        return True
-
-    def charge(self, endpoint_id: str, now_ms: int) -> None:
-        """Counts a request that is placed on an engine."""
-
-
 class Pool:
     """The engines of one service, its queue and its reservations.
 
@@ -90,9 +69,9 @@
         self,
         randomness: random.Random | None = None,
         local_prefill_share: float = 0.0,
-        limits: RequestLimits | None = None,
+        limits: request_limits.RequestLimits | None = None,
     ) -> None:
-        self._limits = NoLimits() if limits is None else limits
+        self._limits = request_limits.NoLimits() if limits is None else limits
         self._randomness = randomness
         self._local_prefill_share = local_prefill_share
         self.engines: dict[str, engine_states.EngineState] = {}
