--- a/libs/gateway/tests/test_endpoint_limits.py
+++ b/libs/gateway/tests/test_endpoint_limits.py
@@ -121,3 +121,8 @@
         self.notices.record(self.endpoint, 200, LIMITED, has_run=True)
         self.notices.record(self.endpoint, 503, [], has_run=False)
         self.assertTrue(self.limits.is_limited(self.endpoint))
+
+    def test_engine_that_names_a_limit_gets_no_release(self):
+        self.assertTrue(self.notices.takes_releases(self.endpoint))
+        self.notices.record(self.endpoint, 200, LIMITED, has_run=True)
+        self.assertFalse(self.notices.takes_releases(self.endpoint))
