REFUSED, observability: a refusal says what is proven about each attempt

A record could not tell a promise that rests on an endpoint's word from one that rests on an unsent request, nor show one that rests on nothing. Each attempt that runs a request is recorded with its proof; the line 'request refused' names all of them, a promise beside an attempt without proof is an error line and counted, and the line on an answer that is not passed on has the value of its mark. No decision changes.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -154,7 +154,7 @@
                 'verdict': verdict.value,
                 'status': head.status,
                 'answered_calls': sorted(head.answered_ids),
-                'not_run_mark': head.has_not_run_mark,
+                'not_run_mark': head.not_run_mark,
                 'stamp': head.has_stamp,
                 'connection_exchanges': connection.exchange_count,
             },
--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -217,6 +217,8 @@
         refusal: ports.Refusal,
         job: jobs.Job | None,
     ) -> None:
+        if job is not None:
+            self._check_promise(job, refusal)
         response = self._protocol.refusal_response(call, refusal)
         self._registry.count(
             'refused',
@@ -235,6 +237,7 @@
                 'reason': refusal.reason.value,
                 'by': _refused_by(refusal),
                 'detail': refusal.detail,
+                'attempts': job.attempts.describe() if job else [],
                 'route': job.route.name if job else None,
                 'workspace': job.workspace_name if job else None,
                 'retry_after_ms': refusal.retry_after_ms,
@@ -244,6 +247,23 @@
         )
         reply.send(response.status, response.headers, response.body)
 
+    def _check_promise(self, job: jobs.Job, refusal: ports.Refusal) -> None:
+        """Logs a promise that an attempt without proof contradicts."""
+        if not refusal.reason.promises_not_run:
+            return
+        if not job.attempts.may_have_run:
+            return
+        self._registry.count('promises_contradicted', 'service', job.service)
+        LOG.error(
+            'refusal contradicts an attempt',
+            extra={
+                'call': job.call.call_id,
+                'reason': refusal.reason.value,
+                'detail': refusal.detail,
+                'attempts': job.attempts.describe(),
+            },
+        )
+
     def _record_disconnect(self, job: jobs.Job) -> None:
         self._registry.count('callers_left', 'route', job.route.name)
         LOG.info(
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -67,7 +67,10 @@
         """
         headers = self._request_headers(job, placement, stream)
         stream.engine_began_s = 0.0
-        with self._pools.open(placement.decode, job.interrupt) as exchange:
+        with (
+            job.attempts.sending(placement.decode.endpoint_id),
+            self._pools.open(placement.decode, job.interrupt) as exchange,
+        ):
             head = self._send_request(job, placement.decode, exchange, headers)
             if stream.splitter.last_id is not None:
                 self._record_resumption(job, placement, stream)
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -249,7 +249,10 @@
             job.request.headers, endpoint, job.endpoint_context()
         )
         started_s = time.monotonic()
-        with self._pools.open(endpoint, job.interrupt) as exchange:
+        with (
+            job.attempts.sending(endpoint.endpoint_id),
+            self._pools.open(endpoint, job.interrupt) as exchange,
+        ):
             exchange.send(
                 job.request.method,
                 job.request.target,
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -3,6 +3,7 @@
 import time
 
 from masticquay_endpoints import interrupts
+from masticquay_gateway import attempts
 from masticquay_gateway import ports
 from masticquay_routing import tables
 from masticquay_serving import replies
@@ -15,7 +16,8 @@
 class Job:
     """An accepted request and the routing table that applies to it.
 
-    ``tried_ids`` holds the ids of endpoints not to use for further attempts.
+    ``tried_ids`` holds the ids of endpoints not to use for further attempts,
+    ``attempts`` what is proven about the attempts made.
 
     :param workspace: None for a request without a valid key
     :param service: name of the service chosen for it
@@ -32,6 +34,7 @@
         'service',
         'interrupt',
         'tried_ids',
+        'attempts',
     )
 
     def __init__(
@@ -54,6 +57,7 @@
         self.service = service
         self.interrupt = interrupt
         self.tried_ids: set[str] = set()
+        self.attempts = attempts.AttemptRecord()
 
     @property
     def workspace_name(self) -> str | None:
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -103,6 +103,11 @@
     UNKNOWN = 'outcome unknown'
     TIMED_OUT = 'timed out'
 
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether it tells the caller that the request will not run."""
+        return self in (Reason.OVER_RATE, Reason.NOT_RUN)
+
 
 class Refusal:
     """The outcome of a request for which there is no endpoint's response.
@@ -196,7 +201,8 @@
     to be whole.
 
     :param answered_ids: the different ids of requests that it answers
-    :param has_not_run_mark: whether it says that the request was not run
+    :param not_run_mark: value of the mark that says that the request was not
+        run, of all such marks if it is repeated; None without one
     :param has_stamp: whether it has the stamp of an endpoint that ran the
         request
     :param load: number of running and waiting requests at the endpoint, None
@@ -207,7 +213,7 @@
     __slots__ = (
         'status',
         'answered_ids',
-        'has_not_run_mark',
+        'not_run_mark',
         'has_stamp',
         'load',
         'headers',
@@ -217,18 +223,23 @@
         self,
         status: int,
         answered_ids: frozenset[str],
-        has_not_run_mark: bool,
+        not_run_mark: str | None,
         has_stamp: bool,
         load: int | None,
         headers: Headers,
     ):
         self.status = status
         self.answered_ids = answered_ids
-        self.has_not_run_mark = has_not_run_mark
+        self.not_run_mark = not_run_mark
         self.has_stamp = has_stamp
         self.load = load
         self.headers = headers
 
+    @property
+    def has_not_run_mark(self) -> bool:
+        """Whether it says that the request was not run."""
+        return self.not_run_mark is not None
+
 
 class EndpointNotice:
     """What an endpoint says of itself in an answer.
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -88,7 +88,7 @@
         return ports.ResponseHead(
             status=status,
             answered_ids=frozenset(v for k, v in headers if k == 'Call'),
-            has_not_run_mark='Not-Run' in fields,
+            not_run_mark=fields.get('Not-Run'),
             has_stamp='Stamp' in fields or 'Not-Run' not in fields,
             load=None,
             headers=[],
--- a/libs/gateway/tests/test_answer_checks.py
+++ b/libs/gateway/tests/test_answer_checks.py
@@ -53,7 +53,12 @@
     @property
     def head(self):
         return ports.ResponseHead(
-            self.status, frozenset(self.ids), self.marked, self.stamped, 0, []
+            self.status,
+            frozenset(self.ids),
+            '1' if self.marked else None,
+            self.stamped,
+            0,
+            [],
         )
 
     @property
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -118,6 +118,24 @@
         service.serve(make_request(), reply)
         self.assertIn('masticquay_refused', rendered[0])
 
+    def test_refusal_that_contradicts_an_attempt_is_logged_and_counted(self):
+        def run(job):
+            with (
+                contextlib.suppress(exchanges.EndpointError),
+                job.attempts.sending('e1'),
+            ):
+                raise exchanges.EndpointError('reset')
+            return ports.Refusal(ports.Reason.NOT_RUN, 'full')
+
+        self.set_fleet_state()
+        with self.assertLogs('masticquay_gateway.calls', 'ERROR') as logs:
+            self.serve(self.make_service(run=run))
+        self.assertEqual(['e1: may have run'], logs.records[0].attempts)
+        self.assertIn(
+            'masticquay_promises_contradicted{service="svc"} 1',
+            self.registry.render(),
+        )
+
     def test_request_is_served_if_the_fleet_state_is_known(self):
         self.set_fleet_state()
         self.assertEqual(200, self.serve(self.make_service()).status)
