REFUSED: a mark is believed only if its value says that nothing ran

Callers saw: 503 or 429, which promise that a request has not run, for requests that ran at an endpoint whose answer bears the mark with the value '0', 'false' or none. Cause: the adapter reported that the header is there and left out what it says. It now decodes the mark whole; one that is not clear contradicts itself, and its caller gets 502, which promises nothing. The users' page shows the value 1 only.

Not shown to be what the users saw.

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -53,7 +53,10 @@
         return Verdict.OTHER_REQUEST
     if call_id and not head.answered_ids:
         return Verdict.NO_REQUEST
-    if head.has_not_run_mark or head.status == STATUS_WRONG_ENDPOINT:
+    mark = head.not_run_mark
+    if mark is not None and not mark.is_clear:
+        return Verdict.CONTRADICTORY
+    if mark is not None or head.status == STATUS_WRONG_ENDPOINT:
         if head.has_stamp or head.status not in REFUSAL_STATUSES:
             return Verdict.CONTRADICTORY
         return Verdict.NOT_RUN
@@ -139,6 +142,7 @@
         connection: connections.Connection,
     ) -> None:
         """Logs and counts an answer that is not passed on."""
+        mark = head.not_run_mark
         self._registry.count(
             'answers_rejected',
             'verdict',
@@ -154,7 +158,7 @@
                 'verdict': verdict.value,
                 'status': head.status,
                 'answered_calls': sorted(head.answered_ids),
-                'not_run_mark': head.not_run_mark,
+                'not_run_mark': mark.text if mark else None,
                 'stamp': head.has_stamp,
                 'connection_exchanges': connection.exchange_count,
             },
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -194,6 +194,20 @@
         self.last_event_id = last_event_id
 
 
+class NotRunMark:
+    """An endpoint's mark on the answer to a request that it did not run.
+
+    :param text: its value on the wire, for the log
+    :param is_clear: whether that value says so, too
+    """
+
+    __slots__ = ('text', 'is_clear')
+
+    def __init__(self, text: str, is_clear: bool = True):
+        self.text = text
+        self.is_clear = is_clear
+
+
 class ResponseHead:
     """What the status and headers of an endpoint's answer say.
 
@@ -201,8 +215,7 @@
     to be whole.
 
     :param answered_ids: the different ids of requests that it answers
-    :param not_run_mark: value of the mark that says that the request was not
-        run, of all such marks if it is repeated; None without one
+    :param not_run_mark: None without one
     :param has_stamp: whether it has the stamp of an endpoint that ran the
         request
     :param load: number of running and waiting requests at the endpoint, None
@@ -223,7 +236,7 @@
         self,
         status: int,
         answered_ids: frozenset[str],
-        not_run_mark: str | None,
+        not_run_mark: NotRunMark | None,
         has_stamp: bool,
         load: int | None,
         headers: Headers,
@@ -235,11 +248,6 @@
         self.load = load
         self.headers = headers
 
-    @property
-    def has_not_run_mark(self) -> bool:
-        """Whether it says that the request was not run."""
-        return self.not_run_mark is not None
-
 
 class EndpointNotice:
     """What an endpoint says of itself in an answer.
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -88,7 +88,7 @@
         return ports.ResponseHead(
             status=status,
             answered_ids=frozenset(v for k, v in headers if k == 'Call'),
-            not_run_mark=fields.get('Not-Run'),
+            not_run_mark=_read_mark(fields),
             has_stamp='Stamp' in fields or 'Not-Run' not in fields,
             load=None,
             headers=[],
@@ -112,6 +112,11 @@
         return f'/release/{handle}'
 
 
+def _read_mark(fields):
+    text = fields.get('Not-Run')
+    return None if text is None else ports.NotRunMark(text)
+
+
 class FakeEndpoint:
     """An endpoint whose responses are defined by the test.
 
--- a/libs/gateway/tests/test_answer_checks.py
+++ b/libs/gateway/tests/test_answer_checks.py
@@ -55,7 +55,7 @@
         return ports.ResponseHead(
             self.status,
             frozenset(self.ids),
-            '1' if self.marked else None,
+            ports.NotRunMark('1') if self.marked else None,
             self.stamped,
             0,
             [],
