--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -218,7 +218,7 @@
         job: jobs.Job | None,
     ) -> None:
         if job is not None:
-            self._check_promise(job, refusal)
+            refusal = self._require_proof(job, refusal)
         response = self._protocol.refusal_response(call, refusal)
         self._registry.count(
             'refused',
@@ -247,12 +247,14 @@
         )
         reply.send(response.status, response.headers, response.body)
 
-    def _check_promise(self, job: jobs.Job, refusal: ports.Refusal) -> None:
-        """Logs a promise that an attempt without proof contradicts."""
+    def _require_proof(
+        self, job: jobs.Job, refusal: ports.Refusal
+    ) -> ports.Refusal:
+        """Returns a refusal without a promise that nothing proves."""
         if not refusal.reason.promises_not_run:
-            return
+            return refusal
         if not job.attempts.may_have_run:
-            return
+            return refusal
         self._registry.count('promises_contradicted', 'service', job.service)
         LOG.error(
             'refusal contradicts an attempt',
@@ -263,6 +265,7 @@
                 'attempts': job.attempts.describe(),
             },
         )
+        return ports.Refusal(ports.Reason.UNKNOWN, refusal.detail)
 
     def _record_disconnect(self, job: jobs.Job) -> None:
         self._registry.count('callers_left', 'route', job.route.name)
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -46,7 +46,8 @@
         return ports.Call('c1', 'a.example', '/a/x', None, self.deadline_ms)
 
     def refusal_response(self, call, refusal):
-        return ports.RefusalResponse(503, [], refusal.detail.encode())
+        status = 503 if refusal.reason.promises_not_run else 502
+        return ports.RefusalResponse(status, [], refusal.detail.encode())
 
 
 def make_request():
@@ -118,7 +119,9 @@
         service.serve(make_request(), reply)
         self.assertIn('masticquay_refused', rendered[0])
 
-    def test_refusal_that_contradicts_an_attempt_is_logged_and_counted(self):
+    # Incident REFUSED: a promise must rest on proof for each attempt, whatever
+    # the code that refuses says.
+    def test_refusal_that_contradicts_an_attempt_promises_nothing(self):
         def run(job):
             with (
                 contextlib.suppress(exchanges.EndpointError),
@@ -129,7 +132,8 @@
 
         self.set_fleet_state()
         with self.assertLogs('masticquay_gateway.calls', 'ERROR') as logs:
-            self.serve(self.make_service(run=run))
+            reply = self.serve(self.make_service(run=run))
+        self.assertEqual(502, reply.status)
         self.assertEqual(['e1: may have run'], logs.records[0].attempts)
         self.assertIn(
             'masticquay_promises_contradicted{service="svc"} 1',
