A stream that its caller's leave ends is neither whole nor broken off

Callers that close only their sending side got a cut stream with the end of a whole one (rule MIXED), and a sound engine was reported for a broken stream. Cause: the interrupt shuts the engine's connection down, which ends a read without an error where the body has a length or ends with its connection; only an error was checked for the interrupt.

Found by a review of the trace. The test failed for both framings; the chunked one held.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -245,12 +245,16 @@
 def _read_stream(job: jobs.Job, exchange: connections.Exchange) -> bytes:
     """Returns further data of a stream, nothing at its end.
 
+    :raises InterruptedCallError: if the caller disconnected
     :raises ExchangeTimeoutError: if it goes on beyond the request's time
     :raises EndpointError: if the connection failed
     """
     is_late = job.remaining_ms <= 0
     with exchange.translate_errors():
         data = exchange.response.read1(READ_SIZE_BYTES)
+    # An interrupt ends the connection, which looks like the stream's end.
+    if not data:
+        job.interrupt.check()
     if data and is_late:
         raise exchanges.ExchangeTimeoutError('stream unfinished in its time')
     return data
