An answer whose body has no readable length is not believed

Callers could get a body with the lines of its chunks, or a part of one, as the server's whole body: http.client takes an unreadable Content-Length or an unknown Transfer-Encoding for none, and the end of the connection for that of the body. Lengths must be digits, and the only coding is chunked, once; anything else is a violation of the protocol (502).

Found by a review.

--- a/libs/endpoints/masticquay_endpoints/responses.py
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -20,6 +20,8 @@
     email.errors.MisplacedEnvelopeHeaderDefect,
     email.errors.MissingHeaderBodySeparatorDefect,
 )
+CHUNKED = 'chunked'
+MAX_LENGTH_DIGITS = 18
 HEX_DIGITS = frozenset(b'0123456789abcdefABCDEF')
 
 
@@ -39,9 +41,29 @@
         super().begin()
         if any(isinstance(d, HEAD_DEFECTS) for d in self.headers.defects):
             raise errors.ProtocolViolationError('unreadable header line')
-        lengths = self.headers.get_all('Content-Length') or []
-        if len(set(lengths)) > 1 or (lengths and self.chunked):
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Checks what says where the body ends.
+
+        ``http.client`` takes an unreadable length or coding for none, and the
+        end of the connection for that of the body.
+
+        :raises ProtocolViolationError: if it is unreadable or ambiguous
+        """
+        codings = self._values('Transfer-Encoding')
+        lengths = self._values('Content-Length')
+        if codings and ([c.lower() for c in codings] != [CHUNKED] or lengths):
+            raise errors.ProtocolViolationError('ambiguous transfer coding')
+        if any(not _is_length(length) for length in lengths):
+            raise errors.ProtocolViolationError('unreadable body length')
+        if len(set(lengths)) > 1:
             raise errors.ProtocolViolationError('ambiguous body length')
+        if codings and not self.chunked:
+            raise errors.ProtocolViolationError('unreadable transfer coding')
+
+    def _values(self, name: str) -> list[str]:
+        return [v.strip() for v in self.headers.get_all(name) or []]
 
     def _read_status(self) -> tuple[str, int, str]:
         """Reads the status line after all interim answers."""
@@ -65,3 +87,9 @@
     def _read_and_discard_trailer(self) -> None:
         self.fp.begin_part('trailers', MAX_TRAILER_BYTES)
         super()._read_and_discard_trailer()
+
+
+def _is_length(text: str) -> bool:
+    """Whether a text is a number of bytes."""
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) <= MAX_LENGTH_DIGITS
--- a/libs/endpoints/tests/test_responses.py
+++ b/libs/endpoints/tests/test_responses.py
@@ -82,6 +82,45 @@
         with self.assertRaises(errors.EndpointError):
             self.exchange(self.start_pool(send_chunked))
 
+    # Guards against a body that counts as whole at the end of its connection
+    # although nothing says how long it is.
+    def test_response_with_an_unreadable_body_length_is_an_error(self):
+        framings = (
+            b'Content-Length: abc',
+            b'Content-Length: 5, 5',
+            b'Content-Length: -4',
+            b'Content-Length: +2',
+            b'Content-Length:',
+            b'Transfer-Encoding: gzip, chunked',
+            b'Transfer-Encoding: gzip',
+            b'Transfer-Encoding: chunked \r\nContent-Length: 2',
+            b'Transfer-Encoding: chunked ',
+            b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
+        )
+        for framing in framings:
+
+            def send_body(sock, framing=framing):
+                sock.sendall(
+                    b'HTTP/1.1 200 x\r\n' + framing + b'\r\n\r\n2\r\nok\r\n'
+                )
+                sock.close()
+
+            with (
+                self.subTest(framing=framing),
+                self.assertRaises(errors.EndpointError),
+            ):
+                self.exchange(self.start_pool(send_body))
+
+    def test_chunked_response_is_read_in_upper_case_too(self):
+        def send_chunked(sock):
+            sock.sendall(
+                b'HTTP/1.1 200 x\r\nTransfer-Encoding: Chunked\r\n\r\n'
+                b'2\r\nok\r\n0\r\n\r\n'
+            )
+
+        pool = self.start_pool(send_chunked)
+        self.assertEqual((200, b'ok'), self.exchange(pool))
+
     def test_response_with_several_parts_is_read(self):
         head = b'HTTP/1.1 200 x\r\nContent-Type: multipart/mixed\r\n'
         pool = self.start_pool(
