REFUSED: a stamp is believed only if it has one value

An answer with an empty stamp, or with two that differ, counted as that of an endpoint that ran the request and was passed on as a success. As with the mark, the header's name was taken for what it says. Such an answer now contradicts itself (502).

--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -54,7 +54,7 @@
     if call_id and not head.answered_ids:
         return Verdict.NO_REQUEST
     mark = head.not_run_mark
-    if mark is not None and not mark.is_clear:
+    if head.has_unclear_stamp or (mark is not None and not mark.is_clear):
         return Verdict.CONTRADICTORY
     if mark is not None or head.status == STATUS_WRONG_ENDPOINT:
         if head.has_stamp or head.status not in REFUSAL_STATUSES:
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -221,6 +221,7 @@
     :param load: number of running and waiting requests at the endpoint, None
         if not reported
     :param headers: headers to pass on to the caller
+    :param has_unclear_stamp: whether a stamp is empty, or several differ
     """
 
     __slots__ = (
@@ -228,6 +229,7 @@
         'answered_ids',
         'not_run_mark',
         'has_stamp',
+        'has_unclear_stamp',
         'load',
         'headers',
     )
@@ -240,11 +242,13 @@
         has_stamp: bool,
         load: int | None,
         headers: Headers,
+        has_unclear_stamp: bool = False,
     ):
         self.status = status
         self.answered_ids = answered_ids
         self.not_run_mark = not_run_mark
         self.has_stamp = has_stamp
+        self.has_unclear_stamp = has_unclear_stamp
         self.load = load
         self.headers = headers
 
