A connection to an endpoint is never opened a second time by itself

http.client opens a new socket when it is to send over one that it has closed; that one would have no time limit, no interrupt would reach it and the count of exchanges would be of the other.

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -48,6 +48,8 @@
 
     def __init__(self, http_connection: http.client.HTTPConnection):
         self.http = http_connection
+        # It would open a connection of its own, without limits, to send on.
+        self.http.auto_open = 0
         self.channel = channels.Channel(http_connection.sock)
         self.reader = channels.LineReader(self.channel)
         self.http.sock = channels.HttpSocket(self.channel, self.reader)
--- a/libs/endpoints/tests/test_connections.py
+++ b/libs/endpoints/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Tests of connections, and of service calls over them that fail."""
 
+import http.client
 import select
 import socket
 import threading
@@ -137,3 +138,17 @@
         )
         self.assertIsNot(first_connection, self.exchange(pool))
         self.assertEqual(2, server.accepted_count)
+
+    # http.client would send over a connection that it opens by itself, which
+    # has no time limit and which no interrupt reaches.
+    def test_connection_that_was_closed_is_not_opened_again(self):
+        server = ScriptedServer(send_response, send_response)
+        self.addCleanup(server.close)
+        pool = connections.ConnectionPool(server.address)
+        self.addCleanup(pool.close)
+        connection = pool.acquire()
+        self.addCleanup(connection.close)
+        connection.http.close()
+        with self.assertRaises(http.client.NotConnected):
+            connection.http.request('GET', '/')
+        self.assertLessEqual(server.accepted_count, 1)
