Coordination: break the circle of leaderships and host_messages

Cause: the handlers of hosts' messages named the class of the leader's duties for their types, and that class builds them.

Change: the state of a term is a module of its own (leader_terms), and the handlers name a Protocol of what they need of the leader.

--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -3,6 +3,7 @@
 import logging
 import typing
 
+from masticquay_coordination import leader_terms
 from masticquay_routing import endpoint_messages
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
@@ -12,12 +13,39 @@
 from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
-if typing.TYPE_CHECKING:
-    from masticquay_coordination import leaderships
-
 LOG = logging.getLogger(__name__)
 
 
+class Leader(typing.Protocol):
+    """What the handlers need of the leader's duties."""
+
+    @property
+    def term(self) -> leader_terms.LeaderTerm | None:
+        """The present term as leader, None while another replica leads."""
+
+    def require_serving_term(self) -> leader_terms.LeaderTerm:
+        """Returns the present term once it can serve.
+
+        :raises RemoteError: with the leader's address, if another one leads
+        """
+
+    def add_waiting_host(self, host: str, link: peers.Connection) -> None:
+        """Records a host to notify when this replica can serve."""
+
+    def members(self) -> list[str]:
+        """Returns the addresses of the control replicas."""
+
+    def add_leaving(
+        self, renewal: messages.Renew, term: leader_terms.LeaderTerm
+    ) -> None:
+        """Tells all hosts of endpoints that told one host that they leave."""
+
+    def exchange_endpoint_views(
+        self, term: leader_terms.LeaderTerm, renewal: messages.Renew
+    ) -> list[messages.EndpointView]:
+        """Records what a host saw of endpoints; returns what all hosts did."""
+
+
 class HostMessages:
     """Passes each message on to the part of the leader that it is for.
 
@@ -25,8 +53,8 @@
     reaches no leader is dropped.
     """
 
-    def __init__(self, leadership: 'leaderships.Leadership'):
-        self._leadership = leadership
+    def __init__(self, leader: Leader):
+        self._leader = leader
 
     def register(self, listener: listeners.Listener) -> None:
         """Registers the handlers at a listener."""
@@ -52,9 +80,9 @@
         self, renewal: messages.Renew, link: peers.Connection
     ) -> messages.Renewed:
         try:
-            term = self._leadership.require_serving_term()
+            term = self._leader.require_serving_term()
         except wire_errors.RemoteError:
-            self._leadership.add_waiting_host(renewal.host, link)
+            self._leader.add_waiting_host(renewal.host, link)
             raise
         if term.sessions.renew(renewal, link):
             term.owner.release_host(renewal.host)
@@ -62,7 +90,7 @@
             term.owner.adopt(renewal.host, renewal.running)
         term.owner.add_origins(renewal.origins)
         if renewal.leaving:
-            self._leadership.add_leaving(renewal, term)
+            self._leader.add_leaving(renewal, term)
         if renewal.quarantined:
             prompts, requests = harmful_prompts.split_keys(renewal.quarantined)
             term.owner.adopt_quarantined(prompts)
@@ -70,9 +98,9 @@
         exhausted = term.owner.charge(renewal.usage)
         return messages.Renewed(
             term.number,
-            self._leadership.members(),
+            self._leader.members(),
             exhausted,
-            self._leadership.exchange_endpoint_views(term, renewal),
+            self._leader.exchange_endpoint_views(term, renewal),
             term.owner.quarantined_prompts() | term.requests.quarantined(),
             term.limits.exchange(renewal.host, renewal.limits),
             term.requests.suspects(),
@@ -81,24 +109,22 @@
     def _handle_admit(
         self, request: placement_messages.Admit, link: peers.Connection
     ) -> wire_messages.Message | typing.Any:
-        return self._leadership.require_serving_term().owner.admit(request)
+        return self._leader.require_serving_term().owner.admit(request)
 
     def _handle_ask_permit(
         self, ask: endpoint_messages.AskPermit, link: peers.Connection
     ) -> endpoint_messages.PermitAnswer:
-        return self._leadership.require_serving_term().limits.give_permit(ask)
+        return self._leader.require_serving_term().limits.give_permit(ask)
 
     def _handle_ask_trial(
         self, ask: endpoint_messages.AskTrial, link: peers.Connection
     ) -> endpoint_messages.TrialAnswer:
-        return self._leadership.require_serving_term().requests.begin_trial(
-            ask
-        )
+        return self._leader.require_serving_term().requests.begin_trial(ask)
 
     def _handle_trial_ended(
         self, ended: endpoint_messages.TrialEnded, link: peers.Connection
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is not None:
             term.requests.end_trial(ended)
 
@@ -107,28 +133,28 @@
         ended: endpoint_messages.EndedUnderRequest,
         link: peers.Connection,
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is not None:
             term.requests.record_end(ended)
 
     def _handle_prefill_done(
         self, done: placement_messages.PrefillDone, link: peers.Connection
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is not None:
             term.owner.finish_prefill(done)
 
     def _handle_decoding(
         self, decoding: placement_messages.Decoding, link: peers.Connection
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is not None:
             term.owner.begin_decode(decoding)
 
     def _handle_finished(
         self, finished: placement_messages.Finished, link: peers.Connection
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is not None:
             term.owner.finish(finished)
 
@@ -137,7 +163,7 @@
         trouble: placement_messages.EndpointTrouble,
         link: peers.Connection,
     ) -> None:
-        term = self._leadership.term
+        term = self._leader.term
         if term is None:
             return
         LOG.warning(
--- /dev/null
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -0,0 +1,62 @@
+"""State of the leader of the control group during one term."""
+
+from masticquay_coordination import endpoint_limits
+from masticquay_coordination import owners
+from masticquay_coordination import request_watches
+from masticquay_coordination import sessions
+from masticquay_routing import endpoint_notices
+from masticquay_routing import fleet_views
+from masticquay_routing import fleets
+from masticquay_routing import software_versions
+
+
+class LeaderTerm:
+    """The state of the leader during one term.
+
+    ``table_version`` is the version of the table that was applied last.
+    ``software_versions`` and ``listed``, the platform's last list, are
+    None until the first list of the term. ``leaving`` holds what hosts heard
+    from the endpoints themselves.
+
+    :param first: whether the group has had no leader before
+    """
+
+    __slots__ = (
+        'number',
+        'owner',
+        'sessions',
+        'started_ms',
+        'first',
+        'table_version',
+        'fleet_view',
+        'software_versions',
+        'listed',
+        'leaving',
+        'limits',
+        'requests',
+    )
+
+    def __init__(
+        self,
+        number: int,
+        owner: owners.Owner,
+        host_sessions: sessions.Sessions,
+        limits: endpoint_limits.EndpointLimits,
+        requests: request_watches.RequestWatch,
+        started_ms: int,
+        first: bool,
+    ):
+        self.number = number
+        self.owner = owner
+        self.sessions = host_sessions
+        self.limits = limits
+        self.requests = requests
+        self.started_ms = started_ms
+        self.first = first
+        self.table_version = -1
+        self.fleet_view = fleet_views.FleetView()
+        self.software_versions: software_versions.SoftwareVersions | None = (
+            None
+        )
+        self.listed: list[fleets.Endpoint] | None = None
+        self.leaving = endpoint_notices.LeavingEndpoints()
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -11,15 +11,14 @@
 from masticquay_coordination import endpoint_limits
 from masticquay_coordination import errors
 from masticquay_coordination import host_messages
+from masticquay_coordination import leader_terms
 from masticquay_coordination import orders
 from masticquay_coordination import owners
 from masticquay_coordination import ports
 from masticquay_coordination import request_watches
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
-from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
-from masticquay_routing import fleet_views
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import software_versions
@@ -42,58 +41,6 @@
 VERSIONS_COMMIT_TIMEOUT_S = 1.0
 
 
-class LeaderTerm:
-    """The state of the leader during one term.
-
-    ``table_version`` is the version of the table that was applied last.
-    ``software_versions`` and ``listed``, the platform's last list, are
-    None until the first list of the term. ``leaving`` holds what hosts heard
-    from the endpoints themselves.
-
-    :param first: whether the group has had no leader before
-    """
-
-    __slots__ = (
-        'number',
-        'owner',
-        'sessions',
-        'started_ms',
-        'first',
-        'table_version',
-        'fleet_view',
-        'software_versions',
-        'listed',
-        'leaving',
-        'limits',
-        'requests',
-    )
-
-    def __init__(
-        self,
-        number: int,
-        owner: owners.Owner,
-        host_sessions: sessions.Sessions,
-        limits: endpoint_limits.EndpointLimits,
-        requests: request_watches.RequestWatch,
-        started_ms: int,
-        first: bool,
-    ):
-        self.number = number
-        self.owner = owner
-        self.sessions = host_sessions
-        self.limits = limits
-        self.requests = requests
-        self.started_ms = started_ms
-        self.first = first
-        self.table_version = -1
-        self.fleet_view = fleet_views.FleetView()
-        self.software_versions: software_versions.SoftwareVersions | None = (
-            None
-        )
-        self.listed: list[fleets.Endpoint] | None = None
-        self.leaving = endpoint_notices.LeavingEndpoints()
-
-
 class Leadership:
     """Serves entry hosts and runs the leader's periodic tasks.
 
@@ -119,7 +66,7 @@
         self._order_lease_ms = order_lease_ms
         self._clock = clock
         self._lock = threading.Lock()
-        self._term: LeaderTerm | None = None
+        self._term: leader_terms.LeaderTerm | None = None
         self._table_lock = threading.Lock()
         self._view_lock = threading.Lock()
         self._list_lock = threading.RLock()
@@ -215,7 +162,7 @@
             term.leaving.apply_list(endpoints, now_ms)
         self._publish_endpoints(term)
 
-    def _publish_endpoints(self, term: LeaderTerm) -> None:
+    def _publish_endpoints(self, term: leader_terms.LeaderTerm) -> None:
         """Applies and sends the endpoint list with those known to leave."""
         with self._list_lock:
             if term.listed is None:
@@ -228,7 +175,9 @@
             term.limits.apply_list(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
-    def add_leaving(self, renewal: messages.Renew, term: LeaderTerm) -> None:
+    def add_leaving(
+        self, renewal: messages.Renew, term: leader_terms.LeaderTerm
+    ) -> None:
         """Tells all hosts of endpoints that told one host that they leave.
 
         An endpoint's word on itself is believed at once: an answer of another
@@ -259,7 +208,7 @@
             self._publish_endpoints(term)
 
     def _store_software_versions(
-        self, term: LeaderTerm, endpoints: list[fleets.Endpoint]
+        self, term: leader_terms.LeaderTerm, endpoints: list[fleets.Endpoint]
     ) -> bool:
         """Stores the versions at which streams may begin from now on.
 
@@ -294,7 +243,7 @@
         return True
 
     def _possible_versions(
-        self, term: LeaderTerm
+        self, term: leader_terms.LeaderTerm
     ) -> software_versions.Versions | None:
         if term.software_versions is None:
             return None
@@ -326,10 +275,10 @@
             gauges.update(term.requests.gauges())
         return gauges
 
-    def _begin_term(self, number: int) -> LeaderTerm:
+    def _begin_term(self, number: int) -> leader_terms.LeaderTerm:
         first = self._node.replica.has_no_commands()
         limits = endpoint_limits.EndpointLimits(self._clock)
-        term = LeaderTerm(
+        term = leader_terms.LeaderTerm(
             number,
             owners.Owner(number, self._clock, first, limits),
             sessions.Sessions(number, self._machine, self._clock),
@@ -341,7 +290,7 @@
         self._apply_newest_table(term)
         return term
 
-    def _apply_newest_table(self, term: LeaderTerm) -> None:
+    def _apply_newest_table(self, term: leader_terms.LeaderTerm) -> None:
         """Applies the newest table unless it was applied before."""
         with self._table_lock:
             stored = self._machine.stored
@@ -353,7 +302,7 @@
                 LOG.exception('stored table is invalid')
             term.table_version = stored.version
 
-    def _may_send_orders(self, term: LeaderTerm) -> bool:
+    def _may_send_orders(self, term: leader_terms.LeaderTerm) -> bool:
         if term.first:
             return True
         age_ms = self._clock.now_ms() - term.started_ms
@@ -381,11 +330,11 @@
         return True
 
     @property
-    def term(self) -> 'LeaderTerm | None':
+    def term(self) -> leader_terms.LeaderTerm | None:
         """The present term as leader, None while another replica leads."""
         return self._term
 
-    def require_serving_term(self) -> LeaderTerm:
+    def require_serving_term(self) -> leader_terms.LeaderTerm:
         """Returns the present term once it can serve.
 
         :raises RemoteError: with the leader's address, if another one leads
@@ -416,7 +365,7 @@
         return [member.member.address for member in members]
 
     def exchange_endpoint_views(
-        self, term: LeaderTerm, renewal: messages.Renew
+        self, term: leader_terms.LeaderTerm, renewal: messages.Renew
     ) -> list[messages.EndpointView]:
         """Records what a host saw of endpoints; returns what all hosts did."""
         now_ms = self._clock.now_ms()
