Routing: split placements into pools, placements, reservations and refusals

Cause: one module of 639 lines held the pool with its queue, the choice of the engines, the count of what is reserved and the retry times of refusals.

No change of behaviour.

--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -11,8 +11,9 @@
 from masticquay_routing import messages
 from masticquay_routing import meters
 from masticquay_routing import placement_messages
-from masticquay_routing import placements
+from masticquay_routing import pools
 from masticquay_routing import queued_requests
+from masticquay_routing import refusals
 from masticquay_routing import software_versions
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
@@ -46,7 +47,7 @@
         self.term = term
         self._clock = clock
         self._lock = threading.Lock()
-        self._pools: dict[str, placements.Pool] = {}
+        self._pools: dict[str, pools.Pool] = {}
         self._balancers: dict[str, balances.RoleBalancer] = {}
         self._engines: dict[str, tables.Engine] = {}
         self._rate_limiter = meters.RateLimiter(
@@ -110,7 +111,7 @@
             if software_version is None:
                 return placement_messages.Refused(
                     'software version of the resumed stream is unknown',
-                    placements.RETRY_AFTER_MAX_MS,
+                    refusals.RETRY_AFTER_MAX_MS,
                 )
             if not request.charged:
                 wait_ms = self._rate_limiter.charge_if_allowed(
@@ -127,7 +128,7 @@
             if pool is None:
                 self._refund(key, now_ms)
                 return placement_messages.Refused(
-                    'no engine', placements.RETRY_AFTER_MIN_MS
+                    'no engine', refusals.RETRY_AFTER_MIN_MS
                 )
             self._balancers[request.service].record_prompt(
                 request.prompt_tokens, now_ms
@@ -304,11 +305,11 @@
             if future is not None:
                 future.set_result(answer)
 
-    def _pool(self, service: str) -> placements.Pool:
+    def _pool(self, service: str) -> pools.Pool:
         """Returns the pool of a service; the caller holds the lock."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = placements.Pool(limits=self._limits)
+            pool = pools.Pool(limits=self._limits)
             self._pools[service] = pool
         return pool
 
--- a/libs/gateway/masticquay_gateway/local_placers.py
+++ b/libs/gateway/masticquay_gateway/local_placers.py
@@ -7,8 +7,9 @@
 from masticquay_gateway import fleet_states
 from masticquay_routing import meters
 from masticquay_routing import placement_messages
-from masticquay_routing import placements
+from masticquay_routing import pools
 from masticquay_routing import queued_requests
+from masticquay_routing import refusals
 from masticquay_routing import request_limits
 from masticquay_routing import tables
 
@@ -40,7 +41,7 @@
         self._state = state
         self._limits = limits
         self._lock = threading.Lock()
-        self._pools: dict[str, placements.Pool] = {}
+        self._pools: dict[str, pools.Pool] = {}
         self._rate_limiter: meters.RateLimiter | None = None
 
     def charge_rate(self, workspace: str, cost: float) -> int:
@@ -92,7 +93,7 @@
                 if placed is queued_request:
                     return outcome
         return queued_requests.Refusal(
-            'no engine available', placements.RETRY_AFTER_MIN_MS
+            'no engine available', refusals.RETRY_AFTER_MIN_MS
         )
 
     def finish_prefill(self, request: placement_messages.Admit) -> None:
@@ -127,10 +128,10 @@
             if pool is not None:
                 pool.record_refusal(endpoint_id, _now_ms(), pause_ms)
 
-    def _pool(self, service: str) -> placements.Pool:
+    def _pool(self, service: str) -> pools.Pool:
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = placements.Pool(
+            pool = self._pools[service] = pools.Pool(
                 random.Random(), LOCAL_PREFILL_SHARE, self._limits
             )
         table = self._state.table
--- a/libs/routing/masticquay_routing/balances.py
+++ b/libs/routing/masticquay_routing/balances.py
@@ -2,7 +2,7 @@
 
 from masticquay_routing import engine_states
 from masticquay_routing import fleets
-from masticquay_routing import placements
+from masticquay_routing import pools
 
 # Fraction of the engines that run prefills until the load requires a change.
 INITIAL_PREFILL_SHARE = 0.16
@@ -57,7 +57,7 @@
         self._recent_prompts.append((now_ms, tokens))
 
     def plan(
-        self, pool: placements.Pool, now_ms: int, switch_ms: int
+        self, pool: pools.Pool, now_ms: int, switch_ms: int
     ) -> list[RoleOrder]:
         """Returns the role changes that are due.
 
@@ -126,7 +126,7 @@
         )
 
     def _adjust_to_load(
-        self, engine_count: int, pool: placements.Pool, now_ms: int
+        self, engine_count: int, pool: pools.Pool, now_ms: int
     ) -> None:
         """Changes the number of extra prefill engines by at most one."""
         oldest_ms = now_ms - LOAD_WINDOW_MS
@@ -164,7 +164,7 @@
     return since_ms is not None and now_ms - since_ms > LOST_AFTER_MS
 
 
-def _decode_load(pool: placements.Pool, now_ms: int) -> float:
+def _decode_load(pool: pools.Pool, now_ms: int) -> float:
     """Returns the fraction of the decode memory that is reserved."""
     _prefills, decodes = pool.usable_by_role(now_ms)
     memory_tokens = sum(e.memory_tokens for e in decodes)
--- a/libs/routing/tests/builders.py
+++ b/libs/routing/tests/builders.py
@@ -1,7 +1,7 @@
 """Builders of tables, endpoints and requests for tests."""
 
 from masticquay_routing import fleets
-from masticquay_routing import placements
+from masticquay_routing import pools
 from masticquay_routing import queued_requests
 from masticquay_routing import tables
 
@@ -50,7 +50,7 @@
 
 def make_pool(prefills=1, decodes=2):
     """Returns a pool of engines e0, e1, ..., prefill engines first."""
-    pool = placements.Pool()
+    pool = pools.Pool()
     engines = [
         make_engine(
             n, fleets.ROLE_PREFILL if n < prefills else fleets.ROLE_DECODE
--- a/libs/routing/tests/test_failed_placements.py
+++ b/libs/routing/tests/test_failed_placements.py
@@ -11,7 +11,8 @@
 from masticquay_routing import engine_states
 from masticquay_routing import failed_placements
 from masticquay_routing import fleets
-from masticquay_routing import placements
+from masticquay_routing import pools
+from masticquay_routing import queued_requests
 from tests import builders
 
 STEPS = 1_500
@@ -19,7 +20,7 @@
 MEMORY_TOKENS = 29_000
 
 
-class PlainPool(placements.Pool):
+class PlainPool(pools.Pool):
     """Looks at all engines for each waiting request."""
 
     def place_waiting(self, now_ms):
@@ -48,7 +49,7 @@
 def describe(outcome):
     """Returns an outcome as a value that can be compared."""
     request, result = outcome
-    if isinstance(result, placements.queued_requests.Refusal):
+    if isinstance(result, queued_requests.Refusal):
         return request.key, result.reason, result.retry_after_ms
     prefill = result.prefill.endpoint_id if result.prefill else ''
     return request.key, prefill, result.decode.endpoint_id, result.prefill_ms
@@ -60,28 +61,28 @@
         rng = random.Random(seed)
         prefills = rng.randint(0, 3)
         decodes = rng.randint(2, 6)
-        pools = [
+        both = [
             make_pool(pool_class, prefills, decodes)
-            for pool_class in (placements.Pool, PlainPool)
+            for pool_class in (pools.Pool, PlainPool)
         ]
         now_ms = 0
         running = []
         outcome_count = 0
         for number in range(STEPS):
             now_ms += rng.randrange(MAX_STEP_MS)
-            self.admit_both(pools, number, now_ms, rng)
+            self.admit_both(both, number, now_ms, rng)
             outcomes = [
-                [describe(o) for o in p.place_waiting(now_ms)] for p in pools
+                [describe(o) for o in p.place_waiting(now_ms)] for p in both
             ]
             self.assertEqual(
                 outcomes[1], outcomes[0], f'seed {seed}, step {number}'
             )
             outcome_count += len(outcomes[0])
             running += [o[0] for o in outcomes[0] if len(o) == 4]
-            self.end_some(pools, running, now_ms, rng)
+            self.end_some(both, running, now_ms, rng)
         return outcome_count
 
-    def admit_both(self, pools, number, now_ms, rng):
+    def admit_both(self, both, number, now_ms, rng):
         fields = {
             'prompt': rng.randint(50, 6_600),
             'output': rng.randint(20, 1_700),
@@ -97,25 +98,25 @@
         if rng.random() < 0.05:
             changes['preferred_id'] = f'e{rng.randint(0, 5)}'
         late_ms = now_ms + 2_000
-        for pool in pools:
+        for pool in both:
             request = builders.make_request(number, now_ms, **fields)
             request.late_placement_deadline_ms = late_ms
             for name, value in changes.items():
                 setattr(request, name, value)
             pool.admit(request)
 
-    def end_some(self, pools, running, now_ms, rng):
+    def end_some(self, both, running, now_ms, rng):
         while running and rng.random() < 0.55:
             key = running.pop(rng.randrange(len(running)))
             kind = rng.random()
-            for pool in pools:
+            for pool in both:
                 pool.finish_prefill(key, now_ms)
                 pool.begin_decode(key, now_ms)
                 pool.remove(key, succeeded=kind > 0.1)
         if rng.random() < 0.05:
             engine_id = f'e{rng.randint(0, 5)}'
             reached = rng.random() < 0.5
-            for pool in pools:
+            for pool in both:
                 pool.record_failure(engine_id, now_ms, reached)
 
     def test_decisions_are_those_of_the_plain_placement(self):
@@ -146,6 +147,6 @@
 
     def test_waiting_requests_cost_less_than_a_look_at_all_engines(self):
         self.assertLess(
-            self.count_looks(placements.Pool),
+            self.count_looks(pools.Pool),
             0.2 * self.count_looks(PlainPool),
         )
--- a/libs/routing/tests/test_release_loads.py
+++ b/libs/routing/tests/test_release_loads.py
@@ -8,7 +8,7 @@
 import unittest
 
 from masticquay_routing import fleets
-from masticquay_routing import placements
+from masticquay_routing import pools
 from masticquay_routing import queued_requests
 from tests import builders
 
@@ -30,7 +30,7 @@
 
 class ReleaseLoadTest(unittest.TestCase):
     def make_pool(self, engines):
-        pool = placements.Pool()
+        pool = pools.Pool()
         pool.set_engines(engines, builders.MEMORY_TOKENS, builders.SLOTS)
         return pool
 
