--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -4,12 +4,13 @@
 import logging
 import threading
 
+from masticquay_coordination import charges
 from masticquay_coordination import endpoint_limits
+from masticquay_coordination import pool_requests
 from masticquay_coordination import prompt_watches
 from masticquay_routing import balances
 from masticquay_routing import fleets
 from masticquay_routing import messages
-from masticquay_routing import meters
 from masticquay_routing import placement_messages
 from masticquay_routing import pools
 from masticquay_routing import queued_requests
@@ -23,9 +24,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Initial level of the token buckets under a new leader, as a fraction of the
-# burst. It does not know which requests its predecessor allowed last.
-SUCCESSOR_BURST_SHARE = 0.5
 # An engine gets an order and, before it, a question about its state.
 ORDER_REQUESTS = 2
 
@@ -50,14 +48,8 @@
         self._pools: dict[str, pools.Pool] = {}
         self._balancers: dict[str, balances.RoleBalancer] = {}
         self._engines: dict[str, tables.Engine] = {}
-        self._rate_limiter = meters.RateLimiter(
-            initial_level=1.0 if first else SUCCESSOR_BURST_SHARE
-        )
         self._waiting: dict[queued_requests.RequestKey, futures.Future] = {}
-        # What a request was charged that waits for a placement.
-        self._charges: dict[
-            queued_requests.RequestKey, placement_messages.Admit
-        ] = {}
+        self._charges = charges.Charges(first)
         self._origins = stream_origins.StreamOrigins()
         self._prompts = prompt_watches.PromptWatch()
         self._limits = limits or endpoint_limits.EndpointLimits(clock)
@@ -71,8 +63,7 @@
                 for name, service in table.services.items()
                 if service.engine is not None
             }
-            limits = meters.rate_limits(table.workspaces)
-            self._rate_limiter.set_limits(limits, self._clock.now_ms())
+            self._charges.set_table(table, self._clock.now_ms())
 
     def set_endpoints(
         self,
@@ -113,20 +104,13 @@
                     'software version of the resumed stream is unknown',
                     refusals.RETRY_AFTER_MAX_MS,
                 )
-            if not request.charged:
-                wait_ms = self._rate_limiter.charge_if_allowed(
-                    request.workspace, request.cost, now_ms
-                )
-                if wait_ms:
-                    return placement_messages.Refused(
-                        'over rate', wait_ms, True
-                    )
             key = (request.host, request.number)
-            if not request.charged:
-                self._charges[key] = request
+            wait_ms = self._charges.charge(key, request, now_ms)
+            if wait_ms:
+                return placement_messages.Refused('over rate', wait_ms, True)
             pool = self._pools.get(request.service)
             if pool is None:
-                self._refund(key, now_ms)
+                self._charges.refund(key, now_ms)
                 return placement_messages.Refused(
                     'no engine', refusals.RETRY_AFTER_MIN_MS
                 )
@@ -135,7 +119,9 @@
             )
             self._prompts.admit(key, request, now_ms)
             pool.admit(
-                _make_queued_request(key, request, software_version, now_ms)
+                pool_requests.make_queued_request(
+                    key, request, software_version, now_ms
+                )
             )
             future: futures.Future = futures.Future()
             future.set_running_or_notify_cancel()
@@ -183,7 +169,7 @@
                 pool.remove(key, finished.sound)
             abandoned = self._waiting.pop(key, None)
             if abandoned is not None:
-                self._refund(key, self._clock.now_ms())
+                self._charges.refund(key, self._clock.now_ms())
         if abandoned is not None:
             abandoned.set_result(placement_messages.Refused('caller left', 0))
         self.place_waiting()
@@ -222,7 +208,7 @@
                     continue
                 for pool in self._pools.values():
                     pool.remove(key)
-                self._refund(key, now_ms)
+                self._charges.refund(key, now_ms)
                 self._prompts.finish(key)
                 refused.append((self._waiting.pop(key), wait_ms))
         for future, wait_ms in refused:
@@ -262,9 +248,7 @@
         """
         now_ms = self._clock.now_ms()
         with self._lock:
-            for workspace, cost in usage.items():
-                self._rate_limiter.charge(workspace, cost, now_ms)
-            return self._rate_limiter.exhausted(now_ms)
+            return self._charges.charge_usage(usage, now_ms)
 
     def release_host(self, host: str) -> None:
         """Drops all requests of a host that restarted or lost its session."""
@@ -274,7 +258,7 @@
             lost_keys = [key for key in self._waiting if key[0] == host]
             abandoned = [self._waiting.pop(key) for key in lost_keys]
             for key in lost_keys:
-                self._refund(key, self._clock.now_ms())
+                self._charges.refund(key, self._clock.now_ms())
             self._prompts.release_host(host)
         for future in abandoned:
             future.set_result(placement_messages.Refused('host lost', 0))
@@ -292,13 +276,13 @@
             answers = []
             for request, outcome in outcomes:
                 if isinstance(outcome, queued_requests.Refusal):
-                    self._refund(request.key, now_ms)
+                    self._charges.refund(request.key, now_ms)
                     self._prompts.finish(request.key)
-                self._charges.pop(request.key, None)
+                self._charges.settle(request.key)
                 answers.append(
                     (
                         self._waiting.pop(request.key, None),
-                        _make_answer(request, outcome),
+                        pool_requests.make_answer(request, outcome),
                     )
                 )
         for future, answer in answers:
@@ -336,12 +320,6 @@
             return None
         return origin.software_version
 
-    def _refund(self, key: queued_requests.RequestKey, now_ms: int) -> None:
-        """Refunds a request that did not run; the caller holds the lock."""
-        request = self._charges.pop(key, None)
-        if request is not None:
-            self._rate_limiter.refund(request.workspace, request.cost, now_ms)
-
     def plan_orders(self) -> list[balances.RoleOrder]:
         """Returns the orders for the role changes that are due."""
         now_ms = self._clock.now_ms()
@@ -410,45 +388,3 @@
 
 def _refuse_harmful(wait_ms: int) -> placement_messages.Refused:
     return placement_messages.Refused(messages.REASON_HARMFUL_PROMPT, wait_ms)
-
-
-def _make_queued_request(
-    key: queued_requests.RequestKey,
-    request: placement_messages.Admit,
-    software_version: str,
-    now_ms: int,
-) -> queued_requests.QueuedRequest:
-    return queued_requests.QueuedRequest(
-        key=key,
-        workspace=request.workspace,
-        prompt_tokens=request.prompt_tokens,
-        output_tokens=request.output_tokens,
-        priority=request.priority,
-        arrived_ms=now_ms,
-        target_deadline_ms=now_ms + request.urgent_ms,
-        placement_deadline_ms=now_ms + request.wait_ms,
-        avoided_ids=frozenset(request.avoid),
-        preferred_id=request.prefer,
-        prefilled=request.prefilled,
-        late_placement_deadline_ms=now_ms + request.late_wait_ms,
-        prompt_key=request.prompt_key,
-        pause_ms=request.pause_ms,
-        software_version=software_version,
-    )
-
-
-def _make_answer(
-    request: queued_requests.QueuedRequest,
-    outcome: queued_requests.Placement | queued_requests.Refusal,
-) -> wire_messages.Message:
-    if isinstance(outcome, queued_requests.Refusal):
-        return placement_messages.Refused(
-            outcome.reason, outcome.retry_after_ms
-        )
-    prefill = outcome.prefill
-    return placement_messages.Placed(
-        prefill.endpoint_id if prefill else '',
-        outcome.decode.endpoint_id,
-        outcome.prefill_ms,
-        request.software_version,
-    )
