Serving, endpoints: one list of header defects, one check of cut-off lines

Cause: the defects that mark an unreadable header line stood in serving and in endpoints, and the check whether the end of the stream cut a line off in three readers (heads and http_clients of serving, channels of endpoints).

Change: both are functions of serving.heads; endpoints depends on serving. The readers stay apart: one extends its deadline by what arrives, one limits all answers together, one uses the timeout of the kernel. No change of behaviour.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -8,6 +8,7 @@
 import typing
 
 from masticquay_endpoints import errors
+from masticquay_serving import heads
 
 # The socket's timeout may end this much after the time that is due. It is set
 # again only beyond that, as each change is a system call.
@@ -152,8 +153,7 @@
 
         :returns: empty only if the connection ended before the response
         :raises ProtocolViolationError: if a limit is exceeded
-        :raises EndpointError: if the connection ended within the part, which
-            ``http.client`` would take for its end
+        :raises EndpointError: if the connection ended within the part
         """
         limit_bytes = min(self._part_bytes, MAX_LINE_BYTES)
         line = super().readline(limit_bytes + 1)
@@ -161,7 +161,8 @@
             raise errors.ProtocolViolationError(
                 f'{self._part_name} of the response is too long'
             )
-        if not line.endswith(b'\n') and (line or self._part_begun):
+        is_cut_off = heads.is_cut_off(line, limit_bytes + 1)
+        if is_cut_off and (line or self._part_begun):
             raise errors.EndpointError(
                 f'connection ended within {self._part_name} of the response'
             )
--- a/libs/endpoints/masticquay_endpoints/responses.py
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -1,10 +1,10 @@
 """Responses of endpoints, with limits on all that they consist of."""
 
-import email.errors
 import http.client
 
 from masticquay_endpoints import channels
 from masticquay_endpoints import errors
+from masticquay_serving import heads
 
 # The status line and all header lines; ``http.client`` allows 100 of these.
 MAX_HEAD_BYTES = 64 * 1024
@@ -12,14 +12,6 @@
 # With its extensions.
 MAX_CHUNK_SIZE_BYTES = 256
 MAX_TRAILER_BYTES = 8 * 1024
-# The parser leaves out all lines after an unreadable one, with these defects.
-# Others tell of the body, which it does not see.
-HEAD_DEFECTS = (
-    email.errors.FirstHeaderLineIsContinuationDefect,
-    email.errors.InvalidHeaderDefect,
-    email.errors.MisplacedEnvelopeHeaderDefect,
-    email.errors.MissingHeaderBodySeparatorDefect,
-)
 HEX_DIGITS = frozenset(b'0123456789abcdefABCDEF')
 
 
@@ -37,7 +29,7 @@
         :raises ProtocolViolationError: if it is too long or unreadable
         """
         super().begin()
-        if any(isinstance(d, HEAD_DEFECTS) for d in self.headers.defects):
+        if heads.has_unreadable_line(self.headers):
             raise errors.ProtocolViolationError('unreadable header line')
         lengths = self.headers.get_all('Content-Length') or []
         if len(set(lengths)) > 1 or (lengths and self.chunked):
--- a/libs/serving/masticquay_serving/heads.py
+++ b/libs/serving/masticquay_serving/heads.py
@@ -1,4 +1,4 @@
-"""Limits and checks the header lines of a request."""
+"""Limits and checks of the lines of a head."""
 
 import email.errors
 import email.message
@@ -22,8 +22,18 @@
     return any(isinstance(d, HEAD_DEFECTS) for d in headers.defects)
 
 
+def is_cut_off(line: bytes, size: int) -> bool:
+    """Whether the end of the stream cut off a line that was read.
+
+    ``http.client`` would take that for the end of the head or the trailers.
+
+    :param size: how much was to be read at most, negative for any length
+    """
+    return not line.endswith(b'\n') and len(line) != size
+
+
 class HeaderLines:
-    """The header lines of a stream, for the parser of ``http.client``.
+    """The header lines of a request, for the parser of ``http.client``.
 
     :param limit_bytes: for all lines together, without the empty one
     """
@@ -38,14 +48,13 @@
         """Returns the next line, at most ``size`` bytes of it.
 
         :raises BadRequestError: when the lines are larger than the limit
-        :raises CallerDisconnectedError: at the end of the stream, which the
-            parser would take for the end of the headers
+        :raises CallerDisconnectedError: at the end of the stream
         """
         line = self._stream.readline(min(size, self._left_bytes + 1))
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise errors.BadRequestError(431, 'the headers are too large')
-        if not line.endswith(b'\n') and len(line) < size:
+        if is_cut_off(line, size):
             raise errors.CallerDisconnectedError(
                 'connection closed before the end of the headers'
             )
--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -12,6 +12,7 @@
 import typing
 
 from masticquay_serving import errors
+from masticquay_serving import heads
 from masticquay_serving import replies
 from masticquay_serving import requests
 
@@ -186,19 +187,15 @@
 
 
 class _LineReader(io.BufferedReader):
-    """Raises an error at a line that the end of the stream cuts off.
-
-    ``http.client`` would take it for the end of the head or the trailers.
-    """
+    """Raises an error at a line that the end of the stream cuts off."""
 
     def __init__(self, raw: io.RawIOBase):
         super().__init__(raw)
         self._has_begun = False
 
-    def readline(self, size: int | None = -1) -> bytes:
+    def readline(self, size: int = -1) -> bytes:
         line = super().readline(size)
-        is_cut = not line.endswith(b'\n') and len(line) != size
-        if is_cut and (line or self._has_begun):
+        if heads.is_cut_off(line, size) and (line or self._has_begun):
             raise errors.ExchangeError('the answer is not whole')
         self._has_begun = True
         return line
