--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -16,6 +16,7 @@
 from masticquay_consensus import protocols
 from masticquay_consensus import replica_changes
 from masticquay_consensus import replicas
+from masticquay_consensus import senders
 from masticquay_consensus import settings as settings_module
 from masticquay_consensus import states
 from masticquay_consensus import stores
@@ -28,8 +29,7 @@
 LOG = logging.getLogger(__name__)
 
 EXIT_STORAGE_FAILED = 1
-# The interval at which timers and the member list are checked, and the delay
-# after a request that got no answer.
+# The interval at which timers and the member list are checked.
 TICK_MS = 50
 # How long an idle thread waits for a notification before it checks for work.
 IDLE_WAIT_MS = 1_000
@@ -332,11 +332,11 @@
         return dialers.WebsocketPeer(address, self._name, self._secret)
 
     def _start_thread(
-        self, name: str, run: typing.Callable[..., None], *args: object
+        self, name: str, run: typing.Callable[[], None]
     ) -> threading.Thread:
         thread = threading.Thread(
             target=self._run_guarded,
-            args=(run, *args),
+            args=(run,),
             name=f'{name}-{self._name}',
             daemon=True,
         )
@@ -344,12 +344,10 @@
         thread.start()
         return thread
 
-    def _run_guarded(
-        self, run: typing.Callable[..., None], *args: object
-    ) -> None:
+    def _run_guarded(self, run: typing.Callable[[], None]) -> None:
         """Runs the function of a thread; treats an exception as fatal."""
         try:
-            run(*args)
+            run()
         except Exception as cause:
             if not self._closed.is_set():
                 self._fail(cause)
@@ -399,49 +397,17 @@
             known = self._peer_threads.get(member_id)
             if member_id == state.replica_id or (known and known.is_alive()):
                 continue
+            sender = senders.Sender(
+                self.replica,
+                member,
+                self._link_factory,
+                self._settings,
+                self._closed,
+            )
             self._peer_threads[member_id] = self._start_thread(
-                f'log-peer-{member.name}', self._send_requests, member
+                f'log-peer-{member.name}', sender.run
             )
 
-    def _send_requests(self, member: messages.Member) -> None:
-        """Sends requests to a member, one at a time.
-
-        Ends when the member is removed or its address changes.
-        """
-        with contextlib.ExitStack() as stack:
-            link = self._link_factory(peers.Address.parse(member.address))
-            stack.callback(link.close)
-            while self._is_current(member):
-                request = self.replica.wait_for_request(
-                    member.replica_id, IDLE_WAIT_MS
-                )
-                if request is None:
-                    continue
-                try:
-                    answer = link.call(
-                        request.message, self._settings.call_timeout_ms
-                    )
-                except wire_errors.RemoteError as cause:
-                    # For example, the member's disk was replaced and the
-                    # process there has another identity. The next request
-                    # waits a heartbeat interval.
-                    self.replica.handle_failure(request, cause)
-                    self._closed.wait(self._settings.heartbeat_ms / 1000)
-                except wire_errors.WireError:
-                    self.replica.handle_failure(request)
-                    self._closed.wait(TICK_MS / 1000)
-                else:
-                    self.replica.handle_answer(request, answer)
-
-    def _is_current(self, member: messages.Member) -> bool:
-        """Whether a member is still in the group at the same address."""
-        if self._closed.is_set():
-            return False
-        state = self.replica.state
-        with state.lock:
-            found = state.configuration.member(member.replica_id)
-        return found is not None and found.address == member.address
-
     def _run_formation(self) -> None:
         formation = formations.Formation(
             self.replica,
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -13,6 +13,7 @@
 from masticquay_consensus import restart_proofs
 from masticquay_consensus import settings as settings_module
 from masticquay_consensus import states
+from masticquay_consensus import statuses
 from masticquay_consensus import stores
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
@@ -52,6 +53,7 @@
         self._elections = elections.Elections(self.state, self._restart_proof)
         self._follower = followers.Follower(self.state)
         self._leader = leaders.Leader(self.state)
+        self._statuses = statuses.Statuses(self.state, self._leader)
         self._applier = appliers.Applier(
             self.state, state_machine, self._follower, self._leader
         )
@@ -388,24 +390,7 @@
 
     def status(self) -> messages.LogStatus:
         """Returns this replica's view of the group."""
-        state = self.state
-        with state.lock:
-            return messages.LogStatus(
-                replica_id=state.replica_id,
-                role=self._role_of(state.replica_id),
-                term=state.term,
-                commit_index=state.commit_index,
-                applied_index=state.applied_index,
-                snapshot_index=self._store.snapshot_index,
-                members=[
-                    messages.MemberStatus(
-                        member,
-                        self._role_of(member.replica_id),
-                        self._match_index_of(member.replica_id),
-                    )
-                    for member in state.configuration.members
-                ],
-            )
+        return self._statuses.report()
 
     def _report_start(self) -> messages.StartReport:
         """Answers AskStart.
@@ -433,19 +418,3 @@
             entry = self._leader.append(kind, command)
             state.proposals[entry.index] = states.Proposal(entry.term, future)
             return None
-
-    def _role_of(self, member_id: str) -> str:
-        state = self.state
-        member = state.configuration.member(member_id)
-        if member is None or not member.voter:
-            return messages.ROLE_LEARNER
-        if member_id == state.leader_id:
-            return messages.ROLE_LEADER
-        if member_id == state.replica_id:
-            return state.role
-        return messages.ROLE_FOLLOWER
-
-    def _match_index_of(self, member_id: str) -> int:
-        if self.state.role != messages.ROLE_LEADER:
-            return 0
-        return self._leader.match_index(member_id)
