--- a/libs/entry/masticquay_entry/model_calls.py
+++ b/libs/entry/masticquay_entry/model_calls.py
@@ -14,6 +14,7 @@
 from masticquay_entry import placements
 from masticquay_entry import refusals
 from masticquay_entry import runs
+from masticquay_entry import token_charges
 from masticquay_scheduling import messages
 from masticquay_scheduling import prefixes
 
@@ -43,7 +44,7 @@
         self._run = run
         self._request = request
         self._placer = placements.Placer(deps, run, request.model)
-        self._charged_tokens = 0
+        self._charge = token_charges.TokenCharge(deps, run)
         self._addresses_to_cancel: set[str] = set()
         self._texts: list[bytes] = []
 
@@ -70,7 +71,9 @@
         :raises Refusal: when the request ends without its complete answer
         """
         try:
-            self._charge()
+            self._charge.charge(
+                self._request.prompt_tokens + self._request.max_tokens
+            )
             hashes = prefixes.hash_blocks(self._request.prompt)
             while True:
                 placement = self._placer.place(
@@ -89,46 +92,6 @@
         finally:
             self._settle()
 
-    def _charge(self) -> None:
-        """Charges the prompt and the maximum output to the workspace's rate.
-
-        :raises Refusal: when the rate limiter refuses or does not answer
-        :raises InterruptedCallError: when the request was interrupted
-        """
-        workspace = self._run.admission.workspace
-        if not workspace:
-            return
-        service_class = self._run.admission.service_class
-        wait_ms = service_class.max_wait_ms
-        if service_class.kind != models.CLASS_DEFERRED:
-            wait_ms = min(wait_ms, placements.MAX_RATE_WAIT_MS)
-        tokens = self._request.prompt_tokens + self._request.max_tokens
-        future = self._deps.rates.charge(workspace, tokens, wait_ms)
-        try:
-            charged = self._run.interrupt.wait(
-                future, wait_ms + placements.ADMIT_MARGIN_MS
-            )
-        except errors.EndpointError as cause:
-            future.add_done_callback(self._refund_late_charge)
-            if isinstance(cause, errors.StalledError):
-                raise refusals.Refusal(
-                    503,
-                    'no-limiter',
-                    'the rate limiter does not answer',
-                    retry_after_ms=placements.BUSY_RETRY_AFTER_MS,
-                ) from cause
-            raise
-        if isinstance(charged, result.Failure):
-            raise refusals.from_scheduling(charged.failure())
-        self._charged_tokens = charged.unwrap()
-
-    def _refund_late_charge(self, future) -> None:
-        charged = future.result()
-        if isinstance(charged, result.Success):
-            self._deps.rates.refund(
-                self._run.admission.workspace, charged.unwrap()
-            )
-
     def _check_retry(self, failure: placements.AttemptError) -> None:
         """Returns if the request may be retried.
 
@@ -418,11 +381,7 @@
         used_tokens = 0
         if self._run.may_have_run:
             used_tokens = self._request.prompt_tokens + self.output_tokens
-        unused_tokens = self._charged_tokens - used_tokens
-        if unused_tokens > 0:
-            self._deps.rates.refund(
-                self._run.admission.workspace, unused_tokens
-            )
+        self._charge.settle(used_tokens)
 
     def _priority(self) -> int:
         return ENGINE_PRIORITIES[self._run.admission.service_class.kind]
