--- a/libs/scheduling/masticquay_scheduling/queued_requests.py
+++ b/libs/scheduling/masticquay_scheduling/queued_requests.py
@@ -81,17 +81,3 @@
         """The name and incarnation of the host that waits."""
         request = self.reservation.placement.request
         return (request.host, request.incarnation)
-
-
-class AvailableSlots:
-    """Decode slots beyond those that running attempts still need.
-
-    :param free: slots free now
-    :param projected: slots free now plus those expected soon
-    """
-
-    __slots__ = ('free', 'projected')
-
-    def __init__(self, free: int, projected: float):
-        self.free = free
-        self.projected = projected
