Prompts that end prefill engines are kept from further ones

Change: a host that had a prefill broken off tells the leader when the engine takes no connections any more (new optional field ended_in_prefill of EndpointTrouble; has_ended stays unset, so an earlier leader takes it as a failure, as before). Such ends count with those of decode engines, so a prompt that ends any engine is found after as many ends as before. Only a completed prefill clears them: a decode engine that reads the prompt itself and writes the answer does not. A prefill with the part in the last 5 s clears an end too, as sound popular prompts are hit when many engines crash at once. A new leader knows of no prefills, so ends at one time that it is told again count once.

Ruled out: counting all prefill ends within 500 ms as one.

--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -147,6 +147,7 @@
                 'entry_host': trouble.host,
                 'reason': trouble.reason,
                 'has_ended': trouble.has_ended,
+                'ended_in_prefill': trouble.ended_in_prefill,
                 'prompt_parts': trouble.prompt_parts,
             },
         )
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -144,12 +144,13 @@
 
     def finish_prefill(self, done: placement_messages.PrefillDone) -> None:
         """Records that the prefill of a request completed."""
+        key = (done.host, done.number)
+        now_ms = self._clock.now_ms()
         with self._lock:
+            self._prompts.finish_prefill(key, now_ms)
             pool = self._pools.get(done.service)
             if pool is not None:
-                pool.finish_prefill(
-                    (done.host, done.number), self._clock.now_ms()
-                )
+                pool.finish_prefill(key, now_ms)
         self.place_waiting()
 
     def begin_decode(self, begun: placement_messages.Decoding) -> None:
--- a/libs/coordination/masticquay_coordination/prompt_watches.py
+++ b/libs/coordination/masticquay_coordination/prompt_watches.py
@@ -64,6 +64,14 @@
         if running is not None:
             running.began_ms = now_ms
 
+    def finish_prefill(
+        self, key: queued_requests.RequestKey, now_ms: int
+    ) -> None:
+        """Records that a prefill engine has read a request's prompt."""
+        running = self._running.get(key)
+        if running is not None:
+            self._harmful.add_prefilled(running.prompt, now_ms)
+
     def finish(
         self, key: queued_requests.RequestKey, completed: bool = False
     ) -> None:
@@ -83,7 +91,7 @@
     def record_trouble(
         self, trouble: placement_messages.EndpointTrouble, now_ms: int
     ) -> bool:
-        """Records a stream that an engine broke off.
+        """Records a stream or a prefill that an engine broke off.
 
         :returns: whether something was quarantined because of it
         """
@@ -91,11 +99,15 @@
         if trouble.written_ms >= harmful_prompts.SUSPECT_MS:
             self._harmful.add_survivor(prompt)
             return False
-        if not trouble.has_ended:
+        if not trouble.has_ended and not trouble.ended_in_prefill:
             return False
         self._add_running_survivors(now_ms)
         quarantined = self._harmful.add_end(
-            prompt, trouble.endpoint_id, now_ms, trouble.age_ms
+            prompt,
+            trouble.endpoint_id,
+            now_ms,
+            trouble.age_ms,
+            in_prefill=trouble.ended_in_prefill,
         )
         for part in quarantined:
             LOG.warning(
@@ -105,6 +117,7 @@
                     'last_endpoint': trouble.endpoint_id,
                     'entry_host': trouble.host,
                     'written_ms': trouble.written_ms,
+                    'in_prefill': trouble.ended_in_prefill,
                 },
             )
         return bool(quarantined)
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -381,3 +381,38 @@
         self.assertEqual({}, self.owner.quarantined_prompts())
         self.report_end(90, 'first', 'bad')
         self.assertEqual(['bad'], list(self.owner.quarantined_prompts()))
+
+    def report_prefill_end(self, number, *parts):
+        """Reports the end of a prefill engine under a prompt of its own."""
+        trouble = placement_messages.EndpointTrouble(
+            f'h{number}',
+            'llm',
+            f'p{number}',
+            False,
+            'ended',
+            ended_in_prefill=True,
+            prompt_key=f'last{number}:9',
+            prompt_parts=list(parts),
+        )
+        self.owner.record_failure(trouble)
+
+    # Guards against BUDGET at prefill engines.
+    def test_part_that_ended_prefill_engines_is_quarantined(self):
+        for number in range(harmful_prompts.MIN_ENDS):
+            self.admit_prompt(number, 'first', 'bad')
+            self.report_prefill_end(number, 'first', 'bad')
+            self.owner.finish(
+                placement_messages.Finished('h1', 'llm', number, True, True)
+            )
+            self.clock.advance_ms(1_000)
+        self.assertEqual(['bad'], list(self.owner.quarantined_prompts()))
+
+    def test_completed_prefills_clear_their_part(self):
+        for number in range(harmful_prompts.MIN_ENDS):
+            self.admit_prompt(number, 'first')
+            self.owner.finish_prefill(
+                placement_messages.PrefillDone('h1', 'llm', number)
+            )
+            self.report_prefill_end(number, 'first')
+            self.clock.advance_ms(1_000)
+        self.assertEqual({}, self.owner.quarantined_prompts())
--- a/libs/gateway/masticquay_gateway/failures.py
+++ b/libs/gateway/masticquay_gateway/failures.py
@@ -61,11 +61,13 @@
         endpoint: fleets.Endpoint,
         cause: Exception,
         written_ms: float | None = None,
+        in_prefill: bool = False,
     ) -> None:
         """Reports that an engine failed a request or was unreachable.
 
         :param written_ms: how long it had been writing the stream, None if it
             had not begun
+        :param in_prefill: whether it was reading the prompt for another engine
         """
         job.tried_ids.add(endpoint.endpoint_id)
         self._registry.count('engine_trouble', 'service', job.service)
@@ -84,9 +86,12 @@
             },
         )
         broken = None
-        if endpoint.role == fleets.ROLE_DECODE and _broke_off(cause):
+        begins_answer = endpoint.role == fleets.ROLE_DECODE
+        if (begins_answer or in_prefill) and _broke_off(cause):
             broken = placers.BrokenStream(
-                job.call, -1 if written_ms is None else int(written_ms)
+                job.call,
+                -1 if written_ms is None else int(written_ms),
+                in_prefill,
             )
         self._placer.report_failure(
             job.service,
@@ -117,11 +122,12 @@
             return
         self._registry.count('engines_ended', 'service', job.service)
         LOG.warning(
-            'engine ended as it began to answer a prompt',
+            'engine ended as it read or began to answer a prompt',
             extra={
                 'call': job.call.call_id,
                 'endpoint': endpoint.endpoint_id,
                 'written_ms': broken.written_ms,
+                'in_prefill': broken.in_prefill,
                 'prompt_parts': job.call.prompt_parts,
                 'prompt': job.call.prompt_key,
             },
@@ -131,7 +137,7 @@
             endpoint,
             reached=False,
             stalled=False,
-            reason='takes no connections after it broke a stream off',
+            reason='takes no connections after it broke a request off',
             broken=broken,
         )
 
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -60,17 +60,21 @@
 
 
 class BrokenStream:
-    """A stream that its decode engine broke off.
+    """A stream that its decode engine broke off, or a prefill.
 
     :param written_ms: how long the engine had been writing it, -1 if it had
         not begun
+    :param in_prefill: whether a prefill engine broke a prefill off
     """
 
-    __slots__ = ('call', 'written_ms')
+    __slots__ = ('call', 'written_ms', 'in_prefill')
 
-    def __init__(self, call: ports.Call, written_ms: int):
+    def __init__(
+        self, call: ports.Call, written_ms: int, in_prefill: bool = False
+    ):
         self.call = call
         self.written_ms = written_ms
+        self.in_prefill = in_prefill
 
 
 class Placer:
@@ -212,8 +216,10 @@
 
         :param reached: whether a connection to it was established
         :param stalled: whether it sent nothing within the timeout
-        :param broken: the stream that the engine broke off, if it did
+        :param broken: what the engine broke off, if it did
         """
+        has_ended = broken is not None and not reached
+        in_prefill = broken is not None and broken.in_prefill
         self._local.record_failure(
             service, endpoint.endpoint_id, reached, stalled
         )
@@ -225,11 +231,12 @@
             reason,
             stalled=stalled,
             written_ms=broken.written_ms if broken else -1,
-            has_ended=broken is not None and not reached,
+            has_ended=has_ended and not in_prefill,
             prompt_key=broken.call.prompt_key if broken else '',
             prompt_parts=broken.call.prompt_parts if broken else [],
+            ended_in_prefill=has_ended and in_prefill,
         )
-        if report.has_ended:
+        if has_ended:
             self._ended_engines.add(report)
         self._link.notify(report)
 
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -79,7 +79,9 @@
             exchanges.EndpointError,
             errors.ResponseMismatchError,
         ) as cause:
-            self._failure_reporter.report_failure(job, prefill, cause)
+            self._failure_reporter.report_failure(
+                job, prefill, cause, in_prefill=True
+            )
             if not isinstance(cause, UNRESPONSIVE_ERRORS):
                 # Only the response was lost, so the engine may be used again.
                 job.tried_ids.discard(prefill.endpoint_id)
--- a/libs/gateway/tests/test_prefills.py
+++ b/libs/gateway/tests/test_prefills.py
@@ -1,6 +1,8 @@
 """Tests of prefill on prefill engines."""
 
 import contextlib
+import queue
+import socket
 import unittest
 
 from masticquay_gateway import exchanges
@@ -15,16 +17,24 @@
 from tests import raw_endpoints
 
 STREAM = tables.RouteKind.STREAM
+WAIT_S = 5.0
 
 
 class FakePlacer:
-    """Takes all reports."""
+    """Takes all reports, and keeps those of broken requests.
+
+    :ivar broken: whether the engine was reached, and what it broke off
+    """
+
+    def __init__(self):
+        self.broken = queue.Queue()
 
     def finish_prefill(self, placement):
         pass
 
-    def report_failure(self, *args, **options):
-        pass
+    def report_failure(self, *args, reached, broken=None, **options):
+        if broken is not None:
+            self.broken.put((reached, broken))
 
     def report_refusal(self, *args):
         pass
@@ -35,6 +45,7 @@
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
         self.stray_answer = b''
+        self.placer = FakePlacer()
 
     def make_prefiller(self, state):
         notices = fakes.make_notices(state)
@@ -42,7 +53,7 @@
         self.stack.callback(pools.close)
         limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
         registry = counters.Registry()
-        placer = FakePlacer()
+        placer = self.placer
         return prefills.Prefiller(
             fakes.FakeProtocol(),
             pools,
@@ -88,3 +99,42 @@
     def test_handle_in_an_answer_to_the_request_is_used(self):
         handle = self.prefill_two(b'')
         self.assertEqual('own-handle', handle.handle_id)
+
+    def prefill_broken(self, ends_engine):
+        """Prefills on an engine that breaks the prefill off.
+
+        :param ends_engine: whether it takes no connections after that
+        """
+
+        def break_off(_call_id, _count):
+            if ends_engine:
+                server.listener.shutdown(socket.SHUT_RDWR)
+                server.listener.close()
+            raise ConnectionAbortedError
+
+        server = raw_endpoints.RawEndpoint(
+            self.stack, 0, break_off, fleets.ROLE_PREFILL
+        )
+        prefiller = self.make_prefiller(fakes.FakeState([server.endpoint]))
+        job = fakes.make_job(fakes.make_route(STREAM))
+        placement = placers.RequestPlacement(
+            server.endpoint, server.endpoint, None, False
+        )
+        handle = prefiller.prefill(job, placement, server.endpoint)
+        self.assertIsNone(handle)
+        reached, broken = self.placer.broken.get(timeout=WAIT_S)
+        self.assertTrue(reached)
+        self.assertTrue(broken.in_prefill)
+
+    # Guards against BUDGET at prefill engines: their ends were related to no
+    # prompts.
+    def test_end_of_a_prefill_engine_is_reported_with_the_prompt(self):
+        self.prefill_broken(ends_engine=True)
+        reached, broken = self.placer.broken.get(timeout=WAIT_S)
+        self.assertFalse(reached)
+        self.assertTrue(broken.in_prefill)
+
+    def test_prefill_engine_that_only_breaks_off_is_not_reported_ended(self):
+        self.prefill_broken(ends_engine=False)
+        with self.assertRaises(queue.Empty):
+            self.placer.broken.get(timeout=0.5)
--- a/libs/routing/masticquay_routing/harmful_prompts.py
+++ b/libs/routing/masticquay_routing/harmful_prompts.py
@@ -11,6 +11,13 @@
 requests have, as sound prompts share the others. What it explains is no longer
 held against other parts.
 
+An end while an engine was reading a prompt for others (prefill) counts like
+one while it was writing, but only a completed prefill clears it: an engine
+that reads the prompt itself and writes the answer proves nothing about
+prefill. A prefill is too short to be seen running when others end, so one that
+was completed a moment before clears, too. A new leader knows of none: of what
+hosts tell it again, ends at one time count once.
+
 A whole request may end endpoints in the same way, of plain services too. It
 has no parts, and its key tells it when it comes again. After the first end it
 is a suspect, of which one copy runs at a time.
@@ -42,6 +49,12 @@
 RIVAL_REQUESTS = 2
 # Reports on one engine within this time are of the same end.
 SAME_END_MS = 2_000
+# Prefill engines that ended within this time may have one cause, such as a
+# rack, if they are told of again.
+SAME_CAUSE_MS = 500
+# A prefill with a part that was completed so long before an end clears it.
+PREFILL_PROOF_MS = 5_000
+MAX_PREFILLED = 5_000
 QUARANTINE_MS = 180_000
 MAX_QUARANTINE_MS = 3_600_000
 # After a quarantine, one request at a time shows whether the part still ends
@@ -75,19 +88,35 @@
 
 
 class _End:
-    """The end of an engine."""
+    """The end of an engine.
+
+    :param in_prefill: whether it was reading a prompt for another engine
+    :param is_retold: whether an earlier leader was told before
+    """
 
-    __slots__ = ('endpoint_id', 'reported_ms')
+    __slots__ = ('endpoint_id', 'reported_ms', 'in_prefill', 'is_retold')
 
-    def __init__(self, endpoint_id: str, reported_ms: int):
+    def __init__(
+        self,
+        endpoint_id: str,
+        reported_ms: int,
+        in_prefill: bool,
+        is_retold: bool,
+    ):
         self.endpoint_id = endpoint_id
         self.reported_ms = reported_ms
+        self.in_prefill = in_prefill
+        self.is_retold = is_retold
 
     def is_same(self, other: typing.Self) -> bool:
-        """Whether two reports are of the same end."""
+        """Whether two reports are of the same end, or count as one."""
+        apart_ms = abs(self.reported_ms - other.reported_ms)
+        if self.in_prefill and other.in_prefill:
+            is_retold = self.is_retold or other.is_retold
+            if is_retold and apart_ms <= SAME_CAUSE_MS:
+                return True
         return (
-            self.endpoint_id == other.endpoint_id
-            and abs(self.reported_ms - other.reported_ms) <= SAME_END_MS
+            self.endpoint_id == other.endpoint_id and apart_ms <= SAME_END_MS
         )
 
 
@@ -111,17 +140,30 @@
     )
 
     def __init__(self) -> None:
+        self.ends: list[_End] = []
+        self.prompts: set[str] = set()
         self.request_count = 0
         self.updated_ms = 0
         self.quarantine_ms = 0
         self.quarantined_until_ms = 0
         self.probe_until_ms = 0
-        self.clear()
 
-    def clear(self) -> None:
-        """Forgets the ends, after a survivor."""
-        self.ends: list[_End] = []
-        self.prompts: set[str] = set()
+    def clear_ends(self, in_prefill: bool) -> None:
+        """Forgets the ends of one kind, after a survivor of that kind.
+
+        A quarantine that rests on the other kind alone stays. One that was
+        adopted has no ends; a prefill is no proof against it.
+        """
+        left = [end for end in self.ends if end.in_prefill != in_prefill]
+        if not self.ends and in_prefill:
+            return
+        if left and len(left) == len(self.ends):
+            return
+        self.ends = left
+        if not left:
+            self.prompts = set()
+        self.quarantine_ms = 0
+        self.quarantined_until_ms = 0
 
     def add_end(self, end: _End, key: str) -> None:
         """Adds the end of an engine unless it was reported before."""
@@ -164,12 +206,16 @@
         quarantined after this many ends
     """
 
-    __slots__ = ('_entries', '_with_ends', '_min_ends_of_prompt')
+    __slots__ = ('_entries', '_with_ends', '_prefilled', '_min_ends_of_prompt')
 
     def __init__(self, min_ends_of_prompt: int = MIN_ENDS_OF_PROMPT) -> None:
         self._min_ends_of_prompt = min_ends_of_prompt
         # Those that ends are held against.
         self._with_ends: dict[str, _Evidence] = {}
+        # When a prefill with it was completed, the latest at the end.
+        self._prefilled: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         # The one that was updated last is at the end.
         self._entries: collections.OrderedDict[str, _Evidence] = (
             collections.OrderedDict()
@@ -186,10 +232,18 @@
         for part in prompt.ids:
             evidence = self._entries.get(part)
             if evidence is not None:
-                evidence.clear()
-                evidence.quarantine_ms = 0
-                evidence.quarantined_until_ms = 0
-                self._with_ends.pop(part, None)
+                self._clear_ends(part, evidence, in_prefill=False)
+
+    def add_prefilled(self, prompt: Prompt, now_ms: int) -> None:
+        """Records that a prefill engine read a prompt and did not end."""
+        for part in prompt.ids:
+            self._prefilled.pop(part, None)
+            self._prefilled[part] = now_ms
+            evidence = self._entries.get(part)
+            if evidence is not None:
+                self._clear_ends(part, evidence, in_prefill=True)
+        while len(self._prefilled) > MAX_PREFILLED:
+            self._prefilled.popitem(last=False)
 
     def add_end(
         self,
@@ -198,6 +252,7 @@
         now_ms: int,
         age_ms: int = 0,
         is_trial: bool | None = None,
+        in_prefill: bool = False,
     ) -> list[str]:
         """Records the end of an engine that began to write an answer.
 
@@ -205,15 +260,18 @@
         :param is_trial: whether the copy of a whole request was the only one
             that ran. Other copies make it a suspect and prove no more, as many
             endpoints may end at a time. None for prompts
+        :param in_prefill: whether it was reading the prompt for another engine
         :returns: what is quarantined because of it
         """
-        end = _End(endpoint_id, now_ms - age_ms)
+        end = _End(endpoint_id, now_ms - age_ms, in_prefill, age_ms > 0)
         if self._is_explained(end, prompt):
             return []
         if is_trial is False and self._has_ends(prompt.key):
             return []
         for part in prompt.ids:
             evidence = self._entry(part, now_ms)
+            if self._was_prefilled_before(part, end):
+                continue
             evidence.add_end(end, prompt.key)
             self._with_ends[part] = evidence
         found = []
@@ -297,6 +355,19 @@
             )
             evidence.quarantine_ms = max(evidence.quarantine_ms, QUARANTINE_MS)
 
+    def _clear_ends(
+        self, part: str, evidence: _Evidence, in_prefill: bool
+    ) -> None:
+        evidence.clear_ends(in_prefill)
+        if not evidence.ends:
+            self._with_ends.pop(part, None)
+
+    def _was_prefilled_before(self, part: str, end: _End) -> bool:
+        """Whether a prefill that was completed just before clears an end."""
+        if not end.in_prefill or part not in self._prefilled:
+            return False
+        return end.reported_ms - self._prefilled[part] <= PREFILL_PROOF_MS
+
     def _has_ends(self, key: str) -> bool:
         evidence = self._entries.get(key)
         return evidence is not None and bool(evidence.ends)
--- a/libs/routing/masticquay_routing/placement_messages.py
+++ b/libs/routing/masticquay_routing/placement_messages.py
@@ -226,6 +226,8 @@
     :param prompt_key: identifies the request's prompt, empty if unknown
     :param prompt_parts: ids of the parts that other prompts may share
     :param age_ms: how long ago it was, if an earlier leader was told before
+    :param ended_in_prefill: whether it broke a prefill off and takes no
+        connections any more; ``has_ended`` is not set then
     """
 
     __slots__ = (
@@ -241,6 +243,7 @@
         'prompt_key',
         'prompt_parts',
         'age_ms',
+        'ended_in_prefill',
     )
 
     def __init__(
@@ -257,6 +260,7 @@
         prompt_key: str = '',
         prompt_parts: list[str] | None = None,
         age_ms: int = 0,
+        ended_in_prefill: bool = False,
     ):
         self.host = host
         self.service = service
@@ -270,3 +274,4 @@
         self.prompt_key = prompt_key
         self.prompt_parts = prompt_parts or []
         self.age_ms = age_ms
+        self.ended_in_prefill = ended_in_prefill
--- a/libs/routing/tests/test_harmful_prompts.py
+++ b/libs/routing/tests/test_harmful_prompts.py
@@ -124,13 +124,46 @@
         return sum(t > counted_ms for t in self.harmful_times_ms)
 
 
+class HarmfulPrefillLoad(HarmfulLoad):
+    """Harmful prompts end prefill engines; decode engines answer them."""
+
+    def advance(self, now_ms):
+        for entry in list(self.running):
+            engine, prompt, is_harmful, began_ms = entry
+            if entry not in self.running or now_ms < began_ms:
+                continue
+            if is_harmful:
+                self.end(engine, now_ms)
+            else:
+                self.running.remove(entry)
+                self.harmful_prompts.add_prefilled(prompt, now_ms)
+                self.harmful_prompts.add_survivor(prompt)
+
+    def handle_reports(self, now_ms):
+        for report in [r for r in self.reports if r[0] <= now_ms]:
+            self.reports.remove(report)
+            _due_ms, prompt, engine, _written_ms = report
+            self.harmful_prompts.add_end(
+                prompt, f'p{engine}', now_ms, in_prefill=True
+            )
+            # A decode engine reads the prompt itself and answers it.
+            self.harmful_prompts.add_survivor(prompt)
+
+
 class HarmfulLoadTest(unittest.TestCase):
     # Guards against BUDGET, where requests with one part in their prompts
     # ended engine after engine.
     def test_harmful_part_among_sound_ones_is_quarantined(self):
+        self.check_load(HarmfulLoad)
+
+    # Guards against BUDGET at prefill engines.
+    def test_part_that_ends_prefill_engines_is_quarantined(self):
+        self.check_load(HarmfulPrefillLoad)
+
+    def check_load(self, make_load):
         for harmful_interval_ms in (200, 1_000, 4_000):
             for seed in range(SEED_COUNT):
-                load = HarmfulLoad(seed, harmful_interval_ms)
+                load = make_load(seed, harmful_interval_ms)
                 load.run()
                 with self.subTest(seed=seed, interval=harmful_interval_ms):
                     self.assertLessEqual(
@@ -256,3 +289,77 @@
             self.harmful.add_request(make_prompt(500, 'other'), now_ms)
             found = self.end_engines(1, 'bad', start_ms=now_ms)
         self.assertEqual(['bad'], found)
+
+    def end_prefills(self, count, *parts, start_ms=0, interval_ms=1_000):
+        """Reports ends of prefill engines under different prompts."""
+        found = []
+        for number in range(count):
+            now_ms = start_ms + interval_ms * number
+            prompt = make_prompt(start_ms + number, *parts)
+            self.harmful.add_request(prompt, now_ms)
+            found += self.harmful.add_end(
+                prompt, f'p{now_ms}', now_ms, in_prefill=True
+            )
+        return found
+
+    # Guards against BUDGET at prefill engines: a decode engine that reads such
+    # a prompt itself and survives it cleared it.
+    def test_answer_that_was_written_clears_no_end_in_prefill(self):
+        self.end_prefills(MIN_ENDS - 1, 'bad')
+        self.harmful.add_survivor(make_prompt(50, 'bad'))
+        found = self.end_prefills(1, 'bad', start_ms=5_000)
+        self.assertEqual(['bad'], found)
+        self.harmful.add_survivor(make_prompt(51, 'bad'))
+        self.assertGreater(self.wait_ms(5_000, 'bad'), 0)
+
+    def test_prompt_that_ends_any_engine_is_found_as_soon(self):
+        self.end_engines(MIN_ENDS // 2, 'bad')
+        left = MIN_ENDS - MIN_ENDS // 2
+        found = self.end_prefills(left, 'bad', start_ms=5_000)
+        self.assertEqual(['bad'], found)
+
+    def test_completed_prefill_clears_ends_in_prefill(self):
+        self.end_prefills(MIN_ENDS - 1, 'first')
+        self.harmful.add_prefilled(make_prompt(50, 'first'), 3_000)
+        late_ms = 3_001 + harmful_prompts.PREFILL_PROOF_MS
+        found = self.end_prefills(MIN_ENDS - 1, 'first', start_ms=late_ms)
+        self.assertEqual([], found)
+
+    def test_completed_prefill_clears_no_end_under_a_written_answer(self):
+        self.end_engines(MIN_ENDS - 1, 'bad')
+        self.harmful.add_prefilled(make_prompt(50, 'bad'), 4_000)
+        found = self.end_engines(1, 'bad', start_ms=5_000)
+        self.assertEqual(['bad'], found)
+
+    def test_completed_prefill_ends_no_quarantine_of_an_earlier_leader(self):
+        self.harmful.adopt({'bad': 5_000}, 0)
+        self.harmful.add_prefilled(make_prompt(50, 'bad'), 100)
+        self.assertGreater(self.wait_ms(200, 'bad'), 0)
+
+    def test_prefill_ends_at_one_time_told_to_a_new_leader_count_once(self):
+        """It does not know which prefills were completed before."""
+        for number in range(2 * MIN_ENDS):
+            found = self.harmful.add_end(
+                make_prompt(number, 'first'),
+                f'p{number}',
+                1_000,
+                age_ms=700 + 10 * number,
+                in_prefill=True,
+            )
+            self.assertEqual([], found)
+
+    def test_prefill_ends_told_to_a_new_leader_count(self):
+        for number in range(MIN_ENDS):
+            found = self.harmful.add_end(
+                make_prompt(number, 'bad'),
+                f'p{number}',
+                9_000,
+                age_ms=1_000 * (MIN_ENDS - number),
+                in_prefill=True,
+            )
+        self.assertEqual(['bad'], found)
+
+    def test_prefill_completed_just_before_clears_an_end(self):
+        self.harmful.add_request(make_prompt(50, 'first'), 0)
+        self.harmful.add_prefilled(make_prompt(50, 'first'), 0)
+        self.assertEqual([], self.end_prefills(MIN_ENDS, 'first'))
