Balancing: sound endpoints of a plain service all get their share

Cause: a host chose the endpoint whose own last results cost least. One that cost more got no request, so its cost was never learnt again, and a new one began with 20 ms, more than a fast service needs. A failure or a refusal kept an endpoint out for many half-lives of 4 s.

Change: an endpoint is judged by how it differs from the others of its service (routing.service_levels): its latency ages towards theirs with a half-life of 0.4 s, an unknown one counts as theirs, differences within a factor of 1.5 or 2 ms, and failure rates within 0.05, count as equal. Ties go to the least loaded, then to chance.

--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -6,6 +6,7 @@
 from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import service_levels
 
 # Added to the cost of an endpoint in another data centre.
 OTHER_PLACE_COST_MS = 3.0
@@ -87,7 +88,10 @@
         best_rank = min(ranks.values())
         candidates = [e for e in usable if ranks[e.endpoint_id] == best_rank]
         self._random.shuffle(candidates)
-        return min(candidates, key=lambda e: self._cost(e, now_ms))
+        usual = service_levels.find_level(
+            [self.statistics(e.endpoint_id) for e in endpoints], now_ms
+        )
+        return min(candidates, key=lambda e: self._cost(e, now_ms, usual))
 
     def _rank(
         self, endpoint: fleets.Endpoint, now_ms: int, repeatable: bool
@@ -110,9 +114,14 @@
             return 2 if repeatable else 1
         return 0
 
-    def _cost(self, endpoint: fleets.Endpoint, now_ms: int) -> float:
+    def _cost(
+        self,
+        endpoint: fleets.Endpoint,
+        now_ms: int,
+        usual: service_levels.Level,
+    ) -> float:
         statistics = self.statistics(endpoint.endpoint_id)
-        cost = statistics.cost_ms(endpoint.slots, now_ms)
+        cost = statistics.cost_ms(endpoint.slots, now_ms, usual)
         if endpoint.place != self._place:
             cost += OTHER_PLACE_COST_MS
         return cost
--- a/libs/routing/masticquay_routing/endpoint_statistics.py
+++ b/libs/routing/masticquay_routing/endpoint_statistics.py
@@ -3,15 +3,17 @@
 import threading
 
 from masticquay_routing import messages
+from masticquay_routing import service_levels
 
-INITIAL_LATENCY_MS = 20.0
 # Weights of a new sample in the moving averages.
 LATENCY_SMOOTHING = 0.2
 FAILURE_SMOOTHING = 0.25
 # An error response often says more about the request than about the endpoint.
 ERROR_SMOOTHING = 0.1
+# Half-life of what is known of the latency of an endpoint without responses.
+LATENCY_HALF_LIFE_MS = 400
 # Half-life of the failure rate of an endpoint that gets no requests.
-FAILURE_HALF_LIFE_MS = 4_000
+FAILURE_HALF_LIFE_MS = 1_000
 # Added to the cost of an endpoint, multiplied by its failure rate.
 FAILURE_COST_MS = 2_000.0
 # Requests go to other endpoints before all slots of one are taken, as a nearly
@@ -38,6 +40,7 @@
     __slots__ = (
         'in_flight',
         'latency_ms',
+        'latency_updated_ms',
         'failure_rate',
         'consecutive_failures',
         'ejected_until_ms',
@@ -62,7 +65,8 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.latency_ms = INITIAL_LATENCY_MS
+        self.latency_ms: float | None = None
+        self.latency_updated_ms = 0
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.ejected_until_ms = 0
@@ -95,9 +99,7 @@
         with self._lock:
             self._succeeded += 1
             self._latency_sum_ms += latency_ms
-            self.latency_ms += LATENCY_SMOOTHING * (
-                latency_ms - self.latency_ms
-            )
+            self._learn_latency(latency_ms, now_ms)
             self.failure_rate = self._decayed_failure_rate(now_ms) * (
                 1 - FAILURE_SMOOTHING
             )
@@ -193,22 +195,71 @@
         """Whether the endpoint has just refused a request."""
         return self.full_until_ms > now_ms
 
-    def cost_ms(self, slots: int, now_ms: int) -> float:
+    def known_latency_ms(self, now_ms: int) -> float | None:
+        """Returns the latency as last seen, None if it was never seen."""
+        view = self._fresh_view(now_ms)
+        if view is not None and view.latency_ms:
+            return view.latency_ms
+        return self.latency_ms
+
+    def known_failure_rate(self, now_ms: int) -> float:
+        """Returns the failure rate, less with its age."""
+        view = self._fresh_view(now_ms)
+        if view is not None:
+            return view.failure_rate
+        return self._decayed_failure_rate(now_ms)
+
+    def cost_ms(
+        self, slots: int, now_ms: int, usual: service_levels.Level
+    ) -> float:
         """Returns the expected time of a request, plus a failure penalty.
 
         Of two endpoints with free slots, the one with less load costs less.
+
+        :param usual: what is usual among the endpoints of the service
         """
-        view = self._fresh_view(now_ms)
-        latency_ms = self.latency_ms
-        failure_rate = self._decayed_failure_rate(now_ms)
-        if view is not None:
-            latency_ms = view.latency_ms or latency_ms
-            failure_rate = view.failure_rate
+        latency_ms = usual.round_latency_ms(
+            self._expected_latency_ms(now_ms, usual.latency_ms)
+        )
         load = self.in_flight + self._other_load(now_ms)
         queueing_factor = max(1.0, (load + 1) / max(1, slots * SPILL_SHARE))
-        failure_cost_ms = failure_rate * FAILURE_COST_MS
+        failure_cost_ms = FAILURE_COST_MS * usual.excess_failure_rate(
+            self.known_failure_rate(now_ms)
+        )
         return latency_ms * queueing_factor + 0.1 * load + failure_cost_ms
 
+    def _expected_latency_ms(self, now_ms: int, usual_ms: float) -> float:
+        """Returns the latency, which is the more like the usual the older.
+
+        While a request of this host is at the endpoint, its answer decides.
+        """
+        latency_ms = self.known_latency_ms(now_ms)
+        if latency_ms is None:
+            return usual_ms
+        if self.in_flight or self._fresh_view(now_ms) is not None:
+            return latency_ms
+        weight = self._latency_weight(now_ms)
+        return usual_ms + weight * (latency_ms - usual_ms)
+
+    def _latency_weight(self, now_ms: int) -> float:
+        age_ms = max(0, now_ms - self.latency_updated_ms)
+        return 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+
+    def _learn_latency(self, latency_ms: float, now_ms: int) -> None:
+        """Adds a sample to the moving average.
+
+        A lower one replaces what has aged; a single high one may be chance.
+        """
+        known_ms = self.latency_ms
+        smoothing = LATENCY_SMOOTHING
+        if known_ms is None:
+            known_ms = latency_ms
+        elif latency_ms < known_ms:
+            aged = 1 - self._latency_weight(now_ms)
+            smoothing = max(smoothing, aged)
+        self.latency_ms = known_ms + smoothing * (latency_ms - known_ms)
+        self.latency_updated_ms = now_ms
+
     def _fresh_view(self, now_ms: int) -> messages.EndpointView | None:
         if now_ms - self._view_ms >= VIEW_TTL_MS:
             return None
