Bench: split decision_runs into runs, attempts, states and statistics

Cause: one module of 598 lines held the simulated deployment, its faults, the steps of each request and the figures.

No change of behaviour.

--- a/libs/bench/masticquay_bench/decision_sweeps.py
+++ b/libs/bench/masticquay_bench/decision_sweeps.py
@@ -6,6 +6,7 @@
 
 from masticquay_bench import decision_policies
 from masticquay_bench import decision_runs
+from masticquay_bench import decision_statistics
 from masticquay_bench import decision_traces
 
 DURATION_MS = 120_000
@@ -23,10 +24,11 @@
     goodput_sum = 0.0
     for seed in SEEDS:
         trace = decision_traces.make_trace(deployment, DURATION_MS, load, seed)
-        simulation = decision_runs.Simulation(
+        state = decision_runs.Simulation(
             deployment, make_policy, trace, seed
         ).run()
-        goodput_sum += decision_runs.RunStatistics(simulation, classes).goodput
+        statistics = decision_statistics.RunStatistics(state, classes)
+        goodput_sum += statistics.goodput
     return goodput_sum / len(SEEDS)
 
 
--- a/libs/bench/masticquay_bench/decisions.py
+++ b/libs/bench/masticquay_bench/decisions.py
@@ -11,6 +11,7 @@
 from masticquay_bench import decision_policies
 from masticquay_bench import decision_rates
 from masticquay_bench import decision_runs
+from masticquay_bench import decision_statistics
 from masticquay_bench import decision_traces
 from masticquay_bench import results
 
@@ -221,7 +222,7 @@
         scenario: Scenario,
         policy: str,
         seed: int,
-    ) -> decision_runs.RunStatistics:
+    ) -> decision_statistics.RunStatistics:
         """Simulates one scenario under one policy."""
         trace = decision_traces.make_trace(
             deployment, self._duration_ms, scenario.load, seed, scenario.surges
@@ -243,12 +244,12 @@
             host_loss_ms,
         )
         classes = deployment.make_bundle().classes
-        return decision_runs.RunStatistics(simulation.run(), classes)
+        return decision_statistics.RunStatistics(simulation.run(), classes)
 
     def _add_statistics(
         self,
         prefix: str,
-        statistics: list[decision_runs.RunStatistics],
+        statistics: list[decision_statistics.RunStatistics],
         context: str,
         scenario: Scenario,
     ) -> None:
