--- /dev/null
+++ b/libs/gateway/tests/promise_plays.py
@@ -0,0 +1,475 @@
+"""Plays of one request whose attempts end as drawn, without a network.
+
+What is true of each attempt is written here a second time, from the
+platform's pages.
+"""
+
+import contextlib
+import random
+import time
+import types
+
+from masticquay_gateway import calls
+from masticquay_gateway import exchanges
+from masticquay_gateway import forwards
+from masticquay_gateway import placers
+from masticquay_gateway import ports
+from masticquay_gateway import quarantines
+from masticquay_gateway import retries
+from masticquay_gateway import streams
+from masticquay_routing import choosers
+from masticquay_routing import fleets
+from masticquay_routing import placement_messages
+from masticquay_routing import tables
+from masticquay_serving import counters
+from masticquay_serving import requests
+from tests import fakes
+
+OWN_ID = 'c1'
+API_KEY = 'key'
+PROMPT_PART = 'part'
+# Nothing listens there, so an endpoint that broke off counts as ended.
+ADDRESS = '127.0.0.1:1'
+LONG_MS = 600_000
+# To a caller, these promise that the request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+# Answers with these may bear the mark of a request that was not run.
+MARKABLE_STATUSES = (400, 421, 429, 503)
+REFUSAL_STATUSES = {
+    ports.Reason.NO_ROUTE: 404,
+    ports.Reason.NO_KEY: 401,
+    ports.Reason.OVER_RATE: 429,
+    ports.Reason.NOT_RUN: 503,
+    ports.Reason.UNKNOWN: 502,
+    ports.Reason.TIMED_OUT: 504,
+}
+SEND_ERRORS = {
+    'not sent': exchanges.NotSentError,
+    'reset': exchanges.EndpointError,
+    'stalled': exchanges.StalledError,
+    'unfinished': exchanges.ExchangeTimeoutError,
+    'no memory': exchanges.BudgetTimeoutError,
+    'interrupted': exchanges.InterruptedCallError,
+}
+# Two thirds of the attempts are answered.
+FATES = ('answered',) * 14 + ('not sent', *SEND_ERRORS)
+STATUSES = (200, 200, 200, 503, 503, 503, 429, 421, 400, 404, 408, 500, 504)
+# Own, missing, other, doubled, and both own and other.
+ID_LISTS = (
+    *[[OWN_ID]] * 6,
+    [],
+    ['c0'],
+    [OWN_ID, OWN_ID],
+    [OWN_ID, 'c0'],
+)
+# The value of the mark, and whether it is one of a refusal.
+MARKS = (None, None, None, '1', '1', 'denied')
+# Headers of notices.
+NOTICES = ((), (), (), (), (('Leaving', '1'),), (('Pause-Ms', '9000'),))
+STREAM_EVENT_COUNT = 3
+PLACEMENTS = ('whole',) * 3 + ('split',) * 3 + ('full', 'rate')
+# A prime. Small numbers, which hypothesis prefers, make any choice with it.
+SPREAD = 15_485_863
+RARELY = (False,) * 5 + (True,)
+
+
+class Draws:
+    """Takes choices one after another from a number below ``count``."""
+
+    def __init__(self, number, count):
+        self.number = number * SPREAD % count
+
+    def choose(self, choices):
+        self.number, index = divmod(self.number, len(choices))
+        return choices[index]
+
+
+class Attempt:
+    """How one send ends.
+
+    :ivar whole: whether the answer is read to its end
+    :ivar stamped: whether it has the stamp of an endpoint that ran it
+    :ivar event_count: events of a stream before it breaks off
+    :ivar ends_time: whether the request's time is over then
+    :ivar quarantines: whether its prompt is quarantined meanwhile
+
+    :param answer_number: below ``ANSWER_COUNT``
+    :param event_number: below ``EVENT_COUNT``
+    """
+
+    def __init__(self, answer_number, event_number):
+        draws = Draws(answer_number, ANSWER_COUNT)
+        self.fate = draws.choose(FATES)
+        self.status = draws.choose(STATUSES)
+        self.ids = draws.choose(ID_LISTS)
+        self.mark = draws.choose(MARKS)
+        self.stamped = draws.choose((False, True))
+        self.whole = draws.choose((True, True, False))
+        self.event_count = draws.choose((0, 1, 2))
+        draws = Draws(event_number, EVENT_COUNT)
+        self.notice = draws.choose(NOTICES)
+        self.ends_time = draws.choose(RARELY)
+        self.quarantines = draws.choose(RARELY)
+
+    def __repr__(self):
+        return f'Attempt({vars(self)})'
+
+    @property
+    def is_own(self):
+        return set(self.ids) == {OWN_ID}
+
+    @property
+    def proves_not_run(self):
+        """Whether nothing ran, for certain."""
+        if self.fate == 'not sent':
+            return True
+        return (
+            self.fate == 'answered'
+            and self.is_own
+            and self.whole
+            and not self.stamped
+            and self.status in MARKABLE_STATUSES
+            and (self.mark == '1' or (self.status == 421 and not self.mark))
+        )
+
+    @property
+    def proves_run(self):
+        """Whether its answer is one that may be passed on."""
+        return (
+            self.fate == 'answered'
+            and self.is_own
+            and self.stamped
+            and self.mark is None
+            and self.status not in PROMISES
+        )
+
+    @property
+    def headers(self):
+        pairs = [('Call', call_id) for call_id in self.ids]
+        if self.mark is not None:
+            pairs.append(('Not-Run', self.mark))
+        if self.stamped:
+            pairs.append(('Stamp', 's'))
+        return [*pairs, *self.notice]
+
+
+ANSWER_COUNT = (
+    len(FATES) * len(STATUSES) * len(ID_LISTS) * len(MARKS) * 2 * 3 * 3
+)
+EVENT_COUNT = len(NOTICES) * len(RARELY) ** 2
+
+
+class Options:
+    """What does not change during a play.
+
+    :ivar is_model: whether model engines run the request
+    :ivar kind: how often the route lets it run
+    :ivar placements: what placing it brings, in turn
+
+    :param number: below ``OPTION_COUNT``
+    :param placement_number: below ``PLACEMENT_COUNT``
+    """
+
+    def __init__(self, number, placement_number):
+        draws = Draws(number, OPTION_COUNT)
+        self.is_model = draws.choose((True, False))
+        self.kind = draws.choose(
+            (tables.RouteKind.ONCE, tables.RouteKind.IDEMPOTENT)
+        )
+        self.resumable = draws.choose((False, True))
+        self.attempts = draws.choose((1, 2, 3))
+        self.budget_slack = draws.choose((10, 10, 0))
+        self.over_rate = draws.choose(RARELY)
+        self.is_late = draws.choose(RARELY)
+        self.permits = draws.choose((1_000, 1_000, 1, 0))
+        self.has_limits = draws.choose((False, False, True))
+        self.prompt_tokens = draws.choose((200, 3_000))
+        self.endpoint_count = draws.choose((3, 3, 3, 3, 1, 0))
+        self.trial_wait_ms = draws.choose((0, 100))
+        draws = Draws(placement_number, PLACEMENT_COUNT)
+        self.placements = [
+            draws.choose(PLACEMENTS) for _ in range(streams.MAX_ATTEMPTS)
+        ]
+
+    def __repr__(self):
+        return f'Options({vars(self)})'
+
+    @property
+    def may_run_again(self):
+        """Whether the request may run more than once."""
+        if self.is_model:
+            return self.resumable
+        return self.kind is tables.RouteKind.IDEMPOTENT
+
+
+OPTION_COUNT = 2 * 2 * 2 * 3 * 3 * len(RARELY) ** 2 * 4 * 3 * 2 * 6 * 2
+PLACEMENT_COUNT = len(PLACEMENTS) ** streams.MAX_ATTEMPTS
+
+
+class FakeExchange:
+    """An exchange that ends as drawn."""
+
+    def __init__(self, play):
+        self.play = play
+        self.attempt = None
+        self.response = None
+        self.connection = types.SimpleNamespace(
+            exchange_count=1, set_timeout=lambda timeout_ms: None
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        pass
+
+    def send(self, method, path, headers, body, timeout_ms):
+        if method == 'DELETE':
+            raise exchanges.EndpointError('not part of the play')
+        is_prefill = ('Pre', '1') in headers
+        attempt = self.attempt = self.play.next_attempt(is_prefill)
+        if attempt.fate != 'answered':
+            raise SEND_ERRORS[attempt.fate](attempt.fate)
+        pieces = [
+            b'id: %d\ndata: x\n\n' % number
+            for number in range(1, STREAM_EVENT_COUNT + 1)
+        ]
+        if not attempt.whole:
+            del pieces[attempt.event_count :]
+        self.response = types.SimpleNamespace(
+            status=attempt.status,
+            headers=types.SimpleNamespace(items=lambda: attempt.headers),
+            length=0,
+            read1=lambda size_bytes: self.read_piece(pieces),
+        )
+
+    def read_piece(self, pieces):
+        if pieces:
+            return pieces.pop(0)
+        if not self.attempt.whole:
+            raise exchanges.EndpointError('broke off')
+        return b''
+
+    def read_body(self, limit_bytes):
+        if not self.attempt.whole:
+            raise exchanges.EndpointError('broke off')
+        return b'handle'
+
+    def translate_errors(self):
+        return contextlib.nullcontext()
+
+    def hold_memory(self, size_bytes):
+        pass
+
+    def mark_finished(self):
+        pass
+
+
+class DrawnProtocol(fakes.FakeProtocol):
+    """Takes stamps and marks only from the headers."""
+
+    def read(self, request):
+        return ports.Call(
+            OWN_ID,
+            'a.example',
+            '/a/x',
+            API_KEY,
+            None,
+            self.prompt_tokens,
+            400,
+            100,
+            prompt_parts=[PROMPT_PART],
+        )
+
+    def refusal_response(self, call, refusal):
+        return ports.RefusalResponse(
+            REFUSAL_STATUSES[refusal.reason], [], b'refused'
+        )
+
+    def parse_response_head(self, status, headers):
+        fields = dict(headers)
+        mark = fields.get('Not-Run')
+        return ports.ResponseHead(
+            status=status,
+            answered_ids=frozenset(v for k, v in headers if k == 'Call'),
+            not_run_mark=mark and ports.NotRunMark(mark, mark == '1'),
+            has_stamp='Stamp' in fields,
+            load=None,
+            headers=[],
+        )
+
+
+class FakePlacer:
+    """Places a request as drawn."""
+
+    def __init__(self, options, endpoints):
+        self.placements = list(options.placements)
+        self.options = options
+        self.endpoints = endpoints
+
+    def place(self, request, interrupt):
+        kind = self.placements.pop(0)
+        left = [
+            e for e in self.endpoints if e.endpoint_id not in request.avoid
+        ]
+        if kind in ('full', 'rate') or not left:
+            return placement_messages.Refused(kind, 100, kind == 'rate')
+        prefill = self.endpoints[-1] if kind == 'split' else None
+        return placers.RequestPlacement(prefill, left[0], request, False)
+
+    def charge_rate(self, workspace, cost):
+        return 100 if self.options.over_rate else 0
+
+    def find_version(self, job):
+        return ''
+
+    def finish_prefill(self, placement):
+        pass
+
+    def begin_decode(self, placement, first_call_id):
+        pass
+
+    def release(self, placement, engine_ok, completed=False):
+        pass
+
+    def report_refusal(self, service, endpoint, pause_ms):
+        pass
+
+    def report_failure(self, *args, **options):
+        pass
+
+
+class Play:
+    """One request, served by a whole ``CallService``.
+
+    :ivar runs: the attempts that were made to run the request, without those
+        of prefills
+    :ivar was_interrupted: whether the caller left during one, or a prefill
+    """
+
+    def __init__(self, options, attempts):
+        self.options = options
+        self.attempts = list(attempts)
+        self.runs = []
+        self.was_interrupted = False
+        self.quarantine = quarantines.Quarantine()
+        self.registry = counters.Registry()
+        self.request = requests.Request(
+            'POST', '/a/x', [('Call', OWN_ID)], b'body', time.monotonic()
+        )
+        self.reply = fakes.FakeReply()
+        self.reply.sock = None
+        self.endpoints = [
+            fleets.Endpoint(
+                f'e{number}',
+                'svc',
+                ADDRESS,
+                'p1',
+                8,
+                False,
+                fleets.ROLE_DECODE if options.is_model else '',
+            )
+            for number in range(options.endpoint_count)
+        ]
+
+    def next_attempt(self, is_prefill):
+        """Returns the fate of a send; the last one drawn repeats."""
+        attempt = self.attempts[0]
+        if len(self.attempts) > 1:
+            del self.attempts[0]
+        self.was_interrupted |= attempt.fate == 'interrupted'
+        if not is_prefill:
+            self.runs.append(attempt)
+        if attempt.ends_time:
+            self.request.started_s -= LONG_MS / 1000
+        if attempt.quarantines:
+            self.quarantine.apply({PROMPT_PART: LONG_MS})
+        return attempt
+
+    def serve(self):
+        """Serves the request."""
+        if self.options.is_late:
+            self.request.started_s -= LONG_MS / 1000
+        self._make_service().serve(self.request, self.reply)
+
+    def _make_service(self):
+        state = fakes.FakeState(self.endpoints)
+        protocol = DrawnProtocol()
+        protocol.prompt_tokens = (
+            self.options.prompt_tokens if self.options.is_model else None
+        )
+        limits = fakes.make_limits(
+            state, fakes.FakePermits(self.options.permits)
+        )
+        if self.options.has_limits:
+            for endpoint in self.endpoints:
+                limits.record(endpoint, 5.0)
+        notices = fakes.make_notices(state, limits)
+        pools = types.SimpleNamespace(
+            open=lambda *args, **options: FakeExchange(self)
+        )
+        budgets = retries.RetryBudgets(
+            retries.RetryBudgetLimits(0, self.options.budget_slack, 10_000),
+            state,
+        )
+        placer = FakePlacer(self.options, self.endpoints)
+        forwarder = forwards.Forwarder(
+            state,
+            protocol,
+            pools,
+            choosers.Chooser('p1', random.Random(1)),
+            budgets,
+            notices,
+            limits,
+            fakes.make_watch(
+                fakes.FakeTrials(self.options.trial_wait_ms), self.quarantine
+            ),
+            self.registry,
+        )
+        streamer = streams.Streamer(
+            'host',
+            state,
+            protocol,
+            pools,
+            placer,
+            budgets,
+            self.quarantine,
+            notices,
+            self.registry,
+        )
+        return calls.CallService(
+            types.SimpleNamespace(
+                table=self._make_table(),
+                table_version=1,
+                wait_until_complete=lambda timeout_s: True,
+            ),
+            protocol,
+            forwarder,
+            streamer,
+            placer,
+            types.SimpleNamespace(
+                wait_ms=lambda name: 0, add=lambda name, cost: None
+            ),
+            types.SimpleNamespace(
+                watched=lambda sock, hook: contextlib.nullcontext()
+            ),
+            self.registry,
+        )
+
+    def _make_table(self):
+        options = self.options
+        route = fakes.make_route(
+            tables.RouteKind.STREAM if options.is_model else options.kind,
+            attempts=options.attempts,
+            resumable=options.resumable,
+            timeout_ms=LONG_MS // 2,
+        )
+        engine = tables.Engine(8, 10_000, 60_000, 100)
+        service = tables.Service(
+            'svc', '/', 10, engine if options.is_model else None
+        )
+        workspace = tables.Workspace(
+            'w', [API_KEY], rate_per_s=10.0, burst=10.0
+        )
+        limits = tables.CallerLimits(1, 2, 3, 4)
+        return tables.Table(1, [route], [service], [workspace], limits)
