A late answer of an earlier request costs the next one nothing

Callers got 502 for requests that may run once although their own answers were about to come: an endpoint had answered an earlier request of the connection late or twice, and that answer was read as the one that is due. It was not believed, rightly, but nothing behind it was read.

A connection now remembers the ids of the last 64 requests it carried. An answer to one of them is logged and counted as before and left out, up to four of them of 256 KiB each and within the time of the exchange, at plain endpoints and for the heads of prefill and decode engines. Nothing in it is believed, and the connection is not used again. An answer that the connection can't owe (an unknown id, none, or both ids) may stand in the place of the own one, so it ends the attempt at once, as before.

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -1,6 +1,7 @@
 """Pooled HTTP connections to an endpoint."""
 
 import collections
+from collections import abc
 import contextlib
 import http.client
 import select
@@ -24,6 +25,8 @@
 CONNECT_TIMEOUT_MS = 1_000
 # The kernel closes a connection whose data is unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 5_000
+# Ids of earlier requests that a connection remembers.
+MAX_CARRIED_CALLS = 64
 
 Headers = list[tuple[str, str]]
 
@@ -44,6 +47,7 @@
         'last_used_s',
         'reused',
         'exchange_count',
+        '_carried_calls',
     )
 
     def __init__(self, http_connection: http.client.HTTPConnection):
@@ -55,6 +59,17 @@
         self.last_used_s = time.monotonic()
         self.reused = False
         self.exchange_count = 0
+        self._carried_calls: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED_CALLS
+        )
+
+    def record_call(self, call_id: str) -> None:
+        """Records the id of a request that the connection has carried."""
+        self._carried_calls.append(call_id)
+
+    def has_carried(self, call_ids: abc.Set[str]) -> bool:
+        """Whether it has carried all these requests, as far as it knows."""
+        return all(call_id in self._carried_calls for call_id in call_ids)
 
     def shut_down(self) -> None:
         """Shuts the socket down, which wakes a thread blocked on it."""
@@ -195,6 +210,9 @@
         self._fresh = fresh
         self._stack = contextlib.ExitStack()
         self._finished = False
+        # Whether no other exchange may use the connection.
+        self._is_last = fresh
+        self._method = ''
         self._memory = byte_budgets.Share(byte_budgets.BUDGET)
         self.connection: Connection | None = None
         self.response: responses.Response | None = None
@@ -229,6 +247,7 @@
         due_s = time.monotonic() + max(1, timeout_ms) / 1000
         connection = self._pool.acquire(self._fresh, timeout_ms)
         self.connection = connection
+        self._method = method
         connection.exchange_count += 1
         self._stack.callback(self._return_connection)
         self._stack.enter_context(
@@ -240,6 +259,30 @@
             self.response = connection.http.getresponse()
         return self.response
 
+    def read_next(self, limit_bytes: int) -> None:
+        """Reads past the present response, up to the head of the next one.
+
+        The connection is not used again.
+
+        :param limit_bytes: limit for the present one's body
+        :raises ProtocolViolationError: when the body exceeds the limit
+        :raises StalledError: when the time is over
+        :raises EndpointError: after any other failure
+        """
+        self._is_last = True
+        with self.translate_errors(), self._memory:
+            whole_bodies.read(
+                self.response,
+                limit_bytes,
+                self._memory,
+                self.connection.channel.due_s,
+            )
+            self.response.close()
+            self.response = responses.Response(
+                self.connection.http.sock, method=self._method
+            )
+            self.response.begin()
+
     def read_body(self, limit_bytes: int) -> bytes:
         """Reads the remaining body of the response.
 
@@ -321,7 +364,7 @@
             response.close()
         reusable = (
             self._finished
-            and not self._fresh
+            and not self._is_last
             and response is not None
             and not response.will_close
             and not self._interrupt.reason
--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -14,6 +14,10 @@
 LOG = logging.getLogger(__name__)
 
 MAX_REFUSAL_BODY_BYTES = 64 * 1024
+# An endpoint may answer earlier requests of a connection late, or twice. So
+# many such answers are read before the one that is due, each up to this size.
+MAX_EXTRA_ANSWERS = 4
+MAX_EXTRA_BODY_BYTES = 256 * 1024
 STATUS_WRONG_ENDPOINT = 421
 # Statuses with which an endpoint may refuse a request without running it.
 REFUSAL_STATUSES = frozenset({400, STATUS_WRONG_ENDPOINT, 429, 503})
@@ -105,6 +109,8 @@
     ) -> ports.ResponseHead:
         """Returns the head of an answer of an endpoint that ran a request.
 
+        Late answers to earlier requests of the connection are left out.
+
         :param call_id: see ``judge``
         :param needs_stamp: see ``judge``
         :raises NotRunError: if the endpoint certainly did not run it
@@ -112,13 +118,22 @@
             request
         :raises EndpointError: if a refusal is not whole
         """
-        status = exchange.response.status
-        headers = exchanges.response_headers(exchange)
-        head = self._protocol.parse_response_head(status, headers)
-        verdict = judge(call_id, head, needs_stamp)
+        head, verdict = self._read_verdict(call_id, exchange, needs_stamp)
+        for _ in range(MAX_EXTRA_ANSWERS):
+            if not _is_extra(verdict, head, exchange):
+                break
+            self._record(call_id, endpoint, head, verdict, exchange.connection)
+            exchange.read_next(MAX_EXTRA_BODY_BYTES)
+            head, verdict = self._read_verdict(call_id, exchange, needs_stamp)
+        if call_id:
+            exchange.connection.record_call(call_id)
         if verdict not in UNATTRIBUTED_VERDICTS:
-            has_run = verdict is Verdict.RUN
-            self._listener.record(endpoint, status, headers, has_run)
+            self._listener.record(
+                endpoint,
+                exchange.response.status,
+                exchanges.response_headers(exchange),
+                has_run=verdict is Verdict.RUN,
+            )
         if verdict is Verdict.RUN:
             return head
         self._record(call_id, endpoint, head, verdict, exchange.connection)
@@ -133,6 +148,14 @@
             head.load,
         )
 
+    def _read_verdict(
+        self, call_id: str, exchange: connections.Exchange, needs_stamp: bool
+    ) -> tuple[ports.ResponseHead, Verdict]:
+        head = self._protocol.parse_response_head(
+            exchange.response.status, exchanges.response_headers(exchange)
+        )
+        return head, judge(call_id, head, needs_stamp)
+
     def _record(
         self,
         call_id: str,
@@ -163,3 +186,16 @@
                 'connection_exchanges': connection.exchange_count,
             },
         )
+
+
+def _is_extra(
+    verdict: Verdict, head: ports.ResponseHead, exchange: connections.Exchange
+) -> bool:
+    """Whether an answer is one to an earlier request of the connection.
+
+    The one that is due comes behind it then. Any other answer may have come in
+    its place.
+    """
+    if verdict is not Verdict.OTHER_REQUEST or exchange.response.will_close:
+        return False
+    return exchange.connection.has_carried(head.answered_ids)
