A refusal that came before all of the request was sent is read

An endpoint may refuse a request before it has read a long body and close. Sending then fails with EPIPE or ECONNRESET, and the caller got 502 although the whole refusal with its id lay in the receive buffer. It is read now and judged as any answer; one without a length is not, as its end can't be told from that of the connection. Without one, the error is that of the send. The connection is not used again.

test_refusal_before_the_end_of_the_body_is_believed failed before (UNKNOWN instead of NOT_RUN).

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -255,8 +255,12 @@
         )
         connection.channel.set_due(due_s)
         with self.translate_errors():
-            _write_request(connection.http, method, path, headers, body)
-            self.response = connection.http.getresponse()
+            try:
+                _write_request(connection.http, method, path, headers, body)
+            except (BrokenPipeError, ConnectionResetError) as cause:
+                self.response = self._read_early_response(cause)
+            else:
+                self.response = connection.http.getresponse()
         return self.response
 
     def read_next(self, limit_bytes: int) -> None:
@@ -283,6 +287,21 @@
             )
             self.response.begin()
 
+    def _read_early_response(self, cause: OSError) -> responses.Response:
+        """Returns a response that came before all of the request was sent.
+
+        :param cause: raised if there is none, or one whose end can't be told
+            from that of the connection
+        """
+        self._is_last = True
+        try:
+            response = self.connection.http.getresponse()
+        except (OSError, http.client.HTTPException, errors.EndpointError):
+            raise cause from None
+        if response.length is None and not response.chunked:
+            raise cause
+        return response
+
     def read_body(self, limit_bytes: int) -> bytes:
         """Reads the remaining body of the response.
 
