Balancing: the leader tells of all endpoints in turn

Cause: one answer has room for 32 endpoints, always the first of the list unless others fail. Hosts thought all others idle and never heard that one of them is slow.

Change: ejected and failing endpoints still come first, the others are drawn anew for each answer.

Measured: the new test of fleet views failed before. A trial that took endpoints without news for loaded as usual starved idle ones (0 requests in 6 of 60 fleets) and was dropped.

--- a/libs/routing/masticquay_routing/fleet_views.py
+++ b/libs/routing/masticquay_routing/fleet_views.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import random
 
 from masticquay_routing import endpoint_totals
 from masticquay_routing import fleets
@@ -27,7 +28,8 @@
 MAX_EJECTED_SHARE = 0.5
 # Hosts that renew within this time get the same views.
 VIEWS_INTERVAL_MS = 100
-# The views in one answer; the ejected and failing endpoints come first.
+# The views in one answer; the ejected and failing endpoints come first. The
+# others take turns, so that hosts do not think those left out idle.
 MAX_VIEWS = 32
 
 
@@ -101,7 +103,8 @@
 class FleetView:
     """Collects the hosts' reports; uses neither the network nor a clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, randomness: random.Random | None = None) -> None:
+        self._random = randomness or random.Random()
         self._service_by_id: dict[str, str] = {}
         self._states: dict[str, _EndpointState] = {}
         self._views: list[messages.EndpointView] = []
@@ -174,6 +177,7 @@
                     ejected_ms=max(0, state.ejected_until_ms - now_ms),
                 )
             )
+        self._random.shuffle(views)
         views.sort(key=lambda v: (-v.ejected_ms, -v.failure_rate))
         return views[:MAX_VIEWS]
 
--- a/libs/routing/tests/choice_benches.py
+++ b/libs/routing/tests/choice_benches.py
@@ -71,7 +71,7 @@
         self.per_s = per_s or min(30.0 * endpoints, 0.25 * capacity_per_s)
         self.servers = {}
         self.excluded_ids = set()
-        self.fleet_view = fleet_views.FleetView()
+        self.fleet_view = fleet_views.FleetView(random.Random(seed))
         for _ in range(endpoints):
             self.add_server()
         self.choosers = [
--- a/libs/routing/tests/test_fleet_views.py
+++ b/libs/routing/tests/test_fleet_views.py
@@ -134,3 +134,19 @@
         self.record('h1', 'e0', succeeded=5)
         self.fleet_view.set_endpoints([])
         self.assertIsNone(self.view('e0'))
+
+    # Guards against issue 38: hosts thought all endpoints idle that were not
+    # among the first of the list.
+    def test_all_endpoints_are_told_in_turn_if_one_answer_has_no_room(self):
+        ids = [f'n{n}' for n in range(2 * fleet_views.MAX_VIEWS)]
+        self.fleet_view.set_endpoints(
+            [fleets.Endpoint(i, 'svc', '127.0.0.1:1', 'p1', 6) for i in ids]
+        )
+        told_ids = set()
+        for _ in range(30):
+            for endpoint_id in ids:
+                self.record('h1', endpoint_id, in_flight=1)
+            self.now_ms += fleet_views.VIEWS_INTERVAL_MS
+            views = self.fleet_view.views(self.now_ms)
+            told_ids.update(view.endpoint_id for view in views)
+        self.assertEqual(set(ids), told_ids)
