Balancing: metrics from an idle server to its reason

Cause: nothing told how many requests each endpoint of a plain service got, nor why a host preferred others.

A slow endpoint has no cause of its own yet.

--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -151,7 +151,9 @@
             self._limits,
         )
         self._pools = exchanges.ConnectionPools()
-        self._chooser = choosers.Chooser(settings.place, random.Random())
+        self._chooser = choosers.Chooser(
+            settings.place, random.Random(), self._count_skip
+        )
         self._disconnect_watcher = disconnects.DisconnectWatcher()
         self.calls = self._make_call_service(
             caller_protocol, endpoint_protocol
@@ -255,6 +257,11 @@
         """
         self.usage.set_exhausted(exhausted)
 
+    def _count_skip(self, cause: str, endpoint_id: str) -> None:
+        self.registry.count(
+            'endpoints_skipped', 'cause', cause, 'endpoint', endpoint_id
+        )
+
     def collect_endpoint_reports(self) -> list[messages.EndpointReport]:
         """Returns and resets what was seen of plain services' endpoints."""
         return self._chooser.collect_reports()
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -186,6 +186,7 @@
     ) -> Response | ports.Refusal:
         statistics = self._chooser.statistics(endpoint.endpoint_id)
         statistics.begin()
+        self._registry.count('attempts', 'endpoint', endpoint.endpoint_id)
         started_s = time.monotonic()
         started_ms = _now_ms()
         try:
--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import typing
 
 from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
@@ -10,17 +11,28 @@
 
 # Added to the cost of an endpoint in another data centre.
 OTHER_PLACE_COST_MS = 3.0
+# Why an endpoint is skipped, in metrics.
+CAUSE_EJECTED = 'ejected'
+CAUSE_FULL = 'full'
 
 
 class Chooser:
     """Chooses the endpoint with the lowest expected cost.
 
     :param place: the data centre of this host
+    :param count_skip: called with the cause and the endpoint's id when others
+        are preferred to an endpoint that is ejected or full
     """
 
-    def __init__(self, place: str, randomness: random.Random):
+    def __init__(
+        self,
+        place: str,
+        randomness: random.Random,
+        count_skip: typing.Callable[[str, str], None] | None = None,
+    ):
         self._place = place
         self._random = randomness
+        self._count_skip = count_skip
         self._lock = threading.Lock()
         self._statistics: dict[
             str, endpoint_statistics.EndpointStatistics
@@ -87,12 +99,27 @@
         }
         best_rank = min(ranks.values())
         candidates = [e for e in usable if ranks[e.endpoint_id] == best_rank]
+        if len(candidates) < len(usable):
+            self._count_skips(ranks, best_rank, now_ms)
         self._random.shuffle(candidates)
         usual = service_levels.find_level(
             [self.statistics(e.endpoint_id) for e in endpoints], now_ms
         )
         return min(candidates, key=lambda e: self._cost(e, now_ms, usual))
 
+    def _count_skips(
+        self, ranks: dict[str, int], best_rank: int, now_ms: int
+    ) -> None:
+        if self._count_skip is None:
+            return
+        for endpoint_id, rank in ranks.items():
+            if rank == best_rank:
+                continue
+            is_full = self.statistics(endpoint_id).is_full(now_ms)
+            self._count_skip(
+                CAUSE_FULL if is_full else CAUSE_EJECTED, endpoint_id
+            )
+
     def _rank(
         self, endpoint: fleets.Endpoint, now_ms: int, repeatable: bool
     ) -> int:
--- a/libs/routing/tests/test_choosers.py
+++ b/libs/routing/tests/test_choosers.py
@@ -58,6 +58,20 @@
         chosen = {self.choose(later_ms).endpoint_id for _ in range(50)}
         self.assertIn('e0', chosen)
 
+    def test_skipped_endpoints_are_counted_by_cause(self):
+        skips = []
+        self.chooser = choosers.Chooser(
+            'p1', random.Random(1), lambda *skip: skips.append(skip)
+        )
+        self.chooser.statistics('e0').record_refusal(0)
+        for _ in range(2):
+            self.chooser.statistics('e1').record_failure(0)
+        self.assertEqual('e2', self.choose(1).endpoint_id)
+        self.assertEqual(
+            [(choosers.CAUSE_FULL, 'e0'), (choosers.CAUSE_EJECTED, 'e1')],
+            skips,
+        )
+
     def test_ejected_endpoints_are_used_if_all_are_ejected(self):
         for endpoint in self.endpoints:
             statistics = self.chooser.statistics(endpoint.endpoint_id)
