--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -5,6 +5,7 @@
 import threading
 
 from masticquay_coordination import endpoint_limits
+from masticquay_coordination import placement_answers
 from masticquay_coordination import prompt_watches
 from masticquay_routing import balances
 from masticquay_routing import fleets
@@ -105,7 +106,7 @@
         with self._lock:
             wait_ms = self._prompts.wait_ms(request, now_ms)
             if wait_ms:
-                return _refuse_harmful(wait_ms)
+                return placement_answers.refuse_harmful(wait_ms)
             software_version = self._version_to_resume(request, now_ms)
             if software_version is None:
                 return placement_messages.Refused(
@@ -134,7 +135,9 @@
             )
             self._prompts.admit(key, request, now_ms)
             pool.admit(
-                _make_queued_request(key, request, software_version, now_ms)
+                placement_answers.make_queued_request(
+                    key, request, software_version, now_ms
+                )
             )
             future: futures.Future = futures.Future()
             future.set_running_or_notify_cancel()
@@ -226,7 +229,7 @@
                 self._prompts.finish(key)
                 refused.append((self._waiting.pop(key), wait_ms))
         for future, wait_ms in refused:
-            future.set_result(_refuse_harmful(wait_ms))
+            future.set_result(placement_answers.refuse_harmful(wait_ms))
 
     def quarantined_prompts(self) -> dict[str, int]:
         """Returns the parts to refuse, with the remaining time in ms."""
@@ -298,7 +301,7 @@
                 answers.append(
                     (
                         self._waiting.pop(request.key, None),
-                        _make_answer(request, outcome),
+                        placement_answers.make_answer(request, outcome),
                     )
                 )
         for future, answer in answers:
@@ -406,49 +409,3 @@
                     self._prompts.quarantined(self._clock.now_ms())
                 ),
             }
-
-
-def _refuse_harmful(wait_ms: int) -> placement_messages.Refused:
-    return placement_messages.Refused(messages.REASON_HARMFUL_PROMPT, wait_ms)
-
-
-def _make_queued_request(
-    key: queued_requests.RequestKey,
-    request: placement_messages.Admit,
-    software_version: str,
-    now_ms: int,
-) -> queued_requests.QueuedRequest:
-    return queued_requests.QueuedRequest(
-        key=key,
-        workspace=request.workspace,
-        prompt_tokens=request.prompt_tokens,
-        output_tokens=request.output_tokens,
-        priority=request.priority,
-        arrived_ms=now_ms,
-        target_deadline_ms=now_ms + request.urgent_ms,
-        placement_deadline_ms=now_ms + request.wait_ms,
-        avoided_ids=frozenset(request.avoid),
-        preferred_id=request.prefer,
-        prefilled=request.prefilled,
-        late_placement_deadline_ms=now_ms + request.late_wait_ms,
-        prompt_key=request.prompt_key,
-        pause_ms=request.pause_ms,
-        software_version=software_version,
-    )
-
-
-def _make_answer(
-    request: queued_requests.QueuedRequest,
-    outcome: queued_requests.Placement | queued_requests.Refusal,
-) -> wire_messages.Message:
-    if isinstance(outcome, queued_requests.Refusal):
-        return placement_messages.Refused(
-            outcome.reason, outcome.retry_after_ms
-        )
-    prefill = outcome.prefill
-    return placement_messages.Placed(
-        prefill.endpoint_id if prefill else '',
-        outcome.decode.endpoint_id,
-        outcome.prefill_ms,
-        request.software_version,
-    )
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -4,6 +4,7 @@
 
 from masticquay_coordination import endpoint_limits
 from masticquay_coordination import owners
+from masticquay_routing import end_evidence
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import named_limits
@@ -354,7 +355,7 @@
     def test_completed_answer_clears_its_part(self):
         self.end_engines('first')
         self.owner.adopt_quarantined({'first': 0})
-        self.clock.advance_ms(harmful_prompts.QUARANTINE_MS)
+        self.clock.advance_ms(end_evidence.QUARANTINE_MS)
         self.admit_prompt(80, 'first')
         self.owner.finish(
             placement_messages.Finished('h1', 'llm', 80, True, True)
--- a/libs/gateway/masticquay_gateway/request_watches.py
+++ b/libs/gateway/masticquay_gateway/request_watches.py
@@ -13,6 +13,7 @@
 from masticquay_gateway import links
 from masticquay_gateway import quarantines
 from masticquay_gateway import request_keys
+from masticquay_routing import end_evidence
 from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
 from masticquay_routing import harmful_prompts
@@ -204,7 +205,7 @@
                 max(1, now_ms - reported_ms),
             )
             for reported_ms, ended in reports
-            if now_ms - reported_ms <= harmful_prompts.SUSPICION_MS
+            if now_ms - reported_ms <= end_evidence.SUSPICION_MS
         ]
 
     def _is_suspect(self, key: str) -> bool:
--- a/libs/routing/masticquay_routing/harmful_prompts.py
+++ b/libs/routing/masticquay_routing/harmful_prompts.py
@@ -24,7 +24,8 @@
 """
 
 import collections
-import typing
+
+from masticquay_routing import end_evidence
 
 # An engine ends this soon after it began to write an answer, if that answer is
 # the reason.
@@ -42,21 +43,12 @@
 REQUEST_PREFIX = 'request:'
 # Suspects that hosts are told of, those with the latest ends.
 MAX_SUSPECTS = 50
-# A request under which no endpoint has ended for this long is no suspect.
-SUSPICION_MS = 120_000
 # Two parts that explain as many ends are told apart by the number of requests
 # only if it differs by more than this.
 RIVAL_REQUESTS = 2
-# Reports on one engine within this time are of the same end.
-SAME_END_MS = 2_000
-# Prefill engines that ended within this time may have one cause, such as a
-# rack, if they are told of again.
-SAME_CAUSE_MS = 500
 # A prefill with a part that was completed so long before an end clears it.
 PREFILL_PROOF_MS = 5_000
 MAX_PREFILLED = 5_000
-QUARANTINE_MS = 180_000
-MAX_QUARANTINE_MS = 3_600_000
 # After a quarantine, one request at a time shows whether the part still ends
 # engines.
 PROBE_MS = 5_000
@@ -87,118 +79,6 @@
         return [*self.parts, self.key] if self.key else self.parts
 
 
-class _End:
-    """The end of an engine.
-
-    :param in_prefill: whether it was reading a prompt for another engine
-    :param is_retold: whether an earlier leader was told before
-    """
-
-    __slots__ = ('endpoint_id', 'reported_ms', 'in_prefill', 'is_retold')
-
-    def __init__(
-        self,
-        endpoint_id: str,
-        reported_ms: int,
-        in_prefill: bool,
-        is_retold: bool,
-    ):
-        self.endpoint_id = endpoint_id
-        self.reported_ms = reported_ms
-        self.in_prefill = in_prefill
-        self.is_retold = is_retold
-
-    def is_same(self, other: typing.Self) -> bool:
-        """Whether two reports are of the same end, or count as one."""
-        apart_ms = abs(self.reported_ms - other.reported_ms)
-        if self.in_prefill and other.in_prefill:
-            is_retold = self.is_retold or other.is_retold
-            if is_retold and apart_ms <= SAME_CAUSE_MS:
-                return True
-        return (
-            self.endpoint_id == other.endpoint_id and apart_ms <= SAME_END_MS
-        )
-
-
-class _Evidence:
-    """What is known of one part, or of one prompt.
-
-    :ivar request_count: requests that had it
-    :ivar ends: ends of engines in a row without a survivor
-    :ivar prompts: keys of the prompts under which they ended
-    :ivar quarantine_ms: length of the last quarantine, 0 before the first
-    """
-
-    __slots__ = (
-        'request_count',
-        'ends',
-        'prompts',
-        'quarantine_ms',
-        'quarantined_until_ms',
-        'probe_until_ms',
-        'updated_ms',
-    )
-
-    def __init__(self) -> None:
-        self.ends: list[_End] = []
-        self.prompts: set[str] = set()
-        self.request_count = 0
-        self.updated_ms = 0
-        self.quarantine_ms = 0
-        self.quarantined_until_ms = 0
-        self.probe_until_ms = 0
-
-    def clear_ends(self, in_prefill: bool) -> None:
-        """Forgets the ends of one kind, after a survivor of that kind.
-
-        A quarantine that rests on the other kind alone stays. One that was
-        adopted has no ends; a prefill is no proof against it.
-        """
-        left = [end for end in self.ends if end.in_prefill != in_prefill]
-        if not self.ends and in_prefill:
-            return
-        if left and len(left) == len(self.ends):
-            return
-        self.ends = left
-        if not left:
-            self.prompts = set()
-        self.quarantine_ms = 0
-        self.quarantined_until_ms = 0
-
-    def add_end(self, end: _End, key: str) -> None:
-        """Adds the end of an engine unless it was reported before."""
-        self.prompts.add(key)
-        if not any(end.is_same(other) for other in self.ends):
-            self.ends.append(end)
-
-    @property
-    def suspected_ms(self) -> int:
-        """When the last end or quarantine was, 0 if there is none."""
-        ended_ms = self.ends[-1].reported_ms if self.ends else 0
-        return max(ended_ms, self.quarantined_until_ms)
-
-    def is_suspect(self, now_ms: int) -> bool:
-        """Whether engines may still end on it."""
-        if not self.ends and not self.quarantine_ms:
-            return False
-        return now_ms - self.suspected_ms <= SUSPICION_MS
-
-    def drop_ends(self, explained: list[_End]) -> None:
-        """Drops the ends that another part explains."""
-        self.ends = [
-            end
-            for end in self.ends
-            if not any(end.is_same(other) for other in explained)
-        ]
-
-    def quarantine(self, now_ms: int) -> None:
-        """Begins a quarantine, each twice as long as the one before."""
-        doubled_ms = max(QUARANTINE_MS, 2 * self.quarantine_ms)
-        self.quarantine_ms = min(MAX_QUARANTINE_MS, doubled_ms)
-        self.quarantined_until_ms = now_ms + self.quarantine_ms
-        self.prompts = set()
-
-
 class HarmfulPrompts:
     """Finds and quarantines what ends engines: parts, prompts or requests.
 
@@ -211,13 +91,13 @@
     def __init__(self, min_ends_of_prompt: int = MIN_ENDS_OF_PROMPT) -> None:
         self._min_ends_of_prompt = min_ends_of_prompt
         # Those that ends are held against.
-        self._with_ends: dict[str, _Evidence] = {}
+        self._with_ends: dict[str, end_evidence.Evidence] = {}
         # When a prefill with it was completed, the latest at the end.
         self._prefilled: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
         # The one that was updated last is at the end.
-        self._entries: collections.OrderedDict[str, _Evidence] = (
+        self._entries: collections.OrderedDict[str, end_evidence.Evidence] = (
             collections.OrderedDict()
         )
 
@@ -263,7 +143,9 @@
         :param in_prefill: whether it was reading the prompt for another engine
         :returns: what is quarantined because of it
         """
-        end = _End(endpoint_id, now_ms - age_ms, in_prefill, age_ms > 0)
+        end = end_evidence.End(
+            endpoint_id, now_ms - age_ms, in_prefill, age_ms > 0
+        )
         if self._is_explained(end, prompt):
             return []
         if is_trial is False and self._has_ends(prompt.key):
@@ -349,20 +231,24 @@
         """Takes over the quarantines of an earlier leader."""
         for part, remaining_ms in quarantined.items():
             evidence = self._entry(part, now_ms)
-            until_ms = now_ms + min(remaining_ms, MAX_QUARANTINE_MS)
+            until_ms = now_ms + min(
+                remaining_ms, end_evidence.MAX_QUARANTINE_MS
+            )
             evidence.quarantined_until_ms = max(
                 evidence.quarantined_until_ms, until_ms
             )
-            evidence.quarantine_ms = max(evidence.quarantine_ms, QUARANTINE_MS)
+            evidence.quarantine_ms = max(
+                evidence.quarantine_ms, end_evidence.QUARANTINE_MS
+            )
 
     def _clear_ends(
-        self, part: str, evidence: _Evidence, in_prefill: bool
+        self, part: str, evidence: end_evidence.Evidence, in_prefill: bool
     ) -> None:
         evidence.clear_ends(in_prefill)
         if not evidence.ends:
             self._with_ends.pop(part, None)
 
-    def _was_prefilled_before(self, part: str, end: _End) -> bool:
+    def _was_prefilled_before(self, part: str, end: end_evidence.End) -> bool:
         """Whether a prefill that was completed just before clears an end."""
         if not end.in_prefill or part not in self._prefilled:
             return False
@@ -372,7 +258,7 @@
         evidence = self._entries.get(key)
         return evidence is not None and bool(evidence.ends)
 
-    def _is_explained(self, end: _End, prompt: Prompt) -> bool:
+    def _is_explained(self, end: end_evidence.End, prompt: Prompt) -> bool:
         """Whether an end came under a quarantined part of other prompts."""
         return any(
             any(end.is_same(other) for other in evidence.ends)
@@ -431,8 +317,8 @@
             if not evidence.ends:
                 del self._with_ends[other]
 
-    def _entry(self, part: str, now_ms: int) -> _Evidence:
-        evidence = self._entries.pop(part, None) or _Evidence()
+    def _entry(self, part: str, now_ms: int) -> end_evidence.Evidence:
+        evidence = self._entries.pop(part, None) or end_evidence.Evidence()
         evidence.updated_ms = now_ms
         self._entries[part] = evidence
         return evidence
@@ -452,7 +338,7 @@
             self._with_ends.pop(part, None)
 
 
-def _is_guilty(evidence: _Evidence) -> bool:
+def _is_guilty(evidence: end_evidence.Evidence) -> bool:
     if evidence.quarantine_ms:
         return len(evidence.ends) > 0
     return (
--- a/libs/routing/tests/test_harmful_prompts.py
+++ b/libs/routing/tests/test_harmful_prompts.py
@@ -7,6 +7,7 @@
 import random
 import unittest
 
+from masticquay_routing import end_evidence
 from masticquay_routing import harmful_prompts
 
 SEED_COUNT = 50
@@ -195,7 +196,7 @@
         found = self.end_engines(1, 'bad', start_ms=5_000)
         self.assertEqual(['bad'], found)
         wait_ms = self.wait_ms(5_000, 'bad')
-        self.assertEqual(harmful_prompts.QUARANTINE_MS, wait_ms)
+        self.assertEqual(end_evidence.QUARANTINE_MS, wait_ms)
         self.assertEqual(0, self.wait_ms(5_000, 'other'))
 
     def test_part_with_a_survivor_is_not_quarantined(self):
@@ -230,17 +231,17 @@
 
     def test_first_request_after_a_quarantine_is_a_probe(self):
         self.end_engines(MIN_ENDS, 'bad')
-        over_ms = QUARANTINED_MS + harmful_prompts.QUARANTINE_MS
+        over_ms = QUARANTINED_MS + end_evidence.QUARANTINE_MS
         self.assertEqual(0, self.wait_ms(over_ms, 'bad'))
         self.harmful.begin_probe(make_prompt(7, 'bad'), over_ms)
         self.assertGreater(self.wait_ms(over_ms + 1, 'bad'), 0)
 
     def test_probe_that_ends_an_engine_doubles_the_quarantine(self):
         self.end_engines(MIN_ENDS, 'bad')
-        over_ms = QUARANTINED_MS + harmful_prompts.QUARANTINE_MS
+        over_ms = QUARANTINED_MS + end_evidence.QUARANTINE_MS
         self.assertEqual(['bad'], self.end_engines(1, 'bad', start_ms=over_ms))
         self.assertEqual(
-            2 * harmful_prompts.QUARANTINE_MS, self.wait_ms(over_ms, 'bad')
+            2 * end_evidence.QUARANTINE_MS, self.wait_ms(over_ms, 'bad')
         )
 
     def test_survivor_ends_a_quarantine(self):
@@ -254,7 +255,7 @@
         successor = harmful_prompts.HarmfulPrompts()
         successor.adopt(self.harmful.quarantined(QUARANTINED_MS), 100)
         wait_ms = successor.wait_ms(make_prompt(8, 'bad'), 100)
-        self.assertEqual(harmful_prompts.QUARANTINE_MS, wait_ms)
+        self.assertEqual(end_evidence.QUARANTINE_MS, wait_ms)
 
     def test_report_of_a_sound_prompt_on_an_explained_end_is_ignored(self):
         self.end_engines(MIN_ENDS, 'bad')
--- a/libs/routing/tests/test_harmful_requests.py
+++ b/libs/routing/tests/test_harmful_requests.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from masticquay_routing import end_evidence
 from masticquay_routing import harmful_prompts
 
 KEY = 'request:1'
@@ -61,7 +62,7 @@
 
     def test_request_that_no_endpoint_ended_under_lately_is_no_suspect(self):
         self.end(1, 1_000)
-        late_ms = 1_001 + harmful_prompts.SUSPICION_MS
+        late_ms = 1_001 + end_evidence.SUSPICION_MS
         self.assertEqual([], self.harmful.suspects(late_ms))
 
     def test_one_end_after_the_quarantine_brings_a_longer_one(self):
