Leaving endpoints: a list from somewhere else ends no word

A host that works without control for 3 s reads the platform's list, took an endpoint that the leader's list had marked as leaving, and which the platform's does not show yet, for one that is back, and sent it requests. Cause: the marks of one source were compared with the list of another. A change of source, to the own list or from it, now counts like a new leader.

--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -35,6 +35,8 @@
         self._by_id: dict[str, fleets.Endpoint] = {}
         self._listed: list[fleets.Endpoint] = []
         self._leaving = endpoint_notices.LeavingEndpoints()
+        # Whether this host read the present list itself, without control.
+        self._list_is_own = False
         self._stream_versions: software_versions.Versions | None = None
         self.table: tables.Table | None = None
         self._default_limits = requests.Limits()
@@ -115,8 +117,9 @@
             term_and_number = (update.term, update.number)
             if term_and_number <= (self.endpoints_term, self.endpoints_number):
                 return False
-            if update.term > self.endpoints_term:
-                self._leaving.begin_term()
+            if update.term > self.endpoints_term or self._list_is_own:
+                self._leaving.begin_lists()
+            self._list_is_own = False
             self.endpoints_term, self.endpoints_number = term_and_number
             self._index_endpoints(update.endpoints)
             self._stream_versions = update.stream_versions
@@ -141,6 +144,9 @@
         control's next list replaces this one.
         """
         with self._lock:
+            if not self._list_is_own:
+                self._leaving.begin_lists()
+            self._list_is_own = True
             self._index_endpoints(endpoints)
             self._add_stream_versions(endpoints)
 
--- a/libs/routing/masticquay_routing/endpoint_notices.py
+++ b/libs/routing/masticquay_routing/endpoint_notices.py
@@ -55,8 +55,9 @@
 class LeavingEndpoints:
     """The endpoints that said that they leave, by id.
 
-    An endpoint is used again when the lists of one leader have shown it as
-    leaving and do so no longer, or show another start of it. A word that was
+    An endpoint is used again when the lists of one source, a leader or the
+    platform itself, have shown it as leaving and do so no longer, or show
+    another start of it. A word that was
     heard before that counts no more, whoever tells it.
     """
 
@@ -82,8 +83,11 @@
         self._words[endpoint_id] = _Word(started_ms, heard_ms)
         return True
 
-    def begin_term(self) -> None:
-        """Keeps all words until a new leader was told of them."""
+    def begin_lists(self) -> None:
+        """Keeps all words when the lists come from somewhere else from now on.
+
+        What one source has marked, another may not know yet.
+        """
         for word in self._words.values():
             word.told_ms = None
             word.was_listed = False
