REFUSED, red tests: a carriage return hides the stamp beside a mark

A carriage return within a header line ends the line, or the whole head, for the parser of the standard library, while the lines are read up to line feeds. A stamp after it is left out without a defect, and a text after it becomes a header of its own.

--- a/libs/endpoints/tests/test_responses.py
+++ b/libs/endpoints/tests/test_responses.py
@@ -82,6 +82,21 @@
         with self.assertRaises(errors.EndpointError):
             self.exchange(self.start_pool(send_chunked))
 
+    # Guards against a stamp beside the mark of a refusal that is left out, and
+    # a mark that is read out of another header: a carriage return within a
+    # line ends a header, or all of them, for the parser only.
+    def test_response_with_a_carriage_return_in_a_header_is_an_error(self):
+        for lines in (b'X-A: 1\r\r\nX-B: 2\r\n', b'X-A: 1\rX-B: 2\r\n'):
+            head = b'HTTP/1.1 200 x\r\nContent-Length: 2\r\n' + lines
+            pool = self.start_pool(
+                lambda sock, head=head: sock.sendall(head + b'\r\nok')
+            )
+            with (
+                self.subTest(lines=lines),
+                self.assertRaises(errors.EndpointError),
+            ):
+                self.exchange(pool)
+
     def test_response_with_several_parts_is_read(self):
         head = b'HTTP/1.1 200 x\r\nContent-Type: multipart/mixed\r\n'
         pool = self.start_pool(
