REFUSED: a carriage return within a line of a head is an error

Cause: answers' heads are read up to line feeds, but the parser of the standard library also ends a line at a carriage return, and the head at an empty line made so. The rest of the head was left out without a defect, such as a stamp beside the mark of a refusal.

Change: a line of a head, of chunk sizes or trailers that has a carriage return before its end ends the exchange with an error, so the caller gets 502.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -151,7 +151,8 @@
         """Reads a line of the present part.
 
         :returns: empty only if the connection ended before the response
-        :raises ProtocolViolationError: if a limit is exceeded
+        :raises ProtocolViolationError: if a limit is exceeded, or if the line
+            has a carriage return, at which ``http.client`` would split it
         :raises EndpointError: if the connection ended within the part, which
             ``http.client`` would take for its end
         """
@@ -165,6 +166,10 @@
             raise errors.EndpointError(
                 f'connection ended within {self._part_name} of the response'
             )
+        if b'\r' in line[:-2]:
+            raise errors.ProtocolViolationError(
+                f'carriage return within a line of {self._part_name}'
+            )
         self._part_begun = True
         self._part_bytes -= len(line)
         return line
