Malformed requests, red test: a carriage return hides the body's length

The same cause as for answers, on the callers' side: the parser of the standard library ends a line at a carriage return, and the head at an empty line made so. Lines after it are left out without a defect.

--- a/libs/serving/tests/test_malformed_headers.py
+++ b/libs/serving/tests/test_malformed_headers.py
@@ -62,6 +62,16 @@
                 self.assertTrue(received.startswith(b'HTTP/1.1 400 '))
                 self.assertEqual(1, received.count(b'HTTP/1.1 '))
 
+    # Guards against the same after a carriage return within a line, at which
+    # the parser ends the line or all headers.
+    def test_body_after_a_line_with_a_carriage_return_is_no_request(self):
+        for line in ('X-A: b\r', 'X-A: b\r\r', 'X-A: b\rX-B: c'):
+            with self.subTest(line=line):
+                self.received.clear()
+                received = self.send(line)
+                self.assertEqual([], [r.target for r in self.received])
+                self.assertTrue(received.startswith(b'HTTP/1.1 400 '))
+
     # Guards against endpoints that count as failed, as no request with such
     # a target can be sent to them.
     def test_target_that_is_not_ascii_is_rejected(self):
