An application can't answer 408

408 promises that a request did not run and never will. The HTTP server gives it to a request that it could not read in time, and passed on any status that an application rejected a request with. None does so with 408 today; it is now an error that ends the connection, as the request was read then.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -35,6 +35,7 @@
 # the timeout, so the server must not close it first.
 IDLE_MARGIN_S = 2.0
 REQUEST_LINE_LIMIT_BYTES = 16 * 1024
+STATUS_TOO_SLOW = 408
 # The accept loop checks at this interval whether it must stop.
 ACCEPT_POLL_S = 0.5
 # Pause after a failure to accept a connection.
@@ -111,8 +112,24 @@
         reply = replies.Reply(self)
         try:
             request = self._read_request_in_time(limits, started_s)
+        except errors.BadRequestError as cause:
+            self._reject(reply, cause)
+            return
+        self._run_application(request, reply)
+
+    def _run_application(
+        self, request: requests.Request, reply: replies.Reply
+    ) -> None:
+        """Has the application serve a request, which it may reject.
+
+        :raises ValueError: if it rejects it as not read in time: it was read,
+            and the status promises that it did not run
+        """
+        try:
             self.server.application(request, reply)
         except errors.BadRequestError as cause:
+            if cause.status == STATUS_TOO_SLOW:
+                raise ValueError('rejected a request that was read') from cause
             self._reject(reply, cause)
 
     def _wait_for_request(self, idle_s: float) -> bool:
@@ -133,7 +150,7 @@
             return self._read_request(limits, started_s)
         except TimeoutError as cause:
             raise errors.BadRequestError(
-                408, 'the request came too slowly'
+                STATUS_TOO_SLOW, 'the request came too slowly'
             ) from cause
 
     def _read_request(
