Leaving endpoints, red test: a leader found again does not resend its list

Cause: a list that a host reads without control replaces the leader's, but the host still reports the number of the latter as held. A leader that is found again in its term sends nothing then, and what other hosts told it of endpoints that leave is missing on this host until the list changes.

--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -136,6 +136,16 @@
         self.state.apply_local_list([endpoint])
         self.assertTrue(self.state.endpoint('e1').leaving)
 
+    # The same cause: the marks of a leader that is found again are missing.
+    def test_list_of_the_same_leader_replaces_one_without_control(self):
+        marked = self.make_endpoint(leaving=True)
+        self.apply_list(marked)
+        update = messages.EndpointUpdate(1, 1, [marked])
+        self.state.apply_local_list([self.make_endpoint()])
+        self.assertLess(self.state.endpoints_number, update.number)
+        self.assertTrue(self.state.apply_endpoints(update))
+        self.assertTrue(self.state.endpoint('e1').leaving)
+
     def test_endpoint_that_is_back_by_lists_without_control_is_used(self):
         endpoint = self.make_endpoint()
         self.apply_list(endpoint)
