Leaving endpoints, red test: a word that reached no leader is dropped

Cause: the time within which the leader's list has to confirm a word begins when a renewal is made, also if that fails. If a leader of the same term is found after more than 5 s, the word is dropped before any leader was told.

--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -6,9 +6,12 @@
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from masticquay_gateway import fleet_states
 from masticquay_gateway import links
+from masticquay_routing import endpoint_notices
+from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import placement_messages
 from masticquay_routing import stream_origins
@@ -216,6 +219,24 @@
         link._begin_search()
         self.assertTrue(link._must_report_streams)
 
+    # The same cause as of a word that a list without control ended: the leader
+    # that does not confirm it was never told.
+    def test_word_that_reached_no_leader_is_told_to_the_next_one(self):
+        link = self.make_link([])
+        endpoint = fleets.Endpoint('e1', 'svc', '127.0.0.1:1', 'p')
+        link._state.apply_endpoints(messages.EndpointUpdate(1, 1, [endpoint]))
+        link._state.record_leaving(endpoint)
+        lost_leader = self.start_follower('')
+        link._leader = lost_leader
+        link._renew(lost_leader)
+        self.assertIsNone(link._leader)
+        link._leader = lost_leader
+        later_ms = fleet_states._now_ms() + endpoint_notices.CONFIRM_MS + 1
+        with mock.patch.object(fleet_states, '_now_ms', return_value=later_ms):
+            renewal = link._make_renew([])
+        link.close()
+        self.assertEqual(['e1'], [r.endpoint_id for r in renewal.leaving])
+
     def make_link(self, seeds):
         state = fleet_states.FleetState(test_fleet_states.VersionReader())
         identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
