A carriage return within a caller's header line is refused

The body of such a request ran as a request of its own, or a header was read that another reader does not see: the parser of the standard library ends a line at a carriage return, and the head at an empty line made so.

--- a/libs/serving/masticquay_serving/heads.py
+++ b/libs/serving/masticquay_serving/heads.py
@@ -47,7 +47,9 @@
     def readline(self, size: int) -> bytes:
         """Returns the next line, at most ``size`` bytes of it.
 
-        :raises BadRequestError: when the lines are larger than the limit
+        :raises BadRequestError: when the lines are larger than the limit, or
+            when this one has a carriage return, at which the parser would
+            split it
         :raises CallerDisconnectedError: at the end of the stream
         """
         line = self._stream.readline(min(size, self._left_bytes + 1))
@@ -58,4 +60,6 @@
             raise errors.CallerDisconnectedError(
                 'connection closed before the end of the headers'
             )
+        if b'\r' in line[:-2]:
+            raise errors.BadRequestError(400, 'carriage return in a header')
         return line
