Leaving endpoints: a leader that is found again sends its list again

A host that worked without control keeps the list that it read itself when it finds the same leader again, as it reports the number of the leader's last list as held; marks of endpoints that leave, heard by other hosts, are missing until the list changes. Such a host now holds no list of a leader.

--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -140,13 +140,14 @@
     def apply_local_list(self, endpoints: list[fleets.Endpoint]) -> None:
         """Applies an endpoint list that this host read without control.
 
-        The term and number stay those of the last list from control, so
-        control's next list replaces this one.
+        The term stays that of the last list from control, which replaces this
+        one as soon as control is found again, also if it has not changed.
         """
         with self._lock:
             if not self._list_is_own:
                 self._leaving.begin_lists()
             self._list_is_own = True
+            self.endpoints_number = 0
             self._index_endpoints(endpoints)
             self._add_stream_versions(endpoints)
 
