Leaving endpoints: a word is kept until a leader was told of it

The 5 s within which the leader's list has to confirm that an endpoint leaves began with a renewal that failed; a leader that was found later than that was never told. They begin anew with each search.

--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -218,6 +218,11 @@
                 self._index_endpoints(self._listed)
         return reports
 
+    def report_leaving_again(self) -> None:
+        """Keeps the endpoints that leave until a leader was told of them."""
+        with self._lock:
+            self._leaving.begin_lists()
+
     def _index_endpoints(self, listed: list[fleets.Endpoint]) -> None:
         self._listed = listed
         self._leaving.apply_list(listed, _now_ms())
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -223,6 +223,7 @@
         self._leader_found.clear()
         # Notices that were sent to the leader meanwhile may be lost.
         self._must_report_streams = True
+        self._state.report_leaving_again()
         self._search_rounds = 0
         self._search_order = []
         self._responding.clear()
