--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -256,6 +256,21 @@
         self.owner.release_host('gone')
         self.assertIsInstance(waiting.result(0), placement_messages.Placed)
 
+    # Nothing has run it, and no later placement may.
+    def test_waiting_request_of_a_lost_host_is_refused_for_good(self):
+        for number in range(10):
+            self.owner.admit(
+                fakes.make_admit(
+                    number, prompt_tokens=100, output_tokens=5_571
+                )
+            )
+        waiting = self.owner.admit(fakes.make_admit(90, host='gone'))
+        self.assertFalse(waiting.done())
+        self.owner.release_host('gone')
+        self.assertIsInstance(waiting.result(0), placement_messages.Refused)
+        self.owner.release_host('h1')
+        self.assertEqual(0, self.owner.gauges()['placed_requests'])
+
     def test_abandoned_request_is_refused(self):
         for number in range(10):
             self.owner.admit(
