--- a/libs/consensus/tests/simulations.py
+++ b/libs/consensus/tests/simulations.py
@@ -11,203 +11,24 @@
 
 from masticquay_consensus import errors
 from masticquay_consensus import messages
-from masticquay_consensus import replicas
 from masticquay_consensus import settings as settings_module
-from masticquay_consensus import stores
 from masticquay_wire import errors as wire_errors
+from tests import fault_profiles
 from tests import faulty_disks
-from tests import fleets
+from tests import invariants
+from tests import simulated_hosts
 
 CONVERGENCE_TIMEOUT_MS = 30_000
 
 
-class FaultProfile:
-    """Parameters of a simulation; a fault has its probability per step.
-
-    :param delays_ms: values from which the longest delay of a message is drawn
-    :param copies: values from which the number of copies of a message that
-        arrive is drawn
-    :param step_ms: the longest time between two steps
-    :param partition: separates two hosts from the others
-    :param one_way_cut: blocks the route from one host to another
-    :param heal: unblocks all routes
-    :param crash: crashes a host
-    :param disk_crash: crashes a host at one of its next disk operations
-    :param restart: starts a host that has crashed
-    :param membership_change: proposes to add, promote or remove a member
-    :param flush: the probability that a host syncs its log in a step
-    :param power_cut: crashes all hosts
-    :param wipe: replaces the disk of a host
-    :param propose: the probability that a leader proposes a command in a step
-    :param steps: how many steps the simulation has
-    :param heartbeat_ms: the heartbeat interval of the replicas
-    :param mass_restart: restarts most hosts at once
-    :param hand_over: transfers leadership
-    """
-
-    def __init__(
-        self,
-        delays_ms=(5, 5, 20, 60, 400),
-        copies=(0, 1, 1, 1, 1, 1, 1, 2),
-        step_ms=25,
-        partition=0.01,
-        one_way_cut=0.005,
-        heal=0.015,
-        crash=0.01,
-        disk_crash=0.02,
-        restart=0.3,
-        membership_change=0.04,
-        flush=0.7,
-        power_cut=0.0,
-        wipe=0.0,
-        propose=0.5,
-        steps=250,
-        heartbeat_ms=50,
-        mass_restart=0.0,
-        hand_over=0.02,
-    ):
-        self.delays_ms = delays_ms
-        self.copies = copies
-        self.step_ms = step_ms
-        self.partition = partition
-        self.one_way_cut = one_way_cut
-        self.heal = heal
-        self.crash = crash
-        self.disk_crash = disk_crash
-        self.restart = restart
-        self.membership_change = membership_change
-        self.flush = flush
-        self.power_cut = power_cut
-        self.wipe = wipe
-        self.propose = propose
-        self.steps = steps
-        self.heartbeat_ms = heartbeat_ms
-        self.mass_restart = mass_restart
-        self.hand_over = hand_over
-
-
-FAULT_PROFILES = (
-    FaultProfile(wipe=0.02),
-    FaultProfile(
-        delays_ms=(1, 2),
-        copies=(1,),
-        step_ms=6,
-        one_way_cut=0.02,
-        heal=0.01,
-        membership_change=0.01,
-        propose=0.02,
-        steps=600,
-    ),
-    FaultProfile(
-        crash=0.05,
-        disk_crash=0.05,
-        restart=0.3,
-        flush=0.3,
-        power_cut=0.01,
-        wipe=0.02,
-    ),
-    FaultProfile(
-        delays_ms=(2, 200),
-        partition=0.04,
-        heal=0.04,
-        crash=0.03,
-        restart=0.2,
-        membership_change=0.0,
-        flush=0.4,
-        power_cut=0.01,
-    ),
-    # Hosts restart repeatedly, faster than leases expire.
-    FaultProfile(
-        heartbeat_ms=140,
-        delays_ms=(1, 1, 1, 1, 60),
-        step_ms=3,
-        partition=0.0,
-        one_way_cut=0.0,
-        mass_restart=0.012,
-        crash=0.003,
-        disk_crash=0.001,
-        restart=0.9,
-        membership_change=0.02,
-        flush=0.95,
-        power_cut=0.002,
-        wipe=0.002,
-        propose=0.02,
-        steps=1500,
-    ),
-)
-
-
-class DriftingClock:
-    """A clock with a constant offset and rate error."""
-
-    def __init__(self, simulation, rate, offset_ms):
-        self._simulation = simulation
-        self.rate = rate
-        self._offset_ms = offset_ms
-
-    def now_ms(self):
-        return self._offset_ms + int(self._simulation.now_ms * self.rate)
-
-
-class Host:
-    """A disk and the replica that uses it, None while the host is crashed."""
-
-    def __init__(self, simulation, name):
-        self._simulation = simulation
-        self.name = name
-        self.disk = faulty_disks.FaultyDisk(simulation.random)
-        self.replica = None
-        self.replica_id = ''
-        self.state_machine = None
-        self.checked_index = 0
-        rate = 1 + simulation.random.uniform(-0.03, 0.03)
-        self.clock = DriftingClock(
-            simulation, rate, simulation.random.randint(0, 10**6)
-        )
-
-    def start(self):
-        try:
-            self._start()
-        except faulty_disks.CrashError:
-            self.crash()
-
-    def _start(self):
-        store = stores.Store(self.disk, self.name, self._simulation.random)
-        self.replica_id = store.replica_id
-        self.state_machine = fleets.RecordingStateMachine()
-        self.replica = replicas.Replica(
-            store,
-            self.state_machine,
-            self._simulation.settings,
-            self.clock,
-            random.Random(self._simulation.random.random()),
-        )
-        self.checked_index = 0
-
-    def crash(self):
-        self.disk.crash()
-        self.replica = None
-
-    def run(self, step, *args):
-        """Calls a method of the replica, and returns its result.
-
-        Returns None if the host is not running, or crashes during the call.
-        """
-        if self.replica is None:
-            return None
-        try:
-            return step(*args)
-        except faulty_disks.CrashError:
-            self.crash()
-            return None
-
-
 class Simulation:
     """The hosts, the network between them and the invariant checks."""
 
     def __init__(self, seed, host_count=5, voter_count=3):
         self.random = random.Random(seed)
-        self.profile = FAULT_PROFILES[seed % len(FAULT_PROFILES)]
+        self.profile = fault_profiles.FAULT_PROFILES[
+            seed % len(fault_profiles.FAULT_PROFILES)
+        ]
         self.now_ms = 0.0
         self.settings = settings_module.Settings(
             heartbeat_ms=self.profile.heartbeat_ms,
@@ -219,7 +40,9 @@
             snapshot_interval_entries=8,
             retained_entries=3,
         )
-        self.hosts = [Host(self, f'h{n}') for n in range(host_count)]
+        self.hosts = [
+            simulated_hosts.Host(self, f'h{n}') for n in range(host_count)
+        ]
         for host in self.hosts:
             host.start()
         self.host_by_id = {h.replica_id: h for h in self.hosts}
@@ -235,13 +58,10 @@
         self.sequence = itertools.count()
         self.cut_routes = set()
         self.faults_enabled = True
-        self.leader_by_term = {}
-        self.committed_entries = {}
         self.acknowledged = []
         self.pending_proposals = []
         self.command_numbers = itertools.count()
-        self.lease_end_by_term_ms = {}
-        self.lease_holder_by_term = {}
+        self.invariants = invariants.InvariantChecker()
         self.wiped_count = 0
         self.handover_count = 0
 
@@ -259,7 +79,7 @@
         self.deliver_due()
         if self.faults_enabled:
             self.propose()
-        self.check_invariants()
+        self.invariants.check(self.hosts, self.now_ms)
 
     def step_host(self, host):
         replica = host.replica
@@ -409,20 +229,20 @@
         It gives up its lease, so the next leader need not wait until that has
         expired.
         """
-        leader = next((h for h in self.hosts if self.is_leading(h)), None)
+        leader = next((h for h in self.hosts if h.is_leading), None)
         if leader is None:
             return
         request = leader.run(leader.replica.step_down)
         if request is not None:
             self.handover_count += 1
-            self.lease_end_by_term_ms.pop(request.message.term, None)
+            self.invariants.end_lease(request.message.term)
             assert not leader.replica.lease_remaining_ms()
             self.send(leader, request)
 
     def mass_restart(self):
         """Restarts most hosts at once; a leader often keeps running."""
         for host in self.hosts:
-            keeps_running = self.is_leading(host) and self.chance(0.5)
+            keeps_running = host.is_leading and self.chance(0.5)
             if not keeps_running and self.chance(0.8):
                 host.crash()
                 host.start()
@@ -433,7 +253,7 @@
         Removes a member that lost its disk, else promotes a synced learner,
         else adds a learner or removes a random member.
         """
-        host = next((h for h in self.hosts if self.is_leading(h)), None)
+        host = next((h for h in self.hosts if h.is_leading), None)
         if host is None:
             return
         members = host.replica.state.configuration.members
@@ -477,7 +297,7 @@
 
     def wipe(self):
         """Replaces the disk of a host if a quorum remains without it."""
-        leader = next((h for h in self.hosts if self.is_leading(h)), None)
+        leader = next((h for h in self.hosts if h.is_leading), None)
         if leader is None or not leader.replica.lease_remaining_ms():
             return
         state = leader.replica.state
@@ -493,12 +313,6 @@
         self.host_by_id[host.replica_id] = host
         self.wiped_count += 1
 
-    def is_leading(self, host):
-        return (
-            host.replica is not None
-            and host.replica.state.role == messages.ROLE_LEADER
-        )
-
     def stop_faults(self):
         """Ends all faults and starts the hosts that have crashed."""
         self.faults_enabled = False
@@ -540,7 +354,7 @@
             return False
         applied = {h.replica.state.applied_index for h in hosts}
         command_logs = {tuple(h.state_machine.commands) for h in hosts}
-        leader = next((h for h in hosts if self.is_leading(h)), None)
+        leader = next((h for h in hosts if h.is_leading), None)
         return (
             leader is not None
             and self.read_index(leader) in applied
@@ -557,7 +371,7 @@
     def member_hosts(self):
         """Returns the hosts that are members of the newest leader's group."""
         leader = max(
-            (h for h in self.hosts if self.is_leading(h)),
+            (h for h in self.hosts if h.is_leading),
             key=lambda h: h.replica.state.term,
             default=None,
         )
@@ -566,59 +380,6 @@
         configuration = leader.replica.state.configuration
         return [h for h in self.hosts if configuration.member(h.replica_id)]
 
-    def check_invariants(self):
-        for host in self.hosts:
-            if host.replica is None:
-                continue
-            self.check_leader(host)
-            self.check_committed(host)
-
-    def check_leader(self, host):
-        """Checks that each term has one leader and that leases do not overlap.
-
-        A process may lead only once the leases of earlier terms have ended.
-        """
-        if not self.is_leading(host):
-            return
-        state = host.replica.state
-        first = self.leader_by_term.setdefault(state.term, host.name)
-        assert first == host.name, f'two leaders in term {state.term}'
-        self.drop_ended_leases()
-        self.lease_holder_by_term[state.term] = (host, host.replica)
-        remaining_ms = host.replica.lease_remaining_ms() / host.clock.rate
-        end_ms = self.now_ms + remaining_ms
-        for term, lease_end_ms in self.lease_end_by_term_ms.items():
-            assert term >= state.term or lease_end_ms <= self.now_ms, (
-                f'term {state.term} began during the lease of term {term}'
-            )
-        self.lease_end_by_term_ms[state.term] = max(
-            end_ms, self.lease_end_by_term_ms.get(state.term, 0)
-        )
-        self.lease_end_by_term_ms = {
-            term: end
-            for term, end in self.lease_end_by_term_ms.items()
-            if end > self.now_ms or term == state.term
-        }
-
-    def drop_ended_leases(self):
-        """Drops the leases of processes that have ended."""
-        for term, (host, replica) in self.lease_holder_by_term.items():
-            if host.replica is not replica:
-                self.lease_end_by_term_ms.pop(term, None)
-
-    def check_committed(self, host):
-        """Checks that all hosts have the same committed entries."""
-        state = host.replica.state
-        if not state.store.formed:
-            return
-        raft_log = state.store.raft_log
-        first = max(host.checked_index, raft_log.base_index) + 1
-        for index in range(first, state.commit_index + 1):
-            entry = raft_log.entry(index)
-            recorded = self.committed_entries.setdefault(index, entry)
-            assert recorded == entry, f'committed entry {index} was replaced'
-        host.checked_index = state.commit_index
-
 
 def run_seed(seed, steps=0):
     """Runs the simulation of a seed and returns it.
--- a/libs/consensus/tests/test_replicas.py
+++ b/libs/consensus/tests/test_replicas.py
@@ -14,7 +14,7 @@
             with self.subTest(seed=seed):
                 simulation = simulations.run_seed(seed)
                 commands += len(simulation.acknowledged)
-                elected += len(simulation.leader_by_term)
+                elected += len(simulation.invariants.leader_by_term)
                 wiped += simulation.wiped_count
                 handovers += simulation.handover_count
         # Enough commands, elections, lost disks and leadership transfers must
