--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -125,8 +125,8 @@
         self.assertTrue(self.state.endpoint('e1').leaving)
         self.assertEqual(1, len(self.state.report_leaving()))
 
-    # Suspected behind seed 20 of the soak: the leader had marked an endpoint
-    # that leaves, and the platform's list, read without control, had not yet.
+    # Found beside seed 20 of the soak: the leader had marked an endpoint that
+    # leaves, and the platform's list, read without control, had not yet.
     def test_endpoint_that_leaves_does_so_by_a_list_without_control(self):
         endpoint = self.make_endpoint()
         self.apply_list(endpoint)
