HTTP client, red test: a cut answer after an unreadable line is whole

The parser of the standard library leaves out the lines after one that it cannot parse, or after a carriage return. Entry hosts look for that in the answers of endpoints; the client of control, for reports, orders and the platform's list, does not.

Measured: make test TESTS=serving; in all three cases an answer of 9 bytes of which 2 came counts as whole.

--- a/libs/serving/tests/test_http_clients.py
+++ b/libs/serving/tests/test_http_clients.py
@@ -89,6 +89,16 @@
         self.assertEqual(b'ab', self.client.call('GET', '/').body)
         self.assertEqual(b'', self.client.call('GET', '/').body)
 
+    # Guards against an answer that broke off and counts as whole: lines after
+    # one that cannot be parsed were left out, so also the length of the body.
+    def test_answer_cut_off_after_an_unreadable_line_fails(self):
+        for line in (b'X A: b', b'X-A: b\r', b'X-A: b\r\r'):
+            with self.subTest(line=line):
+                self.doCleanups()
+                self.setUp()
+                head = b'HTTP/1.1 200 OK\r\n' + line
+                self.assert_fails([head + b'\r\nContent-Length: 9\r\n\r\nab'])
+
     def test_answer_that_takes_longer_than_the_timeout_fails(self):
         count = int(PEER_TIME_S / 0.02)
         for first, part in (
