A replica that joins a group by a first request, red test

Cause of test_stopped_replica_catches_up_after_500_changes: the replica that forms a group sends the members to the others and joins last. The others may elect before that; their request makes it a member of a group whose members it does not know, and joining with the configuration then does nothing. The first configuration is in no log entry, so it never learns the members. Seen in a dump of the states of a failed run: all 504 entries applied, no voters, the leader's id known but not its address, 20 s long.

--- a/libs/consensus/tests/test_elections.py
+++ b/libs/consensus/tests/test_elections.py
@@ -21,14 +21,19 @@
     """Replica ``a`` of a group of three; the test acts as ``b`` and ``c``.
 
     Parameters give the position of a log entry as a pair of term and index.
+
+    :param first_request: whether a request for a vote comes before it joins
+        the group
     """
 
-    def __init__(self):
+    def __init__(self, first_request=False):
         self.random = random.Random(1)
         self.disk = faulty_disks.FaultyDisk(self.random)
         self.clock = clocks.ManualClock()
         self.open_replica()
         self.own_id = self.replica.state.replica_id
+        if first_request:
+            self.request_vote('B', 1)
         members = [(self.own_id, 'a'), ('B', 'b'), ('C', 'c')]
         self.replica.join_group(
             messages.Configuration(
@@ -261,3 +266,18 @@
         self.assertEqual(0, replica.state.commit_index)
         harness.acknowledge_requests()
         self.assertEqual(2, replica.state.commit_index)
+
+
+class JoinedByRequestTest(unittest.TestCase):
+    # Found with 500 changes beside load: the replica that forms a group joins
+    # it last. The others had begun to elect by then, their request made it a
+    # member of an unknown group, and it never learned the members. It stayed
+    # without a known leader and without a vote, also after restarts.
+    def test_configuration_that_comes_after_a_first_request_is_taken(self):
+        harness = ReplicaHarness(first_request=True)
+        names = [m.name for m in harness.replica.state.configuration.members]
+        self.assertEqual(['a', 'b', 'c'], names)
+        harness.append_entries(leader='B', term=1)
+        self.assertEqual('b', harness.replica.leader().name)
+        harness.restart()
+        self.assertTrue(harness.replica.state.is_voter)
