Formation, red test: a voter that votes early has no configuration

Cause, traced in a run of test_nodes: leader_that_loses_calls_or_answers_is_replaced: b had the configuration first and was elected by a and c before FormGroup reached them. Any request but AskStart makes a replica a member without a configuration, and join_group ignores the later one, so a and c were learners of a group without voters. The leader was cut off before it brought the configuration: nobody could be elected.

--- a/libs/consensus/tests/test_formations.py
+++ b/libs/consensus/tests/test_formations.py
@@ -228,3 +228,27 @@
                     simulation.hosts[number].attempt()
                 simulation.check()
                 self.assertTrue(simulation.has_formed_majority())
+
+
+class EarlyVoteTest(unittest.TestCase):
+    # Guards against a group without a leader: the first voter that had the
+    # configuration was elected by two that had not, and was then cut off.
+    def test_voter_that_voted_before_it_had_the_configuration_takes_it(self):
+        simulation = Simulation(0)
+        voter, candidate = simulation.hosts[:2]
+        configuration = messages.Configuration(
+            [
+                messages.Member(h.replica_id, h.name, h.name, True)
+                for h in simulation.hosts
+            ]
+        )
+        voter.replica.handle(
+            messages.RequestVote(
+                voter.replica_id, candidate.replica_id, 1, 0, 0, False
+            )
+        )
+        voter.replica.join_group(configuration)
+        self.assertEqual(
+            configuration.voter_ids(),
+            voter.replica.state.configuration.voter_ids(),
+        )
