--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -270,6 +270,7 @@
         gauges = {'leads': float(term is not None)}
         if term is not None:
             gauges['hosts_in_touch'] = len(term.sessions.host_names)
+            gauges['hosts_without_way'] = term.sessions.hosts_without_way
             gauges.update(term.owner.gauges())
             gauges.update(term.limits.gauges())
             gauges.update(term.requests.gauges())
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -78,6 +78,15 @@
         with self._lock:
             return set(self._sessions)
 
+    @property
+    def hosts_without_way(self) -> int:
+        """Number of hosts that cannot connect to any endpoint."""
+        with self._lock:
+            return sum(
+                not session.renewal.reaches_endpoints
+                for session in self._sessions.values()
+            )
+
     def renew(self, renewal: messages.Renew, link: peers.Connection) -> bool:
         """Renews a session and sends the updates that the host lacks.
 
@@ -98,6 +107,7 @@
             missing = self._find_missing(session, now_ms)
         for update in missing:
             _send(session, update)
+        self._log_reach(previous.renewal if previous else None, renewal)
         if previous is None:
             LOG.info(
                 'host session opened',
@@ -106,6 +116,24 @@
             return False
         return previous.renewal.incarnation != renewal.incarnation
 
+    def _log_reach(
+        self, earlier: messages.Renew | None, renewal: messages.Renew
+    ) -> None:
+        """Logs that a host has lost its way to endpoints, or has it back."""
+        reached_before = earlier is None or earlier.reaches_endpoints
+        if renewal.reaches_endpoints == reached_before:
+            return
+        LOG.warning(
+            'host reaches endpoints again'
+            if renewal.reaches_endpoints
+            else 'host reaches no endpoint',
+            extra={
+                'entry_host': renewal.host,
+                'term': self.term,
+                'hosts_without_way': self.hosts_without_way,
+            },
+        )
+
     def expire(self) -> list[str]:
         """Drops the sessions that were not renewed in time.
 
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -18,6 +18,7 @@
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
+from masticquay_gateway import reach_watches
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_gateway import streams
@@ -150,7 +151,13 @@
             self.link.renew_now,
             self._limits,
         )
-        self._pools = exchanges.ConnectionPools()
+        self._reach_watch = reach_watches.ReachWatch(
+            self.state.all_endpoints, self.registry, self.link.renew_now
+        )
+        self._pools = exchanges.ConnectionPools(self._reach_watch)
+        self.registry.set_gauge_reader(
+            lambda: {'reaches_endpoints': float(self.reaches_endpoints())}
+        )
         self._chooser = choosers.Chooser(
             settings.place, random.Random(), self._count_skip
         )
@@ -169,6 +176,7 @@
         """Starts the link to control and the server for callers."""
         with contextlib.ExitStack() as stack:
             stack.callback(self._pools.close)
+            stack.callback(self._reach_watch.close)
             stack.callback(self._disconnect_watcher.close)
             self.link.start()
             stack.callback(self.link.close)
@@ -218,6 +226,10 @@
         """Whether callers may use this host."""
         return self.state.table is not None and not self._draining.is_set()
 
+    def reaches_endpoints(self) -> bool:
+        """Whether this host can connect to endpoints."""
+        return not self._reach_watch.is_lost
+
     def collect_usage(self) -> dict[str, float]:
         """Returns and resets the cost of requests by workspace.
 
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -2,10 +2,12 @@
 
 import socket
 import threading
+import typing
 
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors as endpoint_errors
 from masticquay_endpoints import interrupts
+from masticquay_endpoints import responses
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 
@@ -17,10 +19,69 @@
 REFUSAL_TIMEOUT_MS = 150
 
 
+class ConnectionWatch(typing.Protocol):
+    """Learns what shows whether this host reaches endpoints."""
+
+    def record_sent(self) -> None:
+        """Records that a request is being sent to an endpoint."""
+
+    def record_contact(
+        self, endpoint: fleets.Endpoint, is_new_connection: bool
+    ) -> None:
+        """Records that an endpoint has answered."""
+
+    def record_silence(self) -> None:
+        """Records that an endpoint sent nothing in the time of a request."""
+
+    def record_not_connected(self, endpoint: fleets.Endpoint) -> None:
+        """Records that a connection to an endpoint was not opened."""
+
+
+class WatchedExchange(connections.Exchange):
+    """An exchange that tells the watch what it shows of the way."""
+
+    def __init__(
+        self,
+        endpoint: fleets.Endpoint,
+        watch: ConnectionWatch,
+        pool: connections.ConnectionPool,
+        interrupt: interrupts.Interrupt,
+        fresh: bool,
+    ):
+        super().__init__(pool, interrupt, fresh)
+        self._endpoint = endpoint
+        self._watch = watch
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: connections.Headers,
+        body: bytes,
+        timeout_ms: int,
+    ) -> responses.Response:
+        """Sends the request; see ``connections.Exchange``."""
+        self._watch.record_sent()
+        try:
+            response = super().send(method, path, headers, body, timeout_ms)
+        except NotSentError:
+            self._watch.record_not_connected(self._endpoint)
+            raise
+        except StalledError:
+            self._watch.record_silence()
+            raise
+        self._watch.record_contact(self._endpoint, not self.connection.reused)
+        return response
+
+
 class ConnectionPools:
-    """Connection pools by endpoint; evicts the oldest above ``MAX_POOLS``."""
+    """Connection pools by endpoint; evicts the oldest above ``MAX_POOLS``.
 
-    def __init__(self) -> None:
+    :param watch: told of connections and answers, None for nobody
+    """
+
+    def __init__(self, watch: ConnectionWatch | None = None) -> None:
+        self._watch = watch
         self._lock = threading.Lock()
         self._pools: dict[str, connections.ConnectionPool] = {}
 
@@ -44,7 +105,9 @@
                     endpoint.address, CONNECT_TIMEOUT_MS
                 )
                 self._pools[key] = pool
-        return connections.Exchange(pool, interrupt, fresh)
+        if self._watch is None:
+            return connections.Exchange(pool, interrupt, fresh)
+        return WatchedExchange(endpoint, self._watch, pool, interrupt, fresh)
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -61,8 +124,13 @@
 
 def accepts_connections(endpoint: fleets.Endpoint) -> bool:
     """Whether an endpoint accepts a new connection, which is closed again."""
+    return connects(endpoint, CONNECT_TIMEOUT_MS)
+
+
+def connects(endpoint: fleets.Endpoint, timeout_ms: int) -> bool:
+    """Whether an endpoint accepts a new connection within a time."""
     try:
-        _connect(endpoint, CONNECT_TIMEOUT_MS)
+        _connect(endpoint, timeout_ms)
     except OSError:
         return False
     return True
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -59,6 +59,9 @@
     def is_ready(self) -> bool:
         """Whether callers may use this host."""
 
+    def reaches_endpoints(self) -> bool:
+        """Whether this host can connect to endpoints."""
+
     def collect_usage(self) -> dict[str, float]:
         """Returns and resets the cost of requests by workspace.
 
@@ -397,6 +400,7 @@
             quarantined=quarantined,
             leaving=[] if is_searching else state.report_leaving(),
             limits=[] if is_searching else self._report.report_limits(),
+            reaches_endpoints=self._report.reaches_endpoints(),
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -37,6 +37,9 @@
     def is_ready(self):
         return False
 
+    def reaches_endpoints(self):
+        return True
+
     def collect_usage(self):
         return {}
 
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -139,6 +139,7 @@
         remaining time in ms; sent with ``running``
     :param leaving: the endpoints that told the host that they leave
     :param limits: the limits that endpoints name
+    :param reaches_endpoints: whether the host can connect to endpoints
     """
 
     __slots__ = (
@@ -158,6 +159,7 @@
         'quarantined',
         'leaving',
         'limits',
+        'reaches_endpoints',
     )
 
     def __init__(
@@ -178,6 +180,7 @@
         quarantined: dict[str, int] | None = None,
         leaving: list[endpoint_notices.LeavingReport] | None = None,
         limits: list[named_limits.LimitWord] | None = None,
+        reaches_endpoints: bool = True,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -195,6 +198,7 @@
         self.quarantined = quarantined or {}
         self.leaving = leaving or []
         self.limits = limits or []
+        self.reaches_endpoints = reaches_endpoints
 
 
 @messages.register
