Links: websockets are opened and served in one module

WebsocketPeer and Listener had the options of both ends inline; links that carry one exchange each need them as well. The gauge of hosts without a path has the field's word. No behaviour changes.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -270,7 +270,7 @@
         gauges = {'leads': float(term is not None)}
         if term is not None:
             gauges['hosts_in_touch'] = len(term.sessions.host_names)
-            gauges['hosts_without_way'] = term.sessions.hosts_without_way
+            gauges['hosts_without_path'] = term.sessions.hosts_without_path
             gauges.update(term.owner.gauges())
             gauges.update(term.limits.gauges())
             gauges.update(term.requests.gauges())
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -79,7 +79,7 @@
             return set(self._sessions)
 
     @property
-    def hosts_without_way(self) -> int:
+    def hosts_without_path(self) -> int:
         """Number of hosts that cannot connect to any endpoint."""
         with self._lock:
             return sum(
@@ -130,7 +130,7 @@
             extra={
                 'entry_host': renewal.host,
                 'term': self.term,
-                'hosts_without_way': self.hosts_without_way,
+                'hosts_without_path': self.hosts_without_path,
             },
         )
 
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -4,13 +4,11 @@
 import contextlib
 import logging
 import os
-import socket
 import threading
 import time
 import typing
 
 from websockets import exceptions
-from websockets.sync import client
 from websockets.sync import connection
 
 from masticquay_wire import calls
@@ -21,6 +19,7 @@
 from masticquay_wire import outboxes
 from masticquay_wire import peers
 from masticquay_wire import sockets
+from masticquay_wire import websocket_openers
 
 LOG = logging.getLogger(__name__)
 
@@ -265,27 +264,8 @@
         self._fail_all(cause)
 
     def _dial(self, stack: contextlib.ExitStack) -> connection.Connection:
-        timeout_s = peers.DIAL_TIMEOUT_MS / 1000
-        sock = socket.create_connection(
-            (self.address.host, self.address.port),
-            timeout=peers.CONNECT_TIMEOUT_MS / 1000,
-        )
-        stack.callback(sock.close)
-        sock.settimeout(None)
-        sockets.set_options(sock)
-        link = stack.enter_context(
-            client.connect(
-                f'ws://{self.address}/',
-                sock=sock,
-                compression=self._compression,
-                proxy=None,
-                open_timeout=timeout_s,
-                ping_interval=None,
-                close_timeout=peers.CLOSE_TIMEOUT_MS / 1000,
-                max_size=handshakes.MAX_HANDSHAKE_BYTES,
-                logger=peers.WEBSOCKET_LOG,
-                user_agent_header=None,
-            )
+        link = websocket_openers.open_websocket(
+            stack, self.address, self._compression
         )
         welcome = handshakes.dial(
             link,
--- a/libs/wire/masticquay_wire/listeners.py
+++ b/libs/wire/masticquay_wire/listeners.py
@@ -18,6 +18,7 @@
 from masticquay_wire import peers
 from masticquay_wire import sessions
 from masticquay_wire import sockets
+from masticquay_wire import websocket_openers
 
 LOG = logging.getLogger(__name__)
 
@@ -153,29 +154,9 @@
 
         :raises OSError: when the address cannot be bound
         """
-        sock = socket.create_server(
-            (self.address.host, self.address.port), backlog=512
+        self.address = websocket_openers.serve_websockets(
+            self._stack, self.address, self._serve_link, self._compression
         )
-        self.address = peers.Address(*sock.getsockname()[:2])
-        websocket_server = self._stack.enter_context(
-            server.serve(
-                self._serve_link,
-                sock=sock,
-                compression=self._compression,
-                ping_interval=None,
-                open_timeout=handshakes.HANDSHAKE_TIMEOUT_S,
-                close_timeout=peers.CLOSE_TIMEOUT_MS / 1000,
-                max_size=handshakes.MAX_HANDSHAKE_BYTES,
-                logger=peers.WEBSOCKET_LOG,
-                server_header=None,
-            )
-        )
-        thread = threading.Thread(
-            target=websocket_server.serve_forever,
-            name=f'listen-{self.address}',
-            daemon=True,
-        )
-        thread.start()
 
     def close(self) -> None:
         """Stops accepting links and drops the open ones."""
