--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -244,6 +244,8 @@
                 session.renewal.host,
                 session.renewal.address,
                 session.renewal.place,
+                session.renewal.link_address,
+                session.renewal.reaches_endpoints,
             )
             for _name, session in sorted(self._sessions.items())
             if session.renewal.ready
@@ -298,10 +300,16 @@
     earlier: messages.Renew, later: messages.Renew
 ) -> bool:
     """Whether two renewals of a host differ in what the host list says."""
-    return (earlier.ready, earlier.address, earlier.place) != (
-        later.ready,
-        later.address,
-        later.place,
+    return _listed_fields(earlier) != _listed_fields(later)
+
+
+def _listed_fields(renewal: messages.Renew) -> tuple:
+    return (
+        renewal.ready,
+        renewal.address,
+        renewal.place,
+        renewal.link_address,
+        renewal.reaches_endpoints,
     )
 
 
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -225,6 +225,20 @@
     def __exit__(self, *exc_info: object) -> None:
         self.close()
 
+    def connect(self, timeout_ms: int) -> None:
+        """Takes an idle connection or opens one.
+
+        :raises NotSentError: when none could be opened
+        :raises InterruptedCallError: when the interrupt was fired
+        """
+        self._interrupt.check()
+        connection = self._pool.acquire(self._fresh, timeout_ms)
+        self.connection = connection
+        self._stack.callback(self._return_connection)
+        self._stack.enter_context(
+            self._interrupt.registered(connection.shut_down)
+        )
+
     def send(
         self,
         method: str,
@@ -235,6 +249,8 @@
     ) -> responses.Response:
         """Sends the request and waits for the headers of the response.
 
+        Connects first, unless ``connect`` was called.
+
         :param timeout_ms: limit for the whole exchange, with the body, unless
             ``Connection.set_timeout`` is called later
         :raises NotSentError: when no connection could be opened, so that no
@@ -245,16 +261,12 @@
         :raises EndpointError: after any other failure; the endpoint may have
             received the request
         """
-        self._interrupt.check()
         due_s = time.monotonic() + max(1, timeout_ms) / 1000
-        connection = self._pool.acquire(self._fresh, timeout_ms)
-        self.connection = connection
+        if self.connection is None:
+            self.connect(timeout_ms)
+        connection = self.connection
         self._method = method
         connection.exchange_count += 1
-        self._stack.callback(self._return_connection)
-        self._stack.enter_context(
-            self._interrupt.registered(connection.shut_down)
-        )
         connection.channel.set_due(due_s)
         with self.translate_errors():
             try:
--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -118,6 +118,37 @@
             request
         :raises EndpointError: if a refusal is not whole
         """
+        head, verdict = self.read_head(
+            call_id, endpoint, exchange, needs_stamp
+        )
+        if verdict is Verdict.RUN:
+            return head
+        self._record(call_id, endpoint, head, verdict, exchange.connection)
+        if verdict is not Verdict.NOT_RUN:
+            raise errors.ResponseMismatchError(
+                f'answer not believed: {verdict.value}'
+            )
+        exchange.read_body(MAX_REFUSAL_BODY_BYTES)
+        raise errors.NotRunError(
+            f'endpoint refused it: status {head.status}',
+            head.status,
+            head.load,
+        )
+
+    def read_head(
+        self,
+        call_id: str,
+        endpoint: fleets.Endpoint,
+        exchange: connections.Exchange,
+        needs_stamp: bool = True,
+    ) -> tuple[ports.ResponseHead, Verdict]:
+        """Returns the head of the answer that is due, and what it proves.
+
+        Reads past late answers to earlier requests of the connection, and
+        records what the endpoint says of itself.
+
+        :raises EndpointError: if an earlier answer cannot be read
+        """
         head, verdict = self._read_verdict(call_id, exchange, needs_stamp)
         for _ in range(MAX_EXTRA_ANSWERS):
             if not _is_extra(verdict, head, exchange):
@@ -134,19 +165,7 @@
                 exchanges.response_headers(exchange),
                 has_run=verdict is Verdict.RUN,
             )
-        if verdict is Verdict.RUN:
-            return head
-        self._record(call_id, endpoint, head, verdict, exchange.connection)
-        if verdict is not Verdict.NOT_RUN:
-            raise errors.ResponseMismatchError(
-                f'answer not believed: {verdict.value}'
-            )
-        exchange.read_body(MAX_REFUSAL_BODY_BYTES)
-        raise errors.NotRunError(
-            f'endpoint refused it: status {head.status}',
-            head.status,
-            head.load,
-        )
+        return head, verdict
 
     def _read_verdict(
         self, call_id: str, exchange: connections.Exchange, needs_stamp: bool
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from masticquay_gateway import answers
 from masticquay_gateway import calls
 from masticquay_gateway import endpoint_limits
 from masticquay_gateway import exchanges
@@ -15,6 +16,9 @@
 from masticquay_gateway import forwards
 from masticquay_gateway import links
 from masticquay_gateway import notices
+from masticquay_gateway import paths
+from masticquay_gateway import peer_links
+from masticquay_gateway import peer_services
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
@@ -53,6 +57,7 @@
 
     :param name: unique name of the host
     :param address: ``ip:port`` for callers
+    :param link_address: ``ip:port`` for links of other entry hosts
     :param place: the host's data centre
     :param seeds: link addresses of control replicas to contact first
     :param secret: shared secret that authenticates links
@@ -63,6 +68,7 @@
     __slots__ = (
         'name',
         'address',
+        'link_address',
         'place',
         'seeds',
         'secret',
@@ -74,6 +80,7 @@
         self,
         name: str,
         address: str,
+        link_address: str,
         place: str,
         seeds: list[str],
         secret: bytes,
@@ -82,6 +89,7 @@
     ):
         self.name = name
         self.address = address
+        self.link_address = link_address
         self.place = place
         self.seeds = seeds
         self.secret = secret
@@ -120,7 +128,11 @@
         self.usage = usages.Usage()
         incarnation = int.from_bytes(os.urandom(6), 'big')
         identity = links.Identity(
-            settings.name, settings.address, settings.place, incarnation
+            settings.name,
+            settings.address,
+            settings.place,
+            incarnation,
+            settings.link_address,
         )
         self.link = links.ControlLink(
             identity,
@@ -152,12 +164,32 @@
             self._limits,
         )
         self._reach_watch = reach_watches.ReachWatch(
-            self.state.all_endpoints, self.registry, self.link.renew_now
+            self.state.all_endpoints, self.registry, self._handle_reach_change
         )
         self._pools = exchanges.ConnectionPools(self._reach_watch)
         self.registry.set_gauge_reader(
             lambda: {'reaches_endpoints': float(self.reaches_endpoints())}
         )
+        self._peer_links = peer_links.PeerLinks(
+            fleets.Host(settings.name, settings.address, settings.place),
+            settings.secret,
+            lambda: self.state.hosts,
+        )
+        self._paths = paths.WatchedPaths(
+            self._pools, self._reach_watch, self._peer_links, self.registry
+        )
+        self._peer_service = peer_services.PeerService(
+            peers.Address.parse(settings.link_address),
+            settings.secret,
+            self.state,
+            self._pools,
+            self._notices,
+            answers.AnswerChecker(
+                endpoint_protocol, self._notices, self.registry
+            ),
+            self._reach_watch,
+            self.registry,
+        )
         self._chooser = choosers.Chooser(
             settings.place, random.Random(), self._count_skip
         )
@@ -177,6 +209,9 @@
         with contextlib.ExitStack() as stack:
             stack.callback(self._pools.close)
             stack.callback(self._reach_watch.close)
+            stack.callback(self._peer_links.close)
+            self._peer_service.start()
+            stack.callback(self._peer_service.close)
             stack.callback(self._disconnect_watcher.close)
             self.link.start()
             stack.callback(self.link.close)
@@ -201,6 +236,7 @@
         started_s = time.monotonic()
         self._draining.set()
         self.link.renew_now()
+        self._peer_service.drain()
         self.server.drain()
         time.sleep(min(DRAIN_ACCEPT_MS, self.settings.grace_ms // 3) / 1000)
         self.server.stop_accepting()
@@ -219,8 +255,8 @@
 
     @property
     def active_count(self) -> int:
-        """Number of requests in progress."""
-        return self.calls.active_count
+        """Number of requests in progress, those of peers included."""
+        return self.calls.active_count + self._peer_service.active_count
 
     def is_ready(self) -> bool:
         """Whether callers may use this host."""
@@ -269,6 +305,14 @@
         """
         self.usage.set_exhausted(exhausted)
 
+    def _handle_reach_change(self) -> None:
+        """Tells the leader; drops connections whose path was lost."""
+        if self._reach_watch.is_lost:
+            self._pools.close()
+        else:
+            self._peer_links.close()
+        self.link.renew_now()
+
     def _count_skip(self, cause: str, endpoint_id: str) -> None:
         self.registry.count(
             'endpoints_skipped', 'cause', cause, 'endpoint', endpoint_id
@@ -311,7 +355,7 @@
         forwarder = forwards.Forwarder(
             self.state,
             endpoint_protocol,
-            self._pools,
+            self._paths,
             self._chooser,
             budgets,
             self._notices,
@@ -323,7 +367,7 @@
             self.settings.name,
             self.state,
             endpoint_protocol,
-            self._pools,
+            self._paths,
             self._placer,
             budgets,
             self.quarantine,
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -2,13 +2,13 @@
 
 import logging
 
-from masticquay_endpoints import connections
 from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import events
 from masticquay_gateway import exchanges
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
@@ -36,13 +36,13 @@
     def __init__(
         self,
         protocol: ports.EndpointProtocol,
-        pools: exchanges.ConnectionPools,
+        endpoint_paths: paths.Paths,
         placer: placers.Placer,
         endpoint_notices: notices.EndpointNotices,
         registry: counters.Registry,
     ):
         self._protocol = protocol
-        self._pools = pools
+        self._paths = endpoint_paths
         self._placer = placer
         self._registry = registry
         self._checker = answers.AnswerChecker(
@@ -65,12 +65,21 @@
         :raises InterruptedCallError: if the caller disconnected
         :raises CallerDisconnectedError: if sending to the caller failed
         """
-        headers = self._request_headers(job, placement, stream)
         stream.engine_began_s = 0.0
+        purpose = ports.ExchangePurpose(
+            job.call.call_id, lasts_ms=job.remaining_ms
+        )
         with (
             job.attempts.sending(placement.decode.endpoint_id),
-            self._pools.open(placement.decode, job.interrupt) as exchange,
+            self._paths.open(
+                placement.decode,
+                job.interrupt,
+                purpose,
+                self._head_timeout_ms(job),
+            ) as exchange,
         ):
+            # After the wait for a connection, as they name the time left.
+            headers = self._request_headers(job, placement, stream)
             head = self._send_request(job, placement.decode, exchange, headers)
             if stream.splitter.last_id is not None:
                 self._record_resumption(job, placement, stream)
@@ -104,7 +113,7 @@
         self,
         job: jobs.Job,
         decode: fleets.Endpoint,
-        exchange: connections.Exchange,
+        exchange: paths.Exchange,
         headers: ports.Headers,
     ) -> ports.ResponseHead:
         """Sends a request and returns the head of a successful response."""
@@ -136,7 +145,7 @@
         self,
         job: jobs.Job,
         placement: placers.RequestPlacement,
-        exchange: connections.Exchange,
+        exchange: paths.Exchange,
         stream: relays.RelayedStream,
     ) -> None:
         splitter = events.EventSplitter(stream.splitter.last_id)
@@ -237,12 +246,12 @@
         )
 
 
-def _limit_gap(job: jobs.Job, exchange: connections.Exchange) -> None:
+def _limit_gap(job: jobs.Job, exchange: paths.Exchange) -> None:
     """Limits the time from now to the next complete event."""
     exchange.connection.set_timeout(min(job.remaining_ms, MAX_STREAM_GAP_MS))
 
 
-def _read_stream(job: jobs.Job, exchange: connections.Exchange) -> bytes:
+def _read_stream(job: jobs.Job, exchange: paths.Exchange) -> bytes:
     """Returns further data of a stream, nothing at its end.
 
     :raises InterruptedCallError: if the caller disconnected
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -1,5 +1,6 @@
 """Errors of the entry daemon."""
 
+from masticquay_endpoints import errors as endpoint_errors
 from masticquay_routing import messages
 
 Headers = list[tuple[str, str]]
@@ -61,3 +62,34 @@
         self.status = status
         self.headers = headers
         self.body = body
+
+
+class PathLostError(endpoint_errors.EndpointError):
+    """This host lost its path to endpoints during an exchange.
+
+    The endpoint may have got the request; it is not to blame.
+
+    :param is_stalled: whether nothing came, rather than a reset
+    """
+
+    def __init__(self, detail: str, is_stalled: bool):
+        super().__init__(detail)
+        self.is_stalled = is_stalled
+
+
+class NoPathError(endpoint_errors.NotSentError):
+    """This host has no path to an endpoint, and no peer takes the request.
+
+    No byte was sent, and the endpoint is not to blame.
+    """
+
+
+class PeerBrokenError(endpoint_errors.EndpointError):
+    """An exchange by way of a peer broke off, which the peer did not explain.
+
+    The endpoint may have got the request.
+    """
+
+
+class EndpointEndedError(endpoint_errors.EndpointError):
+    """The endpoint broke a request off and takes no connections any more."""
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -1,13 +1,16 @@
 """Connection pools for requests to endpoints."""
 
+import contextlib
 import socket
 import threading
+import time
 import typing
 
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors as endpoint_errors
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import responses
+from masticquay_gateway import errors
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 
@@ -20,7 +23,7 @@
 
 
 class ConnectionWatch(typing.Protocol):
-    """Learns what shows whether this host reaches endpoints."""
+    """Learns what shows whether this host has a path to endpoints."""
 
     def record_sent(self) -> None:
         """Records that a request is being sent to an endpoint."""
@@ -30,15 +33,17 @@
     ) -> None:
         """Records that an endpoint has answered."""
 
-    def record_silence(self) -> None:
-        """Records that an endpoint sent nothing in the time of a request."""
+    def explains(
+        self, endpoint: fleets.Endpoint, cause: Exception, since_s: float
+    ) -> bool:
+        """Whether an exchange failed as this host has no path.
 
-    def record_not_connected(self, endpoint: fleets.Endpoint) -> None:
-        """Records that a connection to an endpoint was not opened."""
+        :param since_s: monotonic time at which it began
+        """
 
 
 class WatchedExchange(connections.Exchange):
-    """An exchange that tells the watch what it shows of the way."""
+    """An exchange that tells the watch what it shows of the path."""
 
     def __init__(
         self,
@@ -46,11 +51,11 @@
         watch: ConnectionWatch,
         pool: connections.ConnectionPool,
         interrupt: interrupts.Interrupt,
-        fresh: bool,
     ):
-        super().__init__(pool, interrupt, fresh)
+        super().__init__(pool, interrupt)
         self._endpoint = endpoint
         self._watch = watch
+        self._sent_s = time.monotonic()
 
     def send(
         self,
@@ -61,18 +66,32 @@
         timeout_ms: int,
     ) -> responses.Response:
         """Sends the request; see ``connections.Exchange``."""
+        self._sent_s = time.monotonic()
         self._watch.record_sent()
-        try:
-            response = super().send(method, path, headers, body, timeout_ms)
-        except NotSentError:
-            self._watch.record_not_connected(self._endpoint)
-            raise
-        except StalledError:
-            self._watch.record_silence()
-            raise
-        self._watch.record_contact(self._endpoint, not self.connection.reused)
+        response = super().send(method, path, headers, body, timeout_ms)
+        is_new = not self.connection.reused
+        self._watch.record_contact(self._endpoint, is_new)
         return response
 
+    @contextlib.contextmanager
+    def translate_errors(self) -> typing.Iterator[None]:
+        """Translates errors; see ``connections.Exchange``.
+
+        :raises PathLostError: when this host lost its path, so that the error
+            says nothing of the endpoint
+        """
+        try:
+            with super().translate_errors():
+                yield
+        except EndpointError as cause:
+            # Only these two may be those of the path.
+            if type(cause) not in (EndpointError, StalledError):
+                raise
+            if not self._watch.explains(self._endpoint, cause, self._sent_s):
+                raise
+            is_stalled = isinstance(cause, StalledError)
+            raise errors.PathLostError(str(cause), is_stalled) from cause
+
 
 class ConnectionPools:
     """Connection pools by endpoint; evicts the oldest above ``MAX_POOLS``.
@@ -89,12 +108,10 @@
         self,
         endpoint: fleets.Endpoint,
         interrupt: interrupts.Interrupt,
-        fresh: bool = False,
     ) -> connections.Exchange:
         """Returns an exchange with an endpoint, to be used in ``with``.
 
         :param interrupt: aborts the exchange when it fires
-        :param fresh: whether to open a new connection instead of reusing one
         """
         key = f'{endpoint.address} {endpoint.endpoint_id}'
         with self._lock:
@@ -106,13 +123,14 @@
                 )
                 self._pools[key] = pool
         if self._watch is None:
-            return connections.Exchange(pool, interrupt, fresh)
-        return WatchedExchange(endpoint, self._watch, pool, interrupt, fresh)
+            return connections.Exchange(pool, interrupt)
+        return WatchedExchange(endpoint, self._watch, pool, interrupt)
 
     def close(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections, and the others as they are released."""
         with self._lock:
             pools = list(self._pools.values())
+            self._pools.clear()
         for pool in pools:
             pool.close()
 
@@ -151,10 +169,23 @@
     return False
 
 
+def takes_no_connections(endpoint: fleets.Endpoint) -> bool:
+    """Whether an endpoint that broke a request off has ended.
+
+    As to plain endpoints, only a refused connection says so: one that hangs
+    may be cut off.
+    """
+    if endpoint.role == fleets.ROLE_NONE:
+        return refuses_connections(endpoint)
+    return not accepts_connections(endpoint)
+
+
 def broke_off(cause: Exception) -> bool:
     """Whether an endpoint that had a request ended its connection."""
     if isinstance(cause, (NotSentError, StalledError, InterruptedCallError)):
         return False
+    if isinstance(cause, (errors.PathLostError, errors.PeerBrokenError)):
+        return False
     return isinstance(cause, EndpointError)
 
 
--- a/libs/gateway/masticquay_gateway/failures.py
+++ b/libs/gateway/masticquay_gateway/failures.py
@@ -6,6 +6,7 @@
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import jobs
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_routing import fleets
 from masticquay_routing import harmful_prompts
@@ -23,8 +24,14 @@
 class FailureReporter:
     """Logs failures and refusals of engines and reports them to the placer."""
 
-    def __init__(self, placer: placers.Placer, registry: counters.Registry):
+    def __init__(
+        self,
+        placer: placers.Placer,
+        endpoint_paths: paths.Paths,
+        registry: counters.Registry,
+    ):
         self._placer = placer
+        self._paths = endpoint_paths
         self._registry = registry
 
     def report_refusal(
@@ -65,11 +72,15 @@
     ) -> None:
         """Reports that an engine failed a request or was unreachable.
 
+        Only logs it if this host has no path, which says nothing of engines.
+
         :param written_ms: how long it had been writing the stream, None if it
             had not begun
         :param in_prefill: whether it was reading the prompt for another engine
         """
-        job.tried_ids.add(endpoint.endpoint_id)
+        # An engine to which the path was lost may go on by way of a peer.
+        if not isinstance(cause, errors.PathLostError):
+            job.tried_ids.add(endpoint.endpoint_id)
         self._registry.count('engine_trouble', 'service', job.service)
         LOG.warning(
             'engine request failed',
@@ -85,6 +96,8 @@
                 'prompt': job.call.prompt_key,
             },
         )
+        if isinstance(cause, (errors.PathLostError, errors.NoPathError)):
+            return
         broken = None
         begins_answer = endpoint.role == fleets.ROLE_DECODE
         if (begins_answer or in_prefill) and _broke_off(cause):
@@ -104,7 +117,7 @@
         if broken and broken.written_ms < harmful_prompts.SUSPECT_MS:
             threading.Thread(
                 target=self._report_if_ended,
-                args=(job, endpoint, broken),
+                args=(job, endpoint, cause, broken),
                 daemon=True,
             ).start()
 
@@ -112,13 +125,14 @@
         self,
         job: jobs.Job,
         endpoint: fleets.Endpoint,
+        cause: Exception,
         broken: placers.BrokenStream,
     ) -> None:
         """Reports an engine that takes no connections after a broken stream.
 
         It tells the end of an engine from that of a connection.
         """
-        if exchanges.accepts_connections(endpoint):
+        if not self._paths.has_ended(endpoint, cause):
             return
         self._registry.count('engines_ended', 'service', job.service)
         LOG.warning(
@@ -167,6 +181,4 @@
     """Whether an engine that had the request ended its connection."""
     if isinstance(cause, errors.TruncatedStreamError):
         return True
-    if isinstance(cause, (exchanges.NotSentError, exchanges.StalledError)):
-        return False
-    return isinstance(cause, exchanges.EndpointError)
+    return exchanges.broke_off(cause)
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -10,6 +10,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
+from masticquay_gateway import paths
 from masticquay_gateway import ports
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
@@ -53,7 +54,7 @@
         self,
         state: fleet_states.FleetState,
         protocol: ports.EndpointProtocol,
-        pools: exchanges.ConnectionPools,
+        endpoint_paths: paths.Paths,
         chooser: choosers.Chooser,
         budgets: retries.RetryBudgets,
         endpoint_notices: notices.EndpointNotices,
@@ -66,7 +67,7 @@
         self._watch = watch
         self._state = state
         self._protocol = protocol
-        self._pools = pools
+        self._paths = endpoint_paths
         self._chooser = chooser
         self._budgets = budgets
         self._registry = registry
@@ -194,7 +195,8 @@
         except exchanges.InterruptedCallError:
             raise
         except exchanges.NotSentError as cause:
-            statistics.record_failure(_now_ms(), unreachable=True)
+            if not isinstance(cause, errors.NoPathError):
+                statistics.record_failure(_now_ms(), unreachable=True)
             outcome = ports.Refusal(
                 ports.Reason.NOT_RUN,
                 f'endpoint not reached: {cause}',
@@ -212,22 +214,27 @@
                 'attempts_timed_out', 'cause', _timeout_cause(cause)
             )
             outcome = ports.Refusal(ports.Reason.TIMED_OUT, str(cause))
+        except errors.PathLostError as cause:
+            reason = ports.Reason.UNKNOWN
+            if cause.is_stalled:
+                reason = ports.Reason.TIMED_OUT
+            outcome = ports.Refusal(reason, str(cause))
         except exchanges.EndpointError as cause:
             statistics.record_failure(_now_ms())
             outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
-            if exchanges.broke_off(cause):
-                self._record_if_ended(job, endpoint, is_trial)
+            if exchanges.broke_off(cause) and self._paths.has_ended(
+                endpoint, cause
+            ):
+                self._record_end(job, endpoint, is_trial)
         finally:
             statistics.end()
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
-    def _record_if_ended(
+    def _record_end(
         self, job: jobs.Job, endpoint: fleets.Endpoint, is_trial: bool
     ) -> None:
         """Records an endpoint that broke a request off because it ended."""
-        if not exchanges.refuses_connections(endpoint):
-            return
         key = self._watch.record_end(job, endpoint, is_trial)
         self._registry.count('endpoints_ended', 'service', job.service)
         LOG.warning(
@@ -246,18 +253,21 @@
         endpoint: fleets.Endpoint,
         statistics: endpoint_statistics.EndpointStatistics,
     ) -> Response:
-        headers = self._protocol.run_headers(
-            job.request.headers, endpoint, job.endpoint_context()
-        )
         started_s = time.monotonic()
+        purpose = ports.ExchangePurpose(job.call.call_id)
         with (
             job.attempts.sending(endpoint.endpoint_id),
-            self._pools.open(endpoint, job.interrupt) as exchange,
+            self._paths.open(
+                endpoint, job.interrupt, purpose, self._timeout_ms(job)
+            ) as exchange,
         ):
             exchange.send(
                 job.request.method,
                 job.request.target,
-                headers,
+                # After the wait for a connection, as they name the time left.
+                self._protocol.run_headers(
+                    job.request.headers, endpoint, job.endpoint_context()
+                ),
                 job.request.body,
                 self._timeout_ms(job),
             )
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -42,15 +42,24 @@
     :param address: ``ip:port`` for callers
     :param place: the host's data centre
     :param incarnation: different after each start
+    :param link_address: ``ip:port`` for links of other hosts
     """
 
-    __slots__ = ('name', 'address', 'place', 'incarnation')
+    __slots__ = ('name', 'address', 'place', 'incarnation', 'link_address')
 
-    def __init__(self, name: str, address: str, place: str, incarnation: int):
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        place: str,
+        incarnation: int,
+        link_address: str = '',
+    ):
         self.name = name
         self.address = address
         self.place = place
         self.incarnation = incarnation
+        self.link_address = link_address
 
 
 class HostReport(typing.Protocol):
@@ -401,6 +410,7 @@
             leaving=[] if is_searching else state.report_leaving(),
             limits=[] if is_searching else self._report.report_limits(),
             reaches_endpoints=self._report.reaches_endpoints(),
+            link_address=identity.link_address,
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
--- /dev/null
+++ b/libs/gateway/masticquay_gateway/peer_services.py
@@ -0,0 +1,287 @@
+"""Sends requests to endpoints for other entry hosts without a path."""
+
+from concurrent import futures
+import logging
+import threading
+import time
+
+from masticquay_endpoints import connections
+from masticquay_endpoints import interrupts
+from masticquay_gateway import answers
+from masticquay_gateway import errors
+from masticquay_gateway import exchanges
+from masticquay_gateway import fleet_states
+from masticquay_gateway import notices
+from masticquay_gateway import peer_messages
+from masticquay_gateway import reach_watches
+from masticquay_routing import fleets
+from masticquay_serving import counters
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import exchange_links
+from masticquay_wire import peers
+
+LOG = logging.getLogger(__name__)
+
+# Requests of peers that a host runs at once, beside those of its callers.
+MAX_REQUESTS = 64
+# Of their bodies together.
+MAX_BODIES_BYTES = 16 * 1024 * 1024
+READ_SIZE_BYTES = 16 * 1024
+# A link without a request for this long is closed: the other host may be gone.
+LINK_IDLE_TIMEOUT_MS = 15_000
+
+
+class PeerService:
+    """Runs one exchange at a time for each link of another host.
+
+    It uses this host's own connections only, so a request takes one hop at
+    most. The host that asks checks the answer, and counts the request.
+
+    :param address: where to accept links
+    :param checker: records what endpoints say of themselves in answers
+    """
+
+    def __init__(
+        self,
+        address: peers.Address,
+        secret: bytes,
+        state: fleet_states.FleetState,
+        pools: exchanges.ConnectionPools,
+        endpoint_notices: notices.EndpointNotices,
+        checker: answers.AnswerChecker,
+        watch: reach_watches.ReachWatch,
+        registry: counters.Registry,
+    ):
+        self._state = state
+        self._pools = pools
+        self._notices = endpoint_notices
+        self._checker = checker
+        self._watch = watch
+        self._registry = registry
+        self._listener = exchange_links.ExchangeListener(
+            address, secret, self._serve
+        )
+        self._executor = futures.ThreadPoolExecutor(
+            MAX_REQUESTS, thread_name_prefix='peer-request'
+        )
+        self._lock = threading.Lock()
+        self._active = 0
+        self._bodies_bytes = 0
+        self._is_draining = False
+
+    @property
+    def active_count(self) -> int:
+        """Number of requests in progress."""
+        return self._active
+
+    def start(self) -> None:
+        """Accepts links from now on.
+
+        :raises OSError: when the address cannot be bound
+        """
+        self._listener.start()
+
+    def drain(self) -> None:
+        """Takes no further requests."""
+        self._is_draining = True
+
+    def close(self) -> None:
+        """Ends all links and with them their requests."""
+        self._listener.close()
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _serve(self, link: exchange_links.ExchangeLink) -> None:
+        """Serves a link until it ends; its end also ends the exchange."""
+        interrupt = interrupts.Interrupt()
+        run: futures.Future | None = None
+        try:
+            while True:
+                try:
+                    request = link.receive(LINK_IDLE_TIMEOUT_MS)
+                except wire_errors.CallTimeoutError:
+                    if run is None or run.done():
+                        return
+                    continue
+                if not isinstance(request, peer_messages.PeerRequest):
+                    return
+                interrupt = interrupts.Interrupt()
+                run = self._begin(link, request, interrupt)
+        finally:
+            interrupt.fire('peer left')
+
+    def _begin(
+        self,
+        link: exchange_links.ExchangeLink,
+        request: peer_messages.PeerRequest,
+        interrupt: interrupts.Interrupt,
+    ) -> futures.Future | None:
+        """Runs a request in another thread, or refuses it at once.
+
+        :returns: None if it is refused
+        """
+        reason = self._reason_to_refuse(request)
+        if reason:
+            failure = _make_failure(
+                peer_messages.FailureKind.NOT_TAKEN, reason
+            )
+            self._fail(link, request, failure)
+            return None
+        with self._lock:
+            self._active += 1
+            self._bodies_bytes += len(request.body)
+        return self._executor.submit(self._run, link, request, interrupt)
+
+    def _reason_to_refuse(self, request: peer_messages.PeerRequest) -> str:
+        """Returns why a request is not taken, empty if it is."""
+        endpoint = self._state.endpoint(request.endpoint_id)
+        if self._is_draining:
+            return 'host stops'
+        if self._watch.is_lost:
+            return 'host has no path itself'
+        held_bytes = self._bodies_bytes + len(request.body)
+        if self._active >= MAX_REQUESTS or held_bytes > MAX_BODIES_BYTES:
+            return 'too many requests of peers'
+        if endpoint is None or endpoint.started_ms != request.started_ms:
+            return 'endpoint is not listed here'
+        if self._notices.is_withheld(endpoint):
+            return 'endpoint leaves or wants a pause'
+        return ''
+
+    def _run(
+        self,
+        link: exchange_links.ExchangeLink,
+        request: peer_messages.PeerRequest,
+        interrupt: interrupts.Interrupt,
+    ) -> None:
+        try:
+            endpoint = self._state.endpoint(request.endpoint_id)
+            if endpoint is None:
+                raise errors.NoPathError('endpoint is not listed any more')
+            self._exchange(link, request, endpoint, interrupt)
+            self._registry.count(
+                'exchanges_for_peers',
+                'host',
+                link.peer_name,
+                'outcome',
+                'answered',
+            )
+        except (wire_errors.WireError, exchanges.InterruptedCallError):
+            # The host that asked has closed its link, or lost it.
+            link.abort()
+        except exchanges.EndpointError as cause:
+            failure = self._explain(endpoint, cause)
+            self._fail(link, request, failure)
+        except Exception:
+            LOG.exception('request of a peer failed')
+            link.abort()
+        finally:
+            with self._lock:
+                self._active -= 1
+                self._bodies_bytes -= len(request.body)
+
+    def _exchange(
+        self,
+        link: exchange_links.ExchangeLink,
+        request: peer_messages.PeerRequest,
+        endpoint: fleets.Endpoint,
+        interrupt: interrupts.Interrupt,
+    ) -> None:
+        """Runs the exchange and passes the answer on as it comes."""
+        due_s = time.monotonic() + request.lasts_ms / 1000
+        with self._pools.open(endpoint, interrupt) as exchange:
+            exchange.send(
+                request.method,
+                request.path,
+                request.headers,
+                request.body,
+                request.timeout_ms,
+            )
+            self._checker.read_head(
+                request.call_id, endpoint, exchange, request.needs_stamp
+            )
+            link.send(
+                peer_messages.PeerHead(
+                    exchange.response.status,
+                    exchanges.response_headers(exchange),
+                )
+            )
+            exchange.connection.set_timeout(
+                int((due_s - time.monotonic()) * 1000)
+            )
+            self._pass_body(link, exchange)
+
+    def _pass_body(
+        self,
+        link: exchange_links.ExchangeLink,
+        exchange: connections.Exchange,
+    ) -> None:
+        """Passes the body on.
+
+        :raises EndpointError: if it ends early
+        """
+        while True:
+            with exchange.translate_errors():
+                data = exchange.response.read1(READ_SIZE_BYTES)
+            is_last = not data or exchange.response.length == 0
+            if not data and exchange.response.length:
+                raise exchanges.EndpointError('response body is short')
+            if is_last:
+                exchange.mark_finished()
+            link.send(peer_messages.PeerData(data, is_last))
+            if is_last:
+                return
+
+    def _explain(
+        self, endpoint: fleets.Endpoint, cause: exchanges.EndpointError
+    ) -> peer_messages.PeerFailure:
+        """Returns what a failed exchange means for the host that asked."""
+        kind = peer_messages.FailureKind.BROKEN
+        if isinstance(cause, errors.NoPathError):
+            kind = peer_messages.FailureKind.NOT_TAKEN
+        elif isinstance(cause, exchanges.NotSentError):
+            kind = peer_messages.FailureKind.NOT_SENT
+            if not self._watch.reaches_others(endpoint):
+                kind = peer_messages.FailureKind.NOT_TAKEN
+        elif isinstance(cause, exchanges.ExchangeTimeoutError):
+            kind = peer_messages.FailureKind.UNFINISHED
+        elif isinstance(cause, exchanges.StalledError):
+            kind = peer_messages.FailureKind.STALLED
+        elif exchanges.broke_off(cause) and self._watch.has_ended(
+            endpoint, cause
+        ):
+            kind = peer_messages.FailureKind.ENDED
+        return _make_failure(kind, str(cause))
+
+    def _fail(
+        self,
+        link: exchange_links.ExchangeLink,
+        request: peer_messages.PeerRequest,
+        failure: peer_messages.PeerFailure,
+    ) -> None:
+        self._registry.count(
+            'exchanges_for_peers',
+            'host',
+            link.peer_name,
+            'outcome',
+            failure.kind,
+        )
+        LOG.warning(
+            'request of a peer failed',
+            extra={
+                'call': request.call_id,
+                'peer': link.peer_name,
+                'endpoint': request.endpoint_id,
+                'kind': failure.kind,
+                'detail': failure.detail,
+            },
+        )
+        try:
+            link.send(failure)
+        except wire_errors.WireError:
+            link.abort()
+
+
+def _make_failure(
+    kind: peer_messages.FailureKind, detail: str
+) -> peer_messages.PeerFailure:
+    return peer_messages.PeerFailure(kind.value, detail)
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -194,6 +194,25 @@
         self.last_event_id = last_event_id
 
 
+class ExchangePurpose:
+    """What an exchange with an endpoint is for.
+
+    :param call_id: id of the caller's request, empty for none
+    :param needs_stamp: whether an endpoint stamps its answer when it has run
+        such a request
+    :param lasts_ms: time until the end of the answer, 0 for that of its head
+    """
+
+    __slots__ = ('call_id', 'needs_stamp', 'lasts_ms')
+
+    def __init__(
+        self, call_id: str, needs_stamp: bool = True, lasts_ms: int = 0
+    ):
+        self.call_id = call_id
+        self.needs_stamp = needs_stamp
+        self.lasts_ms = lasts_ms
+
+
 class NotRunMark:
     """An endpoint's mark on the answer to a request that it did not run.
 
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import failures
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
@@ -40,7 +41,7 @@
     def __init__(
         self,
         protocol: ports.EndpointProtocol,
-        pools: exchanges.ConnectionPools,
+        endpoint_paths: paths.Paths,
         placer: placers.Placer,
         budgets: retries.RetryBudgets,
         failure_reporter: failures.FailureReporter,
@@ -48,7 +49,7 @@
         registry: counters.Registry,
     ):
         self._protocol = protocol
-        self._pools = pools
+        self._paths = endpoint_paths
         self._placer = placer
         self._budgets = budgets
         self._failure_reporter = failure_reporter
@@ -120,14 +121,19 @@
         placement: placers.RequestPlacement,
         prefill: fleets.Endpoint,
     ) -> str:
-        headers = self._protocol.prefill_headers(
-            job.request.headers, prefill, job.endpoint_context()
-        )
-        with self._pools.open(prefill, job.interrupt) as exchange:
+        purpose = ports.ExchangePurpose(job.call.call_id, needs_stamp=False)
+        with self._paths.open(
+            prefill,
+            job.interrupt,
+            purpose,
+            self._timeout_ms(job, placement),
+        ) as exchange:
             exchange.send(
                 job.request.method,
                 job.request.target,
-                headers,
+                self._protocol.prefill_headers(
+                    job.request.headers, prefill, job.endpoint_context()
+                ),
                 job.request.body,
                 self._timeout_ms(job, placement),
             )
@@ -157,8 +163,12 @@
     def _delete_handle(self, handle: relays.PrefillHandle) -> None:
         path = self._protocol.release_path(handle.handle_id)
         try:
-            interrupt = interrupts.Interrupt()
-            with self._pools.open(handle.prefill, interrupt) as exchange:
+            with self._paths.open(
+                handle.prefill,
+                interrupts.Interrupt(),
+                ports.ExchangePurpose(NO_CALL_ID, needs_stamp=False),
+                RELEASE_TIMEOUT_MS,
+            ) as exchange:
                 exchange.send('DELETE', path, [], b'', RELEASE_TIMEOUT_MS)
                 self._checker.check(
                     NO_CALL_ID, handle.prefill, exchange, needs_stamp=False
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import prefills
@@ -70,7 +71,7 @@
         host: str,
         state: fleet_states.FleetState,
         protocol: ports.EndpointProtocol,
-        pools: exchanges.ConnectionPools,
+        endpoint_paths: paths.Paths,
         placer: placers.Placer,
         budgets: retries.RetryBudgets,
         quarantine: quarantines.Quarantine,
@@ -83,10 +84,12 @@
         self._quarantine = quarantine
         self._placer = placer
         self._budgets = budgets
-        self._failure_reporter = failures.FailureReporter(placer, registry)
+        self._failure_reporter = failures.FailureReporter(
+            placer, endpoint_paths, registry
+        )
         self._prefiller = prefills.Prefiller(
             protocol,
-            pools,
+            endpoint_paths,
             placer,
             budgets,
             self._failure_reporter,
@@ -94,7 +97,7 @@
             registry,
         )
         self._decoder = decodes.Decoder(
-            protocol, pools, placer, endpoint_notices, registry
+            protocol, endpoint_paths, placer, endpoint_notices, registry
         )
         self._request_numbers = itertools.count(random.getrandbits(40))
 
@@ -187,7 +190,11 @@
         except exchanges.NotSentError as cause:
             engine_ok = False
             self._failure_reporter.report_failure(job, placement.decode, cause)
-            return _FailedAttempt(_not_run_refusal(cause), can_retry=True)
+            return _FailedAttempt(
+                _not_run_refusal(cause),
+                can_retry=True,
+                not_sent=isinstance(cause, errors.NoPathError),
+            )
         except exchanges.InterruptedCallError:
             raise
         except (
--- a/libs/gateway/tests/drawn_attempts.py
+++ b/libs/gateway/tests/drawn_attempts.py
@@ -4,6 +4,7 @@
 pages.
 """
 
+from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import streams
 from masticquay_routing import tables
@@ -20,7 +21,13 @@
     'unfinished': exchanges.ExchangeTimeoutError,
     'no memory': exchanges.BudgetTimeoutError,
     'interrupted': exchanges.InterruptedCallError,
+    'no path': errors.NoPathError,
+    'path lost': lambda detail: errors.PathLostError(detail, False),
+    'path silent': lambda detail: errors.PathLostError(detail, True),
+    'peer broken': errors.PeerBrokenError,
+    'ended': errors.EndpointEndedError,
 }
+NOT_SENT_FATES = ('not sent', 'no path')
 # Two thirds of the attempts are answered.
 FATES = ('answered',) * 14 + ('not sent', *SEND_ERRORS)
 STATUSES = (200, 200, 200, 503, 503, 503, 429, 421, 400, 404, 408, 500, 504)
@@ -101,7 +108,7 @@
     @property
     def proves_not_run(self):
         """Whether nothing ran, for certain."""
-        if self.fate == 'not sent':
+        if self.fate in NOT_SENT_FATES:
             return True
         return (
             self.is_reached
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import forwards
 from masticquay_gateway import jobs
 from masticquay_gateway import notices
+from masticquay_gateway import paths
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
 from masticquay_gateway import request_watches
@@ -251,7 +252,7 @@
     return forwards.Forwarder(
         state,
         FakeProtocol(),
-        pools,
+        paths.DirectPaths(pools),
         choosers.Chooser('p1', random.Random(1)),
         retries.RetryBudgets(budget, state),
         endpoint_notices,
--- a/libs/gateway/tests/promise_plays.py
+++ b/libs/gateway/tests/promise_plays.py
@@ -271,8 +271,9 @@
             for endpoint in self.endpoints:
                 limits.record(endpoint, 5.0)
         notices = fakes.make_notices(state, limits)
-        pools = types.SimpleNamespace(
-            open=lambda *args, **options: FakeExchange(self)
+        endpoint_paths = types.SimpleNamespace(
+            open=lambda *args: FakeExchange(self),
+            has_ended=lambda endpoint, cause: False,
         )
         budgets = retries.RetryBudgets(
             retries.RetryBudgetLimits(0, self.options.budget_slack, 10_000),
@@ -282,7 +283,7 @@
         forwarder = forwards.Forwarder(
             state,
             protocol,
-            pools,
+            endpoint_paths,
             choosers.Chooser('p1', random.Random(1)),
             budgets,
             notices,
@@ -296,7 +297,7 @@
             'host',
             state,
             protocol,
-            pools,
+            endpoint_paths,
             placer,
             budgets,
             self.quarantine,
--- a/libs/gateway/tests/test_cut_streams.py
+++ b/libs/gateway/tests/test_cut_streams.py
@@ -8,6 +8,7 @@
 from masticquay_gateway import decodes
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import relays
 from masticquay_routing import fleets
@@ -62,7 +63,11 @@
         self.assertIsInstance(placement, placers.RequestPlacement)
         notices = fakes.make_notices(fakes.FakeState([engine.endpoint]))
         decoder = decodes.Decoder(
-            fakes.FakeProtocol(), pools, placer, notices, counters.Registry()
+            fakes.FakeProtocol(),
+            paths.DirectPaths(pools),
+            placer,
+            notices,
+            counters.Registry(),
         )
         try:
             decoder.run(self.job, placement, relays.RelayedStream())
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -12,6 +12,7 @@
 from masticquay_endpoints import byte_budgets
 from masticquay_gateway import exchanges
 from masticquay_gateway import forwards
+from masticquay_gateway import paths
 from masticquay_gateway import ports
 from masticquay_gateway import retries
 from masticquay_routing import choosers
@@ -43,7 +44,7 @@
         return forwards.Forwarder(
             state,
             fakes.FakeProtocol(),
-            pools,
+            paths.DirectPaths(pools),
             self.chooser,
             retries.RetryBudgets(limits, state),
             notices,
--- a/libs/gateway/tests/test_endless_streams.py
+++ b/libs/gateway/tests/test_endless_streams.py
@@ -10,6 +10,7 @@
 from masticquay_gateway import decodes
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import prefills
 from masticquay_gateway import relays
@@ -79,7 +80,7 @@
         endpoint = self.open_engine(script, fleets.ROLE_DECODE)
         decoder = decodes.Decoder(
             fakes.FakeProtocol(),
-            self.pools,
+            paths.DirectPaths(self.pools),
             self.placer,
             self.notices,
             self.registry,
@@ -160,7 +161,7 @@
     def run_decode(self, endpoint):
         decoder = decodes.Decoder(
             fakes.FakeProtocol(),
-            self.pools,
+            paths.DirectPaths(self.pools),
             self.placer,
             self.notices,
             self.registry,
@@ -190,10 +191,12 @@
         limits = retries.RetryBudgetLimits(0.2, 10, 10_000)
         return prefills.Prefiller(
             fakes.FakeProtocol(),
-            self.pools,
+            paths.DirectPaths(self.pools),
             self.placer,
             retries.RetryBudgets(limits, self.state),
-            failures.FailureReporter(self.placer, self.registry),
+            failures.FailureReporter(
+                self.placer, paths.DirectPaths(self.pools), self.registry
+            ),
             self.notices,
             self.registry,
         )
--- a/libs/gateway/tests/test_late_answers.py
+++ b/libs/gateway/tests/test_late_answers.py
@@ -12,6 +12,7 @@
 from masticquay_gateway import decodes
 from masticquay_gateway import exchanges
 from masticquay_gateway import forwards
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
@@ -164,7 +165,11 @@
         placer = test_streams.FakePlacer([])
         notices = fakes.make_notices(fakes.FakeState([engine.endpoint]))
         decoder = decodes.Decoder(
-            fakes.FakeProtocol(), pools, placer, notices, counters.Registry()
+            fakes.FakeProtocol(),
+            paths.DirectPaths(pools),
+            placer,
+            notices,
+            counters.Registry(),
         )
         placement = placers.RequestPlacement(
             None, engine.endpoint, None, False
--- a/libs/gateway/tests/test_prefills.py
+++ b/libs/gateway/tests/test_prefills.py
@@ -7,6 +7,7 @@
 
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import prefills
 from masticquay_gateway import retries
@@ -56,10 +57,12 @@
         placer = self.placer
         return prefills.Prefiller(
             fakes.FakeProtocol(),
-            pools,
+            paths.DirectPaths(pools),
             placer,
             retries.RetryBudgets(limits, state),
-            failures.FailureReporter(placer, registry),
+            failures.FailureReporter(
+                placer, paths.DirectPaths(pools), registry
+            ),
             notices,
             registry,
         )
--- a/libs/gateway/tests/test_reach_watches.py
+++ b/libs/gateway/tests/test_reach_watches.py
@@ -5,6 +5,8 @@
 import time
 import unittest
 
+from masticquay_gateway import errors
+from masticquay_gateway import exchanges
 from masticquay_gateway import reach_watches
 from masticquay_routing import fleets
 from masticquay_serving import counters
@@ -89,3 +91,57 @@
         time.sleep(reach_watches.SILENCE_MS / 1000 + 0.05)
         self.watch.record_sent()
         self.wait_for(lambda: self.watch.is_lost)
+
+    def test_silence_after_which_others_answered_is_the_endpoints_own(self):
+        self.close_all()
+        since_s = time.monotonic()
+        self.watch.record_contact(self.endpoints[1], is_new_connection=False)
+        self.assertFalse(self.explains_silence(since_s))
+
+    def test_silence_of_all_without_a_path_is_explained(self):
+        self.close_all()
+        self.assertTrue(self.explains_silence(time.monotonic()))
+
+    def explains_silence(self, since_s):
+        cause = exchanges.StalledError('no data')
+        return self.watch.explains(self.endpoints[0], cause, since_s)
+
+    def test_reset_is_explained_only_without_a_path(self):
+        cause = exchanges.EndpointError('reset')
+        endpoint = self.endpoints[0]
+        self.assertFalse(self.watch.explains(endpoint, cause, 0.0))
+        time.sleep(reach_watches.PROOF_TTL_MS / 1000)
+        self.close_all()
+        self.assertTrue(self.watch.explains(endpoint, cause, 0.0))
+
+    # Guards against incident RECOVER's other half: hosts without a path told
+    # the fleet of ends, and sound requests were refused for them.
+    def test_endpoint_has_not_ended_if_no_other_one_is_reached_either(self):
+        self.close_all()
+        cause = exchanges.EndpointError('reset')
+        self.assertFalse(self.watch.has_ended(self.endpoints[0], cause))
+
+    def test_endpoint_has_ended_if_others_are_reached(self):
+        self.listeners[0].close()
+        cause = exchanges.EndpointError('reset')
+        self.assertTrue(self.watch.has_ended(self.endpoints[0], cause))
+
+    def test_endpoint_has_ended_if_a_peer_says_so(self):
+        self.close_all()
+        self.watch.reaches_others(self.endpoints[0])
+        cause = errors.EndpointEndedError('ended')
+        self.assertTrue(self.watch.has_ended(self.endpoints[0], cause))
+
+    def test_path_that_is_lost_again_has_to_hold_longer(self):
+        port = int(self.endpoints[2].address.rpartition(':')[2])
+        self.close_all()
+        waits_s = []
+        for _ in range(3):
+            self.watch.reaches_others(self.endpoints[0])
+            listener = socket.create_server(('127.0.0.1', port))
+            begin_s = time.monotonic()
+            self.wait_for(lambda: not self.watch.is_lost)
+            waits_s.append(time.monotonic() - begin_s)
+            listener.close()
+            time.sleep(reach_watches.PROOF_TTL_MS / 1000)
+        self.assertEqual(sorted(waits_s), waits_s)
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -7,6 +7,7 @@
 
 from masticquay_gateway import exchanges
 from masticquay_gateway import failures
+from masticquay_gateway import paths
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
@@ -121,7 +122,7 @@
             'host',
             state,
             fakes.FakeProtocol(),
-            pools,
+            paths.DirectPaths(pools),
             self.placer,
             retries.RetryBudgets(limits, state),
             self.quarantine,
--- a/libs/routing/masticquay_routing/fleets.py
+++ b/libs/routing/masticquay_routing/fleets.py
@@ -61,11 +61,29 @@
 
     :param address: ``ip:port`` for callers
     :param place: the data centre
+    :param link_address: ``ip:port`` for links of other hosts, empty if it
+        takes none
+    :param reaches_endpoints: whether it can connect to endpoints
     """
 
-    __slots__ = ('name', 'address', 'place')
+    __slots__ = (
+        'name',
+        'address',
+        'place',
+        'link_address',
+        'reaches_endpoints',
+    )
 
-    def __init__(self, name: str, address: str, place: str):
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        place: str,
+        link_address: str = '',
+        reaches_endpoints: bool = True,
+    ):
         self.name = name
         self.address = address
         self.place = place
+        self.link_address = link_address
+        self.reaches_endpoints = reaches_endpoints
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -140,6 +140,7 @@
     :param leaving: the endpoints that told the host that they leave
     :param limits: the limits that endpoints name
     :param reaches_endpoints: whether the host can connect to endpoints
+    :param link_address: ``ip:port`` for links of other hosts
     """
 
     __slots__ = (
@@ -160,6 +161,7 @@
         'leaving',
         'limits',
         'reaches_endpoints',
+        'link_address',
     )
 
     def __init__(
@@ -181,6 +183,7 @@
         leaving: list[endpoint_notices.LeavingReport] | None = None,
         limits: list[named_limits.LimitWord] | None = None,
         reaches_endpoints: bool = True,
+        link_address: str = '',
     ):
         self.host = host
         self.incarnation = incarnation
@@ -199,6 +202,7 @@
         self.leaving = leaving or []
         self.limits = limits or []
         self.reaches_endpoints = reaches_endpoints
+        self.link_address = link_address
 
 
 @messages.register
