--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -123,7 +123,7 @@
         )
         if verdict is Verdict.RUN:
             return head
-        self._record(call_id, endpoint, head, verdict, exchange.connection)
+        self._record(call_id, endpoint, head, verdict, exchange)
         if verdict is not Verdict.NOT_RUN:
             raise errors.ResponseMismatchError(
                 f'answer not believed: {verdict.value}'
@@ -153,7 +153,7 @@
         for _ in range(MAX_EXTRA_ANSWERS):
             if not _is_extra(verdict, head, exchange):
                 break
-            self._record(call_id, endpoint, head, verdict, exchange.connection)
+            self._record(call_id, endpoint, head, verdict, exchange)
             exchange.read_next(MAX_EXTRA_BODY_BYTES)
             head, verdict = self._read_verdict(call_id, exchange, needs_stamp)
         if call_id:
@@ -181,10 +181,13 @@
         endpoint: fleets.Endpoint,
         head: ports.ResponseHead,
         verdict: Verdict,
-        connection: connections.Connection,
+        exchange: connections.Exchange,
     ) -> None:
         """Logs and counts an answer that is not passed on."""
         mark = head.not_run_mark
+        notice = self._protocol.parse_notice(
+            head.status, exchanges.response_headers(exchange)
+        )
         self._registry.count(
             'answers_rejected',
             'verdict',
@@ -202,7 +205,9 @@
                 'answered_calls': sorted(head.answered_ids),
                 'not_run_mark': mark.text if mark else None,
                 'stamp': head.has_stamp,
-                'connection_exchanges': connection.exchange_count,
+                'connection_exchanges': exchange.connection.exchange_count,
+                'pause_ms': notice.pause_ms,
+                'leaving': notice.is_leaving,
             },
         )
 
