--- a/libs/gateway/tests/test_answer_checks.py
+++ b/libs/gateway/tests/test_answer_checks.py
@@ -125,6 +125,9 @@
     def __init__(self, answer):
         self.answer = answer
 
+    def parse_notice(self, status, headers):
+        return ports.EndpointNotice()
+
     def parse_response_head(self, status, headers):
         return self.answer.head
 
