--- a/libs/gateway/tests/test_late_answers.py
+++ b/libs/gateway/tests/test_late_answers.py
@@ -117,6 +117,14 @@
         )
         self.assertFalse(self.notices.is_withheld(self.server.endpoint))
 
+    # Guards against incident BUDGET: a pause that an endpoint asks for in a
+    # late refusal, which is read past, was not kept.
+    def test_pause_in_a_late_refusal_is_kept(self):
+        self.run_two(
+            late_answer(status=503, extra=[MARK, ('Pause-Ms', '30000')])
+        )
+        self.assertTrue(self.notices.is_withheld(self.server.endpoint))
+
     def test_as_many_late_answers_are_read_as_allowed(self):
         outcome = self.run_two(late_answer() * answers.MAX_EXTRA_ANSWERS)
         self.assert_served(outcome)
