--- a/libs/gateway/masticquay_gateway/answers.py
+++ b/libs/gateway/masticquay_gateway/answers.py
@@ -154,6 +154,7 @@
             if not _is_extra(verdict, head, exchange):
                 break
             self._record(call_id, endpoint, head, verdict, exchange)
+            self._hear_late_refusal(endpoint, head, exchange, needs_stamp)
             exchange.read_next(MAX_EXTRA_BODY_BYTES)
             head, verdict = self._read_verdict(call_id, exchange, needs_stamp)
         if call_id:
@@ -167,6 +168,29 @@
             )
         return head, verdict
 
+    def _hear_late_refusal(
+        self,
+        endpoint: fleets.Endpoint,
+        head: ports.ResponseHead,
+        exchange: connections.Exchange,
+        needs_stamp: bool,
+    ) -> None:
+        """Records the notice in a late answer that refuses its own request.
+
+        The connection has carried that request, so the answer is the
+        endpoint's. What any other late answer says is not believed.
+        """
+        if len(head.answered_ids) != 1:
+            return
+        [answered_id] = head.answered_ids
+        if judge(answered_id, head, needs_stamp) is Verdict.NOT_RUN:
+            self._listener.record(
+                endpoint,
+                head.status,
+                exchanges.response_headers(exchange),
+                has_run=False,
+            )
+
     def _read_verdict(
         self, call_id: str, exchange: connections.Exchange, needs_stamp: bool
     ) -> tuple[ports.ResponseHead, Verdict]:
