--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -93,6 +93,13 @@
         """Closes the socket."""
         self._sock.close()
 
+    def detach(self) -> socket.socket:
+        """Returns the socket, which the caller closes from now on.
+
+        The channel uses it no more.
+        """
+        return self._sock
+
     def shut_down(self) -> None:
         """Shuts the socket down, which wakes a thread blocked on it."""
         with contextlib.suppress(OSError):
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -212,6 +212,8 @@
         self._fresh = fresh
         self._stack = contextlib.ExitStack()
         self._finished = False
+        # Whether the whole request was written.
+        self._is_sent = False
         # Whether no other exchange may use the connection.
         self._is_last = fresh
         self._method = ''
@@ -274,6 +276,7 @@
             except (BrokenPipeError, ConnectionResetError) as cause:
                 self.response = self._read_early_response(cause)
             else:
+                self._is_sent = True
                 self.response = connection.http.getresponse()
         return self.response
 
@@ -405,9 +408,24 @@
         )
         if reusable:
             self._pool.release(connection)
+        elif self._may_answer_late(connection):
+            self._give_up(connection)
         else:
             connection.close()
 
+    def _may_answer_late(self, connection: Connection) -> bool:
+        """Whether the whole request was sent and nothing has come yet."""
+        return (
+            self._is_sent
+            and self.response is None
+            and not self._interrupt.reason
+            and not connection.channel.received
+        )
+
+    def _give_up(self, connection: Connection) -> None:
+        """Closes a connection whose request was not answered in its time."""
+        connection.close()
+
 
 def _write_request(
     connection: http.client.HTTPConnection,
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -15,6 +15,7 @@
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import forwards
+from masticquay_gateway import late_answers
 from masticquay_gateway import links
 from masticquay_gateway import notices
 from masticquay_gateway import paths
@@ -167,10 +168,15 @@
         self._reach_watch = reach_watches.ReachWatch(
             self.state.all_endpoints, self.registry, self._handle_reach_change
         )
-        self._pools = exchanges.ConnectionPools(self._reach_watch)
         self.registry.set_gauge_reader(
             lambda: {'reaches_endpoints': float(self.reaches_endpoints())}
         )
+        self._late_answers = late_answers.LateAnswers(
+            endpoint_protocol, self._notices, self.registry
+        )
+        self._pools = exchanges.ConnectionPools(
+            exchanges.Observers(self._reach_watch, self._late_answers)
+        )
         self._peer_links = peer_links.PeerLinks(
             fleets.Host(settings.name, settings.address, settings.place),
             settings.secret,
@@ -209,6 +215,7 @@
         """Starts the link to control and the server for callers."""
         with contextlib.ExitStack() as stack:
             stack.callback(self._pools.close)
+            stack.callback(self._late_answers.close)
             stack.callback(self._reach_watch.close)
             stack.callback(self._peer_links.close)
             self._peer_service.start()
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -42,19 +42,39 @@
         """
 
 
+class LateAnswerListener(typing.Protocol):
+    """Hears what an endpoint says after a host has given a request up."""
+
+    def wait(
+        self,
+        connection: connections.Connection,
+        endpoint: fleets.Endpoint,
+        call_id: str,
+    ) -> None:
+        """Takes over a connection whose request was not answered in time."""
+
+
 class WatchedExchange(connections.Exchange):
-    """An exchange that tells the watch what it shows of the path."""
+    """An exchange that tells others what it shows of path and endpoint.
+
+    :param late_answers: takes over the connection if no answer came in time
+    :param call_id: id of the request, empty for none
+    """
 
     def __init__(
         self,
         endpoint: fleets.Endpoint,
         watch: ConnectionWatch,
+        late_answers: LateAnswerListener,
         pool: connections.ConnectionPool,
         interrupt: interrupts.Interrupt,
+        call_id: str,
     ):
         super().__init__(pool, interrupt)
         self._endpoint = endpoint
         self._watch = watch
+        self._late_answers = late_answers
+        self._call_id = call_id
         self._sent_s = time.monotonic()
 
     def send(
@@ -92,15 +112,30 @@
             is_stalled = isinstance(cause, StalledError)
             raise errors.PathLostError(str(cause), is_stalled) from cause
 
+    def _give_up(self, connection: connections.Connection) -> None:
+        self._late_answers.wait(connection, self._endpoint, self._call_id)
+
+
+class Observers:
+    """Who learns what exchanges show."""
+
+    __slots__ = ('watch', 'late_answers')
+
+    def __init__(
+        self, watch: ConnectionWatch, late_answers: LateAnswerListener
+    ):
+        self.watch = watch
+        self.late_answers = late_answers
+
 
 class ConnectionPools:
     """Connection pools by endpoint; evicts the oldest above ``MAX_POOLS``.
 
-    :param watch: told of connections and answers, None for nobody
+    :param observers: told of connections and answers, None for nobody
     """
 
-    def __init__(self, watch: ConnectionWatch | None = None) -> None:
-        self._watch = watch
+    def __init__(self, observers: Observers | None = None) -> None:
+        self._observers = observers
         self._lock = threading.Lock()
         self._pools: dict[str, connections.ConnectionPool] = {}
 
@@ -108,10 +143,12 @@
         self,
         endpoint: fleets.Endpoint,
         interrupt: interrupts.Interrupt,
+        call_id: str = '',
     ) -> connections.Exchange:
         """Returns an exchange with an endpoint, to be used in ``with``.
 
         :param interrupt: aborts the exchange when it fires
+        :param call_id: id of the request that is to be sent, empty for none
         """
         key = f'{endpoint.address} {endpoint.endpoint_id}'
         with self._lock:
@@ -122,9 +159,16 @@
                     endpoint.address, CONNECT_TIMEOUT_MS
                 )
                 self._pools[key] = pool
-        if self._watch is None:
+        if self._observers is None:
             return connections.Exchange(pool, interrupt)
-        return WatchedExchange(endpoint, self._watch, pool, interrupt)
+        return WatchedExchange(
+            endpoint,
+            self._observers.watch,
+            self._observers.late_answers,
+            pool,
+            interrupt,
+            call_id,
+        )
 
     def close(self) -> None:
         """Closes all idle connections, and the others as they are released."""
--- a/libs/gateway/masticquay_gateway/paths.py
+++ b/libs/gateway/masticquay_gateway/paths.py
@@ -55,7 +55,8 @@
         timeout_ms: int,
     ) -> typing.Iterator[Exchange]:
         """Opens an exchange; see ``Paths``."""
-        with self._pools.open(endpoint, interrupt) as exchange:
+        call_id = purpose.call_id
+        with self._pools.open(endpoint, interrupt, call_id) as exchange:
             exchange.connect(timeout_ms)
             yield exchange
 
@@ -95,7 +96,9 @@
         :raises NoPathError: when this host has no path and finds no peer
         """
         with contextlib.ExitStack() as stack:
-            exchange = self._open_own(stack, endpoint, interrupt, timeout_ms)
+            exchange = self._open_own(
+                stack, endpoint, interrupt, purpose.call_id, timeout_ms
+            )
             if exchange is None:
                 exchange = stack.enter_context(
                     peer_exchanges.PeerExchange(
@@ -126,6 +129,7 @@
         stack: contextlib.ExitStack,
         endpoint: fleets.Endpoint,
         interrupt: interrupts.Interrupt,
+        call_id: str,
         timeout_ms: int,
     ) -> connections.Exchange | None:
         """Returns a connected exchange of this host's own.
@@ -135,7 +139,9 @@
         """
         if self._watch.is_lost:
             return None
-        exchange = stack.enter_context(self._pools.open(endpoint, interrupt))
+        exchange = stack.enter_context(
+            self._pools.open(endpoint, interrupt, call_id)
+        )
         try:
             exchange.connect(timeout_ms)
         except exchanges.NotSentError:
--- a/libs/gateway/masticquay_gateway/peer_services.py
+++ b/libs/gateway/masticquay_gateway/peer_services.py
@@ -188,7 +188,9 @@
     ) -> None:
         """Runs the exchange and passes the answer on as it comes."""
         due_s = time.monotonic() + request.lasts_ms / 1000
-        with self._pools.open(endpoint, interrupt) as exchange:
+        with self._pools.open(
+            endpoint, interrupt, request.call_id
+        ) as exchange:
             exchange.send(
                 request.method,
                 request.path,
