--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -15,6 +15,7 @@
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import forwards
+from masticquay_gateway import host_reports
 from masticquay_gateway import late_answers
 from masticquay_gateway import links
 from masticquay_gateway import notices
@@ -129,7 +130,7 @@
         self._draining = threading.Event()
         self.usage = usages.Usage()
         incarnation = int.from_bytes(os.urandom(6), 'big')
-        identity = links.Identity(
+        identity = host_reports.Identity(
             settings.name,
             settings.address,
             settings.place,
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from masticquay_gateway import fleet_states
+from masticquay_gateway import host_reports
 from masticquay_gateway import links
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleets
@@ -120,7 +121,7 @@
 
     def assert_leader_found(self, seeds):
         state = fleet_states.FleetState(test_fleet_states.VersionReader())
-        identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
+        identity = host_reports.Identity('h', '127.0.0.1:1', 'p', 1)
         link = links.ControlLink(
             identity, SECRET, lambda: seeds, state, self.report
         )
@@ -242,7 +243,7 @@
 
     def make_link(self, seeds):
         state = fleet_states.FleetState(test_fleet_states.VersionReader())
-        identity = links.Identity('h', '127.0.0.1:1', 'p', 1)
+        identity = host_reports.Identity('h', '127.0.0.1:1', 'p', 1)
         return links.ControlLink(
             identity, SECRET, lambda: seeds, state, self.report
         )
