Formation: a member that joined by a first request learns the others

Cause: the replica that forms a group joins it last. If another elects before that, its request makes a replica a member of a group of no known members, and the configuration that comes then was ignored: no known leader, no vote, also after restarts; if the leader was lost, nobody could be elected.

Result: the two tests that always failed pass; the simulation of formations under faults passes, all of consensus passes.

--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -417,7 +417,7 @@
             self._settings,
         )
         retry_ms = FORMATION_RETRY_MIN_MS
-        while not self.replica.state.store.formed:
+        while not self.replica.knows_members:
             if formation.attempt():
                 return
             if self._closed.wait(retry_ms / 1000):
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -65,11 +65,15 @@
     def join_group(self, configuration: messages.Configuration) -> None:
         """Makes this replica a member of a group, unless it is one already.
 
+        A member that does not know the others yet learns them.
+
         :param configuration: the members of the group; empty while they are
             unknown
         """
         with self.state.lock:
             if self._store.formed:
+                if configuration.members and not self.knows_members:
+                    self._learn_members(configuration)
                 return
             self._store.join_group(configuration)
             self.state.reset_configurations(0, configuration)
@@ -77,6 +81,22 @@
             # so it may vote at once.
             self.state.leader_contact_ms = states.NEVER_MS
 
+    @property
+    def knows_members(self) -> bool:
+        """Whether this replica belongs to a group whose members it knows."""
+        return bool(self.state.configuration.members)
+
+    def _learn_members(self, configuration: messages.Configuration) -> None:
+        """Takes the members with which the group was formed.
+
+        A request of one of them has arrived before the configuration. Their
+        log may have entries already, which come after it.
+        """
+        if self._store.snapshot_index:
+            return
+        self._store.save_founders(configuration)
+        self.state.reset_configurations(0, configuration)
+
     def add_role_hook(self, hook: protocols.RoleHook) -> None:
         """Registers a hook for gained and lost leadership."""
         self._applier.role_hooks.append(hook)
--- a/libs/consensus/masticquay_consensus/stores.py
+++ b/libs/consensus/masticquay_consensus/stores.py
@@ -120,6 +120,13 @@
         self.save_snapshot(Snapshot(0, 0, configuration, b''))
         self._raft_log = raft_logs.RaftLog(self._disk)
 
+    def save_founders(self, configuration: messages.Configuration) -> None:
+        """Durably stores the members with which the group was formed.
+
+        For a member that joined by a request and has the first snapshot only.
+        """
+        self.save_snapshot(Snapshot(0, 0, configuration, b''))
+
     def save_term_and_vote(self, term: int, voted_for: str) -> None:
         """Durably stores the term and the vote of this replica in it."""
         content = cbor2.dumps([term, voted_for])
