--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -119,7 +119,7 @@
     def _log_reach(
         self, earlier: messages.Renew | None, renewal: messages.Renew
     ) -> None:
-        """Logs that a host has lost its way to endpoints, or has it back."""
+        """Logs that a host has lost its path to endpoints, or has it back."""
         reached_before = earlier is None or earlier.reaches_endpoints
         if renewal.reaches_endpoints == reached_before:
             return
