--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -94,10 +94,7 @@
         self._sock.close()
 
     def detach(self) -> socket.socket:
-        """Returns the socket, which the caller closes from now on.
-
-        The channel uses it no more.
-        """
+        """Returns the socket, for use without the channel's time limits."""
         return self._sock
 
     def shut_down(self) -> None:
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -119,10 +119,10 @@
 class PeerExchange:
     """One request and its answer, sent to the endpoint by a peer.
 
-    Used like ``connections.Exchange``. The peer holds no other path than its
-    own to the endpoint, so there is one hop at most.
+    Used like ``connections.Exchange``. The peer uses its own connections only,
+    so there is one hop at most.
 
-    :param lasts_ms: time until the end of the answer
+    :ivar peer: the host that sends the request, None before ``connect``
     """
 
     def __init__(
