--- /dev/null
+++ b/review/4/case.py
@@ -0,0 +1,218 @@
+"""An open channel between an entry machine and control goes silent once."""
+
+import json
+import pathlib
+import re
+import selectors
+import socket
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from common import harness  # noqa: E402
+
+STREAMS_AT_ONCE = 10
+# Prompts and answers as large as the site file allows.
+TOKENS = '6600,170'
+CALM_S = 6.0
+# The channel goes silent while the streams run.
+SILENT_AFTER_S = 0.9
+RECOVER_S = 12.0
+MEASURED_S = 30.0
+MAX_STARTS = 12
+
+
+class Proxy:
+    """Forwards channels, and can make the open ones silent for good."""
+
+    def __init__(self, deployment, ip, target):
+        self.target = target
+        self.silent = []
+        self.pairs = []
+        self.listener = socket.create_server((ip, deployment.link_port))
+        threading.Thread(target=self._accept, daemon=True).start()
+        deployment.stack.callback(self.close)
+
+    def close(self):
+        self.listener.close()
+
+    def silence(self):
+        """Makes all open channels silent; new ones work."""
+        self.silent.extend(self.pairs)
+        return len(self.pairs)
+
+    def _accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            try:
+                far = socket.create_connection(self.target, 1.0)
+            except OSError:
+                near.close()
+                continue
+            far.settimeout(None)
+            pair = (near, far)
+            self.pairs.append(pair)
+            threading.Thread(
+                target=self._forward, args=(pair,), daemon=True
+            ).start()
+
+    def _forward(self, pair):
+        near, far = pair
+        selector = selectors.DefaultSelector()
+        selector.register(near, selectors.EVENT_READ, far)
+        selector.register(far, selectors.EVENT_READ, near)
+        try:
+            while True:
+                for key, _ in selector.select(0.1):
+                    if pair in self.silent:
+                        # Neither end hears anything any more.
+                        threading.Event().wait()
+                    data = key.fileobj.recv(65536)
+                    if not data:
+                        return
+                    key.data.sendall(data)
+        except OSError:
+            return
+        finally:
+            self.pairs.remove(pair)
+            near.close()
+            far.close()
+
+
+def start_behind(deployment, ip, proxies):
+    """Starts an entry machine until its channel to the leader is a proxy's.
+
+    Its seeds are the proxies, each in front of one control machine.
+    """
+    own_settings = deployment.settings
+
+    def settings(machine, bootstrap):
+        fields = own_settings(machine, bootstrap)
+        if machine == ip:
+            fields['seedNodes'] = [
+                f'{proxy}:{deployment.control_port}' for proxy in proxies
+            ]
+        return fields
+
+    deployment.settings = settings
+    for _ in range(MAX_STARTS):
+        before = len(deployment.log_of(ip)) if _ else 0
+        deployment.start(ip)
+        harness.wait_for(
+            lambda: 'control leader found' in deployment.log_of(ip)[before:],
+            10.0,
+            'the entry machine to find the leader',
+        )
+        found = re.findall(
+            r'control leader found.*?"leader": "([^":]*)',
+            deployment.log_of(ip)[before:],
+        )
+        if found[-1] in proxies:
+            return proxies[found[-1]]
+        deployment.kill(ip)
+    raise harness.NotRun('the entry machine never used a proxy')
+
+
+class Callers:
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.statuses = {'model': [], 'plain': []}
+
+    def stream(self, ip, into):
+        call_id = harness.new_id('model')
+        answer = self.deployment.stream(ip, call_id, tokens=TOKENS)
+        self.deployment.record.write(
+            f'{call_id} at {ip}: {answer.status}, {len(answer.body)} bytes, '
+            f'Retry-After {answer.headers.get("retry-after")}'
+        )
+        into.append(answer.status)
+
+    def plain(self, ip, into):
+        call_id = harness.new_id('plain')
+        answer = self.deployment.request(ip, harness.PLAIN + 'x', call_id)
+        self.deployment.record.write(f'{call_id} at {ip}: {answer.status}')
+        into.append(answer.status)
+
+    def start(self, call, *args):
+        thread = threading.Thread(target=call, args=args, daemon=True)
+        thread.start()
+        return thread
+
+
+def play(stack, record):
+    deployment = harness.Deployment(stack, record, controls=3, entries=2)
+    for _ in range(3):
+        deployment.add_server('ledger')
+    for stage in ('prefill', 'decode', 'decode'):
+        deployment.add_server('models', stage)
+    for ip in deployment.controls:
+        deployment.start(ip)
+    deployment.start(deployment.entries[1])
+    if not deployment.put_config(harness.make_config()):
+        raise harness.NotRun('the configuration was not acknowledged')
+    proxies = {}
+    for number, control in enumerate(deployment.controls):
+        ip = f'{deployment.network}.{201 + number}'
+        target = (control, deployment.link_port)
+        proxies[ip] = Proxy(deployment, ip, target)
+    behind = deployment.entries[0]
+    proxy = start_behind(deployment, behind, proxies)
+    deployment.wait_until_served()
+    callers = Callers(deployment)
+    time.sleep(CALM_S)
+    begun = []
+    threads = [
+        callers.start(callers.stream, behind, begun)
+        for _ in range(STREAMS_AT_ONCE)
+    ]
+    time.sleep(SILENT_AFTER_S)
+    if deployment.trouble:
+        count = proxy.silence()
+        record.write(f'channels of {behind} to the leader gone silent: {count}')
+    for thread in threads:
+        thread.join()
+    record.write(f'streams during it: {begun}')
+    time.sleep(RECOVER_S)
+    end_s = time.monotonic() + MEASURED_S
+    threads = []
+    while time.monotonic() < end_s:
+        for ip in deployment.entries:
+            for call, kind in (
+                (callers.stream, 'model'),
+                (callers.plain, 'plain'),
+            ):
+                into = callers.statuses[kind]
+                threads.append(callers.start(call, ip, into))
+        time.sleep(0.75)
+    busy = sum(s.running for s in deployment.servers if s.stage == 'decode')
+    record.write(f'requests that engines run now: {busy}')
+    for thread in threads:
+        thread.join()
+    everything = sum(callers.statuses.values(), [])
+    shares = {}
+    for kind, statuses in [*callers.statuses.items(), ('all', everything)]:
+        served = sum(status == 200 for status in statuses)
+        shares[kind] = served / len(statuses)
+        record.write(f'{kind}: {served} of {len(statuses)} served')
+    for ip in deployment.controls:
+        states = [
+            line
+            for line in deployment.log_of(ip).splitlines()
+            if 'pool state' in line
+        ]
+        if states:
+            state = json.loads(states[-1])
+            record.write(
+                f'{ip} logged last: running {state["running"]}, reserved '
+                f'{state["decode_reserved_tokens"]}'
+            )
+    return shares['model'] >= shares['all'] / 4
+
+
+if __name__ == '__main__':
+    harness.main(__file__, play)
