--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,6 +22,7 @@
 RECOVER_S = 12.0
 MEASURED_S = 30.0
 MAX_STARTS = 12
+FOUND = re.compile(r'control leader found.*?"leader": "([^":]*)')
 
 
 class Proxy:
@@ -100,18 +101,15 @@
         return fields
 
     deployment.settings = settings
-    for _ in range(MAX_STARTS):
-        before = len(deployment.log_of(ip)) if _ else 0
+    for number in range(MAX_STARTS):
+        begun = len(deployment.log_of(ip)) if number else 0
         deployment.start(ip)
         harness.wait_for(
-            lambda: 'control leader found' in deployment.log_of(ip)[before:],
+            lambda begun=begun: FOUND.findall(deployment.log_of(ip)[begun:]),
             10.0,
             'the entry machine to find the leader',
         )
-        found = re.findall(
-            r'control leader found.*?"leader": "([^":]*)',
-            deployment.log_of(ip)[before:],
-        )
+        found = FOUND.findall(deployment.log_of(ip)[begun:])
         if found[-1] in proxies:
             return proxies[found[-1]]
         deployment.kill(ip)
@@ -173,7 +171,9 @@
     time.sleep(SILENT_AFTER_S)
     if deployment.trouble:
         count = proxy.silence()
-        record.write(f'channels of {behind} to the leader gone silent: {count}')
+        record.write(
+            f'channels of {behind} to the leader gone silent: {count}'
+        )
     for thread in threads:
         thread.join()
     record.write(f'streams during it: {begun}')
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -597,7 +597,10 @@
         """Returns the control machine that answers for itself, or None."""
         for ip in self.controls:
             address = f'{ip}:{self.control_port}'
-            if exchange(address, 'GET', '/config', {}, None, 1.0).status == 200:
+            if (
+                exchange(address, 'GET', '/config', {}, None, 1.0).status
+                == 200
+            ):
                 return ip
         return None
 
@@ -653,16 +656,17 @@
         for ip in self.entries:
             wait_for(lambda ip=ip: self.is_ready(ip), within_s, 'ready')
             wait_for(
-                lambda ip=ip: self.request(
-                    ip, PLAIN + 'w', new_id('warm')
-                ).status
-                == 200,
+                lambda ip=ip: (
+                    self.request(ip, PLAIN + 'w', new_id('warm')).status == 200
+                ),
                 within_s,
                 'a plain request to be served',
             )
             if with_models:
                 wait_for(
-                    lambda ip=ip: self.stream(ip, new_id('warm')).status == 200,
+                    lambda ip=ip: (
+                        self.stream(ip, new_id('warm')).status == 200
+                    ),
                     within_s,
                     'a model request to be served',
                 )
