--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,8 +17,9 @@
 # Prompts and answers as large as the site file allows.
 TOKENS = '6600,170'
 CALM_S = 6.0
-# The channel goes silent while the streams run.
-SILENT_AFTER_S = 0.9
+# The channel goes silent when each of them has so many events left at most,
+# which take 0.02 s each.
+EVENTS_LEFT = 9
 RECOVER_S = 12.0
 MEASURED_S = 30.0
 MAX_STARTS = 12
@@ -142,6 +143,16 @@
         return thread
 
 
+def are_nearly_done(deployment):
+    left = [
+        server.events - number
+        for server in deployment.servers
+        for call_id, number in server.progress.items()
+        if call_id.startswith('model')
+    ]
+    return len(left) == STREAMS_AT_ONCE and max(left) <= EVENTS_LEFT
+
+
 def play(stack, record):
     deployment = harness.Deployment(stack, record, controls=3, entries=2)
     for _ in range(3):
@@ -168,7 +179,12 @@
         callers.start(callers.stream, behind, begun)
         for _ in range(STREAMS_AT_ONCE)
     ]
-    time.sleep(SILENT_AFTER_S)
+    harness.wait_for(
+        lambda: are_nearly_done(deployment),
+        10.0,
+        'the streams to be nearly complete',
+        pause_s=0.005,
+    )
     if deployment.trouble:
         count = proxy.silence()
         record.write(
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -248,6 +248,8 @@
         self.is_down = False
         self.running = 0
         self.order_count = 0
+        # The last event that was written, by the request's id.
+        self.progress = {}
         self.lock = threading.Lock()
         super().__init__(deployment, ip, port)
 
@@ -336,7 +338,7 @@
             self.running += 1
         try:
             if self.stage:
-                self._stream(handler, headers)
+                self._stream(handler, headers, call_id)
             else:
                 time.sleep(self.work_s)
                 if self.is_down:
@@ -347,7 +349,7 @@
             with self.lock:
                 self.running -= 1
 
-    def _stream(self, handler, headers):
+    def _stream(self, handler, headers, call_id):
         last = int(handler.headers.get('Last-Event-Id') or 0)
         handler.begin_events(headers)
         for number in range(last + 1, self.events + 1):
@@ -355,6 +357,7 @@
             handler.write_event(
                 b'id: %d\ndata: %s\n\n' % (number, self.version.encode())
             )
+            self.progress[call_id] = number
         handler.end_events()
 
 
@@ -694,7 +697,7 @@
     return f'{kind}-{next(_numbers):05d}'
 
 
-def wait_for(condition, within_s, description):
+def wait_for(condition, within_s, description, pause_s=0.1):
     deadline_s = time.monotonic() + within_s
     while True:
         value = condition()
@@ -702,7 +705,7 @@
             return value
         if time.monotonic() > deadline_s:
             raise NotRun(f'timed out waiting for {description}')
-        time.sleep(0.1)
+        time.sleep(pause_s)
 
 
 def main(case_file, play):
