--- a/review/4/case.py
+++ b/review/4/case.py
@@ -152,14 +152,16 @@
 
 
 def play(stack, record):
-    deployment = harness.Deployment(stack, record, controls=3, entries=2)
+    # Ten machines, one of which is disturbed (0.1).
+    deployment = harness.Deployment(stack, record, controls=5, entries=5)
     for _ in range(3):
         deployment.add_server('ledger')
     for stage in ('prefill', 'decode', 'decode'):
         deployment.add_server('models', stage)
     for ip in deployment.controls:
         deployment.start(ip)
-    deployment.start(deployment.entries[1])
+    for ip in deployment.entries[1:]:
+        deployment.start(ip)
     if not deployment.put_config(harness.make_config()):
         raise harness.NotRun('the configuration was not acknowledged')
     leader = harness.wait_for(deployment.leader, 10.0, 'a leader')
@@ -208,7 +210,7 @@
     end_s = time.monotonic() + MEASURED_S
     threads = []
     while time.monotonic() < end_s:
-        for ip in deployment.entries:
+        for ip in deployment.entries[:2]:
             for call, kind in (
                 (callers.stream, 'model'),
                 (callers.plain, 'plain'),
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -23,6 +23,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 LIMIT_S = 112.0
@@ -719,7 +720,8 @@
     timer = threading.Timer(LIMIT_S, _give_up, [record])
     timer.daemon = True
     timer.start()
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))
     status = EXIT_NOT_RUN
     try:
         with contextlib.ExitStack() as stack:
@@ -728,6 +730,10 @@
     except NotRun as cause:
         record.write(f'the case could not run: {cause}')
         print(cause, file=sys.stderr)
+    except Exception as cause:
+        # A fault of the script itself shows nothing of the rule.
+        record.write(f'the script failed: {type(cause).__name__}: {cause}')
+        traceback.print_exc()
     words = {0: 'the rule held', 1: 'the rule was broken', 2: 'not run'}
     record.write(words[status])
     print(words[status], flush=True)
