Review: a second signal does not cut the clean-up short

Cause: a script that was ended by two signals left five processes. Change: the first one is handled, further ones are ignored.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -28,6 +28,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 LIMIT_S = 112.0
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 KEY = 'key-1'
 HOST = 'a.example'
 PLAIN, ONCE, MODEL = '/plain/', '/once/', '/llm/'
@@ -720,8 +721,8 @@
     timer = threading.Timer(LIMIT_S, _give_up, [record])
     timer.daemon = True
     timer.start()
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(number, lambda *_: sys.exit(EXIT_NOT_RUN))
+    for number in STOP_SIGNALS:
+        signal.signal(number, _stop)
     status = EXIT_NOT_RUN
     try:
         with contextlib.ExitStack() as stack:
@@ -741,6 +742,13 @@
     os._exit(status)
 
 
+def _stop(*_args):
+    """Ends the case; a second signal must not cut the clean-up short."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    sys.exit(EXIT_NOT_RUN)
+
+
 def _give_up(record):
     record.write('the case took too long')
     os.kill(os.getpid(), signal.SIGTERM)
