A stream that nobody else can go on with outlasts its engine's silence

What callers saw: a stream with status 200 whose connection was reset, while the engine was silent for some seconds and then went on; at any time, and so also around a planned stop of the host, a reload or a change (LOST).

Cause: a host gave every stream up 2.5 s after its last event. That is of use where another engine can go on with it. A stream that cannot be resumed, or whose engine is the only one of its software version, was broken off, though its caller would have waited longer (3.6 s with the routes in force, and up to its deadline).

Change: when the time is over and the engine has been silent, not trickling, the connection asks whether to wait longer; a stream that cannot move does, to the end of its time. The wait is in the channel, as reads of chunked bodies cannot be taken up again after a timeout. Exchanges by way of a peer ask the same.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -18,6 +18,7 @@
 READ_BUFFER_BYTES = 8 * 1024
 # Any line of an answer's head, chunk sizes and trailers.
 MAX_LINE_BYTES = 16 * 1024
+SilenceHook = typing.Callable[[float], int]
 
 
 class Channel:
@@ -25,6 +26,9 @@
 
     :ivar due_s: the monotonic time
     :ivar received: whether data has come since it was set
+    :ivar on_silence: called when the time is over while data is awaited, with
+        the time in ms since data last came; returns how much longer to wait
+        in ms, 0 to give up
     """
 
     __slots__ = (
@@ -33,6 +37,8 @@
         '_in_kernel',
         'due_s',
         'received',
+        'on_silence',
+        '_received_s',
     )
 
     def __init__(self, sock: socket.socket):
@@ -41,6 +47,8 @@
         self._in_kernel = False
         self.due_s = time.monotonic()
         self.received = False
+        self.on_silence: SilenceHook | None = None
+        self._received_s = self.due_s
 
     def set_due(self, due_s: float) -> None:
         """Sets the time until which further data must be sent or received."""
@@ -76,10 +84,26 @@
 
         :raises OSError: if the connection fails or the time is over
         """
-        self._limit_wait()
-        size = self._sock.recv_into(buffer)
-        self.received = True
-        return size
+        while True:
+            try:
+                self._limit_wait()
+                size = self._sock.recv_into(buffer)
+            except (TimeoutError, BlockingIOError):
+                if not self._waits_longer():
+                    raise
+                continue
+            self.received = True
+            self._received_s = time.monotonic()
+            return size
+
+    def _waits_longer(self) -> bool:
+        """Whether the time that is over was extended."""
+        if self.on_silence is None:
+            return False
+        now_s = time.monotonic()
+        more_ms = self.on_silence((now_s - self._received_s) * 1000)
+        self.due_s = max(self.due_s, now_s + more_ms / 1000)
+        return more_ms > 0
 
     def sendall(self, data: bytes) -> None:
         """Sends data.
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -352,6 +352,17 @@
         self.mark_finished()
         return body
 
+    def outlast_silence(self, hook: channels.SilenceHook) -> None:
+        """Has a hook decide at each timeout whether to wait longer.
+
+        :param hook: see ``channels.Channel``
+        """
+        self.connection.channel.on_silence = hook
+
+    def has_lost_path(self) -> bool:
+        """Whether silence is that of the path rather than the endpoint."""
+        return False
+
     def hold_memory(self, size_bytes: int) -> None:
         """Takes memory for data that is kept until more of it has come.
 
@@ -411,6 +422,7 @@
         connection = self.connection
         response = self.response
         self._memory.give_back()
+        connection.channel.on_silence = None
         if response is not None:
             response.close()
         reusable = (
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -13,6 +13,7 @@
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import relays
+from masticquay_gateway import silences
 from masticquay_routing import fleets
 from masticquay_serving import counters
 
@@ -49,6 +50,7 @@
         self._checker = answers.AnswerChecker(
             protocol, endpoint_notices, registry
         )
+        self._silences = silences.Silences(placer, registry)
 
     def run(
         self,
@@ -153,6 +155,8 @@
         splitter = events.EventSplitter(stream.splitter.last_id)
         stream.splitter = splitter
         _limit_gap(job, exchange)
+        if not stream.can_move:
+            self._silences.outlast(job, placement.decode, exchange)
         while data := _read_stream(job, exchange):
             complete_events = _split(splitter, data)
             if complete_events:
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -92,6 +92,12 @@
         self._watch.record_contact(self._endpoint, is_new)
         return response
 
+    def has_lost_path(self) -> bool:
+        """Whether this host has lost its path; see the base class."""
+        return self._watch.explains(
+            self._endpoint, StalledError('no data'), self._sent_s
+        )
+
     @contextlib.contextmanager
     def translate_errors(self) -> typing.Iterator[None]:
         """Translates errors; see ``connections.Exchange``.
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -6,6 +6,7 @@
 import typing
 
 from masticquay_endpoints import byte_budgets
+from masticquay_endpoints import channels
 from masticquay_endpoints import errors as endpoint_errors
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import whole_bodies
@@ -147,6 +148,8 @@
         self.response: PeerResponse | None = None
         self.peer: fleets.Host | None = None
         self._link = None
+        self._on_silence: channels.SilenceHook | None = None
+        self._received_s = time.monotonic()
 
     def __enter__(self) -> typing.Self:
         return self
@@ -219,6 +222,14 @@
         self.mark_finished()
         return body
 
+    def outlast_silence(self, hook: channels.SilenceHook) -> None:
+        """Has a hook decide at each timeout whether to wait longer."""
+        self._on_silence = hook
+
+    def has_lost_path(self) -> bool:
+        """Returns False, as the peer has the path."""
+        return False
+
     def hold_memory(self, size_bytes: int) -> None:
         """Takes memory for data that is kept until more of it has come."""
         if size_bytes > byte_budgets.FREE_BYTES:
@@ -279,13 +290,33 @@
 
     def _receive_data(self) -> peer_messages.PeerData:
         with self.translate_errors():
-            message = self._link.receive(self.connection.remaining_ms)
+            message = self._receive_patiently()
             if isinstance(message, peer_messages.PeerFailure):
                 raise _make_error(message)
             if not isinstance(message, peer_messages.PeerData):
                 raise wire_errors.MessageError('unexpected message')
         return message
 
+    def _receive_patiently(self) -> wire_messages.Message:
+        while True:
+            try:
+                message = self._link.receive(self.connection.remaining_ms)
+            except wire_errors.CallTimeoutError:
+                if not self._waits_longer():
+                    raise
+                continue
+            self._received_s = time.monotonic()
+            return message
+
+    def _waits_longer(self) -> bool:
+        if self._on_silence is None:
+            return False
+        quiet_ms = (time.monotonic() - self._received_s) * 1000
+        more_ms = self._on_silence(quiet_ms)
+        if more_ms > 0:
+            self.connection.set_timeout(more_ms)
+        return more_ms > 0
+
     def _take_to_another_peer(self, answer: wire_messages.Message) -> None:
         """Goes on with another peer if this one sent nothing, else raises.
 
--- a/libs/gateway/masticquay_gateway/relays.py
+++ b/libs/gateway/masticquay_gateway/relays.py
@@ -28,6 +28,7 @@
     :ivar longest_gap_ms: longest time between two sends of events
     :ivar software_version: the version of the engines that wrote its events,
         empty before the first one or if unknown
+    :ivar can_move: whether another engine may go on with it
     :ivar engine_began_s: monotonic time at which the present engine wrote its
         first event, 0 before it
     """
@@ -44,6 +45,7 @@
         'placed_ms',
         'prefilled_ms',
         'software_version',
+        'can_move',
         'engine_began_s',
     )
 
@@ -59,6 +61,7 @@
         self.splitter = events.EventSplitter()
         self.first_ms = 0.0
         self.software_version = ''
+        self.can_move = True
         self.engine_began_s = 0.0
 
     @property
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -229,6 +229,7 @@
             if wait_ms := self._quarantine.wait_ms(job.call):
                 raise errors.HarmfulPromptError(wait_ms)
             self._require_not_withheld(placement.decode)
+            stream.can_move = self._can_move(job, placement.decode)
             self._decoder.run(job, placement, stream)
         except (errors.NotRunError, errors.WithheldError):
             refused = True
@@ -237,6 +238,15 @@
             if not refused:
                 self._prefiller.release_unused(stream)
 
+    def _can_move(self, job: jobs.Job, decode: fleets.Endpoint) -> bool:
+        """Whether another engine may go on with the stream of an engine."""
+        return job.route.resumable and any(
+            engine.endpoint_id != decode.endpoint_id
+            and engine.software_version == decode.software_version
+            and not self._notices.is_withheld(engine)
+            for engine in self._decode_engines(job)
+        )
+
     def _require_not_withheld(self, endpoint: fleets.Endpoint) -> None:
         """Checks what an engine said since the request was placed.
 
--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -24,6 +24,7 @@
 SECRET = b'secret'
 TIMEOUT_MS = 2_000
 WAIT_S = 5.0
+SILENCE_MS = 200
 
 
 class FakeWatch:
@@ -166,6 +167,25 @@
             self.assertEqual(b'second', exchange.response.read1(100))
             self.assertEqual(b'', exchange.response.read1(100))
 
+    # Guards against LOST: streams that nobody else could go on with were
+    # broken off when their engine had been silent for a while.
+    def test_hook_extends_the_wait_for_a_silent_endpoint(self):
+        quiet_times_ms = []
+
+        def wait_longer(quiet_ms):
+            quiet_times_ms.append(quiet_ms)
+            self.release.set()
+            return TIMEOUT_MS
+
+        with self.open(lasts_ms=TIMEOUT_MS) as exchange:
+            self.send(exchange, '/stream')
+            self.assertEqual(b'first', exchange.response.read1(100))
+            exchange.connection.set_timeout(SILENCE_MS)
+            exchange.outlast_silence(wait_longer)
+            self.assertEqual(b'second', exchange.response.read1(100))
+        (quiet_ms,) = quiet_times_ms
+        self.assertGreaterEqual(quiet_ms, SILENCE_MS - 1)
+
     def test_caller_that_leaves_ends_the_exchange_at_the_endpoint(self):
         with (
             self.assertRaises(exchanges.InterruptedCallError),
