A stopping host begins late only what must end in time

Callers' streams and requests that came late in a host's grace period were begun and then cut without a whole answer.

Cause: once callers could know that the host stops, it still judged a request by the last 64 durations of its route. They say nothing of a route that has just become slow, of a rare long request or of a wait for a place.

From the end of the time in which connections are accepted (2.5 s), it now begins only what must end before the cut, by its deadline or its route's timeout. Before, likelihood still decides. Others are refused as not run at once and their connection closes, so their caller gets its answer from another host.

--- a/libs/gateway/masticquay_gateway/drains.py
+++ b/libs/gateway/masticquay_gateway/drains.py
@@ -19,7 +19,8 @@
 # Durations that are kept of each route.
 KEPT_DURATIONS = 64
 # While callers cannot know yet that the host stops, it begins a request that
-# ends in time as likely as this; later only what surely does.
+# ends in time as likely as this; later only what its deadline or its route's
+# timeout ends, as no earlier request tells how long one takes.
 LIKELY_SHARE = 0.9
 RETRY_AFTER_MS = 50
 
@@ -101,12 +102,10 @@
         """Returns the refusal of a request that would be cut, else None."""
         if self._started_s is None:
             return None
-        share = 1.0
+        needed_ms: float = job.remaining_ms
         if self._elapsed_ms < self.accept_ms:
-            share = LIKELY_SHARE
-        needed_ms = min(
-            self.durations.within(job.route.name, share), job.remaining_ms
-        )
+            likely_ms = self.durations.within(job.route.name, LIKELY_SHARE)
+            needed_ms = min(needed_ms, likely_ms)
         if needed_ms + END_MARGIN_MS <= self.remaining_ms:
             return None
         return ports.Refusal(
--- a/libs/gateway/tests/test_drains.py
+++ b/libs/gateway/tests/test_drains.py
@@ -75,6 +75,17 @@
         self.now_s += 0.002
         self.assertFalse(self.is_begun())
 
+    # Guards against LOST: a route that had become slow was judged by its
+    # earlier requests; those that came late were begun and cut.
+    def test_earlier_requests_tell_nothing_once_callers_can_know(self):
+        for _request in range(drains.KEPT_DURATIONS):
+            self.drain.durations.add('r', 50)
+        self.begin_and_wait(drains.ACCEPT_MS - 1)
+        self.assertTrue(self.is_begun())
+        self.now_s += 0.002
+        self.assertFalse(self.is_begun())
+        self.assertTrue(self.is_begun(remaining_ms=600))
+
     def test_second_signal_does_not_begin_the_grace_period_anew(self):
         self.begin_and_wait(1_000)
         left_ms = self.drain.remaining_ms
