Requests that a stopping host cuts get a final answer

Requests that were taken from callers, among them ones that may not be repeated, ended with a closed connection and no answer at the end of the grace period of a host.

Cause: the process ended while their threads waited for an endpoint or a place.

At the cut the host now ends these waits: a request that no endpoint got is refused as not run, one that may have run gets the answer that its outcome is unknown, and only a stream that has begun is broken off. The log line `request cut` and the counter requests_cut show each.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -1,9 +1,11 @@
 """Routes each request and sends the caller its response or a refusal."""
 
+import contextlib
 import logging
 import random
 import threading
 import time
+import typing
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import drains
@@ -35,6 +37,8 @@
 # Who refused a request, in logs and metrics.
 REFUSED_BY_ENDPOINT = 'endpoint'
 REFUSED_BY_HOST = 'host'
+# Why a host that stops ends the waits of a request.
+CUT_REASON = 'host stops'
 
 
 class CallService:
@@ -66,6 +70,7 @@
         self._drain = drain
         self._lock = threading.Lock()
         self._active = 0
+        self._jobs: set[jobs.Job] = set()
         self._started_s = time.monotonic()
 
     @property
@@ -83,6 +88,17 @@
             with self._lock:
                 self._active -= 1
 
+    def cut(self) -> None:
+        """Ends the requests in progress, as the host must exit.
+
+        A caller that has no part of its answer yet gets one that says what is
+        known; a stream that has begun is broken off.
+        """
+        with self._lock:
+            running = list(self._jobs)
+        for job in running:
+            job.interrupt.fire(CUT_REASON)
+
     def _serve(self, request: requests.Request, reply: replies.Reply) -> None:
         begun_s = time.monotonic()
         call = self._protocol.read(request)
@@ -93,14 +109,20 @@
             return
         job = job_or_refusal
         try:
-            with self._disconnect_watcher.watched(
-                reply.sock, lambda: self._interrupt(job, reply)
+            with (
+                self._registered(job),
+                self._disconnect_watcher.watched(
+                    reply.sock, lambda: self._interrupt(job, reply)
+                ),
             ):
                 refusal = self._run(job)
         except (
             exchanges.InterruptedCallError,
             serving_errors.CallerDisconnectedError,
         ):
+            if job.interrupt.reason == CUT_REASON:
+                self._end_cut(job)
+                return
             # A later answer on this connection would be taken for this one's.
             reply.abort()
             self._record_disconnect(job)
@@ -112,6 +134,40 @@
             self._drain.durations.add(job.route.name, duration_ms)
             self._record_success(job)
 
+    @contextlib.contextmanager
+    def _registered(self, job: jobs.Job) -> typing.Iterator[None]:
+        """Has ``cut`` end a request within the block."""
+        with self._lock:
+            self._jobs.add(job)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._jobs.discard(job)
+
+    def _end_cut(self, job: jobs.Job) -> None:
+        """Answers a request that was cut, or breaks its stream off."""
+        self._registry.count('requests_cut', 'route', job.route.name)
+        LOG.warning(
+            'request cut',
+            extra={
+                'call': job.call.call_id,
+                'route': job.route.name,
+                'elapsed_ms': round(job.elapsed_ms),
+                'answer_begun': job.reply.started,
+                'attempts': job.attempts.describe(),
+            },
+        )
+        if job.reply.started:
+            job.reply.abort()
+            return
+        refusal = ports.Refusal(
+            ports.Reason.NOT_RUN, CUT_REASON, drains.RETRY_AFTER_MS
+        )
+        if job.attempts.may_have_run:
+            refusal = ports.Refusal(ports.Reason.UNKNOWN, CUT_REASON)
+        self._refuse(job.call, job.reply, refusal, job)
+
     def _interrupt(self, job: jobs.Job, reply: replies.Reply) -> None:
         if reply.shows_disconnect:
             job.interrupt.fire('caller disconnected')
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -254,6 +254,14 @@
             time.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
             self.server.close_idle()
         LOG.info('entry host drained', extra={'active': self.active_count})
+        self._cut_requests()
+
+    def _cut_requests(self) -> None:
+        """Ends what still runs, and waits until callers have been told."""
+        self.calls.cut()
+        end_s = time.monotonic() + drains.CUT_ANSWER_MS / 1000
+        while self.calls.active_count and time.monotonic() < end_s:
+            time.sleep(DRAIN_POLL_INTERVAL_MS / 1000)
 
     def close(self) -> None:
         """Stops all parts of the host."""
--- a/libs/gateway/masticquay_gateway/drains.py
+++ b/libs/gateway/masticquay_gateway/drains.py
@@ -14,6 +14,8 @@
 # own end. A short grace period is used up to CUT_SHARE.
 STOP_RESERVE_MS = 500
 CUT_SHARE = 0.85
+# Part of that time in which callers of what it cuts are told.
+CUT_ANSWER_MS = 300
 # What a request must have left when it is expected to end.
 END_MARGIN_MS = 250
 # Durations that are kept of each route.
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -38,16 +38,19 @@
     def __init__(self):
         self.status = None
         self.body = b''
+        self.started = False
         self.finished = False
         self.aborted = False
         self.disconnect_after_bytes = None
 
     def send(self, status, headers, body=b''):
+        self.started = True
         self.status = status
         self.body = body
         self.finished = True
 
     def begin(self, status, headers):
+        self.started = True
         self.status = status
 
     def write(self, data):
@@ -62,6 +65,7 @@
         self.finished = True
 
     def abort(self):
+        self.started = True
         self.aborted = True
 
 
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -157,6 +157,52 @@
         reply = self.serve(self.make_service(run=raise_interrupted))
         self.assertTrue(reply.aborted)
 
+    def cut_while_it_waits(self, attempt, begin=False):
+        """Cuts a request that waits for an endpoint; returns its reply.
+
+        :param attempt: whether it was sent to an endpoint
+        :param begin: whether its answer has begun
+        """
+        waiting = threading.Event()
+
+        def run(job):
+            with contextlib.ExitStack() as stack:
+                if attempt:
+                    stack.enter_context(job.attempts.sending('e1'))
+                if begin:
+                    job.reply.begin(200, [])
+                waiting.set()
+                job.interrupt.wait(futures.Future(), TIMEOUT_S * 1_000)
+
+        self.set_fleet_state()
+        service = self.make_service(run=run)
+        replies = []
+        thread = threading.Thread(
+            target=lambda: replies.append(self.serve(service))
+        )
+        thread.start()
+        self.assertTrue(waiting.wait(TIMEOUT_S))
+        service.cut()
+        thread.join(TIMEOUT_S)
+        self.assertEqual(0, service.active_count)
+        return replies[0]
+
+    # Guards against LOST: at the end of the grace period a request that waited
+    # for its endpoint ended without an answer.
+    def test_request_that_is_cut_while_it_runs_gets_an_answer(self):
+        self.assertEqual(502, self.cut_while_it_waits(attempt=True).status)
+
+    # As above, for one that waited for a place.
+    def test_request_that_is_cut_before_it_was_sent_is_refused(self):
+        self.assertEqual(503, self.cut_while_it_waits(attempt=False).status)
+
+    def test_stream_that_is_cut_is_broken_off(self):
+        reply = self.cut_while_it_waits(attempt=True, begin=True)
+        self.assertEqual((200, True), (reply.status, reply.aborted))
+        self.assertIn(
+            'masticquay_requests_cut{route="r"} 1', self.registry.render()
+        )
+
     def start_server(self, run):
         """Starts an HTTP server that watches its callers."""
         self.set_fleet_state()
