A caller that still sends gets the answer that rejects its request

Callers whose request was rejected while its body still came got a broken pipe or a reset instead of the answer.

Cause: the connection was closed with data unread, on which the system resets it.

The server now ends its own side first and reads on, for 1 s and 8 MiB at most, until the caller closes.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -40,6 +40,12 @@
 ACCEPT_POLL_S = 0.5
 # Pause after a failure to accept a connection.
 ACCEPT_RETRY_DELAY_S = 0.05
+# What a caller still sends after the last answer on its connection is read for
+# this time and size. With data unread, a close would reset the connection, and
+# the caller might lose the answer.
+LINGER_S = 1.0
+LINGER_BYTES = 8 * 1024 * 1024
+LINGER_READ_BYTES = 64 * 1024
 Application = typing.Callable[[requests.Request, replies.Reply], None]
 
 
@@ -271,10 +277,11 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, len(replies.ABORT_LINGER)
             )
             aborted = linger == replies.ABORT_LINGER
-        if aborted:
-            self.close_request(request)
-        else:
-            super().shutdown_request(request)
+        if not aborted:
+            with contextlib.suppress(OSError):
+                request.shutdown(socket.SHUT_WR)
+                _read_rest(request)
+        self.close_request(request)
 
     def stop_accepting(self) -> None:
         """Stops accepting connections; open ones are still served."""
@@ -354,8 +361,23 @@
                 'cannot start a thread for a connection',
                 extra={'cause': str(cause)},
             )
-            self.shutdown_request(connection)
+            self.close_request(connection)
 
     def handle_error(self, request: object, client_address: object) -> None:
         """Logs an unexpected error of a connection."""
         LOG.exception('unexpected error on a connection')
+
+
+def _read_rest(connection: socket.socket) -> None:
+    """Reads what the other side still sends, in bounds.
+
+    :raises OSError: if it sends nothing for too long
+    """
+    end_s = time.monotonic() + LINGER_S
+    left_bytes = LINGER_BYTES
+    while left_bytes > 0 and (left_s := end_s - time.monotonic()) > 0:
+        connection.settimeout(left_s)
+        data = connection.recv(LINGER_READ_BYTES)
+        if not data:
+            return
+        left_bytes -= len(data)
--- /dev/null
+++ b/libs/serving/tests/test_closed_connections.py
@@ -0,0 +1,84 @@
+"""Tests of what callers get whose connection the server closes."""
+
+import contextlib
+import socket
+import threading
+import time
+import unittest
+
+from masticquay_serving import http_servers
+from masticquay_serving import requests
+
+TIMEOUT_S = 5.0
+# Callers send the parts of a request this far apart.
+PART_INTERVAL_S = 0.05
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+CHUNKED_HEAD = (
+    b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+
+
+class ClosedConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.may_end = threading.Event()
+        limits = requests.Limits(
+            max_header_bytes=2_000,
+            max_body_bytes=1_000,
+            header_timeout_ms=3_000,
+            idle_timeout_ms=10_000,
+        )
+        self.server = http_servers.Server(
+            ('127.0.0.1', 0), self.serve, lambda: limits
+        )
+        self.stack.callback(self.server.server_close)
+
+    def serve(self, request, reply):
+        if request.target == '/stream':
+            reply.begin(200, [])
+            reply.write(b'one')
+            self.may_end.wait(TIMEOUT_S)
+            reply.finish()
+        else:
+            reply.send(200, [], request.body or b'none')
+
+    def connect(self):
+        sock = socket.create_connection(
+            self.server.server_address, timeout=TIMEOUT_S
+        )
+        self.stack.callback(sock.close)
+        return sock
+
+    def read_until(self, sock, end):
+        received = b''
+        while end not in received:
+            data = sock.recv(65_536)
+            if not data:
+                break
+            received += data
+        return received
+
+    # Seen: callers got a broken pipe instead of the answer that rejected their
+    # request while its body still came.
+    def test_caller_that_still_sends_gets_the_rejection(self):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(CHUNKED_HEAD)
+        for _part in range(8):
+            sock.sendall(b'190\r\n%s\r\n' % (b'x' * 400))
+            time.sleep(PART_INTERVAL_S)
+        sock.sendall(b'0\r\n\r\n')
+        self.assertIn(b' 413 ', self.read_until(sock, b'too large'))
+
+    def test_caller_that_sends_for_ever_is_closed_in_bounds(self):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(CHUNKED_HEAD + b'fff\r\n')
+        started_s = time.monotonic()
+        with self.assertRaises(OSError):
+            while time.monotonic() < started_s + TIMEOUT_S:
+                sock.sendall(b'x')
+                time.sleep(PART_INTERVAL_S)
+        waited_s = time.monotonic() - started_s
+        self.assertLess(waited_s, 2 * http_servers.LINGER_S)
