Connections that wait to be accepted are served before a stop

Callers that had connected and sent a request just before a host stopped accepting were reset, and a process could end while the threads of accepted connections had yet to run.

Cause: the listening socket was shut down, which resets the connections that the accepting thread has not taken yet; on a busy machine that may be many. A connection was counted as open by its own thread only.

The accepting thread is now woken by an event, accepts what waits and then stops; a connection counts from its accept on.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -10,6 +10,7 @@
 import http.server
 import io
 import logging
+import select
 import socket
 import socketserver
 import threading
@@ -22,6 +23,7 @@
 from masticquay_serving import replies
 from masticquay_serving import requests
 from masticquay_serving import timed_readers
+from masticquay_serving import wakeups
 
 LOG = logging.getLogger(__name__)
 
@@ -36,8 +38,8 @@
 IDLE_MARGIN_S = 2.0
 REQUEST_LINE_LIMIT_BYTES = 16 * 1024
 STATUS_TOO_SLOW = 408
-# The accept loop checks at this interval whether it must stop.
-ACCEPT_POLL_S = 0.5
+# The accept loop takes connections that wait and stops within this time.
+ACCEPT_STOP_S = 1.0
 # Pause after a failure to accept a connection.
 ACCEPT_RETRY_DELAY_S = 0.05
 # What a caller still sends after the last answer on its connection is read for
@@ -244,8 +246,7 @@
         self._lock = threading.Lock()
         self._idle_handlers: set[_ConnectionHandler] = set()
         self._connection_count = 0
-        self._accepting = threading.Event()
-        self._accepting.set()
+        self._accept_end = wakeups.Wakeup()
         self._accept_stopped = threading.Event()
         self._started = False
         super().__init__(address, _ConnectionHandler)
@@ -253,7 +254,7 @@
     def start(self) -> None:
         """Starts the thread that accepts connections."""
         threading.stack_size(THREAD_STACK_BYTES)
-        self.socket.settimeout(ACCEPT_POLL_S)
+        self.socket.setblocking(False)
         self._started = True
         threading.Thread(
             target=self._accept_connections,
@@ -284,13 +285,13 @@
         self.close_request(request)
 
     def stop_accepting(self) -> None:
-        """Stops accepting connections; open ones are still served."""
-        self._accepting.clear()
-        with contextlib.suppress(OSError):
-            # Wakes the accepting thread.
-            self.socket.shutdown(socket.SHUT_RDWR)
+        """Stops accepting connections; open ones are still served.
+
+        So are those that callers have opened and the server not yet accepted.
+        """
+        self._accept_end.ring()
         if self._started:
-            self._accept_stopped.wait(2 * ACCEPT_POLL_S)
+            self._accept_stopped.wait(ACCEPT_STOP_S)
         self.socket.close()
 
     @property
@@ -299,14 +300,11 @@
         return self._connection_count
 
     def finish_request(self, request: typing.Any, address: typing.Any) -> None:
-        """Serves a connection and counts it as open meanwhile."""
-        with self._lock:
-            self._connection_count += 1
+        """Serves a connection, which is open until then."""
         try:
             super().finish_request(request, address)
         finally:
-            with self._lock:
-                self._connection_count -= 1
+            self._count_connection(-1)
 
     def drain(self) -> None:
         """Makes each connection close after its current or next response."""
@@ -331,32 +329,50 @@
         with self._lock:
             self._idle_handlers.discard(handler)
 
+    def _count_connection(self, change: int) -> None:
+        with self._lock:
+            self._connection_count += change
+
     def _accept_connections(self) -> None:
-        while self._accepting.is_set():
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        poller.register(self._accept_end, select.POLLIN)
+        is_last = False
+        while not is_last:
+            events = poller.poll()
+            is_last = any(
+                fd == self._accept_end.fileno() for fd, _event in events
+            )
+            self._accept_waiting()
+        self._accept_stopped.set()
+
+    def _accept_waiting(self) -> None:
+        """Accepts the connections that wait."""
+        while True:
             try:
                 connection, address = self.socket.accept()
-            except TimeoutError:
-                continue
+            except BlockingIOError:
+                return
             except OSError as cause:
                 # Out of file descriptors, or the caller closed the connection
                 # before it was accepted.
-                if not self._accepting.is_set():
-                    break
                 LOG.warning(
                     'accepting a connection failed',
                     extra={'cause': str(cause)},
                 )
                 time.sleep(ACCEPT_RETRY_DELAY_S)
-                continue
+                return
+            connection.setblocking(True)
             self._start_handler(connection, address)
-        self._accept_stopped.set()
 
     def _start_handler(
         self, connection: socket.socket, address: typing.Any
     ) -> None:
+        self._count_connection(1)
         try:
             self.process_request(connection, address)
         except RuntimeError as cause:
+            self._count_connection(-1)
             LOG.error(
                 'cannot start a thread for a connection',
                 extra={'cause': str(cause)},
--- a/libs/serving/tests/test_closed_connections.py
+++ b/libs/serving/tests/test_closed_connections.py
@@ -82,3 +82,44 @@
                 time.sleep(PART_INTERVAL_S)
         waited_s = time.monotonic() - started_s
         self.assertLess(waited_s, 2 * http_servers.LINGER_S)
+
+    # Guards against LOST: connections that waited to be accepted were reset
+    # with the requests that their callers had sent.
+    def test_connection_that_waits_to_be_accepted_is_served(self):
+        start_handler = self.server._start_handler
+
+        def start_slowly(connection, address):
+            time.sleep(4 * PART_INTERVAL_S)
+            start_handler(connection, address)
+
+        self.server._start_handler = start_slowly
+        self.server.start()
+        first, second = self.connect(), self.connect()
+        for sock in (first, second):
+            sock.sendall(REQUEST)
+        time.sleep(PART_INTERVAL_S)
+        self.server.drain()
+        self.server.stop_accepting()
+        for sock in (first, second):
+            self.assertIn(b' 200 ', self.read_until(sock, b'none'))
+
+    # Guards against LOST: a process that stopped did not wait for connections
+    # whose threads had yet to run.
+    def test_connection_whose_thread_has_not_run_counts_as_open(self):
+        release = threading.Event()
+        run = self.server.process_request_thread
+
+        def run_late(connection, address):
+            release.wait(TIMEOUT_S)
+            run(connection, address)
+
+        self.server.process_request_thread = run_late
+        self.server.start()
+        sock = self.connect()
+        end_s = time.monotonic() + 4 * PART_INTERVAL_S
+        while not self.server.connection_count and time.monotonic() < end_s:
+            time.sleep(0.01)
+        self.assertEqual(1, self.server.connection_count)
+        release.set()
+        sock.sendall(REQUEST)
+        self.assertIn(b' 200 ', self.read_until(sock, b'none'))
