A stop closes no connection on which a request arrives

Callers got a broken pipe from a host that stopped: their connection was idle as the host saw it, but the next request had begun to arrive, or its caller sent it right after an answer that had begun before the signal and so did not say that the connection closes.

Cause: the host ended the reading of connections whose threads had not yet seen the request (they wait for a core, say); the rest of its body was lost.

Each thread is now woken, looks itself whether something has arrived and closes only if nothing has; after an answer it waits 0.5 s for the next request, which is served or refused. The end of reading, and the mark that told it from a caller's, are gone, so the test of that mark now has the close cross the request in its two parts instead, as strictly.

Failed before, with BrokenPipeError and no answer: test_request_in_parts_that_crosses_the_close_of_idle_ones_is_served, test_next_request_after_an_answer_from_before_the_stop_is_served.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -112,7 +112,8 @@
             with (
                 self._registered(job),
                 self._disconnect_watcher.watched(
-                    reply.sock, lambda: self._interrupt(job, reply)
+                    reply.sock,
+                    lambda: job.interrupt.fire('caller disconnected'),
                 ),
             ):
                 refusal = self._run(job)
@@ -168,10 +169,6 @@
             refusal = ports.Refusal(ports.Reason.UNKNOWN, CUT_REASON)
         self._refuse(job.call, job.reply, refusal, job)
 
-    def _interrupt(self, job: jobs.Job, reply: replies.Reply) -> None:
-        if reply.shows_disconnect:
-            job.interrupt.fire('caller disconnected')
-
     def _wait_for_fleet(self, call: ports.Call) -> None:
         """Waits briefly for the fleet state on a newly started host.
 
--- a/libs/gateway/tests/test_calls.py
+++ b/libs/gateway/tests/test_calls.py
@@ -246,19 +246,16 @@
         self,
     ):
         def run(job):
+            server.close_idle()
             with contextlib.suppress(exchanges.StalledError):
                 job.interrupt.wait(futures.Future(), 300)
             return forwards.Response(200, [], b'ok')
 
         server = self.start_server(run)
-        mark_busy = server.mark_busy
-
-        def close_idle_first(handler):
-            server.close_idle()
-            mark_busy(handler)
-
-        server.mark_busy = close_idle_first
         caller = socket.create_connection(server.server_address, TIMEOUT_S)
         self.addCleanup(caller.close)
-        caller.sendall(REQUEST)
+        caller.sendall(REQUEST[:8])
+        time.sleep(0.05)
+        server.close_idle()
+        caller.sendall(REQUEST[8:])
         self.assertIn(b' 200 ', caller.recv(10_000))
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -42,6 +42,9 @@
 ACCEPT_STOP_S = 1.0
 # Pause after a failure to accept a connection.
 ACCEPT_RETRY_DELAY_S = 0.05
+# When idle connections are closed, a caller that has just got an answer may
+# have sent its next request: it has this time to arrive.
+NEXT_REQUEST_S = 0.5
 # What a caller still sends after the last answer on its connection is read for
 # this time and size. With data unread, a close would reset the connection, and
 # the caller might lose the answer.
@@ -57,9 +60,6 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
     server: 'Server'
-    # Set when this side has ended the reading: the connection then looks as if
-    # the caller had closed it.
-    reading_ended = False
 
     @property
     def is_draining(self) -> bool:
@@ -72,6 +72,11 @@
         self.rfile.close()
         self._timed_reader = timed_readers.TimedReader(self.connection)
         self.rfile = io.BufferedReader(self._timed_reader)
+        self._poller = select.poll()
+        self._poller.register(self.connection, select.POLLIN)
+        self._idle_poller = select.poll()
+        self._idle_poller.register(self.connection, select.POLLIN)
+        self._idle_poller.register(self.server.idle_end, select.POLLIN)
 
     def log_message(self, *args: object) -> None:
         """Disables the access log; applications log their requests."""
@@ -142,14 +147,27 @@
 
     def _wait_for_request(self, idle_s: float) -> bool:
         """Returns whether the first byte of a request arrived in time."""
+        if not self._has_arrived(idle_s):
+            return False
         self._timed_reader.set_deadline(time.monotonic() + idle_s)
-        self.server.mark_idle(self)
-        try:
-            return bool(self.rfile.peek(1))
-        except TimeoutError:
+        return bool(self.rfile.peek(1))
+
+    def _has_arrived(self, idle_s: float) -> bool:
+        """Waits for data until idle connections are closed.
+
+        :returns: whether there is some, or the connection has ended
+        """
+        with self._timed_reader.paused():
+            if self.rfile.peek(1):
+                return True
+        idle_since_s = time.monotonic()
+        events = self._idle_poller.poll(idle_s * 1000)
+        if any(fd == self.connection.fileno() for fd, _event in events):
+            return True
+        if not events:
             return False
-        finally:
-            self.server.mark_busy(self)
+        left_s = idle_since_s + NEXT_REQUEST_S - time.monotonic()
+        return bool(self._poller.poll(max(0.0, left_s) * 1000))
 
     def _read_request_in_time(
         self, limits: requests.LimitsLike, started_s: float
@@ -243,8 +261,8 @@
         self.application = application
         self.limits = limits
         self.draining = False
+        self.idle_end = wakeups.Wakeup()
         self._lock = threading.Lock()
-        self._idle_handlers: set[_ConnectionHandler] = set()
         self._connection_count = 0
         self._accept_end = wakeups.Wakeup()
         self._accept_stopped = threading.Event()
@@ -311,23 +329,11 @@
         self.draining = True
 
     def close_idle(self) -> None:
-        """Ends the connections that have no request in progress."""
-        with self._lock:
-            idle_handlers = list(self._idle_handlers)
-        for handler in idle_handlers:
-            handler.reading_ended = True
-            with contextlib.suppress(OSError):
-                handler.connection.shutdown(socket.SHUT_RD)
-
-    def mark_idle(self, handler: _ConnectionHandler) -> None:
-        """Marks a connection as waiting for its next request."""
-        with self._lock:
-            self._idle_handlers.add(handler)
+        """Ends the connections that have no request, from now on.
 
-    def mark_busy(self, handler: _ConnectionHandler) -> None:
-        """Marks a connection as no longer waiting for a request."""
-        with self._lock:
-            self._idle_handlers.discard(handler)
+        One that has become idle just now stays open for ``NEXT_REQUEST_S``.
+        """
+        self.idle_end.ring()
 
     def _count_connection(self, change: int) -> None:
         with self._lock:
--- a/libs/serving/masticquay_serving/replies.py
+++ b/libs/serving/masticquay_serving/replies.py
@@ -23,7 +23,6 @@
     command: str
     request_version: str
     close_connection: bool
-    reading_ended: bool
 
     @property
     def is_draining(self) -> bool:
@@ -50,11 +49,6 @@
         """The socket of the caller's connection."""
         return self._handler.connection
 
-    @property
-    def shows_disconnect(self) -> bool:
-        """Whether the connection can tell that its caller closed it."""
-        return not self._handler.reading_ended
-
     def send(
         self, status: int, headers: requests.Headers, body: bytes = b''
     ) -> None:
--- a/libs/serving/masticquay_serving/timed_readers.py
+++ b/libs/serving/masticquay_serving/timed_readers.py
@@ -1,5 +1,6 @@
 """Reads connections with a limit on the time of many reads together."""
 
+import contextlib
 import io
 import socket
 import time
@@ -25,6 +26,7 @@
         '_deadline_s',
         '_rate_bytes_per_s',
         '_extending_bytes',
+        '_is_paused',
     )
 
     def __init__(self, sock: socket.socket):
@@ -33,6 +35,7 @@
         self._deadline_s = 0.0
         self._rate_bytes_per_s = 1
         self._extending_bytes = 0
+        self._is_paused = False
 
     def set_deadline(
         self,
@@ -53,13 +56,25 @@
         """Returns True."""
         return True
 
-    def readinto(self, buffer: typing.Any) -> int:
+    @contextlib.contextmanager
+    def paused(self) -> typing.Iterator[None]:
+        """Has reads return at once in the block, as if no data had come."""
+        self._is_paused = True
+        try:
+            yield
+        finally:
+            self._is_paused = False
+
+    def readinto(self, buffer: typing.Any) -> int | None:
         """Waits for data and reads it into a buffer.
 
-        :returns: the number of bytes read, 0 at the end of the stream
+        :returns: the number of bytes read, 0 at the end of the stream, None
+            while reads are paused
         :raises TimeoutError: when the deadline has passed
         :raises CallerDisconnectedError: when the connection is broken
         """
+        if self._is_paused:
+            return None
         is_early_timeout = False
         while True:
             self._limit_wait(is_early_timeout)
--- a/libs/serving/tests/test_closed_connections.py
+++ b/libs/serving/tests/test_closed_connections.py
@@ -59,6 +59,54 @@
             received += data
         return received
 
+    # Seen: a host that closed idle connections ended the reading of one whose
+    # request had begun to arrive; its caller got no answer.
+    def test_request_in_parts_that_crosses_the_close_of_idle_ones_is_served(
+        self,
+    ):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        self.read_until(sock, b'none')
+        self.server.drain()
+        sock.sendall(CHUNKED_HEAD)
+        # The thread that reads it waits for a core meanwhile.
+        self.server.close_idle()
+        for part in (b'3\r\nabc\r\n', b'2\r\nde\r\n', b'0\r\n\r\n'):
+            time.sleep(PART_INTERVAL_S)
+            self.server.close_idle()
+            sock.sendall(part)
+        self.assertIn(b'abcde', self.read_until(sock, b'abcde'))
+
+    # Seen: callers whose answer had begun before the stop sent their next
+    # request on a connection that was closed at that moment.
+    def test_next_request_after_an_answer_from_before_the_stop_is_served(self):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(b'GET /stream HTTP/1.1\r\nHost: h\r\n\r\n')
+        self.read_until(sock, b'one')
+        self.server.drain()
+        self.server.close_idle()
+        self.may_end.set()
+        self.read_until(sock, b'0\r\n\r\n')
+        for _poll in range(3):
+            time.sleep(PART_INTERVAL_S)
+            self.server.close_idle()
+        sock.sendall(REQUEST)
+        answer = self.read_until(sock, b'none')
+        self.assertIn(b'Connection: close', answer)
+
+    def test_connection_without_a_next_request_is_closed_soon(self):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(REQUEST)
+        self.read_until(sock, b'none')
+        self.server.close_idle()
+        started_s = time.monotonic()
+        self.assertEqual(b'', sock.recv(10))
+        waited_s = time.monotonic() - started_s
+        self.assertLess(waited_s, 2 * http_servers.NEXT_REQUEST_S)
+
     # Seen: callers got a broken pipe instead of the answer that rejected their
     # request while its body still came.
     def test_caller_that_still_sends_gets_the_rejection(self):
