--- a/libs/gateway/tests/promise_plays.py
+++ b/libs/gateway/tests/promise_plays.py
@@ -85,6 +85,9 @@
         self.late_count = attempt.late_count
         self.respond()
 
+    def outlast_silence(self, hook):
+        """Does nothing, as nothing is silent in a play."""
+
     def respond(self):
         """Sets the next response."""
         if self.late_count:
