A late answer is read behind interim answers, and only if its head is whole

An endpoint that answers after a host has given a request up may send an interim answer (100, 103) first. The end of that one was taken for the end of the late answer's head. So a pause in the answer behind it was not heard, and the host sent the endpoint requests all the same; or, where a part of the second head had come in the same piece and its connection ended there, that part was believed, as http.client takes the end of the data for the end of a head: 'Pause-Ms: 30' of 'Pause-Ms: 30000'.

Now interim heads are left out, and the head that follows is parsed only once its empty line is there. The limit of 16 KiB counts all that has come.

--- a/libs/gateway/masticquay_gateway/late_answers.py
+++ b/libs/gateway/masticquay_gateway/late_answers.py
@@ -8,6 +8,7 @@
 import http.client
 import io
 import logging
+import re
 import select
 import socket
 import threading
@@ -26,7 +27,9 @@
 WAIT_MS = 2_000
 # The oldest are closed above this number.
 MAX_CONNECTIONS = 256
+# With those of interim answers before it.
 MAX_HEAD_BYTES = 16 * 1024
+INTERIM_ANSWER = re.compile(rb'HTTP/1\.\d 1\d\d[ \r]')
 HEAD_END = b'\r\n\r\n'
 READ_SIZE_BYTES = 4 * 1024
 POLL_INTERVAL_MS = 500
@@ -35,7 +38,7 @@
 class _LateAnswer:
     """A connection on which an answer may still come.
 
-    :ivar data: what has come
+    :ivar received_bytes: size of all that has come
     """
 
     __slots__ = (
@@ -44,7 +47,8 @@
         'endpoint',
         'call_id',
         'begun_s',
-        'data',
+        'received_bytes',
+        '_data',
     )
 
     def __init__(
@@ -58,7 +62,22 @@
         self.endpoint = endpoint
         self.call_id = call_id
         self.begun_s = time.monotonic()
-        self.data = b''
+        self.received_bytes = 0
+        self._data = b''
+
+    def feed(self, data: bytes) -> bytes | None:
+        """Adds data; returns the answer's head once that is whole.
+
+        Heads of interim answers before it are left out.
+        """
+        self.received_bytes += len(data)
+        self._data += data
+        while (end := self._data.find(HEAD_END)) >= 0:
+            end += len(HEAD_END)
+            head, self._data = self._data[:end], self._data[end:]
+            if INTERIM_ANSWER.match(head) is None:
+                return head
+        return None
 
     @property
     def waited_ms(self) -> float:
@@ -163,17 +182,17 @@
             return
         except OSError:
             data = b''
-        late.data += data
-        is_whole = HEAD_END in late.data
-        if data and not is_whole and len(late.data) <= MAX_HEAD_BYTES:
+        head = late.feed(data)
+        is_in_bounds = late.received_bytes <= MAX_HEAD_BYTES
+        if data and head is None and is_in_bounds:
             return
         with self._lock:
             self._close(late)
-        if is_whole:
-            self._handle_head(late)
+        if head is not None:
+            self._handle_head(late, head)
 
-    def _handle_head(self, late: _LateAnswer) -> None:
-        response = _parse(late.data)
+    def _handle_head(self, late: _LateAnswer, data: bytes) -> None:
+        response = _parse(data)
         if response is None:
             return
         headers = list(response.headers.items())
@@ -218,7 +237,10 @@
 
 
 def _parse(data: bytes) -> http.client.HTTPResponse | None:
-    """Returns the response that begins with the data, None if it is none."""
+    """Returns the response with this head, None if it is none.
+
+    The head must be whole, as ``http.client`` also believes one that is not.
+    """
     response = http.client.HTTPResponse(_Received(data))
     try:
         response.begin()
--- a/libs/gateway/tests/raw_endpoints.py
+++ b/libs/gateway/tests/raw_endpoints.py
@@ -22,7 +22,8 @@
     """Answers each request with the bytes that a script returns.
 
     ``calls`` holds the ids of the requests that it got, in order, and
-    ``connection_numbers`` the connection of each.
+    ``connection_numbers`` the connection of each. ``sockets`` holds the
+    connections. With ``ends_connections``, each ends after its first answer.
 
     :param script: called with the id of a request and the number of requests
         on its connection so far; returns the bytes to send
@@ -32,6 +33,8 @@
         self.calls = []
         self.connection_numbers = []
         self.connection_count = 0
+        self.sockets = []
+        self.ends_connections = False
         self.lock = threading.Lock()
         self.script = script
         self.listener = socket.create_server(('127.0.0.1', 0))
@@ -49,6 +52,7 @@
                 sock, _address = self.listener.accept()
                 sock.settimeout(TIMEOUT_S)
                 self.connection_count += 1
+                self.sockets.append(sock)
                 threading.Thread(
                     target=self.serve,
                     args=(sock, self.connection_count),
@@ -68,6 +72,8 @@
                     self.calls.append(call_id)
                     self.connection_numbers.append(connection_number)
                 sock.sendall(self.script(call_id, count))
+                if self.ends_connections:
+                    return
 
     def read_request(self, reader):
         """Reads a request; returns its id, None at the connection's end."""
--- a/libs/gateway/tests/test_late_answer_waits.py
+++ b/libs/gateway/tests/test_late_answer_waits.py
@@ -16,6 +16,13 @@
 GIVEN_UP_MS = 50
 PAUSE = ('Pause-Ms', '30000')
 MARK = ('Not-Run', '1')
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Between two parts of a late answer.
+PART_INTERVAL_S = 0.05
+
+
+def thread_names():
+    return {thread.name for thread in threading.enumerate()}
 
 
 class FakeWatch:
@@ -37,6 +44,7 @@
         self.addCleanup(self.stack.close)
         self.given_up = threading.Event()
         self.late = b''
+        self.parts = []
         self.server = raw_endpoints.RawEndpoint(self.stack, 0, self.answer)
         state = fakes.FakeState([self.server.endpoint])
         self.notices = fakes.make_notices(state)
@@ -53,6 +61,9 @@
 
     def answer(self, call_id, count):
         self.given_up.wait(WAIT_S)
+        for part in self.parts:
+            self.server.sockets[-1].sendall(part)
+            time.sleep(PART_INTERVAL_S)
         return self.late
 
     def give_up(self, error=exchanges.StalledError):
@@ -87,6 +98,48 @@
         self.given_up.set()
         self.wait_for(self.is_withheld)
 
+    def wait_for_refusal(self, *parts):
+        """Has a late refusal come in parts; returns whether it is kept."""
+        self.parts = parts[:-1]
+        self.late = parts[-1]
+        self.give_up()
+        self.wait_for_end()
+        # The answer is read after its connection was closed.
+        self.wait_for(lambda: 'late-answers' not in thread_names())
+        return self.is_withheld()
+
+    # Guards against incident BUDGET: an interim answer was taken for the whole
+    # late answer, so the pause behind it was not heard.
+    def test_pause_behind_an_interim_answer_is_kept(self):
+        refusal = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        self.assertTrue(self.wait_for_refusal(INTERIM + refusal))
+
+    # The same, with all of it in parts.
+    def test_pause_behind_an_interim_answer_that_came_first_is_kept(self):
+        refusal = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        for parts in (
+            (INTERIM, refusal),
+            (INTERIM + INTERIM + refusal[:9], refusal[9:]),
+            (INTERIM.replace(b'100', b'103'), refusal),
+        ):
+            self.assertTrue(self.wait_for_refusal(*parts))
+            # So that the next one meets an endpoint without a pause.
+            self.doCleanups()
+            self.setUp()
+
+    # Guards against a head that breaks off behind an interim answer: what had
+    # come of it was believed, such as the first digits of a pause.
+    def test_late_head_that_is_cut_off_is_not_believed(self):
+        refusal = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        head, _, _body = refusal.partition(b'\r\n\r\n')
+        for interim in (b'', INTERIM):
+            for length_bytes in (len(head) - 3, len(head), len(head) + 3):
+                cut = interim + refusal[:length_bytes]
+                self.server.ends_connections = True
+                self.assertFalse(self.wait_for_refusal(cut), cut)
+                self.doCleanups()
+                self.setUp()
+
     def test_late_answer_to_another_request_is_not_believed(self):
         self.late = raw_endpoints.format_answer('c0', 503, extra=[MARK, PAUSE])
         self.give_up()
