A late answer with an unreadable line is not believed

Answers that come in time are read by responses.Response, which refuses heads with an unreadable line, a carriage return within one or two lengths. A late answer was read by plain http.client, which leaves out all lines behind one that it cannot read: a stamp, or the id of another request. Such a refusal paused its endpoint.

Now both are read by the same class.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -152,13 +152,20 @@
         self._timeout_s = timeout_s
 
 
+class Source(typing.Protocol):
+    """What data is received from."""
+
+    def recv_into(self, buffer: memoryview) -> int:
+        """Receives data into a buffer; returns 0 at its end."""
+
+
 class LineReader(io.BufferedReader):
     """Buffered reader of a channel, with limits on lines.
 
     It stays open when ``http.client`` closes it after each response.
     """
 
-    def __init__(self, channel: Channel):
+    def __init__(self, channel: Source):
         super().__init__(_RawReader(channel), READ_BUFFER_BYTES)
         self._part_name = ''
         self._part_bytes = 0
@@ -248,7 +255,7 @@
 class _RawReader(io.RawIOBase):
     """Reads from a channel, unless it is paused."""
 
-    def __init__(self, channel: Channel):
+    def __init__(self, channel: Source):
         self._channel = channel
         self._is_paused = False
 
--- a/libs/gateway/masticquay_gateway/late_answers.py
+++ b/libs/gateway/masticquay_gateway/late_answers.py
@@ -14,7 +14,10 @@
 import threading
 import time
 
+from masticquay_endpoints import channels
 from masticquay_endpoints import connections
+from masticquay_endpoints import errors
+from masticquay_endpoints import responses
 from masticquay_gateway import answers
 from masticquay_gateway import ports
 from masticquay_routing import fleets
@@ -224,26 +227,32 @@
 
 
 class _Received:
-    """What ``http.client`` reads a response from."""
+    """What a response whose data has all come is read from."""
 
-    __slots__ = ('_data',)
+    __slots__ = ('_file',)
 
     def __init__(self, data: bytes):
-        self._data = data
+        self._file = io.BytesIO(data)
 
-    def makefile(self, mode: str) -> io.BytesIO:
-        """Returns a file of the received data."""
-        return io.BytesIO(self._data)
+    def recv_into(self, buffer: memoryview) -> int:
+        """Reads data into a buffer."""
+        return self._file.readinto(buffer)
 
+    def makefile(self, mode: str) -> channels.LineReader:
+        """Returns a reader of the data."""
+        return channels.LineReader(self)
 
-def _parse(data: bytes) -> http.client.HTTPResponse | None:
-    """Returns the response with this head, None if it is none.
 
-    The head must be whole, as ``http.client`` also believes one that is not.
-    """
-    response = http.client.HTTPResponse(_Received(data))
+def _parse(data: bytes) -> responses.Response | None:
+    """Returns the response with this head, None if it is none."""
+    response = responses.Response(_Received(data))
     try:
         response.begin()
-    except (http.client.HTTPException, ValueError, OSError):
+    except (
+        http.client.HTTPException,
+        errors.EndpointError,
+        ValueError,
+        OSError,
+    ):
         return None
     return response
--- a/libs/gateway/tests/test_late_answer_waits.py
+++ b/libs/gateway/tests/test_late_answer_waits.py
@@ -140,6 +140,13 @@
                 self.doCleanups()
                 self.setUp()
 
+    # The same for a line that is none: what follows it is not read.
+    def test_late_head_with_an_unreadable_line_is_not_believed(self):
+        refusal = raw_endpoints.format_answer(
+            'c1', 503, extra=[MARK, PAUSE, ('A', 'b\r\nno line'), ('B', 'c')]
+        )
+        self.assertFalse(self.wait_for_refusal(refusal))
+
     def test_late_answer_to_another_request_is_not_believed(self):
         self.late = raw_endpoints.format_answer('c0', 503, extra=[MARK, PAUSE])
         self.give_up()
