A request whose caller leaves amid its trailers is not served

A caller that closed or reset its connection behind the last chunk, before the empty line that ends the message, had its request run: the end of the connection counted as that of the trailers. Nobody waits for such a request, and it is not known whether its caller wanted it run.

Now it is dropped like one that ends within its head or its data.

Failed before, serving tests.test_cut_requests, which cuts four requests after each of their bytes, by an end and by a reset of the connection: 10 places served in each of the two, all behind '0\r\n'.

--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -35,8 +35,6 @@
     def read(self, encodings: list[str], lengths: list[str]) -> bytes:
         """Reads and returns the whole body, empty if neither header is sent.
 
-        A connection that closes within the trailers ends the body.
-
         :param encodings: values of the ``Transfer-Encoding`` headers
         :param lengths: values of the ``Content-Length`` headers
         :raises BadRequestError: if the length is ambiguous, if the length, a
@@ -44,7 +42,8 @@
             chunk's size line or before the line end after its data, or if
             the body or its trailers are too large
         :raises CallerDisconnectedError: if the connection closes within a
-            body sent with a length, or within the data of a chunk
+            body sent with a length, within the data of a chunk, or within the
+            trailers
         """
         if encodings:
             codings = [encoding.strip().lower() for encoding in encodings]
@@ -92,13 +91,14 @@
         return size
 
     def _check_trailers(self) -> None:
-        """Reads the trailers, which are not used, up to the empty line."""
+        """Reads the trailers, which are not used, up to the empty line.
+
+        :raises BadRequestError: if they are unreadable or too many
+        :raises CallerDisconnectedError: if the connection closes before it
+        """
         lines = heads.HeaderLines(self._stream, self._trailers_limit_bytes)
         for _line in range(MAX_TRAILERS + 1):
-            try:
-                line = lines.readline()
-            except errors.CallerDisconnectedError:
-                return
+            line = lines.readline()
             if line in heads.EMPTY_LINES:
                 return
             if not heads.is_header_line(line):
