--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -19,14 +19,25 @@
 
 
 class Answer:
-    """The answer to a request."""
+    """The answer to a request.
 
-    __slots__ = ('status', 'headers', 'body')
+    :param is_framed: whether the answer itself says where the body ends. If
+        not, it ended with the connection, so a part of it may be missing.
+    """
+
+    __slots__ = ('status', 'headers', 'body', 'is_framed')
 
-    def __init__(self, status: int, headers: requests.Headers, body: bytes):
+    def __init__(
+        self,
+        status: int,
+        headers: requests.Headers,
+        body: bytes,
+        is_framed: bool,
+    ):
         self.status = status
         self.headers = headers
         self.body = body
+        self.is_framed = is_framed
 
 
 class Client:
@@ -87,10 +98,13 @@
         try:
             self._connection.request(method, target, body, headers or {})
             response = self._connection.getresponse()
+            is_framed = response.chunked or response.length is not None
             content = self._read_body(response)
         except (OSError, http.client.HTTPException, ValueError) as cause:
             raise errors.ExchangeError(type(cause).__name__) from cause
-        return Answer(response.status, response.getheaders(), content)
+        return Answer(
+            response.status, response.getheaders(), content, is_framed
+        )
 
     def abort(self) -> None:
         """Resets the connection; data not yet delivered is discarded."""
