A stream that its connection ends before the first event is not whole

An answer without a length ends with its connection. If an engine ended right behind the head of such an answer, its caller got a stream without an event that was ended as a whole one (200, empty body), and so did a caller whose stream another engine was to go on with: the rest of it was left out.

Now such an answer counts as broken off, unless it says itself that it is empty: the stream is resumed where that is allowed, or aborted. A stream with events and no length still ends with its connection, as it may.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -26,6 +26,7 @@
 HEAD_TIMEOUT_MS = 1_000
 # A stream without a complete event for this time counts as broken.
 MAX_STREAM_GAP_MS = 2_500
+LENGTH_HEADERS = ('Content-Length', 'Transfer-Encoding')
 # Who resumed a broken stream, in logs and metrics: its caller with another
 # request, or this host within one response.
 RESUMED_BY_CALLER = 'caller'
@@ -62,7 +63,8 @@
 
         :raises NotRunError: if the engine refused the request
         :raises EngineFailedError: if the engine returned an error response
-        :raises TruncatedStreamError: if the stream ended within an event
+        :raises TruncatedStreamError: if the stream ended within an event, or
+            its connection before the first one
         :raises ResponseMismatchError: if it is not this request's response
         :raises EndpointError: if the connection failed
         :raises InterruptedCallError: if the caller disconnected
@@ -179,6 +181,8 @@
             raise errors.TruncatedStreamError(
                 f'stream is {exchange.response.length} bytes short'
             )
+        if not stream.engine_began_s and not _says_its_end(exchange):
+            raise errors.TruncatedStreamError('stream ended before an event')
         exchange.mark_finished()
         job.reply.finish()
 
@@ -280,6 +284,14 @@
     return data
 
 
+def _says_its_end(exchange: paths.Exchange) -> bool:
+    """Whether the answer says where it ends, not only its connection.
+
+    By way of a peer, too, the headers are those of the engine.
+    """
+    return any(name in exchange.response.headers for name in LENGTH_HEADERS)
+
+
 def _split(splitter: events.EventSplitter, data: bytes) -> bytes:
     """Returns the events that are now complete.
 
--- a/libs/gateway/tests/raw_endpoints.py
+++ b/libs/gateway/tests/raw_endpoints.py
@@ -5,6 +5,7 @@
 import threading
 
 from masticquay_routing import fleets
+from masticquay_serving import replies
 
 TIMEOUT_S = 5.0
 
@@ -23,7 +24,8 @@
 
     ``calls`` holds the ids of the requests that it got, in order, and
     ``connection_numbers`` the connection of each. ``sockets`` holds the
-    connections. With ``ends_connections``, each ends after its first answer.
+    connections. With ``ends_after``, each ends after so many answers; with
+    ``resets``, by a reset.
 
     :param script: called with the id of a request and the number of requests
         on its connection so far; returns the bytes to send
@@ -34,7 +36,8 @@
         self.connection_numbers = []
         self.connection_count = 0
         self.sockets = []
-        self.ends_connections = False
+        self.ends_after = None
+        self.resets = False
         self.lock = threading.Lock()
         self.script = script
         self.listener = socket.create_server(('127.0.0.1', 0))
@@ -72,9 +75,17 @@
                     self.calls.append(call_id)
                     self.connection_numbers.append(connection_number)
                 sock.sendall(self.script(call_id, count))
-                if self.ends_connections:
+                if count == self.ends_after:
+                    self.end(sock)
                     return
 
+    def end(self, sock):
+        """Prepares the end of a connection."""
+        if self.resets:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, replies.ABORT_LINGER
+            )
+
     def read_request(self, reader):
         """Reads a request; returns its id, None at the connection's end."""
         call_id = ''
--- a/libs/gateway/tests/test_late_answer_waits.py
+++ b/libs/gateway/tests/test_late_answer_waits.py
@@ -135,7 +135,7 @@
         for interim in (b'', INTERIM):
             for length_bytes in (len(head) - 3, len(head), len(head) + 3):
                 cut = interim + refusal[:length_bytes]
-                self.server.ends_connections = True
+                self.server.ends_after = 1
                 self.assertFalse(self.wait_for_refusal(cut), cut)
                 self.doCleanups()
                 self.setUp()
