--- /dev/null
+++ b/libs/serving/tests/test_cut_answers.py
@@ -0,0 +1,102 @@
+"""Tests of answers that break off, at each of their bytes."""
+
+import contextlib
+import socket
+import threading
+import unittest
+
+from masticquay_serving import errors
+from masticquay_serving import http_clients
+from masticquay_serving import replies
+
+TIMEOUT_S = 2.0
+LIMIT_BYTES = 10_000
+HEAD = b'HTTP/1.1 200 OK\r\nA: b\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+LENGTH = HEAD + b'Content-Length: 12\r\n\r\n{"some": 12}'
+SAMPLES = (
+    LENGTH,
+    CHUNKED + b'1a\r\n0123456789abcdefghijklmnop\r\n2;x=y\r\nqr\r\n0\r\n\r\n',
+    CHUNKED + b'3\r\nabc\r\n0\r\nA: b\r\nC: d\r\n\r\n',
+    b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Go\r\nA: b\r\n\r\n' + LENGTH,
+)
+UNFRAMED = HEAD + b'\r\nsome body'
+
+
+class CutAnswerTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.data = b''
+        self.before = []
+        self.resets = False
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self.listener.getsockname()
+        self.address = f'{host}:{port}'
+        self.stack.callback(self.listener.close)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _address = self.listener.accept()
+                with sock, contextlib.suppress(OSError):
+                    sock.settimeout(TIMEOUT_S)
+                    for answer in [*self.before, self.data]:
+                        sock.recv(65_536)
+                        sock.sendall(answer)
+                    if self.resets:
+                        sock.setsockopt(
+                            socket.SOL_SOCKET,
+                            socket.SO_LINGER,
+                            replies.ABORT_LINGER,
+                        )
+
+    def read_cut(self, answer):
+        """Returns an answer that is cut off, None if it is refused."""
+        self.data = answer
+        client = http_clients.Client(self.address, TIMEOUT_S, LIMIT_BYTES)
+        try:
+            for _ in self.before:
+                client.call('GET', '/')
+            with contextlib.suppress(errors.ExchangeError):
+                return client.call('GET', '/')
+        finally:
+            client.close()
+        return None
+
+    def find_believed(self):
+        """Returns the places at which a cut answer counts as whole."""
+        return [
+            sample[length_bytes:]
+            for sample in SAMPLES
+            for length_bytes in range(len(sample))
+            if self.read_cut(sample[:length_bytes]) is not None
+        ]
+
+    def test_whole_answers_are_read(self):
+        for sample in SAMPLES:
+            self.assertTrue(self.read_cut(sample).is_framed)
+
+    def test_answer_that_is_cut_off_anywhere_is_none(self):
+        self.assertEqual([], self.find_believed())
+
+    def test_answer_that_is_reset_anywhere_is_none(self):
+        self.resets = True
+        self.assertEqual([], self.find_believed())
+
+    def test_second_answer_that_is_cut_off_anywhere_is_none(self):
+        self.before = [LENGTH]
+        self.assertEqual([], self.find_believed())
+
+    def test_body_without_a_length_is_told_from_a_framed_one(self):
+        head_bytes = UNFRAMED.index(b'some body')
+        for self.resets in (False, True):
+            for length_bytes in range(len(UNFRAMED) + 1):
+                answer = self.read_cut(UNFRAMED[:length_bytes])
+                if self.resets or length_bytes < head_bytes:
+                    self.assertIsNone(answer)
+                    continue
+                body = UNFRAMED[head_bytes:length_bytes]
+                self.assertEqual(body, answer.body)
+                self.assertFalse(answer.is_framed)
