All of a large piece of a peer's answer is read

An answer by way of a peer comes in pieces. When the last one came, the answer counted as read to its end, though only the beginning of that piece had been read: a body could be passed on short and framed as whole. A host sends pieces as large as what the other reads at a time, so this was not seen; it would be with two revisions that differ in that size.

Now the answer has ended once all of the last piece was read.

Failed before, gateway tests.test_peer_exchanges: large_last_piece_of_a_peer_is_read_wholly: 16 KiB of 80 KiB. With it: answers by way of a peer cut off at each byte, as guards (passed before).

--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -39,7 +39,7 @@
 class PeerResponse:
     """An endpoint's answer as it comes from the peer.
 
-    :ivar length: None until it is whole, then 0
+    :ivar length: None until all of it was read, then 0
     """
 
     __slots__ = (
@@ -50,6 +50,7 @@
         'length',
         '_receive',
         '_data',
+        '_has_ended',
     )
 
     def __init__(
@@ -67,21 +68,23 @@
         self.length: int | None = None
         self._receive = receive
         self._data = b''
+        self._has_ended = False
 
     def read1(self, size_bytes: int) -> bytes:
         """Returns further data of the body, nothing at its end."""
-        while not self._data and self.length is None:
+        while not self._data and not self._has_ended:
             piece = self._receive()
             self._data = piece.data
-            if piece.is_last:
-                self.length = 0
+            self._has_ended = piece.is_last
         data, self._data = self._data[:size_bytes], self._data[size_bytes:]
+        if self._has_ended and not self._data:
+            self.length = 0
         return data
 
     @property
     def is_read(self) -> bool:
         """Whether the whole body was read."""
-        return self.length == 0 and not self._data
+        return self.length == 0
 
     def close(self) -> None:
         """Does nothing, as the link stays open."""
--- a/libs/gateway/tests/test_cut_answers.py
+++ b/libs/gateway/tests/test_cut_answers.py
@@ -15,15 +15,19 @@
 from masticquay_gateway import failures
 from masticquay_gateway import forwards
 from masticquay_gateway import paths
+from masticquay_gateway import peer_exchanges
+from masticquay_gateway import peer_links
 from masticquay_gateway import placed_requests
 from masticquay_gateway import ports
 from masticquay_gateway import prefills
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_routing import fleets
 from masticquay_routing import tables
 from masticquay_serving import counters
 from tests import fakes
 from tests import raw_endpoints
+from tests import test_peer_exchanges
 from tests import test_prefills
 from tests import test_streams
 
@@ -223,6 +227,51 @@
         self.assertEqual({None}, {o[3] for o in outcomes if o[1] or o[2] < 0})
 
 
+class CutPeerAnswerTest(CutAnswerTest):
+    """Answers that come by way of another entry host."""
+
+    def setUp(self):
+        super().setUp()
+        peer = test_peer_exchanges.Peer(self.stack, 'h0', self.state)
+        self.links = peer_links.PeerLinks(
+            fleets.Host('own', '', 'p1'),
+            test_peer_exchanges.SECRET,
+            lambda: [peer.host],
+        )
+        self.stack.callback(self.links.close)
+
+    def run_by_peer(self):
+        """Returns the body, or the type of the error."""
+        with peer_exchanges.PeerExchange(
+            self.links,
+            self.server.endpoint,
+            ports.ExchangePurpose('c1'),
+            interrupts.Interrupt(),
+            counters.Registry(),
+        ) as exchange:
+            exchange.connect()
+            try:
+                exchange.send('POST', '/x', [('Call', 'c1')], b'', 2_000)
+                return exchange.read_body(1_000)
+            except exchanges.EndpointError as cause:
+                return type(cause)
+
+    def test_answer_that_is_cut_off_anywhere_is_none(self):
+        outcomes = self.play(self.run_by_peer, b'some body', (LENGTH, CHUNKS))
+        self.assertEqual(
+            {exchanges.EndpointError}, {outcome[3] for outcome in outcomes}
+        )
+
+    def test_body_without_a_length_ends_with_its_connection_only(self):
+        for _, resets, length, outcome in self.play(
+            self.run_by_peer, b'some body', (NONE,)
+        ):
+            expected = exchanges.EndpointError
+            if not resets and length >= 0:
+                expected = b'some body'[:length]
+            self.assertEqual(expected, outcome)
+
+
 class CutStreamAnswerTest(CutAnswerTest):
     """Streams of decode engines, fresh and resumed ones."""
 
--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -6,11 +6,13 @@
 import unittest
 
 from masticquay_endpoints import interrupts
+from masticquay_endpoints import whole_bodies
 from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import peer_exchanges
 from masticquay_gateway import peer_links
+from masticquay_gateway import peer_messages
 from masticquay_gateway import peer_services
 from masticquay_gateway import ports
 from masticquay_routing import fleets
@@ -290,6 +292,18 @@
                 peer.service.close()
             exchange.response.read1(100)
 
+    # Guards against a body that is cut short: a piece of a peer that is larger
+    # than what is read at a time counted as read with its beginning.
+    def test_large_last_piece_of_a_peer_is_read_wholly(self):
+        data = bytes(5 * whole_bodies.READ_BYTES)
+        head = peer_messages.PeerHead(200, [])
+        exchange = self.stack.enter_context(self.open())
+        exchange.response = peer_exchanges.PeerResponse(
+            head, lambda: peer_messages.PeerData(data, True)
+        )
+        exchange.connection.set_timeout(TIMEOUT_MS)
+        self.assertEqual(data, exchange.read_body(len(data)))
+
     # The users' BUDGET: a server that asked a host for rest gets nothing from
     # it, by way of that host neither.
     def test_peer_sends_nothing_to_an_endpoint_that_wants_a_pause_of_it(self):
