An answer that is interrupted at a peer is not passed on as whole

A host that runs a request for another one ends it by an interrupt when the link between them ends. For an answer without a length, the end of the connection by that interrupt looked like the end of the body, so the peer sent what had come as a whole answer. It went over a link that was mostly ended by then; between the interrupt and the end of the link (after a message that could not be decoded) the other host could have got it. Streams of a host's own callers have had this check; here it lacked.

--- a/libs/gateway/masticquay_gateway/peer_services.py
+++ b/libs/gateway/masticquay_gateway/peer_services.py
@@ -210,20 +210,25 @@
             exchange.connection.set_timeout(
                 int((due_s - time.monotonic()) * 1000)
             )
-            self._pass_body(link, exchange)
+            self._pass_body(link, exchange, interrupt)
 
     def _pass_body(
         self,
         link: exchange_links.ExchangeLink,
         exchange: connections.Exchange,
+        interrupt: interrupts.Interrupt,
     ) -> None:
         """Passes the body on.
 
         :raises EndpointError: if it ends early
+        :raises InterruptedCallError: if the interrupt was fired
         """
         while True:
             with exchange.translate_errors():
                 data = exchange.response.read1(READ_SIZE_BYTES)
+            # An interrupt ends the connection, which looks like the end.
+            if not data:
+                interrupt.check()
             is_last = not data or exchange.response.length == 0
             if not data and exchange.response.length:
                 raise exchanges.EndpointError('response body is short')
--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -304,6 +304,35 @@
         exchange.connection.set_timeout(TIMEOUT_MS)
         self.assertEqual(data, exchange.read_body(len(data)))
 
+    # Guards against a body without a length that counts as whole, as the
+    # interrupt of its request ends its connection like its end does.
+    def test_interrupted_answer_is_not_passed_on_as_whole(self):
+        sent = []
+
+        class Link:
+            def send(self, message):
+                sent.append(message)
+                if isinstance(message, peer_messages.PeerData):
+                    interrupt.fire('peer left')
+
+        interrupt = interrupts.Interrupt()
+        endless = fakes.FakeEndpoint(self.stack, 1, self.send_without_end)
+        request = peer_messages.PeerRequest(
+            'e1', 0, 'c1', 'POST', '/x', [('Call', 'c1')], b'', 2_000, 2_000,
+            False,
+        )  # fmt: skip
+        with self.assertRaises(exchanges.InterruptedCallError):
+            self.peers[0].service._exchange(
+                Link(), request, endless.endpoint, interrupt
+            )
+        self.assertEqual([False], [message.is_last for message in sent[1:]])
+
+    def send_without_end(self, request, reply):
+        """Sends a part of an answer without a length."""
+        reply.sock.sendall(b'HTTP/1.1 200 OK\r\nCall: c1\r\n\r\nsome')
+        self.release.wait(WAIT_S)
+        raise ConnectionAbortedError
+
     # The users' BUDGET: a server that asked a host for rest gets nothing from
     # it, by way of that host neither.
     def test_peer_sends_nothing_to_an_endpoint_that_wants_a_pause_of_it(self):
