A late answer is waited for though an interim one came in time

An endpoint that had sent only an interim answer (100, 103) in the time of a request counted as one that had begun its answer, so the connection was closed, and a pause or a notice in the late answer behind it was lost: the host went on to send it requests.

Now a connection is read on if nothing has come but whole interim answers. One on which a part of the answer itself came is closed as before: that part is lost in the reader.

--- a/libs/endpoints/masticquay_endpoints/channels.py
+++ b/libs/endpoints/masticquay_endpoints/channels.py
@@ -170,6 +170,27 @@
         self._part_name = ''
         self._part_bytes = 0
         self._part_begun = False
+        self._line_bytes = 0
+        self._bytes_before = 0
+
+    def begin_exchange(self) -> None:
+        """Begins the answers to a request; nothing of them has come yet."""
+        self._line_bytes = 0
+        self._bytes_before = self.raw.received_bytes
+
+    @property
+    def is_between_answers(self) -> bool:
+        """Whether nothing has come but whole interim answers, or nothing.
+
+        It holds from ``begin_exchange`` to the answer itself. Not once the
+        connection has ended.
+        """
+        received_bytes = self.raw.received_bytes - self._bytes_before
+        return (
+            not self._part_begun
+            and not self.raw.has_ended
+            and received_bytes == self._line_bytes
+        )
 
     def begin_part(
         self, name: str, limit_bytes: int, is_first: bool = False
@@ -208,6 +229,7 @@
             )
         self._part_begun = True
         self._part_bytes -= len(line)
+        self._line_bytes += len(line)
         return line
 
     def read_arrived(self, size_bytes: int) -> bytes:
@@ -253,11 +275,17 @@
 
 
 class _RawReader(io.RawIOBase):
-    """Reads from a channel, unless it is paused."""
+    """Reads from a channel, unless it is paused.
+
+    :ivar received_bytes: size of all that has come
+    :ivar has_ended: whether the connection has ended
+    """
 
     def __init__(self, channel: Source):
         self._channel = channel
         self._is_paused = False
+        self.received_bytes = 0
+        self.has_ended = False
 
     def readable(self) -> bool:
         return True
@@ -265,7 +293,10 @@
     def readinto(self, buffer: memoryview) -> int | None:
         if self._is_paused:
             return None
-        return self._channel.recv_into(buffer)
+        count = self._channel.recv_into(buffer)
+        self.received_bytes += count
+        self.has_ended = count == 0
+        return count
 
     @contextlib.contextmanager
     def paused(self) -> typing.Iterator[None]:
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -283,6 +283,7 @@
         self._method = method
         connection.exchange_count += 1
         connection.channel.set_due(due_s)
+        connection.reader.begin_exchange()
         with self.translate_errors():
             try:
                 request_writers.write_request(
@@ -441,12 +442,12 @@
             connection.close()
 
     def _may_answer_late(self, connection: Connection) -> bool:
-        """Whether the whole request was sent and nothing has come yet."""
+        """Whether all was sent, and nothing came but interim answers."""
         return (
             self._is_sent
             and self.response is None
             and not self._interrupt.reason
-            and not connection.channel.received
+            and connection.reader.is_between_answers
         )
 
     def _give_up(self, connection: Connection) -> None:
--- a/libs/gateway/tests/test_late_answer_waits.py
+++ b/libs/gateway/tests/test_late_answer_waits.py
@@ -44,6 +44,7 @@
         self.addCleanup(self.stack.close)
         self.given_up = threading.Event()
         self.late = b''
+        self.in_time = b''
         self.parts = []
         self.server = raw_endpoints.RawEndpoint(self.stack, 0, self.answer)
         state = fakes.FakeState([self.server.endpoint])
@@ -60,6 +61,7 @@
         self.interrupt = interrupts.Interrupt()
 
     def answer(self, call_id, count):
+        self.server.sockets[-1].sendall(self.in_time)
         self.given_up.wait(WAIT_S)
         for part in self.parts:
             self.server.sockets[-1].sendall(part)
@@ -127,6 +129,22 @@
             self.doCleanups()
             self.setUp()
 
+    # The same, where the interim answer was the only one in time.
+    def test_pause_behind_an_interim_answer_in_time_is_kept(self):
+        refusal = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        for self.in_time in (INTERIM, INTERIM + INTERIM):
+            self.assertTrue(self.wait_for_refusal(refusal))
+            self.doCleanups()
+            self.setUp()
+
+    # An answer of which a part came in time can't be read on.
+    def test_answer_that_began_in_time_is_not_waited_for(self):
+        refusal = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        for cut in (3, len(INTERIM) + 3):
+            self.in_time = (INTERIM + refusal)[:cut]
+            self.give_up()
+            self.assertEqual(0, self.answers.waiting_count)
+
     # Guards against a head that breaks off behind an interim answer: what had
     # come of it was believed, such as the first digits of a pause.
     def test_late_head_that_is_cut_off_is_not_believed(self):
