--- a/libs/gateway/tests/test_cut_answers.py
+++ b/libs/gateway/tests/test_cut_answers.py
@@ -34,6 +34,8 @@
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 LENGTH, CHUNKS, NONE = 'length', 'chunks', 'none'
 FRAMINGS = (LENGTH, CHUNKS, NONE)
+STOP_TIMEOUT_MS = 60
+STOP_STEP_BYTES = 5
 EVENTS = [b'id: %d\ndata: x\n\n' % n for n in range(3, 6)]
 STREAM = b''.join(EVENTS)
 
@@ -94,13 +96,17 @@
 class CutPlainAnswerTest(CutAnswerTest):
     """Answers to plain requests, which may run once only."""
 
+    timeout_ms = 2_000
+
     def run_plain(self):
         """Returns the status and body of an answer, or the refusal's word."""
         notices = fakes.make_notices(self.state)
         with contextlib.ExitStack() as stack:
             forwarder = fakes.make_forwarder(stack, self.state, notices)
-            job = fakes.make_job(fakes.make_route(tables.RouteKind.ONCE))
-            outcome = forwarder.run(job)
+            route = fakes.make_route(
+                tables.RouteKind.ONCE, timeout_ms=self.timeout_ms
+            )
+            outcome = forwarder.run(fakes.make_job(route))
         if isinstance(outcome, forwards.Response):
             return outcome.status, outcome.body
         return outcome.reason
@@ -134,6 +140,17 @@
             self.play(self.run_plain, b'body', (LENGTH, CHUNKS), INTERIM)
         )
 
+    # The connection stays open, and the time of the request cuts it off.
+    def test_answer_that_stops_anywhere_is_none_and_keeps_no_connection(self):
+        self.server.ends_after = None
+        self.timeout_ms = STOP_TIMEOUT_MS
+        for framing in FRAMINGS:
+            answer = b''.join(make_answer(framing, b'some body'))
+            for cut in range(0, len(answer), STOP_STEP_BYTES):
+                self.sent = answer[:cut]
+                self.assertIs(ports.Reason.TIMED_OUT, self.run_plain())
+        self.assertEqual(self.server.connection_count, len(self.server.calls))
+
     def test_body_without_a_length_ends_with_its_connection_only(self):
         for _, resets, length, outcome in self.play(
             self.run_plain, b'some body', (NONE,)
