Stand-ins do not run requests that are cut off

http.server takes a head that the connection's end cuts off for a whole one. So a stand-in recorded and ran a request whose sender had ended amid its head or body, without the headers that were missing, and a checker could take that for a fault of the product.

--- a/libs/standins/masticquay_standins/servers.py
+++ b/libs/standins/masticquay_standins/servers.py
@@ -111,6 +111,25 @@
         """Returns the response to a request."""
 
 
+class _WholeLines:
+    """Reads lines; ``http.client`` believes those that are cut off."""
+
+    __slots__ = ('_stream',)
+
+    def __init__(self, stream: typing.BinaryIO):
+        self._stream = stream
+
+    def readline(self, size: int = -1) -> bytes:
+        """Returns the next line.
+
+        :raises ConnectionError: if the connection ended within it
+        """
+        line = self._stream.readline(size)
+        if not line.endswith(b'\n') and len(line) != size:
+            raise ConnectionError('connection ended within a head')
+        return line
+
+
 class _Handler(server.BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     timeout = IDLE_TIMEOUT_S
@@ -127,9 +146,23 @@
     def log_message(self, format: str, *args: typing.Any) -> None:
         pass
 
+    def parse_request(self) -> bool:
+        """Reads the head of a request.
+
+        :raises ConnectionError: if the connection ended within it
+        """
+        stream = self.rfile
+        self.rfile = _WholeLines(stream)
+        try:
+            return super().parse_request()
+        finally:
+            self.rfile = stream
+
     def _serve(self) -> None:
         length = int(self.headers.get('Content-Length') or 0)
         body = self.rfile.read(length) if length else b''
+        if len(body) < length:
+            raise ConnectionError('connection ended within a body')
         path, _, query = self.path.partition('?')
         request = Request(
             self.command,
