A full disk no longer ends a control process

Here a write that found no room counted as a failed sync: the process ended, and again at each start that had to write, until there was room. Without something that starts it again it stays away.

A write that finds no room is not a failed sync. It leaves no doubt about what is stored, once its own torn tail is cut. A failed sync still ends the process.

The size that triggers a compaction counted no sync markers; it does now, and temporary files of an interrupted replace are removed at the start.

--- a/libs/consensus/masticquay_consensus/appliers.py
+++ b/libs/consensus/masticquay_consensus/appliers.py
@@ -1,5 +1,7 @@
 """Applies committed entries, takes and installs snapshots."""
 
+import typing
+
 from masticquay_consensus import errors
 from masticquay_consensus import followers
 from masticquay_consensus import leaders
@@ -12,6 +14,8 @@
 # When the log file is larger than this, a snapshot is taken early, and no
 # entries that the snapshot covers stay in the log.
 MAX_LOG_FILE_BYTES = 8 * 1024 * 1024
+# The delay after a snapshot or a compaction for which the disk had no room.
+ROOM_RETRY_MS = 250
 
 
 class Applier:
@@ -34,6 +38,9 @@
         self._state_machine = state_machine
         self._follower = follower
         self._leader = leader
+        self._retry_ms = states.NEVER_MS
+        # The index up to which the log is to be compacted, None for none.
+        self._compaction_index: int | None = None
         self.role_hooks: list[protocols.RoleHook] = []
 
     def apply(self) -> bool:
@@ -42,13 +49,25 @@
         Installs a snapshot that the leader sent, applies committed entries,
         completes proposals, calls role hooks, and takes a snapshot.
 
-        :returns: whether there was anything to do
+        What the disk has no room for is tried again later.
+
+        :returns: whether anything was done
         """
-        installed = self._install_snapshot()
+        installed = self._try_to_store(self._install_snapshot)
         applied = self._apply_entries()
         delivered = self.deliver_completions()
-        snapshot_taken = self._take_snapshot_if_due()
-        return installed or applied or delivered or snapshot_taken
+        stored = self._try_to_store(self._take_snapshot_if_due)
+        return installed or applied or delivered or stored
+
+    def _try_to_store(self, step: typing.Callable[[], bool]) -> bool:
+        now_ms = self._state.clock.now_ms()
+        if now_ms < self._retry_ms:
+            return False
+        try:
+            return step()
+        except errors.NoRoomError:
+            self._retry_ms = now_ms + ROOM_RETRY_MS
+            return False
 
     def has_work(self) -> bool:
         """Whether ``apply`` has anything to do but take a snapshot.
@@ -86,7 +105,7 @@
             snapshot = self._decode_snapshot(incoming)
             state.installing_snapshot = snapshot is not None
         if snapshot is not None:
-            self._store.save_snapshot(snapshot)
+            self._store_received(snapshot)
             self._state_machine.restore(snapshot.data, snapshot.index)
         with state.lock:
             if snapshot is not None:
@@ -110,9 +129,23 @@
             return None
         return snapshot
 
+    def _store_received(self, snapshot: stores.Snapshot) -> None:
+        """Stores a snapshot of the leader and drops the log before it.
+
+        :raises NoRoomError: when the disk has no room for either; the state
+            machine and the log are as before
+        """
+        try:
+            self._store.save_snapshot(snapshot)
+            with self._state.lock:
+                self._store.raft_log.compact(snapshot.index, snapshot.term)
+        except errors.NoRoomError:
+            with self._state.lock:
+                self._state.installing_snapshot = False
+            raise
+
     def _finish_install(self, snapshot: stores.Snapshot) -> None:
         state = self._state
-        self._store.raft_log.compact(snapshot.index, snapshot.term)
         state.reset_configurations(snapshot.index, snapshot.configuration)
         state.commit(snapshot.index)
         state.applied_index = snapshot.index
@@ -178,7 +211,9 @@
         """Takes a snapshot and compacts the log, if it has grown enough.
 
         :returns: whether a snapshot was taken
+        :raises NoRoomError: when the disk has no room for it
         """
+        self._compact()
         state = self._state
         with state.lock:
             if not self._store.formed:
@@ -188,13 +223,15 @@
             entries_since_snapshot = index - self._store.snapshot_index
             log_is_large = (
                 raft_log.size_bytes > MAX_LOG_FILE_BYTES
-                and entries_since_snapshot
+                and entries_since_snapshot > 0
             )
             if (
                 entries_since_snapshot
                 < self._settings.snapshot_interval_entries
                 and not log_is_large
             ):
+                if self._follower.received_snapshot() is None:
+                    self._store.room.note_found(stores.SNAPSHOT_FILE)
                 return False
             term = raft_log.term_at(index)
             configuration = state.configuration_at(index)
@@ -211,6 +248,20 @@
                 retained_from = min(
                     retained_from, self._leader.snapshot_retention_index()
                 )
-            base_index = max(raft_log.base_index, retained_from)
-            raft_log.compact(base_index, raft_log.term_at(base_index))
+            self._compaction_index = retained_from
+        self._compact()
         return True
+
+    def _compact(self) -> None:
+        """Removes the entries from the log that a snapshot made obsolete.
+
+        :raises NoRoomError: when the disk has no room for the new log; it is
+            tried again then
+        """
+        if self._compaction_index is None:
+            return
+        with self._state.lock:
+            raft_log = self._store.raft_log
+            index = max(raft_log.base_index, self._compaction_index)
+            raft_log.compact(index, raft_log.term_at(index))
+        self._compaction_index = None
--- a/libs/consensus/masticquay_consensus/disks.py
+++ b/libs/consensus/masticquay_consensus/disks.py
@@ -1,6 +1,7 @@
 """Durable access to the files in the data folder of a replica."""
 
 import contextlib
+import errno
 import fcntl
 import os
 import pathlib
@@ -10,15 +11,17 @@
 
 _LOCK_FILE = 'lock'
 _TEMPORARY_SUFFIX = '.new'
+_NO_ROOM_NUMBERS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 class AppendFile(typing.Protocol):
     """A file that is open for appending."""
 
     def append(self, data: bytes) -> None:
-        """Appends data.
+        """Appends data, or nothing of it.
 
-        :raises StorageError: when the disk failed or is full
+        :raises NoRoomError: when the disk is full
+        :raises StorageError: when the disk failed
         """
 
     def sync(self) -> None:
@@ -36,7 +39,8 @@
 class Disk(typing.Protocol):
     """A folder of files that are durable once synced.
 
-    The methods that access files raise StorageError when the disk fails.
+    The methods that access files raise StorageError when the disk fails, those
+    that write raise NoRoomError when it is full.
     """
 
     def names(self) -> list[str]:
@@ -59,18 +63,34 @@
 
 
 class OsAppendFile:
-    """An append file on a file system."""
+    """An append file on a file system.
 
-    __slots__ = ('_fd',)
+    A write that found no room may have left a part of its data. That is cut
+    off before anything else is appended.
+    """
+
+    __slots__ = ('_fd', '_size_bytes', '_is_torn')
 
     def __init__(self, path: pathlib.Path):
         with _convert_os_errors():
             self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+            self._size_bytes = os.fstat(self._fd).st_size
+        self._is_torn = False
 
     def append(self, data: bytes) -> None:
-        """Appends data."""
-        with _convert_os_errors():
-            _write_all(self._fd, data)
+        """Appends data, or nothing of it."""
+        with _convert_write_errors():
+            if self._is_torn:
+                self._cut_torn_tail()
+            self._is_torn = True
+            try:
+                _write_all(self._fd, data)
+            except OSError:
+                with contextlib.suppress(OSError):
+                    self._cut_torn_tail()
+                raise
+            self._is_torn = False
+            self._size_bytes += len(data)
 
     def sync(self) -> None:
         """Returns once all appended data is durable."""
@@ -81,22 +101,31 @@
         """Closes the file."""
         os.close(self._fd)
 
+    def _cut_torn_tail(self) -> None:
+        os.ftruncate(self._fd, self._size_bytes)
+        self._is_torn = False
+
 
 class OsDisk:
     """A folder of a file system, locked against other processes.
 
+    The temporary files of a ``replace`` that was interrupted are removed, as
+    their room may be needed.
+
+    :raises NoRoomError: when the disk has no room for the folder
     :raises StorageError: when the folder cannot be created or is in use
     """
 
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
-        with contextlib.ExitStack() as stack, _convert_os_errors():
+        with contextlib.ExitStack() as stack, _convert_write_errors():
             folder.mkdir(parents=True, exist_ok=True)
             self._folder_fd = os.open(folder, os.O_RDONLY)
             stack.callback(os.close, self._folder_fd)
             lock = os.open(folder / _LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
             stack.callback(os.close, lock)
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self._remove_temporary_files()
             self._stack = stack.pop_all()
 
     def names(self) -> list[str]:
@@ -120,15 +149,20 @@
                 return None
 
     def replace(self, name: str, data: bytes) -> None:
-        """Writes and syncs a temporary file, renames it, syncs the folder."""
+        """Writes and syncs a temporary file, renames it, syncs the folder.
+
+        Without room the temporary file is removed.
+        """
         temporary = self._folder / (name + _TEMPORARY_SUFFIX)
-        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-        with _convert_os_errors(), contextlib.ExitStack() as stack:
-            fd = os.open(temporary, flags, 0o600)
-            stack.callback(os.close, fd)
-            _write_all(fd, data)
-            os.fsync(fd)
-            os.rename(temporary, self._folder / name)
+        try:
+            self._write_new(temporary, data)
+            with _convert_write_errors():
+                os.rename(temporary, self._folder / name)
+        except errors.NoRoomError:
+            with contextlib.suppress(OSError):
+                temporary.unlink()
+            raise
+        with _convert_os_errors():
             os.fsync(self._folder_fd)
 
     def truncate(self, name: str, size_bytes: int) -> None:
@@ -136,7 +170,8 @@
         with _convert_os_errors(), contextlib.ExitStack() as stack:
             fd = os.open(self._folder / name, os.O_WRONLY)
             stack.callback(os.close, fd)
-            os.ftruncate(fd, size_bytes)
+            with _convert_write_errors():
+                os.ftruncate(fd, size_bytes)
             os.fsync(fd)
 
     def open_append(self, name: str) -> OsAppendFile:
@@ -147,6 +182,20 @@
         """Releases the lock on the folder."""
         self._stack.close()
 
+    def _write_new(self, path: pathlib.Path, data: bytes) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        with _convert_os_errors(), contextlib.ExitStack() as stack:
+            with _convert_write_errors():
+                fd = os.open(path, flags, 0o600)
+                stack.callback(os.close, fd)
+                _write_all(fd, data)
+            os.fsync(fd)
+
+    def _remove_temporary_files(self) -> None:
+        for path in self._folder.glob(f'*{_TEMPORARY_SUFFIX}'):
+            with contextlib.suppress(OSError):
+                path.unlink()
+
 
 def _write_all(fd: int, data: bytes) -> None:
     view = memoryview(data)
@@ -161,3 +210,16 @@
         yield
     except OSError as cause:
         raise errors.StorageError(str(cause)) from cause
+
+
+@contextlib.contextmanager
+def _convert_write_errors() -> typing.Iterator[None]:
+    """Converts as well; raises NoRoomError if the disk has no room."""
+    try:
+        with _convert_os_errors():
+            yield
+    except errors.StorageError as error:
+        cause = error.__cause__
+        if isinstance(cause, OSError) and cause.errno in _NO_ROOM_NUMBERS:
+            raise errors.NoRoomError(str(cause)) from cause
+        raise
--- a/libs/consensus/masticquay_consensus/elections.py
+++ b/libs/consensus/masticquay_consensus/elections.py
@@ -29,7 +29,7 @@
         state = self._state
         if state.role == messages.ROLE_LEADER or state.installing_snapshot:
             return False
-        if not state.is_voter:
+        if not state.is_voter or state.lacks_log_room:
             return False
         if self._restart_proof.claim_campaign():
             return self._campaign(probing=True)
@@ -87,7 +87,10 @@
         return self._count_votes()
 
     def handle(self, request: messages.RequestVote) -> messages.Vote:
-        """Handles a vote request; a vote is durable before it is returned."""
+        """Handles a vote request; a vote is durable before it is returned.
+
+        :raises NoRoomError: when the disk has no room for the vote or the term
+        """
         state = self._state
         may_vote = state.may_vote(
             request.proven_incarnation, request.released_term
@@ -127,6 +130,7 @@
             and state.role == messages.ROLE_FOLLOWER
             and state.is_voter
             and not state.installing_snapshot
+            and not state.lacks_log_room
         )
         if accepted:
             self._released_term = request.term
@@ -137,8 +141,12 @@
         """Starts a pre-vote or, in a new term, an election.
 
         :returns: whether this replica has won the election already
+        :raises NoRoomError: when the disk has no room for the new term, which
+            does not begin then
         """
         state = self._state
+        if not probing:
+            state.store.save_term_and_vote(state.term + 1, state.replica_id)
         state.role = messages.ROLE_CANDIDATE
         state.leader_id = ''
         state.reset_campaign_timer()
@@ -147,8 +155,6 @@
         self._granted = {state.replica_id}
         if probing:
             state.counters.probes += 1
-        else:
-            state.store.save_term_and_vote(state.term + 1, state.replica_id)
         state.peers_condition.notify_all()
         return self._count_votes()
 
--- a/libs/consensus/masticquay_consensus/errors.py
+++ b/libs/consensus/masticquay_consensus/errors.py
@@ -33,7 +33,15 @@
     """The data folder cannot be used, or a disk operation failed.
 
     After a failed operation, the durable state is unknown and the process must
-    exit.
+    exit, except after a ``NoRoomError``.
+    """
+
+
+class NoRoomError(StorageError):
+    """The disk has no room for a write, of which nothing is stored.
+
+    Unlike other failed operations it leaves no doubt: what was stored before
+    is still there, and the write may be tried again.
     """
 
 
--- a/libs/consensus/masticquay_consensus/followers.py
+++ b/libs/consensus/masticquay_consensus/followers.py
@@ -60,6 +60,7 @@
 
         :returns: the answer, or a future that completes with it once the
             entries are synced
+        :raises NoRoomError: when the disk has no room for the entries
         :raises StorageError: when an entry conflicts with a committed one
         """
         state = self._state
@@ -103,6 +104,12 @@
         self._pending_answers = waiting
         return ready
 
+    def pop_all_answers(self) -> list[futures.Future]:
+        """Removes and returns the futures of all answers that wait."""
+        waiting = [pending.future for pending in self._pending_answers]
+        self._pending_answers = []
+        return waiting
+
     def handle_install(
         self, request: messages.InstallSnapshot
     ) -> InstallAnswer:
@@ -189,6 +196,7 @@
                     "the leader's entry conflicts with the follower's at the "
                     f'committed index {entry.index}'
                 )
+            self._require_room()
             raft_log.append(entries[position:])
             state.record_configurations(entries[position:])
             state.writer_condition.notify_all()
@@ -199,10 +207,15 @@
         state = self._state
         if state.store.raft_log.synced_index >= index:
             return messages.Appended(state.term, True, index)
+        self._require_room()
         pending = PendingAnswer(state.term, index, futures.Future())
         self._pending_answers.append(pending)
         return pending.future
 
+    def _require_room(self) -> None:
+        if self._state.lacks_log_room:
+            raise errors.NoRoomError('the disk has no room for the log')
+
     def _incoming_snapshot_for(
         self, request: messages.InstallSnapshot
     ) -> IncomingSnapshot:
--- a/libs/consensus/masticquay_consensus/formations.py
+++ b/libs/consensus/masticquay_consensus/formations.py
@@ -1,5 +1,8 @@
 """Formation of a new group, when every data folder is empty."""
 
+import contextlib
+
+from masticquay_consensus import errors
 from masticquay_consensus import founders
 from masticquay_consensus import messages
 from masticquay_consensus import protocols
@@ -45,16 +48,20 @@
         if all(voter.name != self._name for voter in self._voters):
             # This replica is no founder.
             return False
+        with contextlib.suppress(errors.NoRoomError):
+            self._attempt()
+        return self._replica.knows_members
+
+    def _attempt(self) -> None:
         identities = self._identify(messages.Identify())
         if identities is None:
-            return False
+            return
         if self._is_first(identities):
             identities = self._identify(messages.Identify(claims=True))
             if identities is not None and self._is_blank(identities):
                 self._form_group(identities)
         else:
             self._join_group(identities)
-        return self._replica.knows_members
 
     def _identify(self, message: messages.Identify) -> Identities | None:
         """Asks all voters; returns None if one does not answer."""
--- a/libs/consensus/masticquay_consensus/founders.py
+++ b/libs/consensus/masticquay_consensus/founders.py
@@ -3,6 +3,8 @@
 import random
 import threading
 
+from masticquay_consensus import errors
+from masticquay_consensus import log_writers
 from masticquay_consensus import messages
 from masticquay_consensus import replicas
 from masticquay_consensus import stores
@@ -71,7 +73,7 @@
         """Becomes a member of a new group, unless it is one of a group.
 
         :raises RemoteError: if the request is for another identity or of an
-            earlier claim
+            earlier claim, or if the disk is full
         :raises StorageError: if it cannot be stored
         """
         if message.to_id != self._replica.state.replica_id:
@@ -83,7 +85,12 @@
                 raise wire_errors.RemoteError(
                     CODE_OLD_CLAIM, 'claimed again since'
                 )
-            self._replica.join_group(message.configuration)
+            try:
+                self._replica.join_group(message.configuration)
+            except errors.NoRoomError as cause:
+                raise wire_errors.RemoteError(
+                    log_writers.CODE_NO_ROOM, str(cause)
+                ) from cause
             return self._identity(0)
 
     def _identity(self, claim: int) -> messages.Identity:
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -17,6 +17,7 @@
 from masticquay_consensus import protocols
 from masticquay_consensus import replica_changes
 from masticquay_consensus import replicas
+from masticquay_consensus import rooms
 from masticquay_consensus import senders
 from masticquay_consensus import settings as settings_module
 from masticquay_consensus import states
@@ -34,6 +35,8 @@
 TICK_MS = 50
 # How long an idle thread waits for a notification before it checks for work.
 IDLE_WAIT_MS = 1_000
+# The interval at which a write that found no room is tried again.
+ROOM_RETRY_MS = 100
 FORMATION_RETRY_MIN_MS = 100
 FORMATION_RETRY_MAX_MS = 2_000
 THREAD_JOIN_TIMEOUT_S = 5
@@ -51,6 +54,8 @@
 class Node:
     """A replica of the log; see ``protocols.ReplicatedLog``.
 
+    ``room`` tells whether its disk is full.
+
     :param address: the ``ip:port`` at which other replicas reach this one
     :param voters: the initial voters of a new group; ignored once this replica
         is a member of a group
@@ -58,7 +63,7 @@
     :param secret: the fleet secret, for links to other replicas
     :param links: creates links to other replicas; over websockets by default
     :param on_fatal: called when the disk or the state machine failed, after
-        which the replica does nothing more
+        which the replica does nothing more; a full disk is not fatal
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         self._role_hooks: list[protocols.RoleHook] = []
         self._stack = contextlib.ExitStack()
         self._closed = threading.Event()
+        self.room = rooms.Room()
         self._threads: list[threading.Thread] = []
         self._peer_threads: dict[str, threading.Thread] = {}
         self._replica: replicas.Replica | None = None
@@ -100,12 +106,24 @@
         """Opens the data folder, restores the snapshot, starts the threads.
 
         Later entries of the log are applied once a leader has committed them.
+        Waits while the disk has no room for what a start must store.
 
         :raises StorageError: when the stored data cannot be used
         """
+        rooms.wait_for_room(self._open, self.room, self._closed, ROOM_RETRY_MS)
+        self._register_handlers()
+        self._start_thread('log-writer', self._run_writer)
+        self._start_thread('log-applier', self._run_applier)
+        self._start_thread('log-timer', self._run_timer)
+        self._start_thread('log-formation', self._run_formation)
+
+    def _open(self) -> None:
+        """Opens the data folder and restores the snapshot."""
         with contextlib.ExitStack() as stack:
+            disk = self._open_disk()
+            stack.callback(disk.close)
             store = stores.Store(
-                self._open_disk(), self._name, random.SystemRandom()
+                disk, self._name, random.SystemRandom(), self.room
             )
             stack.callback(store.close)
             self._replica = replicas.Replica(
@@ -129,11 +147,6 @@
                 futures.ThreadPoolExecutor(1, f'change-{self._name}')
             )
             self._stack = stack.pop_all()
-        self._register_handlers()
-        self._start_thread('log-writer', self._run_writer)
-        self._start_thread('log-applier', self._run_applier)
-        self._start_thread('log-timer', self._run_timer)
-        self._start_thread('log-formation', self._run_formation)
 
     def close(self) -> None:
         """Stops the threads.
@@ -357,6 +370,9 @@
         while not self._closed.is_set():
             if self.replica.flush():
                 continue
+            if state.lacks_log_room:
+                self._closed.wait(ROOM_RETRY_MS / 1000)
+                continue
             with state.lock:
                 if self._closed.is_set():
                     return
@@ -374,6 +390,8 @@
                     return
                 if not self.replica.has_work():
                     state.applier_condition.wait(IDLE_WAIT_MS / 1000)
+                elif self.room.is_missing:
+                    state.applier_condition.wait(ROOM_RETRY_MS / 1000)
 
     def _run_timer(self) -> None:
         self._start_peer_threads()
--- a/libs/consensus/masticquay_consensus/raft_logs.py
+++ b/libs/consensus/masticquay_consensus/raft_logs.py
@@ -5,6 +5,7 @@
 replacing a suffix of the log does not truncate the file.
 """
 
+import contextlib
 import threading
 
 import cbor2
@@ -45,7 +46,8 @@
 
     ``base_index`` and ``base_term`` are those of the last entry that was
     removed by compaction, or 0 if none was. Entries up to ``synced_index`` are
-    durable. ``sync_count`` counts the syncs of the log file since it was
+    durable. ``lacks_room`` tells whether the last flush found no room.
+    ``sync_count`` counts the syncs of the log file since it was
     opened. ``truncated_bytes`` is the length of the torn write that was
     removed from its end when it was opened.
 
@@ -61,6 +63,8 @@
         self._pending: list[messages.Entry] = []
         self._file_lock = threading.Lock()
         self._generation = 0
+        self._lacks_marker = False
+        self.lacks_room = False
         self.base_index = 0
         self.base_term = 0
         self.size_bytes = 0
@@ -145,8 +149,13 @@
 
     @property
     def has_pending(self) -> bool:
-        """Whether there are entries to flush."""
-        return bool(self._pending)
+        """Whether there are entries, or a sync marker, to flush."""
+        return bool(self._pending) or self._lacks_marker
+
+    @property
+    def pending_bytes(self) -> int:
+        """The total length of the commands to flush."""
+        return sum(len(entry.command) for entry in self._pending)
 
     def take_pending(self) -> Batch:
         """Removes and returns the entries to flush."""
@@ -156,19 +165,24 @@
     def flush(self, batch: Batch) -> None:
         """Writes a batch and returns once it is durable.
 
+        :raises NoRoomError: when the disk has no room for the batch, which
+            must be given to ``restore_pending``
         :raises StorageError: when the batch may not be durable
         """
-        frame = _batch_frame(batch.entries)
         with self._file_lock:
             if batch.generation != self._generation:
                 return
-            self._file.append(frame)
-            self._file.sync()
-            # If the last batch becomes corrupt, the marker after it shows
-            # that the batch was synced, so it is not taken for a torn write.
-            self._file.append(_SYNC_MARKER_FRAME)
-            self.sync_count += 1
-            self.size_bytes += len(frame)
+            if self._lacks_marker:
+                self._append_marker()
+            if batch.entries:
+                self._append_batch(batch)
+            self.lacks_room = False
+
+    def restore_pending(self, batch: Batch) -> None:
+        """Takes back a batch for which the disk had no room."""
+        if batch.generation == self._generation:
+            self._pending[:0] = batch.entries
+            self.lacks_room = True
 
     def mark_flushed(self, batch: Batch) -> None:
         """Raises ``synced_index`` after ``flush`` has synced a batch.
@@ -186,31 +200,57 @@
         Later entries stay only if the entry at the index has the given term;
         otherwise all entries are removed. The caller has already stored a
         snapshot of at least that index.
+
+        :raises NoRoomError: when the disk has no room for the new file;
+            nothing has changed then
         """
+        kept = []
         if self.term_at(index) == term:
-            del self._entries[: index - self.base_index]
-        else:
-            self._entries.clear()
-        self.base_index = index
-        self.base_term = term
-        self._rewrite()
+            kept = self._entries[index - self.base_index :]
+        self._rewrite(index, term, kept)
 
     def close(self) -> None:
         """Closes the file."""
         with self._file_lock:
             self._file.close()
 
-    def _rewrite(self) -> None:
-        data = _base_frame(self.base_index, self.base_term)
-        if self._entries:
-            data += _batch_frame(self._entries)
+    def _append_batch(self, batch: Batch) -> None:
+        frame = _batch_frame(batch.entries)
+        self._file.append(frame)
+        self._file.sync()
+        self.sync_count += 1
+        self.size_bytes += len(frame)
+        self._lacks_marker = True
+        # The batch is durable even if there is no room for the marker.
+        with contextlib.suppress(errors.NoRoomError):
+            self._append_marker()
+
+    def _append_marker(self) -> None:
+        # If the last batch becomes corrupt, the marker after it shows that
+        # the batch was synced, so it is not taken for a torn write.
+        self._file.append(_SYNC_MARKER_FRAME)
+        self.size_bytes += len(_SYNC_MARKER_FRAME)
+        self._lacks_marker = False
+
+    def _rewrite(
+        self, index: int, term: int, entries: list[messages.Entry]
+    ) -> None:
+        """Replaces the log file and the entries in memory."""
+        data = _base_frame(index, term)
+        if entries:
+            data += _batch_frame(entries)
         data += _SYNC_MARKER_FRAME
         with self._file_lock:
-            self._file.close()
             self._disk.replace(FILE_NAME, data)
+            self._file.close()
             self._file = self._disk.open_append(FILE_NAME)
             self.size_bytes = len(data)
             self._generation += 1
+            self._lacks_marker = False
+            self.lacks_room = False
+        self.base_index = index
+        self.base_term = term
+        self._entries = entries
         self._pending.clear()
         self.synced_index = self.last_index
 
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -1,6 +1,7 @@
 """One replica, without threads: ``nodes.Node`` or a test drives it."""
 
 from concurrent import futures
+import contextlib
 import random
 
 from masticquay_consensus import appliers
@@ -8,6 +9,7 @@
 from masticquay_consensus import errors
 from masticquay_consensus import followers
 from masticquay_consensus import leaders
+from masticquay_consensus import log_writers
 from masticquay_consensus import messages
 from masticquay_consensus import protocols
 from masticquay_consensus import restart_proofs
@@ -53,6 +55,9 @@
         self._elections = elections.Elections(self.state, self._restart_proof)
         self._follower = followers.Follower(self.state)
         self._leader = leaders.Leader(self.state)
+        self._log_writer = log_writers.LogWriter(
+            self.state, self._follower, self._leader
+        )
         self._statuses = statuses.Statuses(self.state, self._leader)
         self._applier = appliers.Applier(
             self.state, state_machine, self._follower, self._leader
@@ -106,10 +111,12 @@
         with self.state.lock:
             if not self._store.formed:
                 return
-            if self.state.role == messages.ROLE_LEADER:
-                self._leader.tick()
-            elif self._elections.tick():
-                self._leader.begin()
+            with contextlib.suppress(errors.NoRoomError):
+                self._log_writer.check_room()
+                if self.state.role == messages.ROLE_LEADER:
+                    self._leader.tick()
+                elif self._elections.tick():
+                    self._leader.begin()
 
     def handle(
         self, message: AddressedRequest
@@ -121,8 +128,19 @@
 
         :returns: the answer, or a future that completes with it
         :raises RemoteError: when the message is for another identity, or
-            AskStart arrives before this replica is a member of a group
+            AskStart arrives before this replica is a member of a group, or
+            when the disk is full
         """
+        try:
+            return self._handle(message)
+        except errors.NoRoomError as cause:
+            raise wire_errors.RemoteError(
+                log_writers.CODE_NO_ROOM, str(cause)
+            ) from cause
+
+    def _handle(
+        self, message: AddressedRequest
+    ) -> wire_messages.Message | futures.Future:
         with self.state.lock:
             if message.to_id != self.state.replica_id:
                 raise wire_errors.RemoteError(
@@ -177,8 +195,11 @@
     def handle_answer(
         self, request: states.OutgoingRequest, answer: wire_messages.Message
     ) -> None:
-        """Handles the answer to a request."""
-        with self.state.lock:
+        """Handles the answer to a request.
+
+        Without room for a term that it brings, it counts as lost.
+        """
+        with self.state.lock, contextlib.suppress(errors.NoRoomError):
             if isinstance(answer, messages.Vote):
                 won = self._elections.handle_vote(
                     request.member_id, request.message, answer
@@ -265,23 +286,13 @@
         Then raises the commit index, as a leader, and answers the requests
         that waited for the sync.
 
-        :returns: whether there were any entries to sync
+        Entries for which the disk has no room stay to be synced; requests
+        that waited for them are refused.
+
+        :returns: whether entries were synced
         :raises StorageError: when the entries may not be durable
         """
-        state = self.state
-        with state.lock:
-            if not self._store.formed or not self._store.raft_log.has_pending:
-                return False
-            raft_log = self._store.raft_log
-            batch = raft_log.take_pending()
-        raft_log.flush(batch)
-        with state.lock:
-            raft_log.mark_flushed(batch)
-            self._leader.advance_commit()
-            answers = self._follower.pop_synced_answers()
-        for future, answer in answers:
-            future.set_result(answer)
-        return True
+        return self._log_writer.flush()
 
     def apply(self) -> bool:
         """Does the work of ``appliers.Applier.apply``.
@@ -406,6 +417,7 @@
             counters = self.state.counters.copy()
             if self._store.formed:
                 counters.syncs = self._store.raft_log.sync_count
+            counters.writes_without_room = self._store.room.refused_writes
             return counters
 
     def status(self) -> messages.LogStatus:
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -22,7 +22,8 @@
 class Counters:
     """Event counts since the process started.
 
-    ``probes`` counts pre-votes. ``syncs`` is 0 except in a copy that
+    ``probes`` counts pre-votes, ``writes_without_room`` writes that found the
+    disk full. That one and ``syncs`` are 0 except in a copy that
     ``replicas.Replica.counters`` returns.
     """
 
@@ -35,6 +36,7 @@
         'snapshots_installed',
         'entries_applied',
         'syncs',
+        'writes_without_room',
     )
 
     def __init__(self) -> None:
@@ -151,6 +153,16 @@
         """The log index of the newest configuration."""
         return self._configurations[-1][0]
 
+    @property
+    def lacks_log_room(self) -> bool:
+        """Whether the disk had no room when the log was last written.
+
+        Such a replica neither campaigns nor takes further entries, as it can
+        acknowledge none. It may go on leading: other replicas commit.
+        """
+        store = self.store
+        return store.formed and store.raft_log.lacks_room
+
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts in quorums."""
@@ -231,6 +243,8 @@
 
         :param term: the current term, or a higher one, which is stored
         :param leader_id: empty if the leader of the term is not known yet
+        :raises NoRoomError: when the disk has no room for a higher term;
+            nothing has changed then
         """
         if term > self.term:
             self.store.save_term_and_vote(term, '')
--- a/libs/consensus/masticquay_consensus/stores.py
+++ b/libs/consensus/masticquay_consensus/stores.py
@@ -14,6 +14,7 @@
 from masticquay_consensus import frames
 from masticquay_consensus import messages
 from masticquay_consensus import raft_logs
+from masticquay_consensus import rooms
 
 IDENTITY_FILE = 'identity'
 VOTE_FILE = 'ballot'
@@ -76,14 +77,21 @@
     called.
 
     :param identity_random: generates the identity for an empty folder
+    :param room: is told whether the disk has room
+    :raises NoRoomError: when the disk has no room for the identity
     :raises StorageError: when the folder belongs to another replica
     :raises DamagedStorageError: when a file is missing or corrupt
     """
 
     def __init__(
-        self, disk: disks.Disk, name: str, identity_random: random.Random
+        self,
+        disk: disks.Disk,
+        name: str,
+        identity_random: random.Random,
+        room: rooms.Room | None = None,
     ):
-        self._disk = disk
+        self.room = room or rooms.Room()
+        self._disk = rooms.RoomDisk(disk, self.room)
         self.term = 0
         self.voted_for = ''
         self.snapshot_index = -1
--- a/libs/consensus/tests/fault_profiles.py
+++ b/libs/consensus/tests/fault_profiles.py
@@ -23,6 +23,8 @@
     :param heartbeat_ms: the heartbeat interval of the replicas
     :param mass_restart: restarts most hosts at once
     :param hand_over: transfers leadership
+    :param full_disk: fills a disk at one of its next writes
+    :param room: the probability that a full disk has room in the next step
     """
 
     def __init__(
@@ -45,6 +47,8 @@
         heartbeat_ms=50,
         mass_restart=0.0,
         hand_over=0.02,
+        full_disk=0.0,
+        room=0.02,
     ):
         self.delays_ms = delays_ms
         self.copies = copies
@@ -64,6 +68,8 @@
         self.heartbeat_ms = heartbeat_ms
         self.mass_restart = mass_restart
         self.hand_over = hand_over
+        self.full_disk = full_disk
+        self.room = room
 
 
 FAULT_PROFILES = (
@@ -115,3 +121,27 @@
         steps=1500,
     ),
 )
+
+FULL_DISK_PROFILES = (
+    FaultProfile(full_disk=0.03, wipe=0.02),
+    # Nothing but full disks, several at once.
+    FaultProfile(
+        delays_ms=(1, 2),
+        copies=(1,),
+        partition=0.0,
+        one_way_cut=0.0,
+        crash=0.0,
+        disk_crash=0.0,
+        full_disk=0.1,
+        steps=400,
+    ),
+    FaultProfile(
+        full_disk=0.05,
+        room=0.1,
+        crash=0.04,
+        disk_crash=0.04,
+        restart=0.3,
+        flush=0.4,
+        power_cut=0.01,
+    ),
+)
--- a/libs/consensus/tests/invariants.py
+++ b/libs/consensus/tests/invariants.py
@@ -1,5 +1,11 @@
 """Invariants of Raft that a simulation checks after each step."""
 
+import cbor2
+
+from masticquay_consensus import frames
+from masticquay_consensus import messages
+from masticquay_consensus import stores
+
 
 class InvariantChecker:
     """Remembers leaders, leases and committed entries of all hosts."""
@@ -22,6 +28,15 @@
         """Records that the leader of a term gave up its lease."""
         self.lease_end_by_term_ms.pop(term, None)
 
+    def check_candidate(self, host, request):
+        """Checks that a candidate has stored its term and own vote."""
+        if not isinstance(request, messages.RequestVote) or request.probe:
+            return
+        content = frames.decode_single(host.disk.read(stores.VOTE_FILE))
+        assert [request.term, host.replica_id] == cbor2.loads(content), (
+            f'{host.name} asks for votes in a term that it has not stored'
+        )
+
     def check_leader(self, host, now_ms):
         """Checks that each term has one leader and that leases do not overlap.
 
--- a/libs/consensus/tests/test_raft_logs.py
+++ b/libs/consensus/tests/test_raft_logs.py
@@ -93,3 +93,61 @@
         del self.disk.files[raft_logs.FILE_NAME]
         with self.assertRaises(errors.DamagedStorageError):
             self.reopen()
+
+    def test_log_goes_on_after_any_write_found_no_room(self):
+        for writes in range(6):
+            with self.subTest(writes=writes):
+                self.setUp()
+                self.disk.writes_to_full = writes
+                synced = 0
+                for index in range(1, 5):
+                    self.raft_log.append([make_entry(index)])
+                    batch = self.raft_log.take_pending()
+                    try:
+                        self.raft_log.flush(batch)
+                    except errors.NoRoomError:
+                        self.raft_log.restore_pending(batch)
+                        self.assertTrue(self.raft_log.lacks_room)
+                        continue
+                    self.raft_log.mark_flushed(batch)
+                    synced = index
+                self.assertEqual(synced, self.raft_log.synced_index)
+                self.assertEqual(synced, self.reopen().last_index)
+                self.disk.make_room()
+                self.flush(make_entry(5))
+                self.assertFalse(self.raft_log.lacks_room)
+                self.assertFalse(self.raft_log.has_pending)
+                self.assertEqual(5, self.reopen().last_index)
+                self.assertEqual(
+                    self.raft_log.size_bytes,
+                    len(self.disk.read(raft_logs.FILE_NAME)),
+                )
+
+    def test_missing_sync_marker_is_written_once_there_is_room(self):
+        self.disk.writes_to_full = 1
+        self.flush(make_entry(1))
+        self.assertEqual(1, self.raft_log.synced_index)
+        self.assertTrue(self.raft_log.has_pending)
+        before = self.disk.read(raft_logs.FILE_NAME)
+        self.disk.make_room()
+        self.flush()
+        self.assertFalse(self.raft_log.has_pending)
+        self.assertGreater(
+            len(self.disk.read(raft_logs.FILE_NAME)), len(before)
+        )
+
+    def test_compaction_without_room_changes_nothing(self):
+        self.flush(make_entry(1), make_entry(2))
+        self.raft_log.append([make_entry(3)])
+        self.disk.full = True
+        with self.assertRaises(errors.NoRoomError):
+            self.raft_log.compact(1, 1)
+        self.assertEqual((0, 3), self.indexes())
+        self.assertTrue(self.raft_log.has_pending)
+        self.disk.make_room()
+        self.raft_log.compact(1, 1)
+        self.assertEqual((1, 3), self.indexes())
+        self.assertEqual(3, self.reopen().synced_index)
+
+    def indexes(self):
+        return self.raft_log.base_index, self.raft_log.last_index
--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
 from masticquay_consensus import settings as consensus_settings
 from masticquay_coordination import groups
@@ -224,9 +225,17 @@
         )
 
     def _read_gauges(self) -> dict[str, float]:
-        """Returns the gauges of the replicated log and of the leadership."""
-        status = self.node.status()
+        """Returns the gauges of the replicated log and of the leadership.
+
+        While the start waits for room on the disk there is only that one.
+        """
+        disk_full = {'log_disk_full': int(self.node.room.is_missing)}
+        try:
+            status = self.node.status()
+        except consensus_errors.ConsensusError:
+            return disk_full
         gauges = {
+            **disk_full,
             'log_term': status.term,
             'log_commit_index': status.commit_index,
             'log_members': len(status.members),
