A process that waits for room at its start ends at SIGTERM

Since a start waits while the disk is full, a SIGTERM in that time had no effect until there was room: the main thread waits for signals only after the start. The wait now ends when a stop signal has arrived.

Before: platform/test_full_disks process_that_waits_at_its_start_ends_at_sigterm timed out after 2 s.

--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -102,15 +102,11 @@
         self._replica: replicas.Replica | None = None
         self._founder: founders.Founder | None = None
 
-    def start(self) -> None:
-        """Opens the data folder, restores the snapshot, starts the threads.
-
-        Later entries of the log are applied once a leader has committed them.
-        Waits while the disk has no room for what a start must store.
-
-        :raises StorageError: when the stored data cannot be used
-        """
-        rooms.wait_for_room(self._open, self.room, self._closed, ROOM_RETRY_MS)
+    def start(
+        self, is_stopping: typing.Callable[[], bool] = lambda: False
+    ) -> None:
+        """Opens the folder and starts; see ``protocols.ReplicatedLog``."""
+        rooms.wait_for_room(self._open, self.room, is_stopping, ROOM_RETRY_MS)
         self._register_handlers()
         self._start_thread('log-writer', self._run_writer)
         self._start_thread('log-applier', self._run_applier)
--- a/libs/consensus/masticquay_consensus/protocols.py
+++ b/libs/consensus/masticquay_consensus/protocols.py
@@ -55,11 +55,16 @@
     ``listeners.Listener``, which the caller starts and closes.
     """
 
-    def start(self) -> None:
+    def start(
+        self, is_stopping: typing.Callable[[], bool] = lambda: False
+    ) -> None:
         """Opens the data folder, restores the snapshot, starts the threads.
 
         Later entries of the log are applied once a leader has committed them.
+        Waits while the disk has no room for what a start must store.
 
+        :param is_stopping: whether to end that wait
+        :raises NoRoomError: when the wait ended before there was room
         :raises StorageError: when the stored data cannot be used
         """
 
--- a/libs/consensus/masticquay_consensus/rooms.py
+++ b/libs/consensus/masticquay_consensus/rooms.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 import typing
 
 from masticquay_consensus import disks
@@ -130,23 +131,24 @@
 def wait_for_room(
     step: typing.Callable[[], None],
     room: Room,
-    closed: threading.Event,
+    is_stopping: typing.Callable[[], bool],
     retry_ms: int,
 ) -> None:
     """Repeats a step of the start until the disk has room for it.
 
     :param room: is told
-    :param closed: ends the wait
+    :param is_stopping: whether to end the wait
     :param retry_ms: the interval
-    :raises NoRoomError: when closed before there was room
+    :raises NoRoomError: when the wait ended before there was room
     """
     while True:
         try:
             step()
         except errors.NoRoomError as cause:
             room.note_missing(START, cause)
-            if closed.wait(retry_ms / 1000):
+            if is_stopping():
                 raise
+            time.sleep(retry_ms / 1000)
         else:
             room.note_found(START)
             return
--- a/libs/control/masticquay_control/daemons.py
+++ b/libs/control/masticquay_control/daemons.py
@@ -154,7 +154,7 @@
     stop_signals = signals.Signals()
     with contextlib.ExitStack() as stack:
         replica = replicas.Replica(settings)
-        replica.start()
+        replica.start(stop_signals.stop_requested)
         stack.callback(replica.close)
         if metrics_address:
             _serve_metrics(stack, replica, metrics_address)
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -125,15 +125,18 @@
             self._list_endpoint_statuses,
         )
 
-    def start(self) -> None:
+    def start(
+        self, is_stopping: typing.Callable[[], bool] = lambda: False
+    ) -> None:
         """Opens the log, then starts to serve.
 
+        :param is_stopping: whether to end the wait for room on a full disk
         :raises ConsensusError: when the log or snapshot on disk is unusable
         :raises OSError: when the address cannot be bound
         """
         with contextlib.ExitStack() as stack:
             self.service.register(self.listener)
-            self.log.start()
+            self.log.start(is_stopping)
             stack.callback(self.log.close)
             self.listener.start()
             stack.callback(self.listener.close)
--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -132,9 +132,13 @@
         self.registry.set_gauge_reader(self._read_gauges)
         self.tables = tables.TableService(self.node, self.machine, reader)
 
-    def start(self) -> None:
+    def start(
+        self, is_stopping: typing.Callable[[], bool] = lambda: False
+    ) -> None:
         """Opens the log, listens and starts the periodic tasks.
 
+        :param is_stopping: whether to end the wait for room on a full disk
+        :raises NoRoomError: when that wait ended before there was room
         :raises ConsensusError: when the stored data is unusable
         :raises OSError: when the address cannot be bound
         """
@@ -143,7 +147,7 @@
             self.listener.handle(
                 groups.messages.JoinGroup, self.membership.handle_join
             )
-            self.node.start()
+            self.node.start(is_stopping)
             stack.callback(self.node.close)
             self.listener.start()
             stack.callback(self.listener.close)
--- a/libs/serving/masticquay_serving/signals.py
+++ b/libs/serving/masticquay_serving/signals.py
@@ -21,9 +21,15 @@
     def __init__(self) -> None:
         self._read_fd, self._write_fd = os.pipe()
         os.set_blocking(self._write_fd, False)
+        self._stop_requested = False
         signal.set_wakeup_fd(self._write_fd, warn_on_full_buffer=False)
-        for number in (*STOP_SIGNALS, signal.SIGHUP):
-            signal.signal(number, _do_nothing)
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._note_stop)
+        signal.signal(signal.SIGHUP, _do_nothing)
+
+    def stop_requested(self) -> bool:
+        """Whether SIGTERM or SIGINT has arrived, for steps before the wait."""
+        return self._stop_requested
 
     def wait_for_stop(self, reload: typing.Callable[[], None]) -> None:
         """Blocks until SIGTERM or SIGINT arrives.
@@ -41,6 +47,9 @@
         with contextlib.suppress(BlockingIOError):
             os.write(self._write_fd, bytes([signal.SIGHUP]))
 
+    def _note_stop(self, *_args: object) -> None:
+        self._stop_requested = True
+
 
 def _do_nothing(*_args: object) -> None:
     """Replaces the default action; the wakeup pipe reports the signal."""
