--- a/libs/bench/masticquay_bench/callers.py
+++ b/libs/bench/masticquay_bench/callers.py
@@ -9,6 +9,7 @@
 import typing
 
 from masticquay_bench import calls
+from masticquay_bench import whole_answers
 from masticquay_scheduling import prefixes
 from masticquay_standins import answers
 from masticquay_standins import journals
@@ -227,7 +228,7 @@
         try:
             connection.request(method, path, body or None, headers)
             response = connection.getresponse()
-            _require_length(response)
+            whole_answers.require_length(response)
             call.status = response.status
             call.outcome = response.headers.get(OUTCOME_HEADER, '')
             call.retry_after_s = response.headers.get('Retry-After', '')
@@ -269,18 +270,6 @@
         return None
 
 
-def _require_length(response: http.client.HTTPResponse) -> None:
-    """Checks that an answer says where it ends, as all of a host do.
-
-    ``http.client`` takes a head that breaks off for one of an answer that
-    ends with its connection.
-
-    :raises IncompleteRead: if it does not
-    """
-    if response.length is None and not response.chunked:
-        raise http.client.IncompleteRead(b'')
-
-
 def _read_error(call: calls.Call, data: bytes) -> None:
     """Records an error response; a refusal if it has the router's format."""
     call.end = calls.END_REFUSED
--- a/libs/bench/masticquay_bench/fleets.py
+++ b/libs/bench/masticquay_bench/fleets.py
@@ -19,6 +19,7 @@
 from masticquay_bench import observations
 from masticquay_bench import processes
 from masticquay_bench import standin_configs
+from masticquay_bench import whole_answers
 from masticquay_bundles import signatures
 
 CONTROL_MODULE = 'masticquay_control.daemons'
@@ -406,6 +407,7 @@
         try:
             connection.request('POST', path, json.dumps(body))
             response = connection.getresponse()
+            whole_answers.require_length(response)
             response.read()
             if response.status != 200:
                 raise errors.FleetError(
--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -13,6 +13,7 @@
 from masticquay_bench import errors
 from masticquay_bench import fleets
 from masticquay_bench import observations
+from masticquay_bench import whole_answers
 from masticquay_standins import journals
 
 PROBE_TIMEOUT_S = 2
@@ -266,6 +267,7 @@
     try:
         connection.request('GET', path)
         response = connection.getresponse()
+        whole_answers.require_length(response)
         response.read()
         return response.status
     except (OSError, http.client.HTTPException):
--- a/libs/bench/tests/test_callers.py
+++ b/libs/bench/tests/test_callers.py
@@ -7,6 +7,7 @@
 
 from masticquay_bench import callers
 from masticquay_bench import calls
+from masticquay_bench import runs
 
 HEAD = b'HTTP/1.1 200 OK\r\nMasticquay-Outcome: run\r\n'
 ANSWERS = (
@@ -62,3 +63,14 @@
         # All data has come then: hosts write no size that begins with 0.
         ends = [LAST_CHUNK[n:] for n in range(1, len(LAST_CHUNK))]
         self.assertEqual([], [rest for rest in wrong if rest not in ends])
+
+    # The same for the answers of probes, of which only the status is used.
+    def test_probe_whose_answer_is_cut_off_anywhere_has_no_status(self):
+        self.data = ANSWERS[0]
+        self.assertEqual(200, runs._fetch_status(self.address, '/readyz'))
+        wrong = []
+        for length_bytes in range(len(ANSWERS[0])):
+            self.data = ANSWERS[0][:length_bytes]
+            if runs._fetch_status(self.address, '/readyz'):
+                wrong.append(self.data)
+        self.assertEqual([], wrong)
