An answer to control whose body did not begin is not an empty one

An answer without a length that ended right behind its head counted as one with an empty JSON object. Now only an answer that says itself that it is empty counts so; else its JSON must be whole, as before.

Failed before, control tests.test_cut_answers: one place of four answers cut off after each byte.

--- a/libs/control/masticquay_control/http_calls.py
+++ b/libs/control/masticquay_control/http_calls.py
@@ -71,7 +71,9 @@
         data = json.dumps(body).encode()
         headers['Content-Type'] = 'application/json'
     answer = client.call(method, path, headers, data)
-    payload = json.loads(answer.body or b'{}')
+    if not answer.body and answer.is_framed:
+        return JsonResponse(answer.status, {})
+    payload = json.loads(answer.body)
     if not isinstance(payload, dict):
         raise ValueError('the response is not a JSON object')
     return JsonResponse(answer.status, payload)
