Log each series of renewals that are not granted

A host that lost its lease wrote one line, 'session lease lost', without a word of why: which replica it asked, what that said, how much of the lease was left. The leader wrote nothing of a renewal that it refused, and of an eviction only the name.

A host now writes 'renewal not granted' for each new replica or cause, and 'renewals are granted again'; the leader 'renewal refused' for each new cause and 'host is evicted', each with the inputs. Repetitions are counted, not written.

--- a/libs/control/masticquay_control/leases.py
+++ b/libs/control/masticquay_control/leases.py
@@ -1,6 +1,7 @@
 """The session leases that the acting leader grants to hosts."""
 
 import collections
+import logging
 import threading
 
 from masticquay_control import commands
@@ -10,6 +11,8 @@
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 
+LOG = logging.getLogger(__name__)
+
 TTL_MS = 3_000
 # The leader waits this much longer than the lease, as clock rates differ.
 CLOCK_DRIFT_MARGIN_MS = 150
@@ -31,6 +34,7 @@
     :ivar view_number: the newest view that the host has adopted
     :ivar released: the host has closed its session
     :ivar evicting: a view change that evicts the host is planned
+    :ivar refusal_code: why the last renewal was refused; empty if it was not
     """
 
     __slots__ = (
@@ -41,6 +45,7 @@
         'view_number',
         'released',
         'evicting',
+        'refusal_code',
     )
 
     def __init__(self, host: membership_messages.Host, renewed_ms: int):
@@ -51,6 +56,7 @@
         self.view_number = 0
         self.released = False
         self.evicting = False
+        self.refusal_code = ''
 
     def expired(self, now_ms: int) -> bool:
         """Whether the host no longer holds its lease."""
@@ -131,8 +137,8 @@
                 return self._record_joining(message)
             session = self._sessions[host.name]
             if session.evicting or session.released:
-                raise self._refusal(
-                    membership_messages.CODE_EVICTED, host.name
+                raise self._session_refusal(
+                    membership_messages.CODE_EVICTED, session
                 )
             if session.host != host:
                 session.host = host
@@ -140,9 +146,10 @@
                 session, message.applied_index, message.view_number
             )
             if not self._is_caught_up(session):
-                raise self._refusal(
-                    membership_messages.CODE_ADOPT_VIEW, host.name
+                raise self._session_refusal(
+                    membership_messages.CODE_ADOPT_VIEW, session
                 )
+            session.refusal_code = ''
             session.renewed_ms = self._clock.now_ms()
             self.renewed_count += 1
             return self._renewed_reply(TTL_MS)
@@ -190,6 +197,7 @@
             self._change_due_ms = 0
             for session in expired:
                 session.evicting = True
+                _log_eviction(session, now_ms)
             removed = [
                 commands.Removal(s.host.name, s.host.incarnation)
                 for s in expired
@@ -329,11 +337,45 @@
             ttl_ms, number, self._cached_adopted_number()
         )
 
+    def _session_refusal(
+        self, code: str, session: HostSession
+    ) -> wire_errors.RemoteError:
+        if session.refusal_code != code:
+            session.refusal_code = code
+            LOG.info(
+                'renewal refused',
+                extra={
+                    'session_host': session.host.name,
+                    'code': code,
+                    'incarnation': session.host.incarnation,
+                    'applied_index': session.applied_index,
+                    'due_index': self._seen_changes[0].index,
+                    'renewed_ago_ms': (
+                        self._clock.now_ms() - session.renewed_ms
+                    ),
+                },
+            )
+        return self._refusal(code, session.host.name)
+
     def _refusal(self, code: str, host: str) -> wire_errors.RemoteError:
         self.refused_count += 1
         return wire_errors.RemoteError(code, host)
 
 
+def _log_eviction(session: HostSession, now_ms: int) -> None:
+    LOG.info(
+        'host is evicted',
+        extra={
+            'session_host': session.host.name,
+            'incarnation': session.host.incarnation,
+            'leaving': session.host.leaving,
+            'released': session.released,
+            'renewed_ago_ms': now_ms - session.renewed_ms,
+            'refusal_code': session.refusal_code,
+        },
+    )
+
+
 def _record_applied(
     session: HostSession, applied_index: int, view_number: int
 ) -> None:
--- a/libs/control/tests/test_leases.py
+++ b/libs/control/tests/test_leases.py
@@ -164,3 +164,33 @@
         change = self.change_view()
         self.assertEqual(2, len(change.removed))
         self.assertEqual(number + 1, self.state_machine.views.view.number)
+
+    def test_refusals_are_logged_once_for_each_cause_and_evictions_all(self):
+        old = self.state_machine.change_index
+        self.join('h3')
+        self.clock.advance_ms(leases.PUSH_GRACE_MS)
+        with self.assertLogs(leases.LOG, 'INFO') as logs:
+            for _ in range(2):
+                with self.assertRaises(wire_errors.RemoteError):
+                    self.renew('h1', index=old)
+            self.clock.advance_ms(
+                leases.TTL_MS + leases.CLOCK_DRIFT_MARGIN_MS + 1
+            )
+            self.renew('h3')
+            self.renew('h2')
+            self.change_view()
+        self.assertEqual(
+            [
+                ('renewal refused', 'h1', ''),
+                ('host is evicted', 'h1', 'adopt-view'),
+            ],
+            [
+                (
+                    r.getMessage(),
+                    r.session_host,
+                    getattr(r, 'refusal_code', ''),
+                )
+                for r in logs.records
+            ],
+        )
+        self.assertGreater(logs.records[0].due_index, old)
--- a/libs/membership/masticquay_membership/sessions.py
+++ b/libs/membership/masticquay_membership/sessions.py
@@ -10,6 +10,7 @@
 from masticquay_membership import intent_messages
 from masticquay_membership import messages as membership_messages
 from masticquay_membership import protocols
+from masticquay_membership import renewal_logs
 from masticquay_membership import states
 from masticquay_membership import usage_messages
 from masticquay_wire import clocks
@@ -68,6 +69,7 @@
         self._replica_index = 0
         self._leaderless_count = 0
         self._closed_links_bytes = 0
+        self._renewal_log = renewal_logs.RenewalLog()
         self._link: dialers.WebsocketPeer | None = None
         self._thread = threading.Thread(
             target=self._run, name='session', daemon=True
@@ -269,14 +271,21 @@
         try:
             reply = self._get_link().call(message, RENEW_TIMEOUT_MS)
         except wire_errors.RemoteError as cause:
+            self._log_failure(cause.code, sent_ms)
             return self._handle_refusal(cause)
-        except wire_errors.WireError:
+        except wire_errors.WireError as cause:
+            self._log_failure(type(cause).__name__, sent_ms)
             self._switch_replica()
             return RETRY_INTERVAL_MS
         self._leaderless_count = 0
         self._state_holder.set_adopted_view_number(reply.adopted_view_number)
         if not reply.ttl_ms:
             return RETRY_INTERVAL_MS
+        self._renewal_log.record_grant(
+            self._replica_address(),
+            self._clock.now_ms() - sent_ms,
+            self._lease_left_ms(),
+        )
         with self._lock:
             if not self._closed:
                 self._lease_end_ms = sent_ms + reply.ttl_ms
@@ -285,6 +294,24 @@
             return ADOPTION_INTERVAL_MS
         return RENEW_INTERVAL_MS
 
+    def _log_failure(self, cause: str, sent_ms: int) -> None:
+        self._renewal_log.record_failure(
+            self._replica_address(),
+            cause,
+            self._host,
+            self._state_holder.state,
+            self._clock.now_ms() - sent_ms,
+            self._lease_left_ms(),
+        )
+
+    def _replica_address(self) -> str:
+        return str(self._client.addresses[self._replica_index])
+
+    def _lease_left_ms(self) -> int:
+        if not self._lease_end_ms:
+            return 0
+        return self._lease_end_ms - self._clock.now_ms()
+
     def _handle_refusal(self, cause: wire_errors.RemoteError) -> int:
         """Handles a refusal; returns the delay in ms to the next renewal."""
         self.failed_renewal_count += 1
