Refuse a renewal at once when the link to the leader is lost

Callers saw streams cut with 'lease-lost' after the control leader was killed. Cause: a follower held each renewal for 800 ms for a leader that had ended, over a link that it knew to be lost, as a link sends its calls again once it is up; 30 ms longer than the host waits. So the host never heard why and left a replica that worked, and a replica that was elected meanwhile kept the renewals that it had just forwarded.

Renewals go over links of their own whose calls fail with the link, and the follower answers 'no-leader', for which a host stays and asks again. A leader that is silent costs 600 ms, less than the host waits. Other calls are sent again as before.

--- a/libs/control/masticquay_control/forwarders.py
+++ b/libs/control/masticquay_control/forwarders.py
@@ -16,7 +16,9 @@
 LOG = logging.getLogger(__name__)
 
 FORWARD_TIMEOUT_MS = 1_300
-RENEWAL_TIMEOUT_MS = 800
+# Shorter than the host waits: it then hears why from a replica that works,
+# and does not take it for one that is lost.
+RENEWAL_TIMEOUT_MS = 600
 BATCH_DELAY_MS = 30
 
 
@@ -31,21 +33,28 @@
 
 
 class Forwarder:
-    """Forwards calls to the leader, and renewals in batches."""
+    """Forwards calls to the leader, and renewals in batches.
+
+    :param renewal_link_factory: makes links whose calls fail once the link is
+        lost: a host should hear at once that its renewal reaches no leader
+    """
 
     def __init__(
         self,
         name: str,
         log: protocols.ReplicatedLog,
         link_factory: protocols.LinkFactory,
+        renewal_link_factory: protocols.LinkFactory,
     ):
         self._name = name
-        self._link_factory = link_factory
         self._log = log
+        self._links = _LeaderLinks(link_factory, leaderships.CODE_UNCERTAIN)
+        self._renewal_links = _LeaderLinks(
+            renewal_link_factory, membership_messages.CODE_NO_LEADER
+        )
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._closed = False
-        self._peers: dict[str, peers.Peer] = {}
         self._renewals: list[_QueuedRenewal] = []
         self._applied: dict[str, membership_messages.ChangesApplied] = {}
         self.forwarded_count = 0
@@ -61,11 +70,8 @@
         """Stops the thread and closes the links to other replicas."""
         self._closed = True
         self._wake.set()
-        with self._lock:
-            open_peers = list(self._peers.values())
-            self._peers.clear()
-        for peer in open_peers:
-            peer.close()
+        self._links.close()
+        self._renewal_links.close()
 
     def forward(self, message: messages.Message) -> futures.Future:
         """Forwards a call.
@@ -75,14 +81,16 @@
             ``uncertain`` (sent, no reply)
         """
         call = commands.Forward(messages.pack(message))
-        return self._submit(call, FORWARD_TIMEOUT_MS)
+        return self._submit(self._links, call, FORWARD_TIMEOUT_MS)
 
     def renew(
         self, message: membership_messages.RenewSession
     ) -> futures.Future:
         """Forwards a renewal with the next batch.
 
-        :returns: a future of the leader's reply, which fails as in ``forward``
+        :returns: a future of the leader's reply, which fails as in
+            ``forward``, and with ``no-leader`` also if the link to the leader
+            was lost
         """
         queued = _QueuedRenewal(message)
         with self._lock:
@@ -130,13 +138,18 @@
         message = commands.RenewSessions(
             [queued.renewal for queued in renewals], applied
         )
-        pending = self._submit(message, RENEWAL_TIMEOUT_MS)
+        pending = self._submit(
+            self._renewal_links, message, RENEWAL_TIMEOUT_MS
+        )
         pending.add_done_callback(
             lambda done: _distribute_results(done, renewals)
         )
 
     def _submit(
-        self, message: messages.Message, timeout_ms: int
+        self,
+        links: '_LeaderLinks',
+        message: messages.Message,
+        timeout_ms: int,
     ) -> futures.Future:
         reply: futures.Future = futures.Future()
         leader = self._log.leader()
@@ -144,11 +157,27 @@
             reply.set_exception(leaderships.no_leader_error())
             return reply
         self.forwarded_count += 1
-        pending = self._get_peer(leader.address).submit(message, timeout_ms)
-        pending.add_done_callback(lambda done: _relay_reply(done, reply))
+        pending = links.get(leader.address).submit(message, timeout_ms)
+        pending.add_done_callback(
+            lambda done: _relay_reply(done, reply, links.lost_code)
+        )
         return reply
 
-    def _get_peer(self, address: str) -> peers.Peer:
+
+class _LeaderLinks:
+    """The links to the replicas that have been the leader.
+
+    :param lost_code: the failure code of calls whose link was lost
+    """
+
+    def __init__(self, link_factory: protocols.LinkFactory, lost_code: str):
+        self.lost_code = lost_code
+        self._link_factory = link_factory
+        self._lock = threading.Lock()
+        self._peers: dict[str, peers.Peer] = {}
+
+    def get(self, address: str) -> peers.Peer:
+        """Returns the link to an address; makes it if there is none."""
         with self._lock:
             peer = self._peers.get(address)
             if peer is None:
@@ -156,13 +185,29 @@
                 self._peers[address] = peer
             return peer
 
+    def close(self) -> None:
+        """Closes all links."""
+        with self._lock:
+            open_peers = list(self._peers.values())
+            self._peers.clear()
+        for peer in open_peers:
+            peer.close()
+
 
-def _relay_reply(done: futures.Future, reply: futures.Future) -> None:
+def _relay_reply(
+    done: futures.Future, reply: futures.Future, lost_code: str
+) -> None:
     cause = done.exception()
     if cause is None:
         reply.set_result(done.result())
     elif isinstance(cause, wire_errors.RemoteError):
         reply.set_exception(cause)
+    elif isinstance(cause, wire_errors.PeerUnavailableError):
+        reply.set_exception(
+            wire_errors.RemoteError(
+                lost_code, 'the link to the leader is lost'
+            )
+        )
     else:
         reply.set_exception(
             wire_errors.RemoteError(
--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -109,7 +109,10 @@
         self.watchers = watchers.Watchers(self.state_machine)
         self.state_machine.on_change = self.watchers.notify_change
         self.forwarder = forwarders.Forwarder(
-            settings.name, self.log, self._link_factory
+            settings.name,
+            self.log,
+            self._link_factory,
+            link_factory or self._dial_for_renewals,
         )
         self.platform_list = platform_lists.PlatformList()
         self.reconciler = reconcilers.EngineReconciler(
@@ -185,6 +188,12 @@
         settings = self.settings
         return dialers.WebsocketPeer(address, settings.name, settings.secret)
 
+    def _dial_for_renewals(self, address: peers.Address) -> peers.Peer:
+        settings = self.settings
+        return dialers.WebsocketPeer(
+            address, settings.name, settings.secret, resend=False
+        )
+
     def _start_periodic(
         self,
         stack: contextlib.ExitStack,
--- a/libs/wire/masticquay_wire/dialers.py
+++ b/libs/wire/masticquay_wire/dialers.py
@@ -84,6 +84,9 @@
     :param on_connect: called in the peer's thread after each new link; it
         may call ``notify`` or ``submit`` but must not block
     :param compression: None, or ``deflate``
+    :param resend: whether pending calls wait for the next link and are sent
+        again; otherwise they fail at once when a link is lost or cannot be
+        made
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         on_connect: typing.Callable[[], None] | None = None,
         keep_open: bool = False,
         compression: str | None = None,
+        resend: bool = True,
     ):
         self.address = address
         self._name = name
@@ -103,6 +107,7 @@
         self._on_connect = on_connect
         self._keep_open = keep_open
         self._compression = compression
+        self._resend = resend
         self._session_id = os.urandom(SESSION_ID_BYTES)
         self._listener_instance: bytes | None = None
         self._pending_calls = calls.PendingCalls()
@@ -236,14 +241,26 @@
             except (errors.AuthenticationError, errors.VersionError) as cause:
                 self._handle_refusal(cause)
                 self._wait_to_reconnect(REFUSED_RECONNECT_DELAY_MS)
-            except _LINK_ERRORS:
+            except _LINK_ERRORS as cause:
                 self._counters.lost_links += 1
+                self._fail_without_resend(cause)
                 self._wait_to_reconnect(delay_ms)
                 delay_ms = min(RECONNECT_MAX_DELAY_MS, delay_ms * 2)
             finally:
                 self._detach_link()
                 self._expire_calls()
 
+    def _fail_without_resend(self, cause: Exception) -> None:
+        if self._resend:
+            return
+        # Before the calls fail, so that no call is sent over the lost link.
+        self._detach_link()
+        self._fail_all(
+            errors.PeerUnavailableError(
+                f'{self.address}: no link: {type(cause).__name__}'
+            )
+        )
+
     def _wait_to_reconnect(self, duration_ms: int) -> None:
         self._detach_link()
         self._wake_event.wait(duration_ms / 1000)
--- a/libs/wire/tests/test_dialers.py
+++ b/libs/wire/tests/test_dialers.py
@@ -80,6 +80,37 @@
             self.assertEqual('done', future.result(20).text)
         self.assertEqual(2_000, len(handled))
 
+    def test_calls_without_resend_fail_once_the_link_is_lost_or_refused(self):
+        received = threading.Event()
+
+        def return_pending(message, link):
+            received.set()
+            return futures.Future()
+
+        self.listener.handle(Echo, return_pending)
+        peer = dialers.WebsocketPeer(
+            self.listener.address, 'client', SECRET, resend=False
+        )
+        self.addCleanup(peer.close)
+        pending = peer.submit(Echo('x'), TIMEOUT_MS)
+        self.assertTrue(received.wait(20))
+        address = self.listener.address
+        self.listener.close()
+        for future in (pending, peer.submit(Echo('y'), TIMEOUT_MS)):
+            with self.assertRaises(errors.PeerUnavailableError):
+                future.result(TIMEOUT_MS / 2_000)
+        self.listen(address)
+        self.assertEqual('z', self.retry(peer, 'z'))
+
+    def retry(self, peer, text):
+        """Calls until the link is made again."""
+        for _ in range(100):
+            try:
+                return peer.call(Echo(text), TIMEOUT_MS).text
+            except errors.PeerUnavailableError:
+                time.sleep(0.05)
+        raise AssertionError('the link was not made again')
+
     def test_restarted_listener_does_not_run_call_again(self):
         answer: futures.Future = futures.Future()
         started = threading.Event()
