Do not refuse a charge as over-rate that no limiter has judged

A charge is over the rate only if the limiter has answered a request that was sent while the charge waited. Any other waits 1,000 ms longer, as the dispatch does, and is then refused as no-limiter (503, not run), with one log line 'rate limiter did not answer'.

--- a/libs/entry/masticquay_entry/refusals.py
+++ b/libs/entry/masticquay_entry/refusals.py
@@ -35,6 +35,7 @@
 # HTTP status by the refusal reasons of masticquay_scheduling.
 STATUS_BY_REASON = {
     messages.REASON_OVER_RATE: 429,
+    messages.REASON_NO_LIMITER: 503,
     messages.REASON_QUEUE_FULL: 503,
     messages.REASON_DEADLINE: 503,
     messages.REASON_NO_ENDPOINT: 503,
--- a/libs/scheduling/masticquay_scheduling/charges.py
+++ b/libs/scheduling/masticquay_scheduling/charges.py
@@ -12,21 +12,34 @@
 # Shortest delay of the next grant request after a failed or refused one.
 RETRY_DELAY_MS = 25
 DEFAULT_RETRY_AFTER_MS = 1_000
+# How much longer a charge waits that its limiter has not been able to judge.
+ANSWER_MARGIN_MS = 1_000
 
 
 class Charge:
     """A charge of tokens, with a future for its outcome.
 
     :param deadline_ms: time at which it is refused if not yet paid
+    :ivar queued_ms: when it began to wait
+    :ivar reason: why it is refused if it is
     :ivar retry_after_ms: delay before a retry, sent with a refusal
     """
 
-    __slots__ = ('tokens', 'deadline_ms', 'future', 'retry_after_ms')
+    __slots__ = (
+        'tokens',
+        'deadline_ms',
+        'future',
+        'queued_ms',
+        'reason',
+        'retry_after_ms',
+    )
 
     def __init__(self, tokens: int, deadline_ms: int):
         self.tokens = tokens
         self.deadline_ms = deadline_ms
         self.future: futures.Future = futures.Future()
+        self.queued_ms = 0
+        self.reason = messages.REASON_OVER_RATE
         self.retry_after_ms = DEFAULT_RETRY_AFTER_MS
 
     def accept(self) -> None:
@@ -35,27 +48,39 @@
 
     def refuse(self) -> None:
         """Completes the future with a refusal and its retry delay."""
-        refused = messages.Refused(
-            messages.REASON_OVER_RATE, self.retry_after_ms
-        )
+        refused = messages.Refused(self.reason, self.retry_after_ms)
         self.future.set_result(result.Failure(refused))
 
 
 class ChargeQueue:
     """Pays charges from a grant, and makes requests for more.
 
+    A charge is over the rate only if the limiter has answered a request that
+    was sent while the charge waited. Any other waits ``ANSWER_MARGIN_MS``
+    longer, since nobody has found it to be over the rate.
+
     Not thread-safe. The caller passes the time in. Paid and expired charges
     are returned, so that the caller can complete their futures without
     holding a lock.
     """
 
-    __slots__ = ('holder', '_waiting', '_requested_charge', '_next_request_ms')
+    __slots__ = (
+        'holder',
+        '_waiting',
+        '_requested_charge',
+        '_next_request_ms',
+        '_requested_ms',
+        '_answered_request_ms',
+    )
 
     def __init__(self, holder: grants.GrantHolder):
         self.holder = holder
         self._waiting: collections.deque[Charge] = collections.deque()
         self._requested_charge: Charge | None = None
         self._next_request_ms = 0
+        self._requested_ms = 0
+        # When the last request that has an answer was sent.
+        self._answered_request_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -64,6 +89,7 @@
         """Pays a charge or queues it; returns whether it was paid."""
         if not self._waiting and self.holder.spend(charge.tokens, now_ms):
             return True
+        charge.queued_ms = now_ms
         self._waiting.append(charge)
         return False
 
@@ -86,6 +112,7 @@
         ):
             return None
         self._requested_charge = self._waiting[0] if self._waiting else None
+        self._requested_ms = now_ms
         wanted = sum(charge.tokens for charge in self._waiting)
         return self.holder.make_request(needed, wanted, view_number, now_ms)
 
@@ -107,6 +134,7 @@
             self._next_request_ms = now_ms + RETRY_DELAY_MS
             return
         if self.holder.apply(grant, owner, now_ms):
+            self._answered_request_ms = self._requested_ms
             self._schedule_next(grant, now_ms)
 
     def serve(self, now_ms: int) -> tuple[list[Charge], list[Charge]]:
@@ -117,17 +145,31 @@
             first = self._waiting[0]
             if self.holder.spend(first.tokens, now_ms):
                 paid.append(self._waiting.popleft())
-            elif first.deadline_ms <= now_ms:
+            elif self._is_late(first, now_ms):
                 late.append(self._waiting.popleft())
             else:
                 break
-        expired = [c for c in self._waiting if c.deadline_ms <= now_ms]
+        expired = [c for c in self._waiting if self._is_late(c, now_ms)]
         for charge in expired:
             self._waiting.remove(charge)
+        for charge in late + expired:
+            if not self._is_judged(charge):
+                charge.reason = messages.REASON_NO_LIMITER
         if late or expired:
             self._next_request_ms = min(self._next_request_ms, now_ms)
         return paid, late + expired
 
+    def _is_late(self, charge: Charge, now_ms: int) -> bool:
+        limit_ms = charge.deadline_ms
+        if not self._is_judged(charge):
+            limit_ms += ANSWER_MARGIN_MS
+        return limit_ms <= now_ms
+
+    def _is_judged(self, charge: Charge) -> bool:
+        """Whether the limiter has said what it has while the charge waited."""
+        answered_ms = self._answered_request_ms
+        return answered_ms is not None and answered_ms >= charge.queued_ms
+
     def drain(self) -> list[Charge]:
         """Removes and returns all waiting charges."""
         waiting = list(self._waiting)
--- a/libs/scheduling/masticquay_scheduling/grants.py
+++ b/libs/scheduling/masticquay_scheduling/grants.py
@@ -46,6 +46,11 @@
         self._bucket_is_scarce = False
         self._last_report_ms = 0
 
+    @property
+    def workspace(self) -> str:
+        """The name of the workspace."""
+        return self._workspace
+
     @property
     def owner(self) -> HostKey | None:
         """The owner to which spending is reported, None without one."""
--- a/libs/scheduling/masticquay_scheduling/messages.py
+++ b/libs/scheduling/masticquay_scheduling/messages.py
@@ -5,6 +5,7 @@
 
 # Reasons for refusing a request; a refused request was not run.
 REASON_OVER_RATE = 'over-rate'
+REASON_NO_LIMITER = 'no-limiter'
 REASON_QUEUE_FULL = 'queue-full'
 REASON_DEADLINE = 'deadline'
 REASON_NO_ENDPOINT = 'no-endpoint'
--- a/libs/scheduling/masticquay_scheduling/rate_clients.py
+++ b/libs/scheduling/masticquay_scheduling/rate_clients.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import contextlib
+import logging
 import random as random_module
 import threading
 
@@ -12,12 +13,15 @@
 from masticquay_scheduling import directories
 from masticquay_scheduling import errors
 from masticquay_scheduling import grants
+from masticquay_scheduling import messages
 from masticquay_scheduling import protocols
 from masticquay_scheduling import rate_messages
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
 
+LOG = logging.getLogger(__name__)
+
 # Pauses of the report thread with and without waiting charges.
 WAITING_INTERVAL_MS = 10
 IDLE_INTERVAL_MS = 50
@@ -201,6 +205,25 @@
             charge.accept()
         for charge in late:
             charge.refuse()
+        silent = [c for c in late if c.reason == messages.REASON_NO_LIMITER]
+        if silent:
+            self._log_silence(rate, silent)
+
+    def _log_silence(
+        self, rate: WorkspaceRate, silent: list[charges.Charge]
+    ) -> None:
+        """Logs charges refused together, one line for all of them."""
+        now_ms = self._clock.now_ms()
+        LOG.warning(
+            'rate limiter did not answer',
+            extra={
+                'workspace': rate.queue.holder.workspace,
+                'owner': rate.owner.name if rate.owner else '',
+                'view_number': self._view.number,
+                'refused_count': len(silent),
+                'longest_wait_ms': max(now_ms - c.queued_ms for c in silent),
+            },
+        )
 
 
 def implements(client: RateClient) -> protocols.Rates:
