Keep the threads of scheduling alive after an exception

One exception ended a thread for good, five of them: pool ticks, pool maintenance, endpoint polls, pool calls, rate reports. The host then no longer placed, polled, charged or handed over anything, with one traceback on standard error.

wire.duties.Duty runs a task again after an exception, logs each cause once until the task succeeds, and counts.

--- a/libs/scheduling/masticquay_scheduling/clients.py
+++ b/libs/scheduling/masticquay_scheduling/clients.py
@@ -18,6 +18,7 @@
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
+from masticquay_wire import duties
 
 # How long reports of ended attempts are collected before they are sent.
 REPORT_BATCH_MS = 5
@@ -282,12 +283,13 @@
     # Background thread.
 
     def _run(self) -> None:
+        duty = duties.Duty('pool calls', self._run_once)
         while not self._stopping.is_set():
             if self._wake.wait(LOOP_INTERVAL_MS / 1000):
                 self._wake.clear()
                 # Attempts that end together are reported in one message.
                 self._stopping.wait(REPORT_BATCH_MS / 1000)
-            self._run_once()
+            duty.run_once()
 
     def _run_once(self) -> None:
         self._retry_admits()
--- a/libs/scheduling/masticquay_scheduling/rate_clients.py
+++ b/libs/scheduling/masticquay_scheduling/rate_clients.py
@@ -19,6 +19,7 @@
 from masticquay_scheduling import services
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
+from masticquay_wire import duties
 
 LOG = logging.getLogger(__name__)
 
@@ -145,14 +146,19 @@
         rate.queue.switch_owner(owner_key, services.host_keys(self._view))
 
     def _run(self) -> None:
-        pause_ms = IDLE_INTERVAL_MS
-        while not self._stopping.wait(pause_ms / 1000):
-            pause_ms = IDLE_INTERVAL_MS
-            for rate in list(self._rates.values()):
-                self._serve(rate)
-                self._report(rate)
-                if rate.queue:
-                    pause_ms = WAITING_INTERVAL_MS
+        duty = duties.Duty('rate reports', self._serve_all)
+        while not self._stopping.wait(self._pause_ms() / 1000):
+            duty.run_once()
+
+    def _pause_ms(self) -> int:
+        rates = list(self._rates.values())
+        waiting = any(rate.queue for rate in rates)
+        return WAITING_INTERVAL_MS if waiting else IDLE_INTERVAL_MS
+
+    def _serve_all(self) -> None:
+        for rate in list(self._rates.values()):
+            self._serve(rate)
+            self._report(rate)
 
     def _report(self, rate: WorkspaceRate) -> None:
         """Sends a grant request to the owner if one is due."""
--- a/libs/scheduling/masticquay_scheduling/services.py
+++ b/libs/scheduling/masticquay_scheduling/services.py
@@ -22,6 +22,7 @@
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_scheduling import watchers
 from masticquay_wire import clocks
+from masticquay_wire import duties
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
 from masticquay_wire import peers
@@ -64,6 +65,7 @@
         self._lock = threading.RLock()
         self._pools: dict[str, schedulers.PoolScheduler] = {}
         self._stopping = threading.Event()
+        self._tick_pause_ms: float = TICK_MAX_MS
         self._stack = contextlib.ExitStack()
         self._endpoint_poller = watchers.EndpointPoller(
             watcher, clock, settings
@@ -202,13 +204,17 @@
     # Threads.
 
     def _run_ticks(self) -> None:
-        pause_ms: float = TICK_MAX_MS
-        while not self._stopping.wait(pause_ms / 1000):
-            now_ms = self._clock.now_ms()
-            for pool in self._owned_pools():
-                if pool.needs_tick(now_ms):
-                    pool.tick()
-            pause_ms = self._time_to_next_tick_ms()
+        duty = duties.Duty('pool ticks', self._tick_pools)
+        while not self._stopping.wait(self._tick_pause_ms / 1000):
+            if not duty.run_once():
+                self._tick_pause_ms = TICK_MAX_MS
+
+    def _tick_pools(self) -> None:
+        now_ms = self._clock.now_ms()
+        for pool in self._owned_pools():
+            if pool.needs_tick(now_ms):
+                pool.tick()
+        self._tick_pause_ms = self._time_to_next_tick_ms()
 
     def _time_to_next_tick_ms(self) -> float:
         """Returns how long to pause before the next tick."""
@@ -220,14 +226,16 @@
         return min(TICK_MAX_MS, max(TICK_MIN_MS, left_ms))
 
     def _run_maintenance(self) -> None:
-        while not self._stopping.wait(MAINTENANCE_INTERVAL_MS / 1000):
-            # Membership listeners are not called when the last host adopts a
-            # view.
-            with self._lock:
-                self._change_pools(self._membership.state())
-            self._rates.run_maintenance()
-            for pool in self._owned_pools():
-                pool.orphan_expired()
+        duty = duties.Duty('pool maintenance', self._maintain)
+        duty.run(self._stopping, MAINTENANCE_INTERVAL_MS / 1000)
+
+    def _maintain(self) -> None:
+        # Membership listeners are not called when the last host adopts a view.
+        with self._lock:
+            self._change_pools(self._membership.state())
+        self._rates.run_maintenance()
+        for pool in self._owned_pools():
+            pool.orphan_expired()
 
     # Message handlers.
 
--- a/libs/scheduling/masticquay_scheduling/watchers.py
+++ b/libs/scheduling/masticquay_scheduling/watchers.py
@@ -9,6 +9,7 @@
 from masticquay_scheduling import schedulers
 from masticquay_scheduling import settings as scheduling_settings
 from masticquay_wire import clocks
+from masticquay_wire import duties
 
 LOG = logging.getLogger(__name__)
 
@@ -65,10 +66,13 @@
             executor.shutdown(wait=False, cancel_futures=True)
 
     def _run(self, list_pools: PoolLister) -> None:
-        while not self._stopping.wait(POLL_PAUSE_MS / 1000):
-            for pool in list_pools():
-                self._poll(pool)
-                self._cancel_orphans(pool)
+        duty = duties.Duty('endpoint polls', lambda: self._visit(list_pools()))
+        duty.run(self._stopping, POLL_PAUSE_MS / 1000)
+
+    def _visit(self, pools: list[schedulers.PoolScheduler]) -> None:
+        for pool in pools:
+            self._poll(pool)
+            self._cancel_orphans(pool)
 
     def _poll(self, pool: schedulers.PoolScheduler) -> None:
         now_ms = self._clock.now_ms()
