Watch callers' departures on after a hook raised an exception

One exception in the hook of a connection ended the thread that watches all connections, so requests ran on for callers that had left.

--- a/libs/serving/masticquay_serving/disconnects.py
+++ b/libs/serving/masticquay_serving/disconnects.py
@@ -6,6 +6,8 @@
 import threading
 import typing
 
+from masticquay_wire import duties
+
 # The watching thread ends at most this long after ``close``.
 _POLL_INTERVAL_S = 5.0
 _WATCHED_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
@@ -53,11 +55,15 @@
         self._closed = True
 
     def _run(self) -> None:
+        duty = duties.Duty('caller departures', self._handle_event)
         while not self._closed:
             for fd, _events in self._epoll.poll(_POLL_INTERVAL_S):
-                hook = self._take_hook(fd)
-                if hook is not None:
-                    hook()
+                duty.run_once(fd)
+
+    def _handle_event(self, fd: int) -> None:
+        hook = self._take_hook(fd)
+        if hook is not None:
+            hook()
 
     def _take_hook(self, fd: int) -> typing.Callable[[], None] | None:
         """Removes and returns the hook of a connection that has ended.
--- a/libs/serving/tests/test_disconnects.py
+++ b/libs/serving/tests/test_disconnects.py
@@ -68,6 +68,26 @@
             self.far.close()
             self.assertTrue(self.left.wait(TIMEOUT_S))
 
+    # Guards against requests that run on for callers that have left, as one
+    # hook's exception ended the thread that watches all connections.
+    def test_disconnect_is_seen_after_another_hook_raised_an_exception(self):
+        other, other_far = socket.socketpair()
+        self.addCleanup(other.close)
+        failed = threading.Event()
+
+        def fail():
+            failed.set()
+            raise ValueError('hook failed')
+
+        with (
+            self.watcher.watched(other, fail),
+            self.watcher.watched(self.near, self.left.set),
+        ):
+            other_far.close()
+            self.assertTrue(failed.wait(TIMEOUT_S))
+            self.far.close()
+            self.assertTrue(self.left.wait(TIMEOUT_S))
+
 
 class ReusedDescriptorTest(unittest.TestCase):
     def setUp(self):
--- a/libs/wire/masticquay_wire/duties.py
+++ b/libs/wire/masticquay_wire/duties.py
@@ -25,7 +25,7 @@
     def __init__(
         self,
         name: str,
-        task: typing.Callable[[], typing.Any],
+        task: typing.Callable[..., typing.Any],
         on_failure: typing.Callable[[str], None] | None = None,
     ):
         self._name = name
@@ -34,10 +34,10 @@
         self._causes: dict[str, int] = {}
         self.failed_count = 0
 
-    def run_once(self) -> bool:
+    def run_once(self, *arguments: typing.Any) -> bool:
         """Runs the task; returns whether it raised no exception."""
         try:
-            self._task()
+            self._task(*arguments)
         except Exception as cause:
             self._record_failure(cause)
             return False
