Keep three duties of an entry host alive after an exception

An exception ended the thread for good that looks for the return of a lost path (the host then takes its path for lost for ever), that reads answers which come late (no later one is read), and that reads the endpoint list while control is away.

They run as wire.duties.Duty now, with one line for each cause and the counter duty_failures.

--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -41,6 +41,7 @@
 from masticquay_serving import counters
 from masticquay_serving import disconnects
 from masticquay_serving import http_servers
+from masticquay_wire import duties
 from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
@@ -414,21 +415,28 @@
 
     def _poll_endpoint_list(self) -> None:
         """Reads the endpoint list while control is unreachable."""
-        while not self._draining.wait(LOCAL_LIST_INTERVAL_MS / 1000):
-            if self.link.since_renewal_ms < LOCAL_LIST_AFTER_MS:
-                continue
-            if self.state.table is None:
-                continue
-            try:
-                endpoints = self._endpoint_lister.read()
-            except Exception as cause:
-                LOG.warning(
-                    'reading the endpoint list failed',
-                    extra={'cause': str(cause)},
-                )
-                continue
-            self.state.apply_local_list(endpoints)
-            LOG.info(
-                'endpoint list read without control',
-                extra={'endpoints': len(endpoints)},
+        duty = duties.Duty(
+            'own endpoint list',
+            self._read_endpoint_list,
+            lambda name: self.registry.count('duty_failures', 'duty', name),
+        )
+        duty.run(self._draining, LOCAL_LIST_INTERVAL_MS / 1000)
+
+    def _read_endpoint_list(self) -> None:
+        if self.link.since_renewal_ms < LOCAL_LIST_AFTER_MS:
+            return
+        if self.state.table is None:
+            return
+        try:
+            endpoints = self._endpoint_lister.read()
+        except Exception as cause:
+            LOG.warning(
+                'reading the endpoint list failed',
+                extra={'cause': str(cause)},
             )
+            return
+        self.state.apply_local_list(endpoints)
+        LOG.info(
+            'endpoint list read without control',
+            extra={'endpoints': len(endpoints)},
+        )
--- a/libs/gateway/masticquay_gateway/late_answers.py
+++ b/libs/gateway/masticquay_gateway/late_answers.py
@@ -22,6 +22,7 @@
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_serving import counters
+from masticquay_wire import duties
 
 LOG = logging.getLogger(__name__)
 
@@ -106,6 +107,11 @@
         self._lock = threading.Lock()
         self._waiting: dict[int, _LateAnswer] = {}
         self._is_running = False
+        self._read_duty = duties.Duty(
+            'late answers',
+            self._read,
+            lambda duty: registry.count('duty_failures', 'duty', duty),
+        )
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
@@ -163,8 +169,9 @@
                 descriptors = list(self._waiting)
             for descriptor in self._poll(descriptors):
                 late = self._waiting.get(descriptor)
-                if late is not None:
-                    self._read(late)
+                if late is not None and not self._read_duty.run_once(late):
+                    with self._lock:
+                        self._close(late)
 
     def _poll(self, descriptors: list[int]) -> list[int]:
         """Returns the descriptors with data, waiting for the first one."""
--- a/libs/gateway/masticquay_gateway/reach_watches.py
+++ b/libs/gateway/masticquay_gateway/reach_watches.py
@@ -15,6 +15,7 @@
 from masticquay_gateway import exchanges
 from masticquay_routing import fleets
 from masticquay_serving import counters
+from masticquay_wire import duties
 
 LOG = logging.getLogger(__name__)
 
@@ -71,6 +72,8 @@
         self._checked_s = float('-inf')
         self._is_checking = False
         self._lost_s: float | None = None
+        self._retry_ms = RETRY_MIN_MS
+        self._successes = 0
         self._returned_s = float('-inf')
         self._confirmations = 1
         self._closed = threading.Event()
@@ -247,20 +250,32 @@
 
     def _wait_for_return(self) -> None:
         """Probes until endpoints accept connections steadily again."""
-        pause_ms = RETRY_MIN_MS
-        successes = 0
-        while not self._closed.wait(pause_ms / 1000):
-            probed = self._choose_endpoints('')
-            if probed and not self._reaches_any(probed):
-                pause_ms = min(RETRY_MAX_MS, 2 * pause_ms)
-                successes = 0
-                continue
-            pause_ms = RETRY_MIN_MS
-            successes += 1
-            if successes >= self._confirmations:
-                self._end_loss()
+        lost_s = self._lost_s
+        duty = duties.Duty(
+            'probes of a lost way', self._probe_lost_way, self._count_failure
+        )
+        self._retry_ms = RETRY_MIN_MS
+        self._successes = 0
+        while not self._closed.wait(self._retry_ms / 1000):
+            if not duty.run_once():
+                self._retry_ms = RETRY_MAX_MS
+            if self._lost_s != lost_s:
                 return
 
+    def _probe_lost_way(self) -> None:
+        probed = self._choose_endpoints('')
+        if probed and not self._reaches_any(probed):
+            self._retry_ms = min(RETRY_MAX_MS, 2 * self._retry_ms)
+            self._successes = 0
+            return
+        self._retry_ms = RETRY_MIN_MS
+        self._successes += 1
+        if self._successes >= self._confirmations:
+            self._end_loss()
+
+    def _count_failure(self, duty: str) -> None:
+        self._registry.count('duty_failures', 'duty', duty)
+
     def _end_loss(self) -> None:
         lost_s, self._lost_s = self._lost_s, None
         self._silent_since_s = None
--- a/libs/gateway/tests/test_late_answer_waits.py
+++ b/libs/gateway/tests/test_late_answer_waits.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import exchanges
@@ -172,6 +173,27 @@
         self.assertFalse(self.is_withheld())
         self.assertIn('answers another request', self.registry.render())
 
+    # Guards against late answers that nobody reads any more, as an exception
+    # ended the thread that waits for all of them.
+    def test_late_refusal_is_read_after_another_one_raised_an_exception(self):
+        self.late = raw_endpoints.format_answer('c1', 503, extra=[MARK, PAUSE])
+        handle, failed = self.answers._listener.record, []
+
+        def fail_once(*arguments, **keywords):
+            if not failed:
+                failed.append(arguments)
+                raise ValueError('failed once')
+            return handle(*arguments, **keywords)
+
+        self.answers._listener = mock.Mock(record=fail_once)
+        self.give_up()
+        self.wait_for_end()
+        self.wait_for(lambda: failed)
+        self.given_up.clear()
+        self.give_up()
+        self.given_up.set()
+        self.wait_for(self.is_withheld)
+
     def test_late_bytes_that_are_no_answer_end_the_wait(self):
         self.late = b'no answer at all\r\n\r\n'
         self.give_up()
--- a/libs/gateway/tests/test_reach_watches.py
+++ b/libs/gateway/tests/test_reach_watches.py
@@ -132,6 +132,24 @@
         cause = errors.EndpointEndedError('ended')
         self.assertTrue(self.watch.has_ended(self.endpoints[0], cause))
 
+    # Guards against a host that takes its path for lost for ever, as an
+    # exception ended the thread that looks for its return.
+    def test_return_of_the_path_is_found_after_an_exception(self):
+        self.close_all()
+        self.assertFalse(self.watch.reaches_others(self.endpoints[0]))
+        choose, failed = self.watch._choose_endpoints, []
+
+        def fail_once(endpoint_id):
+            if not failed:
+                failed.append(endpoint_id)
+                raise ValueError('failed once')
+            return choose(endpoint_id)
+
+        self.watch._choose_endpoints = fail_once
+        self.wait_for(lambda: failed)
+        self.endpoints.clear()
+        self.wait_for(lambda: not self.watch.is_lost)
+
     def test_path_that_is_lost_again_has_to_hold_longer(self):
         port = int(self.endpoints[2].address.rpartition(':')[2])
         self.close_all()
