Run the duties of control as the others, one line for each cause

The duties of both control daemons went on after an exception, but wrote a traceback at each run, up to 20 a second, and counted none. They run as wire.duties.Duty now; the users' platform has the counter duty_failures.

--- a/libs/control/masticquay_control/replicas.py
+++ b/libs/control/masticquay_control/replicas.py
@@ -22,6 +22,7 @@
 from masticquay_membership import operator_messages
 from masticquay_wire import clocks
 from masticquay_wire import dialers
+from masticquay_wire import duties
 from masticquay_wire import listeners
 from masticquay_wire import peers
 
@@ -202,23 +203,14 @@
         task: typing.Callable[[], None],
     ) -> None:
         thread = threading.Thread(
-            target=self._run_periodic,
-            args=[interval_ms, task],
+            target=duties.Duty(name, task).run,
+            args=[self._stopping, interval_ms / 1000],
             name=name,
             daemon=True,
         )
         thread.start()
         stack.callback(thread.join, THREAD_JOIN_TIMEOUT_S)
 
-    def _run_periodic(
-        self, interval_ms: int, task: typing.Callable[[], None]
-    ) -> None:
-        while not self._stopping.wait(interval_ms / 1000):
-            try:
-                task()
-            except Exception:
-                LOG.exception('periodic task raised an exception')
-
     def _tick(self) -> None:
         """Begins a leadership if needed and proposes view changes."""
         self.leadership.tick()
--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -21,6 +21,7 @@
 from masticquay_serving import clocks
 from masticquay_serving import counters
 from masticquay_wire import dialers
+from masticquay_wire import duties
 from masticquay_wire import listeners
 from masticquay_wire import peers
 
@@ -269,9 +270,10 @@
     def _run_task(
         self, name: str, interval_ms: int, task: typing.Callable[[], None]
     ) -> None:
+        duty = duties.Duty(name, task, self._count_failure)
         while not self._stopping.is_set():
-            try:
-                task()
-            except Exception:
-                LOG.exception('periodic task failed', extra={'duty': name})
+            duty.run_once()
             time.sleep(interval_ms / 1000)
+
+    def _count_failure(self, duty: str) -> None:
+        self.registry.count('duty_failures', 'duty', duty)
