Run the demo in the tests, with streams open as the leader is lost

make demo is the README's main job and nothing ran it. The step that kills the control leader has a stream open at each host, which must end whole; a demo that fails keeps its logs; rolls show the time from their acceptance.

It uses the class with a first token in 5 s, so that a slow machine does not refuse its streams; make demo keeps the class of 490 ms.

--- a/libs/bench/masticquay_bench/demos.py
+++ b/libs/bench/masticquay_bench/demos.py
@@ -4,7 +4,9 @@
 """
 
 from concurrent import futures
+import pathlib
 import sys
+import tempfile
 import threading
 import time
 import typing
@@ -16,6 +18,9 @@
 from masticquay_bench import runs
 from masticquay_standins import journals
 
+# Classes by the first token, with a target of 490 ms and one of 5 s.
+DEFAULT_CLASS = 'standard'
+PATIENT_CLASS = 'deferred'
 SHORT_STREAM_TOKENS = 40
 LONG_STREAM_TOKENS = 400
 FIRST_TOKEN_TIMEOUT_S = 15
@@ -53,6 +58,7 @@
         key_number: int = 0,
         tokens: int = LONG_STREAM_TOKENS,
         host: str = '',
+        class_name: str = DEFAULT_CLASS,
     ):
         self._first_token = threading.Event()
         self.future: futures.Future[calls.Call] = pool.submit(
@@ -61,6 +67,7 @@
             run.fleet.deployment.model,
             prompt_prefix='Chapter one, under the house style guide.',
             tokens=tokens,
+            class_name=class_name,
             host=host,
             on_token=lambda call: self._first_token.set(),
         )
@@ -79,10 +86,13 @@
     """Runs the steps of the demo in sequence on one fleet.
 
     :param pool: executor in which streams are read
+    :param class_name: class of all streams but those that hosts have open as
+        the control leader is lost, of which the first token is no matter
     """
 
-    def __init__(self, run: runs.Run, pool: futures.Executor):
+    def __init__(self, run: runs.Run, pool: futures.Executor, class_name: str):
         self._run = run
+        self._class_name = class_name
         self._fleet = run.fleet
         self._pool = pool
         self._step_results: list[StepResult] = []
@@ -121,6 +131,11 @@
     def _workspaces(self) -> list[str]:
         return [w.name for w in self._fleet.deployment.workspaces]
 
+    @property
+    def _waited_ms(self) -> int:
+        """The time from acceptance to force of the last change."""
+        return self._run.last_report['waited_ms']
+
     def _show_start(self, started_s: float) -> None:
         served, probed = self._run.count_serving_hosts()
         self._add_result(
@@ -133,7 +148,7 @@
 
     def _stream_for_workspaces(self) -> None:
         streams = [
-            OpenStream(self._pool, self._run, name, tokens=SHORT_STREAM_TOKENS)
+            self._open_stream(name, tokens=SHORT_STREAM_TOKENS)
             for name in self._workspaces
             for _ in range(3)
         ]
@@ -198,7 +213,7 @@
 
     def _withdraw_with_open_stream(self) -> None:
         workspace = self._workspaces[1]
-        stream = OpenStream(self._pool, self._run, workspace, key_number=1)
+        stream = self._open_stream(workspace, key_number=1)
         stream.wait_for_first_token()
         mark = self._run.withdraw(workspace, 1)
         ended_call = stream.result()
@@ -222,24 +237,36 @@
         self._add_result(
             'a second bundle rolled',
             served == probed,
-            f'in force {mark.end_ms - mark.begin_ms:.0f} ms, served by '
+            f'in force {mark.end_ms - mark.begin_ms:.0f} ms '
+            f'({self._waited_ms} ms once accepted), served by '
             f'{served} of {probed} hosts',
         )
 
-    def _kill_entry_host(self) -> None:
-        host_number = 2
+    def _open_stream(
+        self, workspace: str, **options: typing.Any
+    ) -> OpenStream:
+        options.setdefault('class_name', self._class_name)
+        return OpenStream(self._pool, self._run, workspace, **options)
+
+    def _open_streams(
+        self, host_numbers: typing.Iterable[int], **options: typing.Any
+    ) -> list[OpenStream]:
+        """Opens a stream at each host and waits for its first token."""
         streams = [
-            OpenStream(
-                self._pool,
-                self._run,
+            self._open_stream(
                 self._workspaces[0],
-                tokens=200,
                 host=self._fleet.layout.caller(number),
+                **options,
             )
-            for number in (0, 1, 3)
+            for number in host_numbers
         ]
         for stream in streams:
             stream.wait_for_first_token()
+        return streams
+
+    def _kill_entry_host(self) -> None:
+        host_number = 2
+        streams = self._open_streams((0, 1, 3), tokens=200)
         self._run.kill_entry(host_number)
         begin_s = time.monotonic()
         all_served = self._wait_until_all_served()
@@ -256,25 +283,34 @@
 
     def _kill_control_leader(self) -> None:
         leader = self._run.find_leader()
+        # They go on while the hosts have to find the next leader.
+        streams = self._open_streams(
+            (0, 1, 3, 4, 5), tokens=200, class_name=PATIENT_CLASS
+        )
         self._fleet.controls[leader].kill()
         begin_s = time.monotonic()
         mark = self._run.roll()
+        waited_ms = self._waited_ms
         elapsed_ms = (time.monotonic() - begin_s) * 1000
         served, probed = self._run.count_serving_hosts()
         all_served = self._wait_until_all_served()
+        ended_calls = [stream.result() for stream in streams]
+        complete = sum(has_full_answer(call) for call in ended_calls)
         self._add_result(
             'the control leader killed, then a third bundle rolled',
-            served == probed and all_served,
+            served == probed and all_served and complete == len(ended_calls),
+            f'{complete} of {len(ended_calls)} streams whole, '
             f'roll took {mark.end_ms - mark.begin_ms:.0f} ms '
-            f'({elapsed_ms:.0f} ms with signing), served by {served} of '
-            f'{probed} hosts',
+            f'({elapsed_ms:.0f} ms with signing, {waited_ms} ms once '
+            f'accepted), served by {served} of {probed} hosts'
+            + describe_first_failure(ended_calls),
         )
 
     def _drain_host(self) -> None:
         host_number = 0
         address = self._fleet.layout.caller(host_number)
         streams = [
-            OpenStream(self._pool, self._run, name, tokens=200, host=address)
+            self._open_stream(name, tokens=200, host=address)
             for name in self._workspaces[:3]
         ]
         for stream in streams:
@@ -317,8 +353,7 @@
         end_s = time.monotonic() + SETTLE_TIMEOUT_S
         while time.monotonic() < end_s:
             streams = [
-                OpenStream(self._pool, self._run, name, tokens=4)
-                for name in self._workspaces
+                self._open_stream(name, tokens=4) for name in self._workspaces
             ]
             if all(has_full_answer(stream.result()) for stream in streams):
                 return True
@@ -354,17 +389,32 @@
     return '\n'.join(lines)
 
 
-def main() -> int:
-    """Runs the demo and prints its table."""
+def run_demo(class_name: str = DEFAULT_CLASS) -> list[StepResult]:
+    """Starts a fleet, runs all steps and returns their results.
+
+    The last result is that of the whole demo: whether it ended in time. Logs,
+    settings and calls of a demo that failed are kept.
+    """
     started_s = time.monotonic()
     with futures.ThreadPoolExecutor(32) as pool, fleets.Fleet() as fleet:
         print(f'fleet in {fleet.folder}', flush=True)
-        step_results = Demo(runs.Run(fleet), pool).run(started_s)
+        run = runs.Run(fleet)
+        step_results = Demo(run, pool, class_name).run(started_s)
+        if not all(result.passed for result in step_results):
+            folder = tempfile.mkdtemp(prefix='masticquay-demo-')
+            run.save(pathlib.Path(folder))
+            print(f'logs of the failed demo in {folder}', flush=True)
     elapsed_s = time.monotonic() - started_s
     in_time = elapsed_s < DEMO_TIME_LIMIT_S
     step_results.append(
         StepResult('whole demo', in_time, f'{elapsed_s:.1f} s')
     )
+    return step_results
+
+
+def main() -> int:
+    """Runs the demo and prints its table."""
+    step_results = run_demo()
     print('\n' + format_step_results(step_results))
     return 0 if all(result.passed for result in step_results) else 1
 
--- a/libs/bench/masticquay_bench/runs.py
+++ b/libs/bench/masticquay_bench/runs.py
@@ -34,6 +34,8 @@
         self.log = calls.CallLog()
         self.marks: list[observations.Mark] = []
         self.probes: list[observations.Probe] = []
+        # What the operator's command of the last mark reported.
+        self.last_report: typing.Any = None
         self.stopped_entries: set[int] = set()
         self._seed = seed
         self._call_numbers = itertools.count(1)
@@ -256,7 +258,7 @@
             kind, subject, journals.now_ms(), float('inf')
         )
         self.marks.append(mark)
-        operation()
+        self.last_report = operation()
         mark.end_ms = journals.now_ms()
         return mark
 
