Several hosts know where a stream began

Callers saw: streams that they took up after the loss of their host and of the leader at once were refused for as long as engines of two software versions served ("software version of the resumed stream is unknown"); new streams began. Cause: only the host that began a stream and the leader's memory knew its version. Change: while several versions are possible, the answers to renewals have up to three further hosts keep each origin and tell the next leader; no message is added, unknown fields are ignored by earlier releases. One log entry for 100 ms of streams was built first and given up for its cost.

--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -90,7 +90,7 @@
             term.owner.adopt(renewal.host, renewal.running)
         if renewal.held is not None:
             term.owner.drop_ended(renewal.host, renewal.held)
-        term.owner.add_origins(renewal.origins)
+        origins = term.owner.exchange_origins(renewal.host, renewal.origins)
         if renewal.leaving:
             self._leader.add_leaving(renewal, term)
         if renewal.quarantined:
@@ -106,6 +106,7 @@
             term.owner.quarantined_prompts() | term.requests.quarantined(),
             term.limits.exchange(renewal.host, renewal.limits),
             term.requests.suspects(),
+            origins,
         )
 
     def _handle_admit(
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -7,6 +7,7 @@
 from masticquay_coordination import charges
 from masticquay_coordination import endpoint_limits
 from masticquay_coordination import host_requests
+from masticquay_coordination import origin_copies
 from masticquay_coordination import pool_requests
 from masticquay_coordination import prompt_watches
 from masticquay_routing import balances
@@ -54,7 +55,7 @@
         self._requests = host_requests.HostRequests()
         self._dropped_count = 0
         self._charges = charges.Charges(first)
-        self._origins = stream_origins.StreamOrigins()
+        self._origins = origin_copies.CopiedOrigins()
         self._prompts = prompt_watches.PromptWatch()
         self._limits = limits or endpoint_limits.EndpointLimits(clock)
         self._stream_versions: software_versions.Versions | None = None
@@ -81,6 +82,7 @@
         """
         with self._lock:
             self._stream_versions = stream_versions
+            self._origins.set_versions(stream_versions, self._clock.now_ms())
             for name, engine in self._engines.items():
                 pool = self._pool(name)
                 self._balancers.setdefault(name, balances.RoleBalancer())
@@ -154,18 +156,24 @@
             begun.first_call_id, begun.service, begun.software_version
         )
         with self._lock:
-            self._origins.add(origin, now_ms)
+            self._origins.add(origin, begun.host, now_ms)
             self._prompts.begin_answer((begun.host, begun.number), now_ms)
             pool = self._pools.get(begun.service)
             if pool is not None:
                 pool.begin_decode((begun.host, begun.number), now_ms)
 
-    def add_origins(self, origins: list[stream_origins.StreamOrigin]) -> None:
-        """Records where a host's streams began before this term."""
+    def exchange_origins(
+        self, host: str, origins: list[stream_origins.StreamOrigin]
+    ) -> list[stream_origins.StreamOrigin]:
+        """Records where streams began that a host knows of.
+
+        :returns: the origins that the host should keep for the next leader
+        """
         now_ms = self._clock.now_ms()
         with self._lock:
             for origin in origins:
-                self._origins.add(origin, now_ms)
+                self._origins.add(origin, host, now_ms)
+            return self._origins.take_for(host, now_ms)
 
     def finish(self, finished: placement_messages.Finished) -> None:
         """Frees the reservation of a request, or refuses it if it waits."""
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -11,6 +11,7 @@
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
 from masticquay_routing import messages
+from masticquay_routing import placement_messages
 from masticquay_wire import clocks
 from masticquay_wire import errors as wire_errors
 from tests import fakes
@@ -93,6 +94,12 @@
         self.lister = fakes.FakeLister()
         self.clock = clocks.ManualClock(10_000)
         self.sent_orders = []
+        self.next_number = 100
+        self.link = QueueLink()
+        self.make_leadership()
+
+    def make_leadership(self):
+        """Makes the duties of a replica over the machine of the log."""
         self.leadership = leaderships.Leadership(
             self.node,
             self.machine,
@@ -107,7 +114,6 @@
         self.handlers = {}
         listener = types.SimpleNamespace(handle=self.handlers.__setitem__)
         self.leadership.register(listener)
-        self.link = QueueLink()
 
     def renew(self, host='h', reports=()):
         renewal = messages.Renew(
@@ -250,6 +256,76 @@
         self.assertIsNone(self.next_endpoint_update().stream_versions)
         self.assertIsNone(self.machine.software_versions)
 
+    def begin_streams(self, *versions):
+        """Has stream c0, c1, ... of a host begin at the given versions."""
+        self.renew('lost')
+        for number, version in enumerate(versions):
+            self.handlers[placement_messages.Decoding](
+                placement_messages.Decoding(
+                    'lost', 'llm', number, f'c{number}', version
+                ),
+                QueueLink(),
+            )
+
+    def lose_leader(self, *renewed):
+        """Has another replica lead, to which hosts tell what they keep.
+
+        :param renewed: what the last leader answered to the hosts' renewals
+        """
+        self.node.log_is_blank = False
+        self.make_leadership()
+        self.lead()
+        self.leadership.refresh_endpoints()
+        for number, answer in enumerate(renewed):
+            renewal = fakes.make_renewal(f'h{number}', origins=answer.origins)
+            self.handlers[messages.Renew](renewal, QueueLink())
+
+    def take_up(self, call_id):
+        """Returns the engine at which a caller's stream goes on."""
+        self.next_number += 1
+        answer = self.handlers[placement_messages.Admit](
+            fakes.make_admit(
+                self.next_number, resumes=True, first_call_id=call_id
+            ),
+            self.link,
+        )
+        if isinstance(answer, futures.Future):
+            return answer.result(0).decode_id
+        return 'refused'
+
+    # Guards against LOST, where streams whose host and leader were killed at
+    # once were refused while engines of two software versions served.
+    def test_streams_whose_host_and_leader_are_lost_go_on(self):
+        self.lead_with_engines('v1', 'v2')
+        self.begin_streams('v2', 'v1')
+        self.lose_leader(self.renew('other'))
+        self.assertEqual(['e1', 'e0'], [self.take_up(c) for c in ('c0', 'c1')])
+
+    # Guards against LOST in a series of losses.
+    def test_streams_go_on_after_the_loss_of_another_leader_and_host(self):
+        self.lead_with_engines('v1', 'v2')
+        self.begin_streams('v2')
+        self.lose_leader(self.renew('other'))
+        self.lose_leader(self.renew('third'))
+        self.assertEqual('e1', self.take_up('c0'))
+
+    def test_streams_begun_before_a_release_go_on_after_the_loss(self):
+        """Hosts get them once a second version makes them unclear."""
+        self.lead_with_engines('v1', 'v1')
+        self.begin_streams('v1')
+        self.assertEqual([], self.renew('other').origins)
+        self.lister.endpoints[1].software_version = 'v2'
+        self.clock.advance_ms(leaderships.LIST_INTERVAL_MS)
+        self.leadership.refresh_endpoints()
+        self.lose_leader(self.renew('other'))
+        self.assertEqual('e0', self.take_up('c0'))
+
+    def test_stream_that_no_other_host_heard_of_is_refused(self):
+        self.lead_with_engines('v1', 'v2')
+        self.begin_streams('v1')
+        self.lose_leader()
+        self.assertEqual('refused', self.take_up('c0'))
+
     def renew_leaving(self, host, *endpoint_ids, started_ms=0, age_ms=0):
         reports = [
             endpoint_notices.LeavingReport(endpoint_id, started_ms, age_ms)
--- a/libs/coordination/tests/test_owners.py
+++ b/libs/coordination/tests/test_owners.py
@@ -89,7 +89,7 @@
     def test_origins_of_a_host_are_known_to_the_next_leader(self):
         self.set_versions('v1', 'v2')
         origin = stream_origins.StreamOrigin('c1', 'llm', 'v2')
-        self.owner.add_origins([origin])
+        self.owner.exchange_origins('h2', [origin])
         placed = self.resume(1, first_call_id='c1').result(0)
         self.assertEqual('e2', placed.decode_id)
 
@@ -112,7 +112,7 @@
     def test_stream_of_another_service_is_refused(self):
         self.set_versions('v1', 'v1', possible={'llm': ['v1']})
         origin = stream_origins.StreamOrigin('c1', 'other', 'v1')
-        self.owner.add_origins([origin])
+        self.owner.exchange_origins('h2', [origin])
         refused = self.resume(1, first_call_id='c1')
         self.assertIsInstance(refused, placement_messages.Refused)
 
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -317,9 +317,13 @@
         self.quarantine.apply(quarantined)
 
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
-        """Returns where the host's recent streams began."""
+        """Returns where recent streams began, also those that it keeps."""
         return self._placer.recent_origins()
 
+    def keep_origins(self, origins: list[stream_origins.StreamOrigin]) -> None:
+        """Keeps where streams of other hosts began, for the next leader."""
+        self._placer.keep_origins(origins)
+
     def set_exhausted(self, exhausted: dict[str, int]) -> None:
         """Replaces the workspaces that are over their rate limit.
 
--- a/libs/gateway/masticquay_gateway/host_reports.py
+++ b/libs/gateway/masticquay_gateway/host_reports.py
@@ -61,7 +61,10 @@
         """Returns the model requests that have not ended."""
 
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
-        """Returns where the host's recent streams began."""
+        """Returns where recent streams began, also those that it keeps."""
+
+    def keep_origins(self, origins: list[stream_origins.StreamOrigin]) -> None:
+        """Keeps where streams of other hosts began, for the next leader."""
 
     def recent_ends(self) -> list[wire_messages.Message]:
         """Returns the ends of endpoints that the host has reported."""
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -277,6 +277,7 @@
         self._report.apply_endpoint_views(renewed.endpoint_views)
         self._report.apply_limits(renewed.limits)
         self._report.apply_suspects(renewed.suspects)
+        self._report.keep_origins(renewed.origins)
         if renewed.term == self._term and not self._must_report_streams:
             self._report.set_quarantined_prompts(renewed.quarantined)
             return
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -96,10 +96,19 @@
         return self._ended_engines.recent()
 
     def recent_origins(self) -> list[stream_origins.StreamOrigin]:
-        """Returns the origins of the streams that recently began here."""
+        """Returns the origins of recent streams, also those that it keeps."""
         with self._lock:
             return self._origins.list_all(_now_ms())
 
+    def keep_origins(self, origins: list[stream_origins.StreamOrigin]) -> None:
+        """Keeps where streams of other hosts began, for the next leader."""
+        now_ms = _now_ms()
+        with self._lock:
+            for origin in origins:
+                # Does not prolong how long a known one is kept.
+                if self._origins.find(origin.call_id, now_ms) is None:
+                    self._origins.add(origin, now_ms)
+
     def place(
         self,
         request: placement_messages.Admit,
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -34,6 +34,8 @@
     def __init__(self):
         self.leader_found = threading.Event()
         self.origins = []
+        self.kept_origins = []
+        self.origins_kept = threading.Event()
         self.quarantined = {}
         self.ends = []
         self.usage = usages.Usage()
@@ -70,6 +72,11 @@
     def recent_origins(self):
         return self.origins
 
+    def keep_origins(self, origins):
+        self.kept_origins += origins
+        if origins:
+            self.origins_kept.set()
+
     def set_exhausted(self, exhausted):
         self.leader_found.set()
 
@@ -199,6 +206,20 @@
         self.assert_leader_found([self.start_replica(renew)])
         self.assertTrue(received.wait(TIMEOUT_S))
 
+    # Guards against LOST: only the leader and a stream's own host knew where
+    # it had begun, and both were lost at once.
+    def test_origins_in_the_answer_of_a_renewal_are_kept(self):
+        origin = stream_origins.StreamOrigin('c1', 'llm', 'v1')
+
+        def renew(renewal, link):
+            answer = self.renew_as_leader(renewal, link)
+            answer.origins = [origin]
+            return answer
+
+        self.assert_leader_found([self.start_replica(renew)])
+        self.assertTrue(self.report.origins_kept.wait(TIMEOUT_S))
+        self.assertEqual(origin, self.report.kept_origins[0])
+
     # Guards against BUDGET after a change of the leader: the next one let
     # prompts run again that end engines.
     def test_leader_that_is_found_gets_the_quarantined_prompts(self):
--- a/libs/gateway/tests/test_placers.py
+++ b/libs/gateway/tests/test_placers.py
@@ -9,6 +9,7 @@
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import placement_messages
+from masticquay_routing import stream_origins
 from tests import test_fleet_states
 from tests import test_leaderless_loads
 
@@ -87,6 +88,22 @@
         placement = self.place(first_call_id='c0', software_version='v1')
         self.assertEqual('v1', placement.decode.software_version)
 
+    # Guards against LOST, where nobody knew a stream any more whose host and
+    # leader were lost at once.
+    def test_next_leader_is_told_of_kept_origins(self):
+        origin = stream_origins.StreamOrigin('c1', 'llm', 'v1')
+        self.placer.keep_origins([origin])
+        self.assertEqual([origin], self.placer.recent_origins())
+
+    def test_kept_origin_does_not_replace_a_known_one(self):
+        origins = [
+            stream_origins.StreamOrigin('c1', 'llm', version)
+            for version in ('v1', 'v2')
+        ]
+        for origin in origins:
+            self.placer.keep_origins([origin])
+        self.assertEqual(origins[:1], self.placer.recent_origins())
+
     # Guards against ORDER: the leader placed by an older list than this host
     # has.
     def test_placement_on_another_version_is_given_back(self):
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -134,8 +134,8 @@
         and otherwise empty
     :param endpoint_reports: on the endpoints that the host has used since its
         last renewal
-    :param origins: the origins of the host's recent streams, sent with
-        ``running``
+    :param origins: the origins of recent streams that the host knows of, sent
+        with ``running``
     :param quarantined: the parts of prompts that the host refuses, with the
         remaining time in ms; sent with ``running``
     :param leaving: the endpoints that told the host that they leave
@@ -243,6 +243,8 @@
     :param limits: the limits that endpoints name
     :param suspects: keys of requests under which endpoints ended; the leader
         lets one copy of each run at a time
+    :param origins: the origins of streams that began on other hosts, which
+        this host should keep for the next leader
     """
 
     __slots__ = (
@@ -253,6 +255,7 @@
         'quarantined',
         'limits',
         'suspects',
+        'origins',
     )
 
     def __init__(
@@ -264,6 +267,7 @@
         quarantined: dict[str, int] | None = None,
         limits: list[named_limits.LimitWord] | None = None,
         suspects: list[str] | None = None,
+        origins: list[stream_origins.StreamOrigin] | None = None,
     ):
         self.term = term
         self.controls = controls
@@ -272,6 +276,7 @@
         self.quarantined = quarantined or {}
         self.limits = limits or []
         self.suspects = suspects or []
+        self.origins = origins or []
 
 
 @messages.register
