--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -307,7 +307,7 @@
             listener.handle(message_type, self._handle)
 
     def _handle(
-        self, message: replicas.AddressedRequest, link: peers.Connection
+        self, message: protocols.AddressedRequest, link: peers.Connection
     ) -> peers.Answer:
         if self._closed.is_set():
             raise wire_errors.RemoteError('closing', 'the replica is closing')
--- a/libs/consensus/masticquay_consensus/protocols.py
+++ b/libs/consensus/masticquay_consensus/protocols.py
@@ -6,6 +6,15 @@
 from masticquay_consensus import messages
 from masticquay_wire import peers
 
+# Requests that name the replica and the group that they are for.
+AddressedRequest = (
+    messages.AskStart
+    | messages.RequestVote
+    | messages.TakeLead
+    | messages.AppendEntries
+    | messages.InstallSnapshot
+)
+
 
 class StateMachine(typing.Protocol):
     """A deterministic state machine to which committed commands are applied.
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -24,14 +24,6 @@
 CODE_WRONG_IDENTITY = 'wrong-identity'
 CODE_NOT_FORMED = 'not-formed'
 
-AddressedRequest = (
-    messages.AskStart
-    | messages.RequestVote
-    | messages.TakeLead
-    | messages.AppendEntries
-    | messages.InstallSnapshot
-)
-
 
 class Replica:
     """A replica that is a member of a group or waits to be added to one.
@@ -119,7 +111,7 @@
                     self._leader.begin()
 
     def handle(
-        self, message: AddressedRequest
+        self, message: protocols.AddressedRequest
     ) -> wire_messages.Message | futures.Future:
         """Handles a request of another replica.
 
@@ -139,7 +131,7 @@
             ) from cause
 
     def _handle(
-        self, message: AddressedRequest
+        self, message: protocols.AddressedRequest
     ) -> wire_messages.Message | futures.Future:
         with self.state.lock:
             if message.to_id != self.state.replica_id:
--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -1,10 +1,8 @@
 """Pooled HTTP connections to an endpoint."""
 
 import collections
-from collections import abc
 import contextlib
 import http.client
-import select
 import socket
 import threading
 import time
@@ -13,106 +11,21 @@
 from masticquay_endpoints import byte_budgets
 from masticquay_endpoints import channels
 from masticquay_endpoints import errors
+from masticquay_endpoints import http_connections
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import request_writers
 from masticquay_endpoints import responses
 from masticquay_endpoints import whole_bodies
 
-# A connection may break unnoticed while idle, so it is not reused later than
-# this.
-IDLE_TIMEOUT_MS = 2_000
 # For each pool.
 MAX_IDLE_CONNECTIONS = 64
 CONNECT_TIMEOUT_MS = 1_000
 # The kernel closes a connection whose data is unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 5_000
-# Ids of earlier requests that a connection remembers.
-MAX_CARRIED_CALLS = 64
 
 Headers = request_writers.Headers
 
 
-class Connection:
-    """A connection with the time of its last use.
-
-    :ivar channel: its socket
-    :ivar reader: reads from it, beyond the end of a response
-    :ivar reused: whether an earlier exchange used the connection
-    :ivar exchange_count: number of exchanges that have used it
-    """
-
-    __slots__ = (
-        'http',
-        'channel',
-        'reader',
-        'last_used_s',
-        'reused',
-        'exchange_count',
-        '_carried_calls',
-    )
-
-    def __init__(self, http_connection: http.client.HTTPConnection):
-        self.http = http_connection
-        # It would open a connection of its own, without limits, to send on.
-        self.http.auto_open = 0
-        self.channel = channels.Channel(http_connection.sock)
-        self.reader = channels.LineReader(self.channel)
-        self.http.sock = channels.HttpSocket(self.channel, self.reader)
-        self.http.response_class = responses.Response
-        self.last_used_s = time.monotonic()
-        self.reused = False
-        self.exchange_count = 0
-        self._carried_calls: collections.deque[str] = collections.deque(
-            maxlen=MAX_CARRIED_CALLS
-        )
-
-    def record_call(self, call_id: str) -> None:
-        """Records the id of a request that the connection has carried."""
-        self._carried_calls.append(call_id)
-
-    def has_carried(self, call_ids: abc.Set[str]) -> bool:
-        """Whether it has carried all these requests, as far as it knows."""
-        return all(call_id in self._carried_calls for call_id in call_ids)
-
-    def shut_down(self) -> None:
-        """Shuts the socket down, which wakes a thread blocked on it."""
-        self.channel.shut_down()
-
-    def close(self) -> None:
-        """Closes the socket."""
-        self.http.close()
-        self.channel.close()
-
-    def set_timeout(self, timeout_ms: int) -> None:
-        """Limits the time from now until all further waits end.
-
-        It replaces the limit set before. To limit pauses, it is to be called
-        after each progress.
-        """
-        self.channel.set_due(time.monotonic() + max(1, timeout_ms) / 1000)
-
-    def set_stream_timeout(self, timeout_ms: int) -> None:
-        """Does so with less effort for each read; no more can be sent."""
-        self.set_timeout(timeout_ms)
-        self.channel.use_kernel_timeout()
-
-    def is_usable(self) -> bool:
-        """Whether an idle connection can be reused for another request.
-
-        It cannot when it was idle for too long, when the endpoint closed it,
-        or when it has unread data, such as a late response.
-        """
-        if (time.monotonic() - self.last_used_s) * 1000 > IDLE_TIMEOUT_MS:
-            return False
-        if self.http.sock is None:
-            return False
-        poller = select.poll()
-        poller.register(
-            self.channel, select.POLLIN | select.POLLHUP | select.POLLERR
-        )
-        return not poller.poll(0)
-
-
 class ConnectionPool:
     """Connections to one address; idle ones are kept for reuse.
 
@@ -127,7 +40,9 @@
         host, _, port = address.rpartition(':')
         self._host = host
         self._port = int(port)
-        self._idle: collections.deque[Connection] = collections.deque()
+        self._idle: collections.deque[http_connections.Connection] = (
+            collections.deque()
+        )
         self._lock = threading.Lock()
         self._closed = False
 
@@ -136,7 +51,7 @@
         fresh: bool = False,
         timeout_ms: int | None = None,
         call_id: str = '',
-    ) -> Connection:
+    ) -> http_connections.Connection:
         """Returns an open connection, if possible an idle one.
 
         :param fresh: always open a new connection
@@ -155,7 +70,7 @@
             connection.close()
         return self._connect(timeout_ms)
 
-    def release(self, connection: Connection) -> None:
+    def release(self, connection: http_connections.Connection) -> None:
         """Keeps a connection for reuse; its response must be fully read."""
         connection.last_used_s = time.monotonic()
         with self._lock:
@@ -173,7 +88,7 @@
         for connection in idle:
             connection.close()
 
-    def _pop_idle(self, call_id: str) -> Connection | None:
+    def _pop_idle(self, call_id: str) -> http_connections.Connection | None:
         with self._lock:
             for connection in reversed(self._idle):
                 if not call_id or not connection.has_carried({call_id}):
@@ -181,7 +96,7 @@
                     return connection
         return None
 
-    def _connect(self, timeout_ms: int | None) -> Connection:
+    def _connect(self, timeout_ms: int | None) -> http_connections.Connection:
         limit_ms = self._connect_timeout_ms
         if timeout_ms is not None:
             limit_ms = max(1, min(limit_ms, timeout_ms))
@@ -198,7 +113,7 @@
         except OSError as cause:
             connection.close()
             raise errors.NotSentError(f'{self.address}: {cause}') from cause
-        return Connection(connection)
+        return http_connections.Connection(connection)
 
 
 class Exchange:
@@ -231,7 +146,7 @@
         self._is_last = fresh
         self._method = ''
         self._memory = byte_budgets.Share(byte_budgets.BUDGET)
-        self.connection: Connection | None = None
+        self.connection: http_connections.Connection | None = None
         self.response: responses.Response | None = None
 
     def __enter__(self) -> typing.Self:
@@ -441,7 +356,9 @@
         else:
             connection.close()
 
-    def _may_answer_late(self, connection: Connection) -> bool:
+    def _may_answer_late(
+        self, connection: http_connections.Connection
+    ) -> bool:
         """Whether all was sent, and nothing came but interim answers."""
         return (
             self._is_sent
@@ -450,6 +367,6 @@
             and connection.reader.is_between_answers
         )
 
-    def _give_up(self, connection: Connection) -> None:
+    def _give_up(self, connection: http_connections.Connection) -> None:
         """Closes a connection whose request was not answered in its time."""
         connection.close()
--- a/libs/endpoints/masticquay_endpoints/engines.py
+++ b/libs/endpoints/masticquay_endpoints/engines.py
@@ -9,6 +9,7 @@
 from masticquay_endpoints import bodies
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors
+from masticquay_endpoints import http_connections
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import protocols
 
@@ -185,7 +186,7 @@
 def _read_batches(
     stream_body: bodies.StreamBody,
     parser: 'EventParser',
-    connection: connections.Connection,
+    connection: http_connections.Connection,
     stall_timeout_ms: int,
 ) -> abc.Iterator[protocols.TokenBatch]:
     """Yields tokens as they arrive.
--- a/libs/endpoints/tests/test_next_responses.py
+++ b/libs/endpoints/tests/test_next_responses.py
@@ -7,6 +7,7 @@
 
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors
+from masticquay_endpoints import http_connections
 from tests import test_connections
 
 TIMEOUT_MS = 2_000
@@ -95,7 +96,7 @@
         self.assertFalse(self.connection.has_carried({'c1', 'c3'}))
 
     def test_connection_forgets_the_oldest_requests(self):
-        for number in range(connections.MAX_CARRIED_CALLS + 1):
+        for number in range(http_connections.MAX_CARRIED_CALLS + 1):
             self.connection.record_call(f'c{number}')
         self.assertFalse(self.connection.has_carried({'c0'}))
         self.assertTrue(self.connection.has_carried({'c1'}))
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -8,6 +8,7 @@
 
 from masticquay_endpoints import connections
 from masticquay_endpoints import errors as endpoint_errors
+from masticquay_endpoints import http_connections
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import responses
 from masticquay_gateway import errors
@@ -47,7 +48,7 @@
 
     def wait(
         self,
-        connection: connections.Connection,
+        connection: http_connections.Connection,
         endpoint: fleets.Endpoint,
         call_id: str,
     ) -> None:
@@ -117,7 +118,7 @@
             is_stalled = isinstance(cause, StalledError)
             raise errors.PathLostError(str(cause), is_stalled) from cause
 
-    def _give_up(self, connection: connections.Connection) -> None:
+    def _give_up(self, connection: http_connections.Connection) -> None:
         self._late_answers.wait(connection, self._endpoint, self._call_id)
 
 
--- a/libs/gateway/masticquay_gateway/late_answers.py
+++ b/libs/gateway/masticquay_gateway/late_answers.py
@@ -15,8 +15,8 @@
 import time
 
 from masticquay_endpoints import channels
-from masticquay_endpoints import connections
 from masticquay_endpoints import errors
+from masticquay_endpoints import http_connections
 from masticquay_endpoints import responses
 from masticquay_gateway import answers
 from masticquay_gateway import ports
@@ -57,7 +57,7 @@
 
     def __init__(
         self,
-        connection: connections.Connection,
+        connection: http_connections.Connection,
         endpoint: fleets.Endpoint,
         call_id: str,
     ):
@@ -118,7 +118,7 @@
 
     def wait(
         self,
-        connection: connections.Connection,
+        connection: http_connections.Connection,
         endpoint: fleets.Endpoint,
         call_id: str,
     ) -> None:
