--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -318,9 +318,17 @@
         interrupt = interrupts.Interrupt()
         endless = fakes.FakeEndpoint(self.stack, 1, self.send_without_end)
         request = peer_messages.PeerRequest(
-            'e1', 0, 'c1', 'POST', '/x', [('Call', 'c1')], b'', 2_000, 2_000,
+            'e1',
+            0,
+            'c1',
+            'POST',
+            '/x',
+            [('Call', 'c1')],
+            b'',
+            2_000,
+            2_000,
             False,
-        )  # fmt: skip
+        )
         with self.assertRaises(exchanges.InterruptedCallError):
             self.peers[0].service._exchange(
                 Link(), request, endless.endpoint, interrupt
