Silence is outlasted step by step, by what can go on at that moment

Cause: whether a stream could move was decided once, as it was sent, and the whole time left was granted at once, whether or not the path was in doubt.

At each 2.5 s of silence the stream now asks whether an engine that may go on is listed, and gives the silent one up if so, or if its route is resumable and the host's path, or that of the peer, is in doubt.

--- a/libs/endpoints/masticquay_endpoints/connections.py
+++ b/libs/endpoints/masticquay_endpoints/connections.py
@@ -275,8 +275,8 @@
         """
         self.connection.channel.on_silence = hook
 
-    def has_lost_path(self) -> bool:
-        """Whether silence is that of the path rather than the endpoint."""
+    def is_path_doubtful(self) -> bool:
+        """Whether silence may be that of the path, not of the endpoint."""
         return False
 
     def hold_memory(self, size_bytes: int) -> None:
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -157,8 +157,9 @@
         splitter = events.EventSplitter(stream.splitter.last_id)
         stream.splitter = splitter
         _limit_gap(job, exchange)
-        if not stream.can_move:
-            self._silences.outlast(job, placement.decode, exchange)
+        self._silences.outlast(
+            job, placement.decode, exchange, stream.can_move
+        )
         while data := _read_stream(job, exchange):
             complete_events = _split(splitter, data)
             if complete_events:
--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -93,7 +93,7 @@
         self._watch.record_contact(self._endpoint, is_new)
         return response
 
-    def has_lost_path(self) -> bool:
+    def is_path_doubtful(self) -> bool:
         """Whether this host has lost its path; see the base class."""
         return self._watch.explains(
             self._endpoint, StalledError('no data'), self._sent_s
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -229,9 +229,9 @@
         """Has a hook decide at each timeout whether to wait longer."""
         self._on_silence = hook
 
-    def has_lost_path(self) -> bool:
-        """Returns False, as the peer has the path."""
-        return False
+    def is_path_doubtful(self) -> bool:
+        """Returns True, as the silence may be the peer's."""
+        return True
 
     def hold_memory(self, size_bytes: int) -> None:
         """Takes memory for data that is kept until more of it has come."""
--- a/libs/gateway/masticquay_gateway/relays.py
+++ b/libs/gateway/masticquay_gateway/relays.py
@@ -1,6 +1,7 @@
 """State of streams relayed to callers, and handles to their prompts."""
 
 import time
+import typing
 
 from masticquay_gateway import events
 from masticquay_gateway import jobs
@@ -28,7 +29,7 @@
     :ivar longest_gap_ms: longest time between two sends of events
     :ivar software_version: the version of the engines that wrote its events,
         empty before the first one or if unknown
-    :ivar can_move: whether another engine may go on with it
+    :ivar can_move: tells whether another engine may go on with it
     :ivar engine_began_s: monotonic time at which the present engine wrote its
         first event, 0 before it
     """
@@ -61,7 +62,7 @@
         self.splitter = events.EventSplitter()
         self.first_ms = 0.0
         self.software_version = ''
-        self.can_move = True
+        self.can_move: typing.Callable[[], bool] = _can_always_move
         self.engine_began_s = 0.0
 
     @property
@@ -104,3 +105,7 @@
         return (
             time.monotonic() - self.created_s < HANDLE_USE_SHARE * self.ttl_s
         )
+
+
+def _can_always_move() -> bool:
+    return True
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -1,5 +1,6 @@
 """Runs model requests: placement, prefill, decode and resumption."""
 
+import functools
 import logging
 
 from masticquay_gateway import decodes
@@ -229,7 +230,9 @@
             if wait_ms := self._quarantine.wait_ms(job.call):
                 raise errors.HarmfulPromptError(wait_ms)
             self._require_not_withheld(placement.decode)
-            stream.can_move = self._can_move(job, placement.decode)
+            stream.can_move = functools.partial(
+                self._can_move, job, placement.decode
+            )
             self._decoder.run(job, placement, stream)
         except (errors.NotRunError, errors.WithheldError):
             refused = True
--- a/libs/gateway/tests/test_cut_answers.py
+++ b/libs/gateway/tests/test_cut_answers.py
@@ -27,9 +27,9 @@
 from masticquay_serving import counters
 from tests import fakes
 from tests import raw_endpoints
+from tests import streamer_cases
 from tests import test_peer_exchanges
 from tests import test_prefills
-from tests import test_streams
 
 INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 LENGTH, CHUNKS, NONE = 'length', 'chunks', 'none'
@@ -302,7 +302,7 @@
         with contextlib.ExitStack() as stack:
             pools = exchanges.ConnectionPools()
             stack.callback(pools.close)
-            placer = test_streams.FakePlacer([(None, self.server.endpoint)])
+            placer = streamer_cases.FakePlacer([(None, self.server.endpoint)])
             decoder = decodes.Decoder(
                 fakes.FakeProtocol(),
                 paths.DirectPaths(pools),
--- a/libs/gateway/tests/test_cut_streams.py
+++ b/libs/gateway/tests/test_cut_streams.py
@@ -15,7 +15,7 @@
 from masticquay_routing import tables
 from masticquay_serving import counters
 from tests import fakes
-from tests import test_streams
+from tests import streamer_cases
 
 EVENT = b'id: 1\ndata: 1\n\n'
 PAUSE_S = 0.1
@@ -58,7 +58,7 @@
         )
         pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
-        placer = test_streams.FakePlacer([(None, engine.endpoint)])
+        placer = streamer_cases.FakePlacer([(None, engine.endpoint)])
         placement = placer.place(None, interrupts.Interrupt())
         self.assertIsInstance(placement, placed_requests.RequestPlacement)
         notices = fakes.make_notices(fakes.FakeState([engine.endpoint]))
--- a/libs/gateway/tests/test_endless_streams.py
+++ b/libs/gateway/tests/test_endless_streams.py
@@ -20,7 +20,7 @@
 from masticquay_serving import counters
 from tests import endless_endpoints
 from tests import fakes
-from tests import test_streams
+from tests import streamer_cases
 
 # A stream without an event for this time is broken, in these tests.
 GAP_MS = 400
@@ -51,7 +51,7 @@
         self.notices = fakes.make_notices(self.state)
         self.pools = exchanges.ConnectionPools()
         self.stack.callback(self.pools.close)
-        self.placer = test_streams.FakePlacer([])
+        self.placer = streamer_cases.FakePlacer([])
         self.registry = counters.Registry()
 
     def open_engine(self, script, role):
--- a/libs/gateway/tests/test_late_answers.py
+++ b/libs/gateway/tests/test_late_answers.py
@@ -21,7 +21,7 @@
 from masticquay_serving import counters
 from tests import fakes
 from tests import raw_endpoints
-from tests import test_streams
+from tests import streamer_cases
 
 ONCE = tables.RouteKind.ONCE
 MARK = ('Not-Run', '1')
@@ -170,7 +170,7 @@
         )
         pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
-        placer = test_streams.FakePlacer([])
+        placer = streamer_cases.FakePlacer([])
         notices = fakes.make_notices(fakes.FakeState([engine.endpoint]))
         decoder = decodes.Decoder(
             fakes.FakeProtocol(),
--- a/libs/gateway/tests/test_silences.py
+++ b/libs/gateway/tests/test_silences.py
@@ -26,6 +26,7 @@
         super().setUp()
         self.patch(decodes, 'MAX_STREAM_GAP_MS', GAP_MS)
         self.patch(silences, 'MIN_QUIET_MS', QUIET_MS)
+        self.patch(silences, 'WAIT_STEP_MS', GAP_MS)
 
     def patch(self, module, name, value):
         patch = unittest.mock.patch.object(module, name, value)
@@ -45,7 +46,7 @@
             None, endpoint, None, False
         )
         stream = relays.RelayedStream()
-        stream.can_move = can_move
+        stream.can_move = lambda: can_move
         decoder.run(self.job, placement, stream)
 
     def send_around_a_silence(self, first, second):
