A connection counts as open until the rest of its request has been read

A host that stops ends once no connection is open. One whose request was rejected while its body still came counted as closed before the server had read on, so the process could end and reset it, and its caller lost the answer.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -317,10 +317,12 @@
         """Number of open connections."""
         return self._connection_count
 
-    def finish_request(self, request: typing.Any, address: typing.Any) -> None:
-        """Serves a connection, which is open until then."""
+    def process_request_thread(
+        self, request: typing.Any, client_address: typing.Any
+    ) -> None:
+        """Serves and closes a connection, which is open until then."""
         try:
-            super().finish_request(request, address)
+            super().process_request_thread(request, client_address)
         finally:
             self._count_connection(-1)
 
--- a/libs/serving/tests/test_closed_connections.py
+++ b/libs/serving/tests/test_closed_connections.py
@@ -119,6 +119,20 @@
         sock.sendall(b'0\r\n\r\n')
         self.assertIn(b' 413 ', self.read_until(sock, b'too large'))
 
+    # Guards against rejections that were lost as the process ended: the
+    # connection counted as closed while the rest of its request came.
+    def test_connection_counts_as_open_until_its_request_has_been_read(self):
+        self.server.start()
+        sock = self.connect()
+        sock.sendall(CHUNKED_HEAD + b'fff\r\n')
+        self.read_until(sock, b'too large')
+        self.assertEqual(1, self.server.connection_count)
+        sock.close()
+        deadline_s = time.monotonic() + TIMEOUT_S
+        while self.server.connection_count:
+            self.assertLess(time.monotonic(), deadline_s)
+            time.sleep(0.01)
+
     def test_caller_that_sends_for_ever_is_closed_in_bounds(self):
         self.server.start()
         sock = self.connect()
