--- a/libs/consensus/masticquay_consensus/appliers.py
+++ b/libs/consensus/masticquay_consensus/appliers.py
@@ -69,6 +69,11 @@
             self._retry_ms = now_ms + ROOM_RETRY_MS
             return False
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether a snapshot or a compaction is tried again later."""
+        return self._state.clock.now_ms() < self._retry_ms
+
     def has_work(self) -> bool:
         """Whether ``apply`` has anything to do but take a snapshot.
 
--- a/libs/consensus/masticquay_consensus/nodes.py
+++ b/libs/consensus/masticquay_consensus/nodes.py
@@ -386,7 +386,7 @@
                     return
                 if not self.replica.has_work():
                     state.applier_condition.wait(IDLE_WAIT_MS / 1000)
-                elif self.room.is_missing:
+                elif self.replica.waits_for_room:
                     state.applier_condition.wait(ROOM_RETRY_MS / 1000)
 
     def _run_timer(self) -> None:
--- a/libs/consensus/masticquay_consensus/replicas.py
+++ b/libs/consensus/masticquay_consensus/replicas.py
@@ -336,6 +336,11 @@
         """Whether ``apply`` has anything to do but take a snapshot."""
         return self._applier.has_work()
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether ``apply`` waits before it tries again to store something."""
+        return self._applier.waits_for_room
+
     def is_synced(self, member_id: str) -> bool:
         """Whether a member has synced all entries that are committed here."""
         with self.state.lock:
