Tests: the other requests beside endless answers have ids of their own

Traced: since a connection takes no second attempt of a request that it has carried, and all the other requests of the test had the same id, so each opened a connection, which the pool keeps for 2 s with a thread of the test's own server. Callers' ids differ.

--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -58,12 +58,9 @@
         self.stack.callback(endpoint.close)
         return endpoint
 
-    def run_job(self, forwarder, timeout_ms=ROUTE_MS):
-        return forwarder.run(
-            fakes.make_job(
-                fakes.make_route(tables.RouteKind.ONCE, timeout_ms=timeout_ms)
-            )
-        )
+    def run_job(self, forwarder, timeout_ms=ROUTE_MS, call_id='c1'):
+        route = fakes.make_route(tables.RouteKind.ONCE, timeout_ms=timeout_ms)
+        return forwarder.run(fakes.make_job(route, call_id=call_id))
 
 
 class EndlessAnswersTest(ForwardingTest):
@@ -181,7 +178,9 @@
         self.serve_other_request()
 
     def serve_other_request(self):
-        outcome = self.run_job(self.good_forwarder, 5_000)
+        # Each has its own id: a connection carries none twice.
+        call_id = f'other{self.served}'
+        outcome = self.run_job(self.good_forwarder, 5_000, call_id)
         self.assertEqual(200, outcome.status)
         self.served += 1
 
