White space and line ends of bodies are read in one form

Cause: str.strip takes more than spaces and tabs, so a coding after a vertical tab was chunked; bare line feeds ended size lines, chunks and trailers. Change: values are stripped of spaces and tabs only, lines of a chunked body end with CR LF. Heads of requests may still end lines with LF, as RFC 9112 allows.

--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -58,7 +58,10 @@
             trailers
         """
         if encodings:
-            codings = [encoding.strip().lower() for encoding in encodings]
+            codings = [
+                encoding.strip(framings.WHITE_SPACE).lower()
+                for encoding in encodings
+            ]
             if lengths or codings != [framings.CHUNKED]:
                 raise errors.BadRequestError(400, 'ambiguous body length')
             return self._read_chunks()
@@ -90,7 +93,7 @@
                 total += size
                 self._check_size(total)
                 self._read_exactly(size, body)
-                if self._stream.readline(3) not in framings.CHUNK_ENDS:
+                if self._stream.read(2) != framings.CHUNK_END:
                     raise errors.BadRequestError(400, 'unreadable chunk')
             self._check_trailers()
             return body.getvalue()
@@ -115,9 +118,9 @@
         lines = heads.HeaderLines(self._stream, self._trailers_limit_bytes)
         for _line in range(MAX_TRAILERS + 1):
             line = lines.readline()
-            if line in heads.EMPTY_LINES:
+            if line == heads.EMPTY_LINE:
                 return
-            if not heads.is_header_line(line):
+            if not heads.is_trailer_line(line):
                 raise errors.BadRequestError(400, 'unreadable trailer')
         raise errors.BadRequestError(431, 'the trailers are too many')
 
--- a/libs/serving/masticquay_serving/framings.py
+++ b/libs/serving/masticquay_serving/framings.py
@@ -12,10 +12,13 @@
 # digits.
 MAX_LENGTH_DIGITS = 18
 CHUNK_SIZE_LINE = re.compile(
-    rb'([0-9A-Fa-f]{1,%d})[ \t]*(?:;[^\r\n]*)?\r?\n' % MAX_LENGTH_DIGITS
+    rb'([0-9A-Fa-f]{1,%d})[ \t]*(?:;[^\r\n]*)?\r\n' % MAX_LENGTH_DIGITS
 )
 CHUNK_END = b'\r\n'
-CHUNK_ENDS = (CHUNK_END, b'\n')
+# The white space that may stand around the value of a header. ``str.strip``
+# removes more, such as a vertical tab, after which other parsers see another
+# value.
+WHITE_SPACE = ' \t'
 
 
 class FramingError(ValueError):
@@ -58,7 +61,7 @@
 
 
 def _values(headers: email.message.Message, name: str) -> list[str]:
-    return [value.strip() for value in headers.get_all(name) or []]
+    return [value.strip(WHITE_SPACE) for value in headers.get_all(name) or []]
 
 
 def _is_number(text: str) -> bool:
--- a/libs/serving/masticquay_serving/heads.py
+++ b/libs/serving/masticquay_serving/heads.py
@@ -8,9 +8,9 @@
 from masticquay_serving import errors
 
 END_LINE_BYTES = 2
-EMPTY_LINES = (b'\r\n', b'\n')
+EMPTY_LINE = b'\r\n'
 # A name is a token of RFC 9110.
-HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r?\n")
+TRAILER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n")
 # The parser leaves out all lines after an unreadable one, with these defects.
 # Others tell of the body, which it does not see.
 HEAD_DEFECTS = (
@@ -36,9 +36,9 @@
     return not line.endswith(b'\n') and len(line) != size
 
 
-def is_header_line(line: bytes) -> bool:
-    """Whether a line is a whole header or trailer."""
-    return HEADER_LINE.fullmatch(line) is not None
+def is_trailer_line(line: bytes) -> bool:
+    """Whether a line is a whole trailer."""
+    return TRAILER_LINE.fullmatch(line) is not None
 
 
 class HeaderLines:
