Operators evacuate data centres

Cause: operators had no way to stop requests to a data centre at once.

The places are in the replicated state machine beside the table, numbered. The leader marks their endpoints in the list that it sends at once, hosts confirm its number with a renewal at once, and the order is acknowledged then or after 0.8 s. Hosts keep the places over lists without them; any replica sends them to hosts that look for a leader. The list shows such endpoints as leaving as well, so that hosts of an earlier revision leave them alone too. A new leader sends no list before it has applied what earlier ones stored. Requests whose engines are all evacuated are refused at once.

--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -11,6 +11,7 @@
 from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
 from masticquay_consensus import settings as consensus_settings
+from masticquay_coordination import evacuations
 from masticquay_coordination import groups
 from masticquay_coordination import leaderships
 from masticquay_coordination import orders
@@ -31,6 +32,7 @@
 LIST_CHECK_INTERVAL_MS = 100
 # Tables that are stored within this time are sent to the hosts as one.
 TABLE_INTERVAL_MS = 100
+EVACUATION_INTERVAL_MS = 10
 ORDER_INTERVAL_MS = 300
 REPORT_INTERVAL_MS = 1_000
 COST_INTERVAL_MS = 5_000
@@ -122,6 +124,7 @@
         )
         self.node.on_role_change(self.leadership.change_role)
         self.machine.on_change = self.leadership.notify_table_change
+        self.machine.on_evacuation = self.leadership.notify_evacuation
         self.membership = groups.Membership(self.node, self._dial)
         self.joiner = groups.Joiner(
             self.node,
@@ -138,6 +141,11 @@
             reader,
             self.leadership.wait_for_hosts,
         )
+        self.evacuations = evacuations.EvacuationService(
+            self.node,
+            self.machine,
+            self.leadership.wait_for_evacuations,
+        )
 
     def start(
         self, is_stopping: typing.Callable[[], bool] = lambda: False
@@ -168,6 +176,11 @@
                 TABLE_INTERVAL_MS,
                 self.leadership.publish_new_table,
             )
+            self._start_task(
+                'evacuations',
+                EVACUATION_INTERVAL_MS,
+                self.leadership.publish_evacuations,
+            )
             self._start_task(
                 'list',
                 LIST_CHECK_INTERVAL_MS,
@@ -252,6 +265,7 @@
             'log_commit_index': status.commit_index,
             'log_members': len(status.members),
             'table_version': self.machine.version,
+            'evacuated_places': len(self.machine.evacuations.places),
             'cpu_ms': _cpu_ms(),
             **self.leadership.gauges(),
             **self.listener.costs.gauges(),
--- a/libs/coordination/masticquay_coordination/deliveries.py
+++ b/libs/coordination/masticquay_coordination/deliveries.py
@@ -1,4 +1,4 @@
-"""Which hosts have the newest routing table."""
+"""Which hosts have the newest routing table, or the newest evacuations."""
 
 import logging
 import threading
@@ -17,10 +17,13 @@
 
     Hosts confirm a version with their renewals. A host whose session ends is
     not waited for: it gets the table from any replica that it reaches.
+
+    :param subject: what is delivered in place of a table, for the log
     """
 
-    def __init__(self, clock: clocks.Clock):
+    def __init__(self, clock: clocks.Clock, subject: str = 'table'):
         self._clock = clock
+        self._subject = subject
         self._changed = threading.Condition()
         self._version = -1
         self._begun_ms = 0
@@ -77,6 +80,11 @@
             )
             return self._is_complete(version)
 
+    def lacking(self) -> list[str]:
+        """Returns the hosts that have not confirmed the newest version."""
+        with self._changed:
+            return sorted(self._lacking)
+
     def _is_complete(self, version: int) -> bool:
         """Whether no host lacks a version; the caller holds the lock."""
         return self._version >= version and not self._lacking
@@ -93,7 +101,7 @@
             lacking = sorted(self._lacking)
             version = self._version
         LOG.warning(
-            'hosts lack the newest table',
+            f'hosts lack the newest {self._subject}',
             extra={
                 'version': version,
                 'age_ms': age_ms,
@@ -114,7 +122,7 @@
 
     def _log_complete(self) -> None:
         LOG.info(
-            'table in force at all hosts with a session',
+            f'{self._subject} in force at all hosts with a session',
             extra={
                 'version': self._version,
                 'duration_ms': self._clock.now_ms() - self._begun_ms,
--- /dev/null
+++ b/libs/coordination/masticquay_coordination/evacuations.py
@@ -0,0 +1,107 @@
+"""Operators' access to the evacuated places."""
+
+from concurrent import futures
+import logging
+import time
+import typing
+
+from masticquay_consensus import errors as consensus_errors
+from masticquay_consensus import nodes
+from masticquay_coordination import errors
+from masticquay_coordination import table_machines
+
+LOG = logging.getLogger(__name__)
+
+COMMIT_TIMEOUT_S = 2.5
+# Hosts are waited for until so long after an order arrived. Each second above
+# the first one before the acknowledgement counts against the operators' goals.
+HOSTS_WAIT_S = 0.8
+MAX_NAMED_HOSTS = 8
+
+# Waits until no host with a session lacks a change, for so many seconds at
+# most; returns the hosts that do, None if the change was not sent to any.
+WaitForHosts = typing.Callable[[int, float], list[str] | None]
+
+
+class EvacuationService:
+    """Evacuates places and takes that back; works only on the leader.
+
+    :param wait_for_hosts: see ``WaitForHosts``
+    """
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        machine: table_machines.TableMachine,
+        wait_for_hosts: WaitForHosts,
+    ):
+        self._node = node
+        self._machine = machine
+        self._wait_for_hosts = wait_for_hosts
+
+    def order(self, place: str, is_evacuated: bool) -> None:
+        """Evacuates a place, or takes that back.
+
+        Returns once it is committed and in force at all hosts with a session,
+        or some time after the commit, as for a table. An order that was given
+        before changes nothing, and waits for the same hosts.
+
+        :raises NotServingError: when nothing was stored
+        :raises UnknownOutcomeError: when it may have been stored
+        """
+        hosts_due_s = time.monotonic() + HOSTS_WAIT_S
+        self._confirm_leadership()
+        fields = {'place': place, 'evacuated': is_evacuated}
+        if (place in self._machine.evacuations.places) == is_evacuated:
+            LOG.info('evacuation order repeats the state', extra=fields)
+        else:
+            self._commit(place, is_evacuated, fields)
+        number = self._machine.evacuations.number
+        if not number:
+            return
+        lacking = self._wait_for_hosts(
+            number, max(0.0, hosts_due_s - time.monotonic())
+        )
+        if lacking is None or lacking:
+            named = None if lacking is None else lacking[:MAX_NAMED_HOSTS]
+            LOG.warning(
+                'evacuation order acknowledged before all hosts have it',
+                extra={**fields, 'number': number, 'entry_hosts': named},
+            )
+
+    def _commit(
+        self, place: str, is_evacuated: bool, fields: dict[str, object]
+    ) -> None:
+        command = table_machines.encode_evacuation(place, is_evacuated)
+        try:
+            self._node.propose(command).result(COMMIT_TIMEOUT_S)
+        except consensus_errors.NotLeaderError as cause:
+            raise errors.NotServingError(
+                'leads no more', cause.leader_address
+            ) from cause
+        except (
+            consensus_errors.ConsensusError,
+            futures.TimeoutError,
+        ) as cause:
+            LOG.warning(
+                'outcome of the evacuation order is unknown',
+                extra={**fields, 'cause': type(cause).__name__},
+            )
+            raise errors.UnknownOutcomeError(str(cause)) from cause
+        LOG.info(
+            'evacuation order stored',
+            extra={
+                **fields,
+                'number': self._machine.evacuations.number,
+                'term': self._node.term(),
+            },
+        )
+
+    def _confirm_leadership(self) -> None:
+        try:
+            self._node.read_barrier()
+        except consensus_errors.NotLeaderError as cause:
+            leader = self._node.leader()
+            raise errors.NotServingError(
+                'does not lead', leader.address if leader else ''
+            ) from cause
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -1,6 +1,5 @@
 """The duties of the leader of the control group."""
 
-from concurrent import futures
 import logging
 import threading
 import time
@@ -19,8 +18,8 @@
 from masticquay_coordination import sessions
 from masticquay_coordination import table_machines
 from masticquay_coordination import table_updates
+from masticquay_coordination import version_stores
 from masticquay_routing import errors as routing_errors
-from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import software_versions
 from masticquay_routing import tables
@@ -39,7 +38,6 @@
 ANNOUNCE_TIMEOUT_MS = 2_000
 # Added to the lease under which an earlier leader sent orders to engines.
 ORDER_LEASE_MARGIN_MS = 1_500
-VERSIONS_COMMIT_TIMEOUT_S = 1.0
 
 
 class Leadership:
@@ -72,6 +70,7 @@
         self._view_lock = threading.Lock()
         self._list_lock = threading.RLock()
         self._table_changed = threading.Event()
+        self._evacuations_changed = threading.Event()
         self._newest_table = table_updates.TableUpdates(machine)
         self._seekers = seekers.Seekers(self._newest_table, clock)
         self._next_list_ms = 0
@@ -91,6 +90,7 @@
         if ended is not None:
             ended.owner.fail_all()
             ended.sessions.delivery.end()
+            ended.sessions.evacuation_delivery.end()
             ended.sessions.announce_end()
         if is_leader:
             # The delivery of the newest table begins with the term.
@@ -136,6 +136,40 @@
             return False
         return term.sessions.delivery.wait(version, timeout_s)
 
+    def notify_evacuation(self) -> None:
+        """Wakes ``publish_evacuations`` after the evacuated places changed."""
+        self._evacuations_changed.set()
+
+    def publish_evacuations(self) -> None:
+        """Waits for a change of the evacuated places, applies and sends it.
+
+        A replica that does not lead sends it to the hosts that look for the
+        leader here.
+        """
+        if not self._evacuations_changed.wait(TABLE_WAIT_S):
+            return
+        self._evacuations_changed.clear()
+        term = self._term
+        if term is not None:
+            self._publish_endpoints(term)
+        self._seekers.publish_evacuations()
+
+    def wait_for_evacuations(
+        self, number: int, timeout_s: float
+    ) -> list[str] | None:
+        """Waits until no host with a session lacks a change of evacuations.
+
+        :returns: the hosts that lack it; None if it was not sent to any, as
+            there is no endpoint list yet, or no term as leader
+        """
+        term = self._term
+        if term is None:
+            return None
+        delivery = term.sessions.evacuation_delivery
+        if delivery.wait(number, timeout_s):
+            return []
+        return delivery.lacking() or None
+
     def expire_sessions(self) -> None:
         """Drops expired sessions, refuses overdue requests, lists hosts."""
         term = self._term
@@ -172,7 +206,9 @@
             LOG.info('endpoint list can be read again')
         self._list_read_failed = False
         self._apply_newest_table(term)
-        if not self._store_software_versions(term, endpoints):
+        if not version_stores.store_versions(
+            self._node, self._machine, term, endpoints, now_ms
+        ):
             self._next_list_ms = now_ms + LIST_RETRY_MS
             return
         with self._list_lock:
@@ -181,15 +217,23 @@
         self._publish_endpoints(term)
 
     def _publish_endpoints(self, term: leader_terms.LeaderTerm) -> None:
-        """Applies and sends the endpoint list with those known to leave."""
+        """Applies and sends the endpoint list with those known to leave.
+
+        A new leader must have applied the evacuations that earlier ones
+        stored: a list without them would let hosts use those endpoints again.
+        """
         with self._list_lock:
-            if term.listed is None:
+            has_caught_up = term.has_caught_up or self._serves(term)
+            if term.listed is None or not has_caught_up:
                 return
-            endpoints = term.leaving.mark(term.listed)
+            evacuated = self._machine.evacuations
+            endpoints = evacuated.mark(term.leaving.mark(term.listed))
             with self._view_lock:
                 term.fleet_view.set_endpoints(endpoints)
             stream_versions = self._possible_versions(term)
-            term.sessions.publish_endpoints(endpoints, stream_versions)
+            term.sessions.publish_endpoints(
+                endpoints, stream_versions, evacuated
+            )
             term.limits.apply_list(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
@@ -225,41 +269,6 @@
         if added:
             self._publish_endpoints(term)
 
-    def _store_software_versions(
-        self, term: leader_terms.LeaderTerm, endpoints: list[fleets.Endpoint]
-    ) -> bool:
-        """Stores the versions at which streams may begin from now on.
-
-        They are committed before the hosts get the endpoint list, so that a
-        stream never begins at a version that the next leader does not know.
-
-        :returns: whether the list may be sent to the hosts
-        """
-        now_ms = self._clock.now_ms()
-        if term.software_versions is None:
-            known = {} if term.first else self._machine.software_versions
-            term.software_versions = software_versions.SoftwareVersions(
-                known, now_ms
-            )
-        term.software_versions.record(endpoints, now_ms)
-        possible = term.software_versions.possible(now_ms)
-        if possible is None or possible == self._machine.software_versions:
-            return True
-        command = table_machines.encode_software_versions(possible)
-        try:
-            self._node.propose(command).result(VERSIONS_COMMIT_TIMEOUT_S)
-        except (
-            consensus_errors.ConsensusError,
-            futures.TimeoutError,
-        ) as cause:
-            LOG.warning(
-                'software versions could not be stored',
-                extra={'cause': type(cause).__name__, 'versions': possible},
-            )
-            return False
-        LOG.info('software versions stored', extra={'versions': possible})
-        return True
-
     def _possible_versions(
         self, term: leader_terms.LeaderTerm
     ) -> software_versions.Versions | None:
@@ -334,6 +343,9 @@
             if self._clock.now_ms() > deadline_ms:
                 return
             time.sleep(ANNOUNCE_POLL_MS / 1000)
+        term = self._term
+        if term is not None:
+            self._publish_endpoints(term)
         self._seekers.announce(messages.LeaderChanged(number))
 
     def _can_serve(self) -> bool:
--- a/libs/coordination/masticquay_coordination/seekers.py
+++ b/libs/coordination/masticquay_coordination/seekers.py
@@ -25,17 +25,24 @@
     :param version: the version of its table when it asked last
     """
 
-    __slots__ = ('link', 'version', 'asked_ms', 'sent')
+    __slots__ = (
+        'link',
+        'version',
+        'evacuations_number',
+        'asked_ms',
+        'sent',
+    )
 
     def __init__(self, link: peers.Connection):
         self.link = link
         self.version = -1
+        self.evacuations_number = 0
         self.asked_ms = 0
         self.sent = updates.SentUpdates()
 
 
 class Seekers:
-    """Gives hosts without a leader the newest committed table.
+    """Gives hosts without a leader the newest committed table and evacuations.
 
     Any replica has it, so a host that reaches one of them misses no change
     while it cannot reach the leader, or while there is none.
@@ -61,19 +68,27 @@
             seeker.asked_ms = now_ms
         if is_new:
             link.on_close(functools.partial(self._forget, renewal.host, link))
+        self._send_evacuations(renewal.host, seeker)
         self._send_table(renewal.host, seeker, now_ms)
 
     def publish_table(self) -> None:
         """Sends the newest table to the hosts that asked recently."""
         now_ms = self._clock.now_ms()
+        for host, seeker in self._recent(now_ms):
+            self._send_table(host, seeker, now_ms)
+
+    def publish_evacuations(self) -> None:
+        """Sends the evacuated places to the hosts that asked recently."""
+        for host, seeker in self._recent(self._clock.now_ms()):
+            self._send_evacuations(host, seeker)
+
+    def _recent(self, now_ms: int) -> list[tuple[str, _Seeker]]:
         with self._lock:
-            recent = [
+            return [
                 (host, seeker)
                 for host, seeker in self._seekers.items()
                 if now_ms - seeker.asked_ms < SEARCH_TTL_MS
             ]
-        for host, seeker in recent:
-            self._send_table(host, seeker, now_ms)
 
     def announce(self, message: wire_messages.Message) -> None:
         """Sends a notice to all hosts that asked, and forgets them."""
@@ -104,6 +119,25 @@
             },
         )
 
+    def _send_evacuations(self, host: str, seeker: _Seeker) -> None:
+        """Sends the evacuated places once over each link of a host.
+
+        A link that is lost before they arrive makes the host ask over another.
+        """
+        update = self._newest.evacuations()
+        if update is None:
+            return
+        with self._lock:
+            if update.number <= seeker.evacuations_number:
+                return
+            seeker.evacuations_number = update.number
+        with contextlib.suppress(wire_errors.WireError):
+            seeker.link.notify_encoded(update.notice)
+        LOG.info(
+            'evacuated places sent to a host without a leader',
+            extra={'entry_host': host, 'number': update.number},
+        )
+
     def _forget(self, host: str, link: peers.Connection) -> None:
         with self._lock:
             seeker = self._seekers.get(host)
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -6,6 +6,7 @@
 from masticquay_coordination import deliveries
 from masticquay_coordination import table_updates
 from masticquay_coordination import updates
+from masticquay_routing import evacuations
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import renewals
@@ -79,7 +80,11 @@
         self._stream_versions: software_versions.Versions | None = None
         self._endpoint_update: updates.Update | None = None
         self._host_update: updates.Update | None = None
+        self._evacuations = evacuations.NO_EVACUATIONS
+        # The first endpoint list of the term with these evacuations.
+        self._evacuated_since = 0
         self.delivery = deliveries.Delivery(clock)
+        self.evacuation_delivery = deliveries.Delivery(clock, 'evacuations')
 
     @property
     def host_names(self) -> set[str]:
@@ -130,6 +135,7 @@
                 self._hosts_changed = True
             missing = self._find_missing(session, now_ms)
         self.delivery.confirm(renewal.host, renewal.table_version)
+        self._confirm_evacuations(renewal)
         for update in missing:
             _send(session, update)
         self._log_reach(previous.renewal if previous else None, renewal)
@@ -191,8 +197,10 @@
                 del self._sessions[name]
                 self._hosts_changed = True
         self.delivery.log_slow()
+        self.evacuation_delivery.log_slow()
         for name in expired:
             self.delivery.drop(name)
+            self.evacuation_delivery.drop(name)
             LOG.warning(
                 'host session expired',
                 extra={'entry_host': name, 'term': self.term},
@@ -217,16 +225,20 @@
         self,
         endpoints: list[fleets.Endpoint],
         stream_versions: software_versions.Versions | None = None,
+        evacuated: evacuations.Evacuations = evacuations.NO_EVACUATIONS,
     ) -> None:
         """Sends the endpoint list to all hosts if it changed.
 
         :param stream_versions: the software versions at which recent streams
             may have begun, None if they are not known
+        :param evacuated: the places by which the endpoints are marked
         """
         with self._lock:
             previous = self._endpoint_update
             is_same = endpoints == self._endpoints
             is_same = is_same and stream_versions == self._stream_versions
+            has_moved = evacuated.number != self._evacuations.number
+            is_same = is_same and not has_moved
             if previous is not None and is_same:
                 return
             self._endpoints = endpoints
@@ -236,10 +248,22 @@
                 updates.Kind.ENDPOINTS,
                 number,
                 messages.EndpointUpdate(
-                    self.term, number, endpoints, stream_versions
+                    self.term,
+                    number,
+                    endpoints,
+                    stream_versions,
+                    sorted(evacuated.places),
+                    evacuated.number,
                 ),
             )
             self._endpoint_update = update
+            if has_moved:
+                self._evacuations = evacuated
+                self._evacuated_since = number
+                # A host has no list of this term that is not numbered yet.
+                self.evacuation_delivery.begin(
+                    evacuated.number, set(self._sessions)
+                )
         self._publish(update)
 
     def publish_hosts(self) -> None:
@@ -264,6 +288,13 @@
             self._host_update = update
         self._publish(update)
 
+    def _confirm_evacuations(self, renewal: messages.Renew) -> None:
+        with self._lock:
+            number = self._evacuations.number
+            since = self._evacuated_since
+        if renewal.term == self.term and renewal.endpoints_number >= since:
+            self.evacuation_delivery.confirm(renewal.host, number)
+
     def announce_end(self) -> None:
         """Tells all hosts that this replica no longer leads."""
         self._publish(
--- a/libs/coordination/masticquay_coordination/table_updates.py
+++ b/libs/coordination/masticquay_coordination/table_updates.py
@@ -1,4 +1,4 @@
-"""The update with the newest routing table, encoded once for all hosts."""
+"""Updates with what each replica has applied, encoded once for all hosts."""
 
 import threading
 
@@ -8,7 +8,7 @@
 
 
 class TableUpdates:
-    """Encodes the newest table that this replica has applied.
+    """Encodes the newest table and evacuations that this replica applied.
 
     :param machine: holds the table
     """
@@ -17,6 +17,7 @@
         self._machine = machine
         self._lock = threading.Lock()
         self._update: updates.Update | None = None
+        self._evacuations: updates.Update | None = None
 
     def get(self) -> updates.Update | None:
         """Returns the update with the newest table, None without a table."""
@@ -33,3 +34,27 @@
                 )
                 self._update = update
             return update
+
+    def evacuations(self) -> updates.Update | None:
+        """Returns the update with the evacuated places alone.
+
+        :returns: None if no place was ever evacuated
+        """
+        evacuated = self._machine.evacuations
+        if not evacuated.number:
+            return None
+        with self._lock:
+            update = self._evacuations
+            if update is None or update.number < evacuated.number:
+                message = messages.EndpointUpdate(
+                    0,
+                    0,
+                    [],
+                    evacuated=sorted(evacuated.places),
+                    evacuations_number=evacuated.number,
+                )
+                update = updates.Update(
+                    updates.Kind.EVACUATIONS, evacuated.number, message
+                )
+                self._evacuations = update
+            return update
--- a/libs/coordination/masticquay_coordination/updates.py
+++ b/libs/coordination/masticquay_coordination/updates.py
@@ -15,6 +15,7 @@
     ENDPOINTS = 'endpoints'
     HOSTS = 'hosts'
     LEADER = 'leader'
+    EVACUATIONS = 'evacuations'
 
 
 class Update:
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -305,6 +305,34 @@
         self.assertIsNone(self.next_endpoint_update().stream_versions)
         self.assertIsNone(self.machine.software_versions)
 
+    # Guards against a new leader whose first list lets hosts use endpoints
+    # that an earlier leader had them leave alone.
+    def test_first_list_of_a_term_has_the_stored_evacuations(self):
+        self.node.commit_index = 1
+        self.commit_tables(1)
+        self.lister.endpoints = fakes.make_engines(0, 1)
+        self.lead()
+        self.leadership.refresh_endpoints()
+        command = table_machines.encode_evacuation('p1', True)
+        self.machine.apply(1, command)
+        self.node.state.applied_index = 1
+        self.renew()
+        self.leadership.notify_evacuation()
+        self.leadership.publish_evacuations()
+        update = self.next_endpoint_update()
+        self.assertEqual(['p1'], update.evacuated)
+        self.assertTrue(update.endpoints[0].leaving)
+
+    def test_order_is_sent_without_reading_the_list_again(self):
+        self.lead_with_engines('v1')
+        self.assertFalse(self.next_endpoint_update().endpoints[0].leaving)
+        reads = self.lister.read_count
+        self.machine.on_evacuation = self.leadership.notify_evacuation
+        self.machine.apply(2, table_machines.encode_evacuation('p1', True))
+        self.leadership.publish_evacuations()
+        self.assertTrue(self.next_endpoint_update().endpoints[0].leaving)
+        self.assertEqual(reads, self.lister.read_count)
+
     def begin_streams(self, *versions):
         """Has stream c0, c1, ... of a host begin at the given versions."""
         self.renew('lost')
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -122,11 +122,11 @@
             self._limits,
         )
         self._reach_watch = reach_watches.ReachWatch(
-            self.state.all_endpoints, self.registry, self._handle_reach_change
-        )
-        self.registry.set_gauge_reader(
-            lambda: {'reaches_endpoints': float(self.reaches_endpoints())}
+            self.state.endpoints_to_probe,
+            self.registry,
+            self._handle_reach_change,
         )
+        self.registry.set_gauge_reader(self._read_gauges)
         self._late_answers = late_answers.LateAnswers(
             endpoint_protocol, self._notices, self.registry
         )
@@ -289,6 +289,12 @@
         """
         self.usage.set_exhausted(exhausted)
 
+    def _read_gauges(self) -> dict[str, float]:
+        return {
+            'reaches_endpoints': float(self.reaches_endpoints()),
+            'evacuated_places': len(self.state.evacuated_places),
+        }
+
     def _handle_reach_change(self) -> None:
         """Tells the leader; drops connections whose path was lost."""
         if self._reach_watch.is_lost:
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -7,6 +7,7 @@
 
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
+from masticquay_routing import evacuations
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import software_versions
@@ -35,6 +36,7 @@
         self._by_id: dict[str, fleets.Endpoint] = {}
         self._listed: list[fleets.Endpoint] = []
         self._leaving = endpoint_notices.LeavingEndpoints()
+        self._evacuations = evacuations.NO_EVACUATIONS
         # Whether this host read the present list itself, without control.
         self._list_is_own = False
         self._stream_versions: software_versions.Versions | None = None
@@ -53,6 +55,16 @@
         table = self.table
         return table.version if table else -1
 
+    @property
+    def evacuations_number(self) -> int:
+        """The number of the change of evacuated places that is in force."""
+        return self._evacuations.number
+
+    @property
+    def evacuated_places(self) -> frozenset[str]:
+        """The places whose endpoints get no new requests."""
+        return self._evacuations.places
+
     @property
     def caller_limits(self) -> requests.LimitsLike:
         """The limits on requests; defaults before the first routing table."""
@@ -83,6 +95,11 @@
         """Returns the endpoints of all services."""
         return list(self._by_id.values())
 
+    def endpoints_to_probe(self) -> list[fleets.Endpoint]:
+        """Returns the endpoints whose place is not evacuated."""
+        places = self.evacuated_places
+        return [e for e in self.all_endpoints() if e.place not in places]
+
     def endpoint(self, endpoint_id: str) -> fleets.Endpoint | None:
         """Returns a listed endpoint, None if it is not listed."""
         return self._by_id.get(endpoint_id)
@@ -118,11 +135,17 @@
     def apply_endpoints(self, update: messages.EndpointUpdate) -> bool:
         """Applies an endpoint list if it is newer.
 
+        The evacuated places have a number of their own: they are kept over
+        lists that say nothing of them, and apply also without a newer list.
+
         :returns: whether the list was applied
         """
         with self._lock:
+            has_moved = self._take_evacuations(update)
             term_and_number = (update.term, update.number)
             if term_and_number <= (self.endpoints_term, self.endpoints_number):
+                if has_moved:
+                    self._index_endpoints(self._listed)
                 return False
             if update.term > self.endpoints_term or self._list_is_own:
                 self._leaving.begin_lists()
@@ -137,13 +160,27 @@
                 'number': update.number,
                 'endpoints': len(update.endpoints),
                 'leaving': [
-                    e.endpoint_id for e in update.endpoints if e.leaving
+                    e.endpoint_id
+                    for e in evacuations.unmark(update.endpoints)
+                    if e.leaving
                 ],
                 'software_versions': _count_versions(update.endpoints),
             },
         )
         return True
 
+    def _take_evacuations(self, update: messages.EndpointUpdate) -> bool:
+        """Replaces the evacuated places if the update has newer ones."""
+        number = update.evacuations_number
+        if update.evacuated is None or number <= self._evacuations.number:
+            return False
+        self._evacuations = evacuations.Evacuations(number, update.evacuated)
+        LOG.info(
+            'evacuated places in force',
+            extra={'number': number, 'places': update.evacuated},
+        )
+        return True
+
     def apply_local_list(self, endpoints: list[fleets.Endpoint]) -> None:
         """Applies an endpoint list that this host read without control.
 
@@ -231,9 +268,10 @@
             self._leaving.begin_lists()
 
     def _index_endpoints(self, listed: list[fleets.Endpoint]) -> None:
+        listed = evacuations.unmark(listed)
         self._listed = listed
         self._leaving.apply_list(listed, _now_ms())
-        endpoints = self._leaving.mark(listed)
+        endpoints = self._evacuations.mark(self._leaving.mark(listed))
         by_service: dict[str, list[fleets.Endpoint]] = {}
         for endpoint in endpoints:
             by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -428,7 +428,11 @@
             if self._state.apply_table(message, address) and is_first:
                 self._wake.set()
         elif isinstance(message, messages.EndpointUpdate):
+            number = self._state.evacuations_number
             self._state.apply_endpoints(message)
+            if self._state.evacuations_number != number:
+                # Operators' orders wait until hosts confirm them.
+                self._wake.set()
         elif isinstance(message, messages.HostUpdate):
             self._state.apply_hosts(message)
         elif isinstance(message, messages.LeaderChanged):
--- a/libs/gateway/masticquay_gateway/notices.py
+++ b/libs/gateway/masticquay_gateway/notices.py
@@ -16,6 +16,7 @@
 LOG = logging.getLogger(__name__)
 
 CAUSE_LEAVING = 'leaving'
+CAUSE_EVACUATED = 'evacuated'
 CAUSE_PAUSING = 'pausing'
 # Retry-After when all endpoints of a service leave: others are listed then.
 ALL_LEAVING_RETRY_MS = 1_000
@@ -88,6 +89,8 @@
 
     def takes_releases(self, endpoint: fleets.Endpoint) -> bool:
         """Whether an endpoint may get requests that no caller waits for."""
+        if endpoint.place in self._state.evacuated_places:
+            return False
         is_limited = self._limits.is_limited(endpoint)
         return not is_limited and not self.is_pausing(endpoint)
 
@@ -126,6 +129,8 @@
         )
 
     def _cause(self, endpoint: fleets.Endpoint) -> str:
+        if endpoint.place in self._state.evacuated_places:
+            return CAUSE_EVACUATED
         listed = self._state.endpoint(endpoint.endpoint_id)
         if listed is not None and listed.leaving:
             return CAUSE_LEAVING
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -105,8 +105,8 @@
     def release_unused(self, stream: relays.RelayedStream) -> None:
         """Releases a stream's handle unless a decode engine has used it.
 
-        An engine that wants a pause or names a limit gets no such request
-        either: the handle expires soon by itself.
+        An engine that wants a pause, names a limit or is evacuated gets no
+        such request either: the handle expires soon by itself.
         """
         handle, stream.handle = stream.handle, None
         if handle is None or stream.started:
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -159,6 +159,7 @@
     def __init__(self, endpoints):
         self.by_id = {e.endpoint_id: e for e in endpoints}
         self.host_count = 1
+        self.evacuated_places = frozenset()
 
     def endpoints(self, service):
         return list(self.by_id.values())
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -5,6 +5,7 @@
 
 from masticquay_gateway import fleet_states
 from masticquay_routing import errors
+from masticquay_routing import evacuations
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import tables
@@ -56,6 +57,39 @@
         self.state.apply_endpoints(messages.EndpointUpdate(1, 1, []))
         self.assertIsNone(self.state.endpoint('e1'))
 
+    def apply_evacuations(self, number, *places):
+        """Applies evacuations as a replica that does not lead sends them."""
+        self.state.apply_endpoints(
+            messages.EndpointUpdate(0, 0, [], None, list(places), number)
+        )
+
+    def is_leaving(self):
+        return self.state.endpoint('e1').leaving
+
+    def test_evacuated_places_hold_for_all_lists(self):
+        """A host without control, or with an older leader, keeps to them."""
+        endpoint = fleets.Endpoint('e1', 'svc', '127.0.0.1:1', 'p')
+        marked = evacuations.Evacuations(2, ['p']).mark([endpoint])
+        self.state.apply_endpoints(
+            messages.EndpointUpdate(1, 1, marked, None, ['p'], 2)
+        )
+        self.assertTrue(self.is_leaving())
+        self.state.apply_local_list([endpoint])
+        self.assertTrue(self.is_leaving())
+        self.state.apply_endpoints(messages.EndpointUpdate(2, 1, [endpoint]))
+        self.assertTrue(self.is_leaving())
+        self.assertEqual([], self.state.endpoints_to_probe())
+
+    def test_newest_order_counts_without_a_list(self):
+        endpoint = fleets.Endpoint('e1', 'svc', '127.0.0.1:1', 'p')
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 1, [endpoint]))
+        self.apply_evacuations(1, 'p')
+        self.assertTrue(self.is_leaving())
+        self.apply_evacuations(2)
+        self.assertFalse(self.is_leaving())
+        self.apply_evacuations(1, 'p')
+        self.assertFalse(self.is_leaving())
+
     def apply_versions(self, listed, possible):
         """Applies a list of one endpoint of each software version."""
         endpoints = [
--- a/libs/routing/masticquay_routing/fleets.py
+++ b/libs/routing/masticquay_routing/fleets.py
@@ -13,12 +13,15 @@
     :param address: ``ip:port``
     :param place: the data centre
     :param slots: the requests that it runs at once
-    :param leaving: whether it is draining and must get no new requests
+    :param leaving: whether it is draining or evacuated, and must get no new
+        requests
     :param role: the role of a model engine, empty for other services
     :param software_version: the version of its software, empty if unknown;
         endpoints of several versions may serve side by side
     :param started_ms: Unix time of its start, 0 if unknown; an endpoint may
         start again under its id
+    :param evacuated: whether it counts as leaving only because its place is
+        evacuated; hosts of an earlier revision know ``leaving`` alone
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         'role',
         'software_version',
         'started_ms',
+        'evacuated',
     )
 
     def __init__(
@@ -44,6 +48,7 @@
         role: str = ROLE_NONE,
         software_version: str = '',
         started_ms: int = 0,
+        evacuated: bool = False,
     ):
         self.endpoint_id = endpoint_id
         self.service = service
@@ -54,6 +59,7 @@
         self.role = role
         self.software_version = software_version
         self.started_ms = started_ms
+        self.evacuated = evacuated
 
 
 class Host(records.Record):
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -306,9 +306,21 @@
 
     :param stream_versions: the software versions at which recent streams may
         have begun, by service; None if they are not known
+    :param evacuated: the evacuated places, None from a leader of an earlier
+        revision
+    :param evacuations_number: rises with each change of ``evacuated``, across
+        terms. A replica that does not lead sends evacuations alone, with the
+        term and number 0.
     """
 
-    __slots__ = ('term', 'number', 'endpoints', 'stream_versions')
+    __slots__ = (
+        'term',
+        'number',
+        'endpoints',
+        'stream_versions',
+        'evacuated',
+        'evacuations_number',
+    )
 
     def __init__(
         self,
@@ -316,11 +328,15 @@
         number: int,
         endpoints: list[fleets.Endpoint],
         stream_versions: dict[str, list[str]] | None = None,
+        evacuated: list[str] | None = None,
+        evacuations_number: int = 0,
     ):
         self.term = term
         self.number = number
         self.endpoints = endpoints
         self.stream_versions = stream_versions
+        self.evacuated = evacuated
+        self.evacuations_number = evacuations_number
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/pools.py
+++ b/libs/routing/masticquay_routing/pools.py
@@ -245,6 +245,8 @@
                 outcomes.append(
                     (request, refusals.refuse_lost_version(request))
                 )
+            elif self._is_evacuated():
+                outcomes.append((request, refusals.refuse_evacuated(request)))
             elif now_ms >= request.placement_deadline_ms:
                 outcomes.append((request, self._refuse(request, now_ms)))
             else:
@@ -292,6 +294,13 @@
             if e.endpoint.role == fleets.ROLE_DECODE and not e.endpoint.leaving
         )
 
+    def _is_evacuated(self) -> bool:
+        """Whether evacuations have left no engine that may get requests."""
+        endpoints = [e.endpoint for e in self.engines.values()]
+        if not all(endpoint.leaving for endpoint in endpoints):
+            return False
+        return any(endpoint.evacuated for endpoint in endpoints)
+
     def _list_usable(self, now_ms: int) -> usable_engines.UsableEngines:
         engines = {
             endpoint_id: state
--- a/libs/routing/masticquay_routing/refusals.py
+++ b/libs/routing/masticquay_routing/refusals.py
@@ -44,3 +44,13 @@
         f'no engine of software version {request.software_version}',
         RETRY_AFTER_MAX_MS // 2,
     )
+
+
+def refuse_evacuated(
+    request: queued_requests.QueuedRequest,
+) -> queued_requests.Refusal:
+    """Returns the refusal of a request whose engines are all evacuated."""
+    spread_ms = request.key[1] * 97 % RETRY_AFTER_SPREAD_MS
+    return queued_requests.Refusal(
+        'engines evacuated', RETRY_AFTER_MAX_MS // 2 + spread_ms
+    )
