Cold endpoints get no more requests than their service allows

Cause: endpoints that have just started crash under full load; the router ignored what the endpoint list says of it.

Change: a service has a rate for cold endpoints (coldPerS) and a time after a start seen during service (coldStartS). The account of the limits that endpoints name holds the rate as well, and the lower of both counts. Hosts know the rate from list and table, so those without a leader keep to their small part. Hosts choose a cold endpoint of a plain service only after the others. Gauge cold_endpoints.

Not read: X-Masticquay-Cold-Ms, as the router sends no health requests.

--- a/libs/coordination/masticquay_coordination/endpoint_limits.py
+++ b/libs/coordination/masticquay_coordination/endpoint_limits.py
@@ -13,12 +13,16 @@
 
 
 class EndpointLimits:
-    """Shares limits out between the hosts and the leader's placements."""
+    """Shares limits out between the hosts and the leader's placements.
+
+    :ivar cold_count: number of endpoints that are limited as they are cold
+    """
 
     def __init__(self, clock: clocks.Clock):
         self._clock = clock
         self._lock = threading.Lock()
         self._limits = shared_limits.SharedLimits()
+        self.cold_count = 0
 
     def exchange(
         self, host: str, words: list[named_limits.LimitWord]
@@ -62,6 +66,22 @@
         with self._lock:
             self._limits.apply_list(endpoints)
 
+    def set_cold(self, rates: dict[str, float]) -> None:
+        """Limits the requests a second to cold endpoints, by id."""
+        self.cold_count = len(rates)
+        with self._lock:
+            changed = self._limits.set_cold(rates, self._clock.now_ms())
+        for endpoint_id in changed:
+            LOG.info(
+                'endpoint is cold'
+                if endpoint_id in rates
+                else 'endpoint is cold no longer',
+                extra={
+                    'endpoint': endpoint_id,
+                    'limit_per_s': rates.get(endpoint_id),
+                },
+            )
+
     def gauges(self) -> dict[str, float]:
         """Returns the gauges for the metrics."""
         return {'limits_in_force': len(self._limits)}
--- a/libs/coordination/masticquay_coordination/leader_terms.py
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -4,10 +4,12 @@
 from masticquay_coordination import owners
 from masticquay_coordination import request_watches
 from masticquay_coordination import sessions
+from masticquay_routing import cold_endpoints
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
 from masticquay_routing import fleets
 from masticquay_routing import software_versions
+from masticquay_routing import tables
 
 
 class LeaderTerm:
@@ -16,7 +18,8 @@
     ``table_version`` is the version of the table that was applied last.
     ``software_versions`` and ``listed``, the platform's last list, are
     None until the first list of the term. ``leaving`` holds what hosts heard
-    from the endpoints themselves. ``has_caught_up`` is true once the leader
+    from the endpoints themselves. ``services`` are those of the table.
+    ``has_caught_up`` is true once the leader
     has applied what earlier leaders committed.
 
     :param first: whether the group has had no leader before
@@ -36,6 +39,8 @@
         'limits',
         'requests',
         'has_caught_up',
+        'services',
+        'cold_starts',
     )
 
     def __init__(
@@ -57,6 +62,8 @@
         self.first = first
         self.table_version = -1
         self.has_caught_up = False
+        self.services: dict[str, tables.Service] = {}
+        self.cold_starts = cold_endpoints.ColdStarts()
         self.fleet_view = fleet_views.FleetView()
         self.software_versions: software_versions.SoftwareVersions | None = (
             None
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -19,6 +19,7 @@
 from masticquay_coordination import table_machines
 from masticquay_coordination import table_updates
 from masticquay_coordination import version_stores
+from masticquay_routing import cold_endpoints
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import messages
 from masticquay_routing import software_versions
@@ -212,7 +213,9 @@
             self._next_list_ms = now_ms + LIST_RETRY_MS
             return
         with self._list_lock:
-            term.listed = endpoints
+            term.listed = term.cold_starts.mark(
+                endpoints, term.services, now_ms
+            )
             term.leaving.apply_list(endpoints, now_ms)
         self._publish_endpoints(term)
 
@@ -231,10 +234,14 @@
             with self._view_lock:
                 term.fleet_view.set_endpoints(endpoints)
             stream_versions = self._possible_versions(term)
+            # Hosts ask for permits as soon as they know of cold endpoints.
+            term.limits.apply_list(endpoints)
+            term.limits.set_cold(
+                cold_endpoints.find_rates(endpoints, term.services)
+            )
             term.sessions.publish_endpoints(
                 endpoints, stream_versions, evacuated
             )
-            term.limits.apply_list(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
     def add_leaving(
@@ -300,6 +307,7 @@
             gauges['hosts_without_path'] = term.sessions.hosts_without_path
             gauges.update(term.owner.gauges())
             gauges.update(term.limits.gauges())
+            gauges['cold_endpoints'] = term.limits.cold_count
             gauges.update(term.requests.gauges())
         return gauges
 
@@ -325,7 +333,9 @@
             if stored is None or stored.version <= term.table_version:
                 return
             try:
-                term.owner.set_table(self._reader.read(stored.decompress()))
+                table = self._reader.read(stored.decompress())
+                term.owner.set_table(table)
+                term.services = table.services
             except routing_errors.TableError:
                 LOG.exception('stored table is invalid')
             term.table_version = stored.version
--- a/libs/coordination/tests/test_endpoint_limits.py
+++ b/libs/coordination/tests/test_endpoint_limits.py
@@ -31,6 +31,20 @@
         self.assertFalse(answer.granted)
         self.assertGreater(answer.wait_ms, 0)
 
+    # Guards against hosts that end a limit as they ask for a permit, and
+    # against cold limits that outlive the cold.
+    def test_cold_endpoint_is_limited_without_a_word_of_it(self):
+        word = named_limits.KnownLimits().to_word('e1', self.clock.now_ms())
+        ask = endpoint_messages.AskPermit('h1', word)
+        self.limits.set_cold({'e1': 2.0})
+        self.clock.advance_ms(5_000)
+        granted = [self.limits.give_permit(ask).granted for _ in range(20)]
+        self.assertLessEqual(sum(granted), 2)
+        self.assertGreater(sum(granted), 0)
+        self.assertEqual([], self.limits.exchange('h1', []))
+        self.limits.set_cold({})
+        self.assertTrue(self.limits.give_permit(ask).granted)
+
     def test_permits_of_all_hosts_come_from_one_bucket(self):
         self.ask()
         self.clock.advance_ms(1_000)
--- a/libs/gateway/masticquay_gateway/endpoint_limits.py
+++ b/libs/gateway/masticquay_gateway/endpoint_limits.py
@@ -84,7 +84,13 @@
         self._permits = permits
         self._on_change = on_change
         self._lock = threading.Lock()
-        self._limits = named_limits.HostLimits(random.Random())
+        self._host_limits = named_limits.HostLimits(random.Random())
+
+    @property
+    def _limits(self) -> named_limits.HostLimits:
+        """The limits that are named, and those of endpoints that are cold."""
+        self._host_limits.known.cold_rates = self._state.cold_rates
+        return self._host_limits
 
     def record(
         self, endpoint: fleets.Endpoint, limit_per_s: float | None
@@ -108,7 +114,7 @@
         self._on_change()
 
     def is_limited(self, endpoint: fleets.Endpoint) -> bool:
-        """Whether an endpoint names a limit."""
+        """Whether an endpoint names a limit, or is cold."""
         return self._limits.known.get(endpoint.endpoint_id) is not None
 
     def full_ids(self, endpoints: list[fleets.Endpoint]) -> set[str]:
@@ -142,7 +148,7 @@
             return True
         now_ms = _now_ms()
         if self._permits.is_reachable:
-            granted = self._ask(endpoint_id, known, now_ms)
+            granted = self._ask(endpoint_id, now_ms)
         else:
             with self._lock:
                 granted = self._limits.take_without_leader(
@@ -211,10 +217,9 @@
                 },
             )
 
-    def _ask(
-        self, endpoint_id: str, known: named_limits.KnownLimit, now_ms: int
-    ) -> bool:
-        answer = self._permits.ask(known.to_word(endpoint_id, now_ms))
+    def _ask(self, endpoint_id: str, now_ms: int) -> bool:
+        word = self._limits.known.to_word(endpoint_id, now_ms)
+        answer = self._permits.ask(word)
         if answer is not None and answer.granted:
             return True
         wait_ms = answer.wait_ms if answer else UNANSWERED_PAUSE_MS
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -5,6 +5,7 @@
 import time
 import zlib
 
+from masticquay_routing import cold_endpoints
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import evacuations
@@ -36,6 +37,8 @@
         self._by_id: dict[str, fleets.Endpoint] = {}
         self._listed: list[fleets.Endpoint] = []
         self._leaving = endpoint_notices.LeavingEndpoints()
+        # The requests a second that cold endpoints take, by id.
+        self.cold_rates: dict[str, float] = {}
         self._evacuations = evacuations.NO_EVACUATIONS
         # Whether this host read the present list itself, without control.
         self._list_is_own = False
@@ -121,6 +124,7 @@
                 LOG.error('invalid routing table', extra={'cause': str(cause)})
                 return False
             self.table = table
+            self._update_cold_rates()
             self._update_completeness()
         LOG.info(
             'routing table in force',
@@ -192,6 +196,10 @@
                 self._leaving.begin_lists()
             self._list_is_own = True
             self.endpoints_number = 0
+            if self.table is not None:
+                endpoints = cold_endpoints.ColdStarts().mark(
+                    endpoints, self.table.services, _now_ms()
+                )
             self._index_endpoints(endpoints)
             self._add_stream_versions(endpoints)
 
@@ -277,8 +285,15 @@
             by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = by_service
         self._by_id = {e.endpoint_id: e for e in endpoints}
+        self._update_cold_rates()
         self._update_completeness()
 
+    def _update_cold_rates(self) -> None:
+        if self.table is not None:
+            self.cold_rates = cold_endpoints.find_rates(
+                self.all_endpoints(), self.table.services
+            )
+
     def _update_completeness(self) -> None:
         if self.table is not None and self._by_id:
             self._complete.set()
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -160,6 +160,7 @@
         self.by_id = {e.endpoint_id: e for e in endpoints}
         self.host_count = 1
         self.evacuated_places = frozenset()
+        self.cold_rates = {}
 
     def endpoints(self, service):
         return list(self.by_id.values())
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -10,6 +10,8 @@
 from masticquay_routing import messages
 from masticquay_routing import tables
 
+COLD_SERVICE = tables.Service('svc', '/', 10, None, 2.0, 60_000)
+
 
 class VersionReader:
     """Reads a document that holds only the version, or ``bad``."""
@@ -18,7 +20,7 @@
         if document == b'bad':
             raise errors.TableError('document', 'bad')
         limits = tables.CallerLimits(1, 2, 3, 4)
-        return tables.Table(int(document), [], [], None, limits)
+        return tables.Table(int(document), [], [COLD_SERVICE], None, limits)
 
 
 def make_update(version, document=None):
@@ -90,6 +92,17 @@
         self.apply_evacuations(1, 'p')
         self.assertFalse(self.is_leaving())
 
+    def test_cold_endpoints_are_known_from_list_and_table(self):
+        """A host that finds no leader keeps to the rate, too."""
+        cold = fleets.Endpoint('e1', 'svc', '127.0.0.1:1', 'p', cold_ms=9)
+        other = fleets.Endpoint('e2', 'odd', '127.0.0.1:2', 'p', cold_ms=9)
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 1, [cold]))
+        self.assertEqual({}, self.state.cold_rates)
+        self.state.apply_table(make_update(5))
+        self.assertEqual({'e1': 2.0}, self.state.cold_rates)
+        self.state.apply_local_list([cold, other])
+        self.assertEqual({'e1': 2.0}, self.state.cold_rates)
+
     def apply_versions(self, listed, possible):
         """Applies a list of one endpoint of each software version."""
         endpoints = [
--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -14,6 +14,9 @@
 # Why an endpoint is skipped, in metrics.
 CAUSE_EJECTED = 'ejected'
 CAUSE_FULL = 'full'
+CAUSE_COLD = 'cold'
+COLD_RANK = 0
+WARM_RANK = -1
 
 
 class Chooser:
@@ -115,15 +118,19 @@
         for endpoint_id, rank in ranks.items():
             if rank == best_rank:
                 continue
-            is_full = self.statistics(endpoint_id).is_full(now_ms)
-            self._count_skip(
-                CAUSE_FULL if is_full else CAUSE_EJECTED, endpoint_id
-            )
+            cause = CAUSE_EJECTED
+            if rank == COLD_RANK:
+                cause = CAUSE_COLD
+            elif self.statistics(endpoint_id).is_full(now_ms):
+                cause = CAUSE_FULL
+            self._count_skip(cause, endpoint_id)
 
     def _rank(
         self, endpoint: fleets.Endpoint, now_ms: int, repeatable: bool
     ) -> int:
-        """Returns how readily an endpoint is used; 0 comes first.
+        """Returns how readily an endpoint is used; the lowest comes first.
+
+        Of those that work, a cold one comes last.
 
         A request that may be repeated rather goes to an endpoint that loses
         part of its responses than to one that may refuse it; any other rather
@@ -139,7 +146,7 @@
             return 1 if repeatable else 2
         if statistics.is_full(now_ms):
             return 2 if repeatable else 1
-        return 0
+        return COLD_RANK if endpoint.cold_ms else WARM_RANK
 
     def _cost(
         self,
--- a/libs/routing/masticquay_routing/fleets.py
+++ b/libs/routing/masticquay_routing/fleets.py
@@ -22,6 +22,8 @@
         start again under its id
     :param evacuated: whether it counts as leaving only because its place is
         evacuated; hosts of an earlier revision know ``leaving`` alone
+    :param cold_ms: how long it stays cold after its start, rounded up; 0 if it
+        is warm
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         'software_version',
         'started_ms',
         'evacuated',
+        'cold_ms',
     )
 
     def __init__(
@@ -49,6 +52,7 @@
         software_version: str = '',
         started_ms: int = 0,
         evacuated: bool = False,
+        cold_ms: int = 0,
     ):
         self.endpoint_id = endpoint_id
         self.service = service
@@ -60,6 +64,7 @@
         self.software_version = software_version
         self.started_ms = started_ms
         self.evacuated = evacuated
+        self.cold_ms = cold_ms
 
 
 class Host(records.Record):
--- a/libs/routing/masticquay_routing/named_limits.py
+++ b/libs/routing/masticquay_routing/named_limits.py
@@ -86,15 +86,42 @@
 
 
 class KnownLimits:
-    """The newest word on each endpoint's limit."""
+    """The newest word on each endpoint's limit.
 
-    __slots__ = ('_known',)
+    :ivar cold_rates: the requests a second that cold endpoints take, by id.
+        Each process knows them from the endpoint list, so they are not told.
+    """
+
+    __slots__ = ('_known', 'cold_rates')
 
     def __init__(self) -> None:
         self._known: dict[str, KnownLimit] = {}
+        self.cold_rates: dict[str, float] = {}
 
     def get(self, endpoint_id: str) -> KnownLimit | None:
-        """Returns an endpoint's limit, None if it names none."""
+        """Returns an endpoint's limit, None if it has none.
+
+        The lower holds of what it names and what it takes while it is cold.
+        """
+        named = self._named(endpoint_id)
+        cold_rate_per_s = self.cold_rates.get(endpoint_id)
+        if cold_rate_per_s is None:
+            return named
+        if named is not None and named.rate_per_s <= cold_rate_per_s:
+            return named
+        return KnownLimit(0, cold_rate_per_s, 0)
+
+    def to_word(self, endpoint_id: str, now_ms: int) -> LimitWord:
+        """Returns what an endpoint names, to ask for a permit.
+
+        The word on one that names nothing is too old to count anywhere.
+        """
+        named = self._named(endpoint_id)
+        if named is None:
+            return LimitWord(endpoint_id, 0, None, MAX_AGE_MS + 1)
+        return named.to_word(endpoint_id, now_ms)
+
+    def _named(self, endpoint_id: str) -> KnownLimit | None:
         known = self._known.get(endpoint_id)
         if known is None or known.limit_per_s is None:
             return None
@@ -110,7 +137,7 @@
 
         :returns: whether it is a change
         """
-        known = self.get(endpoint.endpoint_id)
+        known = self._named(endpoint.endpoint_id)
         if known is None and limit_per_s is None:
             return False
         self._known[endpoint.endpoint_id] = KnownLimit(
--- a/libs/routing/masticquay_routing/shared_limits.py
+++ b/libs/routing/masticquay_routing/shared_limits.py
@@ -95,6 +95,21 @@
         self._known.apply_list(endpoints)
         self._drop_unlimited()
 
+    def set_cold(self, rates: dict[str, float], now_ms: int) -> list[str]:
+        """Replaces the requests a second that cold endpoints take, by id.
+
+        :returns: the endpoints whose rates changed
+        """
+        earlier, self._known.cold_rates = self._known.cold_rates, rates
+        changed = [
+            endpoint_id
+            for endpoint_id in earlier.keys() | rates.keys()
+            if earlier.get(endpoint_id) != rates.get(endpoint_id)
+        ]
+        for endpoint_id in changed:
+            self._set_bucket(endpoint_id, now_ms)
+        return changed
+
     def _set_bucket(self, endpoint_id: str, now_ms: int) -> None:
         known = self._known.get(endpoint_id)
         if known is None:
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -142,9 +142,19 @@
     :param max_connections: the connections that an endpoint accepts from all
         hosts together
     :param engine: None for a service without model engines
+    :param cold_rate_per_s: the requests a second that an endpoint takes while
+        it is cold, 0 for no limit
+    :param cold_start_ms: how long an endpoint is cold after its start
     """
 
-    __slots__ = ('name', 'health_path', 'max_connections', 'engine')
+    __slots__ = (
+        'name',
+        'health_path',
+        'max_connections',
+        'engine',
+        'cold_rate_per_s',
+        'cold_start_ms',
+    )
 
     def __init__(
         self,
@@ -152,11 +162,15 @@
         health_path: str,
         max_connections: int,
         engine: Engine | None,
+        cold_rate_per_s: float = 0.0,
+        cold_start_ms: int = 0,
     ):
         self.name = name
         self.health_path = health_path
         self.max_connections = max_connections
         self.engine = engine
+        self.cold_rate_per_s = cold_rate_per_s
+        self.cold_start_ms = cold_start_ms
 
 
 class Workspace:
