--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -5,10 +5,13 @@
 import time
 import zlib
 
+from masticquay_routing import cold_endpoints
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
+from masticquay_routing import evacuations
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import regions as regions_module
 from masticquay_routing import software_versions
 from masticquay_routing import tables
 from masticquay_serving import requests
@@ -25,16 +28,25 @@
     Updates that are not newer than the current ones are ignored.
 
     :param reader: parses operators' documents into routing tables
+    :param regions: of the places of endpoints and hosts
     """
 
-    def __init__(self, reader: tables.TableReader):
+    def __init__(
+        self,
+        reader: tables.TableReader,
+        regions: regions_module.Regions = regions_module.NO_REGIONS,
+    ):
         self._reader = reader
+        self.regions = regions
         self._lock = threading.Lock()
         self._complete = threading.Event()
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
         self._by_id: dict[str, fleets.Endpoint] = {}
         self._listed: list[fleets.Endpoint] = []
         self._leaving = endpoint_notices.LeavingEndpoints()
+        # The requests a second that cold endpoints take, by id.
+        self.cold_rates: dict[str, float] = {}
+        self._evacuations = evacuations.NO_EVACUATIONS
         # Whether this host read the present list itself, without control.
         self._list_is_own = False
         self._stream_versions: software_versions.Versions | None = None
@@ -53,6 +65,16 @@
         table = self.table
         return table.version if table else -1
 
+    @property
+    def evacuations_number(self) -> int:
+        """The number of the change of evacuated places that is in force."""
+        return self._evacuations.number
+
+    @property
+    def evacuated_places(self) -> frozenset[str]:
+        """The places whose endpoints get no new requests."""
+        return self._evacuations.places
+
     @property
     def caller_limits(self) -> requests.LimitsLike:
         """The limits on requests; defaults before the first routing table."""
@@ -83,6 +105,11 @@
         """Returns the endpoints of all services."""
         return list(self._by_id.values())
 
+    def endpoints_to_probe(self) -> list[fleets.Endpoint]:
+        """Returns the endpoints whose place is not evacuated."""
+        places = self.evacuated_places
+        return [e for e in self.all_endpoints() if e.place not in places]
+
     def endpoint(self, endpoint_id: str) -> fleets.Endpoint | None:
         """Returns a listed endpoint, None if it is not listed."""
         return self._by_id.get(endpoint_id)
@@ -104,6 +131,7 @@
                 LOG.error('invalid routing table', extra={'cause': str(cause)})
                 return False
             self.table = table
+            self._update_cold_rates()
             self._update_completeness()
         LOG.info(
             'routing table in force',
@@ -113,16 +141,36 @@
                 'source': source,
             },
         )
+        self._warn_of_empty_regions(table)
         return True
 
+    def _warn_of_empty_regions(self, table: tables.Table) -> None:
+        allowed = [
+            region
+            for owner in [*table.routes, *(table.workspaces or [])]
+            for region in owner.allowed_regions
+        ]
+        empty = self.regions.find_empty(allowed)
+        if empty:
+            LOG.warning(
+                'allowed regions without a data centre',
+                extra={'version': table.version, 'regions': empty},
+            )
+
     def apply_endpoints(self, update: messages.EndpointUpdate) -> bool:
         """Applies an endpoint list if it is newer.
 
+        The evacuated places have a number of their own: they are kept over
+        lists that say nothing of them, and apply also without a newer list.
+
         :returns: whether the list was applied
         """
         with self._lock:
+            has_moved = self._take_evacuations(update)
             term_and_number = (update.term, update.number)
             if term_and_number <= (self.endpoints_term, self.endpoints_number):
+                if has_moved:
+                    self._index_endpoints(self._listed)
                 return False
             if update.term > self.endpoints_term or self._list_is_own:
                 self._leaving.begin_lists()
@@ -137,13 +185,27 @@
                 'number': update.number,
                 'endpoints': len(update.endpoints),
                 'leaving': [
-                    e.endpoint_id for e in update.endpoints if e.leaving
+                    e.endpoint_id
+                    for e in evacuations.unmark(update.endpoints)
+                    if e.leaving
                 ],
                 'software_versions': _count_versions(update.endpoints),
             },
         )
         return True
 
+    def _take_evacuations(self, update: messages.EndpointUpdate) -> bool:
+        """Replaces the evacuated places if the update has newer ones."""
+        number = update.evacuations_number
+        if update.evacuated is None or number <= self._evacuations.number:
+            return False
+        self._evacuations = evacuations.Evacuations(number, update.evacuated)
+        LOG.info(
+            'evacuated places in force',
+            extra={'number': number, 'places': update.evacuated},
+        )
+        return True
+
     def apply_local_list(self, endpoints: list[fleets.Endpoint]) -> None:
         """Applies an endpoint list that this host read without control.
 
@@ -155,6 +217,10 @@
                 self._leaving.begin_lists()
             self._list_is_own = True
             self.endpoints_number = 0
+            if self.table is not None:
+                endpoints = cold_endpoints.ColdStarts().mark(
+                    endpoints, self.table.services, _now_ms()
+                )
             self._index_endpoints(endpoints)
             self._add_stream_versions(endpoints)
 
@@ -231,16 +297,24 @@
             self._leaving.begin_lists()
 
     def _index_endpoints(self, listed: list[fleets.Endpoint]) -> None:
+        listed = evacuations.unmark(listed)
         self._listed = listed
         self._leaving.apply_list(listed, _now_ms())
-        endpoints = self._leaving.mark(listed)
+        endpoints = self._evacuations.mark(self._leaving.mark(listed))
         by_service: dict[str, list[fleets.Endpoint]] = {}
         for endpoint in endpoints:
             by_service.setdefault(endpoint.service, []).append(endpoint)
         self._by_service = by_service
         self._by_id = {e.endpoint_id: e for e in endpoints}
+        self._update_cold_rates()
         self._update_completeness()
 
+    def _update_cold_rates(self) -> None:
+        if self.table is not None:
+            self.cold_rates = cold_endpoints.find_rates(
+                self.all_endpoints(), self.table.services
+            )
+
     def _update_completeness(self) -> None:
         if self.table is not None and self._by_id:
             self._complete.set()
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -105,8 +105,8 @@
     def release_unused(self, stream: relays.RelayedStream) -> None:
         """Releases a stream's handle unless a decode engine has used it.
 
-        An engine that wants a pause or names a limit gets no such request
-        either: the handle expires soon by itself.
+        An engine that wants a pause, names a limit or is evacuated gets no
+        such request either: the handle expires soon by itself.
         """
         handle, stream.handle = stream.handle, None
         if handle is None or stream.started:
@@ -122,7 +122,11 @@
         placement: placed_requests.RequestPlacement,
         prefill: fleets.Endpoint,
     ) -> str:
-        purpose = ports.ExchangePurpose(job.call.call_id, needs_stamp=False)
+        purpose = ports.ExchangePurpose(
+            job.call.call_id,
+            needs_stamp=False,
+            allows_place=job.allows_place,
+        )
         with self._paths.open(
             prefill,
             job.interrupt,
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -159,6 +159,8 @@
     def __init__(self, endpoints):
         self.by_id = {e.endpoint_id: e for e in endpoints}
         self.host_count = 1
+        self.evacuated_places = frozenset()
+        self.cold_rates = {}
 
     def endpoints(self, service):
         return list(self.by_id.values())
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -41,6 +41,8 @@
         still meets the latency target
     :param abandon_after_ms: the pause after which callers abandon a stream,
         also while they wait for its first event
+    :param allowed_regions: those whose endpoints may run its requests, empty
+        for all
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         'resumable',
         'max_pause_ms',
         'abandon_after_ms',
+        'allowed_regions',
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         resumable: bool = False,
         max_pause_ms: int = 0,
         abandon_after_ms: int = 10_000,
+        allowed_regions: typing.Sequence[str] = (),
     ):
         self.name = name
         self.host = host
@@ -91,6 +95,7 @@
         self.resumable = resumable
         self.max_pause_ms = max_pause_ms
         self.abandon_after_ms = abandon_after_ms
+        self.allowed_regions = list(allowed_regions)
 
     @property
     def retryable(self) -> bool:
@@ -142,9 +147,19 @@
     :param max_connections: the connections that an endpoint accepts from all
         hosts together
     :param engine: None for a service without model engines
+    :param cold_rate_per_s: the requests a second that an endpoint takes while
+        it is cold, 0 for no limit
+    :param cold_start_ms: how long an endpoint is cold after its start
     """
 
-    __slots__ = ('name', 'health_path', 'max_connections', 'engine')
+    __slots__ = (
+        'name',
+        'health_path',
+        'max_connections',
+        'engine',
+        'cold_rate_per_s',
+        'cold_start_ms',
+    )
 
     def __init__(
         self,
@@ -152,11 +167,15 @@
         health_path: str,
         max_connections: int,
         engine: Engine | None,
+        cold_rate_per_s: float = 0.0,
+        cold_start_ms: int = 0,
     ):
         self.name = name
         self.health_path = health_path
         self.max_connections = max_connections
         self.engine = engine
+        self.cold_rate_per_s = cold_rate_per_s
+        self.cold_start_ms = cold_start_ms
 
 
 class Workspace:
@@ -168,10 +187,12 @@
     :param default_tokens: the cost of a request that declares no tokens
     :param rate_per_s: 0 for no limit
     :param burst: the capacity of the token bucket
+    :param allowed_regions: as for a route; both bind
     """
 
     __slots__ = (
         'name',
+        'allowed_regions',
         'keys',
         'priority',
         'counts_tokens',
@@ -189,8 +210,10 @@
         default_tokens: int = 1,
         rate_per_s: float = 0.0,
         burst: float = 0.0,
+        allowed_regions: typing.Sequence[str] = (),
     ):
         self.name = name
+        self.allowed_regions = list(allowed_regions)
         self.keys = keys
         self.priority = priority
         self.counts_tokens = counts_tokens
