Hosts get changes of the endpoint list, and whole lists compressed

Cause: each change of one endpoint sent the whole list to every host, with the names of the fields of each entry: what the leader sent grew with hosts times endpoints (20 MB a second at 300 hosts and 3,000 endpoints). Change: a host that says in its renewals that it reads them gets what differs from the list that it was sent before, encoded once; a whole list is compressed. A host ignores changes to another list than its own, and gets the whole one when its renewals do not confirm the newest. Hosts and leaders of earlier releases exchange whole lists as before.

--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -4,6 +4,7 @@
 import threading
 
 from masticquay_coordination import deliveries
+from masticquay_coordination import endpoint_updates
 from masticquay_coordination import table_updates
 from masticquay_coordination import updates
 from masticquay_routing import fleets
@@ -77,7 +78,7 @@
         self._hosts_published_ms = self._started_ms - HOST_LIST_INTERVAL_MS
         self._endpoints: list[fleets.Endpoint] = []
         self._stream_versions: software_versions.Versions | None = None
-        self._endpoint_update: updates.Update | None = None
+        self._endpoint_update: endpoint_updates.EndpointUpdates | None = None
         self._host_update: updates.Update | None = None
         self.delivery = deliveries.Delivery(clock)
 
@@ -231,16 +232,36 @@
                 return
             self._endpoints = endpoints
             self._stream_versions = stream_versions
-            number = _next_number(previous)
-            update = updates.Update(
-                updates.Kind.ENDPOINTS,
-                number,
+            self._endpoint_update = endpoint_updates.EndpointUpdates(
                 messages.EndpointUpdate(
-                    self.term, number, endpoints, stream_versions
+                    self.term,
+                    _next_number(previous),
+                    endpoints,
+                    stream_versions,
                 ),
+                previous.update if previous else None,
             )
-            self._endpoint_update = update
-        self._publish(update)
+            due = self._list_due_endpoint_updates(self._endpoint_update)
+        for session, update in due:
+            _send(session, update)
+
+    def _list_due_endpoint_updates(
+        self, newest: endpoint_updates.EndpointUpdates
+    ) -> list[tuple[Session, updates.Update]]:
+        """Returns what to send to each host; the caller holds the lock."""
+        now_ms = self._clock.now_ms()
+        due = []
+        for session in self._sessions.values():
+            held_number = session.sent.number(updates.Kind.ENDPOINTS)
+            if held_number is None:
+                held_number = self._held_endpoints_number(session.renewal)
+            update = newest.newest_for(session.renewal, held_number)
+            session.sent.record(update, now_ms)
+            due.append((session, update))
+        return due
+
+    def _held_endpoints_number(self, renewal: messages.Renew) -> int:
+        return renewal.endpoints_number if renewal.term == self.term else 0
 
     def publish_hosts(self) -> None:
         """Sends the host list to all hosts if it changed and is due."""
@@ -307,12 +328,17 @@
         """Returns the updates that a host lacks and is not about to get."""
         renewal = session.renewal
         same_term = renewal.term == self.term
+        endpoint_update = None
+        held_endpoints_number = self._held_endpoints_number(renewal)
+        newest_endpoints = self._endpoint_update
+        if (
+            newest_endpoints is not None
+            and held_endpoints_number < newest_endpoints.number
+        ):
+            endpoint_update = newest_endpoints.whole_for(renewal)
         held_numbers = (
             (self._newest_table.get(), renewal.table_version),
-            (
-                self._endpoint_update,
-                renewal.endpoints_number if same_term else 0,
-            ),
+            (endpoint_update, held_endpoints_number),
             (self._host_update, renewal.hosts_number if same_term else 0),
         )
         missing = [
@@ -327,7 +353,9 @@
         return missing
 
 
-def _next_number(previous: updates.Update | None) -> int:
+def _next_number(
+    previous: updates.Update | endpoint_updates.EndpointUpdates | None,
+) -> int:
     return previous.number + 1 if previous else 1
 
 
--- a/libs/coordination/masticquay_coordination/updates.py
+++ b/libs/coordination/masticquay_coordination/updates.py
@@ -47,6 +47,10 @@
         self._numbers: dict[Kind, int] = {}
         self._sent_ms: dict[Kind, int] = {}
 
+    def number(self, kind: Kind) -> int | None:
+        """Returns the newest that was sent of a kind, None if none was."""
+        return self._numbers.get(kind)
+
     def record(self, update: Update, now_ms: int) -> None:
         """Records that an update is being sent."""
         self._numbers[update.kind] = update.number
--- a/libs/coordination/tests/test_sessions.py
+++ b/libs/coordination/tests/test_sessions.py
@@ -6,6 +6,7 @@
 from masticquay_coordination import table_machines
 from masticquay_coordination import table_updates
 from masticquay_coordination import updates
+from masticquay_routing import endpoint_changes
 from masticquay_routing import messages
 from masticquay_routing import renewals
 from masticquay_wire import clocks
@@ -177,3 +178,75 @@
         self.assertTrue(
             self.sessions.renew(fakes.make_renewal(incarnation=2), self.link)
         )
+
+
+class EndpointChangesTest(unittest.TestCase):
+    """Hosts that read changes get whole lists only where they need them."""
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.sessions = sessions.Sessions(
+            TERM,
+            table_updates.TableUpdates(table_machines.TableMachine()),
+            self.clock,
+        )
+        self.link = fakes.FakeLink()
+        self.endpoints = fakes.make_engines(2, 4)
+        self.sessions.publish_endpoints(self.endpoints)
+
+    def renew(self, number, link=None, reads_changes=True):
+        self.sessions.renew(
+            fakes.make_renewal(
+                endpoints_number=number,
+                term=TERM,
+                reads_endpoint_changes=reads_changes,
+            ),
+            link or self.link,
+        )
+
+    def publish_without(self, count):
+        self.sessions.publish_endpoints(self.endpoints[count:])
+
+    def take(self, link=None):
+        """Returns what a host was sent, by the type of the message."""
+        link = link or self.link
+        sent = [type(message).__name__ for message in link.notifications]
+        link.notifications.clear()
+        return sent
+
+    def test_host_gets_the_whole_list_and_then_changes(self):
+        self.renew(0)
+        self.assertEqual(['PackedEndpoints'], self.take())
+        self.publish_without(1)
+        changes = self.link.last(endpoint_changes.EndpointChanges)
+        self.assertEqual(1, changes.base_number)
+        self.assertEqual([self.endpoints[0].endpoint_id], changes.removed_ids)
+        self.take()
+        # The second change comes before the host has confirmed the first.
+        self.publish_without(2)
+        self.assertEqual(['EndpointChanges'], self.take())
+
+    def test_host_of_an_earlier_release_gets_whole_lists(self):
+        self.renew(0, reads_changes=False)
+        self.publish_without(1)
+        self.assertEqual(['EndpointUpdate'] * 2, self.take())
+
+    def test_host_that_confirms_no_newer_list_gets_the_whole_one(self):
+        self.renew(0)
+        self.publish_without(1)
+        self.take()
+        self.clock.advance_ms(updates.RESEND_AFTER_MS)
+        self.renew(1)
+        self.assertEqual(['PackedEndpoints'], self.take())
+
+    def test_host_on_a_new_link_gets_what_it_lacks(self):
+        self.renew(0)
+        self.publish_without(1)
+        link = fakes.FakeLink()
+        self.renew(2, link)
+        self.assertEqual([], self.take(link))
+        self.publish_without(2)
+        self.assertEqual(['EndpointChanges'], self.take(link))
+        other = fakes.FakeLink()
+        self.renew(1, other)
+        self.assertEqual(['PackedEndpoints'], self.take(other))
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -5,6 +5,7 @@
 import time
 import zlib
 
+from masticquay_routing import endpoint_changes
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import fleets
@@ -121,27 +122,42 @@
         :returns: whether the list was applied
         """
         with self._lock:
-            term_and_number = (update.term, update.number)
-            if term_and_number <= (self.endpoints_term, self.endpoints_number):
+            if not self._replace_endpoints(update):
                 return False
-            if update.term > self.endpoints_term or self._list_is_own:
-                self._leaving.begin_lists()
-            self._list_is_own = False
-            self.endpoints_term, self.endpoints_number = term_and_number
-            self._index_endpoints(update.endpoints)
-            self._stream_versions = update.stream_versions
-        LOG.info(
-            'endpoint list updated',
-            extra={
-                'term': update.term,
-                'number': update.number,
-                'endpoints': len(update.endpoints),
-                'leaving': [
-                    e.endpoint_id for e in update.endpoints if e.leaving
-                ],
-                'software_versions': _count_versions(update.endpoints),
-            },
-        )
+        _log_endpoints(update)
+        return True
+
+    def apply_endpoint_changes(
+        self, changes: endpoint_changes.EndpointChanges
+    ) -> bool:
+        """Applies changes to the list that they are based on.
+
+        Others are ignored: the leader sends the whole list to a host whose
+        renewals do not confirm the newest one.
+
+        :returns: whether they were applied
+        """
+        with self._lock:
+            base = (changes.update.term, changes.base_number)
+            if base != (self.endpoints_term, self.endpoints_number):
+                return False
+            update = changes.merge(self._listed)
+            if not self._replace_endpoints(update):
+                return False
+        _log_endpoints(update)
+        return True
+
+    def _replace_endpoints(self, update: messages.EndpointUpdate) -> bool:
+        """Applies a list if it is newer; the caller holds the lock."""
+        term_and_number = (update.term, update.number)
+        if term_and_number <= (self.endpoints_term, self.endpoints_number):
+            return False
+        if update.term > self.endpoints_term or self._list_is_own:
+            self._leaving.begin_lists()
+        self._list_is_own = False
+        self.endpoints_term, self.endpoints_number = term_and_number
+        self._index_endpoints(update.endpoints)
+        self._stream_versions = update.stream_versions
         return True
 
     def apply_local_list(self, endpoints: list[fleets.Endpoint]) -> None:
@@ -246,6 +262,19 @@
             self._complete.set()
 
 
+def _log_endpoints(update: messages.EndpointUpdate) -> None:
+    LOG.info(
+        'endpoint list updated',
+        extra={
+            'term': update.term,
+            'number': update.number,
+            'endpoints': len(update.endpoints),
+            'leaving': [e.endpoint_id for e in update.endpoints if e.leaving],
+            'software_versions': _count_versions(update.endpoints),
+        },
+    )
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
 
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import host_reports
 from masticquay_gateway import usages
+from masticquay_routing import endpoint_changes
 from masticquay_routing import messages
 from masticquay_routing import renewals
 from masticquay_routing import stream_origins
@@ -384,6 +385,7 @@
             reaches_endpoints=self._report.reaches_endpoints(),
             link_address=identity.link_address,
             held=self._report.held_requests(),
+            reads_endpoint_changes=True,
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
@@ -429,6 +431,10 @@
                 self._wake.set()
         elif isinstance(message, messages.EndpointUpdate):
             self._state.apply_endpoints(message)
+        elif isinstance(message, endpoint_changes.PackedEndpoints):
+            self._state.apply_endpoints(message.unpack())
+        elif isinstance(message, endpoint_changes.EndpointChanges):
+            self._state.apply_endpoint_changes(message)
         elif isinstance(message, messages.HostUpdate):
             self._state.apply_hosts(message)
         elif isinstance(message, messages.LeaderChanged):
--- a/libs/gateway/tests/test_fleet_states.py
+++ b/libs/gateway/tests/test_fleet_states.py
@@ -4,6 +4,7 @@
 import zlib
 
 from masticquay_gateway import fleet_states
+from masticquay_routing import endpoint_changes
 from masticquay_routing import errors
 from masticquay_routing import fleets
 from masticquay_routing import messages
@@ -56,6 +57,38 @@
         self.state.apply_endpoints(messages.EndpointUpdate(1, 1, []))
         self.assertIsNone(self.state.endpoint('e1'))
 
+    def make_changes(self, base_number, *removed_ids, term=1):
+        update = messages.EndpointUpdate(term, base_number + 1, [])
+        return endpoint_changes.EndpointChanges(
+            base_number, list(removed_ids), update
+        )
+
+    def test_changes_apply_to_the_list_that_they_are_based_on_only(self):
+        listed = [
+            fleets.Endpoint(f'e{n}', 'svc', '127.0.0.1:1', 'p')
+            for n in range(3)
+        ]
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 4, listed))
+        for changes in (
+            self.make_changes(3, 'e0'),
+            self.make_changes(5, 'e0'),
+            self.make_changes(4, 'e0', term=2),
+        ):
+            self.assertFalse(self.state.apply_endpoint_changes(changes))
+        changes = self.make_changes(4, 'e0')
+        self.assertTrue(self.state.apply_endpoint_changes(changes))
+        self.assertFalse(self.state.apply_endpoint_changes(changes))
+        self.assertEqual(listed[1:], self.state.endpoints('svc'))
+        self.assertEqual(5, self.state.endpoints_number)
+
+    def test_changes_do_not_apply_to_a_list_of_its_own(self):
+        endpoint = fleets.Endpoint('e1', 'svc', '127.0.0.1:1', 'p')
+        self.state.apply_endpoints(messages.EndpointUpdate(1, 4, [endpoint]))
+        self.state.apply_local_list([endpoint])
+        changes = self.make_changes(4, 'e1')
+        self.assertFalse(self.state.apply_endpoint_changes(changes))
+        self.assertIs(endpoint, self.state.endpoint('e1'))
+
     def apply_versions(self, listed, possible):
         """Applies a list of one endpoint of each software version."""
         endpoints = [
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -149,6 +149,8 @@
         an earlier release
     :param usage_number: identifies ``usage``, which is repeated until it is
         confirmed; 0 if it is not repeated
+    :param reads_endpoint_changes: whether the host reads the forms of
+        ``endpoint_changes``, which earlier releases do not know
     """
 
     __slots__ = (
@@ -172,6 +174,7 @@
         'link_address',
         'held',
         'usage_number',
+        'reads_endpoint_changes',
     )
 
     def __init__(
@@ -196,6 +199,7 @@
         link_address: str = '',
         held: held_requests.HeldRequests | None = None,
         usage_number: int = 0,
+        reads_endpoint_changes: bool = False,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -217,6 +221,7 @@
         self.link_address = link_address
         self.held = held
         self.usage_number = usage_number
+        self.reads_endpoint_changes = reads_endpoint_changes
 
 
 @messages.register
