--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -6,6 +6,7 @@
 import zlib
 
 from masticquay_routing import cold_endpoints
+from masticquay_routing import endpoint_changes
 from masticquay_routing import endpoint_notices
 from masticquay_routing import errors as routing_errors
 from masticquay_routing import evacuations
@@ -157,6 +158,16 @@
                 extra={'version': table.version, 'regions': empty},
             )
 
+    def apply_endpoint_message(
+        self, message: endpoint_changes.EndpointMessage
+    ) -> bool:
+        """Applies an endpoint list in any form; returns whether it did."""
+        if isinstance(message, endpoint_changes.EndpointChanges):
+            return self.apply_endpoint_changes(message)
+        if isinstance(message, endpoint_changes.PackedEndpoints):
+            return self.apply_endpoints(message.unpack())
+        return self.apply_endpoints(message)
+
     def apply_endpoints(self, update: messages.EndpointUpdate) -> bool:
         """Applies an endpoint list if it is newer.
 
@@ -166,32 +177,45 @@
         :returns: whether the list was applied
         """
         with self._lock:
-            has_moved = self._take_evacuations(update)
-            term_and_number = (update.term, update.number)
-            if term_and_number <= (self.endpoints_term, self.endpoints_number):
-                if has_moved:
-                    self._index_endpoints(self._listed)
+            if not self._replace_endpoints(update):
                 return False
-            if update.term > self.endpoints_term or self._list_is_own:
-                self._leaving.begin_lists()
-            self._list_is_own = False
-            self.endpoints_term, self.endpoints_number = term_and_number
-            self._index_endpoints(update.endpoints)
-            self._stream_versions = update.stream_versions
-        LOG.info(
-            'endpoint list updated',
-            extra={
-                'term': update.term,
-                'number': update.number,
-                'endpoints': len(update.endpoints),
-                'leaving': [
-                    e.endpoint_id
-                    for e in evacuations.unmark(update.endpoints)
-                    if e.leaving
-                ],
-                'software_versions': _count_versions(update.endpoints),
-            },
-        )
+        _log_endpoints(update)
+        return True
+
+    def apply_endpoint_changes(
+        self, changes: endpoint_changes.EndpointChanges
+    ) -> bool:
+        """Applies changes to the list that they are based on.
+
+        Others are ignored: the leader sends the whole list to a host whose
+        renewals do not confirm the newest one.
+
+        :returns: whether they were applied
+        """
+        with self._lock:
+            base = (changes.update.term, changes.base_number)
+            if base != (self.endpoints_term, self.endpoints_number):
+                return False
+            update = changes.merge(self._listed)
+            if not self._replace_endpoints(update):
+                return False
+        _log_endpoints(update)
+        return True
+
+    def _replace_endpoints(self, update: messages.EndpointUpdate) -> bool:
+        """Applies a list if it is newer; the caller holds the lock."""
+        has_moved = self._take_evacuations(update)
+        term_and_number = (update.term, update.number)
+        if term_and_number <= (self.endpoints_term, self.endpoints_number):
+            if has_moved:
+                self._index_endpoints(self._listed)
+            return False
+        if update.term > self.endpoints_term or self._list_is_own:
+            self._leaving.begin_lists()
+        self._list_is_own = False
+        self.endpoints_term, self.endpoints_number = term_and_number
+        self._index_endpoints(update.endpoints)
+        self._stream_versions = update.stream_versions
         return True
 
     def _take_evacuations(self, update: messages.EndpointUpdate) -> bool:
@@ -320,6 +344,23 @@
             self._complete.set()
 
 
+def _log_endpoints(update: messages.EndpointUpdate) -> None:
+    LOG.info(
+        'endpoint list updated',
+        extra={
+            'term': update.term,
+            'number': update.number,
+            'endpoints': len(update.endpoints),
+            'leaving': [
+                e.endpoint_id
+                for e in evacuations.unmark(update.endpoints)
+                if e.leaving
+            ],
+            'software_versions': _count_versions(update.endpoints),
+        },
+    )
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
 
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -11,6 +11,7 @@
 from masticquay_gateway import fleet_states
 from masticquay_gateway import host_reports
 from masticquay_gateway import usages
+from masticquay_routing import endpoint_changes
 from masticquay_routing import messages
 from masticquay_routing import renewals
 from masticquay_routing import stream_origins
@@ -384,6 +385,7 @@
             reaches_endpoints=self._report.reaches_endpoints(),
             link_address=identity.link_address,
             held=self._report.held_requests(),
+            reads_endpoint_changes=True,
         )
 
     def _peer(self, address: str) -> dialers.WebsocketPeer:
@@ -427,9 +429,9 @@
             is_first = self._state.table is None
             if self._state.apply_table(message, address) and is_first:
                 self._wake.set()
-        elif isinstance(message, messages.EndpointUpdate):
+        elif isinstance(message, endpoint_changes.EndpointMessage):
             number = self._state.evacuations_number
-            self._state.apply_endpoints(message)
+            self._state.apply_endpoint_message(message)
             if self._state.evacuations_number != number:
                 # Operators' orders wait until hosts confirm them.
                 self._wake.set()
