Engines are told the priority of model requests

Engines read prompts in the order of arrival, so that the most urgent ones waited behind all others. It is sent only where model routes and workspaces have more than one priority, so other deployments are served as before.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -100,7 +100,7 @@
         placement: placed_requests.RequestPlacement,
         stream: relays.RelayedStream,
     ) -> ports.Headers:
-        context = job.endpoint_context(stream.splitter.last_id)
+        context = job.engine_context(stream.splitter.last_id)
         handle = stream.handle
         if handle is None or context.last_event_id is not None:
             return self._protocol.run_headers(
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -93,10 +93,23 @@
             limit_ms = min(limit_ms, deadline_ms)
         return int(limit_ms - self.elapsed_ms) - RESPONSE_MARGIN_MS
 
-    def endpoint_context(
+    def endpoint_context(self) -> ports.RequestContext:
+        """Returns the context to send to a plain endpoint."""
+        return ports.RequestContext(
+            self.workspace_name, max(1, self.remaining_ms)
+        )
+
+    def engine_context(
         self, last_event_id: str | None = None
     ) -> ports.RequestContext:
-        """Returns the context to send to an endpoint with the request."""
+        """Returns the context to send to a model engine.
+
+        Engines are not told a priority that all requests have.
+        """
+        has_priorities = self.table and self.table.has_priorities
         return ports.RequestContext(
-            self.workspace_name, max(1, self.remaining_ms), last_event_id
+            self.workspace_name,
+            max(1, self.remaining_ms),
+            last_event_id,
+            self.priority if has_priorities else None,
         )
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -179,19 +179,23 @@
     :param deadline_ms: time left for the response
     :param last_event_id: id of the last event received of a stream that is to
         be resumed, None for a new one
+    :param priority: tells a model engine how urgent the request is, 0 is the
+        most urgent; None to tell nothing
     """
 
-    __slots__ = ('workspace', 'deadline_ms', 'last_event_id')
+    __slots__ = ('workspace', 'deadline_ms', 'last_event_id', 'priority')
 
     def __init__(
         self,
         workspace: str | None,
         deadline_ms: int,
         last_event_id: str | None = None,
+        priority: int | None = None,
     ):
         self.workspace = workspace
         self.deadline_ms = deadline_ms
         self.last_event_id = last_event_id
+        self.priority = priority
 
 
 class ExchangePurpose:
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -133,7 +133,7 @@
                 job.request.method,
                 job.request.target,
                 self._protocol.prefill_headers(
-                    job.request.headers, prefill, job.endpoint_context()
+                    job.request.headers, prefill, job.engine_context()
                 ),
                 job.request.body,
                 self._timeout_ms(job, placement),
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -235,7 +235,11 @@
 
 
 class Table:
-    """One version of all routes, services, workspaces and limits."""
+    """One version of all routes, services, workspaces and limits.
+
+    :ivar has_priorities: whether model routes and workspaces have more than
+        one priority
+    """
 
     __slots__ = (
         'version',
@@ -243,6 +247,7 @@
         'services',
         'workspaces',
         'limits',
+        'has_priorities',
         '_routes_by_host',
         '_workspaces_by_key',
     )
@@ -260,6 +265,7 @@
         self.services = {service.name: service for service in services}
         self.workspaces = workspaces
         self.limits = limits
+        self.has_priorities = len(_priorities(routes, workspaces or [])) > 1
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             self._routes_by_host.setdefault(route.host.lower(), []).append(
@@ -295,6 +301,15 @@
         return None
 
 
+def _priorities(routes: list[Route], workspaces: list[Workspace]) -> set[int]:
+    """Returns the priorities of model routes and of workspaces."""
+    priorities = {route.priority for route in routes if route.is_model}
+    for workspace in workspaces:
+        if workspace.priority is not None:
+            priorities.add(workspace.priority)
+    return priorities
+
+
 class TableReader(typing.Protocol):
     """Parses the configuration documents that operators store."""
 
--- a/libs/routing/tests/test_tables.py
+++ b/libs/routing/tests/test_tables.py
@@ -25,6 +25,29 @@
         self.assertIsNone(table.match('a.example', '/a'))
 
 
+class PrioritiesTest(unittest.TestCase):
+    def has_priorities(self, routes, *workspaces):
+        table = builders.make_table(
+            routes=[
+                builders.make_route(name=f'r{n}', priority=p, is_model=m)
+                for n, (p, m) in enumerate(routes)
+            ],
+            workspaces=[
+                tables.Workspace(f'w{n}', [], priority=p)
+                for n, p in enumerate(workspaces)
+            ],
+        )
+        return table.has_priorities
+
+    def test_model_routes_and_workspaces_may_have_several_priorities(self):
+        self.assertTrue(self.has_priorities([(1, True), (2, True)]))
+        self.assertTrue(self.has_priorities([(1, True)], 1, 0))
+
+    def test_one_priority_of_model_requests_is_none(self):
+        self.assertFalse(self.has_priorities([(1, True), (2, False)]))
+        self.assertFalse(self.has_priorities([(1, True)], 1, None))
+
+
 class ChooseServiceTest(unittest.TestCase):
     def test_service_is_chosen_by_weight(self):
         route = builders.make_route(
