The learnt slowdown of local prefills decays

A decode engine that had been slow got 0 of 24 local prefills 30 s later: only a further local prefill could correct what was learnt of it, and it got none. A further test guards against streams that a slow engine pauses too often.

--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -5,6 +5,7 @@
 """
 
 from masticquay_routing import fleets
+from masticquay_routing import slowdowns
 
 EJECT_MIN_MS = 1_500
 # A failing engine gets one request per interval until one succeeds.
@@ -16,8 +17,6 @@
 # engine. This is the initial estimate; the estimate of each engine is updated
 # after its local prefills.
 LOCAL_PREFILL_INITIAL_SLOWDOWN = 2.5
-# Weight of a new sample in the moving average of the slowdown.
-LOCAL_PREFILL_SMOOTHING = 0.3
 # For this long, further long prompts go to the engine that took the last one.
 LONG_PROMPT_AFFINITY_MS = 3_000
 # Shorter prompts give no reliable sample of the slowdown.
@@ -34,6 +33,8 @@
 
     :param memory_tokens: the size of the engine's KV cache memory
     :param slots: the requests that it runs at once
+    :ivar local_prefill_slowdown: how many times longer a prompt takes here
+        than on a prefill engine
     """
 
     __slots__ = (
@@ -69,7 +70,7 @@
         self.prefill_started_ms = 0
         self.prefill_timing_invalid = False
         self.last_local_prefill_ms = -LOCAL_PREFILL_INTERVAL_MS
-        self.local_prefill_slowdown = LOCAL_PREFILL_INITIAL_SLOWDOWN
+        self.local_prefill_slowdown = slowdowns.Slowdown()
         self.last_long_prompt_ms = -LONG_PROMPT_AFFINITY_MS
         self.failure_rate = 0.0
         self.failing_since_ms: int | None = None
@@ -91,30 +92,44 @@
             0.0, self.pending_prefill_tokens / tokens_per_ms - elapsed_ms
         )
 
-    def stall_ms(self, tokens: int, tokens_per_ms: float) -> float:
+    def stall_ms(
+        self,
+        tokens: int,
+        tokens_per_ms: float,
+        usual_slowdown: float,
+        now_ms: int,
+    ) -> float:
         """Returns for how long a local prefill stalls the engine's streams.
 
         :param tokens_per_ms: the speed of prefill engines
+        :param usual_slowdown: that of local prefills in the pool
         """
-        return tokens * self.local_prefill_slowdown / tokens_per_ms
+        slowdown = self.local_prefill_slowdown.value(usual_slowdown, now_ms)
+        return tokens * slowdown / tokens_per_ms
 
     def takes_long_prompts(self, now_ms: int) -> bool:
         """Whether the engine took a long prompt recently."""
         return now_ms - self.last_long_prompt_ms < LONG_PROMPT_AFFINITY_MS
 
     def record_local_prefill(
-        self, tokens: int, duration_ms: float, tokens_per_ms: float
+        self,
+        tokens: int,
+        duration_ms: float,
+        tokens_per_ms: float,
+        usual_slowdown: float,
+        now_ms: int,
     ) -> None:
         """Updates the slowdown after a local prefill.
 
         :param tokens_per_ms: the speed of prefill engines
+        :param usual_slowdown: that of local prefills in the pool
         """
         if tokens < LOCAL_PREFILL_MIN_SAMPLE_TOKENS:
             return
         slowdown = duration_ms * tokens_per_ms / tokens
         slowdown = max(1.0, min(LOCAL_PREFILL_MAX_SLOWDOWN, slowdown))
-        self.local_prefill_slowdown += LOCAL_PREFILL_SMOOTHING * (
-            slowdown - self.local_prefill_slowdown
+        self.local_prefill_slowdown.add_sample(
+            slowdown, usual_slowdown, now_ms
         )
 
     def begin_prefill(self, tokens: int, now_ms: int) -> None:
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -13,6 +13,7 @@
 from masticquay_routing import failed_placements
 from masticquay_routing import queued_requests
 from masticquay_routing import reservations
+from masticquay_routing import slowdowns
 from masticquay_routing import speeds
 from masticquay_routing import usable_engines
 
@@ -43,6 +44,7 @@
 
     :param reserved: takes the reservation of each placed request
     :param prefill_speed: the speed of the pool's prefill engines
+    :param usual_slowdown: that of local prefills in the pool
     :param randomness: chooses the prompts of ``local_prefill_share``, None
         for none
     :param local_prefill_share: the part of the prompts that decode engines
@@ -53,11 +55,13 @@
         self,
         reserved: reservations.Reservations,
         prefill_speed: speeds.PrefillSpeed,
+        usual_slowdown: slowdowns.UsualSlowdown,
         randomness: random.Random | None,
         local_prefill_share: float,
     ):
         self._reserved = reserved
         self._prefill_speed = prefill_speed
+        self._usual_slowdown = usual_slowdown
         self._randomness = randomness
         self._local_prefill_share = local_prefill_share
 
@@ -204,7 +208,9 @@
             decode.last_long_prompt_ms = now_ms
         else:
             return None
-        first_token_ms = now_ms + self._expected_stall_ms(decode, request)
+        first_token_ms = now_ms + self._expected_stall_ms(
+            decode, request, now_ms
+        )
         if (
             first_token_ms > request.target_deadline_ms
             and not no_prefill_engine
@@ -230,16 +236,21 @@
         return [
             e
             for e in _without_recent_prefill(candidates, now_ms)
-            if self._expected_stall_ms(e, request) <= max_stall_ms
+            if self._expected_stall_ms(e, request, now_ms) <= max_stall_ms
         ]
 
     def _expected_stall_ms(
         self,
         state: engine_states.EngineState,
         request: queued_requests.QueuedRequest,
+        now_ms: int,
     ) -> float:
-        tokens_per_ms = self._prefill_speed.tokens_per_ms
-        return state.stall_ms(request.prompt_tokens, tokens_per_ms)
+        return state.stall_ms(
+            request.prompt_tokens,
+            self._prefill_speed.tokens_per_ms,
+            self._usual_slowdown.value(now_ms),
+            now_ms,
+        )
 
     def _time_to_first_token_ms(
         self, request: queued_requests.QueuedRequest
--- a/libs/routing/masticquay_routing/pools.py
+++ b/libs/routing/masticquay_routing/pools.py
@@ -15,6 +15,7 @@
 from masticquay_routing import refused_prompts
 from masticquay_routing import request_limits
 from masticquay_routing import reservations
+from masticquay_routing import slowdowns
 from masticquay_routing import speeds
 from masticquay_routing import usable_engines
 
@@ -48,9 +49,14 @@
         self._reserved = reservations.Reservations(self.engines)
         self._queue: list[queued_requests.QueuedRequest] = []
         self._prefill_speed = speeds.PrefillSpeed()
+        self._usual_slowdown = slowdowns.UsualSlowdown(
+            engine_states.LOCAL_PREFILL_INITIAL_SLOWDOWN,
+            lambda: [e.local_prefill_slowdown for e in self.engines.values()],
+        )
         self._placer = placements.Placer(
             self._reserved,
             self._prefill_speed,
+            self._usual_slowdown,
             randomness,
             local_prefill_share,
         )
@@ -155,6 +161,8 @@
                 reservation.prompt_tokens,
                 now_ms - reservation.local_prefill_started_ms,
                 self._prefill_speed.tokens_per_ms,
+                self._usual_slowdown.value(now_ms),
+                now_ms,
             )
 
     def finish_prefill(
@@ -269,7 +277,13 @@
             'decode_reserved_tokens': [e.reserved_tokens for e in decodes],
             'decode_running': [e.running_count for e in decodes],
             'decode_slowdown': [
-                round(e.local_prefill_slowdown, 1) for e in decodes
+                round(
+                    e.local_prefill_slowdown.value(
+                        self._usual_slowdown.value(now_ms), now_ms
+                    ),
+                    1,
+                )
+                for e in decodes
             ],
             'unusable': len(self.engines) - len(prefills) - len(decodes),
             'prefill_tokens_per_ms': round(
--- a/libs/routing/tests/test_engine_recovery_loads.py
+++ b/libs/routing/tests/test_engine_recovery_loads.py
@@ -3,6 +3,7 @@
 import unittest
 
 from masticquay_routing import fleets
+from masticquay_routing import slowdowns
 from tests import builders
 
 PROMPT_TOKENS = 2_000
@@ -75,6 +76,21 @@
             pool.remove(('host', number), succeeded=True)
         self.assertIn('e0', chosen_ids)
 
+    # Guards against streams that are paused again and again because what was
+    # learnt of their engine is forgotten too soon.
+    def test_decode_engine_that_stays_slow_reads_once_in_a_half_life(self):
+        pool = builders.make_pool(prefills=0, decodes=2)
+        chosen_ids = []
+        for number in range(60):
+            now_ms = 1_000 * number
+            engine_id = self.place(pool, number, now_ms)
+            work_ms = PROMPT_MS if engine_id == 'e1' else 600
+            pool.begin_decode(('host', number), now_ms + work_ms)
+            pool.remove(('host', number), succeeded=True)
+            chosen_ids.append(engine_id)
+        half_lives = 60_000 / slowdowns.HALF_LIFE_MS
+        self.assertLessEqual(chosen_ids.count('e0'), half_lives)
+
     def place(self, pool, number, now_ms):
         """Places a request; returns the id of its decode engine."""
         pool.admit(
