The speed of prefill is learnt of each engine

The pool had one speed for all prefill engines, and an engine whose prompt was overdue counted as idle, so a slow one kept getting prompts. Its slowdown against the pool is now learnt from its steps, of which a single slow one does not count, and decays with a half-life of 5 s. An overdue step counts before it ends. Backlog, expected first token and choice use it. The times after which hosts give a prefill up moved to routing.engine_states, which needs them; the gateway test that names them follows.

--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -17,6 +17,7 @@
 from masticquay_gateway import ports
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_routing import engine_states
 from masticquay_routing import fleets
 from masticquay_serving import counters
 
@@ -25,10 +26,6 @@
 MAX_RESPONSE_BYTES = 64 * 1024
 # Time until an unused handle expires.
 DEFAULT_HANDLE_TTL_MS = 500
-# The timeout of a prefill is the factor times its expected duration, for which
-# at least the minimum is assumed.
-MIN_EXPECTED_PREFILL_MS = 250
-TIMEOUT_FACTOR = 2.2
 RELEASE_TIMEOUT_MS = 500
 # A release belongs to no request of a caller.
 NO_CALL_ID = ''
@@ -157,8 +154,10 @@
     def _timeout_ms(
         self, job: jobs.Job, placement: placed_requests.RequestPlacement
     ) -> int:
-        expected_ms = max(placement.prefill_ms, MIN_EXPECTED_PREFILL_MS)
-        limit_ms = int(expected_ms * TIMEOUT_FACTOR)
+        expected_ms = max(
+            placement.prefill_ms, engine_states.MIN_EXPECTED_PREFILL_MS
+        )
+        limit_ms = int(expected_ms * engine_states.PREFILL_TIMEOUT_FACTOR)
         return max(1, min(job.remaining_ms, limit_ms))
 
     def _delete_handle(self, handle: relays.PrefillHandle) -> None:
--- a/libs/gateway/tests/test_endless_streams.py
+++ b/libs/gateway/tests/test_endless_streams.py
@@ -15,6 +15,7 @@
 from masticquay_gateway import prefills
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_routing import engine_states
 from masticquay_routing import fleets
 from masticquay_routing import tables
 from masticquay_serving import counters
@@ -215,7 +216,10 @@
         )
         placement.prefill_ms = 100
         job = self.make_job()
-        limit_ms = prefills.MIN_EXPECTED_PREFILL_MS * prefills.TIMEOUT_FACTOR
+        limit_ms = (
+            engine_states.MIN_EXPECTED_PREFILL_MS
+            * engine_states.PREFILL_TIMEOUT_FACTOR
+        )
         with self.assert_ends_within(limit_ms + MAX_LATE_MS):
             handle = self.make_prefiller().prefill(job, placement, endpoint)
         self.assertIsNone(handle)
--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -24,6 +24,10 @@
 # An engine that served a request within this time was alive while another one
 # waited for it in vain.
 SERVED_RECENTLY_MS = 500
+# Hosts give a prefill up after this many times its expected time, for which
+# they assume at least the minimum.
+PREFILL_TIMEOUT_FACTOR = 2.2
+MIN_EXPECTED_PREFILL_MS = 250
 # Caps a sample, so that a single outlier has little effect.
 LOCAL_PREFILL_MAX_SLOWDOWN = 12.0
 
@@ -33,6 +37,10 @@
 
     :param memory_tokens: the size of the engine's KV cache memory
     :param slots: the requests that it runs at once
+    :ivar prefill_step_tokens: the prompts that were queued when the engine
+        began its present step
+    :ivar prefill_slowdown: how many times longer a prompt takes here than on
+        the usual prefill engine
     :ivar local_prefill_slowdown: how many times longer a prompt takes here
         than on a prefill engine
     """
@@ -44,8 +52,10 @@
         'reserved_tokens',
         'running_count',
         'pending_prefill_tokens',
+        'prefill_step_tokens',
         'prefill_started_ms',
         'prefill_timing_invalid',
+        'prefill_slowdown',
         'last_local_prefill_ms',
         'local_prefill_slowdown',
         'last_long_prompt_ms',
@@ -67,8 +77,10 @@
         self.reserved_tokens = 0
         self.running_count = 0
         self.pending_prefill_tokens = 0
+        self.prefill_step_tokens = 0
         self.prefill_started_ms = 0
         self.prefill_timing_invalid = False
+        self.prefill_slowdown = slowdowns.PrefillSlowdown()
         self.last_local_prefill_ms = -LOCAL_PREFILL_INTERVAL_MS
         self.local_prefill_slowdown = slowdowns.Slowdown()
         self.last_long_prompt_ms = -LONG_PROMPT_AFFINITY_MS
@@ -83,14 +95,36 @@
     def prefill_backlog_ms(self, tokens_per_ms: float, now_ms: int) -> float:
         """Returns the time until all queued prompts are prefilled.
 
+        An engine whose step is overdue is slower than is known yet: the step
+        is expected to take as long again as it is overdue. One that is
+        overdue for longer than hosts wait was given up.
+
         :param tokens_per_ms: the speed of prefill engines
         """
         if not self.pending_prefill_tokens:
             return 0.0
         elapsed_ms = now_ms - self.prefill_started_ms
-        return max(
-            0.0, self.pending_prefill_tokens / tokens_per_ms - elapsed_ms
+        step_ms = self.prefill_ms(
+            self.prefill_step_tokens, tokens_per_ms, now_ms
+        )
+        all_ms = self.prefill_ms(
+            self.pending_prefill_tokens, tokens_per_ms, now_ms
+        )
+        given_up_ms = PREFILL_TIMEOUT_FACTOR * max(
+            step_ms, MIN_EXPECTED_PREFILL_MS
         )
+        if slowdowns.STEP_TOLERANCE * step_ms < elapsed_ms < given_up_ms:
+            return all_ms - step_ms + elapsed_ms - step_ms
+        return max(0.0, all_ms - elapsed_ms)
+
+    def prefill_ms(
+        self, tokens: int, tokens_per_ms: float, now_ms: int
+    ) -> float:
+        """Returns the time of a prefill without the time in the queue.
+
+        :param tokens_per_ms: the speed of prefill engines
+        """
+        return tokens / tokens_per_ms * self.prefill_slowdown.value(now_ms)
 
     def stall_ms(
         self,
@@ -136,6 +170,7 @@
         """Adds a prompt to the prefill queue."""
         if not self.pending_prefill_tokens:
             self.prefill_started_ms = now_ms
+            self.prefill_step_tokens = tokens
         self.pending_prefill_tokens += tokens
 
     def end_prefill(self, tokens: int, now_ms: int) -> float | None:
@@ -150,6 +185,7 @@
         self.pending_prefill_tokens = max(
             0, self.pending_prefill_tokens - tokens
         )
+        self.prefill_step_tokens = self.pending_prefill_tokens
         self.prefill_started_ms = now_ms
         self.prefill_timing_invalid = False
         return duration_ms
@@ -159,6 +195,9 @@
         self.pending_prefill_tokens = max(
             0, self.pending_prefill_tokens - tokens
         )
+        self.prefill_step_tokens = min(
+            self.prefill_step_tokens, self.pending_prefill_tokens
+        )
         self.prefill_timing_invalid = self.pending_prefill_tokens > 0
 
     def is_usable(self, now_ms: int) -> bool:
--- a/libs/routing/masticquay_routing/placements.py
+++ b/libs/routing/masticquay_routing/placements.py
@@ -101,7 +101,7 @@
         ]
         prefill = min(
             prefills,
-            key=lambda e: self._prefill_cost_ms(e, now_ms),
+            key=lambda e: self._prefill_cost_ms(e, request, now_ms),
             default=None,
         )
         if prefill is None:
@@ -141,7 +141,9 @@
                 failures.record_long_backlog(request)
             return None
         first_token_ms = (
-            now_ms + backlog_ms + self._time_to_first_token_ms(request)
+            now_ms
+            + backlog_ms
+            + self._time_to_first_token_ms(prefill, request, now_ms)
         )
         if (
             first_token_ms > request.target_deadline_ms
@@ -253,10 +255,15 @@
         )
 
     def _time_to_first_token_ms(
-        self, request: queued_requests.QueuedRequest
+        self,
+        prefill: engine_states.EngineState,
+        request: queued_requests.QueuedRequest,
+        now_ms: int,
     ) -> float:
         """Returns the time from the prefill's start to the first token."""
-        duration_ms = request.prompt_tokens / self._prefill_speed.tokens_per_ms
+        duration_ms = prefill.prefill_ms(
+            request.prompt_tokens, self._prefill_speed.tokens_per_ms, now_ms
+        )
         return duration_ms + KV_TRANSFER_ALLOWANCE_MS
 
     def _place_decode_only(
@@ -278,12 +285,17 @@
         return queued_requests.Placement(None, decode.endpoint)
 
     def _prefill_cost_ms(
-        self, state: engine_states.EngineState, now_ms: int
+        self,
+        state: engine_states.EngineState,
+        request: queued_requests.QueuedRequest,
+        now_ms: int,
     ) -> float:
-        backlog_ms = state.prefill_backlog_ms(
-            self._prefill_speed.tokens_per_ms, now_ms
+        tokens_per_ms = self._prefill_speed.tokens_per_ms
+        return (
+            state.prefill_backlog_ms(tokens_per_ms, now_ms)
+            + state.prefill_ms(request.prompt_tokens, tokens_per_ms, now_ms)
+            + state.failure_rate * MAX_PREFILL_BACKLOG_MS
         )
-        return backlog_ms + state.failure_rate * MAX_PREFILL_BACKLOG_MS
 
 
 def _find_preferred(
--- a/libs/routing/masticquay_routing/pools.py
+++ b/libs/routing/masticquay_routing/pools.py
@@ -173,11 +173,16 @@
         if reservation is None or not reservation.prefill_id:
             return
         self._record_success(reservation.prefill_id, now_ms)
+        state = self.engines.get(reservation.prefill_id)
         duration_ms = self._reserved.end_prefill(reservation, now_ms)
-        if duration_ms is not None:
-            self._prefill_speed.add_sample(
-                reservation.prompt_tokens, duration_ms
-            )
+        tokens = reservation.prompt_tokens
+        if state is None or duration_ms is None or not tokens:
+            return
+        usual_ms = tokens / self._prefill_speed.tokens_per_ms
+        state.prefill_slowdown.add_sample(
+            tokens, duration_ms, usual_ms, now_ms
+        )
+        self._prefill_speed.add_sample(tokens, duration_ms)
 
     def release(self, key: queued_requests.RequestKey) -> None:
         """Frees the reservation of a request that ended."""
--- a/libs/routing/masticquay_routing/slowdowns.py
+++ b/libs/routing/masticquay_routing/slowdowns.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from masticquay_routing import speeds
+
 HALF_LIFE_MS = 5_000
 # An engine that learnt nothing for this long has no part in the usual.
 MAX_AGE_MS = 60_000
@@ -13,6 +15,13 @@
 USUAL_INTERVAL_MS = 1_000
 # Weight of a new sample in the moving average.
 SMOOTHING = 0.3
+# A step that takes up to this many times the usual is within the differences
+# between prompts and links, and counts as usual.
+STEP_TOLERANCE = 1.5
+# Caps the slowdown, so that a single fault has little effect.
+MAX_SLOWDOWN = 12.0
+# Weight of a new step. Single slow steps are left out already.
+STEP_SMOOTHING = 0.5
 
 
 class Slowdown:
@@ -84,3 +93,65 @@
             values = sorted([*values, self._initial])
             self._value = values[(len(values) - 1) // 2]
         return self._value
+
+
+class PrefillSlowdown:
+    """How many times longer prefills take on one engine than on others.
+
+    It decays towards 1. A lost packet or a lost answer makes a single step
+    look slow, so a step counts as no slower than the one before it.
+    """
+
+    __slots__ = (
+        '_learnt',
+        '_learnt_ms',
+        '_settled',
+        '_previous',
+        '_last',
+        '_tokens',
+        '_duration_ms',
+    )
+
+    def __init__(self) -> None:
+        self._learnt = 1.0
+        self._learnt_ms = 0
+        self._settled = 1.0
+        self._previous = 1.0
+        self._last = 1.0
+        self._tokens = 0
+        self._duration_ms = 0.0
+
+    def value(self, now_ms: int) -> float:
+        """Returns the present estimate, 1 at least."""
+        half_lives = max(0, now_ms - self._learnt_ms) / HALF_LIFE_MS
+        return 1.0 + (self._learnt - 1.0) * 0.5**half_lives
+
+    def add_sample(
+        self, tokens: int, duration_ms: float, usual_ms: float, now_ms: int
+    ) -> None:
+        """Takes a completed prefill into the estimate.
+
+        :param usual_ms: how long it takes on the usual engine
+        """
+        is_same_step = duration_ms < speeds.SAME_STEP_MS
+        if is_same_step:
+            self._tokens += tokens
+            self._duration_ms += duration_ms
+        elif tokens >= speeds.MIN_SAMPLE_TOKENS:
+            self._settled = self.value(now_ms)
+            self._previous = self._last
+            self._tokens = tokens
+            self._duration_ms = duration_ms
+        else:
+            return
+        if not self._tokens:
+            return
+        usual_ms_per_token = usual_ms / tokens
+        self._last = self._duration_ms / self._tokens / usual_ms_per_token
+        sample = min(self._previous, self._last, MAX_SLOWDOWN)
+        if sample < STEP_TOLERANCE:
+            sample = 1.0
+        self._learnt = self._settled + STEP_SMOOTHING * (
+            sample - self._settled
+        )
+        self._learnt_ms = now_ms
