Prompts that cannot be read in time are refused, and waste is counted

Prefills were begun whose callers had given up before the first token, queues of slow engines looked empty once their step was overdue, and a handle was thrown away when its decode engine could not be reached or its caller left.

Admit tells when the caller gives up (0 from hosts of an earlier release). The pool refuses as not run what no engine can read until then, if four fifths of the estimate are too long already; the host checks again before it sends a prefill. An overdue step no longer empties its engine's queue. A prefill that brought no result ends in the books with the first token. Handles go to another decode engine after a failed connection, and are released when the caller leaves. masticquay_prompt_tokens_in_vain counts by cause.

--- a/libs/coordination/masticquay_coordination/pool_requests.py
+++ b/libs/coordination/masticquay_coordination/pool_requests.py
@@ -32,6 +32,7 @@
         prompt_key=request.prompt_key,
         pause_ms=request.pause_ms,
         software_version=software_version,
+        give_up_at_ms=now_ms + request.give_up_ms if request.give_up_ms else 0,
     )
 
 
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -50,6 +50,10 @@
     """Prefill failed, and the request was not sent to a decode engine."""
 
 
+class TooLateError(GatewayError):
+    """The caller would give up before the prompt was read."""
+
+
 class ResponseMismatchError(GatewayError):
     """An endpoint's answer proves nothing of this request."""
 
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -93,6 +93,12 @@
             limit_ms = min(limit_ms, deadline_ms)
         return int(limit_ms - self.elapsed_ms) - RESPONSE_MARGIN_MS
 
+    @property
+    def give_up_ms(self) -> int:
+        """Time until its caller gives a stream up that has not begun."""
+        abandon_ms = self.route.abandon_after_ms - int(self.elapsed_ms)
+        return min(self.remaining_ms, abandon_ms)
+
     def endpoint_context(self) -> ports.RequestContext:
         """Returns the context to send to a plain endpoint."""
         return ports.RequestContext(
--- a/libs/gateway/masticquay_gateway/local_placers.py
+++ b/libs/gateway/masticquay_gateway/local_placers.py
@@ -85,6 +85,9 @@
             preferred_id=request.prefer,
             prefilled=request.prefilled,
             software_version=request.software_version,
+            give_up_at_ms=now_ms + request.give_up_ms
+            if request.give_up_ms
+            else 0,
         )
         with self._lock:
             pool = self._pool(request.service)
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -17,6 +17,7 @@
 from masticquay_gateway import ports
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_gateway import wasted_prompts
 from masticquay_routing import engine_states
 from masticquay_routing import fleets
 from masticquay_serving import counters
@@ -53,6 +54,7 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
+        self._wasted = wasted_prompts.WastedPrompts(registry)
         self._checker = answers.AnswerChecker(
             protocol, endpoint_notices, registry
         )
@@ -72,12 +74,14 @@
         started_s = time.monotonic()
         try:
             handle_id = self._exchange(job, placement, prefill)
-        except exchanges.InterruptedCallError:
+        except exchanges.InterruptedCallError as cause:
+            self._wasted.record_prefill(job, cause)
             raise
         except (
             exchanges.EndpointError,
             errors.ResponseMismatchError,
         ) as cause:
+            self._wasted.record_prefill(job, cause)
             self._failure_reporter.report_failure(
                 job, prefill, cause, in_prefill=True
             )
@@ -87,6 +91,8 @@
             self._budgets.record_retry(job.service)
             return None
         except (errors.NotRunError, errors.ProtocolError) as cause:
+            if isinstance(cause, errors.ProtocolError):
+                self._wasted.record_prefill(job, cause)
             self._failure_reporter.report_prefill_refusal(
                 job, placement, cause
             )
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -12,6 +12,7 @@
 from masticquay_gateway import notices
 from masticquay_gateway import paths
 from masticquay_gateway import placed_requests
+from masticquay_gateway import placement_requests
 from masticquay_gateway import placers
 from masticquay_gateway import ports
 from masticquay_gateway import prefills
@@ -19,25 +20,16 @@
 from masticquay_gateway import relays
 from masticquay_gateway import request_keys
 from masticquay_gateway import retries
+from masticquay_gateway import wasted_prompts
 from masticquay_routing import fleets
 from masticquay_routing import messages
 from masticquay_routing import placement_messages
-from masticquay_routing import queued_requests
+from masticquay_routing import unmeetable_deadlines
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
 
-# Part of a request's target time that it may wait for a placement. After it,
-# the first token would be late, so the request is refused.
-QUEUE_TIME_SHARE = 0.6
-# The retry of a refused request is late anyway and may wait this long if the
-# reserve remains for the response.
-LATE_WAIT_MS = 2_600
-LATE_RESERVE_MS = 1_000
 MAX_ATTEMPTS = 4
-# Retry-After of a request that did not run, and the minimum time that another
-# attempt may wait for a placement.
-RETRY_AFTER_MS = 500
 # After a failed prefill, only a prompt of at least this length gets another
 # placement. A shorter one stays with its decode engine, where its prefill
 # delays the other streams only a little.
@@ -79,7 +71,9 @@
         registry: counters.Registry,
     ):
         self._notices = endpoint_notices
-        self._host = host
+        self._requests = placement_requests.PlacementRequests(
+            host, endpoint_notices
+        )
         self._state = state
         self._quarantine = quarantine
         self._placer = placer
@@ -96,6 +90,7 @@
             endpoint_notices,
             registry,
         )
+        self._wasted = wasted_prompts.WastedPrompts(registry)
         self._decoder = decodes.Decoder(
             protocol, endpoint_paths, placer, endpoint_notices, registry
         )
@@ -112,6 +107,23 @@
         stream = relays.RelayedStream()
         if job.call.resumes_stream:
             stream.software_version = self._placer.find_version(job)
+        try:
+            refusal = self._try_engines(job, stream)
+        except exchanges.InterruptedCallError:
+            self._drop_handle(job, stream, wasted_prompts.CALLER_LEFT)
+            raise
+        if refusal is None:
+            return None
+        self._drop_handle(job, stream, wasted_prompts.DECODE_REFUSED)
+        return self._end_failed(job, stream, refusal)
+
+    def _try_engines(
+        self, job: jobs.Job, stream: relays.RelayedStream
+    ) -> ports.Refusal | None:
+        """Runs a request on up to ``MAX_ATTEMPTS`` placements.
+
+        :returns: None if the caller got an engine's response
+        """
         refusal: ports.Refusal | None = None
         is_first_send = True
         for attempt in range(MAX_ATTEMPTS):
@@ -142,8 +154,15 @@
             refusal = ports.join_refusals(refusal, failure.refusal)
             if not failure.can_retry or job.remaining_ms <= 0:
                 break
-        self._prefiller.release_unused(stream)
-        return self._end_failed(job, stream, refusal)
+        return refusal
+
+    def _drop_handle(
+        self, job: jobs.Job, stream: relays.RelayedStream, cause: str
+    ) -> None:
+        """Releases a handle that no decode engine has taken."""
+        if stream.handle is not None:
+            self._wasted.record(job, cause)
+            self._prefiller.release_unused(stream)
 
     def _decode_engines(self, job: jobs.Job) -> list[fleets.Endpoint]:
         return [
@@ -175,6 +194,10 @@
             return _FailedAttempt(
                 _harmful_refusal(cause.wait_ms), can_retry=False
             )
+        except errors.TooLateError as cause:
+            return _FailedAttempt(
+                _not_run_refusal(cause), can_retry=False, not_sent=True
+            )
         except (errors.PrefillFailedError, errors.WithheldError) as cause:
             return _FailedAttempt(
                 _not_run_refusal(cause), can_retry=True, not_sent=True
@@ -215,9 +238,11 @@
     ) -> None:
         """Runs the prefill if it is to run separately, then the decode."""
         if stream.handle is not None and not stream.handle.is_fresh:
+            self._wasted.record(job, wasted_prompts.HANDLE_LAPSED)
             stream.handle = None
         if placement.prefill is not None and stream.splitter.last_id is None:
             self._require_not_withheld(placement.prefill)
+            _require_time(job, placement)
             stream.handle = self._prefiller.prefill(
                 job, placement, placement.prefill
             )
@@ -234,9 +259,17 @@
                 self._can_move, job, placement.decode
             )
             self._decoder.run(job, placement, stream)
-        except (errors.NotRunError, errors.WithheldError):
+        except (
+            errors.NotRunError,
+            errors.WithheldError,
+            exchanges.NotSentError,
+        ):
+            # Another decode engine may take the handle.
             refused = True
             raise
+        except Exception as cause:
+            self._wasted.record_decode(job, stream, cause)
+            raise
         finally:
             if not refused:
                 self._prefiller.release_unused(stream)
@@ -338,69 +371,33 @@
     def _get_placement(
         self, job: jobs.Job, stream: relays.RelayedStream, charged: bool
     ) -> placed_requests.RequestPlacement | placement_messages.Refused:
-        request = self._make_admit(job, stream, charged)
+        request = self._requests.make(job, stream, charged)
         stream.cache_engine_id = ''
         placement = self._placer.place(request, job.interrupt)
         stream.placed_ms = job.elapsed_ms
         return placement
 
-    def _make_admit(
-        self, job: jobs.Job, stream: relays.RelayedStream, charged: bool
-    ) -> placement_messages.Admit:
-        call = job.call
-        workspace = job.workspace
-        return placement_messages.Admit(
-            host=self._host,
-            number=0,
-            service=job.service,
-            workspace=workspace.name if workspace else '',
-            cost=float(workspace.cost(call.tokens)) if workspace else 0.0,
-            prompt_tokens=call.prompt_tokens or 0,
-            output_tokens=queued_requests.expected_output(
-                call.expected_output_tokens, call.max_output_tokens or 0
-            ),
-            priority=job.priority,
-            urgent_ms=max(0, int(job.route.target_ms - job.elapsed_ms)),
-            wait_ms=self._wait_ms(job, charged),
-            late_wait_ms=self._late_wait_ms(job),
-            prompt_key=call.prompt_key,
-            avoid=sorted(
-                job.tried_ids | self._notices.withheld_ids(job.service)
-            ),
-            prefer=stream.cache_engine_id,
-            prefilled=stream.handle is not None and stream.handle.is_fresh,
-            charged=charged,
-            pause_ms=job.route.max_pause_ms
-            or queued_requests.DEFAULT_PAUSE_MS,
-            resumes=call.resumes_stream or stream.splitter.last_id is not None,
-            first_call_id=call.first_call_id,
-            software_version=stream.software_version,
-            prompt_parts=call.prompt_parts,
-        )
 
-    def _wait_ms(self, job: jobs.Job, charged: bool) -> int:
-        """Returns how long the request may wait for a placement.
+def _require_time(
+    job: jobs.Job, placement: placed_requests.RequestPlacement
+) -> None:
+    """Checks that a prompt can be read before its caller gives up.
 
-        :param charged: whether an earlier attempt was charged already
-        """
-        wait_ms = int(job.route.target_ms * QUEUE_TIME_SHARE - job.elapsed_ms)
-        if charged:
-            wait_ms = max(wait_ms, RETRY_AFTER_MS)
-        return max(0, min(wait_ms, job.remaining_ms))
-
-    def _late_wait_ms(self, job: jobs.Job) -> int:
-        """Returns how long the retry of a refused request may wait."""
-        available_ms = min(
-            job.remaining_ms, job.route.abandon_after_ms - int(job.elapsed_ms)
-        )
-        return max(0, min(LATE_WAIT_MS, available_ms - LATE_RESERVE_MS))
+    :raises TooLateError: if it surely cannot
+    """
+    certain_ms = placement.prefill_ms * unmeetable_deadlines.CERTAIN_SHARE
+    if certain_ms > job.give_up_ms:
+        raise errors.TooLateError('too little time to read the prompt')
 
 
 def _not_run_refusal(
     cause: Exception, by_endpoint: bool = False
 ) -> ports.Refusal:
     return ports.Refusal(
-        ports.Reason.NOT_RUN, str(cause), RETRY_AFTER_MS, by_endpoint
+        ports.Reason.NOT_RUN,
+        str(cause),
+        placement_requests.RETRY_AFTER_MS,
+        by_endpoint,
     )
 
 
--- a/libs/gateway/tests/streamer_cases.py
+++ b/libs/gateway/tests/streamer_cases.py
@@ -24,11 +24,13 @@
 class FakePlacer:
     """Returns the given placements in order and records its calls.
 
-    :param placements: pairs of prefill and decode endpoint, or refusals
+    :param placements: pairs of prefill and decode endpoint, refusals, or
+        errors to raise
     """
 
-    def __init__(self, placements):
+    def __init__(self, placements, prefill_ms=0):
         self.placements = list(placements)
+        self.prefill_ms = prefill_ms
         self.requests = []
         self.released = []
         self.failures = []
@@ -41,11 +43,13 @@
     def place(self, request, interrupt):
         self.requests.append(request)
         placement = self.placements.pop(0)
+        if isinstance(placement, Exception):
+            raise placement
         if isinstance(placement, placement_messages.Refused):
             return placement
         prefill, decode = placement
         return placed_requests.RequestPlacement(
-            prefill, decode, request, local=False
+            prefill, decode, request, False, self.prefill_ms
         )
 
     def finish_prefill(self, placement):
@@ -78,6 +82,7 @@
     budget_slack = 10
     resume_job = False
     prompt_parts = ()
+    prefill_ms = 0
 
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -85,6 +90,7 @@
         self.handle_released = threading.Event()
         self.quarantine = quarantines.Quarantine()
         self.notices = None
+        self.registry = counters.Registry()
         self.listed = []
         self.prefill = fakes.FakeEndpoint(
             self.stack, 0, self.serve_prefill, fleets.ROLE_PREFILL
@@ -118,7 +124,7 @@
             self.notices = fakes.make_notices(state)
         pools = exchanges.ConnectionPools()
         self.stack.callback(pools.close)
-        self.placer = FakePlacer(placements)
+        self.placer = FakePlacer(placements, self.prefill_ms)
         limits = retries.RetryBudgetLimits(0.2, self.budget_slack, 10_000)
         streamer = streams.Streamer(
             'host',
@@ -129,7 +135,7 @@
             retries.RetryBudgets(limits, state),
             self.quarantine,
             self.notices,
-            counters.Registry(),
+            self.registry,
         )
         self.job = fakes.make_job(
             fakes.make_route(STREAM, resumable=resumable), reply, **job_options
--- a/libs/routing/masticquay_routing/engine_states.py
+++ b/libs/routing/masticquay_routing/engine_states.py
@@ -96,8 +96,8 @@
         """Returns the time until all queued prompts are prefilled.
 
         An engine whose step is overdue is slower than is known yet: the step
-        is expected to take as long again as it is overdue. One that is
-        overdue for longer than hosts wait was given up.
+        is expected to take as long again as it is overdue. No host waits for
+        one that is overdue for much longer.
 
         :param tokens_per_ms: the speed of prefill engines
         """
@@ -110,8 +110,9 @@
         all_ms = self.prefill_ms(
             self.pending_prefill_tokens, tokens_per_ms, now_ms
         )
-        given_up_ms = PREFILL_TIMEOUT_FACTOR * max(
-            step_ms, MIN_EXPECTED_PREFILL_MS
+        given_up_ms = max(
+            slowdowns.MAX_SLOWDOWN * step_ms,
+            PREFILL_TIMEOUT_FACTOR * MIN_EXPECTED_PREFILL_MS,
         )
         if slowdowns.STEP_TOLERANCE * step_ms < elapsed_ms < given_up_ms:
             return all_ms - step_ms + elapsed_ms - step_ms
--- a/libs/routing/masticquay_routing/placement_messages.py
+++ b/libs/routing/masticquay_routing/placement_messages.py
@@ -29,6 +29,8 @@
     :param software_version: the version that began it, empty if the host does
         not know it
     :param prompt_parts: ids of the parts that other prompts may share
+    :param give_up_ms: the time left until the caller gives up or the deadline
+        ends; 0 from hosts of an earlier release
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         'first_call_id',
         'software_version',
         'prompt_parts',
+        'give_up_ms',
     )
 
     def __init__(
@@ -78,6 +81,7 @@
         first_call_id: str = '',
         software_version: str = '',
         prompt_parts: list[str] | None = None,
+        give_up_ms: int = 0,
     ):
         self.host = host
         self.number = number
@@ -100,6 +104,7 @@
         self.first_call_id = first_call_id
         self.software_version = software_version
         self.prompt_parts = prompt_parts or []
+        self.give_up_ms = give_up_ms
 
 
 @messages.register
--- a/libs/routing/masticquay_routing/pools.py
+++ b/libs/routing/masticquay_routing/pools.py
@@ -17,6 +17,7 @@
 from masticquay_routing import reservations
 from masticquay_routing import slowdowns
 from masticquay_routing import speeds
+from masticquay_routing import unmeetable_deadlines
 from masticquay_routing import usable_engines
 
 # A request that left the queue, and where it was placed or why not.
@@ -152,6 +153,7 @@
         if reservation is None:
             return
         self._record_success(reservation.decode_id, now_ms)
+        self._reserved.cancel_prefill(reservation)
         state = self.engines.get(reservation.decode_id)
         if (
             state is not None
@@ -243,9 +245,17 @@
             self._queue, key=lambda r: _queue_order(r, now_ms)
         ):
             placement = None
+            if unmeetable_deadlines.may_be_unmeetable(
+                request, self.prefill_tokens_per_ms, now_ms
+            ):
+                engines = engines or self._list_usable(now_ms)
+                if self._is_unmeetable(request, engines, now_ms):
+                    outcomes.append(
+                        (request, refusals.refuse_unmeetable(request))
+                    )
+                    continue
             if not failures.imply_failure_of(request, now_ms):
-                if engines is None:
-                    engines = self._list_usable(now_ms)
+                engines = engines or self._list_usable(now_ms)
                 placement = self._placer.place(
                     request, engines, failures, now_ms
                 )
@@ -301,6 +311,20 @@
         usable = usable_engines.UsableEngines(self.engines, now_ms)
         return usable.prefills, usable.decodes
 
+    def _is_unmeetable(
+        self,
+        request: queued_requests.QueuedRequest,
+        engines: usable_engines.UsableEngines,
+        now_ms: int,
+    ) -> bool:
+        return unmeetable_deadlines.is_unmeetable(
+            request,
+            engines,
+            self.prefill_tokens_per_ms,
+            self._usual_slowdown.value(now_ms),
+            now_ms,
+        )
+
     def _lost_version(self, request: queued_requests.QueuedRequest) -> bool:
         """Whether no engine is left at which a stream may go on."""
         if not request.software_version:
--- a/libs/routing/masticquay_routing/queued_requests.py
+++ b/libs/routing/masticquay_routing/queued_requests.py
@@ -39,6 +39,8 @@
         target
     :param software_version: the version of decode engines at which a stream
         goes on; empty for a new stream
+    :param give_up_at_ms: when the caller gives up or the deadline ends; 0 if
+        unknown
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         'prefilled',
         'pause_ms',
         'software_version',
+        'give_up_at_ms',
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         prefilled: bool = False,
         pause_ms: int = DEFAULT_PAUSE_MS,
         software_version: str = '',
+        give_up_at_ms: int = 0,
     ):
         self.key = key
         self.workspace = workspace
@@ -92,6 +96,7 @@
         self.prefilled = prefilled
         self.pause_ms = pause_ms
         self.software_version = software_version
+        self.give_up_at_ms = give_up_at_ms
 
     @property
     def resumes_stream(self) -> bool:
--- a/libs/routing/masticquay_routing/refusals.py
+++ b/libs/routing/masticquay_routing/refusals.py
@@ -20,7 +20,7 @@
 
     :param decode_count: the number of usable decode engines
     """
-    spread_ms = request.key[1] * 97 % RETRY_AFTER_SPREAD_MS
+    spread_ms = _spread_ms(request)
     if not decode_count:
         return queued_requests.Refusal(
             'no engine', RETRY_AFTER_MAX_MS // 2 + spread_ms
@@ -44,3 +44,17 @@
         f'no engine of software version {request.software_version}',
         RETRY_AFTER_MAX_MS // 2,
     )
+
+
+def refuse_unmeetable(
+    request: queued_requests.QueuedRequest,
+) -> queued_requests.Refusal:
+    """Returns the refusal of a request whose caller would give up first."""
+    return queued_requests.Refusal(
+        'too little time to read the prompt',
+        RETRY_AFTER_MIN_MS + _spread_ms(request),
+    )
+
+
+def _spread_ms(request: queued_requests.QueuedRequest) -> int:
+    return request.key[1] * 97 % RETRY_AFTER_SPREAD_MS
--- a/libs/routing/masticquay_routing/reservations.py
+++ b/libs/routing/masticquay_routing/reservations.py
@@ -89,15 +89,22 @@
             return None
         return prefill.end_prefill(reservation.prompt_tokens, now_ms)
 
+    def cancel_prefill(self, reservation: Reservation) -> None:
+        """Ends a prefill that brought no result, if there is one.
+
+        A host that got none has the decode engine read the prompt.
+        """
+        prefill = self._engines.get(reservation.prefill_id)
+        reservation.prefill_id = ''
+        if prefill is not None:
+            prefill.cancel_prefill(reservation.prompt_tokens)
+
     def release(self, key: queued_requests.RequestKey) -> None:
         """Frees the reservation of a request that ended."""
         reservation = self._by_key.pop(key, None)
         if reservation is None:
             return
-        if reservation.prefill_id:
-            prefill = self._engines.get(reservation.prefill_id)
-            if prefill is not None:
-                prefill.cancel_prefill(reservation.prompt_tokens)
+        self.cancel_prefill(reservation)
         state = self._engines.get(reservation.decode_id)
         if state is not None:
             state.running_count -= 1
--- a/libs/routing/tests/test_placements.py
+++ b/libs/routing/tests/test_placements.py
@@ -146,6 +146,30 @@
         )
         self.assertEqual([], self.place_waiting())
 
+    def test_prompt_that_cannot_be_read_in_time_is_refused_at_once(self):
+        """Its caller would have gone when the prompt was read."""
+        for number, give_up_at_ms in ((1, 100), (2, 400), (3, 0)):
+            self.admit(number, prompt=9_000, give_up_at_ms=give_up_at_ms)
+        outcomes = {
+            request.key[1]: outcome
+            for request, outcome in self.pool.place_waiting(0)
+        }
+        self.assertIsInstance(outcomes[1], queued_requests.Refusal)
+        self.assertIsInstance(outcomes[2], queued_requests.Placement)
+        self.assertNotIn(3, outcomes)
+
+    def test_stream_that_goes_on_is_not_refused_for_lack_of_time(self):
+        """Its caller has a part of it, and goes on reading."""
+        self.admit(1, prompt=9_000, give_up_at_ms=100, preferred_id='e1')
+        self.assertEqual('e1', self.place_waiting()[0].decode.endpoint_id)
+
+    def test_prefill_without_result_is_no_backlog_after_the_first_token(self):
+        """The decode engine has read the prompt instead."""
+        self.admit(1, prompt=9_000)
+        self.place_waiting()
+        self.pool.begin_decode(('host', 1), 700)
+        self.assertEqual(0, self.pool.engines['e0'].pending_prefill_tokens)
+
     def test_one_local_prefill_at_a_time_per_engine(self):
         """Long prompts stall the streams of long answers only briefly."""
         for number in range(12):
