--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -17,6 +17,8 @@
 from masticquay_gateway import ports
 from masticquay_gateway import relays
 from masticquay_gateway import retries
+from masticquay_gateway import wasted_prompts
+from masticquay_routing import engine_states
 from masticquay_routing import fleets
 from masticquay_serving import counters
 
@@ -25,10 +27,6 @@
 MAX_RESPONSE_BYTES = 64 * 1024
 # Time until an unused handle expires.
 DEFAULT_HANDLE_TTL_MS = 500
-# The timeout of a prefill is the factor times its expected duration, for which
-# at least the minimum is assumed.
-MIN_EXPECTED_PREFILL_MS = 250
-TIMEOUT_FACTOR = 2.2
 RELEASE_TIMEOUT_MS = 500
 # A release belongs to no request of a caller.
 NO_CALL_ID = ''
@@ -56,6 +54,7 @@
         self._failure_reporter = failure_reporter
         self._notices = endpoint_notices
         self._registry = registry
+        self._wasted = wasted_prompts.WastedPrompts(registry)
         self._checker = answers.AnswerChecker(
             protocol, endpoint_notices, registry
         )
@@ -75,12 +74,14 @@
         started_s = time.monotonic()
         try:
             handle_id = self._exchange(job, placement, prefill)
-        except exchanges.InterruptedCallError:
+        except exchanges.InterruptedCallError as cause:
+            self._wasted.record_prefill(job, cause)
             raise
         except (
             exchanges.EndpointError,
             errors.ResponseMismatchError,
         ) as cause:
+            self._wasted.record_prefill(job, cause)
             self._failure_reporter.report_failure(
                 job, prefill, cause, in_prefill=True
             )
@@ -90,6 +91,8 @@
             self._budgets.record_retry(job.service)
             return None
         except (errors.NotRunError, errors.ProtocolError) as cause:
+            if isinstance(cause, errors.ProtocolError):
+                self._wasted.record_prefill(job, cause)
             self._failure_reporter.report_prefill_refusal(
                 job, placement, cause
             )
@@ -137,7 +140,7 @@
                 job.request.method,
                 job.request.target,
                 self._protocol.prefill_headers(
-                    job.request.headers, prefill, job.endpoint_context()
+                    job.request.headers, prefill, job.engine_context()
                 ),
                 job.request.body,
                 self._timeout_ms(job, placement),
@@ -161,8 +164,10 @@
     def _timeout_ms(
         self, job: jobs.Job, placement: placed_requests.RequestPlacement
     ) -> int:
-        expected_ms = max(placement.prefill_ms, MIN_EXPECTED_PREFILL_MS)
-        limit_ms = int(expected_ms * TIMEOUT_FACTOR)
+        expected_ms = max(
+            placement.prefill_ms, engine_states.MIN_EXPECTED_PREFILL_MS
+        )
+        limit_ms = int(expected_ms * engine_states.PREFILL_TIMEOUT_FACTOR)
         return max(1, min(job.remaining_ms, limit_ms))
 
     def _delete_handle(self, handle: relays.PrefillHandle) -> None:
--- a/libs/routing/masticquay_routing/pools.py
+++ b/libs/routing/masticquay_routing/pools.py
@@ -15,7 +15,9 @@
 from masticquay_routing import refused_prompts
 from masticquay_routing import request_limits
 from masticquay_routing import reservations
+from masticquay_routing import slowdowns
 from masticquay_routing import speeds
+from masticquay_routing import unmeetable_deadlines
 from masticquay_routing import usable_engines
 
 # A request that left the queue, and where it was placed or why not.
@@ -48,9 +50,14 @@
         self._reserved = reservations.Reservations(self.engines)
         self._queue: list[queued_requests.QueuedRequest] = []
         self._prefill_speed = speeds.PrefillSpeed()
+        self._usual_slowdown = slowdowns.UsualSlowdown(
+            engine_states.LOCAL_PREFILL_INITIAL_SLOWDOWN,
+            lambda: [e.local_prefill_slowdown for e in self.engines.values()],
+        )
         self._placer = placements.Placer(
             self._reserved,
             self._prefill_speed,
+            self._usual_slowdown,
             randomness,
             local_prefill_share,
         )
@@ -146,6 +153,7 @@
         if reservation is None:
             return
         self._record_success(reservation.decode_id, now_ms)
+        self._reserved.cancel_prefill(reservation)
         state = self.engines.get(reservation.decode_id)
         if (
             state is not None
@@ -155,6 +163,8 @@
                 reservation.prompt_tokens,
                 now_ms - reservation.local_prefill_started_ms,
                 self._prefill_speed.tokens_per_ms,
+                self._usual_slowdown.value(now_ms),
+                now_ms,
             )
 
     def finish_prefill(
@@ -165,11 +175,16 @@
         if reservation is None or not reservation.prefill_id:
             return
         self._record_success(reservation.prefill_id, now_ms)
+        state = self.engines.get(reservation.prefill_id)
         duration_ms = self._reserved.end_prefill(reservation, now_ms)
-        if duration_ms is not None:
-            self._prefill_speed.add_sample(
-                reservation.prompt_tokens, duration_ms
-            )
+        tokens = reservation.prompt_tokens
+        if state is None or duration_ms is None or not tokens:
+            return
+        usual_ms = tokens / self._prefill_speed.tokens_per_ms
+        state.prefill_slowdown.add_sample(
+            tokens, duration_ms, usual_ms, now_ms
+        )
+        self._prefill_speed.add_sample(tokens, duration_ms)
 
     def release(self, key: queued_requests.RequestKey) -> None:
         """Frees the reservation of a request that ended."""
@@ -230,9 +245,17 @@
             self._queue, key=lambda r: _queue_order(r, now_ms)
         ):
             placement = None
+            if unmeetable_deadlines.may_be_unmeetable(
+                request, self.prefill_tokens_per_ms, now_ms
+            ):
+                engines = engines or self._list_usable(now_ms)
+                if self._is_unmeetable(request, engines, now_ms):
+                    outcomes.append(
+                        (request, refusals.refuse_unmeetable(request))
+                    )
+                    continue
             if not failures.imply_failure_of(request, now_ms):
-                if engines is None:
-                    engines = self._list_usable(now_ms)
+                engines = engines or self._list_usable(now_ms)
                 placement = self._placer.place(
                     request, engines, failures, now_ms
                 )
@@ -271,7 +294,13 @@
             'decode_reserved_tokens': [e.reserved_tokens for e in decodes],
             'decode_running': [e.running_count for e in decodes],
             'decode_slowdown': [
-                round(e.local_prefill_slowdown, 1) for e in decodes
+                round(
+                    e.local_prefill_slowdown.value(
+                        self._usual_slowdown.value(now_ms), now_ms
+                    ),
+                    1,
+                )
+                for e in decodes
             ],
             'unusable': len(self.engines) - len(prefills) - len(decodes),
             'prefill_tokens_per_ms': round(
@@ -284,6 +313,20 @@
         usable = usable_engines.UsableEngines(self.engines, now_ms)
         return usable.prefills, usable.decodes
 
+    def _is_unmeetable(
+        self,
+        request: queued_requests.QueuedRequest,
+        engines: usable_engines.UsableEngines,
+        now_ms: int,
+    ) -> bool:
+        return unmeetable_deadlines.is_unmeetable(
+            request,
+            engines,
+            self.prefill_tokens_per_ms,
+            self._usual_slowdown.value(now_ms),
+            now_ms,
+        )
+
     def _lost_version(self, request: queued_requests.QueuedRequest) -> bool:
         """Whether no engine is left at which a stream may go on."""
         if not request.software_version:
