Orders are checked against the lease right before they go out

A control leader looked at its lease, then read the engine's report, which may take 0.8 s, and then sent the order. When its lease ended meanwhile, or its process was suspended between the two, it sent an order beside its successor. An engine to which the successor had sent no order yet took it, as nothing told it of the newer fencing number.

A suspension anywhere before the last part leaves the engine with no whole order; what remains is one behind the check within the same call, against which the fencing number stands.

--- a/libs/coordination/masticquay_coordination/orders.py
+++ b/libs/coordination/masticquay_coordination/orders.py
@@ -1,5 +1,6 @@
 """Sending of orders to engines, which only the leader may do."""
 
+import functools
 import logging
 import random
 
@@ -41,9 +42,7 @@
 
         :returns: whether the engine accepted it
         """
-        if self._node.term() != term:
-            return False
-        if self._node.lease_remaining_ms() < MIN_LEASE_MS:
+        if not self._may_send(term):
             return False
         now_ms = self._clock.now_ms()
         if self._pauses.remaining_ms(order.endpoint.endpoint_id, now_ms):
@@ -56,7 +55,11 @@
         }
         try:
             self._engine_orders.change_role(
-                order.endpoint, order.role, self._holder, term
+                order.endpoint,
+                order.role,
+                self._holder,
+                term,
+                functools.partial(self._may_send, term),
             )
         except errors.OrderError as cause:
             LOG.warning(
@@ -74,3 +77,14 @@
             return False
         LOG.info('order accepted by the engine', extra=log_fields)
         return True
+
+    def _may_send(self, term: int) -> bool:
+        """Whether this replica leads and will while an order is delivered.
+
+        It is asked again once the engine has reported and is connected to:
+        both take time, and the process may have been suspended meanwhile.
+        """
+        return (
+            self._node.term() == term
+            and self._node.lease_remaining_ms() >= MIN_LEASE_MS
+        )
--- a/libs/coordination/tests/fakes.py
+++ b/libs/coordination/tests/fakes.py
@@ -71,10 +71,15 @@
     def __init__(self):
         self.sent = []
         self.error = None
+        # Called before an order is sent, as while an engine reports.
+        self.on_wait = lambda: None
 
-    def change_role(self, endpoint, role, holder, fence):
+    def change_role(self, endpoint, role, holder, fence, may_send):
         if self.error is not None:
             raise self.error
+        self.on_wait()
+        if not may_send():
+            raise errors.OrderError('the request may not be sent any more')
         self.sent.append((endpoint.endpoint_id, role, holder, fence))
 
 
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -1,5 +1,6 @@
 """Tests that orders are sent only while this replica leads."""
 
+import functools
 import unittest
 
 from masticquay_coordination import errors
@@ -54,6 +55,20 @@
         self.assertFalse(self.sender.send(self.order, TERM))
         self.assertEqual([], self.engine_orders.sent)
 
+    # Guards against orders of a leader that was suspended behind its check.
+    def test_no_order_is_sent_when_leadership_ended_while_engine_reports(self):
+        for name, value in (('lease_ms', 0), ('current_term', TERM + 1)):
+            with self.subTest(name):
+                self.node = FakeNode()
+                self.sender = orders.OrderSender(
+                    self.node, 'c1', self.engine_orders, self.clock
+                )
+                self.engine_orders.on_wait = functools.partial(
+                    setattr, self.node, name, value
+                )
+                self.assertFalse(self.sender.send(self.order, TERM))
+                self.assertEqual([], self.engine_orders.sent)
+
     def test_engine_that_wants_a_pause_gets_no_order_meanwhile(self):
         self.engine_orders.error = errors.OrderError('status 503', 2_000)
         self.assertFalse(self.sender.send(self.order, TERM))
--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -50,9 +50,12 @@
     :param limit_bytes: for all answers together, with their heads
     :param call_timeout_s: for each exchange, None for no limit of its own
     :param call_limit_bytes: for each answer, None for no limit of its own
+    :param may_send: asked right before each part of a request is sent; the
+        request is given up if it says no
     """
 
     __slots__ = (
+        '_may_send',
         '_limits',
         '_connection',
         '_sock',
@@ -67,7 +70,9 @@
         limit_bytes: int,
         call_timeout_s: float | None = None,
         call_limit_bytes: int | None = None,
+        may_send: typing.Callable[[], bool] | None = None,
     ):
+        self._may_send = may_send
         host, _, port = address.rpartition(':')
         self._limits = _Limits(time.monotonic() + timeout_s, limit_bytes)
         self._call_timeout_s = call_timeout_s
@@ -88,7 +93,9 @@
         except OSError as cause:
             raise errors.ExchangeError(type(cause).__name__) from cause
         self._sock = self._connection.sock
-        self._connection.sock = _LimitedSocket(self._sock, self._limits)
+        self._connection.sock = _LimitedSocket(
+            self._sock, self._limits, self._may_send
+        )
 
     def call(
         self,
@@ -206,14 +213,22 @@
 class _LimitedSocket:
     """The methods of a socket that ``http.client`` uses, with limits."""
 
-    __slots__ = ('_sock', '_limits')
+    __slots__ = ('_sock', '_limits', '_may_send')
 
-    def __init__(self, sock: socket.socket, limits: _Limits):
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: _Limits,
+        may_send: typing.Callable[[], bool] | None,
+    ):
         self._sock = sock
         self._limits = limits
+        self._may_send = may_send
 
     def sendall(self, data: bytes) -> None:
         self._sock.settimeout(self._limits.remaining_s())
+        if self._may_send is not None and not self._may_send():
+            raise errors.ExchangeError('the request may not be sent any more')
         self._sock.sendall(data)
 
     def makefile(self, mode: str) -> io.BufferedReader:
