Comments and empty lines of a stream are no events

Server-sent events may have comments between them, and empty lines. Both counted as events: (1) a stalled engine that sent one now and then kept its stream for as long as the route allows, though another engine could have gone on with it: callers saw no token for tens of seconds; (2) an engine that sent a comment and ended, in an answer without a length, left its caller with a complete stream that had no event; (3) a stream that another engine resumed with a comment first was broken off there, as that comment has no id.

Only text with a field of an event is progress, begins a stream or proves that a resumed one goes on. Comments are still passed on to the caller. With no other engine to move to, one that sends comments is waited for until the request's time ends, like a silent one.

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -162,7 +162,7 @@
         )
         while data := _read_stream(job, exchange):
             complete_events = _split(splitter, data)
-            if complete_events:
+            if events.has_event(complete_events):
                 if is_resumed and not events.has_id(complete_events):
                     raise errors.TruncatedStreamError(
                         'stream does not go on with an event'
@@ -175,6 +175,12 @@
                 stream.record_events(job)
                 job.reply.write(complete_events)
                 _limit_gap(job, exchange)
+            elif complete_events:
+                job.reply.write(complete_events)
+                # Another engine may write what this one does not; if there is
+                # none, it is waited for as for a silent one.
+                if not stream.can_move():
+                    _limit_gap(job, exchange)
             exchange.hold_memory(len(splitter.incomplete) + READ_SIZE_BYTES)
         if splitter.incomplete:
             raise errors.TruncatedStreamError('stream ended within an event')
--- a/libs/gateway/masticquay_gateway/events.py
+++ b/libs/gateway/masticquay_gateway/events.py
@@ -6,6 +6,8 @@
 ID_FIELD = b'id:'
 # A line of an event: a field, with or without a value, or a comment.
 EVENT_LINE = re.compile(rb'(?:(?:data|event|id|retry)(?::|\Z)|:)')
+# The first line that is neither empty nor a comment.
+FIRST_FIELD = re.compile(rb'^[^:\n].*', re.MULTILINE)
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -66,9 +68,20 @@
         return int(event_id) <= int(last_id)
 
 
-def has_id(events: bytes) -> bool:
-    """Whether the first one of complete events has an id."""
-    first = events.partition(SEPARATOR)[0]
+def has_event(text: bytes) -> bool:
+    """Whether complete text has more than comments and empty lines.
+
+    Engines send these to keep a connection open; they are no progress.
+    """
+    return FIRST_FIELD.search(text) is not None
+
+
+def has_id(text: bytes) -> bool:
+    """Whether the first event of complete text has an id."""
+    field = FIRST_FIELD.search(text)
+    if field is None:
+        return False
+    first = text[field.start() :].partition(SEPARATOR)[0]
     return _id_of(first) is not None
 
 
--- a/libs/gateway/tests/test_endless_streams.py
+++ b/libs/gateway/tests/test_endless_streams.py
@@ -112,6 +112,17 @@
         self.assert_times_out(make_stream_script(EVENT % 1, EVENT % 1, 50))
         self.assertEqual(EVENT % 1, self.job.reply.body)
 
+    # Seen: such a stream lasted as long as its route, though another engine
+    # could have gone on with it.
+    def test_stream_of_comments_or_empty_lines_times_out(self):
+        for piece in (b': c\n\n', b':\n\n', b'\n\n', b'\n'):
+            with self.subTest(piece):
+                self.assert_times_out(make_stream_script(EVENT % 1, piece, 50))
+                self.assertTrue(self.job.reply.body.startswith(EVENT % 1))
+
+    def test_event_that_grows_byte_by_byte_times_out(self):
+        self.assert_times_out(make_stream_script(b'data: ', b'x', 100))
+
     def test_stream_that_goes_on_ends_with_the_time_of_its_route(self):
         script = make_stream_script(b'', b'data: x\n\n', 0)
         with (
--- a/libs/gateway/tests/test_events.py
+++ b/libs/gateway/tests/test_events.py
@@ -39,6 +39,15 @@
         text = b': c\n\nid: 1\nevent: e\nretry: 5\ndata\ndata: x\n\nid\n\n'
         self.assertEqual(text, events.EventSplitter().feed(text))
 
+    def test_comments_and_empty_lines_are_no_events(self):
+        for text in (b'', b'\n\n', b': c\n\n', b':\n: d\n\n\n\n'):
+            with self.subTest(text):
+                self.assertFalse(events.has_event(text))
+                self.assertFalse(events.has_id(text))
+                self.assertTrue(events.has_event(text + b'data\n\n'))
+                self.assertTrue(events.has_id(text + b': c\nid: 1\n\n'))
+                self.assertFalse(events.has_id(text + b'data: x\n\nid: 1\n\n'))
+
     def test_oversized_event_raises(self):
         splitter = events.EventSplitter()
         with self.assertRaises(ValueError):
--- a/libs/gateway/tests/test_silences.py
+++ b/libs/gateway/tests/test_silences.py
@@ -84,6 +84,21 @@
                 self.assertTrue(self.job.reply.finished)
                 self.assertEqual(2, self.job.reply.body.count(b'\n\n'))
 
+    # The same, if the engine sends comments meanwhile.
+    def test_stream_that_cannot_move_goes_on_after_comments(self):
+        comment = test_endless_streams.make_chunk(b': c\n\n')
+
+        def send(sock):
+            sock.sendall(endless_endpoints.CHUNKED_HEAD + self.make_event(1))
+            for _ in range(2 * SILENCE_MS // QUIET_MS):
+                time.sleep(QUIET_MS / 2_000)
+                sock.sendall(comment)
+            sock.sendall(self.make_event(2) + b'0\r\n\r\n')
+
+        self.run_decode(send)
+        self.assertTrue(self.job.reply.finished)
+        self.assertIn(b'id: 2\n', self.job.reply.body)
+
     def test_silence_is_told_to_the_placer_once(self):
         self.run_decode(
             self.send_around_a_silence(
