A request without an id gets a connection of its own

An endpoint that sends a second copy of an answer, late, does so on a connection that may be in use again. Answers are told apart by the id of their request, but callers need not give one: the next request without an id on that connection got the copy as its answer. A release of a prefill handle, which has no id either, left its connection to a request with one, whose outcome was unknown if the release was answered twice.

Requests without an id now use a new connection, which is closed behind them, so the first answer on it can only be their own.

The tests of gateway/test_late_answers (a request without an id gets no copy of another answer; leaves no connection behind) failed before: the caller got the copy's body.

--- a/libs/gateway/masticquay_gateway/exchanges.py
+++ b/libs/gateway/masticquay_gateway/exchanges.py
@@ -71,7 +71,7 @@
         interrupt: interrupts.Interrupt,
         call_id: str,
     ):
-        super().__init__(pool, interrupt, call_id=call_id)
+        super().__init__(pool, interrupt, fresh=not call_id, call_id=call_id)
         self._endpoint = endpoint
         self._watch = watch
         self._late_answers = late_answers
@@ -153,6 +153,9 @@
     ) -> connections.Exchange:
         """Returns an exchange with an endpoint, to be used in ``with``.
 
+        A request without an id gets a connection of its own: a second copy of
+        the answer to another one could not be told from its answer.
+
         :param interrupt: aborts the exchange when it fires
         :param call_id: id of the request that is to be sent, empty for none
         """
@@ -166,7 +169,9 @@
                 )
                 self._pools[key] = pool
         if self._observers is None:
-            return connections.Exchange(pool, interrupt, call_id=call_id)
+            return connections.Exchange(
+                pool, interrupt, fresh=not call_id, call_id=call_id
+            )
         return WatchedExchange(
             endpoint,
             self._observers.watch,
--- a/libs/gateway/tests/test_late_answers.py
+++ b/libs/gateway/tests/test_late_answers.py
@@ -89,6 +89,22 @@
             # So that the next two begin on a connection of their own.
             self.setUp()
 
+    # Seen: the caller got the copy, which nothing told from its own answer.
+    def test_request_without_an_id_gets_no_copy_of_another_answer(self):
+        self.server.script = lambda call_id, count: (
+            late_answer(None, body=b'own')
+            if count == 1
+            else late_answer(None) + late_answer(None, body=b'own')
+        )
+        for _ in range(3):
+            self.assert_served(self.run_call(''))
+
+    # Guards against a copy that costs the next request its own answer.
+    def test_request_without_an_id_leaves_no_connection_behind(self):
+        self.run_call('')
+        self.assert_served(self.run_call('c1'))
+        self.assertEqual([1, 2], self.server.connection_numbers)
+
     def test_refusal_behind_a_late_answer_is_believed(self):
         self.own_status, self.own_extra = 503, [MARK]
         outcome = self.run_two(late_answer())
