A server that stops lets no further connections queue up

A host that stops accepted all connections that waited, and then closed its socket. While callers went on connecting, the queue was never empty: the accepting ended after its limit of 1 s, and the close reset all that were in the queue, with their requests. The callers saw a reset and could not tell whether their requests had run.

The backlog is now set to 0 before, so that nothing queues up behind what waits: later callers find the socket closed and are refused. The thread that accepts closes it right behind its last look.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -348,6 +348,11 @@
 
         So are those that callers have opened and the server not yet accepted.
         """
+        with contextlib.suppress(OSError):
+            # No further ones may queue up: those in the queue as the socket
+            # closes are reset, and callers that go on connecting would keep
+            # it from ever being empty.
+            self.socket.listen(0)
         self._accept_end.ring()
         if self._started:
             self._accept_stopped.wait(ACCEPT_STOP_S)
@@ -389,6 +394,8 @@
                 fd == self._accept_end.fileno() for fd, _event in events
             )
             self._accept_waiting()
+        # At once, as one more may have queued up since.
+        self.socket.close()
         self._accept_stopped.set()
 
     def _accept_waiting(self) -> None:
--- a/libs/serving/tests/test_closed_connections.py
+++ b/libs/serving/tests/test_closed_connections.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from masticquay_serving import http_servers
 from masticquay_serving import lingers
@@ -14,6 +15,10 @@
 # Callers send the parts of a request this far apart.
 PART_INTERVAL_S = 0.05
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+CLOSING_REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+# Callers that go on connecting while the server stops, and its time for each.
+CALLERS = 20
+ACCEPT_DELAY_S = 0.01
 CHUNKED_HEAD = (
     b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
@@ -97,6 +102,57 @@
         answer = self.read_until(sock, b'none')
         self.assertIn(b'Connection: close', answer)
 
+    def call_until_refused(self, outcomes):
+        """Sends requests, each on a connection, until one is not answered."""
+        while True:
+            try:
+                sock = socket.create_connection(
+                    self.server.server_address, timeout=TIMEOUT_S
+                )
+            except OSError:
+                outcomes.append('refused')
+                return
+            with sock:
+                try:
+                    sock.sendall(CLOSING_REQUEST)
+                    answer = self.read_until(sock, b'none')
+                except OSError:
+                    answer = b''
+            if b'none' not in answer:
+                outcomes.append('lost')
+                return
+
+    # Seen: while callers went on connecting, the stop never found the queue of
+    # connections empty, and reset all that were in it after a second.
+    def test_callers_that_connect_during_the_stop_are_answered_or_refused(
+        self,
+    ):
+        start_handler = self.server._start_handler
+
+        def start_slowly(connection, address):
+            time.sleep(ACCEPT_DELAY_S)
+            start_handler(connection, address)
+
+        self.stack.enter_context(
+            mock.patch.object(self.server, '_start_handler', start_slowly)
+        )
+        self.server.start()
+        outcomes = []
+        callers = [
+            threading.Thread(target=self.call_until_refused, args=(outcomes,))
+            for _caller in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(CALLERS * ACCEPT_DELAY_S)
+        self.server.drain()
+        self.server.stop_accepting()
+        for caller in callers:
+            caller.join(2 * TIMEOUT_S)
+        self.assertEqual(CALLERS, len(outcomes))
+        # One may connect between the last look at the queue and its end.
+        self.assertLessEqual(outcomes.count('lost'), 1)
+
     def test_connection_without_a_next_request_is_closed_soon(self):
         self.server.start()
         sock = self.connect()
