A replica that has just started gives no old table to hosts without one

Any replica hands hosts that look for the leader the newest table that it knows. An entry host that had restarted, too, and so had no table, served callers by it: with keys that had been withdrawn since. It did so until a leader was elected, and for as long as there was none, as after the loss of most control hosts.

A host that has an older table still gets it, as it is newer. The price: while most control hosts are lost and the others have restarted, an entry host that restarts serves no callers. It refuses them as not run.

--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -114,6 +114,7 @@
         self.leader_id = ''
         self.commit_index = max(0, store.snapshot_index)
         self.applied_index = self.commit_index
+        self._start_index = self.commit_index
         self.installing_snapshot = False
         self.closed = False
         self.leader_since_ms = NEVER_MS
@@ -301,6 +302,19 @@
         age_ms = self.clock.now_ms() - self.leader_contact_ms
         return age_ms >= self.settings.election_min_ms
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether a leader has told what is committed since the start.
+
+        Each leader commits an entry of its own. Before it did, the state
+        machine holds what the snapshot on the disk holds.
+        """
+        with self.lock:
+            return (
+                self.applied_index > self._start_index
+                and self.applied_index >= self.commit_index
+            )
+
     def commit(self, index: int) -> None:
         """Raises the commit index to the given index, if that is higher."""
         if index > self.commit_index:
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -73,7 +73,11 @@
         self._list_lock = threading.RLock()
         self._table_changed = threading.Event()
         self._newest_table = table_updates.TableUpdates(machine)
-        self._seekers = seekers.Seekers(self._newest_table, clock)
+        self._seekers = seekers.Seekers(
+            self._newest_table,
+            lambda: self._node.replica.state.has_caught_up,
+            clock,
+        )
         self._next_list_ms = 0
         self._list_read_failed = False
         self.list_requested = threading.Event()
--- a/libs/coordination/masticquay_coordination/seekers.py
+++ b/libs/coordination/masticquay_coordination/seekers.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import threading
+import typing
 
 from masticquay_coordination import table_updates
 from masticquay_coordination import updates
@@ -39,12 +40,24 @@
 
     Any replica has it, so a host that reaches one of them misses no change
     while it cannot reach the leader, or while there is none.
+
+    A replica that has just started holds the table of its last snapshot. It is
+    no harm to a host with an older one, but a host without a table would use
+    it with the keys that were withdrawn since. Such a host gets it only once a
+    leader has told this replica what is committed.
+
+    :param newest: the newest table that this replica has applied
+    :param has_caught_up: whether a leader has done so since the start
     """
 
     def __init__(
-        self, newest: table_updates.TableUpdates, clock: clocks.Clock
+        self,
+        newest: table_updates.TableUpdates,
+        has_caught_up: typing.Callable[[], bool],
+        clock: clocks.Clock,
     ):
         self._newest = newest
+        self._has_caught_up = has_caught_up
         self._clock = clock
         self._lock = threading.Lock()
         self._seekers: dict[str, _Seeker] = {}
@@ -88,6 +101,8 @@
         update = self._newest.get()
         if update is None or update.number <= seeker.version:
             return
+        if seeker.version < 0 and not self._has_caught_up():
+            return
         with self._lock:
             if not seeker.sent.is_due(update, now_ms):
                 return
--- a/libs/coordination/tests/test_daemons.py
+++ b/libs/coordination/tests/test_daemons.py
@@ -12,6 +12,7 @@
 from masticquay_coordination import errors
 from masticquay_coordination import groups
 from masticquay_routing import errors as routing_errors
+from masticquay_routing import messages
 from tests import fakes
 
 TIMEOUT_S = 20.0
@@ -49,6 +50,7 @@
         self.seeds = [free_address() for _ in range(3)]
         self.daemons = {}
         self.lister = fakes.FakeLister()
+        self.snapshot_interval_entries = 4_096
         self.engine_orders = fakes.FakeEngineOrders()
 
     def make(self, address, founders=(), disk='one'):
@@ -66,7 +68,10 @@
             self.lister,
             self.engine_orders,
             consensus_settings.Settings(
-                heartbeat_ms=100, election_min_ms=400, election_max_ms=700
+                heartbeat_ms=100,
+                election_min_ms=400,
+                election_max_ms=700,
+                snapshot_interval_entries=self.snapshot_interval_entries,
             ),
         )
 
@@ -217,6 +222,45 @@
             self.start(address)
         self.assertEqual(b'6', self.read_table())
 
+    # Seen: a replica that started alone, with an old snapshot, gave the table
+    # in it to a host without one, with keys that were withdrawn since.
+    def test_host_without_a_table_gets_none_of_an_old_snapshot(self):
+        self.snapshot_interval_entries = 1
+        self.start_group()
+        self.put_table(6)
+        wait_for(
+            lambda: all(
+                d.node.replica.state.store.snapshot_index
+                and d.machine.version == 6
+                for d in self.daemons.values()
+            )
+        )
+        for address in list(self.daemons):
+            self.daemons.pop(address).close()
+        self.snapshot_interval_entries = 4_096
+        for address in self.seeds:
+            self.start(address)
+        self.put_table(7)
+        for address in list(self.daemons):
+            self.daemons.pop(address).close()
+        lone = self.start(self.seeds[0])
+        self.assertEqual(6, lone.machine.version)
+        link = fakes.FakeLink()
+        renewal = fakes.make_renewal()
+        lone.leadership.add_seeker(renewal, link)
+        self.assertEqual([], link.notifications)
+        for address in self.seeds[1:]:
+            self.start(address)
+        self.assertEqual(b'7', self.read_table())
+        wait_for(lambda: lone.machine.version == 7)
+        wait_for(
+            lambda: (
+                lone.leadership.add_seeker(renewal, link) or link.notifications
+            )
+        )
+        update = link.last(messages.TableUpdate)
+        self.assertEqual(7, update.version)
+
     def test_older_and_invalid_tables_are_ignored(self):
         self.start_group()
         self.put_table(6)
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -34,7 +34,7 @@
         self.log_is_blank = True
         self.commit_index = 0
         self.replica = self
-        self.state = types.SimpleNamespace(applied_index=0)
+        self.state = types.SimpleNamespace(applied_index=0, has_caught_up=True)
 
     def read_barrier(self):
         if not self.is_leading:
--- a/libs/coordination/tests/test_seekers.py
+++ b/libs/coordination/tests/test_seekers.py
@@ -16,8 +16,11 @@
         self.machine = table_machines.TableMachine()
         self.clock = clocks.ManualClock(10_000)
         self.seekers = seekers.Seekers(
-            table_updates.TableUpdates(self.machine), self.clock
+            table_updates.TableUpdates(self.machine),
+            lambda: self.has_caught_up,
+            self.clock,
         )
+        self.has_caught_up = True
         self.link = fakes.FakeLink()
 
     def commit(self, version):
@@ -37,6 +40,20 @@
         self.seekers.publish_table()
         self.assertEqual([], self.sent_versions())
 
+    # Guards against withdrawn keys that a host without a table accepts after a
+    # restart of it and of the replica that it asks.
+    def test_host_without_a_table_gets_none_of_an_old_snapshot(self):
+        self.has_caught_up = False
+        self.commit(5)
+        self.ask()
+        self.assertEqual([], self.sent_versions())
+        self.ask(version=4)
+        self.assertEqual([5], self.sent_versions())
+        self.has_caught_up = True
+        other_link = fakes.FakeLink()
+        self.ask(link=other_link)
+        self.assertEqual([5], self.sent_versions(other_link))
+
     def test_host_that_asks_again_gets_the_table_once(self):
         self.commit(5)
         self.ask()
