--- a/libs/coordination/tests/test_daemons.py
+++ b/libs/coordination/tests/test_daemons.py
@@ -230,8 +230,9 @@
         self.put_table(6)
         wait_for(
             lambda: all(
-                d.node.replica.state.store.snapshot_index
-                and d.machine.version == 6
+                d.machine.version == 6
+                and d.node.replica.state.store.snapshot_index
+                >= d.node.replica.state.applied_index
                 for d in self.daemons.values()
             )
         )
