A replica has caught up once its leader committed an entry of its own

Only a commit index at an entry of the leader's own term covers what earlier leaders committed, so only that counts.

consensus/test_states: replica_has_caught_up_once_the_leader_committed_an_entry shows the case on the state itself; real replicas were not brought into it.

--- a/libs/consensus/masticquay_consensus/followers.py
+++ b/libs/consensus/masticquay_consensus/followers.py
@@ -75,6 +75,8 @@
         self._append_new(request.entries)
         last = request.previous_index + len(request.entries)
         state.commit(min(request.commit_index, last))
+        if request.commit_index <= last:
+            state.note_commits(request.commit_index)
         return self._answer_when_synced(last)
 
     def pop_synced_answers(
--- a/libs/consensus/masticquay_consensus/leaders.py
+++ b/libs/consensus/masticquay_consensus/leaders.py
@@ -264,6 +264,7 @@
         if state.store.raft_log.term_at(index) != state.term:
             return
         state.commit(index)
+        state.note_commits(index)
         if state.configuration_index <= index and not state.is_voter:
             state.become_follower(state.term, '')
 
--- a/libs/consensus/masticquay_consensus/states.py
+++ b/libs/consensus/masticquay_consensus/states.py
@@ -114,7 +114,7 @@
         self.leader_id = ''
         self.commit_index = max(0, store.snapshot_index)
         self.applied_index = self.commit_index
-        self._start_index = self.commit_index
+        self._knows_commits = False
         self.installing_snapshot = False
         self.closed = False
         self.leader_since_ms = NEVER_MS
@@ -306,15 +306,25 @@
     def has_caught_up(self) -> bool:
         """Whether a leader has told what is committed since the start.
 
-        Each leader commits an entry of its own. Before it did, the state
-        machine holds what the snapshot on the disk holds.
+        Before, the state machine holds what the snapshot on the disk holds.
         """
         with self.lock:
             return (
-                self.applied_index > self._start_index
-                and self.applied_index >= self.commit_index
+                self._knows_commits and self.applied_index >= self.commit_index
             )
 
+    def note_commits(self, index: int) -> None:
+        """Records up to which index a leader says that all is committed.
+
+        This replica has these entries. Only behind an entry of its own term
+        does a leader know all that earlier ones committed.
+
+        :param index: the commit index of the leader of the present term
+        """
+        if not self._knows_commits:
+            entry_term = self.store.raft_log.term_at(index)
+            self._knows_commits = entry_term == self.term
+
     def commit(self, index: int) -> None:
         """Raises the commit index to the given index, if that is higher."""
         if index > self.commit_index:
