Requests stay in the regions that their route and workspace allow

Cause: a deployment with several regions had no way to keep requests out of some of them.

Change: allowedRegions of routes and tenants, both of which bind; the settings of entry hosts map data centres to regions (zones). Regions without a data centre are logged.

--- a/libs/gateway/masticquay_gateway/calls.py
+++ b/libs/gateway/masticquay_gateway/calls.py
@@ -225,6 +225,7 @@
             workspace,
             self._choose_service(route, call),
             interrupts.Interrupt(),
+            self._state.regions,
         )
 
     def _choose_service(self, route: tables.Route, call: ports.Call) -> str:
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -77,7 +77,7 @@
         endpoint_lister: EndpointLister,
     ):
         self.settings = settings
-        self.state = fleet_states.FleetState(reader)
+        self.state = fleet_states.FleetState(reader, settings.regions)
         self.registry = counters.Registry()
         self._endpoint_lister = endpoint_lister
         self._stack = contextlib.ExitStack()
--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -72,7 +72,9 @@
         """
         stream.engine_began_s = 0.0
         purpose = ports.ExchangePurpose(
-            job.call.call_id, lasts_ms=job.remaining_ms
+            job.call.call_id,
+            lasts_ms=job.remaining_ms,
+            allows_place=job.allows_place,
         )
         with (
             job.attempts.sending(placement.decode.endpoint_id),
--- a/libs/gateway/masticquay_gateway/fleet_states.py
+++ b/libs/gateway/masticquay_gateway/fleet_states.py
@@ -11,6 +11,7 @@
 from masticquay_routing import evacuations
 from masticquay_routing import fleets
 from masticquay_routing import messages
+from masticquay_routing import regions as regions_module
 from masticquay_routing import software_versions
 from masticquay_routing import tables
 from masticquay_serving import requests
@@ -27,10 +28,16 @@
     Updates that are not newer than the current ones are ignored.
 
     :param reader: parses operators' documents into routing tables
+    :param regions: of the places of endpoints and hosts
     """
 
-    def __init__(self, reader: tables.TableReader):
+    def __init__(
+        self,
+        reader: tables.TableReader,
+        regions: regions_module.Regions = regions_module.NO_REGIONS,
+    ):
         self._reader = reader
+        self.regions = regions
         self._lock = threading.Lock()
         self._complete = threading.Event()
         self._by_service: dict[str, list[fleets.Endpoint]] = {}
@@ -134,8 +141,22 @@
                 'source': source,
             },
         )
+        self._warn_of_empty_regions(table)
         return True
 
+    def _warn_of_empty_regions(self, table: tables.Table) -> None:
+        allowed = [
+            region
+            for owner in [*table.routes, *(table.workspaces or [])]
+            for region in owner.allowed_regions
+        ]
+        empty = self.regions.find_empty(allowed)
+        if empty:
+            LOG.warning(
+                'allowed regions without a data centre',
+                extra={'version': table.version, 'regions': empty},
+            )
+
     def apply_endpoints(self, update: messages.EndpointUpdate) -> bool:
         """Applies an endpoint list if it is newer.
 
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -123,7 +123,11 @@
 
     def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
         """Returns the refusal of a request that no endpoint may get."""
-        endpoints = self._state.endpoints(job.service)
+        endpoints = [
+            e
+            for e in self._state.endpoints(job.service)
+            if job.allows_place(e.place)
+        ]
         wait_ms = self._notices.refusal_ms(endpoints)
         if wait_ms:
             return ports.Refusal(
@@ -147,6 +151,7 @@
         """Chooses an endpoint and takes a permit if it names a limit."""
         endpoints = self._list_endpoints(job)
         excluded_ids = job.tried_ids | self._notices.withheld_ids(job.service)
+        excluded_ids |= job.barred_ids(endpoints)
         excluded_ids |= self._limits.full_ids(endpoints)
         while True:
             endpoint = self._chooser.choose(
@@ -254,7 +259,9 @@
         statistics: endpoint_statistics.EndpointStatistics,
     ) -> Response:
         started_s = time.monotonic()
-        purpose = ports.ExchangePurpose(job.call.call_id)
+        purpose = ports.ExchangePurpose(
+            job.call.call_id, allows_place=job.allows_place
+        )
         with (
             job.attempts.sending(endpoint.endpoint_id),
             self._paths.open(
--- a/libs/gateway/masticquay_gateway/jobs.py
+++ b/libs/gateway/masticquay_gateway/jobs.py
@@ -5,6 +5,8 @@
 from masticquay_endpoints import interrupts
 from masticquay_gateway import attempts
 from masticquay_gateway import ports
+from masticquay_routing import fleets
+from masticquay_routing import regions as regions_module
 from masticquay_routing import tables
 from masticquay_serving import replies
 from masticquay_serving import requests
@@ -22,6 +24,7 @@
     :param workspace: None for a request without a valid key
     :param service: name of the service chosen for it
     :param interrupt: fires when the caller disconnects
+    :param regions: of the places of endpoints and peers
     """
 
     __slots__ = (
@@ -35,6 +38,7 @@
         'interrupt',
         'tried_ids',
         'attempts',
+        'regions',
     )
 
     def __init__(
@@ -47,6 +51,7 @@
         workspace: tables.Workspace | None,
         service: str,
         interrupt: interrupts.Interrupt,
+        regions: regions_module.Regions = regions_module.NO_REGIONS,
     ):
         self.request = request
         self.call = call
@@ -56,6 +61,7 @@
         self.workspace = workspace
         self.service = service
         self.interrupt = interrupt
+        self.regions = regions
         self.tried_ids: set[str] = set()
         self.attempts = attempts.AttemptRecord()
 
@@ -79,6 +85,31 @@
             return workspace.priority
         return self.route.priority
 
+    def allows_place(self, place: str) -> bool:
+        """Whether the request may be run in a place, or go through it."""
+        allowed = self._allowed_regions
+        return not allowed or self.regions.allows(place, allowed)
+
+    @property
+    def _allowed_regions(self) -> list[list[str]]:
+        owners = [self.route, self.workspace]
+        return [
+            owner.allowed_regions
+            for owner in owners
+            if owner is not None and owner.allowed_regions
+        ]
+
+    def barred_ids(self, endpoints: list[fleets.Endpoint]) -> set[str]:
+        """Returns the endpoints that are in no allowed region."""
+        allowed = self._allowed_regions
+        if not allowed:
+            return set()
+        return {
+            e.endpoint_id
+            for e in endpoints
+            if not self.regions.allows(e.place, allowed)
+        }
+
     @property
     def elapsed_ms(self) -> float:
         """Time since the first byte of the request arrived."""
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -168,7 +168,9 @@
         :raises InterruptedCallError: when the interrupt was fired
         """
         self._interrupt.check()
-        self.peer, self._link = self._links.acquire(self._refused_by)
+        self.peer, self._link = self._links.acquire(
+            self._refused_by, self._purpose.allows_place
+        )
         self._stack.callback(self._return_link)
         self._stack.enter_context(self._interrupt.registered(self._link.abort))
 
--- a/libs/gateway/masticquay_gateway/peer_links.py
+++ b/libs/gateway/masticquay_gateway/peer_links.py
@@ -50,14 +50,22 @@
         self._avoided_until_s: dict[str, float] = {}
 
     def acquire(
-        self, excluded_names: set[str]
+        self,
+        excluded_names: set[str],
+        allows_place: typing.Callable[[str], bool],
     ) -> tuple[fleets.Host, exchange_links.ExchangeLink]:
         """Returns a peer that reaches endpoints, and a link to it.
 
         :param excluded_names: peers not to use
+        :param allows_place: whether a peer in a place may be used
         :raises NoPathError: when there is none
         """
-        for host in self._list_peers(excluded_names)[:MAX_DIALS]:
+        usable = [
+            host
+            for host in self._list_peers(excluded_names)
+            if allows_place(host.place)
+        ]
+        for host in usable[:MAX_DIALS]:
             link = self._pop_idle(host)
             if link is None:
                 link = self._dial(host)
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -201,13 +201,19 @@
     :param needs_stamp: whether an endpoint stamps its answer when it has run
         such a request
     :param lasts_ms: time until the end of the answer, 0 for that of its head
+    :param allows_place: whether it may go through a peer in a place
     """
 
-    __slots__ = ('call_id', 'needs_stamp', 'lasts_ms')
+    __slots__ = ('call_id', 'needs_stamp', 'lasts_ms', 'allows_place')
 
     def __init__(
-        self, call_id: str, needs_stamp: bool = True, lasts_ms: int = 0
+        self,
+        call_id: str,
+        needs_stamp: bool = True,
+        lasts_ms: int = 0,
+        allows_place: typing.Callable[[str], bool] = lambda place: True,
     ):
+        self.allows_place = allows_place
         self.call_id = call_id
         self.needs_stamp = needs_stamp
         self.lasts_ms = lasts_ms
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -122,7 +122,11 @@
         placement: placed_requests.RequestPlacement,
         prefill: fleets.Endpoint,
     ) -> str:
-        purpose = ports.ExchangePurpose(job.call.call_id, needs_stamp=False)
+        purpose = ports.ExchangePurpose(
+            job.call.call_id,
+            needs_stamp=False,
+            allows_place=job.allows_place,
+        )
         with self._paths.open(
             prefill,
             job.interrupt,
--- a/libs/gateway/masticquay_gateway/settings.py
+++ b/libs/gateway/masticquay_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of an entry daemon."""
 
 from masticquay_gateway import retries
+from masticquay_routing import regions as regions_module
 from masticquay_serving import connection_limits
 
 
@@ -16,6 +17,7 @@
     :param grace_ms: time from the stop signal until the process must exit
     :param budget: limits on retries
     :param max_connections: of callers that may be open at once
+    :param regions: of the places of endpoints and hosts
     """
 
     __slots__ = (
@@ -28,6 +30,7 @@
         'grace_ms',
         'budget',
         'max_connections',
+        'regions',
     )
 
     def __init__(
@@ -41,6 +44,7 @@
         grace_ms: int,
         budget: retries.RetryBudgetLimits,
         max_connections: int = connection_limits.DEFAULT_MAX_CONNECTIONS,
+        regions: regions_module.Regions = regions_module.NO_REGIONS,
     ):
         self.name = name
         self.address = address
@@ -51,3 +55,4 @@
         self.grace_ms = grace_ms
         self.budget = budget
         self.max_connections = max_connections
+        self.regions = regions
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -150,6 +150,7 @@
             endpoint
             for endpoint in self._state.endpoints(job.service)
             if endpoint.role == fleets.ROLE_DECODE
+            and job.allows_place(endpoint.place)
         ]
 
     def _attempt(
@@ -217,7 +218,7 @@
         if stream.handle is not None and not stream.handle.is_fresh:
             stream.handle = None
         if placement.prefill is not None and stream.splitter.last_id is None:
-            self._require_not_withheld(placement.prefill)
+            self._require_usable(job, placement.prefill)
             stream.handle = self._prefiller.prefill(
                 job, placement, placement.prefill
             )
@@ -229,7 +230,7 @@
             # It may have been found meanwhile that such prompts end engines.
             if wait_ms := self._quarantine.wait_ms(job.call):
                 raise errors.HarmfulPromptError(wait_ms)
-            self._require_not_withheld(placement.decode)
+            self._require_usable(job, placement.decode)
             stream.can_move = functools.partial(
                 self._can_move, job, placement.decode
             )
@@ -250,11 +251,20 @@
             for engine in self._decode_engines(job)
         )
 
-    def _require_not_withheld(self, endpoint: fleets.Endpoint) -> None:
+    def _require_usable(
+        self, job: jobs.Job, endpoint: fleets.Endpoint
+    ) -> None:
         """Checks what an engine said since the request was placed.
 
-        :raises WithheldError: if it leaves or wants a pause
+        The leader may have placed it on an engine that this host did not know.
+
+        :raises WithheldError: if it leaves, wants a pause or is not allowed
         """
+        if not job.allows_place(endpoint.place):
+            job.tried_ids.add(endpoint.endpoint_id)
+            raise errors.WithheldError(
+                f'{endpoint.endpoint_id} is in no allowed region'
+            )
         if self._notices.is_withheld(endpoint):
             raise errors.WithheldError(
                 f'{endpoint.endpoint_id} leaves or wants a pause'
@@ -365,7 +375,9 @@
             late_wait_ms=self._late_wait_ms(job),
             prompt_key=call.prompt_key,
             avoid=sorted(
-                job.tried_ids | self._notices.withheld_ids(job.service)
+                job.tried_ids
+                | self._notices.withheld_ids(job.service)
+                | job.barred_ids(self._state.endpoints(job.service))
             ),
             prefer=stream.cache_engine_id,
             prefilled=stream.handle is not None and stream.handle.is_fresh,
--- a/libs/gateway/tests/promise_plays.py
+++ b/libs/gateway/tests/promise_plays.py
@@ -17,6 +17,7 @@
 from masticquay_routing import choosers
 from masticquay_routing import fleets
 from masticquay_routing import placement_messages
+from masticquay_routing import regions
 from masticquay_routing import tables
 from masticquay_serving import counters
 from masticquay_serving import requests
@@ -315,6 +316,7 @@
             types.SimpleNamespace(
                 table=self._make_table(),
                 table_version=1,
+                regions=regions.NO_REGIONS,
                 wait_until_complete=lambda timeout_s: True,
             ),
             protocol,
--- a/libs/routing/masticquay_routing/tables.py
+++ b/libs/routing/masticquay_routing/tables.py
@@ -41,6 +41,8 @@
         still meets the latency target
     :param abandon_after_ms: the pause after which callers abandon a stream,
         also while they wait for its first event
+    :param allowed_regions: those whose endpoints may run its requests, empty
+        for all
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         'resumable',
         'max_pause_ms',
         'abandon_after_ms',
+        'allowed_regions',
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         resumable: bool = False,
         max_pause_ms: int = 0,
         abandon_after_ms: int = 10_000,
+        allowed_regions: typing.Sequence[str] = (),
     ):
         self.name = name
         self.host = host
@@ -91,6 +95,7 @@
         self.resumable = resumable
         self.max_pause_ms = max_pause_ms
         self.abandon_after_ms = abandon_after_ms
+        self.allowed_regions = list(allowed_regions)
 
     @property
     def retryable(self) -> bool:
@@ -182,10 +187,12 @@
     :param default_tokens: the cost of a request that declares no tokens
     :param rate_per_s: 0 for no limit
     :param burst: the capacity of the token bucket
+    :param allowed_regions: as for a route; both bind
     """
 
     __slots__ = (
         'name',
+        'allowed_regions',
         'keys',
         'priority',
         'counts_tokens',
@@ -203,8 +210,10 @@
         default_tokens: int = 1,
         rate_per_s: float = 0.0,
         burst: float = 0.0,
+        allowed_regions: typing.Sequence[str] = (),
     ):
         self.name = name
+        self.allowed_regions = list(allowed_regions)
         self.keys = keys
         self.priority = priority
         self.counts_tokens = counts_tokens
