Evacuations reach hosts while the leader has no endpoint list

Cause: the leader sent an order with the endpoint list alone. While the platform's list could not be read from the start of a term on, hosts got no order before the next list.

Change: until the first list of a term the leader sends the evacuated places alone, as replicas do that hosts without a leader ask. The test of the first list of a term renews after that list was made, as a renewal before it now gets the places alone; it also checks the number of the list.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -153,6 +153,7 @@
         term = self._term
         if term is not None:
             self._publish_endpoints(term)
+            term.sessions.publish_evacuations()
         self._seekers.publish_evacuations()
 
     def wait_for_evacuations(
--- a/libs/coordination/masticquay_coordination/sessions.py
+++ b/libs/coordination/masticquay_coordination/sessions.py
@@ -266,6 +266,15 @@
                 )
         self._publish(update)
 
+    def publish_evacuations(self) -> None:
+        """Sends the evacuated places to all hosts without a list.
+
+        The platform's list may be missing when a term begins.
+        """
+        update = self._newest_table.evacuations()
+        if update is not None and self._endpoint_update is None:
+            self._publish(update)
+
     def publish_hosts(self) -> None:
         """Sends the host list to all hosts if it changed and is due."""
         now_ms = self._clock.now_ms()
@@ -353,6 +362,13 @@
             and held_number < update.number
             and session.sent.is_due(update, now_ms)
         ]
+        evacuated = self._newest_table.evacuations()
+        if (
+            self._endpoint_update is None
+            and evacuated is not None
+            and session.sent.is_due(evacuated, now_ms)
+        ):
+            missing.append(evacuated)
         for update in missing:
             session.sent.record(update, now_ms)
         return missing
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -8,6 +8,7 @@
 from masticquay_consensus import errors as consensus_errors
 from masticquay_coordination import leaderships
 from masticquay_coordination import table_machines
+from masticquay_coordination import updates
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
 from masticquay_routing import messages
@@ -316,13 +317,26 @@
         command = table_machines.encode_evacuation('p1', True)
         self.machine.apply(1, command)
         self.node.state.applied_index = 1
-        self.renew()
         self.leadership.notify_evacuation()
         self.leadership.publish_evacuations()
+        self.renew()
         update = self.next_endpoint_update()
-        self.assertEqual(['p1'], update.evacuated)
+        self.assertEqual((1, ['p1']), (update.number, update.evacuated))
         self.assertTrue(update.endpoints[0].leaving)
 
+    # Guards against a platform list that cannot be read when a term begins.
+    def test_order_reaches_hosts_without_an_endpoint_list(self):
+        self.lister.fails = True
+        self.lead_with_engines('v1')
+        self.machine.apply(2, table_machines.encode_evacuation('p1', True))
+        self.leadership.notify_evacuation()
+        self.leadership.publish_evacuations()
+        update = self.next_endpoint_update()
+        self.assertEqual((0, ['p1']), (update.number, update.evacuated))
+        self.clock.advance_ms(updates.RESEND_AFTER_MS)
+        self.renew()
+        self.assertEqual(['p1'], self.next_endpoint_update().evacuated)
+
     def test_order_is_sent_without_reading_the_list_again(self):
         self.lead_with_engines('v1')
         self.assertFalse(self.next_endpoint_update().endpoints[0].leaving)
