The leader shares out the slots of scarce plain services

Each host knows its own requests and loads of endpoints up to a second old, so many hosts fill an endpoint that has a slot or two left, and are refused there. While a service is scarce, hosts ask the leader for a slot; the pool grants endpoint and slot, keeps the queue, and refuses at once what cannot be served by its deadline. Without an answer, hosts choose as before.

--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -8,6 +8,7 @@
 from masticquay_routing import harmful_prompts
 from masticquay_routing import messages
 from masticquay_routing import placement_messages
+from masticquay_routing import slot_messages
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import listeners
 from masticquay_wire import messages as wire_messages
@@ -72,6 +73,8 @@
             endpoint_messages.EndedUnderRequest,
             self._handle_ended_under_request,
         )
+        listener.handle(slot_messages.AskSlot, self._handle_ask_slot)
+        listener.handle(slot_messages.SlotEnded, self._handle_slot_ended)
         listener.handle(
             placement_messages.PrefillDone, self._handle_prefill_done
         )
@@ -95,6 +98,7 @@
             )
         if term.sessions.renew(renewal, link):
             term.owner.release_host(renewal.host)
+            term.slots.release_host(renewal.host)
         if renewal.running:
             term.owner.adopt(renewal.host, renewal.running)
         if renewal.held is not None:
@@ -107,16 +111,19 @@
             term.owner.adopt_quarantined(prompts)
             term.requests.adopt(requests)
         exhausted = term.owner.charge(term.sessions.take_usage(renewal))
+        views = self._leader.exchange_endpoint_views(term, renewal)
+        term.slots.set_views(views)
         return messages.Renewed(
             term.number,
             self._leader.members(),
             exhausted,
-            self._leader.exchange_endpoint_views(term, renewal),
+            views,
             term.owner.quarantined_prompts() | term.requests.quarantined(),
             term.limits.exchange(renewal.host, renewal.limits),
             term.requests.suspects(),
             origins,
             term.sessions.renew_interval_ms,
+            term.slots.exchange(renewal),
         )
 
     def _handle_admit(
@@ -124,6 +131,18 @@
     ) -> wire_messages.Message | typing.Any:
         return self._leader.require_serving_term().owner.admit(request)
 
+    def _handle_ask_slot(
+        self, ask: slot_messages.AskSlot, link: peers.Connection
+    ) -> wire_messages.Message | typing.Any:
+        return self._leader.require_serving_term().slots.ask(ask)
+
+    def _handle_slot_ended(
+        self, ended: slot_messages.SlotEnded, link: peers.Connection
+    ) -> None:
+        term = self._leader.term
+        if term is not None:
+            term.slots.end(ended)
+
     def _handle_ask_permit(
         self, ask: endpoint_messages.AskPermit, link: peers.Connection
     ) -> endpoint_messages.PermitAnswer:
--- a/libs/coordination/masticquay_coordination/leader_terms.py
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -4,6 +4,7 @@
 from masticquay_coordination import owners
 from masticquay_coordination import request_watches
 from masticquay_coordination import sessions
+from masticquay_coordination import slot_services
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
 from masticquay_routing import fleets
@@ -35,6 +36,7 @@
         'leaving',
         'limits',
         'requests',
+        'slots',
         'has_caught_up',
     )
 
@@ -45,6 +47,7 @@
         host_sessions: sessions.Sessions,
         limits: endpoint_limits.EndpointLimits,
         requests: request_watches.RequestWatch,
+        slots: slot_services.SlotServices,
         started_ms: int,
         first: bool,
     ):
@@ -53,6 +56,7 @@
         self.sessions = host_sessions
         self.limits = limits
         self.requests = requests
+        self.slots = slots
         self.started_ms = started_ms
         self.first = first
         self.table_version = -1
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -17,6 +17,7 @@
 from masticquay_coordination import request_watches
 from masticquay_coordination import seekers
 from masticquay_coordination import sessions
+from masticquay_coordination import slot_services
 from masticquay_coordination import table_machines
 from masticquay_coordination import table_updates
 from masticquay_routing import errors as routing_errors
@@ -90,6 +91,7 @@
                 self._term = self._begin_term(term)
         if ended is not None:
             ended.owner.fail_all()
+            ended.slots.fail_all()
             ended.sessions.delivery.end()
             ended.sessions.announce_end()
         if is_leader:
@@ -143,10 +145,12 @@
             return
         for host in term.sessions.expire():
             term.owner.release_host(host)
+            term.slots.release_host(host)
             with self._view_lock:
                 term.fleet_view.drop_host(host)
         term.sessions.publish_hosts()
         term.owner.place_waiting()
+        term.slots.tick()
 
     def refresh_endpoints(self) -> None:
         """Reads the endpoint list if it is due, and applies and sends it."""
@@ -191,6 +195,7 @@
             stream_versions = self._possible_versions(term)
             term.sessions.publish_endpoints(endpoints, stream_versions)
             term.limits.apply_list(endpoints)
+            term.slots.set_endpoints(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
     def add_leaving(
@@ -292,6 +297,7 @@
             gauges.update(term.owner.gauges())
             gauges.update(term.limits.gauges())
             gauges.update(term.requests.gauges())
+            gauges.update(term.slots.gauges())
         return gauges
 
     def _begin_term(self, number: int) -> leader_terms.LeaderTerm:
@@ -303,6 +309,7 @@
             sessions.Sessions(number, self._newest_table, self._clock),
             limits,
             request_watches.RequestWatch(self._clock),
+            slot_services.SlotServices(self._clock),
             self._clock.now_ms(),
             first,
         )
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -30,6 +30,7 @@
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_gateway import settings as settings_module
+from masticquay_gateway import slots
 from masticquay_gateway import streams
 from masticquay_gateway import usages
 from masticquay_routing import choosers
@@ -37,6 +38,7 @@
 from masticquay_routing import held_requests
 from masticquay_routing import messages
 from masticquay_routing import named_limits
+from masticquay_routing import slot_messages
 from masticquay_routing import stream_origins
 from masticquay_routing import tables
 from masticquay_serving import counters
@@ -111,6 +113,12 @@
             endpoint_limits.PermitSource(settings.name, self.link),
             self.link.renew_now,
         )
+        self._slots = slots.Slots(
+            settings.name,
+            settings.place,
+            slots.LeaderSlots(self.link),
+            self.registry,
+        )
         self._placer = placers.Placer(
             settings.name, self.link, self.state, self._limits
         )
@@ -320,6 +328,14 @@
         """Applies what the leader knows of them."""
         self._limits.apply(words)
 
+    def held_slots(self) -> slot_messages.HeldSlots | None:
+        """Returns the requests that asked for slots and have not ended."""
+        return self._slots.report()
+
+    def apply_scarce(self, services: list[str]) -> None:
+        """Applies for which plain services hosts ask for slots."""
+        self._slots.apply_scarce(services)
+
     def hosts(self) -> list[fleets.Host]:
         """Returns the hosts that callers should use."""
         settings = self.settings
@@ -349,6 +365,7 @@
             self._notices,
             self._limits,
             self._watch,
+            self._slots,
             self.registry,
         )
         streamer = streams.Streamer(
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -2,6 +2,7 @@
 
 from masticquay_endpoints import errors as endpoint_errors
 from masticquay_routing import messages
+from masticquay_routing import server_loads
 
 Headers = list[tuple[str, str]]
 
@@ -22,10 +23,15 @@
     """An endpoint refused a request without running it.
 
     :param status: HTTP status of the refusal
-    :param load: running and waiting requests there, None if not reported
+    :param load: the load there, None if not reported
     """
 
-    def __init__(self, detail: str, status: int, load: int | None = None):
+    def __init__(
+        self,
+        detail: str,
+        status: int,
+        load: server_loads.ServerLoad | None = None,
+    ):
         super().__init__(detail)
         self.status = status
         self.load = load
@@ -42,6 +48,17 @@
         self.wait_ms = wait_ms
 
 
+class NoSlotError(GatewayError):
+    """No slot of a scarce service gets free in time; nothing was sent.
+
+    :param wait_ms: when the caller may try again
+    """
+
+    def __init__(self, wait_ms: int):
+        super().__init__('no slot of the service gets free in time')
+        self.wait_ms = wait_ms
+
+
 class WithheldError(GatewayError):
     """An engine that leaves or wants a pause got no request."""
 
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -1,5 +1,6 @@
 """Forwards requests to plain services, with retries where allowed."""
 
+import contextlib
 import logging
 import time
 
@@ -14,9 +15,11 @@
 from masticquay_gateway import ports
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
+from masticquay_gateway import slots
 from masticquay_routing import choosers
 from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
+from masticquay_routing import server_loads
 from masticquay_serving import counters
 from masticquay_serving import replies
 
@@ -32,6 +35,8 @@
 CAUSE_UNFINISHED = 'unfinished'
 # Or this host, which had no memory for the answer.
 CAUSE_MEMORY = 'memory'
+# With these an endpoint refuses what it has no room for.
+FULL_STATUSES = (429, 503)
 # Retry-After of requests that no endpoint ran.
 RETRY_AFTER_MS = 300
 
@@ -60,11 +65,13 @@
         endpoint_notices: notices.EndpointNotices,
         limits: endpoint_limits.EndpointLimits,
         watch: request_watches.RequestWatch,
+        endpoint_slots: slots.Slots,
         registry: counters.Registry,
     ):
         self._notices = endpoint_notices
         self._limits = limits
         self._watch = watch
+        self._slots = endpoint_slots
         self._state = state
         self._protocol = protocol
         self._paths = endpoint_paths
@@ -90,7 +97,14 @@
                     refused = _harmful_refusal(watched.wait_ms)
                     joined = ports.join_refusals(refusal, refused)
                     return error_response or joined
-                outcome = self._run_once(job, watched.is_trial)
+                try:
+                    outcome = self._run_once(job, watched.is_trial)
+                except errors.NoSlotError as cause:
+                    refused = ports.Refusal(
+                        ports.Reason.NOT_RUN, str(cause), cause.wait_ms
+                    )
+                    joined = ports.join_refusals(refusal, refused)
+                    return error_response or joined
                 watched.survived = isinstance(outcome, Response)
             if outcome is None:
                 break
@@ -112,14 +126,50 @@
         """Makes one attempt; returns None if no endpoint may get one.
 
         :param is_trial: whether no other copy of the request runs meanwhile
+        :raises NoSlotError: if the leader has no slot for it in time
+        """
+        with contextlib.ExitStack() as stack:
+            slot = self._ask_slot(job)
+            endpoint = None
+            if slot is not None:
+                stack.enter_context(slot)
+                endpoint = self._granted_endpoint(slot)
+            if endpoint is None:
+                stack.close()
+                slot = None
+                endpoint = self._choose(job)
+            if endpoint is None or job.remaining_ms <= 0:
+                return None
+            if job.tried_ids and not self._budgets.acquire(job.service):
+                return None
+            job.tried_ids.add(endpoint.endpoint_id)
+            return self._attempt(job, endpoint, is_trial, slot)
+
+    def _ask_slot(self, job: jobs.Job) -> slots.Slot | None:
+        """Asks for a slot if the service is scarce.
+
+        :returns: None if this host is to choose the endpoint
+        :raises NoSlotError: if the leader has no slot for it in time
         """
-        endpoint = self._choose(job)
-        if endpoint is None or job.remaining_ms <= 0:
+        if job.remaining_ms <= 0 or not self._slots.is_needed(job.service):
             return None
-        if job.tried_ids and not self._budgets.acquire(job.service):
+        listed = self._state.endpoints(job.service)
+        usable = [e for e in self._list_endpoints(job) if not e.leaving]
+        excluded_ids = self._excluded_ids(job, usable)
+        excluded_ids |= {e.endpoint_id for e in listed}.difference(
+            e.endpoint_id for e in usable
+        )
+        excluded_ids |= self._chooser.ejected_ids(usable, _now_ms())
+        if all(e.endpoint_id in excluded_ids for e in listed):
+            return None
+        return self._slots.ask(job, excluded_ids)
+
+    def _granted_endpoint(self, slot: slots.Slot) -> fleets.Endpoint | None:
+        """Returns the endpoint of a slot, None if it may not be used."""
+        endpoint = self._state.endpoint(slot.endpoint_id)
+        if endpoint is None or endpoint.leaving:
             return None
-        job.tried_ids.add(endpoint.endpoint_id)
-        return self._attempt(job, endpoint, is_trial)
+        return endpoint if self._limits.take(endpoint) else None
 
     def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
         """Returns the refusal of a request that no endpoint may get."""
@@ -146,8 +196,7 @@
     def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
         """Chooses an endpoint and takes a permit if it names a limit."""
         endpoints = self._list_endpoints(job)
-        excluded_ids = job.tried_ids | self._notices.withheld_ids(job.service)
-        excluded_ids |= self._limits.full_ids(endpoints)
+        excluded_ids = self._excluded_ids(job, endpoints)
         while True:
             endpoint = self._chooser.choose(
                 endpoints,
@@ -160,6 +209,13 @@
             # Another request has taken the last permit meanwhile.
             excluded_ids.add(endpoint.endpoint_id)
 
+    def _excluded_ids(
+        self, job: jobs.Job, endpoints: list[fleets.Endpoint]
+    ) -> set[str]:
+        """Returns the endpoints that must not get a request now."""
+        excluded_ids = job.tried_ids | self._notices.withheld_ids(job.service)
+        return excluded_ids | self._limits.full_ids(endpoints)
+
     def _list_endpoints(self, job: jobs.Job) -> list[fleets.Endpoint]:
         """Returns the endpoints that may run a request.
 
@@ -183,7 +239,11 @@
         )
 
     def _attempt(
-        self, job: jobs.Job, endpoint: fleets.Endpoint, is_trial: bool
+        self,
+        job: jobs.Job,
+        endpoint: fleets.Endpoint,
+        is_trial: bool,
+        slot: slots.Slot | None = None,
     ) -> Response | ports.Refusal:
         statistics = self._chooser.statistics(endpoint.endpoint_id)
         statistics.begin()
@@ -191,7 +251,7 @@
         started_s = time.monotonic()
         started_ms = _now_ms()
         try:
-            outcome = self._exchange(job, endpoint, statistics)
+            outcome = self._exchange(job, endpoint, statistics, slot)
         except exchanges.InterruptedCallError:
             raise
         except exchanges.NotSentError as cause:
@@ -203,7 +263,7 @@
                 RETRY_AFTER_MS,
             )
         except errors.NotRunError as cause:
-            outcome = self._record_refusal(statistics, cause)
+            outcome = self._record_refusal(endpoint, statistics, cause, slot)
         except errors.ResponseMismatchError as cause:
             statistics.record_failure(_now_ms())
             outcome = ports.Refusal(ports.Reason.UNKNOWN, str(cause))
@@ -252,6 +312,7 @@
         job: jobs.Job,
         endpoint: fleets.Endpoint,
         statistics: endpoint_statistics.EndpointStatistics,
+        slot: slots.Slot | None = None,
     ) -> Response:
         started_s = time.monotonic()
         purpose = ports.ExchangePurpose(job.call.call_id)
@@ -275,25 +336,44 @@
             head = self._checker.check(job.call.call_id, endpoint, exchange)
             body = exchange.read_body(MAX_RESPONSE_BYTES)
         now_ms = _now_ms()
-        if head.load is not None:
-            statistics.record_load(head.load, now_ms)
+        self._record_load(endpoint, statistics, head.load, slot)
         if head.status >= 500:
             statistics.record_error(now_ms)
         else:
-            statistics.record_success(
-                (time.monotonic() - started_s) * 1000, now_ms
-            )
+            duration_ms = (time.monotonic() - started_s) * 1000
+            statistics.record_success(duration_ms, now_ms)
+            if slot is not None:
+                slot.duration_ms = duration_ms
         return Response(head.status, head.headers, body)
 
+    def _record_load(
+        self,
+        endpoint: fleets.Endpoint,
+        statistics: endpoint_statistics.EndpointStatistics,
+        load: server_loads.ServerLoad | None,
+        slot: slots.Slot | None,
+    ) -> None:
+        if load is None:
+            return
+        statistics.record_load(load.in_flight, _now_ms())
+        self._slots.record_load(endpoint, load)
+        if slot is not None:
+            slot.load = load
+
     def _record_refusal(
         self,
+        endpoint: fleets.Endpoint,
         statistics: endpoint_statistics.EndpointStatistics,
         cause: errors.NotRunError,
+        slot: slots.Slot | None,
     ) -> ports.Refusal:
-        now_ms = _now_ms()
-        if cause.load is not None:
-            statistics.record_load(cause.load, now_ms)
-        statistics.record_refusal(now_ms)
+        self._record_load(endpoint, statistics, cause.load, slot)
+        statistics.record_refusal(_now_ms())
+        is_full = cause.status in FULL_STATUSES
+        if is_full and not self._notices.is_pausing(endpoint):
+            self._slots.record_full(endpoint)
+            if slot is not None:
+                slot.is_rejected = True
         return ports.Refusal(
             ports.Reason.NOT_RUN,
             str(cause),
--- a/libs/gateway/masticquay_gateway/host_reports.py
+++ b/libs/gateway/masticquay_gateway/host_reports.py
@@ -6,6 +6,7 @@
 from masticquay_routing import held_requests
 from masticquay_routing import messages
 from masticquay_routing import named_limits
+from masticquay_routing import slot_messages
 from masticquay_routing import stream_origins
 from masticquay_wire import messages as wire_messages
 
@@ -96,3 +97,9 @@
 
     def apply_limits(self, words: list[named_limits.LimitWord]) -> None:
         """Applies what the leader knows of them."""
+
+    def held_slots(self) -> slot_messages.HeldSlots | None:
+        """Returns the requests that asked for slots and have not ended."""
+
+    def apply_scarce(self, services: list[str]) -> None:
+        """Applies for which plain services hosts ask for slots."""
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -315,6 +315,7 @@
         self._report.set_exhausted(renewed.exhausted)
         self._report.apply_endpoint_views(renewed.endpoint_views)
         self._report.apply_limits(renewed.limits)
+        self._report.apply_scarce(renewed.scarce_services)
         self._report.apply_suspects(renewed.suspects)
         self._report.keep_origins(renewed.origins)
         if renewed.term == self._term and not self._must_report_streams:
@@ -373,6 +374,7 @@
             term=self._term,
             usage=usage.costs,
             usage_number=usage.number,
+            slots=self._report.held_slots(),
             running=running,
             endpoint_reports=(
                 [] if is_searching else self._report.collect_endpoint_reports()
--- a/libs/gateway/masticquay_gateway/ports.py
+++ b/libs/gateway/masticquay_gateway/ports.py
@@ -4,6 +4,7 @@
 import typing
 
 from masticquay_routing import fleets
+from masticquay_routing import server_loads
 from masticquay_serving import requests
 
 Headers = list[tuple[str, str]]
@@ -237,8 +238,7 @@
     :param not_run_mark: None without one
     :param has_stamp: whether it has the stamp of an endpoint that ran the
         request
-    :param load: number of running and waiting requests at the endpoint, None
-        if not reported
+    :param load: the endpoint's load, None if not reported
     :param headers: headers to pass on to the caller
     :param has_unclear_stamp: whether a stamp is empty, or several differ
     """
@@ -259,7 +259,7 @@
         answered_ids: frozenset[str],
         not_run_mark: NotRunMark | None,
         has_stamp: bool,
-        load: int | None,
+        load: server_loads.ServerLoad | None,
         headers: Headers,
         has_unclear_stamp: bool = False,
     ):
--- a/libs/gateway/tests/fakes.py
+++ b/libs/gateway/tests/fakes.py
@@ -1,5 +1,6 @@
 """Fakes of callers, endpoints and fleet state for the entry daemon."""
 
+from concurrent import futures
 import random
 import threading
 import time
@@ -16,6 +17,7 @@
 from masticquay_gateway import quarantines
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
+from masticquay_gateway import slots
 from masticquay_routing import choosers
 from masticquay_routing import endpoint_messages
 from masticquay_routing import fleets
@@ -237,6 +239,43 @@
     )
 
 
+class FakeSlotSource:
+    """Answers as the test sets, and keeps what it is told.
+
+    ``answers`` has an answer, an error or None for no answer for each
+    question.
+    """
+
+    def __init__(self, answers=(), reachable=True):
+        self.answers = list(answers)
+        self.is_reachable = reachable
+        self.asked = []
+        self.ended = []
+
+    def ask(self, ask, timeout_ms):
+        self.asked.append(ask)
+        answer = self.answers.pop(0)
+        future = futures.Future()
+        if isinstance(answer, Exception):
+            future.set_exception(answer)
+        elif answer is not None:
+            future.set_result(answer)
+        return future
+
+    def end(self, ended):
+        self.ended.append(ended)
+
+
+def make_slots(source=None, registry=None):
+    """Returns slots that come from the test."""
+    return slots.Slots(
+        'h1',
+        'p1',
+        source or FakeSlotSource(reachable=False),
+        registry or counters.Registry(),
+    )
+
+
 def make_forwarder(
     stack,
     state,
@@ -245,6 +284,7 @@
     registry=None,
     limits=None,
     watch=None,
+    endpoint_slots=None,
 ):
     """Returns a forwarder with connections of its own.
 
@@ -262,6 +302,7 @@
         endpoint_notices,
         limits or make_limits(state),
         watch or make_watch(),
+        endpoint_slots or make_slots(),
         registry or counters.Registry(),
     )
 
--- a/libs/gateway/tests/promise_plays.py
+++ b/libs/gateway/tests/promise_plays.py
@@ -298,6 +298,7 @@
             fakes.make_watch(
                 fakes.FakeTrials(self.options.trial_wait_ms), self.quarantine
             ),
+            fakes.make_slots(),
             self.registry,
         )
         streamer = streams.Streamer(
--- a/libs/gateway/tests/test_endless_answers.py
+++ b/libs/gateway/tests/test_endless_answers.py
@@ -50,6 +50,7 @@
             notices,
             fakes.make_limits(state),
             fakes.make_watch(),
+            fakes.make_slots(),
             self.registry,
         )
 
--- a/libs/gateway/tests/test_links.py
+++ b/libs/gateway/tests/test_links.py
@@ -88,6 +88,12 @@
     def apply_limits(self, words):
         pass
 
+    def held_slots(self):
+        return None
+
+    def apply_scarce(self, services):
+        self.scarce = services
+
     def apply_suspects(self, suspects):
         pass
 
--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -59,6 +59,19 @@
                 if endpoint_id not in listed_ids and not statistics.in_flight:
                     del self._statistics[endpoint_id]
 
+    def ejected_ids(
+        self, endpoints: list[fleets.Endpoint], now_ms: int
+    ) -> set[str]:
+        """Returns the endpoints that this host or the fleet has ejected."""
+        ejected_ids = set()
+        for endpoint in endpoints:
+            statistics = self.statistics(endpoint.endpoint_id)
+            if statistics.is_ejected(now_ms) or statistics.is_ejected_by_fleet(
+                now_ms
+            ):
+                ejected_ids.add(endpoint.endpoint_id)
+        return ejected_ids
+
     def collect_reports(self) -> list[messages.EndpointReport]:
         """Returns the reports on the endpoints used since the last call."""
         with self._lock:
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -5,6 +5,7 @@
 from masticquay_routing import held_requests
 from masticquay_routing import named_limits
 from masticquay_routing import renewals
+from masticquay_routing import slot_messages
 from masticquay_routing import stream_origins
 from masticquay_wire import messages
 from masticquay_wire import records
@@ -149,6 +150,8 @@
         an earlier release
     :param usage_number: identifies ``usage``, which is repeated until it is
         confirmed; 0 if it is not repeated
+    :param slots: the requests for which the host has asked for slots, None if
+        there were none recently
     """
 
     __slots__ = (
@@ -172,6 +175,7 @@
         'link_address',
         'held',
         'usage_number',
+        'slots',
     )
 
     def __init__(
@@ -196,6 +200,7 @@
         link_address: str = '',
         held: held_requests.HeldRequests | None = None,
         usage_number: int = 0,
+        slots: slot_messages.HeldSlots | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -217,6 +222,7 @@
         self.link_address = link_address
         self.held = held
         self.usage_number = usage_number
+        self.slots = slots
 
 
 @messages.register
@@ -249,6 +255,7 @@
     :param origins: the origins of streams that began on other hosts, which
         this host should keep for the next leader
     :param renew_interval_ms: the time until the host's next renewal
+    :param scarce_services: the plain services for which hosts ask for slots
     """
 
     __slots__ = (
@@ -261,6 +268,7 @@
         'suspects',
         'origins',
         'renew_interval_ms',
+        'scarce_services',
     )
 
     def __init__(
@@ -274,6 +282,7 @@
         suspects: list[str] | None = None,
         origins: list[stream_origins.StreamOrigin] | None = None,
         renew_interval_ms: int = renewals.MIN_INTERVAL_MS,
+        scarce_services: list[str] | None = None,
     ):
         self.term = term
         self.controls = controls
@@ -284,6 +293,7 @@
         self.suspects = suspects or []
         self.origins = origins or []
         self.renew_interval_ms = renew_interval_ms
+        self.scarce_services = scarce_services or []
 
 
 @messages.register
