--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -133,7 +133,7 @@
             endpoint = None
             if slot is not None:
                 stack.enter_context(slot)
-                endpoint = self._granted_endpoint(slot)
+                endpoint = self._granted_endpoint(job, slot)
             if endpoint is None:
                 stack.close()
                 slot = None
@@ -164,11 +164,15 @@
             return None
         return self._slots.ask(job, excluded_ids)
 
-    def _granted_endpoint(self, slot: slots.Slot) -> fleets.Endpoint | None:
+    def _granted_endpoint(
+        self, job: jobs.Job, slot: slots.Slot
+    ) -> fleets.Endpoint | None:
         """Returns the endpoint of a slot, None if it may not be used."""
         endpoint = self._state.endpoint(slot.endpoint_id)
         if endpoint is None or endpoint.leaving:
             return None
+        if endpoint.endpoint_id in job.tried_ids:
+            return None
         return endpoint if self._limits.take(endpoint) else None
 
     def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
--- a/libs/gateway/masticquay_gateway/slots.py
+++ b/libs/gateway/masticquay_gateway/slots.py
@@ -28,6 +28,8 @@
 UNANSWERED_PAUSE_MS = 300
 # Slots are asked for until this time after the last sign of scarcity.
 SCARCE_MS = 3_000
+# Missing answers are logged once in this time.
+LOG_INTERVAL_MS = 10_000
 # The leader is told which requests have not ended until this time after the
 # last one asked for a slot.
 REPORT_MS = 10_000
@@ -141,6 +143,7 @@
         self._lock = threading.Lock()
         self._scarce_until_ms: dict[str, int] = {}
         self._paused_until_ms = 0
+        self._logged_ms = -LOG_INTERVAL_MS
         self._newest_number = random.getrandbits(NUMBER_BITS)
         self._held: dict[int, _Held] = {}
         self._asked_ms = -REPORT_MS
@@ -281,12 +284,13 @@
             return None
 
     def _pause(self, job: jobs.Job, cause: Exception) -> None:
-        """Does not ask for a while; logs only the first of several causes."""
+        """Does not ask for a while, and logs the cause now and then."""
         now_ms = _now_ms()
         self._count('unanswered', job.service)
-        if now_ms < self._paused_until_ms:
-            return
         self._paused_until_ms = now_ms + UNANSWERED_PAUSE_MS
+        if now_ms - self._logged_ms < LOG_INTERVAL_MS:
+            return
+        self._logged_ms = now_ms
         LOG.warning(
             'no slot from the leader',
             extra={
--- /dev/null
+++ b/libs/gateway/tests/test_slots.py
@@ -0,0 +1,197 @@
+"""Tests of asking the leader for slots of scarce plain services."""
+
+import contextlib
+import threading
+import unittest
+
+from masticquay_gateway import exchanges
+from masticquay_gateway import ports
+from masticquay_routing import fleets
+from masticquay_routing import server_loads
+from masticquay_routing import slot_messages
+from masticquay_serving import counters
+from masticquay_wire import errors as wire_errors
+from masticquay_wire import listeners
+from tests import fakes
+
+
+class SlotsTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.registry = counters.Registry()
+        self.source = fakes.FakeSlotSource()
+        self.slots = fakes.make_slots(self.source, self.registry)
+        self.endpoints = []
+
+    def make_forwarder(self, *answers):
+        self.endpoints = [
+            fakes.FakeEndpoint(self.stack, number, answer)
+            for number, answer in enumerate(answers)
+        ]
+        state = fakes.FakeState([e.endpoint for e in self.endpoints])
+        self.notices = fakes.make_notices(state)
+        return fakes.make_forwarder(
+            self.stack, state, self.notices, endpoint_slots=self.slots
+        )
+
+    def run_job(self, *slot_answers, endpoints=2, **route_fields):
+        """Runs a request of a scarce service, with the leader's answers."""
+        self.source.answers += slot_answers
+        forwarder = self.make_forwarder(
+            *[fakes.send_matching_response] * endpoints
+        )
+        self.slots.apply_scarce(['svc'])
+        return forwarder.run(fakes.make_job(fakes.make_route(**route_fields)))
+
+    def refuse(self, request, reply):
+        fakes.send_matching_response(request, reply, 503, [('Not-Run', '1')])
+
+    def test_request_goes_where_it_has_a_slot_and_frees_it(self):
+        for endpoint_id in ('e1', 'e0', 'e1'):
+            answer = slot_messages.SlotAnswer(endpoint_id)
+            response = self.run_job(answer)
+            self.assertEqual(200, response.status)
+            ended = self.source.ended.pop()
+            self.assertEqual(self.source.asked[-1].number, ended.number)
+            self.assertGreater(ended.duration_ms, 0)
+            used = self.endpoints[int(endpoint_id[1])]
+            self.assertEqual(1, len(used.requests))
+        self.assertEqual([], self.slots.report().slots)
+
+    def test_nothing_is_asked_while_the_service_is_not_scarce(self):
+        forwarder = self.make_forwarder(fakes.send_matching_response)
+        forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertEqual([], self.source.asked)
+
+    def test_nothing_is_asked_without_a_leader(self):
+        self.source.is_reachable = False
+        self.assertEqual(200, self.run_job().status)
+        self.assertEqual([], self.source.asked)
+
+    def check_own_choice(self, slot_answer):
+        """Checks that the host chooses, and does not ask for a while."""
+        self.assertEqual(200, self.run_job(slot_answer).status)
+        self.assertFalse(self.slots.is_needed('svc'))
+        # The leader may have granted a slot meanwhile.
+        self.assertEqual(1, len(self.source.ended))
+        self.assertIn('outcome="unanswered"', self.registry.render())
+
+    def test_host_chooses_if_the_leader_is_of_an_earlier_release(self):
+        self.check_own_choice(
+            wire_errors.RemoteError(listeners.CODE_BAD_MESSAGE, 'unknown')
+        )
+
+    def test_host_chooses_if_the_link_is_lost(self):
+        self.check_own_choice(wire_errors.PeerUnavailableError('lost'))
+
+    def test_host_chooses_if_no_answer_comes(self):
+        self.check_own_choice(None)
+
+    def test_host_chooses_if_the_leader_has_no_part_in_the_choice(self):
+        self.assertEqual(200, self.run_job(slot_messages.SlotAnswer()).status)
+
+    def test_host_chooses_if_the_endpoint_of_the_slot_is_not_listed(self):
+        answer = slot_messages.SlotAnswer('gone')
+        self.assertEqual(200, self.run_job(answer).status)
+        self.assertEqual(1, len(self.source.ended))
+
+    def test_request_that_waits_is_asked_on_for_under_its_number(self):
+        response = self.run_job(
+            slot_messages.SlotAnswer(wait_ms=50),
+            slot_messages.SlotAnswer('e0'),
+        )
+        self.assertEqual(200, response.status)
+        first, second = self.source.asked
+        self.assertEqual(first.number, second.number)
+
+    def test_request_without_a_slot_in_time_is_refused_as_not_run(self):
+        refusal = self.run_job(slot_messages.SlotAnswer(return_ms=700))
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertEqual(700, refusal.retry_after_ms)
+        self.assertFalse(any(e.requests for e in self.endpoints))
+
+    # Guards against a false promise: the first attempt may have run.
+    def test_refusal_after_a_lost_response_promises_nothing(self):
+        self.source.answers = [
+            slot_messages.SlotAnswer('e0'),
+            slot_messages.SlotAnswer(return_ms=700),
+        ]
+        forwarder = self.make_forwarder(
+            lambda request, reply: reply.abort(),
+            fakes.send_matching_response,
+        )
+        self.slots.apply_scarce(['svc'])
+        refusal = forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertIs(ports.Reason.UNKNOWN, refusal.reason)
+
+    def test_rejected_request_asks_again_without_that_endpoint(self):
+        self.source.answers = [
+            slot_messages.SlotAnswer('e0'),
+            slot_messages.SlotAnswer('e1'),
+        ]
+        forwarder = self.make_forwarder(
+            self.refuse, fakes.send_matching_response
+        )
+        self.slots.apply_scarce(['svc'])
+        response = forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertEqual(200, response.status)
+        self.assertEqual(['e0'], self.source.asked[1].tried_ids)
+        rejected = [ended.is_rejected for ended in self.source.ended]
+        self.assertEqual([True, False], rejected)
+
+    # Guards against a request that is sent to one endpoint twice.
+    def test_slot_of_an_endpoint_that_was_tried_is_not_used(self):
+        self.source.answers = [slot_messages.SlotAnswer('e0')] * 2
+        forwarder = self.make_forwarder(
+            self.refuse, fakes.send_matching_response
+        )
+        self.slots.apply_scarce(['svc'])
+        response = forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertEqual(200, response.status)
+        self.assertEqual(1, len(self.endpoints[0].requests))
+
+    def test_caller_that_leaves_frees_what_it_waits_for(self):
+        self.source.answers = [None]
+        forwarder = self.make_forwarder(fakes.send_matching_response)
+        self.slots.apply_scarce(['svc'])
+        job = fakes.make_job(fakes.make_route())
+        timer = threading.Timer(0.03, job.interrupt.fire, ['left'])
+        timer.start()
+        self.addCleanup(timer.join)
+        with self.assertRaises(exchanges.InterruptedCallError):
+            forwarder.run(job)
+        [ended] = self.source.ended
+        self.assertEqual(self.source.asked[0].number, ended.number)
+        self.assertEqual([], self.endpoints[0].requests)
+
+    def test_unusable_endpoints_are_excluded(self):
+        self.source.answers = [slot_messages.SlotAnswer('e1')]
+        forwarder = self.make_forwarder(*[fakes.send_matching_response] * 2)
+        self.endpoints[0].endpoint.leaving = True
+        self.slots.apply_scarce(['svc'])
+        forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertEqual(['e0'], self.source.asked[0].tried_ids)
+
+    def test_full_or_busy_endpoint_makes_its_service_scarce(self):
+        endpoint = fleets.Endpoint('e0', 'svc', '127.0.0.1:1', 'p1', 4)
+        for running, is_scarce in ((2, False), (3, True)):
+            load = server_loads.ServerLoad(running, 0)
+            self.slots.record_load(endpoint, load)
+            self.assertEqual(is_scarce, self.slots.is_needed('svc'))
+        self.slots = fakes.make_slots(self.source)
+        self.source.answers = [slot_messages.SlotAnswer()]
+        forwarder = self.make_forwarder(self.refuse, self.refuse)
+        forwarder.run(fakes.make_job(fakes.make_route()))
+        self.assertEqual(1, len(self.source.asked))
+
+    def test_renewal_names_requests_that_have_not_ended(self):
+        self.assertIsNone(self.slots.report())
+        self.source.answers = [slot_messages.SlotAnswer('e0')]
+        job = fakes.make_job(fakes.make_route())
+        with self.slots.ask(job, set()) as slot:
+            report = self.slots.report()
+            self.assertEqual(slot.number, report.newest)
+            [held] = report.slots
+            self.assertEqual('e0', held.endpoint_id)
+        self.assertEqual([], self.slots.report().slots)
--- /dev/null
+++ b/libs/routing/masticquay_routing/slot_choosers.py
@@ -0,0 +1,89 @@
+"""Chooses the endpoint of which a request gets a slot."""
+
+import random
+
+from masticquay_routing import service_levels
+from masticquay_routing import slot_queues
+from masticquay_routing import slot_servers
+from masticquay_routing import work_times
+
+# Endpoints whose work times differ by less than this factor count as equal, so
+# that the less loaded one is chosen.
+NEAR_FACTOR = 1.25
+OTHER_PLACE_COST_MS = 3.0
+# A nearly full endpoint is slower than an idle one by this.
+LOAD_COST_MS = 10.0
+# The least part of its equal share of an endpoint of usual speed.
+MIN_SHARE = 0.25
+
+Servers = list[slot_servers.SlotServer]
+
+
+class SlotChooser:
+    """Chooses by the work times of the endpoints."""
+
+    def __init__(
+        self, works: work_times.ServiceWorkTimes, randomness: random.Random
+    ):
+        self._works = works
+        self._random = randomness
+
+    def least_work_ms(self, servers: Servers, now_ms: int) -> float:
+        """Returns how long work takes at the quickest endpoint."""
+        return min(self._work_ms(server, now_ms) for server in servers)
+
+    def rate_per_ms(self, servers: Servers, now_ms: int) -> float:
+        """Returns how many slots get free in a millisecond."""
+        return sum(s.slots / self._work_ms(s, now_ms) for s in servers)
+
+    def choose(
+        self,
+        request: slot_queues.SlotRequest,
+        usable: Servers,
+        now_ms: int,
+    ) -> slot_servers.SlotServer | None:
+        """Returns the free endpoint that will probably finish first.
+
+        :param usable: the endpoints that may get requests
+        :returns: None if none is free
+        """
+        free = [
+            server
+            for server in usable
+            if server.endpoint.endpoint_id not in request.tried_ids
+            and server.free(now_ms)
+        ]
+        if not free:
+            return None
+        least_ms = self.least_work_ms(free, now_ms)
+
+        def cost_ms(server: slot_servers.SlotServer) -> tuple[float, float]:
+            work_ms = self._work_ms(server, now_ms)
+            if work_ms < NEAR_FACTOR * least_ms:
+                work_ms = least_ms
+            if server.endpoint.place != request.place:
+                work_ms += OTHER_PLACE_COST_MS
+            share = server.occupied(now_ms) / server.slots
+            return work_ms + LOAD_COST_MS * share, self._random.random()
+
+        neglected = self._find_neglected(free, usable, now_ms)
+        return min(neglected or free, key=cost_ms)
+
+    def _find_neglected(
+        self, free: Servers, usable: Servers, now_ms: int
+    ) -> Servers:
+        """Returns endpoints of usual speed with too small a share."""
+        total = sum(s.recent_grants(now_ms) for s in usable)
+        least_share = MIN_SHARE * total / len(usable)
+        usual_ms = service_levels.NEAR_FACTOR * self.least_work_ms(
+            usable, now_ms
+        )
+        return [
+            s
+            for s in free
+            if s.recent_grants(now_ms) < least_share
+            and self._work_ms(s, now_ms) < usual_ms
+        ]
+
+    def _work_ms(self, server: slot_servers.SlotServer, now_ms: int) -> float:
+        return self._works.expected_ms(server.endpoint.endpoint_id, now_ms)
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -7,7 +7,7 @@
 
 from masticquay_routing import fleets
 from masticquay_routing import server_loads
-from masticquay_routing import service_levels
+from masticquay_routing import slot_choosers
 from masticquay_routing import slot_messages
 from masticquay_routing import slot_queues
 from masticquay_routing import slot_servers
@@ -19,19 +19,17 @@
 # A waiting request whose host does not ask on in this time has been given up.
 ASK_ON_MS = 300
 MIN_WAIT_MS = 20
-# Endpoints whose work times differ by less than this factor count as equal, so
-# that the less loaded one is chosen.
-NEAR_FACTOR = 1.25
-OTHER_PLACE_COST_MS = 3.0
-# A nearly full endpoint is slower than an idle one by this.
-LOAD_COST_MS = 10.0
-# The least part of its equal share of an endpoint of usual speed.
-MIN_SHARE = 0.25
 # Refused callers return at this part of the rate at which slots get free, as
 # other requests arrive meanwhile.
 RETURN_RATE_SHARE = 0.5
 RETURN_MIN_MS = 300
 RETURN_MAX_MS = 4_000
+# A request is refused if its deadline comes before this part of the expected
+# work is done, as work varies.
+HOPELESS_WORK_SHARE = 0.5
+# From this part of its endpoints on, busy ones make a service scarce. In large
+# services some always are, and the others have room.
+SCARCE_ENDPOINTS_SHARE = 0.25
 # A service is scarce until this time after the last sign of it.
 SCARCE_TTL_MS = 1_000
 # How long the end of a request is remembered, as an account of the requests
@@ -64,10 +62,12 @@
     """
 
     def __init__(self, randomness: random.Random | None = None):
-        self._random = randomness or random.Random()
         self._servers: dict[str, slot_servers.SlotServer] = {}
         self._queue = slot_queues.SlotQueue()
         self._works = work_times.ServiceWorkTimes()
+        self._chooser = slot_choosers.SlotChooser(
+            self._works, randomness or random.Random()
+        )
         # When the host of a waiting request gets an answer at the latest.
         self._answer_by_ms: dict[RequestKey, int] = {}
         # When one that got such an answer is given up.
@@ -138,9 +138,8 @@
         servers = self._usable_servers(request, now_ms)
         if not servers:
             return slot_messages.SlotAnswer()
-        finish_ms = self._wait_ms(request, now_ms)
-        finish_ms += self._least_work_ms(servers, now_ms)
-        if now_ms + finish_ms > request.deadline_by_ms:
+        start_ms = now_ms + self._wait_ms(request, now_ms)
+        if self._is_hopeless(request, servers, start_ms, now_ms):
             return self._refuse(servers, now_ms)
         self._queue.add(request)
         self._await_answer(key, now_ms + HOLD_MS)
@@ -263,7 +262,9 @@
             self._works.learn(endpoint_id, latency_ms, 0, now_ms)
 
     def _look_for_scarcity(self, now_ms: int) -> None:
-        if any(s.is_scarce(now_ms) for s in self._servers.values()):
+        usable = [s for s in self._servers.values() if s.is_usable(now_ms)]
+        scarce = sum(s.is_scarce(now_ms) for s in usable)
+        if scarce and scarce >= SCARCE_ENDPOINTS_SHARE * len(usable):
             self._scarce_until_ms = now_ms + SCARCE_TTL_MS
 
     def _await_answer(self, key: RequestKey, by_ms: int) -> None:
@@ -300,29 +301,29 @@
             and server.is_usable(now_ms)
         ]
 
-    def _work_ms(self, server: slot_servers.SlotServer, now_ms: int) -> float:
-        return self._works.expected_ms(server.endpoint.endpoint_id, now_ms)
-
-    def _least_work_ms(
-        self, servers: list[slot_servers.SlotServer], now_ms: int
-    ) -> float:
-        return min(self._work_ms(server, now_ms) for server in servers)
-
     def _wait_ms(self, request: slot_queues.SlotRequest, now_ms: int) -> float:
         """Returns how long a request probably waits for a slot."""
         servers = self._usable_servers(request, now_ms)
         if not servers:
             return 0.0
-        work_ms = self._least_work_ms(servers, now_ms)
+        work_ms = self._chooser.least_work_ms(servers, now_ms)
         ahead = self._queue.count_before(request, work_ms, now_ms)
         free = sum(server.free(now_ms) for server in servers)
-        return max(0, ahead + 1 - free) / self._rate_per_ms(servers, now_ms)
+        return max(0, ahead + 1 - free) / self._chooser.rate_per_ms(
+            servers, now_ms
+        )
 
-    def _rate_per_ms(
-        self, servers: list[slot_servers.SlotServer], now_ms: int
-    ) -> float:
-        """Returns how many slots get free in a millisecond."""
-        return sum(s.slots / self._work_ms(s, now_ms) for s in servers)
+    def _is_hopeless(
+        self,
+        request: slot_queues.SlotRequest,
+        servers: list[slot_servers.SlotServer],
+        start_ms: float,
+        now_ms: int,
+    ) -> bool:
+        """Whether a request that starts then ends after its deadline."""
+        work_ms = self._chooser.least_work_ms(servers, now_ms)
+        end_ms = start_ms + HOPELESS_WORK_SHARE * work_ms
+        return end_ms > request.deadline_by_ms
 
     def _refuse(
         self, servers: list[slot_servers.SlotServer], now_ms: int
@@ -330,7 +331,7 @@
         """Refuses a request; the callers return one after the other."""
         self.totals.refused += 1
         self._scarce_until_ms = now_ms + SCARCE_TTL_MS
-        rate_per_ms = self._rate_per_ms(servers, now_ms)
+        rate_per_ms = self._chooser.rate_per_ms(servers, now_ms)
         first_ms = now_ms + RETURN_MIN_MS
         at_ms = max(first_ms, self._next_return_ms)
         if at_ms > now_ms + RETURN_MAX_MS:
@@ -347,22 +348,20 @@
                 self._drop_waiting(key)
                 outcomes.append((key, slot_messages.SlotAnswer()))
                 continue
-            work_ms = self._least_work_ms(servers, now_ms)
-            if now_ms + work_ms > request.deadline_by_ms:
+            if self._is_hopeless(request, servers, now_ms, now_ms):
                 self._drop_waiting(key)
                 outcomes.append((key, self._refuse(servers, now_ms)))
 
     def _grant_next(self, outcomes: list[Outcome], now_ms: int) -> bool:
         """Grants one slot; returns whether there was one to grant."""
-        free = [s for s in self._servers.values() if s.free(now_ms)]
-        if not free or not self._answer_by_ms:
-            return False
         usable = [s for s in self._servers.values() if s.is_usable(now_ms)]
-        work_ms = self._least_work_ms(usable, now_ms)
+        if not self._answer_by_ms or not any(s.free(now_ms) for s in usable):
+            return False
+        work_ms = self._chooser.least_work_ms(usable, now_ms)
         for request in self._queue.order(work_ms, now_ms):
             if request.key not in self._answer_by_ms:
                 continue
-            server = self._choose(request, free, now_ms)
+            server = self._chooser.choose(request, usable, now_ms)
             if server is None:
                 continue
             if now_ms > request.asked_ms:
@@ -377,49 +376,6 @@
             return True
         return False
 
-    def _choose(
-        self,
-        request: slot_queues.SlotRequest,
-        free: list[slot_servers.SlotServer],
-        now_ms: int,
-    ) -> slot_servers.SlotServer | None:
-        """Returns the free endpoint that will probably finish first."""
-        candidates = [
-            s for s in free if s.endpoint.endpoint_id not in request.tried_ids
-        ]
-        if not candidates:
-            return None
-        neglected = self._find_neglected(candidates, now_ms)
-        least_ms = self._least_work_ms(candidates, now_ms)
-
-        def cost_ms(server: slot_servers.SlotServer) -> tuple[float, float]:
-            work_ms = self._work_ms(server, now_ms)
-            if work_ms < NEAR_FACTOR * least_ms:
-                work_ms = least_ms
-            if server.endpoint.place != request.place:
-                work_ms += OTHER_PLACE_COST_MS
-            share = server.occupied(now_ms) / server.slots
-            return work_ms + LOAD_COST_MS * share, self._random.random()
-
-        return min(neglected or candidates, key=cost_ms)
-
-    def _find_neglected(
-        self, candidates: list[slot_servers.SlotServer], now_ms: int
-    ) -> list[slot_servers.SlotServer]:
-        """Returns endpoints of usual speed with too small a share."""
-        usable = [s for s in self._servers.values() if s.is_usable(now_ms)]
-        total = sum(s.recent_grants(now_ms) for s in usable)
-        least_share = MIN_SHARE * total / len(usable)
-        usual_ms = service_levels.NEAR_FACTOR * self._least_work_ms(
-            usable, now_ms
-        )
-        return [
-            s
-            for s in candidates
-            if s.recent_grants(now_ms) < least_share
-            and self._work_ms(s, now_ms) < usual_ms
-        ]
-
 
 def is_busy_load(load: server_loads.ServerLoad, slots: int) -> bool:
     """Whether a reported load makes an endpoint scarce."""
--- a/libs/routing/masticquay_routing/slot_queues.py
+++ b/libs/routing/masticquay_routing/slot_queues.py
@@ -117,7 +117,7 @@
         """Returns how many waiting requests come before a request."""
         rank = _rank(request, work_ms, now_ms)
         return sum(
-            _rank(other, work_ms, now_ms) < rank
+            _rank(other, work_ms, now_ms) <= rank
             for other in self._requests.values()
             if other is not request
         )
--- a/libs/routing/tests/slot_benches.py
+++ b/libs/routing/tests/slot_benches.py
@@ -35,6 +35,8 @@
         )
         self.work_ms = work_ms
         self.rng = rng
+        # How many times as long its work takes.
+        self.slowness = 1.0
         self.running = 0
         self.arrivals = 0
         self.rejections = 0
@@ -46,9 +48,8 @@
             self.rejections += 1
             return None
         self.running += 1
-        return self.work_ms * self.rng.uniform(
-            1 - WORK_SPREAD, 1 + WORK_SPREAD
-        )
+        spread = self.rng.uniform(1 - WORK_SPREAD, 1 + WORK_SPREAD)
+        return self.work_ms * self.slowness * spread
 
 
 class Request:
