A slow pace that an endpoint reports raises its cost at the host

The fourth figure of the load header tells how long work takes now. A host that asks for no slots did not use it. A pace above the usual now raises the expected latency, with a half-life of 150 ms, as it changes many times a second. One below the usual attracts nothing, so that hosts do not go there all at once.

--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -359,7 +359,7 @@
     ) -> None:
         if load is None:
             return
-        statistics.record_load(load.in_flight, _now_ms())
+        statistics.record_load(load.in_flight, _now_ms(), load.believed_pace)
         self._slots.record_load(endpoint, load)
         if slot is not None:
             slot.load = load
--- a/libs/routing/masticquay_routing/endpoint_statistics.py
+++ b/libs/routing/masticquay_routing/endpoint_statistics.py
@@ -3,6 +3,7 @@
 import threading
 
 from masticquay_routing import messages
+from masticquay_routing import server_loads
 from masticquay_routing import service_levels
 
 # Weights of a new sample in the moving averages.
@@ -21,6 +22,8 @@
 SPILL_SHARE = 0.7
 # A reported load counts less with age, and not at all after this time.
 LOAD_REPORT_TTL_MS = 1_000
+# Half-life of a pace above the usual. It changes many times a second.
+PACE_HALF_LIFE_MS = 150
 # What the fleet knows of an endpoint counts for this long.
 VIEW_TTL_MS = 1_000
 EJECT_AFTER_FAILURES = 2
@@ -51,6 +54,8 @@
         'unreachable',
         'other_load',
         'load_reported_ms',
+        'pace',
+        'pace_reported_ms',
         '_lock',
         '_view',
         '_view_ms',
@@ -77,6 +82,8 @@
         self.unreachable = False
         self.other_load = 0
         self.load_reported_ms = -LOAD_REPORT_TTL_MS
+        self.pace = 0
+        self.pace_reported_ms = 0
         self._lock = threading.Lock()
         self._view: messages.EndpointView | None = None
         self._view_ms = 0
@@ -144,11 +151,16 @@
             if last_ms is None or last_ms < started_ms:
                 self._record_failure(now_ms, unreachable=True)
 
-    def record_load(self, load: int, now_ms: int) -> None:
-        """Records the number of requests in flight at the endpoint."""
+    def record_load(self, load: int, now_ms: int, pace: int = 0) -> None:
+        """Records the number of requests in flight at the endpoint.
+
+        :param pace: see ``server_loads.ServerLoad``, 0 if it is not known
+        """
         with self._lock:
             self.other_load = max(0, load - self.in_flight)
             self.load_reported_ms = now_ms
+            self.pace = pace
+            self.pace_reported_ms = now_ms
 
     def apply_view(self, view: messages.EndpointView, now_ms: int) -> None:
         """Applies what all hosts together know of the endpoint."""
@@ -219,7 +231,10 @@
         :param usual: what is usual among the endpoints of the service
         """
         latency_ms = usual.round_latency_ms(
-            self._expected_latency_ms(now_ms, usual.latency_ms)
+            max(
+                self._expected_latency_ms(now_ms, usual.latency_ms),
+                usual.latency_ms * self._pace_factor(now_ms),
+            )
         )
         load = self.in_flight + self._other_load(now_ms)
         queueing_factor = max(1.0, (load + 1) / max(1, slots * SPILL_SHARE))
@@ -241,6 +256,18 @@
         weight = self._latency_weight(now_ms)
         return usual_ms + weight * (latency_ms - usual_ms)
 
+    def _pace_factor(self, now_ms: int) -> float:
+        """Returns how many times as long as usual work takes, at least 1.
+
+        A pace below the usual attracts nothing: many hosts would hear of it
+        at the same time, and it is over when their requests arrive.
+        """
+        excess = self.pace / server_loads.USUAL_PACE - 1
+        if excess <= 0:
+            return 1.0
+        age_ms = max(0, now_ms - self.pace_reported_ms)
+        return 1 + excess * 0.5 ** (age_ms / PACE_HALF_LIFE_MS)
+
     def _latency_weight(self, now_ms: int) -> float:
         age_ms = max(0, now_ms - self.latency_updated_ms)
         return 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
--- a/libs/routing/masticquay_routing/server_loads.py
+++ b/libs/routing/masticquay_routing/server_loads.py
@@ -4,6 +4,9 @@
 
 # The pace of usual work.
 USUAL_PACE = 100
+# The pace is believed within these limits.
+MIN_PACE = 10
+MAX_PACE = 2_000
 
 
 class ServerLoad(records.Record):
@@ -30,3 +33,8 @@
     def in_flight(self) -> int:
         """The number of running and waiting requests together."""
         return self.running + self.waiting
+
+    @property
+    def believed_pace(self) -> int:
+        """The pace, 0 if it is not reported or cannot be true."""
+        return self.pace if MIN_PACE <= self.pace <= MAX_PACE else 0
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -35,9 +35,6 @@
 # How long the end of a request is remembered, as an account of the requests
 # of its host may arrive after it.
 ENDED_TTL_MS = 3_000
-# The pace is believed within these limits.
-MIN_PACE = 10
-MAX_PACE = 2_000
 
 RequestKey = slot_queues.RequestKey
 Outcome = tuple[RequestKey, slot_messages.SlotAnswer]
@@ -285,8 +282,7 @@
         pace = 0
         if ended.load is not None:
             server.record_load(ended.load, now_ms)
-            if MIN_PACE <= ended.load.pace <= MAX_PACE:
-                pace = ended.load.pace
+            pace = ended.load.believed_pace
         self._works.learn(
             server.endpoint.endpoint_id, ended.duration_ms, pace, now_ms
         )
--- a/libs/routing/tests/test_choosers.py
+++ b/libs/routing/tests/test_choosers.py
@@ -39,6 +39,26 @@
         later = {self.choose(5_000).endpoint_id for _ in range(50)}
         self.assertEqual({'e0', 'e1', 'e2'}, later)
 
+    def record_paces(self, *paces):
+        for endpoint, pace in zip(self.endpoints, paces, strict=True):
+            statistics = self.chooser.statistics(endpoint.endpoint_id)
+            statistics.record_success(90.0, 0)
+            statistics.record_load(0, 0, pace)
+
+    def test_endpoint_at_a_slow_pace_is_avoided_for_a_moment(self):
+        """The pace changes many times a second."""
+        self.record_paces(250, 100, 100)
+        chosen = {self.choose(50).endpoint_id for _ in range(50)}
+        self.assertEqual({'e1', 'e2'}, chosen)
+        later = {self.choose(500).endpoint_id for _ in range(50)}
+        self.assertEqual({'e0', 'e1', 'e2'}, later)
+
+    # Guards against herds: all hosts that hear of it would go there at once.
+    def test_quick_pace_attracts_no_requests(self):
+        self.record_paces(20, 100, 100)
+        chosen = {self.choose(10).endpoint_id for _ in range(50)}
+        self.assertEqual({'e0', 'e1', 'e2'}, chosen)
+
     def test_partly_failing_endpoint_is_not_chosen(self):
         """Some requests fail although the health check passes."""
         statistics = self.chooser.statistics('e0')
