Slots: endpoints that fail get few, and the leader's time is bounded

An endpoint that fails at once has free slots sooner than others, so the pool would have sent it most requests. Hosts tell which requests failed; an endpoint whose recent failure rate is 0.4 above the lowest gets no slots until that has aged. Of more than 300 requests in a second, the leader leaves the rest to their hosts, which do not ask for 0.3 s then. Work times are computed once in a millisecond.

Evidence: routing tests.test_slot_pools, gateway tests.test_slots, coordination tests.test_slot_services, one new test each.

--- a/libs/coordination/masticquay_coordination/slot_services.py
+++ b/libs/coordination/masticquay_coordination/slot_services.py
@@ -16,6 +16,9 @@
 # A service that is not scarce for this long is logged as such. Hosts ask for
 # slots for as long after the last sign.
 SCARCE_END_MS = 3_000
+# More requests in a second are left to their hosts, as each costs the leader
+# about half a millisecond of processor time.
+MAX_ASKED_PER_S = 300
 # The signs are looked for at short intervals.
 RECENT_SIGN_MS = 300
 
@@ -35,6 +38,9 @@
         # The services that are scarce, with the time of the last sign.
         self._scarce_ms: dict[str, int] = {}
         self._lost_count = 0
+        self._declined_count = 0
+        self._asked_since_ms = clock.now_ms()
+        self._asked_count = 0
 
     def set_endpoints(self, endpoints: list[fleets.Endpoint]) -> None:
         """Applies the endpoint list."""
@@ -81,7 +87,7 @@
         now_ms = self._clock.now_ms()
         with self._lock:
             pool = self._pools.get(ask.service)
-            if pool is None:
+            if pool is None or not self._has_time(now_ms):
                 return slot_messages.SlotAnswer()
             answer = pool.ask(ask, now_ms)
             if answer is not None:
@@ -201,8 +207,20 @@
                 ),
                 'slots_rejected': sum(p.totals.rejected for p in pools),
                 'slots_lost': self._lost_count,
+                'slots_declined': self._declined_count,
             }
 
+    def _has_time(self, now_ms: int) -> bool:
+        """Counts a request; returns whether this second has time for it."""
+        if now_ms - self._asked_since_ms >= 1_000:
+            self._asked_since_ms = now_ms
+            self._asked_count = 0
+        self._asked_count += 1
+        if self._asked_count <= MAX_ASKED_PER_S:
+            return True
+        self._declined_count += 1
+        return False
+
     def _pool_of(self, endpoint_id: str) -> slot_pools.SlotPool | None:
         service = self._service_by_id.get(endpoint_id)
         return self._pools.get(service) if service is not None else None
--- a/libs/coordination/tests/test_slot_services.py
+++ b/libs/coordination/tests/test_slot_services.py
@@ -113,6 +113,13 @@
         )
         self.assertEqual(slot_messages.SlotAnswer(), self.ask(1))
 
+    def test_more_than_the_leader_has_time_for_is_left_to_the_hosts(self):
+        for number in range(slot_services.MAX_ASKED_PER_S):
+            self.ask(number)
+        self.assertEqual(slot_messages.SlotAnswer(), self.ask(1_000))
+        self.clock.advance_ms(1_000)
+        self.assertFalse(self.ask(1_001).done())
+
     def test_hosts_hear_that_a_service_is_scarce_until_it_is_not(self):
         self.assertEqual([], self.renew())
         self.ask(1)
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -154,22 +154,20 @@
         if job.remaining_ms <= 0 or not self._slots.is_needed(job.service):
             return None
         listed = self._state.endpoints(job.service)
-        usable = [e for e in self._list_endpoints(job) if not e.leaving]
+        usable = [e for e in self._list_endpoints(job) if slots.is_usable(e)]
         excluded_ids = self._excluded_ids(job, usable)
-        excluded_ids |= {e.endpoint_id for e in listed}.difference(
-            e.endpoint_id for e in usable
-        )
         excluded_ids |= self._chooser.ejected_ids(usable, _now_ms())
-        if all(e.endpoint_id in excluded_ids for e in listed):
+        left_ids = {e.endpoint_id for e in usable} - excluded_ids
+        if not left_ids:
             return None
-        return self._slots.ask(job, excluded_ids)
+        return self._slots.ask(job, {e.endpoint_id for e in listed} - left_ids)
 
     def _granted_endpoint(
         self, job: jobs.Job, slot: slots.Slot
     ) -> fleets.Endpoint | None:
         """Returns the endpoint of a slot, None if it may not be used."""
         endpoint = self._state.endpoint(slot.endpoint_id)
-        if endpoint is None or endpoint.leaving:
+        if endpoint is None or not slots.is_usable(endpoint):
             return None
         if endpoint.endpoint_id in job.tried_ids:
             return None
@@ -292,6 +290,8 @@
                 self._record_end(job, endpoint, is_trial)
         finally:
             statistics.end()
+        if slot is not None:
+            slot.has_failed = _has_failed(outcome)
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
@@ -430,6 +430,13 @@
     )
 
 
+def _has_failed(outcome: Response | ports.Refusal) -> bool:
+    """Whether an endpoint neither answered nor refused a request."""
+    if isinstance(outcome, Response):
+        return outcome.status >= 500
+    return not outcome.by_endpoint
+
+
 def _timeout_cause(cause: exchanges.StalledError) -> str:
     if isinstance(cause, exchanges.ExchangeTimeoutError):
         return CAUSE_UNFINISHED
--- a/libs/gateway/masticquay_gateway/slots.py
+++ b/libs/gateway/masticquay_gateway/slots.py
@@ -77,8 +77,8 @@
 class Slot:
     """A granted slot; to be used in ``with``, after which it is free.
 
-    ``duration_ms``, ``is_rejected`` and ``load`` are to be set as in
-    ``SlotEnded``.
+    ``duration_ms``, ``is_rejected``, ``load`` and ``has_failed`` are to be set
+    as in ``SlotEnded``.
     """
 
     __slots__ = (
@@ -88,6 +88,7 @@
         'duration_ms',
         'is_rejected',
         'load',
+        'has_failed',
         '_slots',
     )
 
@@ -98,6 +99,7 @@
         self.duration_ms = 0.0
         self.is_rejected = False
         self.load: server_loads.ServerLoad | None = None
+        self.has_failed = False
         self._slots = slots
 
     def __enter__(self) -> typing.Self:
@@ -143,6 +145,9 @@
         self._lock = threading.Lock()
         self._scarce_until_ms: dict[str, int] = {}
         self._paused_until_ms = 0
+        # When this host may ask again for a service of which the leader left
+        # the choice to it.
+        self._own_choice_until_ms: dict[str, int] = {}
         self._logged_ms = -LOG_INTERVAL_MS
         self._newest_number = random.getrandbits(NUMBER_BITS)
         self._held: dict[int, _Held] = {}
@@ -153,6 +158,8 @@
         now_ms = _now_ms()
         if self._scarce_until_ms.get(service, 0) <= now_ms:
             return False
+        if self._own_choice_until_ms.get(service, 0) > now_ms:
+            return False
         return now_ms >= self._paused_until_ms and self._source.is_reachable
 
     def apply_scarce(self, services: list[str]) -> None:
@@ -210,6 +217,8 @@
             self._count('refused', job.service)
             raise errors.NoSlotError(answer.return_ms)
         self._count('none', job.service)
+        own_until_ms = _now_ms() + UNANSWERED_PAUSE_MS
+        self._own_choice_until_ms[job.service] = own_until_ms
         return None
 
     def end(self, slot: Slot) -> None:
@@ -223,6 +232,7 @@
                 slot.duration_ms,
                 slot.is_rejected,
                 slot.load,
+                slot.has_failed,
             )
         )
 
@@ -313,5 +323,10 @@
         )
 
 
+def is_usable(endpoint: fleets.Endpoint) -> bool:
+    """Whether an endpoint may get new requests of any host."""
+    return not endpoint.leaving
+
+
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
--- a/libs/gateway/tests/test_slots.py
+++ b/libs/gateway/tests/test_slots.py
@@ -140,6 +140,20 @@
         rejected = [ended.is_rejected for ended in self.source.ended]
         self.assertEqual([True, False], rejected)
 
+    def test_leader_hears_of_an_endpoint_that_fails(self):
+        self.source.answers = [
+            slot_messages.SlotAnswer('e0'),
+            slot_messages.SlotAnswer('e1'),
+        ]
+        forwarder = self.make_forwarder(
+            lambda request, reply: reply.abort(),
+            fakes.send_matching_response,
+        )
+        self.slots.apply_scarce(['svc'])
+        forwarder.run(fakes.make_job(fakes.make_route()))
+        failed = [ended.has_failed for ended in self.source.ended]
+        self.assertEqual([True, False], failed)
+
     # Guards against a request that is sent to one endpoint twice.
     def test_slot_of_an_endpoint_that_was_tried_is_not_used(self):
         self.source.answers = [slot_messages.SlotAnswer('e0')] * 2
--- a/libs/routing/masticquay_routing/slot_choosers.py
+++ b/libs/routing/masticquay_routing/slot_choosers.py
@@ -13,6 +13,11 @@
 OTHER_PLACE_COST_MS = 3.0
 # A nearly full endpoint is slower than an idle one by this.
 LOAD_COST_MS = 10.0
+# Added to the cost of an endpoint, multiplied by its failure rate.
+FAILURE_COST_MS = 2_000.0
+# An endpoint whose failure rate exceeds the lowest one by this gets requests
+# only if there is no other. Its slots are free sooner than those of others.
+FAILING_RATE = 0.4
 # The least part of its equal share of an endpoint of usual speed.
 MIN_SHARE = 0.25
 
@@ -47,10 +52,18 @@
         :param usable: the endpoints that may get requests
         :returns: None if none is free
         """
+        rates = {
+            s.endpoint.endpoint_id: self._works.failure_rate(
+                s.endpoint.endpoint_id, now_ms
+            )
+            for s in usable
+        }
+        least_rate = min(rates.values())
         free = [
             server
             for server in usable
-            if server.endpoint.endpoint_id not in request.tried_ids
+            if rates[server.endpoint.endpoint_id] < least_rate + FAILING_RATE
+            and server.endpoint.endpoint_id not in request.tried_ids
             and server.free(now_ms)
         ]
         if not free:
@@ -63,10 +76,19 @@
                 work_ms = least_ms
             if server.endpoint.place != request.place:
                 work_ms += OTHER_PLACE_COST_MS
+            excess = rates[server.endpoint.endpoint_id] - least_rate
+            work_ms += FAILURE_COST_MS * max(
+                0.0, excess - service_levels.NEAR_FAILURE_RATE
+            )
             share = server.occupied(now_ms) / server.slots
             return work_ms + LOAD_COST_MS * share, self._random.random()
 
-        neglected = self._find_neglected(free, usable, now_ms)
+        neglected = [
+            server
+            for server in self._find_neglected(free, usable, now_ms)
+            if rates[server.endpoint.endpoint_id]
+            < least_rate + service_levels.NEAR_FAILURE_RATE
+        ]
         return min(neglected or free, key=cost_ms)
 
     def _find_neglected(
--- a/libs/routing/masticquay_routing/slot_messages.py
+++ b/libs/routing/masticquay_routing/slot_messages.py
@@ -119,6 +119,8 @@
     :param duration_ms: how long the endpoint took, 0 if it gave no response
     :param is_rejected: whether the endpoint refused it as full
     :param load: what the endpoint's answer said of its load
+    :param has_failed: whether the endpoint answered with an error or not at
+        all
     """
 
     __slots__ = (
@@ -128,6 +130,7 @@
         'duration_ms',
         'is_rejected',
         'load',
+        'has_failed',
     )
 
     def __init__(
@@ -138,6 +141,7 @@
         duration_ms: float = 0.0,
         is_rejected: bool = False,
         load: server_loads.ServerLoad | None = None,
+        has_failed: bool = False,
     ):
         self.host = host
         self.number = number
@@ -145,3 +149,4 @@
         self.duration_ms = duration_ms
         self.is_rejected = is_rejected
         self.load = load
+        self.has_failed = has_failed
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -283,9 +283,10 @@
         if ended.load is not None:
             server.record_load(ended.load, now_ms)
             pace = ended.load.believed_pace
-        self._works.learn(
-            server.endpoint.endpoint_id, ended.duration_ms, pace, now_ms
-        )
+        endpoint_id = server.endpoint.endpoint_id
+        self._works.learn(endpoint_id, ended.duration_ms, pace, now_ms)
+        if ended.has_failed or ended.duration_ms > 0:
+            self._works.learn_outcome(endpoint_id, ended.has_failed, now_ms)
 
     def _usable_servers(
         self, request: slot_queues.SlotRequest, now_ms: int
--- a/libs/routing/masticquay_routing/work_times.py
+++ b/libs/routing/masticquay_routing/work_times.py
@@ -1,4 +1,4 @@
-"""How long requests take at the endpoints of a plain service."""
+"""How long requests take at the endpoints of a plain service, and fail."""
 
 from masticquay_routing import server_loads
 
@@ -11,6 +11,9 @@
 # The weight of the usual time against that of one response.
 USUAL_WEIGHT = 0.5
 MIN_WORK_MS = 0.5
+FAILURE_HALF_LIFE_MS = 1_000
+# The weight of no failure against that of one response.
+SOUND_WEIGHT = 1.0
 
 
 class AgingMean:
@@ -49,9 +52,10 @@
     pace, and the last pace reported counts less with its age.
     """
 
-    __slots__ = ('_durations', '_pace', '_pace_ms')
+    __slots__ = ('failures', '_durations', '_pace', '_pace_ms')
 
     def __init__(self) -> None:
+        self.failures = AgingMean(FAILURE_HALF_LIFE_MS)
         self._durations = AgingMean(HALF_LIFE_MS)
         self._pace = 0
         self._pace_ms = 0
@@ -80,11 +84,14 @@
 class ServiceWorkTimes:
     """The work times of a service's endpoints and what is usual there."""
 
-    __slots__ = ('_usual', '_by_id')
+    __slots__ = ('_usual', '_by_id', '_known', '_known_ms')
 
     def __init__(self) -> None:
         self._usual = AgingMean(USUAL_HALF_LIFE_MS)
         self._by_id: dict[str, WorkTime] = {}
+        # The expected times at one moment, as they are used many times then.
+        self._known: dict[str, float] = {}
+        self._known_ms = 0
 
     def drop_unlisted(self, listed_ids: set[str]) -> None:
         """Drops what is known of endpoints that are no longer listed."""
@@ -104,6 +111,7 @@
         :param duration_ms: 0 if only the pace is known
         :param pace: 0 if it is not known
         """
+        self._known.clear()
         work = self._by_id.setdefault(endpoint_id, WorkTime())
         if duration_ms > 0:
             if pace:
@@ -113,8 +121,32 @@
         if pace:
             work.learn_pace(pace, now_ms)
 
+    def learn_outcome(
+        self, endpoint_id: str, has_failed: bool, now_ms: int
+    ) -> None:
+        """Records whether a request failed."""
+        work = self._by_id.setdefault(endpoint_id, WorkTime())
+        work.failures.add(float(has_failed), now_ms)
+
+    def failure_rate(self, endpoint_id: str, now_ms: int) -> float:
+        """Returns the share of recent requests that failed."""
+        work = self._by_id.get(endpoint_id)
+        if work is None:
+            return 0.0
+        return work.failures.value(now_ms, 0.0, SOUND_WEIGHT)
+
     def expected_ms(self, endpoint_id: str, now_ms: int) -> float:
         """Returns how long a request will probably take at an endpoint."""
+        if now_ms != self._known_ms:
+            self._known.clear()
+            self._known_ms = now_ms
+        known_ms = self._known.get(endpoint_id)
+        if known_ms is None:
+            known_ms = self._compute_ms(endpoint_id, now_ms)
+            self._known[endpoint_id] = known_ms
+        return known_ms
+
+    def _compute_ms(self, endpoint_id: str, now_ms: int) -> float:
         usual_ms = self._usual.value(now_ms, DEFAULT_WORK_MS, 0.01)
         work = self._by_id.get(endpoint_id)
         return work.expected_ms(usual_ms, now_ms) if work else usual_ms
--- a/libs/routing/tests/test_slot_pools.py
+++ b/libs/routing/tests/test_slot_pools.py
@@ -270,6 +270,25 @@
         chosen = {self.ask(n).endpoint_id for n in range(10, 14)}
         self.assertEqual({'e1'}, chosen)
 
+    # Guards against an endpoint that fails at once, whose slots are free.
+    def test_endpoint_that_fails_gets_little_until_it_is_sound(self):
+        self.set_slots(2, 2)
+        counts = dict.fromkeys(('e0', 'e1'), 0)
+        for number in range(40):
+            endpoint_id = self.ask(number).endpoint_id
+            counts[endpoint_id] += 1
+            is_failing = endpoint_id == 'e0'
+            self.end(
+                number,
+                duration_ms=0.0 if is_failing else 100.0,
+                has_failed=is_failing,
+            )
+            self.now_ms += 20
+        self.assertLess(counts['e0'], 4)
+        self.now_ms += 5_000
+        chosen = {self.ask(n).endpoint_id for n in (50, 51)}
+        self.assertEqual({'e0', 'e1'}, chosen)
+
     def test_service_is_scarce_while_most_slots_are_taken(self):
         self.assertFalse(self.pool.is_scarce(self.now_ms))
         self.fill()
