Slots: a request that may still run keeps its slot for the work time

When a caller leaves or an attempt times out, the endpoint may go on with the request. Its slot was free at once, so the next grant would find the endpoint full. The host now says that it may run, and the slot is kept for the expected work time, its deadline at most.

Evidence: routing tests.test_slot_pools and gateway tests.test_slots, one new test each.

--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -290,8 +290,8 @@
                 self._record_end(job, endpoint, is_trial)
         finally:
             statistics.end()
-        if slot is not None:
-            slot.has_failed = _has_failed(outcome)
+        if slot is not None and isinstance(outcome, ports.Refusal):
+            slot.record_refusal(outcome)
         self._record_if_failed(job, endpoint, outcome, started_s)
         return outcome
 
@@ -343,6 +343,8 @@
         self._record_load(endpoint, statistics, head.load, slot)
         if head.status >= 500:
             statistics.record_error(now_ms)
+            if slot is not None:
+                slot.has_failed = True
         else:
             duration_ms = (time.monotonic() - started_s) * 1000
             statistics.record_success(duration_ms, now_ms)
@@ -430,13 +432,6 @@
     )
 
 
-def _has_failed(outcome: Response | ports.Refusal) -> bool:
-    """Whether an endpoint neither answered nor refused a request."""
-    if isinstance(outcome, Response):
-        return outcome.status >= 500
-    return not outcome.by_endpoint
-
-
 def _timeout_cause(cause: exchanges.StalledError) -> str:
     if isinstance(cause, exchanges.ExchangeTimeoutError):
         return CAUSE_UNFINISHED
--- a/libs/gateway/masticquay_gateway/slots.py
+++ b/libs/gateway/masticquay_gateway/slots.py
@@ -13,6 +13,7 @@
 from masticquay_gateway import errors
 from masticquay_gateway import jobs
 from masticquay_gateway import links
+from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import server_loads
 from masticquay_routing import slot_messages
@@ -78,7 +79,7 @@
     """A granted slot; to be used in ``with``, after which it is free.
 
     ``duration_ms``, ``is_rejected``, ``load`` and ``has_failed`` are to be set
-    as in ``SlotEnded``.
+    as in ``SlotEnded``. A request that is interrupted in the block may run on.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         'is_rejected',
         'load',
         'has_failed',
+        'may_run',
         '_slots',
     )
 
@@ -100,8 +102,14 @@
         self.is_rejected = False
         self.load: server_loads.ServerLoad | None = None
         self.has_failed = False
+        self.may_run = False
         self._slots = slots
 
+    def record_refusal(self, refusal: ports.Refusal) -> None:
+        """Records an attempt without an endpoint's response."""
+        self.has_failed = not refusal.by_endpoint
+        self.may_run = refusal.reason is ports.Reason.TIMED_OUT
+
     def __enter__(self) -> typing.Self:
         return self
 
@@ -111,6 +119,8 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        if isinstance(error, endpoint_errors.InterruptedCallError):
+            self.may_run = bool(self.endpoint_id)
         self._slots.end(self)
 
 
@@ -233,6 +243,7 @@
                 slot.is_rejected,
                 slot.load,
                 slot.has_failed,
+                slot.may_run,
             )
         )
 
--- a/libs/gateway/tests/test_slots.py
+++ b/libs/gateway/tests/test_slots.py
@@ -179,6 +179,20 @@
         self.assertEqual(self.source.asked[0].number, ended.number)
         self.assertEqual([], self.endpoints[0].requests)
 
+    def test_leader_hears_that_a_request_may_run_after_its_caller_left(self):
+        self.source.answers = [slot_messages.SlotAnswer('e0')]
+        job = fakes.make_job(fakes.make_route())
+
+        def answer(request, reply):
+            job.interrupt.fire('left')
+            reply.abort()
+
+        forwarder = self.make_forwarder(answer)
+        self.slots.apply_scarce(['svc'])
+        with self.assertRaises(exchanges.InterruptedCallError):
+            forwarder.run(job)
+        self.assertTrue(self.source.ended[0].may_run)
+
     def test_unusable_endpoints_are_excluded(self):
         self.source.answers = [slot_messages.SlotAnswer('e1')]
         forwarder = self.make_forwarder(*[fakes.send_matching_response] * 2)
--- a/libs/routing/masticquay_routing/slot_messages.py
+++ b/libs/routing/masticquay_routing/slot_messages.py
@@ -121,6 +121,8 @@
     :param load: what the endpoint's answer said of its load
     :param has_failed: whether the endpoint answered with an error or not at
         all
+    :param may_run: whether the endpoint may still be running it, as its caller
+        left or its time was up
     """
 
     __slots__ = (
@@ -131,6 +133,7 @@
         'is_rejected',
         'load',
         'has_failed',
+        'may_run',
     )
 
     def __init__(
@@ -142,6 +145,7 @@
         is_rejected: bool = False,
         load: server_loads.ServerLoad | None = None,
         has_failed: bool = False,
+        may_run: bool = False,
     ):
         self.host = host
         self.number = number
@@ -150,3 +154,4 @@
         self.is_rejected = is_rejected
         self.load = load
         self.has_failed = has_failed
+        self.may_run = may_run
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -150,7 +150,11 @@
         server = self._server_by_key.pop(key, None)
         if server is None:
             return
-        server.granted.pop(key, None)
+        until_ms = server.granted.pop(key, 0)
+        if ended.may_run:
+            # It probably ends within the work time.
+            work_ms = int(self._chooser.least_work_ms([server], now_ms))
+            server.granted[key] = min(until_ms, now_ms + work_ms)
         if ended.is_rejected:
             server.record_rejection(now_ms)
             self._scarce_until_ms = now_ms + SCARCE_TTL_MS
--- a/libs/routing/masticquay_routing/slot_servers.py
+++ b/libs/routing/masticquay_routing/slot_servers.py
@@ -32,7 +32,7 @@
 class SlotServer:
     """One endpoint.
 
-    ``granted`` has the requests with a slot and when their deadlines are.
+    ``granted`` has the requests with a slot and until when they have it.
     """
 
     __slots__ = (
@@ -69,7 +69,7 @@
 
     def occupied(self, now_ms: int) -> int:
         """Returns how many slots are probably taken."""
-        return len(self.granted) + self._others_in_flight(now_ms)
+        return self._held(now_ms) + self._others_in_flight(now_ms)
 
     def free(self, now_ms: int) -> int:
         """Returns how many slots may be granted."""
@@ -105,7 +105,7 @@
 
         It only lowers what hosts have said, so a false one changes little.
         """
-        self._load_others = max(0, load.in_flight - len(self.granted))
+        self._load_others = max(0, load.in_flight - self._held(now_ms))
         self._load_ms = now_ms
 
     def record_rejection(self, now_ms: int) -> None:
@@ -137,6 +137,9 @@
                 del self._others[host]
         return expired
 
+    def _held(self, now_ms: int) -> int:
+        return sum(until_ms > now_ms for until_ms in self.granted.values())
+
     def _others_in_flight(self, now_ms: int) -> int:
         count = sum(
             others.count
--- a/libs/routing/tests/test_slot_pools.py
+++ b/libs/routing/tests/test_slot_pools.py
@@ -289,6 +289,16 @@
         chosen = {self.ask(n).endpoint_id for n in (50, 51)}
         self.assertEqual({'e0', 'e1'}, chosen)
 
+    # Guards against a slot that is granted while its endpoint still works.
+    def test_request_whose_caller_left_keeps_its_slot_for_its_work(self):
+        self.set_slots(1)
+        self.ask(1)
+        self.assertEqual([], self.end(1, may_run=True))
+        self.assertIsNone(self.ask(2))
+        self.now_ms += 100
+        [(key, _answer)] = self.plan()
+        self.assertEqual(('h1', 2), key)
+
     def test_service_is_scarce_while_most_slots_are_taken(self):
         self.assertFalse(self.pool.is_scarce(self.now_ms))
         self.fill()
