Slots: a waiting host hears of it in time, also while nothing ends

Where all slots were taken and no request ended, it told a host that its request waits with the next tick of the sessions, up to 200 ms after the question. Waiting hosts are now answered each 25 ms. Endpoints with a role, which have pools of their own, are no sign that a plain service is scarce.

The new test of coordination tests.test_slot_services did not exist in that form before.

--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -29,6 +29,8 @@
 
 SESSION_CHECK_INTERVAL_MS = 100
 LIST_CHECK_INTERVAL_MS = 100
+# Hosts take a leader that answers 50 ms late for lost.
+SLOT_INTERVAL_MS = 25
 # Tables that are stored within this time are sent to the hosts as one.
 TABLE_INTERVAL_MS = 100
 ORDER_INTERVAL_MS = 300
@@ -163,6 +165,9 @@
                 SESSION_CHECK_INTERVAL_MS,
                 self.leadership.expire_sessions,
             )
+            self._start_task(
+                'slots', SLOT_INTERVAL_MS, self.leadership.answer_slots
+            )
             self._start_task(
                 'tables',
                 TABLE_INTERVAL_MS,
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -152,6 +152,12 @@
         term.owner.place_waiting()
         term.slots.tick()
 
+    def answer_slots(self) -> None:
+        """Answers the hosts that wait for a slot and must hear by now."""
+        term = self._term
+        if term is not None:
+            term.slots.answer_waiting()
+
     def refresh_endpoints(self) -> None:
         """Reads the endpoint list if it is due, and applies and sends it."""
         term = self._term
--- a/libs/coordination/masticquay_coordination/slot_services.py
+++ b/libs/coordination/masticquay_coordination/slot_services.py
@@ -178,6 +178,14 @@
         for message, fields in changes:
             LOG.info(message, extra=fields)
 
+    def answer_waiting(self) -> None:
+        """Answers the hosts that wait and must hear by now."""
+        if not self._waiting:
+            return
+        with self._lock:
+            answers = self._plan()
+        _send(answers)
+
     def fail_all(self) -> None:
         """Fails all waiting requests at the end of the term.
 
--- a/libs/coordination/tests/test_slot_services.py
+++ b/libs/coordination/tests/test_slot_services.py
@@ -120,6 +120,15 @@
         self.clock.advance_ms(1_000)
         self.assertFalse(self.ask(1_001).done())
 
+    # Guards against hosts that take a leader for lost whose slots are taken
+    # and where nothing ends: it answered with the tick of its sessions only.
+    def test_host_hears_in_time_that_its_request_waits(self):
+        self.ask(1)
+        waiting = self.ask(2)
+        self.clock.advance_ms(100)
+        self.services.answer_waiting()
+        self.assertGreater(waiting.result().wait_ms, 0)
+
     def test_hosts_hear_that_a_service_is_scarce_until_it_is_not(self):
         self.assertEqual([], self.renew())
         self.ask(1)
--- a/libs/gateway/masticquay_gateway/slots.py
+++ b/libs/gateway/masticquay_gateway/slots.py
@@ -175,18 +175,18 @@
     def apply_scarce(self, services: list[str]) -> None:
         """Records that the leader says which services are scarce."""
         for service in services:
-            self._record_sign(service)
+            self._set_scarce(service)
 
     def record_load(
         self, endpoint: fleets.Endpoint, load: server_loads.ServerLoad | None
     ) -> None:
         """Records the load that an endpoint reported."""
         if load and slot_pools.is_busy_load(load, endpoint.slots):
-            self._record_sign(endpoint.service)
+            self._record_sign(endpoint)
 
     def record_full(self, endpoint: fleets.Endpoint) -> None:
         """Records that an endpoint refused a request as full."""
-        self._record_sign(endpoint.service)
+        self._record_sign(endpoint)
 
     def ask(self, job: jobs.Job, excluded_ids: set[str]) -> Slot | None:
         """Asks for a slot and waits for it.
@@ -321,7 +321,12 @@
             },
         )
 
-    def _record_sign(self, service: str) -> None:
+    def _record_sign(self, endpoint: fleets.Endpoint) -> None:
+        # Model engines have pools of their own.
+        if endpoint.role == fleets.ROLE_NONE:
+            self._set_scarce(endpoint.service)
+
+    def _set_scarce(self, service: str) -> None:
         now_ms = _now_ms()
         earlier_ms = self._scarce_until_ms.get(service, 0)
         self._scarce_until_ms[service] = now_ms + SCARCE_MS
