Slots: less time of the leader for services with many endpoints

Each report of a host looked at what all hosts have in flight at all endpoints of the service; the tick of the sessions does that anyway. The sum for each endpoint is kept instead of computed at each grant.

--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -253,7 +253,6 @@
         if server is not None:
             is_asking = host in self._asking_hosts
             server.record_others(host, count, is_asking, now_ms)
-            self._look_for_scarcity(now_ms)
 
     def record_latency(
         self, host: str, endpoint_id: str, latency_ms: float, now_ms: int
@@ -307,6 +306,8 @@
         servers = self._usable_servers(request, now_ms)
         if not servers:
             return 0.0
+        if not len(self._queue) and any(s.free(now_ms) for s in servers):
+            return 0.0
         work_ms = self._chooser.least_work_ms(servers, now_ms)
         ahead = self._queue.count_before(request, work_ms, now_ms)
         free = sum(server.free(now_ms) for server in servers)
--- a/libs/routing/masticquay_routing/slot_servers.py
+++ b/libs/routing/masticquay_routing/slot_servers.py
@@ -41,6 +41,7 @@
         'full_until_ms',
         'ejected_until_ms',
         '_others',
+        '_others_count',
         '_load_others',
         '_load_ms',
         '_recent_grants',
@@ -53,6 +54,8 @@
         self.full_until_ms = 0
         self.ejected_until_ms = 0
         self._others: dict[str, _Others] = {}
+        # Their sum, as it is needed for each endpoint at each grant.
+        self._others_count = 0
         self._load_others = 0
         self._load_ms = -LOAD_TTL_MS
         self._recent_grants = 0.0
@@ -94,9 +97,10 @@
         self, host: str, count: int, is_asking: bool, now_ms: int
     ) -> None:
         """Records what a host has in flight here without a slot."""
+        self._drop_others(host)
         if count <= 0:
-            self._others.pop(host, None)
             return
+        self._others_count += count
         ttl_ms = ASKING_HOST_TTL_MS if is_asking else OTHERS_TTL_MS
         self._others[host] = _Others(count, now_ms + ttl_ms)
 
@@ -120,7 +124,7 @@
 
     def drop_host(self, host: str) -> None:
         """Frees the slots of a host that is gone."""
-        self._others.pop(host, None)
+        self._drop_others(host)
         for key in [k for k in self.granted if k[0] == host]:
             del self.granted[key]
 
@@ -134,18 +138,18 @@
             del self.granted[key]
         for host, others in list(self._others.items()):
             if others.until_ms <= now_ms:
-                del self._others[host]
+                self._drop_others(host)
         return expired
 
     def _held(self, now_ms: int) -> int:
         return sum(until_ms > now_ms for until_ms in self.granted.values())
 
     def _others_in_flight(self, now_ms: int) -> int:
-        count = sum(
-            others.count
-            for others in self._others.values()
-            if others.until_ms > now_ms
-        )
         if now_ms - self._load_ms < LOAD_TTL_MS:
-            return min(count, self._load_others)
-        return count
+            return min(self._others_count, self._load_others)
+        return self._others_count
+
+    def _drop_others(self, host: str) -> None:
+        others = self._others.pop(host, None)
+        if others is not None:
+            self._others_count -= others.count
