--- a/libs/coordination/masticquay_coordination/leader_terms.py
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -4,6 +4,7 @@
 from masticquay_coordination import owners
 from masticquay_coordination import request_watches
 from masticquay_coordination import sessions
+from masticquay_coordination import slot_services
 from masticquay_routing import cold_endpoints
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleet_views
@@ -38,6 +39,7 @@
         'leaving',
         'limits',
         'requests',
+        'slots',
         'has_caught_up',
         'services',
         'cold_starts',
@@ -50,6 +52,7 @@
         host_sessions: sessions.Sessions,
         limits: endpoint_limits.EndpointLimits,
         requests: request_watches.RequestWatch,
+        slots: slot_services.SlotServices,
         started_ms: int,
         first: bool,
     ):
@@ -58,6 +61,7 @@
         self.sessions = host_sessions
         self.limits = limits
         self.requests = requests
+        self.slots = slots
         self.started_ms = started_ms
         self.first = first
         self.table_version = -1
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -16,6 +16,7 @@
 from masticquay_coordination import request_watches
 from masticquay_coordination import seekers
 from masticquay_coordination import sessions
+from masticquay_coordination import slot_services
 from masticquay_coordination import table_machines
 from masticquay_coordination import table_updates
 from masticquay_coordination import version_stores
@@ -94,6 +95,7 @@
                 self._term = self._begin_term(term)
         if ended is not None:
             ended.owner.fail_all()
+            ended.slots.fail_all()
             ended.sessions.delivery.end()
             ended.sessions.evacuation_delivery.end()
             ended.sessions.announce_end()
@@ -183,10 +185,18 @@
             return
         for host in term.sessions.expire():
             term.owner.release_host(host)
+            term.slots.release_host(host)
             with self._view_lock:
                 term.fleet_view.drop_host(host)
         term.sessions.publish_hosts()
         term.owner.place_waiting()
+        term.slots.tick()
+
+    def answer_slots(self) -> None:
+        """Answers the hosts that wait for a slot and must hear by now."""
+        term = self._term
+        if term is not None:
+            term.slots.answer_waiting()
 
     def refresh_endpoints(self) -> None:
         """Reads the endpoint list if it is due, and applies and sends it."""
@@ -247,6 +257,7 @@
             term.sessions.publish_endpoints(
                 endpoints, stream_versions, evacuated
             )
+            term.slots.set_endpoints(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
 
     def add_leaving(
@@ -314,6 +325,7 @@
             gauges.update(term.limits.gauges())
             gauges['cold_endpoints'] = term.limits.cold_count
             gauges.update(term.requests.gauges())
+            gauges.update(term.slots.gauges())
         return gauges
 
     def _begin_term(self, number: int) -> leader_terms.LeaderTerm:
@@ -325,6 +337,7 @@
             sessions.Sessions(number, self._newest_table, self._clock),
             limits,
             request_watches.RequestWatch(self._clock),
+            slot_services.SlotServices(self._clock),
             self._clock.now_ms(),
             first,
         )
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -5,6 +5,7 @@
 from masticquay_routing import held_requests
 from masticquay_routing import named_limits
 from masticquay_routing import renewals
+from masticquay_routing import slot_messages
 from masticquay_routing import stream_origins
 from masticquay_wire import messages
 from masticquay_wire import records
@@ -151,6 +152,8 @@
         confirmed; 0 if it is not repeated
     :param reads_endpoint_changes: whether the host reads the forms of
         ``endpoint_changes``, which earlier releases do not know
+    :param slots: the requests for which the host has asked for slots, None if
+        there were none recently
     """
 
     __slots__ = (
@@ -175,6 +178,7 @@
         'held',
         'usage_number',
         'reads_endpoint_changes',
+        'slots',
     )
 
     def __init__(
@@ -200,6 +204,7 @@
         held: held_requests.HeldRequests | None = None,
         usage_number: int = 0,
         reads_endpoint_changes: bool = False,
+        slots: slot_messages.HeldSlots | None = None,
     ):
         self.host = host
         self.incarnation = incarnation
@@ -222,6 +227,7 @@
         self.held = held
         self.usage_number = usage_number
         self.reads_endpoint_changes = reads_endpoint_changes
+        self.slots = slots
 
 
 @messages.register
@@ -254,6 +260,7 @@
     :param origins: the origins of streams that began on other hosts, which
         this host should keep for the next leader
     :param renew_interval_ms: the time until the host's next renewal
+    :param scarce_services: the plain services for which hosts ask for slots
     """
 
     __slots__ = (
@@ -266,6 +273,7 @@
         'suspects',
         'origins',
         'renew_interval_ms',
+        'scarce_services',
     )
 
     def __init__(
@@ -279,6 +287,7 @@
         suspects: list[str] | None = None,
         origins: list[stream_origins.StreamOrigin] | None = None,
         renew_interval_ms: int = renewals.MIN_INTERVAL_MS,
+        scarce_services: list[str] | None = None,
     ):
         self.term = term
         self.controls = controls
@@ -289,6 +298,7 @@
         self.suspects = suspects or []
         self.origins = origins or []
         self.renew_interval_ms = renew_interval_ms
+        self.scarce_services = scarce_services or []
 
 
 @messages.register
