--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -35,6 +35,7 @@
 
 RequestKey = slot_queues.RequestKey
 Outcome = tuple[RequestKey, slot_messages.SlotAnswer]
+_Servers = list[slot_servers.SlotServer]
 
 
 class Totals:
@@ -132,8 +133,9 @@
         servers = self._usable_servers(request, now_ms)
         if not servers:
             return slot_messages.SlotAnswer()
-        start_ms = now_ms + self._wait_ms(request, now_ms)
-        if self._is_hopeless(request, servers, start_ms, now_ms):
+        end_ms = now_ms + self._wait_ms(request, now_ms)
+        end_ms += self._chooser.mean_work_ms(servers, now_ms)
+        if end_ms > request.deadline_by_ms:
             return self._refuse(servers, now_ms)
         self._queue.add(request)
         self._await_answer(key, now_ms + HOLD_MS)
@@ -312,17 +314,6 @@
             servers, now_ms
         )
 
-    def _is_hopeless(
-        self,
-        request: slot_queues.SlotRequest,
-        servers: list[slot_servers.SlotServer],
-        start_ms: float,
-        now_ms: int,
-    ) -> bool:
-        """Whether a request that starts then ends after its deadline."""
-        work_ms = self._chooser.mean_work_ms(servers, now_ms)
-        return start_ms + work_ms > request.deadline_by_ms
-
     def _refuse(
         self, servers: list[slot_servers.SlotServer], now_ms: int
     ) -> slot_messages.SlotAnswer:
@@ -339,14 +330,23 @@
 
     def _refuse_hopeless(self, outcomes: list[Outcome], now_ms: int) -> None:
         """Refuses the waiting requests that cannot be served in time."""
+        # Most requests may go to the same endpoints; hundreds may wait.
+        usable: dict[frozenset[str], tuple[_Servers, float]] = {}
         for key in list(self._answer_by_ms):
             request = self._queue.get(key)
-            servers = self._usable_servers(request, now_ms)
+            if request.tried_ids not in usable:
+                servers = self._usable_servers(request, now_ms)
+                work_ms = (
+                    self._chooser.mean_work_ms(servers, now_ms)
+                    if servers
+                    else 0.0
+                )
+                usable[request.tried_ids] = servers, work_ms
+            servers, work_ms = usable[request.tried_ids]
             if not servers:
                 self._drop_waiting(key)
                 outcomes.append((key, slot_messages.SlotAnswer()))
-                continue
-            if self._is_hopeless(request, servers, now_ms, now_ms):
+            elif now_ms + work_ms > request.deadline_by_ms:
                 self._drop_waiting(key)
                 outcomes.append((key, self._refuse(servers, now_ms)))
 
