--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -16,6 +16,7 @@
 from masticquay_gateway import request_watches
 from masticquay_gateway import retries
 from masticquay_gateway import slots
+from masticquay_gateway import timeout_causes
 from masticquay_routing import choosers
 from masticquay_routing import endpoint_statistics
 from masticquay_routing import fleets
@@ -30,11 +31,6 @@
 # reused connection whose peer has disappeared without a reset would otherwise
 # use up all of it.
 ATTEMPT_TIME_SHARE = 0.5
-# How an endpoint used up the time of an attempt, in metrics.
-CAUSE_SILENT = 'silent'
-CAUSE_UNFINISHED = 'unfinished'
-# Or this host, which had no memory for the answer.
-CAUSE_MEMORY = 'memory'
 # With these an endpoint refuses what it has no room for.
 FULL_STATUSES = (429, 503)
 # Retry-After of requests that no endpoint ran.
@@ -278,7 +274,7 @@
             if not isinstance(cause, exchanges.BudgetTimeoutError):
                 statistics.record_timeout(started_ms, _now_ms())
             self._registry.count(
-                'attempts_timed_out', 'cause', _timeout_cause(cause)
+                'attempts_timed_out', 'cause', timeout_causes.find_cause(cause)
             )
             outcome = ports.Refusal(ports.Reason.TIMED_OUT, str(cause))
         except errors.PathLostError as cause:
@@ -439,13 +435,5 @@
     )
 
 
-def _timeout_cause(cause: exchanges.StalledError) -> str:
-    if isinstance(cause, exchanges.ExchangeTimeoutError):
-        return CAUSE_UNFINISHED
-    if isinstance(cause, exchanges.BudgetTimeoutError):
-        return CAUSE_MEMORY
-    return CAUSE_SILENT
-
-
 def _now_ms() -> int:
     return time.monotonic_ns() // 1_000_000
--- a/libs/gateway/masticquay_gateway/links.py
+++ b/libs/gateway/masticquay_gateway/links.py
@@ -10,6 +10,7 @@
 
 from masticquay_gateway import fleet_states
 from masticquay_gateway import host_reports
+from masticquay_gateway import leader_hints
 from masticquay_gateway import usages
 from masticquay_routing import endpoint_changes
 from masticquay_routing import messages
@@ -243,7 +244,7 @@
         Otherwise the search continues after ``SEARCH_INTERVAL_MS``.
         """
         error = answer.exception()
-        if error is None or _leader_named_in(error) not in (
+        if error is None or leader_hints.find_leader(error) not in (
             '',
             *self._replica_addresses,
         ):
@@ -268,7 +269,7 @@
             self._handle_renewed(pending.answer.result())
 
     def _remember_leader(self, error: BaseException) -> None:
-        address = _leader_named_in(error)
+        address = leader_hints.find_leader(error)
         if not address:
             return
         self._named_leader = address
@@ -441,11 +442,3 @@
             self._state.apply_hosts(message)
         elif isinstance(message, messages.LeaderChanged):
             self._wake.set()
-
-
-def _leader_named_in(error: BaseException) -> str:
-    """Returns the leader's address from a replica's error, or ''."""
-    if not isinstance(error, wire_errors.RemoteError):
-        return ''
-    is_address = error.code == messages.CODE_NOT_LEADER and ':' in error.detail
-    return error.detail if is_address else ''
