Chunks are decoded by whole buffers

Each chunk took three calls of the buffered stream under the interpreter's lock, so a few callers with one-byte chunks kept a host busy. Chunks that lie in the buffer as a whole are now found with one regular expression for many; all else, such as the last chunk, errors and chunks at the end of the buffer, is read as before, so no form is accepted that was refused.

--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -2,9 +2,9 @@
 
 import io
 import time
-import typing
 
 from masticquay_serving import byte_budgets
+from masticquay_serving import chunk_runs
 from masticquay_serving import errors
 from masticquay_serving import framings
 from masticquay_serving import heads
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        stream: typing.BinaryIO,
+        stream: io.BufferedReader,
         limit_bytes: int,
         trailers_limit_bytes: int,
         memory: byte_budgets.Share,
@@ -87,6 +87,7 @@
         total = 0
         with io.BytesIO() as body:
             while True:
+                total += self._read_buffered_chunks(total, body)
                 size = self._read_chunk_size()
                 if size == 0:
                     break
@@ -98,6 +99,26 @@
             self._check_trailers()
             return body.getvalue()
 
+    def _read_buffered_chunks(self, total: int, body: io.BytesIO) -> int:
+        """Reads the chunks that lie in the buffer as a whole.
+
+        :param total: bytes of the chunks before
+        :returns: bytes of these
+        """
+        run = chunk_runs.ChunkRun(
+            self._limit_bytes - total,
+            MAX_SIZE_LINE_BYTES - 1,
+            FRAMING_BYTES_PER_CHUNK,
+            MAX_EXCESS_FRAMING_BYTES - self._excess_bytes,
+        )
+        pieces = run.decode(self._stream.peek())
+        if pieces:
+            self._take_memory(body.tell() + run.size_bytes)
+            body.writelines(pieces)
+            self._stream.read(run.end)
+            self._excess_bytes += run.excess_bytes
+        return run.size_bytes
+
     def _read_chunk_size(self) -> int:
         line = self._stream.readline(MAX_SIZE_LINE_BYTES)
         try:
