Bodies in small chunks share a bounded part of the processor

All connections share one interpreter lock, so 30 callers with one-byte chunks left nothing for others. Connections whose data comes in pieces of a few bytes wait 5 ms between reads after the first 512.

--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -1,13 +1,16 @@
 """Reads request bodies sent with a length or in chunks."""
 
 import io
+import math
 import time
+import typing
 
 from masticquay_serving import byte_budgets
 from masticquay_serving import chunk_runs
 from masticquay_serving import errors
 from masticquay_serving import framings
 from masticquay_serving import heads
+from masticquay_serving import processor_turns
 
 MAX_SIZE_LINE_BYTES = 1_024
 # As many as ``http.client`` allows headers.
@@ -29,6 +32,8 @@
     :param limit_bytes: maximum size of the decoded body
     :param trailers_limit_bytes: maximum size of all trailers
     :param memory: takes what the body needs
+    :param read_due_s: returns the monotonic time at which the body must be
+        complete, as far as is known
     """
 
     def __init__(
@@ -37,7 +42,9 @@
         limit_bytes: int,
         trailers_limit_bytes: int,
         memory: byte_budgets.Share,
+        read_due_s: typing.Callable[[], float] = lambda: math.inf,
     ):
+        self._work = processor_turns.BodyWork(read_due_s)
         self._stream = stream
         self._memory = memory
         self._limit_bytes = limit_bytes
@@ -56,6 +63,7 @@
         :raises CallerDisconnectedError: if the connection closes within a
             body sent with a length, within the data of a chunk, or within the
             trailers
+        :raises TurnTimeoutError: if it costs too much processor time
         """
         if encodings:
             codings = [
@@ -96,6 +104,7 @@
                 self._read_exactly(size, body)
                 if self._stream.read(2) != framings.CHUNK_END:
                     raise errors.BadRequestError(400, 'unreadable chunk')
+                self._work.add(FRAMING_BYTES_PER_CHUNK, size)
             self._check_trailers()
             return body.getvalue()
 
@@ -117,6 +126,7 @@
             body.writelines(pieces)
             self._stream.read(run.end)
             self._excess_bytes += run.excess_bytes
+            self._work.add(run.end - run.size_bytes, run.size_bytes)
         return run.size_bytes
 
     def _read_chunk_size(self) -> int:
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -23,6 +23,8 @@
 from masticquay_serving import errors
 from masticquay_serving import heads
 from masticquay_serving import lingers
+from masticquay_serving import processor_turns
+from masticquay_serving import refusals
 from masticquay_serving import replies
 from masticquay_serving import requests
 from masticquay_serving import timed_readers
@@ -187,6 +189,11 @@
             raise errors.BadRequestError(
                 STATUS_TOO_SLOW, 'the request came too slowly'
             ) from cause
+        except processor_turns.TurnTimeoutError as cause:
+            refusals.REFUSALS.add('processor time', self.client_address[0])
+            raise errors.BadRequestError(
+                STATUS_TOO_SLOW, 'the body costs too much'
+            ) from cause
 
     def _read_request_in_memory(
         self,
@@ -256,6 +263,7 @@
             limits.max_body_bytes,
             limits.max_header_bytes,
             memory,
+            lambda: self._timed_reader.deadline_s,
         )
         return reader.read(
             self.headers.get_all('Transfer-Encoding') or [],
--- a/libs/serving/masticquay_serving/timed_readers.py
+++ b/libs/serving/masticquay_serving/timed_readers.py
@@ -11,6 +11,11 @@
 # The socket's timeout may exceed the time left by this much: changing it is a
 # system call, too costly for every read.
 TIMEOUT_SLACK_S = 0.05
+# Each read takes processor time, however little it returns. After the free
+# ones, reads that return less on average wait until more has arrived.
+FREE_READS = 512
+SMALL_READ_BYTES = 256
+SMALL_READ_PAUSE_S = 0.005
 
 
 class TimedReader(io.RawIOBase):
@@ -27,6 +32,8 @@
         '_rate_bytes_per_s',
         '_extending_bytes',
         '_is_paused',
+        '_read_count',
+        '_read_bytes',
     )
 
     def __init__(self, sock: socket.socket):
@@ -36,6 +43,13 @@
         self._rate_bytes_per_s = 1
         self._extending_bytes = 0
         self._is_paused = False
+        self._read_count = 0
+        self._read_bytes = 0
+
+    @property
+    def deadline_s(self) -> float:
+        """The monotonic time at which reads fail, unless data extends it."""
+        return self._deadline_s
 
     def set_deadline(
         self,
@@ -51,6 +65,7 @@
         self._deadline_s = deadline_s
         self._rate_bytes_per_s = rate_bytes_per_s
         self._extending_bytes = extending_bytes
+        self._read_count = self._read_bytes = 0
 
     def readable(self) -> bool:
         """Returns True."""
@@ -75,6 +90,9 @@
         """
         if self._is_paused:
             return None
+        self._read_count += 1
+        if self._read_count > FREE_READS:
+            self._let_more_arrive()
         is_early_timeout = False
         while True:
             self._limit_wait(is_early_timeout)
@@ -87,9 +105,14 @@
                 raise errors.CallerDisconnectedError(
                     type(cause).__name__
                 ) from cause
+            self._read_bytes += count
             self._extend_deadline(count)
             return count
 
+    def _let_more_arrive(self) -> None:
+        if self._read_bytes < self._read_count * SMALL_READ_BYTES:
+            time.sleep(SMALL_READ_PAUSE_S)
+
     def _extend_deadline(self, count: int) -> None:
         count = min(count, self._extending_bytes)
         self._extending_bytes -= count
