All servers of a process share one account of connections

The limit by memory held for callers' requests only; readiness, directory and metrics had 4,000 connections each. All servers now share one account.

--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -165,7 +165,7 @@
             (address.host, address.port),
             self.calls.serve,
             lambda: self.state.caller_limits,
-            settings.max_connections,
+            settings.connection_limit,
         )
 
     def start(self) -> None:
--- a/libs/gateway/masticquay_gateway/settings.py
+++ b/libs/gateway/masticquay_gateway/settings.py
@@ -15,7 +15,7 @@
     :param secret: shared secret that authenticates links
     :param grace_ms: time from the stop signal until the process must exit
     :param budget: limits on retries
-    :param max_connections: of callers that may be open at once
+    :param connection_limit: for connections of callers
     """
 
     __slots__ = (
@@ -27,7 +27,7 @@
         'secret',
         'grace_ms',
         'budget',
-        'max_connections',
+        'connection_limit',
     )
 
     def __init__(
@@ -40,7 +40,7 @@
         secret: bytes,
         grace_ms: int,
         budget: retries.RetryBudgetLimits,
-        max_connections: int = connection_limits.DEFAULT_MAX_CONNECTIONS,
+        connection_limit: connection_limits.ConnectionLimit | None = None,
     ):
         self.name = name
         self.address = address
@@ -50,4 +50,4 @@
         self.secret = secret
         self.grace_ms = grace_ms
         self.budget = budget
-        self.max_connections = max_connections
+        self.connection_limit = connection_limit
--- a/libs/serving/masticquay_serving/connection_limits.py
+++ b/libs/serving/masticquay_serving/connection_limits.py
@@ -1,4 +1,4 @@
-"""Limits the connections that a server keeps open at once."""
+"""Limits the connections that the servers of a process keep open at once."""
 
 import contextlib
 import socket
@@ -25,17 +25,48 @@
     return max(1, int(memory_bytes * MEMORY_SHARE) // CONNECTION_BYTES)
 
 
+class ConnectionAccount:
+    """Counts the open connections of all servers of a process.
+
+    :param max_connections: that may be open at once
+    """
+
+    __slots__ = ('max_connections', 'lock', 'reserved', 'shared')
+
+    def __init__(self, max_connections: int):
+        self.max_connections = max_connections
+        self.lock = threading.Lock()
+        # Places that only one server may use, of all servers.
+        self.reserved = 0
+        # Connections open beyond those places.
+        self.shared = 0
+
+    @property
+    def max_shared(self) -> int:
+        """Places that any server may use."""
+        return self.max_connections - self.reserved
+
+
 class ConnectionLimit:
     """Counts the open connections of a server.
 
     :param max_connections: that may be open at once
+    :param account: counts those of other servers too
+    :param reserved: places of the account that others can not take
     """
 
-    __slots__ = ('_max_connections', '_lock', '_count')
+    __slots__ = ('_max_connections', '_account', '_reserved', '_count')
 
-    def __init__(self, max_connections: int = DEFAULT_MAX_CONNECTIONS):
+    def __init__(
+        self,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        account: ConnectionAccount | None = None,
+        reserved: int = 0,
+    ):
         self._max_connections = max_connections
-        self._lock = threading.Lock()
+        self._account = account or ConnectionAccount(max_connections)
+        self._reserved = min(reserved, self._account.max_shared)
+        self._account.reserved += self._reserved
         self._count = 0
 
     @property
@@ -46,22 +77,35 @@
     @property
     def is_near(self) -> bool:
         """Whether connections should end with their next answer."""
-        return self._count > self._max_connections * CLOSING_SHARE
+        if self._count <= self._reserved:
+            return False
+        account = self._account
+        return (
+            self._count > self._max_connections * CLOSING_SHARE
+            or account.shared > account.max_shared * CLOSING_SHARE
+        )
 
     def enter(self) -> bool:
         """Counts another connection, if there is room.
 
         :returns: whether there is
         """
-        with self._lock:
+        account = self._account
+        with account.lock:
             if self._count >= self._max_connections:
                 return False
+            if self._count >= self._reserved:
+                if account.shared >= account.max_shared:
+                    return False
+                account.shared += 1
             self._count += 1
             return True
 
     def leave(self) -> None:
         """Counts one connection less."""
-        with self._lock:
+        with self._account.lock:
+            if self._count > self._reserved:
+                self._account.shared -= 1
             self._count -= 1
 
 
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -291,7 +291,7 @@
 
     :param application: serves each request
     :param limits: returns the current limits for callers
-    :param max_connections: that may be open at once; others are refused
+    :param connection_limit: refuses connections beyond it
     """
 
     allow_reuse_address = True
@@ -304,14 +304,14 @@
         address: tuple[str, int],
         application: Application,
         limits: typing.Callable[[], requests.LimitsLike],
-        max_connections: int = connection_limits.DEFAULT_MAX_CONNECTIONS,
+        connection_limit: connection_limits.ConnectionLimit | None = None,
     ):
         self.application = application
         self.limits = limits
         self.draining = False
         self.idle_end = wakeups.Wakeup()
-        self.connection_limit = connection_limits.ConnectionLimit(
-            max_connections
+        self.connection_limit = (
+            connection_limit or connection_limits.ConnectionLimit()
         )
         self._accept_end = wakeups.Wakeup()
         self._accept_stopped = threading.Event()
@@ -426,6 +426,7 @@
                 'connection refused',
                 extra={'open': self.connection_limit.count},
             )
+            refusals.REFUSALS.add('connections', address[0])
             connection_limits.refuse(connection)
             return
         try:
--- a/libs/serving/tests/test_connection_limits.py
+++ b/libs/serving/tests/test_connection_limits.py
@@ -42,6 +42,52 @@
         self.assertEqual(1, connection_limits.count_for_memory(1))
 
 
+class ConnectionAccountTest(unittest.TestCase):
+    def setUp(self):
+        self.account = connection_limits.ConnectionAccount(10)
+
+    def fill(self, limit):
+        count = 0
+        while limit.enter():
+            count += 1
+        return count
+
+    # Guards against LOST: each server of a process had a limit of its own.
+    def test_servers_of_a_process_share_its_places(self):
+        first, second = [
+            connection_limits.ConnectionLimit(account=self.account)
+            for _server in range(2)
+        ]
+        self.assertEqual(10, self.fill(first))
+        self.assertEqual(0, self.fill(second))
+        first.leave()
+        self.assertEqual(1, self.fill(second))
+        self.assertEqual((9, 1), (first.count, second.count))
+
+    def test_reserved_places_are_left_to_their_server(self):
+        readiness = connection_limits.ConnectionLimit(
+            account=self.account, reserved=3
+        )
+        callers = connection_limits.ConnectionLimit(account=self.account)
+        self.assertEqual(7, self.fill(callers))
+        self.assertEqual(3, self.fill(readiness))
+        self.assertFalse(readiness.is_near)
+        self.assertTrue(callers.is_near)
+        readiness.leave()
+        self.assertFalse(callers.enter())
+        for _connection in range(7):
+            callers.leave()
+        self.assertEqual(8, self.fill(readiness))
+        self.assertEqual(0, self.fill(callers))
+
+    def test_no_more_places_are_reserved_than_there_are(self):
+        for _server in range(2):
+            limit = connection_limits.ConnectionLimit(
+                account=self.account, reserved=8
+            )
+        self.assertEqual(2, self.fill(limit))
+
+
 class LimitedServerTest(unittest.TestCase):
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -50,7 +96,7 @@
             ('127.0.0.1', 0),
             lambda request, reply: reply.send(200, [], b'ok'),
             requests.Limits,
-            MAX_CONNECTIONS,
+            connection_limits.ConnectionLimit(MAX_CONNECTIONS),
         )
         self.server.start()
         self.stack.callback(self.server.server_close)
