Requests sent ahead wait until the answers before them are taken

The next request was read while the system still kept the answers before it, so a caller that read nothing had thousands of requests run. Callers that wait for each answer make no further system call.

--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -27,6 +27,7 @@
 from masticquay_serving import refusals
 from masticquay_serving import replies
 from masticquay_serving import requests
+from masticquay_serving import sent_ahead
 from masticquay_serving import timed_readers
 from masticquay_serving import wakeups
 
@@ -166,8 +167,12 @@
         :returns: whether there is some, or the connection has ended
         """
         with self._timed_reader.paused():
-            if self.rfile.peek(1):
+            is_ahead = bool(self.rfile.peek(1))
+        if is_ahead:
+            if sent_ahead.wait_until_sent(self.connection, idle_s):
                 return True
+            refusals.REFUSALS.add('unread answers', self.client_address[0])
+            return False
         idle_since_s = time.monotonic()
         events = self._idle_poller.poll(idle_s * 1000)
         if any(fd == self.connection.fileno() for fd, _event in events):
