--- a/libs/serving/masticquay_serving/bodies.py
+++ b/libs/serving/masticquay_serving/bodies.py
@@ -1,13 +1,16 @@
 """Reads request bodies sent with a length or in chunks."""
 
 import io
+import math
 import time
 import typing
 
 from masticquay_serving import byte_budgets
+from masticquay_serving import chunk_runs
 from masticquay_serving import errors
 from masticquay_serving import framings
 from masticquay_serving import heads
+from masticquay_serving import processor_turns
 
 MAX_SIZE_LINE_BYTES = 1_024
 # As many as ``http.client`` allows headers.
@@ -29,15 +32,19 @@
     :param limit_bytes: maximum size of the decoded body
     :param trailers_limit_bytes: maximum size of all trailers
     :param memory: takes what the body needs
+    :param read_due_s: returns the monotonic time at which the body must be
+        complete, as far as is known
     """
 
     def __init__(
         self,
-        stream: typing.BinaryIO,
+        stream: io.BufferedReader,
         limit_bytes: int,
         trailers_limit_bytes: int,
         memory: byte_budgets.Share,
+        read_due_s: typing.Callable[[], float] = lambda: math.inf,
     ):
+        self._work = processor_turns.BodyWork(read_due_s)
         self._stream = stream
         self._memory = memory
         self._limit_bytes = limit_bytes
@@ -56,6 +63,7 @@
         :raises CallerDisconnectedError: if the connection closes within a
             body sent with a length, within the data of a chunk, or within the
             trailers
+        :raises TurnTimeoutError: if it costs too much processor time
         """
         if encodings:
             codings = [
@@ -87,6 +95,7 @@
         total = 0
         with io.BytesIO() as body:
             while True:
+                total += self._read_buffered_chunks(total, body)
                 size = self._read_chunk_size()
                 if size == 0:
                     break
@@ -95,9 +104,31 @@
                 self._read_exactly(size, body)
                 if self._stream.read(2) != framings.CHUNK_END:
                     raise errors.BadRequestError(400, 'unreadable chunk')
+                self._work.add(FRAMING_BYTES_PER_CHUNK, size)
             self._check_trailers()
             return body.getvalue()
 
+    def _read_buffered_chunks(self, total: int, body: io.BytesIO) -> int:
+        """Reads the chunks that lie in the buffer as a whole.
+
+        :param total: bytes of the chunks before
+        :returns: bytes of these
+        """
+        run = chunk_runs.ChunkRun(
+            self._limit_bytes - total,
+            MAX_SIZE_LINE_BYTES - 1,
+            FRAMING_BYTES_PER_CHUNK,
+            MAX_EXCESS_FRAMING_BYTES - self._excess_bytes,
+        )
+        pieces = run.decode(self._stream.peek())
+        if pieces:
+            self._take_memory(body.tell() + run.size_bytes)
+            body.writelines(pieces)
+            self._stream.read(run.end)
+            self._excess_bytes += run.excess_bytes
+            self._work.add(run.end - run.size_bytes, run.size_bytes)
+        return run.size_bytes
+
     def _read_chunk_size(self) -> int:
         line = self._stream.readline(MAX_SIZE_LINE_BYTES)
         try:
--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -23,8 +23,11 @@
 from masticquay_serving import errors
 from masticquay_serving import heads
 from masticquay_serving import lingers
+from masticquay_serving import processor_turns
+from masticquay_serving import refusals
 from masticquay_serving import replies
 from masticquay_serving import requests
+from masticquay_serving import sent_ahead
 from masticquay_serving import timed_readers
 from masticquay_serving import wakeups
 
@@ -164,8 +167,12 @@
         :returns: whether there is some, or the connection has ended
         """
         with self._timed_reader.paused():
-            if self.rfile.peek(1):
+            is_ahead = bool(self.rfile.peek(1))
+        if is_ahead:
+            if sent_ahead.wait_until_sent(self.connection, idle_s):
                 return True
+            refusals.REFUSALS.add('unread answers', self.client_address[0])
+            return False
         idle_since_s = time.monotonic()
         events = self._idle_poller.poll(idle_s * 1000)
         if any(fd == self.connection.fileno() for fd, _event in events):
@@ -187,6 +194,11 @@
             raise errors.BadRequestError(
                 STATUS_TOO_SLOW, 'the request came too slowly'
             ) from cause
+        except processor_turns.TurnTimeoutError as cause:
+            refusals.REFUSALS.add('processor time', self.client_address[0])
+            raise errors.BadRequestError(
+                STATUS_TOO_SLOW, 'the body costs too much'
+            ) from cause
 
     def _read_request_in_memory(
         self,
@@ -256,6 +268,7 @@
             limits.max_body_bytes,
             limits.max_header_bytes,
             memory,
+            lambda: self._timed_reader.deadline_s,
         )
         return reader.read(
             self.headers.get_all('Transfer-Encoding') or [],
@@ -283,7 +296,7 @@
 
     :param application: serves each request
     :param limits: returns the current limits for callers
-    :param max_connections: that may be open at once; others are refused
+    :param connection_limit: refuses connections beyond it
     """
 
     allow_reuse_address = True
@@ -296,14 +309,14 @@
         address: tuple[str, int],
         application: Application,
         limits: typing.Callable[[], requests.LimitsLike],
-        max_connections: int = connection_limits.DEFAULT_MAX_CONNECTIONS,
+        connection_limit: connection_limits.ConnectionLimit | None = None,
     ):
         self.application = application
         self.limits = limits
         self.draining = False
         self.idle_end = wakeups.Wakeup()
-        self.connection_limit = connection_limits.ConnectionLimit(
-            max_connections
+        self.connection_limit = (
+            connection_limit or connection_limits.ConnectionLimit()
         )
         self._accept_end = wakeups.Wakeup()
         self._accept_stopped = threading.Event()
@@ -425,6 +438,7 @@
                 'connection refused',
                 extra={'open': self.connection_limit.count},
             )
+            refusals.REFUSALS.add('connections', address[0])
             connection_limits.refuse(connection)
             return
         try:
