--- a/libs/serving/masticquay_serving/http_servers.py
+++ b/libs/serving/masticquay_serving/http_servers.py
@@ -344,16 +344,7 @@
         A shutdown would send FIN, after which the caller could take a
         truncated response for a complete one.
         """
-        aborted = False
-        with contextlib.suppress(OSError):
-            linger = request.getsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, len(replies.ABORT_LINGER)
-            )
-            aborted = linger == replies.ABORT_LINGER
-        if not aborted:
-            with contextlib.suppress(OSError):
-                request.shutdown(socket.SHUT_WR)
-                lingers.read_rest(request)
+        lingers.end(request)
         self.close_request(request)
 
     def stop_accepting(self) -> None:
--- a/libs/serving/masticquay_serving/lingers.py
+++ b/libs/serving/masticquay_serving/lingers.py
@@ -1,9 +1,12 @@
 """Reading of what callers still send behind the last answer."""
 
+import contextlib
 import socket
 import threading
 import time
 
+from masticquay_serving import replies
+
 # What a caller still sends after the last answer on its connection is read for
 # this time and size. With data unread, a close would reset the connection, and
 # the caller might lose the answer.
@@ -43,3 +46,17 @@
         left_bytes -= count
     if left_bytes <= 0:
         time.sleep(max(0.0, end_s - time.monotonic()))
+
+
+def end(connection: socket.socket) -> None:
+    """Ends what is sent and reads a rest, unless it was aborted."""
+    is_aborted = False
+    with contextlib.suppress(OSError):
+        linger = connection.getsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, len(replies.ABORT_LINGER)
+        )
+        is_aborted = linger == replies.ABORT_LINGER
+    if not is_aborted:
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_WR)
+            read_rest(connection)
