--- a/libs/coordination/tests/test_evacuations.py
+++ b/libs/coordination/tests/test_evacuations.py
@@ -135,7 +135,7 @@
         newest = table_updates.TableUpdates(self.machine)
         self.clock = clocks.ManualClock(10_000)
         self.sessions = sessions.Sessions(TERM, newest, self.clock)
-        self.seekers = seekers.Seekers(newest, self.clock)
+        self.seekers = seekers.Seekers(newest, lambda: True, self.clock)
         self.link = fakes.FakeLink()
 
     def test_hosts_confirm_with_the_number_of_the_list(self):
