A system that does not tell what is unsent does not end a connection

Ordered while reading the merged code: the ioctl raised into the thread of the connection where a system refuses it. No such failure was seen.

--- a/libs/serving/masticquay_serving/sent_ahead.py
+++ b/libs/serving/masticquay_serving/sent_ahead.py
@@ -26,6 +26,12 @@
 
 
 def _unsent_bytes(connection: socket.socket) -> int:
-    """Returns how much of what was written is not acknowledged."""
-    data = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+    """Returns how much of what was written is not acknowledged.
+
+    :returns: 0 if the system does not tell
+    """
+    try:
+        data = fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
     return struct.unpack('i', data)[0]
