--- a/libs/wire/tests/test_cut_links.py
+++ b/libs/wire/tests/test_cut_links.py
@@ -84,6 +84,7 @@
         self.stack = contextlib.ExitStack()
         self.addCleanup(self.stack.close)
         self.received = []
+        self.served = threading.Event()
         self.listener = exchange_links.ExchangeListener(
             peers.Address('127.0.0.1', 0), SECRET, self.serve
         )
@@ -96,6 +97,7 @@
     def serve(self, link):
         message = link.receive(TIMEOUT_MS)
         self.received.append(message.text)
+        self.served.set()
         link.send(CutLinkMessage('the answer'))
 
     def exchange(self):
@@ -137,10 +139,13 @@
         whole_bytes = opened_counts[0] + REQUEST_FRAME_BYTES
         whole_bytes += frame_bytes('the request')
         self.received.clear()
+        self.served.clear()
         for limit in self.places(opened_counts[0], whole_bytes):
             self.forwarder.limits = (limit, None)
             self.assertIsNone(self.exchange(), limit)
         self.assertEqual([], self.received)
         self.forwarder.limits = (whole_bytes, None)
         self.exchange()
+        # The cut reaches the dialer before the listener has read all.
+        self.assertTrue(self.served.wait(TIMEOUT_MS / 1000))
         self.assertEqual(['the request'], self.received)
