--- a/libs/coordination/masticquay_coordination/evacuations.py
+++ b/libs/coordination/masticquay_coordination/evacuations.py
@@ -1,18 +1,15 @@
 """Operators' access to the evacuated places."""
 
-from concurrent import futures
 import logging
 import time
 import typing
 
-from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
-from masticquay_coordination import errors
+from masticquay_coordination import proposals
 from masticquay_coordination import table_machines
 
 LOG = logging.getLogger(__name__)
 
-COMMIT_TIMEOUT_S = 2.5
 # Hosts are waited for until so long after an order arrived. Each second above
 # the first one before the acknowledgement counts against the operators' goals.
 HOSTS_WAIT_S = 0.8
@@ -50,7 +47,7 @@
         :raises UnknownOutcomeError: when it may have been stored
         """
         hosts_due_s = time.monotonic() + HOSTS_WAIT_S
-        self._confirm_leadership()
+        proposals.confirm_leadership(self._node)
         fields = {'place': place, 'evacuated': is_evacuated}
         if (place in self._machine.evacuations.places) == is_evacuated:
             LOG.info('evacuation order repeats the state', extra=fields)
@@ -73,21 +70,7 @@
         self, place: str, is_evacuated: bool, fields: dict[str, object]
     ) -> None:
         command = table_machines.encode_evacuation(place, is_evacuated)
-        try:
-            self._node.propose(command).result(COMMIT_TIMEOUT_S)
-        except consensus_errors.NotLeaderError as cause:
-            raise errors.NotServingError(
-                'leads no more', cause.leader_address
-            ) from cause
-        except (
-            consensus_errors.ConsensusError,
-            futures.TimeoutError,
-        ) as cause:
-            LOG.warning(
-                'outcome of the evacuation order is unknown',
-                extra={**fields, 'cause': type(cause).__name__},
-            )
-            raise errors.UnknownOutcomeError(str(cause)) from cause
+        proposals.commit(self._node, command, fields)
         LOG.info(
             'evacuation order stored',
             extra={
@@ -96,12 +79,3 @@
                 'term': self._node.term(),
             },
         )
-
-    def _confirm_leadership(self) -> None:
-        try:
-            self._node.read_barrier()
-        except consensus_errors.NotLeaderError as cause:
-            leader = self._node.leader()
-            raise errors.NotServingError(
-                'does not lead', leader.address if leader else ''
-            ) from cause
--- a/libs/coordination/masticquay_coordination/tables.py
+++ b/libs/coordination/masticquay_coordination/tables.py
@@ -1,19 +1,16 @@
 """Operators' access to the routing table."""
 
-from concurrent import futures
 import logging
 import time
 import typing
 
-from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
-from masticquay_coordination import errors
+from masticquay_coordination import proposals
 from masticquay_coordination import table_machines
 from masticquay_routing import tables
 
 LOG = logging.getLogger(__name__)
 
-COMMIT_TIMEOUT_S = 2.5
 # Hosts are waited for until so long after a change arrived. Operators that get
 # no answer within a second send it again to another replica.
 HOSTS_WAIT_S = 0.8
@@ -56,7 +53,7 @@
         """
         hosts_due_s = time.monotonic() + HOSTS_WAIT_S
         table = self._reader.read(document)
-        self._confirm_leadership()
+        proposals.confirm_leadership(self._node)
         self._commit(table, document)
         is_in_force = self._wait_for_hosts(
             table.version, max(0.0, hosts_due_s - time.monotonic())
@@ -80,25 +77,7 @@
             )
             return
         command = table_machines.encode_put(table.version, document)
-        proposal = self._node.propose(command)
-        try:
-            proposal.result(COMMIT_TIMEOUT_S)
-        except consensus_errors.NotLeaderError as cause:
-            raise errors.NotServingError(
-                'leads no more', cause.leader_address
-            ) from cause
-        except (
-            consensus_errors.ConsensusError,
-            futures.TimeoutError,
-        ) as cause:
-            LOG.warning(
-                'outcome of the table change is unknown',
-                extra={
-                    'version': table.version,
-                    'cause': type(cause).__name__,
-                },
-            )
-            raise errors.UnknownOutcomeError(str(cause)) from cause
+        proposals.commit(self._node, command, {'version': table.version})
         LOG.info(
             'table stored',
             extra={
@@ -114,15 +93,6 @@
         :raises NotServingError: when this replica is not the leader and may
             not have the newest one
         """
-        self._confirm_leadership()
+        proposals.confirm_leadership(self._node)
         stored = self._machine.stored
         return stored.decompress() if stored else None
-
-    def _confirm_leadership(self) -> None:
-        try:
-            self._node.read_barrier()
-        except consensus_errors.NotLeaderError as cause:
-            leader = self._node.leader()
-            raise errors.NotServingError(
-                'does not lead', leader.address if leader else ''
-            ) from cause
