Slots: an endpoint that rejects all gets less and less

What callers saw: with an endpoint that rejects whatever it gets, requests used up their attempts and the retry budget at it (platform test_daemons full_endpoint_is_skipped: one of six not served), and no metric said that it is skipped (test_balances). Both failed on the merged code. Cause: it always has free slots, and the pool gave it the next request 50 ms after each rejection. Change: the pause grows from 50 to 800 ms while nothing else comes of it; a host leaves out, and counts, the endpoints that have just refused it. Evidence: both tests pass, routing test_slot_pools has the case.

--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -153,9 +153,11 @@
         usable = [e for e in self._list_endpoints(job) if slots.is_usable(e)]
         excluded_ids = self._excluded_ids(job, usable)
         excluded_ids |= self._chooser.ejected_ids(usable, _now_ms())
-        left_ids = {e.endpoint_id for e in usable} - excluded_ids
-        if not left_ids:
+        left = [e for e in usable if e.endpoint_id not in excluded_ids]
+        if not left:
             return None
+        left_ids = {e.endpoint_id for e in left}
+        left_ids -= self._chooser.full_ids(left, _now_ms())
         return self._slots.ask(job, {e.endpoint_id for e in listed} - left_ids)
 
     def _granted_endpoint(
--- a/libs/routing/masticquay_routing/choosers.py
+++ b/libs/routing/masticquay_routing/choosers.py
@@ -75,6 +75,25 @@
                 ejected_ids.add(endpoint.endpoint_id)
         return ejected_ids
 
+    def full_ids(
+        self, endpoints: list[fleets.Endpoint], now_ms: int
+    ) -> set[str]:
+        """Returns the endpoints that have just refused this host.
+
+        Empty if all have, as any of them may be the next with room.
+        """
+        full_ids = {
+            e.endpoint_id
+            for e in endpoints
+            if self.statistics(e.endpoint_id).is_full(now_ms)
+        }
+        if len(full_ids) == len(endpoints):
+            return set()
+        if self._count_skip is not None:
+            for endpoint_id in full_ids:
+                self._count_skip(CAUSE_FULL, endpoint_id)
+        return full_ids
+
     def collect_reports(self) -> list[messages.EndpointReport]:
         """Returns the reports on the endpoints used since the last call."""
         with self._lock:
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -158,6 +158,8 @@
             server.record_rejection(now_ms)
             self._scarce_until_ms = now_ms + SCARCE_TTL_MS
             self.totals.rejected += 1
+        elif ended.duration_ms:
+            server.record_success()
         self._learn(server, ended, now_ms)
 
     def plan(self, now_ms: int) -> list[Outcome]:
--- a/libs/routing/masticquay_routing/slot_servers.py
+++ b/libs/routing/masticquay_routing/slot_servers.py
@@ -4,8 +4,12 @@
 from masticquay_routing import server_loads
 from masticquay_routing import slot_queues
 
-# An endpoint that rejected a granted request counts as full for this long.
+# An endpoint that rejected a granted request counts as full for this long, and
+# longer by the factor each time that it rejects the next one, too: one that
+# rejects all has free slots only because of that.
 REJECTED_PAUSE_MS = 50
+REJECTED_PAUSE_FACTOR = 4
+MAX_REJECTED_PAUSE_MS = 800
 # What a host has in flight without a slot counts for this long after it said
 # so, and that of a host that asks for slots for a shorter time, as it sends
 # nothing more without one.
@@ -40,6 +44,7 @@
         'granted',
         'full_until_ms',
         'ejected_until_ms',
+        '_rejected_pause_ms',
         '_others',
         '_others_count',
         '_load_others',
@@ -53,6 +58,7 @@
         self.granted: dict[slot_queues.RequestKey, int] = {}
         self.full_until_ms = 0
         self.ejected_until_ms = 0
+        self._rejected_pause_ms = REJECTED_PAUSE_MS
         self._others: dict[str, _Others] = {}
         # Their sum, as it is needed for each endpoint at each grant.
         self._others_count = 0
@@ -114,7 +120,18 @@
 
     def record_rejection(self, now_ms: int) -> None:
         """Records that the endpoint refused a request as full."""
-        self.full_until_ms = now_ms + REJECTED_PAUSE_MS
+        if self.full_until_ms > now_ms:
+            # It was granted with the one that was rejected before.
+            return
+        self.full_until_ms = now_ms + self._rejected_pause_ms
+        self._rejected_pause_ms = min(
+            MAX_REJECTED_PAUSE_MS,
+            self._rejected_pause_ms * REJECTED_PAUSE_FACTOR,
+        )
+
+    def record_success(self) -> None:
+        """Records that the endpoint ran a request."""
+        self._rejected_pause_ms = REJECTED_PAUSE_MS
 
     def is_scarce(self, now_ms: int) -> bool:
         """Whether most slots are taken, or the endpoint said that all are."""
--- a/libs/routing/tests/test_slot_pools.py
+++ b/libs/routing/tests/test_slot_pools.py
@@ -267,6 +267,28 @@
         self.now_ms += 51
         self.assertEqual(chosen_id, self.ask(4).endpoint_id)
 
+    # Guards against an endpoint that rejects all and so always has free slots:
+    # it used up the attempts and the retry budget of each request.
+    def test_endpoint_that_rejects_all_gets_less_and_less(self):
+        self.set_slots(1, 2)
+        asked_ids = []
+        for number in range(100):
+            answer = self.ask(number)
+            asked_ids.append(answer.endpoint_id)
+            is_rejected = answer.endpoint_id == 'e0'
+            self.end(
+                number,
+                is_rejected=is_rejected,
+                duration_ms=0.0 if is_rejected else 20.0,
+            )
+            self.now_ms += 20
+        self.assertLess(asked_ids.count('e0'), 8)
+        # It is used again once it runs requests.
+        self.now_ms += 800
+        self.assertEqual(
+            {'e0', 'e1'}, {self.ask(n).endpoint_id for n in (200, 201, 202)}
+        )
+
     def test_endpoints_that_are_unusable_get_nothing(self):
         self.set_slots(2, 2)
         self.pool.set_ejected('e0', self.now_ms + 1_000)
