--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -171,6 +171,7 @@
         self.seq = 0
         self.stamp = 0
         self.run_ids = []
+        self.done_ids = []
         # Whether what runs is left out of the record.
         self.is_quiet = False
         self.answer = None
