--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -388,29 +388,32 @@
         self.servers.append(server)
         return server
 
-    async def add_engines(self, groups):
-        """Adds engines that run in a process for each group of stages.
+    async def add_hosts(self, service, groups, answer_bytes=0):
+        """Adds servers that run in a process for each group; see ``hosts.py``.
 
+        :param groups: the stages of the servers in each, None for plain ones
         :returns: the processes; each prints how many requests ran once its
             standard input is closed
         """
         processes = []
         for stages in groups:
-            engines = []
+            servers = []
             for stage in stages:
                 number = len(self.servers)
-                self.servers.append(Server(self, number, 'llm', stage))
-                engines.append([number, stage])
+                self.servers.append(Server(self, number, service, stage))
+                servers.append([number, service, stage])
+            order = {'network': self.network, 'servers': servers,
+                     'answer_bytes': answer_bytes}
             process = subprocess.Popen(
                 [sys.executable,
-                 str(pathlib.Path(__file__).parent / 'engines.py'),
-                 json.dumps({'network': self.network, 'engines': engines})],
+                 str(pathlib.Path(__file__).parent / 'hosts.py'),
+                 json.dumps(order)],
                 stdin=subprocess.PIPE, stdout=subprocess.PIPE,
                 stderr=subprocess.DEVNULL, text=True,
             )
             self.others.append(process)
             if await asyncio.to_thread(process.stdout.readline) != 'ready\n':
-                raise CouldNotRun('engines did not start')
+                raise CouldNotRun('servers did not start')
             processes.append(process)
         return processes
 
--- a/review/standins-2/engines.py
+++ b/review/standins-2/hosts.py
@@ -1,7 +1,8 @@
-"""Stand-ins for engines in a process of their own, for many requests.
+"""Stand-ins for servers in a process of their own, for many requests.
 
-Takes one JSON object: ``network`` and ``engines``, pairs of a number and a
-stage. They never change their stage. Ends when its standard input does.
+Takes one JSON object: ``network``, ``servers`` (each a number, a service and a
+stage or null) and ``answer_bytes`` (the size of a plain server's answer). They
+never change their stage. Ends when its standard input does.
 """
 
 import asyncio
@@ -26,13 +27,19 @@
         self.record = NoRecord()
 
 
+async def answer_bytes(server, request, headers, reader, writer):
+    await server.send(writer, 200, headers, bytes(server.answer_bytes))
+    return True
+
+
 async def main():
     order = json.loads(sys.argv[1])
     host = Host(order['network'])
     servers = []
-    for number, stage in order['engines']:
-        server = fleet.Server(host, number, 'llm', stage)
-        server.answer = fleet.answer_stream
+    for number, service, stage in order['servers']:
+        server = fleet.Server(host, number, service, stage)
+        server.answer = fleet.answer_stream if stage else answer_bytes
+        server.answer_bytes = order['answer_bytes']
         server.events, server.gap_s = 1, 0.0
         await server.start()
         servers.append(server)
