--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -663,9 +663,9 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def run_case(path, run):
+def run_case(path, run, record_name='record.txt'):
     """Runs a case, which returns what broke the rule, and exits."""
-    record = Record(pathlib.Path(path).resolve().parent / 'record.txt')
+    record = Record(pathlib.Path(path).resolve().parent / record_name)
     record.add('case', f'trouble: {has_trouble()}')
     status = EXIT_COULD_NOT_RUN
     try:
