--- a/review/standins-2/crowd.py
+++ b/review/standins-2/crowd.py
@@ -3,9 +3,9 @@
 Takes one JSON object: ``ip``, ``port``, ``connections``, ``until_s`` (how
 long), ``target``, ``headers`` (pairs; ``{id}`` and ``{part}`` stand for a new
 id of the lengths ``id_chars`` and ``part_chars``), ``body`` and
-``refused_pause_s`` (the pause after another status than 200).
-Each client sends one request after the other on a kept channel. Prints how
-often each status came.
+``refused_pause_s`` (the pause after another status than 200). Each client sends
+one request after the other on a kept channel. Prints how often each status
+came.
 """
 
 import asyncio
@@ -23,6 +23,19 @@
     return (start * (chars // len(start) + 1))[:chars]
 
 
+def make_request(order):
+    headers = [('Host', fleet.HOST)]
+    for name, value in order['headers']:
+        if '{id}' in value:
+            value = value.replace('{id}', long_id(order['id_chars']))
+        if '{part}' in value:
+            value = value.replace('{part}', long_id(order['part_chars']))
+        headers.append((name, value))
+    return fleet.encode(
+        f'POST {order["target"]} HTTP/1.1', headers, order['body'].encode()
+    )
+
+
 async def run_client(order, end_s, counts):
     reader = writer = None
     while time.monotonic() < end_s:
@@ -31,20 +44,7 @@
                 reader, writer = await asyncio.open_connection(
                     order['ip'], order['port']
                 )
-            headers = [('Host', fleet.HOST)]
-            for name, value in order['headers']:
-                if '{id}' in value:
-                    value = value.replace('{id}', long_id(order['id_chars']))
-                if '{part}' in value:
-                    part = long_id(order['part_chars'])
-                    value = value.replace('{part}', part)
-                headers.append((name, value))
-            writer.write(
-                fleet.encode(
-                    f'POST {order["target"]} HTTP/1.1',
-                    headers, order['body'].encode(),
-                )
-            )
+            writer.write(make_request(order))
             await writer.drain()
             answer = fleet.Answer()
             async with asyncio.timeout(16):
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -388,7 +388,9 @@
         self.servers.append(server)
         return server
 
-    async def add_hosts(self, service, groups, answer_bytes=0):
+    async def add_hosts(
+        self, service, groups, answer_bytes=0, events=1, gap_s=0.0
+    ):
         """Adds servers that run in a process for each group; see ``hosts.py``.
 
         :param groups: the stages of the servers in each, None for plain ones
@@ -403,7 +405,8 @@
                 self.servers.append(Server(self, number, service, stage))
                 servers.append([number, service, stage])
             order = {'network': self.network, 'servers': servers,
-                     'answer_bytes': answer_bytes}
+                     'answer_bytes': answer_bytes, 'events': events,
+                     'gap_s': gap_s}
             process = subprocess.Popen(
                 [sys.executable,
                  str(pathlib.Path(__file__).parent / 'hosts.py'),
--- a/review/standins-2/hosts.py
+++ b/review/standins-2/hosts.py
@@ -1,8 +1,9 @@
 """Stand-ins for servers in a process of their own, for many requests.
 
 Takes one JSON object: ``network``, ``servers`` (each a number, a service and a
-stage or null) and ``answer_bytes`` (the size of a plain server's answer). They
-never change their stage. Ends when its standard input does.
+stage or null) and ``answer_bytes`` (the size of a plain server's answer), ``events``
+(of a stream) and ``gap_s`` (between them, or the work of a plain server). They never change their stage. Ends when its
+standard input does.
 """
 
 import asyncio
@@ -28,6 +29,7 @@
 
 
 async def answer_bytes(server, request, headers, reader, writer):
+    await asyncio.sleep(server.gap_s)
     await server.send(writer, 200, headers, bytes(server.answer_bytes))
     return True
 
@@ -40,7 +42,8 @@
         server = fleet.Server(host, number, service, stage)
         server.answer = fleet.answer_stream if stage else answer_bytes
         server.answer_bytes = order['answer_bytes']
-        server.events, server.gap_s = 1, 0.0
+        server.events = order['events']
+        server.gap_s = order['gap_s']
         await server.start()
         servers.append(server)
     print('ready', flush=True)
