--- a/review/8/run.py
+++ b/review/8/run.py
@@ -68,8 +68,13 @@
     call_id = fleet.new_id()
     record.add('sent', f'{call_id} to {ip}')
     answer = await fleet.call(
-        ip, fleet.FRONT_PORT, 'POST', '/gen/x', fleet.stream_headers(call_id),
-        b'a chapter', 14,
+        ip,
+        fleet.FRONT_PORT,
+        'POST',
+        '/gen/x',
+        fleet.stream_headers(call_id),
+        b'a chapter',
+        14,
     )
     events = answer.body.count(b'id: ')
     record.add(
--- a/review/standins-2/crowd.py
+++ b/review/standins-2/crowd.py
@@ -68,8 +68,10 @@
     counts = collections.Counter()
     end_s = time.monotonic() + order['until_s']
     await asyncio.gather(
-        *(run_client(order, end_s, counts)
-          for _ in range(order['connections']))
+        *(
+            run_client(order, end_s, counts)
+            for _ in range(order['connections'])
+        )
     )
     print(json.dumps(counts))
 
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -25,20 +25,47 @@
 EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 1, 2
 # The bounds of the site kalamu-quay.
 BOUNDS = {
-    'seedLagS': 3, 'addrReuseS': 2, 'contactMs': 3000, 'ackMs': 4000,
-    'catchUpS': 4, 'drainMs': 3000, 'graceS': 8, 'lostSlackMs': 200,
-    'configApplyMs': 2000, 'rollbackSlackMs': 250, 'skewMaxMs': 5000,
-    'failClosed': False, 'revokeMs': 5000, 'retryBudgetRatio': 0.2,
-    'budgetWindowS': 10, 'budgetSlack': 58, 'quotaWindowS': 8,
-    'quotaExcess': 0.1, 'quotaSlack': 140000, 'recoverS': 12,
-    'transitMs': 120, 'retryAfterS': 7.7, 'requireFencing': True,
-    'leaseMs': 3000, 'thawMs': 300, 'ttl_max_s': 5,
+    'seedLagS': 3,
+    'addrReuseS': 2,
+    'contactMs': 3000,
+    'ackMs': 4000,
+    'catchUpS': 4,
+    'drainMs': 3000,
+    'graceS': 8,
+    'lostSlackMs': 200,
+    'configApplyMs': 2000,
+    'rollbackSlackMs': 250,
+    'skewMaxMs': 5000,
+    'failClosed': False,
+    'revokeMs': 5000,
+    'retryBudgetRatio': 0.2,
+    'budgetWindowS': 10,
+    'budgetSlack': 58,
+    'quotaWindowS': 8,
+    'quotaExcess': 0.1,
+    'quotaSlack': 140000,
+    'recoverS': 12,
+    'transitMs': 120,
+    'retryAfterS': 7.7,
+    'requireFencing': True,
+    'leaseMs': 3000,
+    'thawMs': 300,
+    'ttl_max_s': 5,
 }
 ENGINE = {
-    'slots': 64, 'kvTokens': 37563, 'kvBytes': 163840,
-    'linkMbps': 1200000.0, 'moves': True, 'backups': True, 'stride': 11,
-    'most': 12, 'kvTtlS': 0.5, 'roleSwitchS': 6.0, 'pinMs': 4000.0,
-    'holdMs': 2000.0, 'models': [{'name': 'm'}],
+    'slots': 64,
+    'kvTokens': 37563,
+    'kvBytes': 163840,
+    'linkMbps': 1200000.0,
+    'moves': True,
+    'backups': True,
+    'stride': 11,
+    'most': 12,
+    'kvTtlS': 0.5,
+    'roleSwitchS': 6.0,
+    'pinMs': 4000.0,
+    'holdMs': 2000.0,
+    'models': [{'name': 'm'}],
 }
 HOST = 'ficu95.example'
 KEY = 'i9n73hh2b9wu3fexd9dn'
@@ -48,30 +75,55 @@
     """Returns a route of a configuration."""
     is_stream = kind == 'streaming'
     return {
-        'name': name, 'hostname': HOST, 'pathPrefix': prefix,
-        'routeType': kind, 'timeoutMs': 14000 if is_stream else 800,
+        'name': name,
+        'hostname': HOST,
+        'pathPrefix': prefix,
+        'routeType': kind,
+        'timeoutMs': 14000 if is_stream else 800,
         'targetLatencyMs': 900 if is_stream else 300,
-        'priority': 1 if is_stream else 2, 'backend': backend,
-        'attempts': 1, 'public': False, 'sessionAffinity': is_stream,
-        'resumable': False, 'itlTargetMs': 300 if is_stream else 0, **fields,
+        'priority': 1 if is_stream else 2,
+        'backend': backend,
+        'attempts': 1,
+        'public': False,
+        'sessionAffinity': is_stream,
+        'resumable': False,
+        'itlTargetMs': 300 if is_stream else 0,
+        **fields,
     }
 
 
 def make_config(version, routes):
     """Returns a configuration as the operator sends it."""
-    plain = {'healthPath': '/health', 'maxConnections': 110,
-             'protocol': 'h1', 'tls': False}
+    plain = {
+        'healthPath': '/health',
+        'maxConnections': 110,
+        'protocol': 'h1',
+        'tls': False,
+    }
     return {
-        'version': version, 'routes': routes,
+        'version': version,
+        'routes': routes,
         'services': [
             {'name': 'llm', **plain, 'maxConnections': 370, 'engine': ENGINE},
             {'name': 'ledger', **plain},
         ],
-        'limits': {'maxHeaderBytes': 16384, 'maxBodyBytes': 4194304,
-                   'headerTimeoutMs': 3000, 'idleTimeoutMs': 15000},
-        'tenants': [{'name': 'hule930', 'apiKeys': [KEY], 'priority': 1,
-                     'unit': 'tokens', 'plainTokens': 200,
-                     'ratePerS': 36000, 'burst': 36000}],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 4194304,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': [
+            {
+                'name': 'hule930',
+                'apiKeys': [KEY],
+                'priority': 1,
+                'unit': 'tokens',
+                'plainTokens': 200,
+                'ratePerS': 36000,
+                'burst': 36000,
+            }
+        ],
     }
 
 
@@ -84,20 +136,19 @@
 
     def __init__(self, path):
         self._begun_s = time.monotonic()
-        self._file = open(path, 'w', encoding='utf-8', buffering=1)
+        self._path = pathlib.Path(path)
+        self._path.write_text('')
 
     def now_s(self):
         return time.monotonic() - self._begun_s
 
     def add(self, kind, text):
         line = f'{self.now_s():8.3f} {kind}: {text}'
-        self._file.write(line + '\n')
+        with self._path.open('a', encoding='utf-8') as file:
+            file.write(line + '\n')
         if os.environ.get('SHOW'):
             print(line)
 
-    def close(self):
-        self._file.close()
-
 
 class Message:
     """A request or an answer that was read."""
@@ -183,10 +234,15 @@
 
     def list_item(self):
         item = {
-            'backend': self.service, 'address': self.address,
-            'zone': self.zone, 'version': self.version, 'slots': 64,
-            'state': self.state, 'coldRemainingMs': 0,
-            'id': self.instance_id, 'born': self.born_ms,
+            'backend': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': self.version,
+            'slots': 64,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'id': self.instance_id,
+            'born': self.born_ms,
         }
         if self.stage:
             models = [{'name': 'm', 'version': 1, 'adapters': []}]
@@ -226,9 +282,18 @@
         """Serves a request; returns whether the channel stays open."""
         method, target, _ = request.first_line.split(' ')
         if target == '/report':
-            report = {'stage': self.stage, 'busy': False, 'seq': self.seq,
-                      'models': [], 'queued': 0, 'running': 0, 'kvUsed': 0,
-                      'kvTotal': 37563, 'kvHandles': 0, 'born': self.born_ms}
+            report = {
+                'stage': self.stage,
+                'busy': False,
+                'seq': self.seq,
+                'models': [],
+                'queued': 0,
+                'running': 0,
+                'kvUsed': 0,
+                'kvTotal': 37563,
+                'kvHandles': 0,
+                'born': self.born_ms,
+            }
             await self.send(writer, 200, [], json.dumps(report).encode())
             return True
         if target == '/order':
@@ -255,8 +320,11 @@
             await self.send(writer, 421, headers)
             return True
         if wants_prefill:
-            body = {'kvHandle': f'h{random.getrandbits(48):x}',
-                    'tokens': 3200, 'version': 1}
+            body = {
+                'kvHandle': f'h{random.getrandbits(48):x}',
+                'tokens': 3200,
+                'version': 1,
+            }
             headers.append(('Content-Type', 'application/json'))
             await self.send(writer, 200, headers, json.dumps(body).encode())
             return True
@@ -294,9 +362,13 @@
 
 
 async def begin_stream(writer, headers):
-    lines = ['HTTP/1.1 200 OK', *(f'{n}: {v}' for n, v in headers),
-             'X-Masticquay-Weight-Versions: 1',
-             'Content-Type: text/event-stream', 'Transfer-Encoding: chunked']
+    lines = [
+        'HTTP/1.1 200 OK',
+        *(f'{n}: {v}' for n, v in headers),
+        'X-Masticquay-Weight-Versions: 1',
+        'Content-Type: text/event-stream',
+        'Transfer-Encoding: chunked',
+    ]
     writer.write('\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n')
     await writer.drain()
 
@@ -372,8 +444,10 @@
                     writer.write(encode('HTTP/1.1 503 Status', []))
                     await writer.drain()
                     continue
-                body = {'instances': [s.list_item() for s in self.servers],
-                        'next': None}
+                body = {
+                    'instances': [s.list_item() for s in self.servers],
+                    'next': None,
+                }
                 headers = [('Content-Type', 'application/json')]
                 data = json.dumps(body).encode()
                 writer.write(encode('HTTP/1.1 200 OK', headers, data))
@@ -404,15 +478,23 @@
                 number = len(self.servers)
                 self.servers.append(Server(self, number, service, stage))
                 servers.append([number, service, stage])
-            order = {'network': self.network, 'servers': servers,
-                     'answer_bytes': answer_bytes, 'events': events,
-                     'gap_s': gap_s}
+            order = {
+                'network': self.network,
+                'servers': servers,
+                'answer_bytes': answer_bytes,
+                'events': events,
+                'gap_s': gap_s,
+            }
             process = subprocess.Popen(
-                [sys.executable,
-                 str(pathlib.Path(__file__).parent / 'hosts.py'),
-                 json.dumps(order)],
-                stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                stderr=subprocess.DEVNULL, text=True,
+                [
+                    sys.executable,
+                    str(pathlib.Path(__file__).parent / 'hosts.py'),
+                    json.dumps(order),
+                ],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.DEVNULL,
+                text=True,
             )
             self.others.append(process)
             if await asyncio.to_thread(process.stdout.readline) != 'ready\n':
@@ -424,33 +506,59 @@
         is_control = ip in self.controls
         listen = {'control': f'{ip}:{CONTROL_PORT}'}
         if not is_control:
-            listen = {'front': f'{ip}:{FRONT_PORT}',
-                      'ready': f'{ip}:{READY_PORT}',
-                      'directory': f'{ip}:{DIRECTORY_PORT}'}
+            listen = {
+                'front': f'{ip}:{FRONT_PORT}',
+                'ready': f'{ip}:{READY_PORT}',
+                'directory': f'{ip}:{DIRECTORY_PORT}',
+            }
         return {
             'nodeName': f'node-{ip}',
             'role': 'control' if is_control else 'entry',
             'machineClass': 'core' if is_control else 'edge',
             'serves': ['control'] if is_control else ['edge', 'directory'],
-            'ip': ip, 'zone': 'ke-central-a', 'region': 'ke-central',
-            'zones': {'ke-central-a': 'ke-central'}, 'listen': listen,
+            'ip': ip,
+            'zone': 'ke-central-a',
+            'region': 'ke-central',
+            'zones': {'ke-central-a': 'ke-central'},
+            'listen': listen,
             'internalPorts': [LINK_PORT, LINK_PORT + 15],
             'seedNodes': [f'{c}:{CONTROL_PORT}' for c in self.controls[:3]],
-            'bootstrap': bootstrap, 'inTolerance': is_control,
-            'limits': {'cpuShare': 0.645, 'cpuCores': 1,
-                       'memoryMb': 296 if is_control else self.entry_memory_mb,
-                       'maxFds': 4096, 'linkMbps': 1000.0,
-                       'diskMb': 128 if is_control else 0},
+            'bootstrap': bootstrap,
+            'inTolerance': is_control,
+            'limits': {
+                'cpuShare': 0.645,
+                'cpuCores': 1,
+                'memoryMb': 296 if is_control else self.entry_memory_mb,
+                'maxFds': 4096,
+                'linkMbps': 1000.0,
+                'diskMb': 128 if is_control else 0,
+            },
             'dataDir': str(self.folder / f'data-{ip}') if is_control else None,
-            'discovery': 'cloud_api', 'entry': 'directory',
+            'discovery': 'cloud_api',
+            'entry': 'directory',
             'heartbeatMs': 1200,
-            'contracts': ['base', 'drain', 'config', 'cost', 'retry',
-                          'recover', 'split', 'stream', 'engine', 'tenants',
-                          'quota'],
+            'contracts': [
+                'base',
+                'drain',
+                'config',
+                'cost',
+                'retry',
+                'recover',
+                'split',
+                'stream',
+                'engine',
+                'tenants',
+                'quota',
+            ],
             'faultTolerance': {'machines': 1, 'zones': 0, 'regions': 0},
-            'bounds': self.bounds, 'configMode': 'highest',
-            'cloudApi': {'address': f'{self.network}.250:{LIST_PORT}',
-                         'ratePerS': 47.0, 'duties': [], 'lagMs': 800},
+            'bounds': self.bounds,
+            'configMode': 'highest',
+            'cloudApi': {
+                'address': f'{self.network}.250:{LIST_PORT}',
+                'ratePerS': 47.0,
+                'duties': [],
+                'lagMs': 800,
+            },
         }
 
     def start(self, ip, bootstrap=True):
@@ -460,14 +568,19 @@
         role = 'control' if ip in self.controls else 'entry'
         environment = {
             name: os.environ[name]
-            for name in ('PATH', 'HOME', 'LANG') if name in os.environ
+            for name in ('PATH', 'HOME', 'LANG')
+            if name in os.environ
         }
         environment['MASTICQUAY_CONFIG'] = str(path)
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         with (self.folder / f'{ip}.log').open('ab') as log:
             self.processes[ip] = subprocess.Popen(
-                self.commands[role].split(), cwd=ROOT, env=environment,
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                self.commands[role].split(),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
             )
         self.record.add('start', ip)
 
@@ -519,10 +632,15 @@
     def start_crowd(self, **order):
         """Starts a crowd of clients in a process; see ``crowd.py``."""
         process = subprocess.Popen(
-            [sys.executable, str(pathlib.Path(__file__).parent / 'crowd.py'),
-             json.dumps(order)],
-            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-            stdin=subprocess.DEVNULL, text=True,
+            [
+                sys.executable,
+                str(pathlib.Path(__file__).parent / 'crowd.py'),
+                json.dumps(order),
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            stdin=subprocess.DEVNULL,
+            text=True,
         )
         self.others.append(process)
         return process
@@ -553,9 +671,7 @@
     async def find_leader(self):
         """Returns the control machine that reads are led to, or None."""
         for ip in self.controls:
-            answer = await call(
-                ip, CONTROL_PORT, 'GET', '/config', [], b'', 1
-            )
+            answer = await call(ip, CONTROL_PORT, 'GET', '/config', [], b'', 1)
             if answer.status == 200:
                 return ip
         return None
@@ -566,8 +682,13 @@
         for ip in self.controls:
             for _ in range(3):
                 answer = await call(
-                    ip, CONTROL_PORT, 'PUT', '/config',
-                    [('Content-Type', 'application/json')], body, 3,
+                    ip,
+                    CONTROL_PORT,
+                    'PUT',
+                    '/config',
+                    [('Content-Type', 'application/json')],
+                    body,
+                    3,
                 )
                 if answer.status != 307:
                     break
@@ -641,9 +762,12 @@
     """Returns the headers of a client's model request."""
     part = f'{random.getrandbits(32):08x}'
     return caller_headers(
-        call_id, deadline_ms,
-        X_Masticquay_Model='m', X_Masticquay_Token_Usage=tokens,
-        X_Masticquay_Prefix_Hash=f'5c1e07a2:200,{part}:3000', **others,
+        call_id,
+        deadline_ms,
+        X_Masticquay_Model='m',
+        X_Masticquay_Token_Usage=tokens,
+        X_Masticquay_Prefix_Hash=f'5c1e07a2:200,{part}:3000',
+        **others,
     )
 
 
@@ -679,6 +803,5 @@
     except Exception as cause:
         record.add('could not run', f'{type(cause).__name__}: {cause}')
     record.add('result', {0: 'held', 1: 'broken', 2: 'could not run'}[status])
-    record.close()
     print(f'exit {status}')
     sys.exit(status)
