--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -22,6 +22,8 @@
 FRONT_PORT, READY_PORT, DIRECTORY_PORT = 8221, 8224, 8220
 CONTROL_PORT, LIST_PORT, SERVER_PORT, METRICS_PORT = 8229, 8225, 8080, 9464
 LINK_PORT = 7600
+# The time of a whole script.
+LIMIT_S = 116
 EXIT_HELD, EXIT_BROKEN, EXIT_COULD_NOT_RUN = 0, 1, 2
 # The bounds of the site kalamu-quay.
 BOUNDS = {
@@ -790,17 +792,26 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+async def run_until_stopped(case):
+    """Runs a case, in bounds, and ends it in order at SIGTERM or SIGINT."""
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, LIMIT_S)
+
+
 def run_case(path, run, record_name='record.txt'):
     """Runs a case, which returns what broke the rule, and exits."""
     record = Record(pathlib.Path(path).resolve().parent / record_name)
     record.add('case', f'trouble: {has_trouble()}')
     status = EXIT_COULD_NOT_RUN
     try:
-        broken = asyncio.run(asyncio.wait_for(run(record), 116))
+        broken = asyncio.run(run_until_stopped(run(record)))
         for text in broken:
             record.add('broken', text)
         status = EXIT_BROKEN if broken else EXIT_HELD
-    except Exception as cause:
+    except (Exception, asyncio.CancelledError) as cause:
         record.add('could not run', f'{type(cause).__name__}: {cause}')
     record.add('result', {0: 'held', 1: 'broken', 2: 'could not run'}[status])
     print(f'exit {status}')
