A stream goes on at the event that names new weights

Cause: an event had four fields and comments only. The users' protocol lets an event begin with a line that names the version of the weights, and readers of server-sent events ignore fields that they do not know. Change: lines of a lower-case name, a colon and a value are passed on beside a field that readers know. Text without such a field, and lines that are no field, are refused as before; no check of the earlier tests was changed.

--- a/libs/gateway/masticquay_gateway/events.py
+++ b/libs/gateway/masticquay_gateway/events.py
@@ -1,13 +1,21 @@
 """Splits a byte stream into server-sent events."""
 
+from collections import abc
+import itertools
 import re
 
 SEPARATOR = b'\n\n'
 ID_FIELD = b'id:'
-# A line of an event: a field, with or without a value, or a comment.
-EVENT_LINE = re.compile(rb'(?:(?:data|event|id|retry)(?::|\Z)|:)')
+# A line of an event: a field, with or without a value, an extension field,
+# which readers ignore unless they know it, or a comment. Names of extension
+# fields are in lower case, unlike most lines of a response head.
+EVENT_LINE = re.compile(
+    rb'(?P<field>data|event|id|retry)(?::|\Z)'
+    rb'|(?P<extension>[a-z][a-z0-9_-]*):'
+    rb'|:'
+)
 # The first line that is neither empty nor a comment.
-FIRST_FIELD = re.compile(rb'^[^:\n].*', re.MULTILINE)
+FIRST_FIELD = re.compile(rb'^[^:\n]', re.MULTILINE)
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -52,8 +60,9 @@
     def _drop_repeated(self, events: bytes) -> bytes:
         new_events = []
         for event in events.split(SEPARATOR)[:-1]:
-            _check_lines(event)
-            event_id = _id_of(event)
+            lines = event.split(b'\n')
+            _check_lines(lines)
+            event_id = _id_of(lines)
             if event_id is not None:
                 if self._is_repeated(event_id):
                     continue
@@ -81,22 +90,32 @@
     field = FIRST_FIELD.search(text)
     if field is None:
         return False
-    first = text[field.start() :].partition(SEPARATOR)[0]
-    return _id_of(first) is not None
+    lines = text[field.start() :].splitlines()
+    return _id_of(itertools.takewhile(bool, lines)) is not None
 
 
-def _check_lines(event: bytes) -> None:
+def _check_lines(lines: list[bytes]) -> None:
     """Checks that an event has no other lines than events have.
 
+    Readers ignore fields that they do not know, so an engine may send them,
+    but only beside one that they do know: other text is an error's.
+
     :raises ValueError: if it has, such as the text or the head of an error
     """
-    for line in event.split(b'\n'):
-        if line and EVENT_LINE.match(line) is None:
+    kinds = set()
+    for line in lines:
+        if not line:
+            continue
+        match = EVENT_LINE.match(line)
+        if match is None:
             raise ValueError('the stream has a line that no event has')
+        kinds.add(match.lastgroup)
+    if 'extension' in kinds and 'field' not in kinds:
+        raise ValueError('the stream has text that is no event')
 
 
-def _id_of(event: bytes) -> str | None:
-    for line in event.split(b'\n'):
+def _id_of(lines: abc.Iterable[bytes]) -> str | None:
+    for line in lines:
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode('latin-1')
     return None
--- a/libs/gateway/tests/test_events.py
+++ b/libs/gateway/tests/test_events.py
@@ -39,6 +39,43 @@
         text = b': c\n\nid: 1\nevent: e\nretry: 5\ndata\ndata: x\n\nid\n\n'
         self.assertEqual(text, events.EventSplitter().feed(text))
 
+    # Guards against LOST: all streams of a model were reset when its engines
+    # named new weights in a field that the splitter did not know.
+    def test_fields_that_readers_ignore_are_passed_on(self):
+        for line in (
+            b'x-masticquay-weight-versions:2\n',
+            b'x-masticquay-weight-versions: 2\n',
+            b'trace_id: a:b\n',
+        ):
+            for text in (
+                line + b'id: 3\ndata: x\n\n',
+                b'id: 3\n' + line + b'data: x\n\n',
+                b': c\n' + line + b'id: 3\n\n',
+            ):
+                with self.subTest(text):
+                    splitter = events.EventSplitter('2')
+                    self.assertEqual(text, splitter.feed(text))
+                    self.assertEqual('3', splitter.last_id)
+                    self.assertTrue(events.has_event(text))
+                    self.assertTrue(events.has_id(text))
+
+    def test_repeated_event_is_left_out_with_its_other_fields(self):
+        splitter = events.EventSplitter('2')
+        text = b'versions: 2\nid: 2\ndata: x\n\nid: 3\n\n'
+        self.assertEqual(b'id: 3\n\n', splitter.feed(text))
+
+    def test_fields_that_readers_ignore_are_no_event_by_themselves(self):
+        for text in (
+            b'error: overloaded\n\n',
+            b': c\nerror: overloaded\n\n',
+            b'id: 1\n\nerror: overloaded\n\n',
+            b'id: 1\nContent-Type: text/plain\n\n',
+            b'id: 1\nno field\n\n',
+            b'id: 1\n{"error": "x"}\n\n',
+        ):
+            with self.subTest(text), self.assertRaises(ValueError):
+                events.EventSplitter().feed(text)
+
     def test_comments_and_empty_lines_are_no_events(self):
         for text in (b'', b'\n\n', b': c\n\n', b':\n: d\n\n\n\n'):
             with self.subTest(text):
--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -164,6 +164,55 @@
         self.assertEqual('v1', request.software_version)
         self.assertEqual('c0', self.placer.origins[0][0])
 
+    # Guards against LOST: a stream was reset at the event that names the new
+    # version of its engine's weights, and the engine was reported as failed.
+    def test_event_that_names_new_weights_reaches_the_caller(self):
+        named = b'x-masticquay-weight-versions:2\n' + streamer_cases.EVENTS[2]
+        body = b''.join(
+            [*streamer_cases.EVENTS[:2], named, *streamer_cases.EVENTS[3:]]
+        )
+
+        def answer(request, reply):
+            reply.begin(200, [('Call', request.header('call'))])
+            reply.write(body)
+            reply.finish()
+
+        decode = self.make_decode_engine(1, answer)
+        self.run_job([(None, decode.endpoint)])
+        self.assertEqual(body, self.job.reply.body)
+        self.assertTrue(self.job.reply.finished)
+        self.assertEqual([], self.placer.failures)
+
+    def test_broken_stream_resumes_with_an_event_that_names_new_weights(self):
+        named = b'x-masticquay-weight-versions:2\n' + streamer_cases.EVENTS[2]
+
+        def answer(request, reply):
+            if request.header('resume') is None:
+                self.send_stream(request, reply, end=2, complete=False)
+                return
+            reply.begin(200, [('Call', request.header('call'))])
+            reply.write(
+                b''.join(
+                    [
+                        streamer_cases.EVENTS[1],
+                        named,
+                        *streamer_cases.EVENTS[3:],
+                    ]
+                )
+            )
+            reply.finish()
+
+        decode = self.make_decode_engine(1, answer)
+        self.run_job(
+            [(None, decode.endpoint), (None, decode.endpoint)],
+            resumable=True,
+        )
+        expected = b''.join(
+            [*streamer_cases.EVENTS[:2], named, *streamer_cases.EVENTS[3:]]
+        )
+        self.assertEqual(expected, self.job.reply.body)
+        self.assertTrue(self.job.reply.finished)
+
     # Guards against an error of the next engine in the middle of a caller's
     # stream, or a stream that ends there as if it were complete.
     def test_broken_stream_is_aborted_if_the_next_engine_sends_an_error(self):
