Events may end with carriage returns and line feeds

What callers would see: a stream whose lines end with a carriage return and a line feed, which is legal for server-sent events, was held whole until its gap timed out, and was then reset. Cause: only two line feeds ended an event. Change: the first line of a stream tells how its lines end; a stream that begins with line feeds is split as before. Evidence: the new test of events failed before (nothing was returned). That engines of the users' platform write such lines was not seen.

--- a/libs/gateway/masticquay_gateway/events.py
+++ b/libs/gateway/masticquay_gateway/events.py
@@ -4,7 +4,8 @@
 import itertools
 import re
 
-SEPARATOR = b'\n\n'
+LINE_FEED = b'\n'
+CARRIAGE_RETURN = b'\r'
 ID_FIELD = b'id:'
 # A line of an event: a field, with or without a value, an extension field,
 # which readers ignore unless they know it, or a comment. Names of extension
@@ -15,20 +16,24 @@
     rb'|:'
 )
 # The first line that is neither empty nor a comment.
-FIRST_FIELD = re.compile(rb'^[^:\n]', re.MULTILINE)
+FIRST_FIELD = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventSplitter:
     """Buffers bytes and returns complete events without duplicates.
 
+    The first line of a stream tells how its lines end: with a line feed, or
+    with a carriage return and a line feed.
+
     :param last_id: id of the last event returned, None before the first
     """
 
-    __slots__ = ('_buffer', 'last_id')
+    __slots__ = ('_buffer', '_line_end', 'last_id')
 
     def __init__(self, last_id: str | None = None):
         self._buffer = b''
+        self._line_end = b''
         self.last_id = last_id
 
     @property
@@ -45,29 +50,32 @@
         :raises ValueError: if an event exceeds ``MAX_EVENT_BYTES``, or if
             what stands between two events is none
         """
-        # The separator's first byte may have come before.
-        start = max(0, len(self._buffer) - 1)
+        old_length = len(self._buffer)
         self._buffer += data
-        end = self._buffer.rfind(SEPARATOR, start)
+        self._line_end = self._line_end or _find_line_end(self._buffer)
+        separator = self._line_end * 2
+        # Most bytes of the separator may have come before.
+        start = max(0, old_length - len(separator) + 1)
+        end = self._buffer.rfind(separator, start) if separator else -1
         if end < 0:
             if len(self._buffer) > MAX_EVENT_BYTES:
                 raise ValueError('event is too large')
             return b''
-        end += len(SEPARATOR)
+        end += len(separator)
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        return self._drop_repeated(complete)
+        return self._drop_repeated(complete, separator)
 
-    def _drop_repeated(self, events: bytes) -> bytes:
+    def _drop_repeated(self, events: bytes, separator: bytes) -> bytes:
         new_events = []
-        for event in events.split(SEPARATOR)[:-1]:
-            lines = event.split(b'\n')
+        for event in events.removesuffix(separator).split(separator):
+            lines = event.split(self._line_end)
             _check_lines(lines)
             event_id = _id_of(lines)
             if event_id is not None:
                 if self._is_repeated(event_id):
                     continue
                 self.last_id = event_id
-            new_events.append(event + SEPARATOR)
+            new_events.append(event + separator)
         return b''.join(new_events)
 
     def _is_repeated(self, event_id: str) -> bool:
@@ -94,6 +102,14 @@
     return _id_of(itertools.takewhile(bool, lines)) is not None
 
 
+def _find_line_end(text: bytes) -> bytes:
+    """Returns what ends the first line, nothing if that is not complete."""
+    line, line_feed, _rest = text.partition(LINE_FEED)
+    if line_feed and line.endswith(CARRIAGE_RETURN):
+        return CARRIAGE_RETURN + LINE_FEED
+    return line_feed
+
+
 def _check_lines(lines: list[bytes]) -> None:
     """Checks that an event has no other lines than events have.
 
--- a/libs/gateway/tests/test_events.py
+++ b/libs/gateway/tests/test_events.py
@@ -72,10 +72,25 @@
             b'id: 1\nContent-Type: text/plain\n\n',
             b'id: 1\nno field\n\n',
             b'id: 1\n{"error": "x"}\n\n',
+            b'id: 1\ndata: x\r\n\r\n\n\n',
         ):
             with self.subTest(text), self.assertRaises(ValueError):
                 events.EventSplitter().feed(text)
 
+    # Guards against streams that stall, as no event was ever complete.
+    def test_lines_may_end_with_carriage_returns(self):
+        text = b'a: 2\r\nid: 1\r\ndata: x\r\n\r\n: c\r\n\r\nid: 2\r\n\r\n'
+        splitter = events.EventSplitter()
+        self.assertEqual(text, splitter.feed(text))
+        self.assertEqual('2', splitter.last_id)
+        splitter = events.EventSplitter('1')
+        complete = b''.join(splitter.feed(bytes([b])) for b in text)
+        self.assertEqual(b': c\r\n\r\nid: 2\r\n\r\n', complete)
+        self.assertEqual(b'', splitter.incomplete)
+        self.assertTrue(events.has_id(complete))
+        self.assertFalse(events.has_event(b': c\r\n\r\n\r\n\r\n'))
+        self.assertFalse(events.has_id(b'data: x\r\n\r\n' + complete))
+
     def test_comments_and_empty_lines_are_no_events(self):
         for text in (b'', b'\n\n', b': c\n\n', b':\n: d\n\n\n\n'):
             with self.subTest(text):
