A status is three digits from 100 to 599

Here 0200, +200 and 2_00 passed for 200, and 600 and 999 were passed on. Cause: both clients read the status with int and believed up to 999. Change: one reader of status lines for endpoints, the platform's list and orders; an exchange by way of a peer checks what the peer passes on.

--- a/libs/endpoints/masticquay_endpoints/responses.py
+++ b/libs/endpoints/masticquay_endpoints/responses.py
@@ -6,6 +6,7 @@
 from masticquay_endpoints import errors
 from masticquay_serving import framings
 from masticquay_serving import heads
+from masticquay_serving import status_lines
 
 # The status line and all header lines; ``http.client`` allows 100 of these.
 MAX_HEAD_BYTES = 64 * 1024
@@ -49,7 +50,7 @@
         """Reads the status line after all interim answers."""
         for _ in range(MAX_INTERIM_ANSWERS + 1):
             self.fp.begin_part('head', MAX_HEAD_BYTES, is_first=True)
-            version, status, reason = super()._read_status()
+            version, status, reason = status_lines.read(self.fp.readline())
             if status >= 200:
                 return version, status, reason
             http.client.parse_headers(self.fp)
--- a/libs/endpoints/tests/test_responses.py
+++ b/libs/endpoints/tests/test_responses.py
@@ -12,6 +12,19 @@
 from tests import test_connections
 
 TIMEOUT_MS = 5_000
+UNREADABLE_STATUSES = (
+    b'0200 OK',
+    b'+200 OK',
+    b'2_00 OK',
+    b'20 OK',
+    b'000 x',
+    b'099 x',
+    b'600 x',
+    b'999 x',
+    b'1000 x',
+    b'200OK',
+    b'',
+)
 PAUSE_S = 0.1
 CLOSING_HEAD = b'HTTP/1.1 200 x\r\nConnection: close\r\n'
 STREAM = (
@@ -41,6 +54,25 @@
             response = exchange.send('GET', '/x', [], b'', TIMEOUT_MS)
             return response.status, exchange.read_body(100)
 
+    # Guards against the answer of an endpoint in trouble that passes for one
+    # with another status, as ``int`` reads it.
+    def test_response_with_an_unreadable_status_is_refused(self):
+        for status in UNREADABLE_STATUSES:
+            head = b'HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\nok' % status
+            pool = self.start_pool(lambda sock, head=head: sock.sendall(head))
+            with (
+                self.subTest(status),
+                self.assertRaises(errors.EndpointError),
+            ):
+                self.exchange(pool)
+
+    def test_response_without_a_reason_is_read(self):
+        for line in (b'HTTP/1.1 200', b'HTTP/1.1 200 ', b'HTTP/1.0 200 a b'):
+            head = line + b'\r\nContent-Length: 2\r\n\r\nok'
+            pool = self.start_pool(lambda sock, head=head: sock.sendall(head))
+            with self.subTest(line):
+                self.assertEqual((200, b'ok'), self.exchange(pool))
+
     # Guards against the answer to one request being taken for that to the
     # next one, on a connection that is a response behind.
     def test_interim_response_is_not_taken_for_the_response(self):
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -17,6 +17,7 @@
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_serving import counters
+from masticquay_serving import status_lines
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import messages as wire_messages
 
@@ -208,6 +209,11 @@
                 self._link.send(request)
                 answer = self._receive()
             if isinstance(answer, peer_messages.PeerHead):
+                if answer.status not in status_lines.STATUSES:
+                    # A peer of an earlier release passes any number on.
+                    raise endpoint_errors.EndpointError(
+                        f'status {answer.status} by way of a peer'
+                    )
                 self._count('answered')
                 self.response = PeerResponse(answer, self._receive_data)
                 return self.response
--- a/libs/gateway/tests/test_early_answers.py
+++ b/libs/gateway/tests/test_early_answers.py
@@ -68,6 +68,17 @@
         )
         self.assertIs(ports.Reason.UNKNOWN, outcome.reason)
 
+    # Guards against a part of an answer that passes for the whole: its length
+    # is not known, and its end is that of a connection that was reset.
+    def test_early_success_without_a_length_is_not_passed_on(self):
+        whole = raw_endpoints.format_answer('c1', 200, b'part of it')
+        for head in (
+            whole.replace(b'Content-Length: 10\r\n', b''),
+            whole.replace(b'Content-Length: 10', b'Connection: close'),
+        ):
+            outcome = self.run_call(head)
+            self.assertIs(ports.Reason.UNKNOWN, outcome.reason, head)
+
     def test_early_refusal_that_is_cut_off_is_not_believed(self):
         whole = raw_endpoints.format_answer('c1', 503, b'full', [MARK])
         endless = whole.replace(b'Content-Length: 4\r\n', b'')
--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -1,5 +1,8 @@
 """Tests of exchanges with endpoints by way of another entry host."""
 
+from unittest import mock
+
+from masticquay_endpoints import errors as endpoint_errors
 from masticquay_endpoints import interrupts
 from masticquay_endpoints import whole_bodies
 from masticquay_gateway import errors
@@ -182,6 +185,18 @@
         exchange.connection.set_timeout(peer_cases.TIMEOUT_MS)
         self.assertEqual(data, exchange.read_body(len(data)))
 
+    # Guards against a status that a peer of an earlier release passes on.
+    def test_unreadable_status_by_way_of_a_peer_is_refused(self):
+        for status in (0, 99, 600):
+            head = peer_messages.PeerHead(status, [])
+            with (
+                self.subTest(status),
+                self.assertRaises(endpoint_errors.EndpointError),
+                self.open(lasts_ms=peer_cases.TIMEOUT_MS) as exchange,
+                mock.patch.object(exchange, '_receive', return_value=head),
+            ):
+                self.send(exchange, '/stream')
+
     # Guards against a body without a length that counts as whole, as the
     # interrupt of its request ends its connection like its end does.
     def test_interrupted_answer_is_not_passed_on_as_whole(self):
--- a/libs/serving/masticquay_serving/http_clients.py
+++ b/libs/serving/masticquay_serving/http_clients.py
@@ -16,6 +16,10 @@
 from masticquay_serving import heads
 from masticquay_serving import replies
 from masticquay_serving import requests
+from masticquay_serving import status_lines
+
+# As ``http.client`` allows.
+MAX_LINE_BYTES = 64 * 1024
 
 
 class Answer:
@@ -155,6 +159,9 @@
             raise errors.ExchangeError('unreadable header line')
         framings.check_headers(self.headers)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        return status_lines.read(self.fp.readline(MAX_LINE_BYTES))
+
     def _read_next_chunk_size(self) -> int:
         return framings.read_chunk_size(self.fp.readline())
 
--- a/libs/serving/tests/test_http_clients.py
+++ b/libs/serving/tests/test_http_clients.py
@@ -89,6 +89,16 @@
         self.assertEqual(b'ab', self.client.call('GET', '/').body)
         self.assertEqual(b'', self.client.call('GET', '/').body)
 
+    # Guards against an answer that passes for one with another status, as
+    # ``int`` reads it.
+    def test_answer_with_an_unreadable_status_fails(self):
+        for status in (b'0200', b'+200', b'2_00', b'000', b'600', b'1000'):
+            with self.subTest(status):
+                self.doCleanups()
+                self.setUp()
+                head = b'HTTP/1.1 %s x\r\nContent-Length: 2\r\n\r\n' % status
+                self.assert_fails([head + b'ok'])
+
     # Guards against an answer that broke off and counts as whole: lines after
     # one that cannot be parsed were left out, so also the length of the body.
     def test_answer_cut_off_after_an_unreadable_line_fails(self):
