Requests that replicas refuse wait for the next leader

Cause: what replicas refuse was refused at once, though the next leader, which has the whole rate, is usually found within a second. Change: in the first second after a loss such a request waits up to 500 ms for it; later it is refused at once as before.

--- a/libs/gateway/masticquay_gateway/leaderless_rates.py
+++ b/libs/gateway/masticquay_gateway/leaderless_rates.py
@@ -22,8 +22,8 @@
 MAX_ASKED_REPLICAS = 3
 # Replicas are found, and miss the leader, within this time after its loss.
 SEARCH_MS = 1_000
-# A request waits this long for that at most.
-MAX_WAIT_MS = 350
+# A request waits this long for that, or for the next leader, at most.
+MAX_WAIT_MS = 500
 POLL_INTERVAL_MS = 50
 # A replica whose share covers a request so soon is asked once more.
 SHORT_WAIT_MS = 150
@@ -144,15 +144,17 @@
             if not self._take(limit, cost):
                 return Charge(0, BY_HOST)
             wait_ms = self._ask_replicas(limit, cost)
+            left_ms = max(0, wait_until_ms - _now_ms())
             if wait_ms is None:
-                if _now_ms() >= wait_until_ms:
+                if not left_ms:
                     return self._draw(limit, cost)
                 pause_ms = POLL_INTERVAL_MS
-            elif has_waited or not 0 < wait_ms <= SHORT_WAIT_MS:
-                return Charge(wait_ms, BY_REPLICA)
             else:
+                # Soon there may be a leader, which has the whole rate.
+                pause_ms = wait_ms if wait_ms <= SHORT_WAIT_MS else left_ms
+                if has_waited or not pause_ms:
+                    return Charge(wait_ms, BY_REPLICA)
                 has_waited = True
-                pause_ms = wait_ms
             if self._link.wait_for_leader(pause_ms):
                 return Charge(0, '', leader_found=True)
 
--- a/libs/gateway/tests/test_leaderless_rates.py
+++ b/libs/gateway/tests/test_leaderless_rates.py
@@ -108,6 +108,19 @@
         self.assertEqual((20, 'replica'), (charge.wait_ms, charge.by))
         self.assertEqual(2, len(link.sent))
 
+    # Guards against requests within the limit that are refused while the
+    # replicas elect a leader.
+    def test_request_that_replicas_refuse_waits_for_the_next_leader(self):
+        link = FakeLink([900], lost_for_ms=0)
+        link.finds_leader = True
+        self.assertTrue(self.charge(link, LARGE_COST).leader_found)
+        self.assertEqual(1, len(link.sent))
+
+    def test_request_is_refused_at_once_when_no_leader_is_elected(self):
+        link = FakeLink([900])
+        link.finds_leader = True
+        self.assertEqual(900, self.charge(link, LARGE_COST).wait_ms)
+
     # Guards against QUOTA: each of many hosts let a request through that cost
     # many times its share of the rate.
     def test_host_without_replicas_rarely_lets_large_requests_run(self):
