Requests of calm workspaces outlast the change of a leader

Cause: shares and the new leader's buckets begin empty, and a request waited half a second at most, less than an election takes. Change: model requests wait for the next leader as long as for a placement, in the first two seconds after a loss; a new leader begins with a quarter of the burst. In the second or more before an election at most three quarters of the rate ran, so the sum holds where a burst is a second of the rate or less.

--- a/libs/coordination/masticquay_coordination/charges.py
+++ b/libs/coordination/masticquay_coordination/charges.py
@@ -6,8 +6,9 @@
 from masticquay_routing import tables
 
 # Initial level of the token buckets under a new leader, as a fraction of the
-# burst: its predecessor may just have let a whole burst run.
-SUCCESSOR_BURST_SHARE = 0.0
+# burst. Its predecessor may just have let a whole burst run, but in the second
+# or more before an election at most three quarters of the rate ran.
+SUCCESSOR_BURST_SHARE = 0.25
 
 
 class ChargeCounts:
--- a/libs/gateway/masticquay_gateway/leaderless_rates.py
+++ b/libs/gateway/masticquay_gateway/leaderless_rates.py
@@ -20,9 +20,10 @@
 ASK_TIMEOUT_MS = 150
 # A share of one replica may be spent while others have some left.
 MAX_ASKED_REPLICAS = 3
-# Replicas are found, and miss the leader, within this time after its loss.
-SEARCH_MS = 1_000
-# A request waits this long for that, or for the next leader, at most.
+# The next leader is usually found within this time after a loss. Requests wait
+# for it, or for a replica's share, no longer than that.
+SEARCH_MS = 2_000
+# A request waits no longer than this unless it says so.
 MAX_WAIT_MS = 500
 POLL_INTERVAL_MS = 50
 # A replica whose share covers a request so soon is asked once more.
@@ -93,12 +94,17 @@
         self._random = random.Random()
         self._shares = rate_shares.RateShares(self._random)
 
-    def charge(self, workspace: str, cost: float) -> Charge:
-        """Charges a request, or leaves it to a leader that is found."""
+    def charge(
+        self, workspace: str, cost: float, max_wait_ms: int = MAX_WAIT_MS
+    ) -> Charge:
+        """Charges a request, or leaves it to a leader that is found.
+
+        :param max_wait_ms: how long it may wait for that
+        """
         limit = self._find_limit(workspace)
         if limit is None:
             return Charge(0, BY_HOST)
-        charge = self._charge(limit, cost)
+        charge = self._charge(limit, cost, max_wait_ms)
         if charge.leader_found:
             return charge
         self._registry.count(
@@ -130,14 +136,16 @@
                 )
         return None
 
-    def _charge(self, limit: rate_shares.RateLimit, cost: float) -> Charge:
+    def _charge(
+        self, limit: rate_shares.RateLimit, cost: float, max_wait_ms: int
+    ) -> Charge:
         if self._link.wait_for_leader(0):
             # It is only slow to answer, so replicas would leave it to it.
             if self._take(limit, cost):
                 return self._draw(limit, cost)
             return Charge(0, BY_HOST)
         wait_until_ms = min(
-            _now_ms() + MAX_WAIT_MS, self._link.leader_lost_ms + SEARCH_MS
+            _now_ms() + max_wait_ms, self._link.leader_lost_ms + SEARCH_MS
         )
         has_waited = False
         while True:
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -300,7 +300,11 @@
         """
         if request.charged:
             return None
-        charge = self._rates.charge(request.workspace, request.cost)
+        charge = self._rates.charge(
+            request.workspace,
+            request.cost,
+            max(request.wait_ms, request.late_wait_ms),
+        )
         if charge.leader_found:
             self._requests.end(request.number)
             # The leader may have been told that it has ended.
