--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -100,7 +100,9 @@
             env={
                 'PATH': os.environ['PATH'],
                 'HOME': os.environ.get('HOME', '/'),
-                'PYTHONPATH': str(ROOT / 'target' / 'deps'),
+                'PYTHONPATH': os.pathsep.join(
+                    [*self.extra_folders, str(ROOT / 'target' / 'deps')]
+                ),
                 'MASTICQUAY_CONFIG': str(path),
             },
             stdout=log,
@@ -143,9 +145,7 @@
             deployment = Deployment(stack, data, network=network, **hosts)
             watchdog.args[1] = deployment
             watchdog.start()
-            signal.signal(
-                signal.SIGTERM, lambda *_: end(record, deployment)
-            )
+            signal.signal(signal.SIGTERM, lambda *_: end(record, deployment))
             held = play(stack, deployment, record, has_trouble)
             result = HELD if held else BROKEN
         except Exception as cause:
