--- a/review/11/case.py
+++ b/review/11/case.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import os
 import pathlib
 import sys
 import threading
@@ -19,7 +20,8 @@
 from tests import servers  # noqa: E402
 from tests import standins  # noqa: E402
 
-# So many requests of peers a host runs at once.
+HOSTS = int(os.environ.get('HOSTS', '2'))
+# A little more than a host takes of peers at once.
 BATCH = 70
 BATCH_WORK_S, WORK_S = 3.4, 0.25
 # A body that is sent to a peer ahead of its request; 4 MB are allowed.
@@ -87,7 +89,7 @@
                 number += 1
                 with contextlib.suppress(OSError):
                     self.deployment.request(
-                        ip, '/once/x', f'steady{caller}-{number}'
+                        ip, '/once/x', f'steady-{ip}-{caller}-{number}'
                     )
 
         for caller in range(STEADY_CALLERS):
@@ -107,8 +109,8 @@
 
 def play(stack, deployment, record, has_trouble):
     WorkingServer.record = record
-    for number in range(6):
-        service = 'plain' if number < 3 else 'batch'
+    for number in range(3):
+        service = 'batch' if number else 'plain'
         deployment.servers.append(
             WorkingServer(stack, deployment.network, number, service)
         )
@@ -117,23 +119,34 @@
         lambda ip: deployment.request(ip, '/once/x', f'w-{ip}').status == 200,
     )
     time.sleep(4)
-    first, second = deployment.entries
+    first, *peers = deployment.entries
+    second = peers[0]
     callers = Callers(deployment, record)
-    # The second host has opened channels to all servers.
-    join(
-        callers.send_all(second, '/once/x', 'warm', WARMING // 3)
-        + callers.send_all(second, '/batch/x', 'warm-b', 2 * WARMING // 3)
-    )
-    callers.begin_steady(second)
+    # The other hosts have opened channels to all servers.
+    warming = []
+    for ip in peers:
+        warming += callers.send_all(ip, '/once/x', f'warm-{ip}', WARMING // 3)
+        warming += callers.send_all(
+            ip, '/batch/x', f'warm-b-{ip}', 2 * WARMING // 3
+        )
+    join(warming)
+    for ip in peers:
+        callers.begin_steady(ip)
     time.sleep(0.5)
     if has_trouble:
-        record.write('both hosts are cut off, open channels live on')
+        record.write('all hosts are cut off, open channels live on')
         for server in deployment.servers:
             server.refuse_new_channels()
     standins.wait_for(
         lambda: deployment.request(first, '/once/x', 'probe').status == 200
     )
-    batch = callers.send_all(first, '/batch/x', 'batch', BATCH, gap_s=0.005)
+    batch = callers.send_all(
+        first,
+        '/batch/x',
+        'batch',
+        BATCH * len(peers),
+        gap_s=0.005 / len(peers),
+    )
     time.sleep(0.2)
     if has_trouble:
         record.write(f'{second} is frozen')
@@ -144,7 +157,7 @@
         record.write(f'{second} is thawed')
     join(batch)
     callers.end_steady()
-    join(callers.send_all(first, '/once/x', 'small', SMALL))
+    join(callers.send_all(first, '/once/x', 'small', SMALL * len(peers)))
     time.sleep(2)
     return check(deployment, callers.answers, record)
 
@@ -189,4 +202,4 @@
     return not refused and not twice
 
 
-harness.run(FOLDER, '127.0.116', play, controls=3, entries=2)
+harness.run(FOLDER, '127.0.116', play, controls=3, entries=HOSTS)
