An answer of an exchange that was given up decides nothing

Cause: a link to a peer was returned for reuse by a flag that its users set, and messages named no request. A timeout of the announcement of a large body counted as a refusal, and set the flag; the next request on the link took the late refusal for its own answer. A failure "not taken" behind the head of an answer became a promise as well. Change: the asking end knows what was asked and answered; a link is idle, and reused, only after the end of its exchange. Messages carry the number of their exchange; one out of turn or of another number ends the link and proves nothing. The answering end ends a link with a second exchange amid the first. Hosts of an earlier release ignore the number and send none. A peer that does not answer to a body in time is followed by no other when the time is over.

--- a/libs/gateway/masticquay_gateway/peer_bodies.py
+++ b/libs/gateway/masticquay_gateway/peer_bodies.py
@@ -7,11 +7,11 @@
 import time
 
 from masticquay_gateway import peer_messages
+from masticquay_gateway import peer_requesters
 from masticquay_serving import byte_budgets
 from masticquay_serving import errors as serving_errors
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import exchange_links
-from masticquay_wire import messages as wire_messages
 
 # A smaller body is part of its request.
 MAX_INLINE_BYTES = byte_budgets.FREE_BYTES
@@ -23,17 +23,17 @@
 
 
 def send_body(
-    link: exchange_links.ExchangeLink, body: bytes, timeout_ms: float
-) -> wire_messages.Message | None:
+    link: peer_requesters.Requester, body: bytes, timeout_ms: float
+) -> peer_messages.PeerFailure | None:
     """Sends a body ahead of its request.
 
     :param timeout_ms: time until the peer answers that it has the memory
-    :returns: None if the peer takes the body, else its answer
+    :returns: None if the peer takes the body, else why it does not
     :raises WireError: when the link is lost, or the peer silent
     """
     link.send(peer_messages.PeerBody(len(body)))
     answer = link.receive(timeout_ms)
-    if not isinstance(answer, peer_messages.PeerBodyGranted):
+    if isinstance(answer, peer_messages.PeerFailure):
         return answer
     for start in range(0, len(body), PIECE_BYTES):
         end = start + PIECE_BYTES
@@ -50,14 +50,16 @@
     :param link: is aborted when the memory is needed for smaller bodies, while
         the body is not complete
     :ivar data: the body, empty until it was received
+    :ivar was_received: whether one was received
     """
 
-    __slots__ = ('_link', '_memory', 'data')
+    __slots__ = ('_link', '_memory', 'data', 'was_received')
 
     def __init__(self, link: exchange_links.ExchangeLink):
         self._link = link
         self._memory = byte_budgets.Share(byte_budgets.BUDGET, link.abort)
         self.data = b''
+        self.was_received = False
 
     def __enter__(self) -> 'ReceivedBody':
         return self
@@ -83,11 +85,10 @@
             raise
 
     def receive(self, size_bytes: int) -> None:
-        """Has the other end send the body, and receives it.
+        """Receives the body, whose memory was granted.
 
         :raises WireError: when it does not come as announced
         """
-        self._link.send(peer_messages.PeerBodyGranted())
         pieces = []
         received_bytes = 0
         is_last = False
@@ -103,3 +104,4 @@
         if received_bytes < size_bytes or not self._memory.keep():
             raise wire_errors.MessageError('body incomplete')
         self.data = b''.join(pieces)
+        self.was_received = True
--- a/libs/gateway/masticquay_gateway/peer_exchanges.py
+++ b/libs/gateway/masticquay_gateway/peer_exchanges.py
@@ -14,6 +14,7 @@
 from masticquay_gateway import peer_bodies
 from masticquay_gateway import peer_links
 from masticquay_gateway import peer_messages
+from masticquay_gateway import peer_requesters
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_serving import counters
@@ -36,6 +37,11 @@
     peer_messages.FailureKind.ENDED: errors.EndpointEndedError,
     peer_messages.FailureKind.PATH_LOST: errors.PeerBrokenError,
 }
+# These promise that the endpoint was not sent the request.
+_NOT_SENT_KINDS = (
+    peer_messages.FailureKind.NOT_TAKEN,
+    peer_messages.FailureKind.NOT_SENT,
+)
 
 
 class PeerResponse:
@@ -147,12 +153,11 @@
         self._stack = contextlib.ExitStack()
         self._memory = body_shares.BodyShare()
         self._refused_by: set[str] = set()
-        self._finished = False
         self._received = False
         self.connection = PeerConnection()
         self.response: PeerResponse | None = None
         self.peer: fleets.Host | None = None
-        self._link = None
+        self._link: peer_requesters.Requester | None = None
         self._on_silence: channels.SilenceHook | None = None
         self._received_s = time.monotonic()
 
@@ -222,7 +227,11 @@
     def _send_ahead(self, body: bytes) -> None:
         """Sends a large body to the first peer that has memory for it.
 
-        :raises NoPathError: when none has
+        The request itself follows later, so whatever fails here, the endpoint
+        was not sent it. A peer that does not answer in time may do so later;
+        its link is not used again.
+
+        :raises NoPathError: when none has in time
         """
         while True:
             try:
@@ -230,7 +239,6 @@
                     self._link, body, self.connection.remaining_ms
                 )
             except wire_errors.WireError as cause:
-                # The request itself was not sent.
                 self._interrupt.check()
                 self._links.avoid(self.peer)
                 refusal = peer_messages.PeerFailure(
@@ -254,7 +262,6 @@
                 self.response, limit_bytes, self._memory, self.connection.due_s
             )
         self._interrupt.check()
-        self.mark_finished()
         return body
 
     def outlast_silence(self, hook: channels.SilenceHook) -> None:
@@ -270,8 +277,7 @@
         self._memory.hold(size_bytes, self.connection.due_s)
 
     def mark_finished(self) -> None:
-        """Marks the answer as read to the end."""
-        self._finished = True
+        """Does nothing, as the link knows whether its answer is whole."""
 
     def close(self) -> None:
         """Returns the link, or closes it, which ends the exchange."""
@@ -324,9 +330,7 @@
         with self.translate_errors():
             message = self._receive_patiently()
             if isinstance(message, peer_messages.PeerFailure):
-                raise _make_error(message)
-            if not isinstance(message, peer_messages.PeerData):
-                raise wire_errors.MessageError('unexpected message')
+                raise _make_error(message, was_answered=True)
         return message
 
     def _receive_patiently(self) -> wire_messages.Message:
@@ -349,23 +353,23 @@
             self.connection.set_timeout(more_ms)
         return more_ms > 0
 
-    def _take_to_another_peer(self, answer: wire_messages.Message) -> None:
+    def _take_to_another_peer(self, answer: peer_messages.PeerFailure) -> None:
         """Goes on with another peer if this one sent nothing, else raises.
 
+        Also raises if no time is left.
+
         :raises EndpointError: as the peer says
         """
-        if not isinstance(answer, peer_messages.PeerFailure):
-            raise errors.PeerBrokenError('unexpected message of a peer')
         self._count(answer.kind)
-        self._finished = True
         error = _make_error(answer)
         if not isinstance(error, errors.NoPathError):
             raise error
+        if self.connection.remaining_ms <= 0:
+            raise error
         self._refused_by.add(self.peer.name)
         if len(self._refused_by) >= MAX_PEERS:
             raise error
         self._stack.close()
-        self._finished = False
         self.connect()
 
     def _count(self, outcome: str) -> None:
@@ -378,21 +382,21 @@
         )
 
     def _return_link(self) -> None:
-        is_complete = self._finished and (
-            self.response is None or self.response.is_read
-        )
-        self._links.release(
-            self.peer,
-            self._link,
-            is_complete and not self._interrupt.reason,
-        )
+        self._links.release(self.peer, self._link)
 
 
 def _make_error(
-    failure: peer_messages.PeerFailure,
+    failure: peer_messages.PeerFailure, was_answered: bool = False
 ) -> endpoint_errors.EndpointError:
+    """Returns the error that a failure stands for.
+
+    :param was_answered: whether the endpoint has begun to answer, so that it
+        has got the request whatever the peer says
+    """
     try:
         kind = peer_messages.FailureKind(failure.kind)
     except ValueError:
         return errors.PeerBrokenError(f'unknown failure {failure.kind}')
+    if was_answered and kind in _NOT_SENT_KINDS:
+        return errors.PeerBrokenError(f'{failure.kind} amid the answer')
     return _ERRORS[kind](failure.detail)
--- a/libs/gateway/masticquay_gateway/peer_links.py
+++ b/libs/gateway/masticquay_gateway/peer_links.py
@@ -9,6 +9,7 @@
 import typing
 
 from masticquay_gateway import errors
+from masticquay_gateway import peer_requesters
 from masticquay_routing import fleets
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import exchange_links
@@ -44,7 +45,7 @@
         self._secret = secret
         self._list_hosts = list_hosts
         self._lock = threading.Lock()
-        self._idle: dict[str, collections.deque[exchange_links.ExchangeLink]]
+        self._idle: dict[str, collections.deque[peer_requesters.Requester]]
         self._idle = collections.defaultdict(collections.deque)
         self._in_use: collections.Counter[str] = collections.Counter()
         self._avoided_until_s: dict[str, float] = {}
@@ -53,7 +54,7 @@
         self,
         excluded_names: set[str],
         allows_place: typing.Callable[[str], bool],
-    ) -> tuple[fleets.Host, exchange_links.ExchangeLink]:
+    ) -> tuple[fleets.Host, peer_requesters.Requester]:
         """Returns a peer that reaches endpoints, and a link to it.
 
         :param excluded_names: peers not to use
@@ -76,19 +77,13 @@
         raise errors.NoPathError('no path to endpoints, and no peer')
 
     def release(
-        self,
-        host: fleets.Host,
-        link: exchange_links.ExchangeLink,
-        is_reusable: bool,
+        self, host: fleets.Host, link: peer_requesters.Requester
     ) -> None:
-        """Keeps a link for reuse, or closes it.
-
-        :param is_reusable: whether its last exchange is complete
-        """
+        """Keeps a link for reuse if it is idle, or closes it."""
         with self._lock:
             self._in_use[host.name] -= 1
             idle = self._idle[host.name]
-            if is_reusable and link.is_open and len(idle) < MAX_IDLE_LINKS:
+            if link.is_idle and len(idle) < MAX_IDLE_LINKS:
                 idle.append(link)
                 return
         link.close()
@@ -132,7 +127,7 @@
             exchanges += OTHER_PLACE_EXCHANGES
         return is_avoided, exchanges
 
-    def _pop_idle(self, host: fleets.Host) -> exchange_links.ExchangeLink:
+    def _pop_idle(self, host: fleets.Host) -> peer_requesters.Requester | None:
         limit_s = time.monotonic() - IDLE_TIMEOUT_MS / 1000
         while True:
             with self._lock:
@@ -140,13 +135,13 @@
                 link = idle.pop() if idle else None
             if link is None:
                 return None
-            if link.is_open and link.last_used_s > limit_s:
+            if link.is_idle and link.last_used_s > limit_s:
                 return link
             link.close()
 
-    def _dial(self, host: fleets.Host) -> exchange_links.ExchangeLink | None:
+    def _dial(self, host: fleets.Host) -> peer_requesters.Requester | None:
         try:
-            return exchange_links.dial(
+            link = exchange_links.dial(
                 peers.Address.parse(host.link_address),
                 self._own.name,
                 self._secret,
@@ -158,3 +153,4 @@
             )
             self.avoid(host)
             return None
+        return peer_requesters.Requester(link, host.name)
--- a/libs/gateway/masticquay_gateway/peer_services.py
+++ b/libs/gateway/masticquay_gateway/peer_services.py
@@ -6,20 +6,20 @@
 import time
 
 from masticquay_endpoints import connections
-from masticquay_endpoints import interrupts
 from masticquay_gateway import answers
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import fleet_states
 from masticquay_gateway import notices
-from masticquay_gateway import peer_bodies
 from masticquay_gateway import peer_messages
+from masticquay_gateway import peer_responders
 from masticquay_gateway import reach_watches
 from masticquay_routing import fleets
 from masticquay_serving import counters
 from masticquay_serving import errors as serving_errors
 from masticquay_wire import errors as wire_errors
 from masticquay_wire import exchange_links
+from masticquay_wire import messages as wire_messages
 from masticquay_wire import peers
 
 LOG = logging.getLogger(__name__)
@@ -94,34 +94,52 @@
 
     def _serve(self, link: exchange_links.ExchangeLink) -> None:
         """Serves a link until it ends; its end also ends the exchange."""
-        interrupt = interrupts.Interrupt()
-        run: futures.Future | None = None
-        body = peer_bodies.ReceivedBody(link)
+        responder: peer_responders.Responder | None = None
         try:
             while True:
                 try:
-                    message = link.receive(LINK_IDLE_TIMEOUT_MS)
+                    frame = link.receive_frame(LINK_IDLE_TIMEOUT_MS)
                 except wire_errors.CallTimeoutError:
-                    if run is None or run.done():
+                    if responder is None or not responder.is_running:
                         return
                     continue
-                if isinstance(message, peer_messages.PeerBody):
-                    self._receive_body(link, message, body)
-                    continue
-                if not isinstance(message, peer_messages.PeerRequest):
-                    return
-                interrupt = interrupts.Interrupt()
-                run = self._begin(link, message, body, interrupt)
-                body = peer_bodies.ReceivedBody(link)
+                if responder is None or responder.is_over:
+                    responder = peer_responders.Responder(
+                        link, frame.call_number
+                    )
+                responder.check_turn(frame)
+                self._receive(responder, frame.message)
+        except wire_errors.MessageError as cause:
+            LOG.warning(
+                'link of a peer ended',
+                extra={'peer': link.peer_name, 'cause': str(cause)},
+            )
         finally:
-            body.give_back()
-            interrupt.fire('peer left')
+            if responder is not None:
+                responder.end()
+
+    def _receive(
+        self,
+        responder: peer_responders.Responder,
+        message: wire_messages.Message,
+    ) -> None:
+        """Receives a request, or the body ahead of it.
+
+        :raises WireError: when the body does not come as announced
+        """
+        if isinstance(message, peer_messages.PeerBody):
+            self._receive_body(responder, message)
+        elif isinstance(message, peer_messages.PeerRequest):
+            self._begin(responder, message)
+        else:
+            raise wire_errors.MessageError(
+                f'{type(message).__name__} is no request'
+            )
 
     def _receive_body(
         self,
-        link: exchange_links.ExchangeLink,
+        responder: peer_responders.Responder,
         announced: peer_messages.PeerBody,
-        body: peer_bodies.ReceivedBody,
     ) -> None:
         """Receives a body ahead of its request, or refuses it.
 
@@ -130,41 +148,39 @@
         reason = self._reason_to_refuse_all()
         if not reason:
             try:
-                body.take_memory(announced.size_bytes)
+                responder.body.take_memory(announced.size_bytes)
             except serving_errors.ServingError as cause:
                 reason = str(cause)
         if reason:
             failure = _make_failure(
                 peer_messages.FailureKind.NOT_TAKEN, reason
             )
-            self._fail(link, '', '', failure)
+            self._fail(responder, '', '', failure)
             return
-        body.receive(announced.size_bytes)
+        responder.send(peer_messages.PeerBodyGranted())
+        responder.body.receive(announced.size_bytes)
 
     def _begin(
         self,
-        link: exchange_links.ExchangeLink,
+        responder: peer_responders.Responder,
         request: peer_messages.PeerRequest,
-        body: peer_bodies.ReceivedBody,
-        interrupt: interrupts.Interrupt,
-    ) -> futures.Future | None:
-        """Runs a request in another thread, or refuses it at once.
-
-        :param body: what was received ahead of it
-        :returns: None if it is refused
-        """
+    ) -> None:
+        """Runs a request in another thread, or refuses it at once."""
         reason = self._reason_to_refuse(request)
         if reason:
-            body.give_back()
+            responder.body.give_back()
             failure = _make_failure(
                 peer_messages.FailureKind.NOT_TAKEN, reason
             )
-            self._fail(link, request.call_id, request.endpoint_id, failure)
-            return None
+            self._fail(
+                responder, request.call_id, request.endpoint_id, failure
+            )
+            return
         with self._lock:
             self._active += 1
             self._bodies_bytes += len(request.body)
-        return self._executor.submit(self._run, link, request, body, interrupt)
+        responder.begin()
+        self._executor.submit(self._run, responder, request)
 
     def _reason_to_refuse_all(self) -> str:
         """Returns why no request is taken, empty if some are."""
@@ -193,65 +209,60 @@
 
     def _run(
         self,
-        link: exchange_links.ExchangeLink,
+        responder: peer_responders.Responder,
         request: peer_messages.PeerRequest,
-        body: peer_bodies.ReceivedBody,
-        interrupt: interrupts.Interrupt,
     ) -> None:
         try:
             endpoint = self._state.endpoint(request.endpoint_id)
             if endpoint is None:
                 raise errors.NoPathError('endpoint is not listed any more')
-            self._exchange(link, request, body.data, endpoint, interrupt)
+            self._exchange(responder, request, endpoint)
             self._registry.count(
                 'exchanges_for_peers',
                 'host',
-                link.peer_name,
+                responder.peer_name,
                 'outcome',
                 'answered',
             )
         except (wire_errors.WireError, exchanges.InterruptedCallError):
             # The host that asked has closed its link, or lost it.
-            link.abort()
+            responder.abort()
         except exchanges.EndpointError as cause:
             failure = self._explain(endpoint, cause)
-            self._fail(link, request.call_id, request.endpoint_id, failure)
+            self._fail(
+                responder, request.call_id, request.endpoint_id, failure
+            )
         except Exception:
             LOG.exception('request of a peer failed')
-            link.abort()
+            responder.abort()
         finally:
-            body.give_back()
+            responder.body.give_back()
             with self._lock:
                 self._active -= 1
                 self._bodies_bytes -= len(request.body)
 
     def _exchange(
         self,
-        link: exchange_links.ExchangeLink,
+        responder: peer_responders.Responder,
         request: peer_messages.PeerRequest,
-        body: bytes,
         endpoint: fleets.Endpoint,
-        interrupt: interrupts.Interrupt,
     ) -> None:
-        """Runs the exchange and passes the answer on as it comes.
-
-        :param body: what came ahead of the request, empty if nothing did
-        """
+        """Runs the exchange and passes the answer on as it comes."""
         due_s = time.monotonic() + request.lasts_ms / 1000
         with self._pools.open(
-            endpoint, interrupt, request.call_id
+            endpoint, responder.interrupt, request.call_id
         ) as exchange:
             exchange.send(
                 request.method,
                 request.path,
                 request.headers,
-                body or request.body,
+                responder.body.data or request.body,
                 request.timeout_ms,
             )
             self._checker.read_head(
                 request.call_id, endpoint, exchange, request.needs_stamp
             )
-            link.send(
+            responder.send(
                 peer_messages.PeerHead(
                     exchange.response.status,
                     exchanges.response_headers(exchange),
@@ -260,33 +271,7 @@
             exchange.connection.set_timeout(
                 int((due_s - time.monotonic()) * 1000)
             )
-            self._pass_body(link, exchange, interrupt)
-
-    def _pass_body(
-        self,
-        link: exchange_links.ExchangeLink,
-        exchange: connections.Exchange,
-        interrupt: interrupts.Interrupt,
-    ) -> None:
-        """Passes the body on.
-
-        :raises EndpointError: if it ends early
-        :raises InterruptedCallError: if the interrupt was fired
-        """
-        while True:
-            with exchange.translate_errors():
-                data = exchange.response.read1(READ_SIZE_BYTES)
-            # An interrupt ends the connection, which looks like the end.
-            if not data:
-                interrupt.check()
-            is_last = not data or exchange.response.length == 0
-            if not data and exchange.response.length:
-                raise exchanges.EndpointError('response body is short')
-            if is_last:
-                exchange.mark_finished()
-            link.send(peer_messages.PeerData(data, is_last))
-            if is_last:
-                return
+            _pass_body(responder, exchange)
 
     def _explain(
         self, endpoint: fleets.Endpoint, cause: exchanges.EndpointError
@@ -313,7 +298,7 @@
 
     def _fail(
         self,
-        link: exchange_links.ExchangeLink,
+        responder: peer_responders.Responder,
         call_id: str,
         endpoint_id: str,
         failure: peer_messages.PeerFailure,
@@ -321,7 +306,7 @@
         self._registry.count(
             'exchanges_for_peers',
             'host',
-            link.peer_name,
+            responder.peer_name,
             'outcome',
             failure.kind,
         )
@@ -329,16 +314,40 @@
             'request of a peer failed',
             extra={
                 'call': call_id,
-                'peer': link.peer_name,
+                'peer': responder.peer_name,
                 'endpoint': endpoint_id,
                 'kind': failure.kind,
                 'detail': failure.detail,
             },
         )
         try:
-            link.send(failure)
+            responder.send(failure)
         except wire_errors.WireError:
-            link.abort()
+            responder.abort()
+
+
+def _pass_body(
+    responder: peer_responders.Responder, exchange: connections.Exchange
+) -> None:
+    """Passes the body on.
+
+    :raises EndpointError: if it ends early
+    :raises InterruptedCallError: if the interrupt was fired
+    """
+    while True:
+        with exchange.translate_errors():
+            data = exchange.response.read1(READ_SIZE_BYTES)
+        # An interrupt ends the connection, which looks like the end.
+        if not data:
+            responder.interrupt.check()
+        is_last = not data or exchange.response.length == 0
+        if not data and exchange.response.length:
+            raise exchanges.EndpointError('response body is short')
+        if is_last:
+            exchange.mark_finished()
+        responder.send(peer_messages.PeerData(data, is_last))
+        if is_last:
+            return
 
 
 def _make_failure(
--- a/libs/gateway/tests/test_peer_bodies.py
+++ b/libs/gateway/tests/test_peer_bodies.py
@@ -10,6 +10,7 @@
 from tests import peer_cases
 
 BODY = bytes(range(256)) * 1_000
+SILENCE_MS = 200
 
 
 class PeerBodyTest(peer_cases.PeerCase):
@@ -92,6 +93,58 @@
         for _ in range(4):
             self.assertEqual('h1', self.exchange_body(BODY))
 
+    # Guards against REFUSED (review/11): a peer's late word on a body that its
+    # host had given up was taken for the answer to the next request, which was
+    # refused as not run though the peer ran it.
+    def test_late_refusal_of_a_body_does_not_answer_another_request(self):
+        self.hosts = self.hosts[:1]
+        service = self.peers[0].service
+        reason = service._reason_to_refuse_all
+
+        def refuse_late():
+            service._reason_to_refuse_all = reason
+            self.release.wait(peer_cases.WAIT_S)
+            return 'too many requests of peers'
+
+        service._reason_to_refuse_all = refuse_late
+        with self.assertRaises(errors.NoPathError), self.open() as exchange:
+            self.send(exchange, body=BODY, timeout_ms=SILENCE_MS)
+        self.release.set()
+        with self.open() as exchange:
+            self.assertEqual(200, self.send(exchange).status)
+        self.assertEqual([b'body'], [r.body for r in self.received])
+
+    # Guards against TWICE (review/11 with a third host): the late word made
+    # the host send the next request to a further peer, too.
+    def test_late_refusal_of_a_body_has_no_request_run_twice(self):
+        service = self.peers[0].service
+        reason = service._reason_to_refuse_all
+
+        def refuse_late():
+            service._reason_to_refuse_all = reason
+            self.release.wait(peer_cases.WAIT_S)
+            return 'too many requests of peers'
+
+        service._reason_to_refuse_all = refuse_late
+        hosts, self.hosts = self.hosts, self.hosts[:1]
+        with self.assertRaises(errors.NoPathError), self.open() as exchange:
+            self.send(exchange, body=BODY, timeout_ms=SILENCE_MS)
+        self.release.set()
+        with self.open() as exchange:
+            self.hosts = hosts
+            self.send(exchange)
+            exchange.read_body(100)
+        self.assertEqual(1, len(self.received))
+
+    # Nothing of the request was sent, and no time is left for another peer.
+    def test_body_that_a_peer_leaves_unanswered_is_offered_to_no_other(self):
+        asked = []
+        for peer in self.peers:
+            peer.service._receive_body = lambda *args: asked.append(args)
+        with self.assertRaises(errors.NoPathError), self.open() as exchange:
+            self.send(exchange, body=BODY, timeout_ms=SILENCE_MS)
+        self.assertEqual(1, len(asked))
+
     def test_body_of_a_host_that_leaves_is_given_back(self):
         link = self.open()._link
         link.send(peer_messages.PeerBody(len(BODY)))
--- a/libs/gateway/tests/test_peer_exchanges.py
+++ b/libs/gateway/tests/test_peer_exchanges.py
@@ -3,13 +3,13 @@
 from unittest import mock
 
 from masticquay_endpoints import errors as endpoint_errors
-from masticquay_endpoints import interrupts
 from masticquay_endpoints import whole_bodies
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
 from masticquay_gateway import peer_exchanges
 from masticquay_gateway import peer_links
 from masticquay_gateway import peer_messages
+from masticquay_gateway import peer_responders
 from masticquay_routing import fleets
 from tests import fakes
 from tests import peer_cases
@@ -185,6 +185,46 @@
         exchange.connection.set_timeout(peer_cases.TIMEOUT_MS)
         self.assertEqual(data, exchange.read_body(len(data)))
 
+    # Guards against REFUSED: a request that an endpoint had begun to answer
+    # was promised not to have run if the peer said so later.
+    def test_failure_amid_an_answer_promises_nothing(self):
+        for kind in peer_messages.FailureKind:
+            failure = peer_messages.PeerFailure(kind.value, '')
+            with (
+                self.subTest(kind),
+                self.assertRaises(exchanges.EndpointError) as raised,
+                self.open(lasts_ms=peer_cases.TIMEOUT_MS) as exchange,
+            ):
+                self.send(exchange, '/stream')
+                with mock.patch.object(
+                    exchange, '_receive_patiently', return_value=failure
+                ):
+                    exchange.response.read1(100)
+            self.assertNotIsInstance(raised.exception, exchanges.NotSentError)
+
+    # Guards against REFUSED: an answer that came after its request was given
+    # up was taken for that of the next request on the link.
+    def test_late_answer_does_not_answer_another_request(self):
+        self.hosts = self.hosts[:1]
+        service = self.peers[0].service
+        begin = service._begin
+
+        def begin_late(*args):
+            self.release.wait(peer_cases.WAIT_S)
+            service._watch.is_lost = True
+            begin(*args)
+            service._watch.is_lost = False
+
+        with (
+            mock.patch.object(service, '_begin', begin_late),
+            self.assertRaises(errors.PeerBrokenError),
+            self.open() as exchange,
+        ):
+            self.send(exchange, timeout_ms=SILENCE_MS)
+        self.release.set()
+        with self.open() as exchange:
+            self.assertEqual(200, self.send(exchange).status)
+
     # Guards against a status that a peer of an earlier release passes on.
     def test_unreadable_status_by_way_of_a_peer_is_refused(self):
         for status in (0, 99, 600):
@@ -203,12 +243,15 @@
         sent = []
 
         class Link:
-            def send(self, message):
+            def send(self, message, number):
                 sent.append(message)
                 if isinstance(message, peer_messages.PeerData):
-                    interrupt.fire('peer left')
+                    responder.interrupt.fire('peer left')
+
+            def abort(self):
+                """Does nothing."""
 
-        interrupt = interrupts.Interrupt()
+        responder = peer_responders.Responder(Link(), 1)
         endless = fakes.FakeEndpoint(self.stack, 1, self.send_without_end)
         request = peer_messages.PeerRequest(
             'e1',
@@ -224,7 +267,7 @@
         )
         with self.assertRaises(exchanges.InterruptedCallError):
             self.peers[0].service._exchange(
-                Link(), request, b'', endless.endpoint, interrupt
+                responder, request, endless.endpoint
             )
         self.assertEqual([False], [message.is_last for message in sent[1:]])
 
--- a/libs/wire/masticquay_wire/exchange_links.py
+++ b/libs/wire/masticquay_wire/exchange_links.py
@@ -60,13 +60,14 @@
         """Whether neither end has closed it, as far as is known here."""
         return self._websocket.protocol.state is protocol.State.OPEN
 
-    def send(self, message: messages.Message) -> None:
+    def send(self, message: messages.Message, number: int = 0) -> None:
         """Sends a message.
 
+        :param number: of the exchange that it belongs to, 0 for none
         :raises MessageError: when it is too large; nothing was sent
         :raises PeerUnavailableError: when the link is lost
         """
-        notice = messages.EncodedNotice(message)
+        notice = messages.EncodedNotice(message, number)
         self.last_used_s = time.monotonic()
         try:
             self._websocket.send(notice.frame)
@@ -76,7 +77,11 @@
             ) from cause
 
     def receive(self, timeout_ms: float | None = None) -> messages.Message:
-        """Waits for the next message.
+        """Waits for the next message; see ``receive_frame``."""
+        return self.receive_frame(timeout_ms).message
+
+    def receive_frame(self, timeout_ms: float | None = None) -> messages.Frame:
+        """Waits for the next message; returns it with its number.
 
         :param timeout_ms: None for no limit
         :raises CallTimeoutError: when none arrives in that time
@@ -95,10 +100,10 @@
         self.last_used_s = time.monotonic()
         if isinstance(data, str):
             raise errors.MessageError('frame is text, not binary')
-        message = messages.decode_frame(data).message
-        if message is None:
+        frame = messages.decode_frame(data)
+        if frame.message is None:
             raise errors.MessageError('frame without a message')
-        return message
+        return frame
 
     def abort(self) -> None:
         """Ends the link at once, which wakes the threads that wait on it."""
--- a/libs/wire/masticquay_wire/messages.py
+++ b/libs/wire/masticquay_wire/messages.py
@@ -68,8 +68,9 @@
 class Frame:
     """One message on a link, with the number of the call it belongs to.
 
-    Notices, pings and pongs belong to no call and have the number 0. Pings and
-    pongs have no message.
+    Notices, pings and pongs belong to no call and have the number 0; on a link
+    for exchanges, notices have that of their exchange. Pings and pongs have no
+    message.
 
     :param lowest_pending: lowest number among the calls that the sender has
         no answer to; the receiver may discard the answers to lower ones
@@ -127,14 +128,15 @@
 class EncodedNotice:
     """A notice, a message without answer, encoded once for several links.
 
+    :param number: of the exchange that it belongs to, 0 for none
     :raises MessageError: when the message is too large
     """
 
     __slots__ = ('message', 'frame')
 
-    def __init__(self, message: Message):
+    def __init__(self, message: Message, number: int = 0):
         self.message = message
-        self.frame = encode_frame(Frame(KIND_NOTICE, 0, message))
+        self.frame = encode_frame(Frame(KIND_NOTICE, number, message))
         if len(self.frame) > MAX_FRAME_BYTES:
             raise errors.MessageError(
                 'the notice exceeds the maximum frame size'
