--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -5,6 +5,7 @@
 import time
 
 from masticquay_gateway import answers
+from masticquay_gateway import endpoint_choices
 from masticquay_gateway import endpoint_limits
 from masticquay_gateway import errors
 from masticquay_gateway import exchanges
@@ -33,8 +34,7 @@
 ATTEMPT_TIME_SHARE = 0.5
 # With these an endpoint refuses what it has no room for.
 FULL_STATUSES = (429, 503)
-# Retry-After of requests that no endpoint ran.
-RETRY_AFTER_MS = 300
+RETRY_AFTER_MS = endpoint_choices.RETRY_AFTER_MS
 
 
 class Response:
@@ -68,7 +68,9 @@
         self._limits = limits
         self._watch = watch
         self._slots = endpoint_slots
-        self._state = state
+        self._choices = endpoint_choices.EndpointChoices(
+            state, chooser, endpoint_notices, limits, endpoint_slots
+        )
         self._protocol = protocol
         self._paths = endpoint_paths
         self._chooser = chooser
@@ -114,7 +116,7 @@
                 continue
             if not job.route.retryable:
                 return outcome
-        return error_response or refusal or self._no_endpoint(job)
+        return error_response or refusal or self._choices.refuse(job)
 
     def _run_once(
         self, job: jobs.Job, is_trial: bool
@@ -125,113 +127,13 @@
         :raises NoSlotError: if the leader has no slot for it in time
         """
         with contextlib.ExitStack() as stack:
-            slot = self._ask_slot(job)
-            endpoint = None
-            if slot is not None:
-                stack.enter_context(slot)
-                endpoint = self._granted_endpoint(job, slot)
-            if endpoint is None:
-                stack.close()
-                slot = None
-                endpoint = self._choose(job)
-            if endpoint is None or job.remaining_ms <= 0:
+            choice = self._choices.choose(job, stack)
+            if choice is None or job.remaining_ms <= 0:
                 return None
             if job.tried_ids and not self._budgets.acquire(job.service):
                 return None
-            job.tried_ids.add(endpoint.endpoint_id)
-            return self._attempt(job, endpoint, is_trial, slot)
-
-    def _ask_slot(self, job: jobs.Job) -> slots.Slot | None:
-        """Asks for a slot if the service is scarce.
-
-        :returns: None if this host is to choose the endpoint
-        :raises NoSlotError: if the leader has no slot for it in time
-        """
-        if job.remaining_ms <= 0 or not self._slots.is_needed(job.service):
-            return None
-        listed = self._state.endpoints(job.service)
-        usable = [e for e in self._list_endpoints(job) if slots.is_usable(e)]
-        excluded_ids = self._excluded_ids(job, usable)
-        excluded_ids |= self._chooser.ejected_ids(usable, _now_ms())
-        left = [e for e in usable if e.endpoint_id not in excluded_ids]
-        if not left:
-            return None
-        left_ids = {e.endpoint_id for e in left}
-        left_ids -= self._chooser.full_ids(left, _now_ms())
-        return self._slots.ask(job, {e.endpoint_id for e in listed} - left_ids)
-
-    def _granted_endpoint(
-        self, job: jobs.Job, slot: slots.Slot
-    ) -> fleets.Endpoint | None:
-        """Returns the endpoint of a slot, None if it may not be used."""
-        endpoint = self._state.endpoint(slot.endpoint_id)
-        if endpoint is None or not slots.is_usable(endpoint):
-            return None
-        if endpoint.endpoint_id in job.tried_ids:
-            return None
-        return endpoint if self._limits.take(endpoint) else None
-
-    def _no_endpoint(self, job: jobs.Job) -> ports.Refusal:
-        """Returns the refusal of a request that no endpoint may get."""
-        endpoints = [
-            e
-            for e in self._state.endpoints(job.service)
-            if job.allows_place(e.place)
-        ]
-        wait_ms = self._notices.refusal_ms(endpoints)
-        if wait_ms:
-            return ports.Refusal(
-                ports.Reason.NOT_RUN, 'all endpoints leave or pause', wait_ms
-            )
-        withheld_ids = self._notices.withheld_ids(job.service)
-        wait_ms = self._limits.plan_return_ms(
-            [e for e in endpoints if e.endpoint_id not in withheld_ids]
-        )
-        if wait_ms:
-            return ports.Refusal(
-                ports.Reason.NOT_RUN,
-                'all endpoints have reached the limits that they name',
-                wait_ms,
-            )
-        return ports.Refusal(
-            ports.Reason.NOT_RUN, 'no endpoint', RETRY_AFTER_MS
-        )
-
-    def _choose(self, job: jobs.Job) -> fleets.Endpoint | None:
-        """Chooses an endpoint and takes a permit if it names a limit."""
-        endpoints = self._list_endpoints(job)
-        excluded_ids = self._excluded_ids(job, endpoints)
-        while True:
-            endpoint = self._chooser.choose(
-                endpoints,
-                excluded_ids,
-                _now_ms(),
-                repeatable=job.route.retryable,
-            )
-            if endpoint is None or self._limits.take(endpoint):
-                return endpoint
-            # Another request has taken the last permit meanwhile.
-            excluded_ids.add(endpoint.endpoint_id)
-
-    def _excluded_ids(
-        self, job: jobs.Job, endpoints: list[fleets.Endpoint]
-    ) -> set[str]:
-        """Returns the endpoints that must not get a request now."""
-        excluded_ids = job.tried_ids | self._notices.withheld_ids(job.service)
-        excluded_ids |= job.barred_ids(endpoints)
-        return excluded_ids | self._limits.full_ids(endpoints)
-
-    def _list_endpoints(self, job: jobs.Job) -> list[fleets.Endpoint]:
-        """Returns the endpoints that may run a request.
-
-        A caller's resumed stream goes on only if a single software version
-        can have begun it.
-        """
-        endpoints = self._state.endpoints(job.service)
-        if not job.call.resumes_stream:
-            return endpoints
-        version = self._state.only_stream_version(job.service)
-        return [e for e in endpoints if e.software_version == version]
+            job.tried_ids.add(choice.endpoint.endpoint_id)
+            return self._attempt(job, choice.endpoint, is_trial, choice.slot)
 
     def _has_attempts_left(self, job: jobs.Job) -> bool:
         return len(job.tried_ids) < max(job.route.attempts, 1)
