A slot that may not be used any more is given back, and another asked for

Cause: a request that waits for a slot of a scarce service names the endpoints that it must not get when it begins to wait. The granted one was looked at for leaving, its limit and earlier tries, not for what it had said since. Change: after the wait, the granted endpoint is looked at for all that may have changed: pause, leaving, evacuation, regions, the version of a resumed stream, its limit. If it may not be used, the request asks for another slot, without that endpoint; it keeps its place, which goes by its arrival. Before, it chose by itself, and so overfilled the other endpoints, or was refused. Slots given back are counted (slots_given_back) and logged with the reason.

--- a/libs/gateway/masticquay_gateway/endpoint_choices.py
+++ b/libs/gateway/masticquay_gateway/endpoint_choices.py
@@ -1,6 +1,7 @@
 """Chooses the endpoint of a plain service that gets a request."""
 
 import contextlib
+import logging
 import time
 
 from masticquay_gateway import endpoint_limits
@@ -11,9 +12,21 @@
 from masticquay_gateway import slots
 from masticquay_routing import choosers
 from masticquay_routing import fleets
+from masticquay_serving import counters
+
+LOG = logging.getLogger(__name__)
 
 # Retry-After of requests that no endpoint ran.
 RETRY_AFTER_MS = 300
+# Why a slot is given back, in logs and metrics.
+UNLISTED = 'is not listed'
+TRIED = 'was tried'
+WITHHELD = 'leaves or wants a pause'
+BARRED = 'is in no allowed region'
+OTHER_VERSION = 'did not begin the stream'
+AT_LIMIT = 'has reached its limit'
+# These may have come about while the request waited for the slot.
+_CHANGES = (WITHHELD, BARRED, OTHER_VERSION, AT_LIMIT)
 
 
 class Choice:
@@ -39,12 +52,14 @@
         endpoint_notices: notices.EndpointNotices,
         limits: endpoint_limits.EndpointLimits,
         endpoint_slots: slots.Slots,
+        registry: counters.Registry,
     ):
         self._state = state
         self._chooser = chooser
         self._notices = endpoint_notices
         self._limits = limits
         self._slots = endpoint_slots
+        self._registry = registry
 
     def choose(
         self, job: jobs.Job, stack: contextlib.ExitStack
@@ -54,14 +69,23 @@
         :param stack: gives the slot back
         :raises NoSlotError: if the leader has no slot for it in time
         """
-        with contextlib.ExitStack() as slot_stack:
-            slot = self._ask_slot(job)
-            if slot is not None:
+        given_back_ids: set[str] = set()
+        while True:
+            slot = self._ask_slot(job, given_back_ids)
+            if slot is None:
+                break
+            with contextlib.ExitStack() as slot_stack:
                 slot_stack.enter_context(slot)
-                endpoint = self._granted_endpoint(job, slot)
-                if endpoint is not None:
+                endpoint = self._state.endpoint(slot.endpoint_id)
+                reason = self._reason_to_give_back(job, endpoint)
+                if not reason:
                     stack.enter_context(slot_stack.pop_all())
                     return Choice(endpoint, slot)
+            self._record_given_back(job, slot, reason)
+            if reason not in _CHANGES or slot.endpoint_id in given_back_ids:
+                break
+            # Others wait for the service, so this host must not choose.
+            given_back_ids.add(slot.endpoint_id)
         endpoint = self._choose_own(job)
         return None if endpoint is None else Choice(endpoint, None)
 
@@ -91,9 +115,12 @@
             ports.Reason.NOT_RUN, 'no endpoint', RETRY_AFTER_MS
         )
 
-    def _ask_slot(self, job: jobs.Job) -> slots.Slot | None:
+    def _ask_slot(
+        self, job: jobs.Job, given_back_ids: set[str]
+    ) -> slots.Slot | None:
         """Asks for a slot if the service is scarce.
 
+        :param given_back_ids: endpoints of which slots were given back
         :returns: None if this host is to choose the endpoint
         :raises NoSlotError: if the leader has no slot for it in time
         """
@@ -101,7 +128,7 @@
             return None
         listed = self._state.endpoints(job.service)
         usable = [e for e in self._list_endpoints(job) if slots.is_usable(e)]
-        excluded_ids = self._excluded_ids(job, usable)
+        excluded_ids = self._excluded_ids(job, usable) | given_back_ids
         excluded_ids |= self._chooser.ejected_ids(usable, _now_ms())
         left = [e for e in usable if e.endpoint_id not in excluded_ids]
         if not left:
@@ -110,16 +137,56 @@
         left_ids -= self._chooser.full_ids(left, _now_ms())
         return self._slots.ask(job, {e.endpoint_id for e in listed} - left_ids)
 
-    def _granted_endpoint(
-        self, job: jobs.Job, slot: slots.Slot
-    ) -> fleets.Endpoint | None:
-        """Returns the endpoint of a slot, None if it may not be used."""
-        endpoint = self._state.endpoint(slot.endpoint_id)
-        if endpoint is None or not slots.is_usable(endpoint):
-            return None
+    def _reason_to_give_back(
+        self, job: jobs.Job, endpoint: fleets.Endpoint | None
+    ) -> str:
+        """Returns why the slot of an endpoint can't be used, empty if it can.
+
+        :param endpoint: None for one that is not listed
+        """
+        if endpoint is None:
+            return UNLISTED
         if endpoint.endpoint_id in job.tried_ids:
-            return None
-        return endpoint if self._limits.take(endpoint) else None
+            return TRIED
+        reason = self._reason_to_withhold(job, endpoint)
+        if reason:
+            return reason
+        return '' if self._limits.take(endpoint) else AT_LIMIT
+
+    def _reason_to_withhold(
+        self, job: jobs.Job, endpoint: fleets.Endpoint
+    ) -> str:
+        """Returns why an endpoint may not get a request, empty if it may.
+
+        Its limit is not looked at, as its permit may have been taken.
+        """
+        if not slots.is_usable(endpoint) or self._notices.is_withheld(
+            endpoint
+        ):
+            return WITHHELD
+        if not job.allows_place(endpoint.place):
+            return BARRED
+        if job.call.resumes_stream and endpoint not in self._list_endpoints(
+            job
+        ):
+            return OTHER_VERSION
+        return ''
+
+    def _record_given_back(
+        self, job: jobs.Job, slot: slots.Slot, reason: str
+    ) -> None:
+        self._registry.count(
+            'slots_given_back', 'reason', reason, 'service', job.service
+        )
+        LOG.info(
+            'slot given back',
+            extra={
+                'call': job.call.call_id,
+                'endpoint': slot.endpoint_id,
+                'reason': reason,
+                'elapsed_ms': round(job.elapsed_ms),
+            },
+        )
 
     def _choose_own(self, job: jobs.Job) -> fleets.Endpoint | None:
         """Chooses an endpoint and takes a permit if it names a limit."""
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -69,7 +69,12 @@
         self._watch = watch
         self._slots = endpoint_slots
         self._choices = endpoint_choices.EndpointChoices(
-            state, chooser, endpoint_notices, limits, endpoint_slots
+            state,
+            chooser,
+            endpoint_notices,
+            limits,
+            endpoint_slots,
+            registry,
         )
         self._protocol = protocol
         self._paths = endpoint_paths
--- a/libs/gateway/tests/test_slots.py
+++ b/libs/gateway/tests/test_slots.py
@@ -30,9 +30,15 @@
             for number, answer in enumerate(answers)
         ]
         state = fakes.FakeState([e.endpoint for e in self.endpoints])
-        self.notices = fakes.make_notices(state)
+        self.permits = fakes.FakePermits()
+        self.limits = fakes.make_limits(state, self.permits)
+        self.notices = fakes.make_notices(state, self.limits)
         return fakes.make_forwarder(
-            self.stack, state, self.notices, endpoint_slots=self.slots
+            self.stack,
+            state,
+            self.notices,
+            limits=self.limits,
+            endpoint_slots=self.slots,
         )
 
     def run_job(self, *slot_answers, endpoints=2, **route_fields):
@@ -165,6 +171,75 @@
         self.assertEqual(200, response.status)
         self.assertEqual(1, len(self.endpoints[0].requests))
 
+    def grant_late(self, change):
+        """Has the leader grant e0 after a change, and whatever is asked next.
+
+        :returns: the outcome
+        """
+        forwarder = self.make_forwarder(*[fakes.send_matching_response] * 2)
+        self.slots.apply_scarce(['svc'])
+        ask = self.source.ask
+
+        def ask_late(message, timeout_ms):
+            if not self.source.asked:
+                change(self.endpoints[0].endpoint)
+            return ask(message, timeout_ms)
+
+        self.source.ask = ask_late
+        self.source.answers.insert(0, slot_messages.SlotAnswer('e0'))
+        return forwarder.run(fakes.make_job(fakes.make_route(attempts=1)))
+
+    def pause(self, endpoint):
+        headers = [('Pause-Ms', '3000'), ('Not-Run', '1')]
+        self.notices.record(endpoint, 503, headers, False)
+
+    # Guards against BUDGET (review/13): requests that already waited for a
+    # slot reached an endpoint in the pause that it had asked for meanwhile.
+    def test_slot_of_an_endpoint_that_pauses_since_is_given_back(self):
+        def leave(endpoint):
+            endpoint.leaving = True
+
+        def name_limit(endpoint):
+            self.permits.granted = 0
+            self.limits.record(endpoint, 2.0)
+
+        for change in (self.pause, leave, name_limit):
+            with self.subTest(change):
+                self.setUp()
+                self.source.answers = [slot_messages.SlotAnswer('e1')]
+                self.assertEqual(200, self.grant_late(change).status)
+                self.assertEqual([], self.endpoints[0].requests)
+                self.assertEqual(1, len(self.endpoints[1].requests))
+
+    # Guards against requests that overfill the other endpoints, or are
+    # refused though a place gets free, as a slot was granted in vain.
+    def test_request_waits_on_after_a_slot_in_vain(self):
+        self.source.answers = [
+            slot_messages.SlotAnswer(wait_ms=50),
+            slot_messages.SlotAnswer('e1'),
+        ]
+        self.assertEqual(200, self.grant_late(self.pause).status)
+        first, *others = self.source.asked
+        self.assertEqual([], first.tried_ids)
+        self.assertEqual([['e0']] * 2, [ask.tried_ids for ask in others])
+        # It keeps its place, as that goes by the arrival.
+        self.assertGreaterEqual(others[0].age_ms, first.age_ms)
+        first_ended = self.source.ended[0]
+        self.assertEqual(first.number, first_ended.number)
+        self.assertFalse(first_ended.is_rejected)
+
+    def test_request_returns_after_the_pause_if_no_other_endpoint_is_left(
+        self,
+    ):
+        def pause_all(endpoint):
+            for other in self.endpoints:
+                self.pause(other.endpoint)
+
+        refusal = self.grant_late(pause_all)
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertGreater(refusal.retry_after_ms, 2_500)
+        self.assertEqual(1, len(self.source.asked))
+
     def test_caller_that_leaves_frees_what_it_waits_for(self):
         self.source.answers = [None]
         forwarder = self.make_forwarder(fakes.send_matching_response)
