What endpoints say is looked at again after the wait for a connection

Cause: pauses and leaving were looked at before these waits only. A peer's thread looked at its list alone, and not at the start of the endpoint. Change: EndpointNotices.require_usable is called between the wait and the first byte, by plain services, prefill, decode and for peers. Such an endpoint has not failed: it is neither reported nor counted as tried, and another one gets the request. WithheldError is a NotSentError now, so that the record of attempts has proof that nothing was sent. Evidence: the five tests of test_withheld_endpoints failed before. The related tests of the gateway pass (79).

--- a/libs/gateway/masticquay_gateway/decodes.py
+++ b/libs/gateway/masticquay_gateway/decodes.py
@@ -47,6 +47,7 @@
         self._protocol = protocol
         self._paths = endpoint_paths
         self._placer = placer
+        self._notices = endpoint_notices
         self._registry = registry
         self._checker = answers.AnswerChecker(
             protocol, endpoint_notices, registry
@@ -61,6 +62,7 @@
     ) -> None:
         """Runs a request on its decode engine and relays the whole stream.
 
+        :raises WithheldError: if the engine leaves or wants a pause
         :raises NotRunError: if the engine refused the request
         :raises EngineFailedError: if the engine returned an error response
         :raises TruncatedStreamError: if the stream ended within an event, or
@@ -85,6 +87,7 @@
                 self._head_timeout_ms(job),
             ) as exchange,
         ):
+            self._notices.require_usable(placement.decode)
             # After the wait for a connection, as they name the time left.
             headers = self._request_headers(job, placement, stream)
             head = self._send_request(job, placement.decode, exchange, headers)
--- a/libs/gateway/masticquay_gateway/errors.py
+++ b/libs/gateway/masticquay_gateway/errors.py
@@ -59,8 +59,11 @@
         self.wait_ms = wait_ms
 
 
-class WithheldError(GatewayError):
-    """An engine that leaves or wants a pause got no request."""
+class WithheldError(endpoint_errors.NotSentError):
+    """An endpoint that leaves or wants a pause got no request.
+
+    No byte was sent, and the endpoint has not failed.
+    """
 
 
 class PrefillFailedError(GatewayError):
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -166,6 +166,8 @@
             outcome = self._exchange(job, endpoint, statistics, slot)
         except exchanges.InterruptedCallError:
             raise
+        except errors.WithheldError as cause:
+            outcome = self._record_withheld(job, endpoint, cause)
         except exchanges.NotSentError as cause:
             if not isinstance(cause, errors.NoPathError):
                 statistics.record_failure(_now_ms(), unreachable=True)
@@ -238,6 +240,7 @@
                 endpoint, job.interrupt, purpose, self._timeout_ms(job)
             ) as exchange,
         ):
+            self._notices.require_usable(endpoint)
             exchange.send(
                 job.request.method,
                 job.request.target,
@@ -299,6 +302,24 @@
             by_endpoint=True,
         )
 
+    def _record_withheld(
+        self,
+        job: jobs.Job,
+        endpoint: fleets.Endpoint,
+        cause: errors.WithheldError,
+    ) -> ports.Refusal:
+        """Records an endpoint that got no request after a wait.
+
+        It was not tried, so another one may be.
+        """
+        job.tried_ids.discard(endpoint.endpoint_id)
+        return ports.Refusal(
+            ports.Reason.NOT_RUN,
+            str(cause),
+            self._choices.refuse(job).retry_after_ms,
+            by_endpoint=True,
+        )
+
     def _timeout_ms(self, job: jobs.Job) -> int:
         remaining_ms = max(1, job.remaining_ms)
         if job.route.retryable and len(job.tried_ids) < job.route.attempts:
--- a/libs/gateway/masticquay_gateway/notices.py
+++ b/libs/gateway/masticquay_gateway/notices.py
@@ -7,6 +7,7 @@
 import typing
 
 from masticquay_gateway import endpoint_limits
+from masticquay_gateway import errors
 from masticquay_gateway import fleet_states
 from masticquay_gateway import ports
 from masticquay_routing import endpoint_notices
@@ -80,6 +81,18 @@
             self._count_skipped(endpoint, cause)
         return bool(cause)
 
+    def require_usable(self, endpoint: fleets.Endpoint) -> None:
+        """Checks what an endpoint said since it was chosen.
+
+        To be called after each wait between the choice and the first byte.
+
+        :raises WithheldError: if it leaves or wants a pause
+        """
+        if self.is_withheld(endpoint):
+            raise errors.WithheldError(
+                f'{endpoint.endpoint_id} leaves or wants a pause'
+            )
+
     def is_pausing(self, endpoint: fleets.Endpoint) -> bool:
         """Whether an endpoint wants no requests at all from this host."""
         with self._lock:
--- a/libs/gateway/masticquay_gateway/peer_services.py
+++ b/libs/gateway/masticquay_gateway/peer_services.py
@@ -214,7 +214,7 @@
     ) -> None:
         try:
             endpoint = self._state.endpoint(request.endpoint_id)
-            if endpoint is None:
+            if endpoint is None or endpoint.started_ms != request.started_ms:
                 raise errors.NoPathError('endpoint is not listed any more')
             self._exchange(responder, request, endpoint)
             self._registry.count(
@@ -252,6 +252,9 @@
         with self._pools.open(
             endpoint, responder.interrupt, request.call_id
         ) as exchange:
+            # The request may have waited for a thread, and for a connection.
+            exchange.connect(request.timeout_ms)
+            self._notices.require_usable(endpoint)
             exchange.send(
                 request.method,
                 request.path,
@@ -278,7 +281,7 @@
     ) -> peer_messages.PeerFailure:
         """Returns what a failed exchange means for the host that asked."""
         kind = peer_messages.FailureKind.BROKEN
-        if isinstance(cause, errors.NoPathError):
+        if isinstance(cause, (errors.NoPathError, errors.WithheldError)):
             kind = peer_messages.FailureKind.NOT_TAKEN
         elif isinstance(cause, exchanges.NotSentError):
             kind = peer_messages.FailureKind.NOT_SENT
--- a/libs/gateway/masticquay_gateway/prefills.py
+++ b/libs/gateway/masticquay_gateway/prefills.py
@@ -69,6 +69,7 @@
 
         :returns: a handle to the prompt's KV cache, None if the prefill
             failed
+        :raises WithheldError: if the engine leaves or wants a pause
         :raises InterruptedCallError: if the caller disconnected
         """
         started_s = time.monotonic()
@@ -77,6 +78,8 @@
         except exchanges.InterruptedCallError as cause:
             self._wasted.record_prefill(job, cause)
             raise
+        except errors.WithheldError:
+            raise
         except (
             exchanges.EndpointError,
             errors.ResponseMismatchError,
@@ -136,6 +139,7 @@
             purpose,
             self._timeout_ms(job, placement),
         ) as exchange:
+            self._notices.require_usable(prefill)
             exchange.send(
                 job.request.method,
                 job.request.target,
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -260,11 +260,7 @@
                 self._can_move, job, placement.decode
             )
             self._decoder.run(job, placement, stream)
-        except (
-            errors.NotRunError,
-            errors.WithheldError,
-            exchanges.NotSentError,
-        ):
+        except (errors.NotRunError, exchanges.NotSentError):
             # Another decode engine may take the handle.
             refused = True
             raise
@@ -298,10 +294,7 @@
             raise errors.WithheldError(
                 f'{endpoint.endpoint_id} is in no allowed region'
             )
-        if self._notices.is_withheld(endpoint):
-            raise errors.WithheldError(
-                f'{endpoint.endpoint_id} leaves or wants a pause'
-            )
+        self._notices.require_usable(endpoint)
 
     def _request_new_placement(self, job: jobs.Job) -> None:
         """Requests another placement for a long prompt without a prefill.
