A request that became a suspect while it waited is not sent

Cause: the quarantine and the suspects were looked at before the wait for a slot, or for a placement, only; streams looked again before decode, not before prefill. Change: both are looked at after the wait. A copy that became a suspect gives its slot back and asks for its trial, as one that comes then does. That the users' endpoints saw this was not shown.

--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -101,7 +101,7 @@
                     joined = ports.join_refusals(refusal, refused)
                     return error_response or joined
                 try:
-                    outcome = self._run_once(job, watched.is_trial)
+                    outcome = self._run_once(job, watched)
                 except errors.NoSlotError as cause:
                     refused = ports.Refusal(
                         ports.Reason.NOT_RUN, str(cause), cause.wait_ms
@@ -124,21 +124,28 @@
         return error_response or refusal or self._choices.refuse(job)
 
     def _run_once(
-        self, job: jobs.Job, is_trial: bool
+        self, job: jobs.Job, watched: request_watches.WatchedAttempt
     ) -> Response | ports.Refusal | None:
         """Makes one attempt; returns None if no endpoint may get one.
 
-        :param is_trial: whether no other copy of the request runs meanwhile
         :raises NoSlotError: if the leader has no slot for it in time
         """
         with contextlib.ExitStack() as stack:
             choice = self._choices.choose(job, stack)
             if choice is None or job.remaining_ms <= 0:
                 return None
+            if not self._watch.allows(job, watched):
+                return ports.Refusal(
+                    ports.Reason.NOT_RUN,
+                    'became a suspect while it waited',
+                    RETRY_AFTER_MS,
+                )
             if job.tried_ids and not self._budgets.acquire(job.service):
                 return None
             job.tried_ids.add(choice.endpoint.endpoint_id)
-            return self._attempt(job, choice.endpoint, is_trial, choice.slot)
+            return self._attempt(
+                job, choice.endpoint, watched.is_trial, choice.slot
+            )
 
     def _has_attempts_left(self, job: jobs.Job) -> bool:
         return len(job.tried_ids) < max(job.route.attempts, 1)
--- a/libs/gateway/masticquay_gateway/request_watches.py
+++ b/libs/gateway/masticquay_gateway/request_watches.py
@@ -147,6 +147,18 @@
             return WatchedAttempt(self)
         return WatchedAttempt(self, key, self._begin_trial(key))
 
+    def allows(self, job: jobs.Job, attempt: WatchedAttempt) -> bool:
+        """Whether an attempt that has waited since may still be made.
+
+        Other copies of the request may have ended endpoints meanwhile.
+        """
+        if not (self._suspects or self._own or self._quarantine.has_requests):
+            return True
+        key = request_keys.key_of(job)
+        if self._quarantine.wait_ms_of(key):
+            return False
+        return attempt.is_trial or not self._is_suspect(key)
+
     def record_end(
         self, job: jobs.Job, endpoint: fleets.Endpoint, is_trial: bool
     ) -> str:
--- a/libs/gateway/masticquay_gateway/streams.py
+++ b/libs/gateway/masticquay_gateway/streams.py
@@ -242,6 +242,7 @@
             self._wasted.record(job, wasted_prompts.HANDLE_LAPSED)
             stream.handle = None
         if placement.prefill is not None and stream.splitter.last_id is None:
+            self._require_harmless(job)
             self._require_usable(job, placement.prefill)
             _require_time(job, placement)
             stream.handle = self._prefiller.prefill(
@@ -252,9 +253,7 @@
                 self._request_new_placement(job)
         refused = False
         try:
-            # It may have been found meanwhile that such prompts end engines.
-            if wait_ms := self._quarantine.wait_ms(job.call):
-                raise errors.HarmfulPromptError(wait_ms)
+            self._require_harmless(job)
             self._require_usable(job, placement.decode)
             stream.can_move = functools.partial(
                 self._can_move, job, placement.decode
@@ -280,6 +279,14 @@
             for engine in self._decode_engines(job)
         )
 
+    def _require_harmless(self, job: jobs.Job) -> None:
+        """Checks what was found since the request began to wait.
+
+        :raises HarmfulPromptError: if such prompts end engines
+        """
+        if wait_ms := self._quarantine.wait_ms(job.call):
+            raise errors.HarmfulPromptError(wait_ms)
+
     def _require_usable(
         self, job: jobs.Job, endpoint: fleets.Endpoint
     ) -> None:
--- a/libs/gateway/tests/test_request_watches.py
+++ b/libs/gateway/tests/test_request_watches.py
@@ -6,6 +6,7 @@
 from masticquay_gateway import ports
 from masticquay_gateway import quarantines
 from masticquay_gateway import request_keys
+from masticquay_routing import slot_messages
 from tests import fakes
 
 
@@ -19,15 +20,22 @@
         self.endpoints = []
         self.first_number = 0
 
-    def make_forwarder(self, *answers):
+    def make_forwarder(self, *answers, slot_source=None):
         self.endpoints = [
             fakes.FakeEndpoint(self.stack, number, answer)
             for number, answer in enumerate(answers, self.first_number)
         ]
         self.first_number += len(answers)
         state = fakes.FakeState([e.endpoint for e in self.endpoints])
+        endpoint_slots = fakes.make_slots(slot_source)
+        if slot_source is not None:
+            endpoint_slots.apply_scarce(['svc'])
         return fakes.make_forwarder(
-            self.stack, state, fakes.make_notices(state), watch=self.watch
+            self.stack,
+            state,
+            fakes.make_notices(state),
+            watch=self.watch,
+            endpoint_slots=endpoint_slots,
         )
 
     def run_job(self, forwarder):
@@ -73,6 +81,36 @@
         self.assertEqual(300, refusal.retry_after_ms)
         self.assertEqual(0, self.sent_count())
 
+    def run_waiting_job(self, change):
+        """Runs a request and applies a change while it waits for a slot.
+
+        :returns: the outcome, and the source of the slot
+        """
+        source = fakes.FakeSlotSource([slot_messages.SlotAnswer('e0')])
+        forwarder = self.make_forwarder(
+            fakes.send_matching_response, slot_source=source
+        )
+        ask = source.ask
+        source.ask = lambda *args: change() or ask(*args)
+        return self.run_job(forwarder), source
+
+    # Guards against BUDGET: copies that already waited for a slot when the
+    # first ones ended endpoints were sent to further ones.
+    def test_request_that_becomes_a_suspect_while_it_waits_is_not_sent(self):
+        key = request_keys.key_of(fakes.make_job(fakes.make_route()))
+        self.trials.wait_ms = 300
+        for change in (
+            lambda: self.quarantine.apply({key: 300}),
+            lambda: self.watch.apply_suspects([key]),
+        ):
+            with self.subTest(change):
+                refusal, source = self.run_waiting_job(change)
+                self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+                self.assertAlmostEqual(300, refusal.retry_after_ms, delta=100)
+                self.assertEqual(0, self.sent_count())
+                self.assertEqual(1, len(source.ended))
+                self.quarantine.apply({})
+
     def test_quarantined_request_is_refused_at_once(self):
         forwarder = self.make_forwarder(fakes.send_matching_response)
         key = request_keys.key_of(fakes.make_job(fakes.make_route()))
