The leader grants a host no slots at endpoints that it must pause from

Cause: a pause binds one host, and only that host knew of it. Change: a host tells the leader of a pause, with the end of the request that heard it, and with its renewals, of which it sends one at once while requests wait. The leader passes over the endpoint for that host's waiting requests, which keep their places; other hosts get its slots. A request that no endpoint is left for waits for the end of the first pause if that comes in time, and is refused at once with it as Retry-After if not. Messages have new fields only: an earlier leader ignores them, and the check after the grant stays. The times at which refused callers return, and the making of queued requests, moved out of slot_pools. Routing, coordination and gateway tests of slots pass.

--- a/libs/coordination/masticquay_coordination/slot_services.py
+++ b/libs/coordination/masticquay_coordination/slot_services.py
@@ -234,12 +234,24 @@
         return self._pools.get(service) if service is not None else None
 
     def _reconcile(self, renewal: messages.Renew, now_ms: int) -> int:
-        """Frees and takes over slots; returns how many were freed."""
+        """Applies pauses, frees and takes over slots.
+
+        :returns: how many were freed
+        """
         if renewal.slots is None:
             return 0
         held: dict[str, dict[int, slot_messages.HeldSlot]] = {}
         for slot in renewal.slots.slots:
             held.setdefault(slot.service, {})[slot.number] = slot
+        for pause in renewal.slots.pauses:
+            pool = self._pool_of(pause.endpoint_id)
+            if pool is not None:
+                pool.record_pause(
+                    renewal.host,
+                    pause.endpoint_id,
+                    pause.remaining_ms,
+                    now_ms,
+                )
         lost = 0
         for service, pool in self._pools.items():
             lost += len(
--- a/libs/coordination/tests/test_slot_services.py
+++ b/libs/coordination/tests/test_slot_services.py
@@ -73,6 +73,13 @@
         self.services.tick()
         self.assert_granted(waiting)
 
+    def test_new_leader_learns_the_pauses_that_hosts_keep(self):
+        pauses = [slot_messages.Pause('e0', 3_000)]
+        self.renew(slots=slot_messages.HeldSlots(0, [], pauses))
+        waiting = self.ask(1)
+        self.assert_granted(self.ask(1, 'h2'))
+        self.assertEqual('', waiting.endpoint_id)
+
     def test_slot_whose_end_was_lost_is_freed_by_a_renewal(self):
         self.ask(1)
         waiting = self.ask(2, 'h2')
--- a/libs/gateway/masticquay_gateway/daemons.py
+++ b/libs/gateway/masticquay_gateway/daemons.py
@@ -132,6 +132,7 @@
             self.registry,
             self.link.renew_now,
             self._limits,
+            self._handle_pause,
         )
         self._reach_watch = reach_watches.ReachWatch(
             self.state.endpoints_to_probe,
@@ -315,6 +316,11 @@
             self._peer_links.close()
         self.link.renew_now()
 
+    def _handle_pause(self, endpoint: fleets.Endpoint) -> None:
+        """Has the leader grant no slots there to requests that wait."""
+        if self._slots.is_awaited(endpoint.service):
+            self.link.renew_now()
+
     def _count_skip(self, cause: str, endpoint_id: str) -> None:
         self.registry.count(
             'endpoints_skipped', 'cause', cause, 'endpoint', endpoint_id
@@ -340,7 +346,7 @@
 
     def held_slots(self) -> slot_messages.HeldSlots | None:
         """Returns the requests that asked for slots and have not ended."""
-        return self._slots.report()
+        return self._slots.report(self._notices.pauses())
 
     def apply_scarce(self, services: list[str]) -> None:
         """Applies for which plain services hosts ask for slots."""
--- a/libs/gateway/masticquay_gateway/forwards.py
+++ b/libs/gateway/masticquay_gateway/forwards.py
@@ -297,11 +297,13 @@
     ) -> ports.Refusal:
         self._record_load(endpoint, statistics, cause.load, slot)
         statistics.record_refusal(_now_ms())
-        is_full = cause.status in FULL_STATUSES
-        if is_full and not self._notices.is_pausing(endpoint):
+        pause_ms = self._notices.pause_ms(endpoint)
+        is_full = cause.status in FULL_STATUSES and not pause_ms
+        if is_full:
             self._slots.record_full(endpoint)
-            if slot is not None:
-                slot.is_rejected = True
+        if slot is not None:
+            slot.is_rejected = is_full
+            slot.pause_ms = pause_ms
         return ports.Refusal(
             ports.Reason.NOT_RUN,
             str(cause),
--- a/libs/gateway/masticquay_gateway/notices.py
+++ b/libs/gateway/masticquay_gateway/notices.py
@@ -12,6 +12,7 @@
 from masticquay_gateway import ports
 from masticquay_routing import endpoint_notices
 from masticquay_routing import fleets
+from masticquay_routing import slot_messages
 from masticquay_serving import counters
 
 LOG = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
     :param on_leaving: called when an endpoint says for the first time that it
         leaves
     :param limits: told of the limits that endpoints name
+    :param on_pause: called when an endpoint begins to want no requests
     """
 
     def __init__(
@@ -38,11 +40,13 @@
         registry: counters.Registry,
         on_leaving: typing.Callable[[], None],
         limits: endpoint_limits.EndpointLimits,
+        on_pause: typing.Callable[[fleets.Endpoint], None] = lambda _: None,
     ):
         self._protocol = protocol
         self._state = state
         self._registry = registry
         self._on_leaving = on_leaving
+        self._on_pause = on_pause
         self._lock = threading.Lock()
         self._pauses = endpoint_notices.Pauses(random.Random())
         self._limits = limits
@@ -95,10 +99,24 @@
 
     def is_pausing(self, endpoint: fleets.Endpoint) -> bool:
         """Whether an endpoint wants no requests at all from this host."""
+        return bool(self.pause_ms(endpoint))
+
+    def pause_ms(self, endpoint: fleets.Endpoint) -> int:
+        """Returns for how long an endpoint wants no requests of this host."""
         with self._lock:
-            return bool(
-                self._pauses.remaining_ms(endpoint.endpoint_id, _now_ms())
-            )
+            return self._pauses.remaining_ms(endpoint.endpoint_id, _now_ms())
+
+    def pauses(self) -> list[slot_messages.Pause]:
+        """Returns the pauses that this host keeps, for the leader."""
+        now_ms = _now_ms()
+        with self._lock:
+            return [
+                slot_messages.Pause(
+                    endpoint_id,
+                    self._pauses.remaining_ms(endpoint_id, now_ms),
+                )
+                for endpoint_id in sorted(self._pauses.ids(now_ms))
+            ]
 
     def takes_releases(self, endpoint: fleets.Endpoint) -> bool:
         """Whether an endpoint may get requests that no caller waits for."""
@@ -130,6 +148,7 @@
             return self._pauses.shortest_ms(endpoints, _now_ms())
 
     def _record_pause(self, endpoint: fleets.Endpoint, pause_ms: int) -> None:
+        is_news = not self.is_pausing(endpoint)
         with self._lock:
             self._pauses.add(endpoint.endpoint_id, pause_ms, _now_ms())
         LOG.info(
@@ -140,6 +159,8 @@
                 'pause_ms': pause_ms,
             },
         )
+        if is_news:
+            self._on_pause(endpoint)
 
     def _cause(self, endpoint: fleets.Endpoint) -> str:
         if endpoint.place in self._state.evacuated_places:
--- a/libs/gateway/masticquay_gateway/slots.py
+++ b/libs/gateway/masticquay_gateway/slots.py
@@ -78,8 +78,9 @@
 class Slot:
     """A granted slot; to be used in ``with``, after which it is free.
 
-    ``duration_ms``, ``is_rejected``, ``load`` and ``has_failed`` are to be set
-    as in ``SlotEnded``. A request that is interrupted in the block may run on.
+    ``duration_ms``, ``is_rejected``, ``load``, ``has_failed`` and ``pause_ms``
+    are to be set as in ``SlotEnded``. A request that is interrupted in the
+    block may run on.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         'load',
         'has_failed',
         'may_run',
+        'pause_ms',
         '_slots',
     )
 
@@ -103,6 +105,7 @@
         self.load: server_loads.ServerLoad | None = None
         self.has_failed = False
         self.may_run = False
+        self.pause_ms = 0
         self._slots = slots
 
     def record_refusal(self, refusal: ports.Refusal) -> None:
@@ -172,6 +175,14 @@
             return False
         return now_ms >= self._paused_until_ms and self._source.is_reachable
 
+    def is_awaited(self, service: str) -> bool:
+        """Whether a request of a service waits for a slot."""
+        with self._lock:
+            return any(
+                held.service == service and not held.endpoint_id
+                for held in self._held.values()
+            )
+
     def apply_scarce(self, services: list[str]) -> None:
         """Records that the leader says which services are scarce."""
         for service in services:
@@ -244,11 +255,17 @@
                 slot.load,
                 slot.has_failed,
                 slot.may_run,
+                slot.pause_ms,
             )
         )
 
-    def report(self) -> slot_messages.HeldSlots | None:
-        """Returns the requests that have not ended, for a renewal."""
+    def report(
+        self, pauses: list[slot_messages.Pause]
+    ) -> slot_messages.HeldSlots | None:
+        """Returns the requests that have not ended, for a renewal.
+
+        :param pauses: what endpoints have asked of this host
+        """
         now_ms = _now_ms()
         with self._lock:
             if not self._held and now_ms - self._asked_ms > REPORT_MS:
@@ -262,7 +279,7 @@
                 )
                 for number, held in self._held.items()
             ]
-            return slot_messages.HeldSlots(self._newest_number, held)
+            return slot_messages.HeldSlots(self._newest_number, held, pauses)
 
     def _begin(self, service: str, remaining_ms: int) -> int:
         now_ms = _now_ms()
--- a/libs/gateway/tests/test_slots.py
+++ b/libs/gateway/tests/test_slots.py
@@ -5,6 +5,7 @@
 import unittest
 
 from masticquay_gateway import exchanges
+from masticquay_gateway import notices
 from masticquay_gateway import ports
 from masticquay_routing import fleets
 from masticquay_routing import server_loads
@@ -63,7 +64,7 @@
             self.assertGreater(ended.duration_ms, 0)
             used = self.endpoints[int(endpoint_id[1])]
             self.assertEqual(1, len(used.requests))
-        self.assertEqual([], self.slots.report().slots)
+        self.assertEqual([], self.slots.report([]).slots)
 
     def test_nothing_is_asked_while_the_service_is_not_scarce(self):
         forwarder = self.make_forwarder(fakes.send_matching_response)
@@ -228,6 +229,52 @@
         self.assertEqual(first.number, first_ended.number)
         self.assertFalse(first_ended.is_rejected)
 
+    def test_leader_hears_of_a_pause(self):
+        self.source.answers = [slot_messages.SlotAnswer('e0')]
+        forwarder = self.make_forwarder(
+            lambda request, reply: fakes.send_matching_response(
+                request, reply, 503, [('Not-Run', '1'), ('Pause-Ms', '3000')]
+            )
+        )
+        self.slots.apply_scarce(['svc'])
+        forwarder.run(fakes.make_job(fakes.make_route(attempts=1)))
+        [ended] = self.source.ended
+        self.assertFalse(ended.is_rejected)
+        self.assertGreater(ended.pause_ms, 2_500)
+        [pause] = self.slots.report(self.notices.pauses()).pauses
+        self.assertEqual('e0', pause.endpoint_id)
+        self.assertGreater(pause.remaining_ms, 2_500)
+
+    def test_pause_is_news_only_when_it_begins(self):
+        endpoint = fleets.Endpoint('e0', 'svc', '127.0.0.1:1', 'p1')
+        state = fakes.FakeState([endpoint])
+        news = []
+        self.notices = notices.EndpointNotices(
+            fakes.FakeProtocol(),
+            state,
+            self.registry,
+            lambda: None,
+            fakes.make_limits(state),
+            news.append,
+        )
+        for _ in range(2):
+            self.pause(endpoint)
+        self.assertEqual([endpoint], news)
+
+    def test_service_is_awaited_until_the_slot_is_granted(self):
+        self.source.answers = [slot_messages.SlotAnswer('e0')]
+        ask = self.source.ask
+        awaited = []
+
+        def ask_watched(message, timeout_ms):
+            awaited.append(self.slots.is_awaited('svc'))
+            return ask(message, timeout_ms)
+
+        self.source.ask = ask_watched
+        with self.slots.ask(fakes.make_job(fakes.make_route()), set()):
+            awaited.append(self.slots.is_awaited('svc'))
+        self.assertEqual([True, False], awaited)
+
     def test_request_returns_after_the_pause_if_no_other_endpoint_is_left(
         self,
     ):
@@ -289,12 +336,12 @@
         self.assertEqual(1, len(self.source.asked))
 
     def test_renewal_names_requests_that_have_not_ended(self):
-        self.assertIsNone(self.slots.report())
+        self.assertIsNone(self.slots.report([]))
         self.source.answers = [slot_messages.SlotAnswer('e0')]
         job = fakes.make_job(fakes.make_route())
         with self.slots.ask(job, set()) as slot:
-            report = self.slots.report()
+            report = self.slots.report([])
             self.assertEqual(slot.number, report.newest)
             [held] = report.slots
             self.assertEqual('e0', held.endpoint_id)
-        self.assertEqual([], self.slots.report().slots)
+        self.assertEqual([], self.slots.report([]).slots)
--- a/libs/routing/masticquay_routing/slot_choosers.py
+++ b/libs/routing/masticquay_routing/slot_choosers.py
@@ -57,11 +57,13 @@
         self,
         request: slot_queues.SlotRequest,
         usable: Servers,
+        excluded_ids: frozenset[str],
         now_ms: int,
     ) -> slot_servers.SlotServer | None:
         """Returns the free endpoint that will probably finish first.
 
         :param usable: the endpoints that may get requests
+        :param excluded_ids: those that must not get this one
         :returns: None if none is free
         """
         rates = {
@@ -75,7 +77,7 @@
             server
             for server in usable
             if rates[server.endpoint.endpoint_id] < least_rate + FAILING_RATE
-            and server.endpoint.endpoint_id not in request.tried_ids
+            and server.endpoint.endpoint_id not in excluded_ids
             and server.free(now_ms)
         ]
         if not free:
--- a/libs/routing/masticquay_routing/slot_messages.py
+++ b/libs/routing/masticquay_routing/slot_messages.py
@@ -23,6 +23,19 @@
         self.deadline_ms = deadline_ms
 
 
+class Pause(records.Record):
+    """An endpoint wants no requests of one host for a while.
+
+    :param remaining_ms: for how long it wants none from now on
+    """
+
+    __slots__ = ('endpoint_id', 'remaining_ms')
+
+    def __init__(self, endpoint_id: str, remaining_ms: int):
+        self.endpoint_id = endpoint_id
+        self.remaining_ms = remaining_ms
+
+
 class HeldSlots(records.Record):
     """All such requests of a host.
 
@@ -30,13 +43,20 @@
     listed is that of a request that has ended.
 
     :param newest: the highest number that the host has given
+    :param pauses: the endpoints that want no requests of the host now
     """
 
-    __slots__ = ('newest', 'slots')
+    __slots__ = ('newest', 'slots', 'pauses')
 
-    def __init__(self, newest: int, slots: list[HeldSlot]):
+    def __init__(
+        self,
+        newest: int,
+        slots: list[HeldSlot],
+        pauses: list[Pause] | None = None,
+    ):
         self.newest = newest
         self.slots = slots
+        self.pauses = pauses or []
 
 
 @messages.register
@@ -123,6 +143,8 @@
         all
     :param may_run: whether the endpoint may still be running it, as its caller
         left or its time was up
+    :param pause_ms: for how long the endpoint wants no requests of the host,
+        0 if it has not said so
     """
 
     __slots__ = (
@@ -134,6 +156,7 @@
         'load',
         'has_failed',
         'may_run',
+        'pause_ms',
     )
 
     def __init__(
@@ -146,6 +169,7 @@
         load: server_loads.ServerLoad | None = None,
         has_failed: bool = False,
         may_run: bool = False,
+        pause_ms: int = 0,
     ):
         self.host = host
         self.number = number
@@ -155,3 +179,4 @@
         self.load = load
         self.has_failed = has_failed
         self.may_run = may_run
+        self.pause_ms = pause_ms
--- a/libs/routing/masticquay_routing/slot_pools.py
+++ b/libs/routing/masticquay_routing/slot_pools.py
@@ -6,10 +6,12 @@
 import random
 
 from masticquay_routing import fleets
+from masticquay_routing import host_pauses
 from masticquay_routing import server_loads
 from masticquay_routing import slot_choosers
 from masticquay_routing import slot_messages
 from masticquay_routing import slot_queues
+from masticquay_routing import slot_returns
 from masticquay_routing import slot_servers
 from masticquay_routing import work_times
 
@@ -19,11 +21,6 @@
 # A waiting request whose host does not ask on in this time has been given up.
 ASK_ON_MS = 300
 MIN_WAIT_MS = 20
-# Refused callers return at this part of the rate at which slots get free, as
-# other requests arrive meanwhile.
-RETURN_RATE_SHARE = 0.5
-RETURN_MIN_MS = 300
-RETURN_MAX_MS = 4_000
 # From this part of its endpoints on, busy ones make a service scarce. In large
 # services some always are, and the others have room.
 SCARCE_ENDPOINTS_SHARE = 0.25
@@ -70,7 +67,8 @@
         self._server_by_key: dict[RequestKey, slot_servers.SlotServer] = {}
         self._ended_ms: dict[RequestKey, int] = {}
         self._asking_hosts: dict[str, int] = {}
-        self._next_return_ms = 0.0
+        self._pauses = host_pauses.HostPauses()
+        self._returns = slot_returns.ReturnTimes()
         self._scarce_until_ms = 0
         self.totals = Totals()
 
@@ -129,7 +127,7 @@
             wait_ms = self._wait_ms(request, now_ms)
             self._await_answer(key, now_ms + max(HOLD_MS, int(wait_ms)))
             return None
-        request = _make_request(ask, now_ms)
+        request = slot_queues.make_request(ask, now_ms)
         servers = self._usable_servers(request, now_ms)
         if not servers:
             return slot_messages.SlotAnswer()
@@ -150,6 +148,13 @@
         if server is None:
             return
         until_ms = server.granted.pop(key, 0)
+        if ended.pause_ms:
+            self.record_pause(
+                ended.host,
+                server.endpoint.endpoint_id,
+                ended.pause_ms,
+                now_ms,
+            )
         if ended.may_run:
             # It probably ends within the work time.
             work_ms = int(self._chooser.least_work_ms([server], now_ms))
@@ -162,6 +167,15 @@
             server.record_success()
         self._learn(server, ended, now_ms)
 
+    def record_pause(
+        self, host: str, endpoint_id: str, pause_ms: int, now_ms: int
+    ) -> None:
+        """Records that an endpoint wants no requests of a host.
+
+        Those that wait are passed over there, and keep their place.
+        """
+        self._pauses.add(host, endpoint_id, now_ms + pause_ms)
+
     def plan(self, now_ms: int) -> list[Outcome]:
         """Grants free slots, and answers hosts that wait too long."""
         outcomes: list[Outcome] = []
@@ -191,6 +205,7 @@
         for key, until_ms in list(self._ask_on_by_ms.items()):
             if until_ms <= now_ms:
                 self._drop_waiting(key)
+        self._pauses.expire(now_ms)
         for times_ms in (self._ended_ms, self._asking_hosts):
             for name, at_ms in list(times_ms.items()):
                 if at_ms <= now_ms - ENDED_TTL_MS:
@@ -201,6 +216,7 @@
 
         :returns: the keys of those that waited
         """
+        self._pauses.drop_host(host)
         for server in self._servers.values():
             server.drop_host(host)
         for key in [k for k in self._server_by_key if k[0] == host]:
@@ -295,18 +311,46 @@
     def _usable_servers(
         self, request: slot_queues.SlotRequest, now_ms: int
     ) -> list[slot_servers.SlotServer]:
+        excluded_ids = self._excluded_ids(request, now_ms)
         return [
             server
             for endpoint_id, server in self._servers.items()
-            if endpoint_id not in request.tried_ids
-            and server.is_usable(now_ms)
+            if endpoint_id not in excluded_ids and server.is_usable(now_ms)
         ]
 
+    def _excluded_ids(
+        self, request: slot_queues.SlotRequest, now_ms: int
+    ) -> frozenset[str]:
+        host, _number = request.key
+        return request.tried_ids | self._pauses.ids(host, now_ms)
+
+    def _first_pause(
+        self, request: slot_queues.SlotRequest, now_ms: int
+    ) -> tuple[slot_servers.SlotServer, int] | None:
+        """Returns the endpoint that may get a request after its pause first.
+
+        :returns: with the end of the pause; None if there is no such endpoint
+        """
+        host, _number = request.key
+        usable_ids = {
+            endpoint_id
+            for endpoint_id, server in self._servers.items()
+            if server.is_usable(now_ms)
+        }
+        first = self._pauses.first_to_end(
+            host, usable_ids - request.tried_ids, now_ms
+        )
+        if first is None:
+            return None
+        endpoint_id, until_ms = first
+        return self._servers[endpoint_id], until_ms
+
     def _wait_ms(self, request: slot_queues.SlotRequest, now_ms: int) -> float:
         """Returns how long a request probably waits for a slot."""
         servers = self._usable_servers(request, now_ms)
         if not servers:
-            return 0.0
+            first = self._first_pause(request, now_ms)
+            return first[1] - now_ms if first else 0.0
         if not len(self._queue) and any(s.free(now_ms) for s in servers):
             return 0.0
         work_ms = self._chooser.likely_work_ms(servers, now_ms)
@@ -323,12 +367,8 @@
         self.totals.refused += 1
         self._scarce_until_ms = now_ms + SCARCE_TTL_MS
         rate_per_ms = self._chooser.rate_per_ms(servers, now_ms)
-        first_ms = now_ms + RETURN_MIN_MS
-        at_ms = max(first_ms, self._next_return_ms)
-        if at_ms > now_ms + RETURN_MAX_MS:
-            at_ms = first_ms
-        self._next_return_ms = at_ms + 1 / (RETURN_RATE_SHARE * rate_per_ms)
-        return slot_messages.SlotAnswer(return_ms=int(at_ms - now_ms))
+        return_ms = self._returns.plan_ms(rate_per_ms, now_ms)
+        return slot_messages.SlotAnswer(return_ms=return_ms)
 
     def _refuse_hopeless(self, outcomes: list[Outcome], now_ms: int) -> None:
         """Refuses the waiting requests that cannot be served in time."""
@@ -336,21 +376,41 @@
         usable: dict[frozenset[str], tuple[_Servers, float]] = {}
         for key in list(self._answer_by_ms):
             request = self._queue.get(key)
-            if request.tried_ids not in usable:
+            excluded_ids = self._excluded_ids(request, now_ms)
+            if excluded_ids not in usable:
                 servers = self._usable_servers(request, now_ms)
                 work_ms = (
                     self._chooser.mean_work_ms(servers, now_ms)
                     if servers
                     else 0.0
                 )
-                usable[request.tried_ids] = servers, work_ms
-            servers, work_ms = usable[request.tried_ids]
+                usable[excluded_ids] = servers, work_ms
+            servers, work_ms = usable[excluded_ids]
+            answer = None
             if not servers:
-                self._drop_waiting(key)
-                outcomes.append((key, slot_messages.SlotAnswer()))
+                answer = self._answer_without_servers(request, now_ms)
             elif now_ms + work_ms > request.deadline_by_ms:
+                answer = self._refuse(servers, now_ms)
+            if answer is not None:
                 self._drop_waiting(key)
-                outcomes.append((key, self._refuse(servers, now_ms)))
+                outcomes.append((key, answer))
+
+    def _answer_without_servers(
+        self, request: slot_queues.SlotRequest, now_ms: int
+    ) -> slot_messages.SlotAnswer | None:
+        """Answers a request that no endpoint may get now.
+
+        :returns: None if it waits for the end of a pause
+        """
+        first = self._first_pause(request, now_ms)
+        if first is None:
+            return slot_messages.SlotAnswer()
+        server, until_ms = first
+        work_ms = self._chooser.least_work_ms([server], now_ms)
+        if until_ms + work_ms <= request.deadline_by_ms:
+            return None
+        self.totals.refused += 1
+        return slot_messages.SlotAnswer(return_ms=until_ms - now_ms)
 
     def _grant_next(self, outcomes: list[Outcome], now_ms: int) -> bool:
         """Grants one slot; returns whether there was one to grant."""
@@ -361,7 +421,10 @@
         for request in self._queue.order(work_ms, now_ms):
             if request.key not in self._answer_by_ms:
                 continue
-            server = self._chooser.choose(request, usable, now_ms)
+            excluded_ids = self._excluded_ids(request, now_ms)
+            server = self._chooser.choose(
+                request, usable, excluded_ids, now_ms
+            )
             if server is None:
                 continue
             if now_ms > request.asked_ms:
@@ -380,18 +443,3 @@
 def is_busy_load(load: server_loads.ServerLoad, slots: int) -> bool:
     """Whether a reported load makes an endpoint scarce."""
     return load.in_flight >= slot_servers.SCARCE_SHARE * max(1, slots)
-
-
-def _make_request(
-    ask: slot_messages.AskSlot, now_ms: int
-) -> slot_queues.SlotRequest:
-    return slot_queues.SlotRequest(
-        (ask.host, ask.number),
-        ask.priority,
-        now_ms - max(0, ask.age_ms),
-        now_ms,
-        now_ms + ask.target_ms,
-        now_ms + ask.deadline_ms,
-        frozenset(ask.tried_ids),
-        ask.place,
-    )
--- a/libs/routing/masticquay_routing/slot_queues.py
+++ b/libs/routing/masticquay_routing/slot_queues.py
@@ -1,5 +1,7 @@
 """The order of requests that wait for a slot of a plain service."""
 
+from masticquay_routing import slot_messages
+
 RequestKey = tuple[str, int]
 
 # A late request that has waited for this part of its remaining time is
@@ -56,6 +58,20 @@
         return now_ms - self.asked_ms >= OVERDUE_SHARE * remaining_ms
 
 
+def make_request(ask: slot_messages.AskSlot, now_ms: int) -> SlotRequest:
+    """Returns the request that a host asks for."""
+    return SlotRequest(
+        (ask.host, ask.number),
+        ask.priority,
+        now_ms - max(0, ask.age_ms),
+        now_ms,
+        now_ms + ask.target_ms,
+        now_ms + ask.deadline_ms,
+        frozenset(ask.tried_ids),
+        ask.place,
+    )
+
+
 class SlotQueue:
     """The waiting requests of one service."""
 
--- a/libs/routing/tests/test_slot_pools.py
+++ b/libs/routing/tests/test_slot_pools.py
@@ -7,6 +7,7 @@
 from masticquay_routing import server_loads
 from masticquay_routing import slot_messages
 from masticquay_routing import slot_pools
+from masticquay_routing import slot_returns
 from tests import slot_benches
 
 SEEDS = (1, 2, 3, 4)
@@ -198,7 +199,7 @@
             for earlier, later in zip(waits_ms, waits_ms[1:], strict=False)
         ]
         self.assertGreaterEqual(min(steps_ms), 50)
-        self.assertLessEqual(max(waits_ms), slot_pools.RETURN_MAX_MS)
+        self.assertLessEqual(max(waits_ms), slot_returns.RETURN_MAX_MS)
 
     def test_host_hears_that_its_request_waits_and_asks_on(self):
         self.fill()
@@ -258,6 +259,45 @@
         [(key, _answer)] = self.plan()
         self.assertEqual(('h2', 3), key)
 
+    # Guards against slots that are granted in vain: an endpoint had asked the
+    # host of waiting requests for a pause, and the leader did not know it.
+    def test_endpoint_that_pauses_for_a_host_is_granted_to_others_only(self):
+        self.set_slots(1, 1)
+        self.ask(1)
+        self.ask(2)
+        self.ask(3)
+        self.ask(4, host='h2')
+        self.assertEqual([4], self.end(1, pause_ms=3_000))
+        # The one that was passed over has kept its place.
+        self.ask(5)
+        self.assertEqual([3], self.end(2))
+        self.now_ms += 3_000
+        self.ask(5)
+        self.assertEqual([5], self.end(4, host='h2'))
+
+    def test_request_returns_when_the_first_pause_ends_too_late_for_it(self):
+        self.fill()
+        self.assertIsNone(self.ask(3, deadline_ms=2_900))
+        self.pool.record_pause('h1', 'e0', 3_000, self.now_ms)
+        [(key, answer)] = self.plan()
+        self.assertEqual((('h1', 3), 3_000), (key, answer.return_ms))
+
+    def test_request_waits_for_a_pause_that_ends_in_time(self):
+        self.fill()
+        self.assertIsNone(self.ask(3))
+        self.assertEqual([], self.end(1, pause_ms=3_000))
+        self.now_ms += slot_pools.HOLD_MS
+        [(_key, answer)] = self.plan()
+        self.assertEqual(3_000 - slot_pools.HOLD_MS, answer.wait_ms)
+        self.assertIsNone(self.ask(3))
+        self.now_ms += answer.wait_ms
+        self.assertEqual('e0', self.ask(3).endpoint_id)
+
+    def test_lost_host_ends_its_pauses(self):
+        self.pool.record_pause('h1', 'e0', 3_000, self.now_ms)
+        self.pool.release_host('h1')
+        self.assertEqual('e0', self.ask(1).endpoint_id)
+
     def test_endpoint_that_rejected_a_request_gets_none_for_a_moment(self):
         self.set_slots(2, 2)
         chosen_id = self.ask(1).endpoint_id
