--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -97,8 +97,7 @@
                 messages.CODE_REPLACED, 'the host has restarted since'
             )
         if term.sessions.renew(renewal, link):
-            term.owner.release_host(renewal.host)
-            term.slots.release_host(renewal.host)
+            term.release_host(renewal.host)
         if renewal.running:
             term.owner.adopt(renewal.host, renewal.running)
         if renewal.held is not None:
--- a/libs/coordination/masticquay_coordination/leader_terms.py
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -74,3 +74,16 @@
         )
         self.listed: list[fleets.Endpoint] | None = None
         self.leaving = endpoint_notices.LeavingEndpoints()
+
+    def release_host(self, host: str) -> None:
+        """Drops all requests of a host that restarted or lost its session."""
+        self.owner.release_host(host)
+        self.slots.release_host(host)
+
+    def end(self) -> None:
+        """Fails all that waits, and tells the hosts."""
+        self.owner.fail_all()
+        self.slots.fail_all()
+        self.sessions.delivery.end()
+        self.sessions.evacuation_delivery.end()
+        self.sessions.announce_end()
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -94,11 +94,7 @@
             if is_leader:
                 self._term = self._begin_term(term)
         if ended is not None:
-            ended.owner.fail_all()
-            ended.slots.fail_all()
-            ended.sessions.delivery.end()
-            ended.sessions.evacuation_delivery.end()
-            ended.sessions.announce_end()
+            ended.end()
         if is_leader:
             # The delivery of the newest table begins with the term.
             self.notify_table_change()
@@ -184,8 +180,7 @@
         if term is None:
             return
         for host in term.sessions.expire():
-            term.owner.release_host(host)
-            term.slots.release_host(host)
+            term.release_host(host)
             with self._view_lock:
                 term.fleet_view.drop_host(host)
         term.sessions.publish_hosts()
