A leader serves once it has the limits of the stored table

Cause: a term begins before its replica has applied its log. It served as soon as it had, while another thread was to apply the table: until then no workspace had a bucket, which counted as no limit, and the usage that hosts reported was dropped. Change: the table is applied before the leader counts as having caught up, without which it answers no host. Evidence: the new test failed before (a request of half a burst was not over the rate with a quarter of it left) and passes now.

--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -407,9 +407,12 @@
         except consensus_errors.NotLeaderError:
             return False
         if not term.has_caught_up:
-            applied_index = self._node.replica.state.applied_index
-            term.has_caught_up = applied_index >= index
-        return term.has_caught_up
+            if self._node.replica.state.applied_index < index:
+                return False
+            # Without its limits, any request would be within them.
+            self._apply_newest_table(term)
+            term.has_caught_up = True
+        return True
 
     def add_seeker(
         self, renewal: messages.Renew, link: peers.Connection
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -190,6 +190,19 @@
         self.node.state.applied_index = 1
         self.assertEqual(TERM, self.renew().term)
 
+    # Guards against QUOTA: a leader that had yet to apply the table let any
+    # request run, as it knew no limit, and dropped the usage that it was told.
+    def test_leader_serves_once_it_has_the_limits_of_the_stored_table(self):
+        self.node.log_is_blank = False
+        self.node.commit_index = 1
+        self.lead()
+        self.commit_tables(1)
+        self.node.state.applied_index = 1
+        answer = self.handlers[placement_messages.Admit](
+            fakes.make_admit(1, workspace='w', cost=3_000.0), self.link
+        )
+        self.assertTrue(answer.over_rate)
+
     # The account of the earlier process would end requests of the later one.
     def test_late_renewal_of_an_earlier_process_is_refused(self):
         self.lead()
