Requests for placements wait for a leader's first list of endpoints

Cause: no list counted as no engine, and a resumed stream as one of unknown version. Since requests wait for the next leader, so more of them come in that moment. Change: until the first list, requests wait at the leader, for 500 ms from the beginning of its term at most; the wait is taken off their own. Without a list by then, the leader charges a request to its workspace's rate and leaves it to its host, which places it by the list that it has (a new error code; an earlier host takes it for an unreachable leader, as it did before). What is over the rate is refused. The look for the version of a resumed stream moved to origin_copies.

--- a/libs/coordination/masticquay_coordination/host_messages.py
+++ b/libs/coordination/masticquay_coordination/host_messages.py
@@ -128,7 +128,7 @@
     def _handle_admit(
         self, request: placement_messages.Admit, link: peers.Connection
     ) -> wire_messages.Message | typing.Any:
-        return self._leader.require_serving_term().owner.admit(request)
+        return self._leader.require_serving_term().admissions.admit(request)
 
     def _handle_ask_slot(
         self, ask: slot_messages.AskSlot, link: peers.Connection
@@ -187,7 +187,7 @@
     ) -> None:
         term = self._leader.term
         if term is not None:
-            term.owner.finish(finished)
+            term.admissions.finish(finished)
 
     def _handle_endpoint_trouble(
         self,
--- a/libs/coordination/masticquay_coordination/leader_terms.py
+++ b/libs/coordination/masticquay_coordination/leader_terms.py
@@ -1,5 +1,6 @@
 """State of the leader of the control group during one term."""
 
+from masticquay_coordination import admissions
 from masticquay_coordination import endpoint_limits
 from masticquay_coordination import owners
 from masticquay_coordination import request_watches
@@ -29,6 +30,7 @@
     __slots__ = (
         'number',
         'owner',
+        'admissions',
         'sessions',
         'started_ms',
         'first',
@@ -49,6 +51,7 @@
         self,
         number: int,
         owner: owners.Owner,
+        term_admissions: admissions.Admissions,
         host_sessions: sessions.Sessions,
         limits: endpoint_limits.EndpointLimits,
         requests: request_watches.RequestWatch,
@@ -58,6 +61,7 @@
     ):
         self.number = number
         self.owner = owner
+        self.admissions = term_admissions
         self.sessions = host_sessions
         self.limits = limits
         self.requests = requests
@@ -77,12 +81,12 @@
 
     def release_host(self, host: str) -> None:
         """Drops all requests of a host that restarted or lost its session."""
-        self.owner.release_host(host)
+        self.admissions.release_host(host)
         self.slots.release_host(host)
 
     def end(self) -> None:
         """Fails all that waits, and tells the hosts."""
-        self.owner.fail_all()
+        self.admissions.fail_all()
         self.slots.fail_all()
         self.sessions.delivery.end()
         self.sessions.evacuation_delivery.end()
--- a/libs/coordination/masticquay_coordination/leaderships.py
+++ b/libs/coordination/masticquay_coordination/leaderships.py
@@ -6,6 +6,7 @@
 
 from masticquay_consensus import errors as consensus_errors
 from masticquay_consensus import nodes
+from masticquay_coordination import admissions
 from masticquay_coordination import endpoint_limits
 from masticquay_coordination import errors
 from masticquay_coordination import host_messages
@@ -184,6 +185,7 @@
             with self._view_lock:
                 term.fleet_view.drop_host(host)
         term.sessions.publish_hosts()
+        term.admissions.expire()
         term.owner.place_waiting()
         term.slots.tick()
 
@@ -254,6 +256,7 @@
             )
             term.slots.set_endpoints(endpoints)
             term.owner.set_endpoints(endpoints, stream_versions)
+            term.admissions.begin()
 
     def add_leaving(
         self, renewal: messages.Renew, term: leader_terms.LeaderTerm
@@ -326,9 +329,11 @@
     def _begin_term(self, number: int) -> leader_terms.LeaderTerm:
         first = self._node.replica.has_no_commands()
         limits = endpoint_limits.EndpointLimits(self._clock)
+        owner = owners.Owner(number, self._clock, first, limits)
         term = leader_terms.LeaderTerm(
             number,
-            owners.Owner(number, self._clock, first, limits),
+            owner,
+            admissions.Admissions(owner, self._clock),
             sessions.Sessions(number, self._newest_table, self._clock),
             limits,
             request_watches.RequestWatch(self._clock),
@@ -425,8 +430,7 @@
 
     def members(self) -> list[str]:
         """Returns the addresses of the control replicas."""
-        members = self._node.status().members
-        return [member.member.address for member in members]
+        return [m.member.address for m in self._node.status().members]
 
     def exchange_endpoint_views(
         self, term: leader_terms.LeaderTerm, renewal: messages.Renew
--- a/libs/coordination/masticquay_coordination/origin_copies.py
+++ b/libs/coordination/masticquay_coordination/origin_copies.py
@@ -7,6 +7,7 @@
 import collections
 import logging
 
+from masticquay_routing import placement_messages
 from masticquay_routing import software_versions
 from masticquay_routing import stream_origins
 
@@ -91,6 +92,29 @@
         """Returns the origin of a stream, None if it is not known."""
         return self._origins.find(call_id, now_ms)
 
+    def version_to_resume(
+        self,
+        request: placement_messages.Admit,
+        versions: software_versions.Versions | None,
+        now_ms: int,
+    ) -> str | None:
+        """Returns the version at which a request's stream goes on.
+
+        :param versions: at which recent streams may have begun
+        :returns: an empty text for a new stream, None if it is not known or
+            if another service began the stream
+        """
+        if not request.resumes:
+            return ''
+        if request.software_version:
+            return request.software_version
+        origin = self.find(request.first_call_id, now_ms)
+        if origin is None:
+            return software_versions.only_version(versions, request.service)
+        if origin.service != request.service:
+            return None
+        return origin.software_version
+
     def take_for(
         self, host: str, now_ms: int
     ) -> list[stream_origins.StreamOrigin]:
--- a/libs/coordination/masticquay_coordination/owners.py
+++ b/libs/coordination/masticquay_coordination/owners.py
@@ -107,7 +107,9 @@
             wait_ms = self._prompts.wait_ms(request, now_ms)
             if wait_ms:
                 return _refuse_harmful(wait_ms)
-            software_version = self._version_to_resume(request, now_ms)
+            software_version = self._origins.version_to_resume(
+                request, self._stream_versions, now_ms
+            )
             if software_version is None:
                 return placement_messages.Refused(
                     'software version of the resumed stream is unknown',
@@ -138,6 +140,25 @@
         self.place_waiting()
         return future
 
+    def charge_unplaced(
+        self, request: placement_messages.Admit
+    ) -> placement_messages.Refused | None:
+        """Charges a request that its host is to place.
+
+        :returns: None if it may run
+        """
+        key = (request.host, request.number)
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            wait_ms = self._prompts.wait_ms(request, now_ms)
+            if wait_ms:
+                return _refuse_harmful(wait_ms)
+            wait_ms = self._charges.charge(key, request, now_ms)
+            if wait_ms:
+                return placement_messages.Refused('over rate', wait_ms, True)
+            self._charges.settle(key)
+            return None
+
     def finish_prefill(self, done: placement_messages.PrefillDone) -> None:
         """Records that the prefill of a request completed."""
         key = (done.host, done.number)
@@ -343,29 +364,6 @@
             self._pools[service] = pool
         return pool
 
-    def _version_to_resume(
-        self, request: placement_messages.Admit, now_ms: int
-    ) -> str | None:
-        """Returns the version at which a stream goes on.
-
-        The caller holds the lock.
-
-        :returns: an empty text for a new stream, None if it is not known or
-            if another service began the stream
-        """
-        if not request.resumes:
-            return ''
-        if request.software_version:
-            return request.software_version
-        origin = self._origins.find(request.first_call_id, now_ms)
-        if origin is None:
-            return software_versions.only_version(
-                self._stream_versions, request.service
-            )
-        if origin.service != request.service:
-            return None
-        return origin.software_version
-
     def plan_orders(self) -> list[balances.RoleOrder]:
         """Returns the orders for the role changes that are due."""
         now_ms = self._clock.now_ms()
--- a/libs/coordination/tests/test_leaderships.py
+++ b/libs/coordination/tests/test_leaderships.py
@@ -6,6 +6,7 @@
 import unittest
 
 from masticquay_consensus import errors as consensus_errors
+from masticquay_coordination import admissions
 from masticquay_coordination import leaderships
 from masticquay_coordination import table_machines
 from masticquay_coordination import updates
@@ -198,6 +199,8 @@
         self.lead()
         self.commit_tables(1)
         self.node.state.applied_index = 1
+        # No list of endpoints comes in time.
+        self.clock.advance_ms(admissions.LIST_WAIT_MS)
         answer = self.handlers[placement_messages.Admit](
             fakes.make_admit(1, workspace='w', cost=3_000.0), self.link
         )
--- a/libs/gateway/masticquay_gateway/leader_placements.py
+++ b/libs/gateway/masticquay_gateway/leader_placements.py
@@ -6,6 +6,7 @@
 
 from masticquay_endpoints import interrupts
 from masticquay_gateway import links
+from masticquay_routing import messages
 from masticquay_routing import placement_messages
 from masticquay_wire import errors as wire_errors
 
@@ -16,7 +17,12 @@
 # arrive.
 RESPONSE_MARGIN_MS = 300
 
-Answer = placement_messages.Placed | placement_messages.Refused
+
+class LeftToHost:
+    """The leader has charged a request, and its host is to place it."""
+
+
+Answer = placement_messages.Placed | placement_messages.Refused | LeftToHost
 
 
 class LeaderPlacements:
@@ -49,6 +55,8 @@
                 if not self._link.is_leader_reachable:
                     break
         except wire_errors.WireError as cause:
+            if _is_left_to_host(cause):
+                return LeftToHost()
             LOG.warning(
                 'no placement from the leader', extra={'cause': str(cause)}
             )
@@ -80,6 +88,13 @@
         )
 
 
+def _is_left_to_host(cause: wire_errors.WireError) -> bool:
+    return (
+        isinstance(cause, wire_errors.RemoteError)
+        and cause.code == messages.CODE_NO_ENDPOINTS
+    )
+
+
 def _wait_for(
     future: futures.Future, interrupt: interrupts.Interrupt, timeout_ms: int
 ) -> bool:
--- a/libs/gateway/masticquay_gateway/placers.py
+++ b/libs/gateway/masticquay_gateway/placers.py
@@ -147,6 +147,9 @@
             response = self._leader.ask(request, interrupt)
         if response is None:
             response = self._charge_without_leader(request, interrupt)
+        if isinstance(response, leader_placements.LeftToHost):
+            request.charged = True
+            return self._place_locally(request)
         if isinstance(response, placement_messages.Placed):
             placement = self._resolve(request, response)
             if placement is not None:
--- a/libs/gateway/tests/test_placers.py
+++ b/libs/gateway/tests/test_placers.py
@@ -33,7 +33,10 @@
 
     def submit(self, message, timeout_ms):
         future = futures.Future()
-        future.set_result(self.answer)
+        if isinstance(self.answer, Exception):
+            future.set_exception(self.answer)
+        else:
+            future.set_result(self.answer)
         return future
 
     def notify(self, message):
@@ -75,6 +78,20 @@
         return self.placer.place(request, interrupts.Interrupt())
 
 
+class LeftToHostTest(PlacerCase):
+    # Guards against model requests that are refused while the leader can't
+    # read the list of endpoints (review/10): hosts have theirs.
+    def test_host_places_what_the_leader_charged_and_left_to_it(self):
+        self.link.answer = wire_errors.RemoteError(
+            messages.CODE_NO_ENDPOINTS, ''
+        )
+        with mock.patch.object(
+            leaderless_rates.LeaderlessRates, 'charge', self.fail
+        ):
+            placement = self.place(resumes=False)
+        self.assertTrue(placement.local)
+
+
 class ResumptionTest(PlacerCase):
     # Guards against ORDER on a host that is cut off from control: others may
     # have begun the stream at a version that this host has not heard of.
--- a/libs/routing/masticquay_routing/messages.py
+++ b/libs/routing/masticquay_routing/messages.py
@@ -11,6 +11,8 @@
 from masticquay_wire import records
 
 CODE_NOT_LEADER = 'not-leader'
+# The leader has charged a request, but knows no endpoints to place it on.
+CODE_NO_ENDPOINTS = 'no-endpoints'
 # The answer to a renewal of a process that another one has replaced.
 CODE_REPLACED = 'replaced'
 REASON_HARMFUL_PROMPT = 'engines ended on prompts with a part of this one'
