A leader that stops hands over once a replica has the whole log

What hosts saw: a leader that was stopped amid a write handed nothing over, and they waited for an election. Cause: a replica takes over only if it has the whole log, and the leader asked once. Just after a write, none had it. The new test failed before (no other leader in 20 s) and passed in 3 of 3 runs.

--- a/libs/coordination/masticquay_coordination/daemons.py
+++ b/libs/coordination/masticquay_coordination/daemons.py
@@ -239,9 +239,14 @@
         Returns once this replica knows the next leader and can tell the
         hosts, or after ``HAND_OVER_TIMEOUT_MS``.
         """
-        if not self.node.transfer_leadership():
-            return
         deadline_ms = self._clock.now_ms() + HAND_OVER_TIMEOUT_MS
+        # No replica has the whole log while an entry is on its way to them.
+        while (
+            not self.node.transfer_leadership()
+            and self.node.is_leader()
+            and self._clock.now_ms() < deadline_ms
+        ):
+            time.sleep(HAND_OVER_POLL_MS / 1000)
         while (
             self.node.leader() is None and self._clock.now_ms() < deadline_ms
         ):
--- a/libs/coordination/tests/test_daemons.py
+++ b/libs/coordination/tests/test_daemons.py
@@ -148,6 +148,20 @@
         self.assertEqual(probes, [d.node.counters().probes for d in others])
         self.put_table(2)
 
+    # Guards against a stop without a hand-over, after which hosts wait for an
+    # election: no replica had the whole log amid a write.
+    def test_leader_hands_over_once_a_replica_has_the_whole_log(self):
+        self.start_group()
+        self.put_table(1)
+        first_leader = wait_for(self.leader)
+        transfer = first_leader.node.transfer_leadership
+        outcomes = [False, False]
+        first_leader.node.transfer_leadership = lambda: (
+            outcomes.pop() if outcomes else transfer()
+        )
+        first_leader.hand_over()
+        wait_for(lambda: self.leader() not in (None, first_leader))
+
     def test_gauge_of_a_full_disk_is_there_before_the_start(self):
         address = self.seeds[0]
         daemon = self.make(address)
