--- a/libs/gateway/tests/test_peer_bodies.py
+++ b/libs/gateway/tests/test_peer_bodies.py
@@ -93,11 +93,8 @@
         for _ in range(4):
             self.assertEqual('h1', self.exchange_body(BODY))
 
-    # Guards against REFUSED (review/11): a peer's late word on a body that its
-    # host had given up was taken for the answer to the next request, which was
-    # refused as not run though the peer ran it.
-    def test_late_refusal_of_a_body_does_not_answer_another_request(self):
-        self.hosts = self.hosts[:1]
+    def give_body_up(self):
+        """Has the only peer refuse a body after its host has given it up."""
         service = self.peers[0].service
         reason = service._reason_to_refuse_all
 
@@ -107,9 +104,16 @@
             return 'too many requests of peers'
 
         service._reason_to_refuse_all = refuse_late
+        self.hosts = self.hosts[:1]
         with self.assertRaises(errors.NoPathError), self.open() as exchange:
             self.send(exchange, body=BODY, timeout_ms=SILENCE_MS)
         self.release.set()
+
+    # Guards against REFUSED (review/11): a peer's late word on a body that its
+    # host had given up was taken for the answer to the next request, which was
+    # refused as not run though the peer ran it.
+    def test_late_refusal_of_a_body_does_not_answer_another_request(self):
+        self.give_body_up()
         with self.open() as exchange:
             self.assertEqual(200, self.send(exchange).status)
         self.assertEqual([b'body'], [r.body for r in self.received])
@@ -117,19 +121,8 @@
     # Guards against TWICE (review/11 with a third host): the late word made
     # the host send the next request to a further peer, too.
     def test_late_refusal_of_a_body_has_no_request_run_twice(self):
-        service = self.peers[0].service
-        reason = service._reason_to_refuse_all
-
-        def refuse_late():
-            service._reason_to_refuse_all = reason
-            self.release.wait(peer_cases.WAIT_S)
-            return 'too many requests of peers'
-
-        service._reason_to_refuse_all = refuse_late
-        hosts, self.hosts = self.hosts, self.hosts[:1]
-        with self.assertRaises(errors.NoPathError), self.open() as exchange:
-            self.send(exchange, body=BODY, timeout_ms=SILENCE_MS)
-        self.release.set()
+        hosts = self.hosts
+        self.give_body_up()
         with self.open() as exchange:
             self.hosts = hosts
             self.send(exchange)
