--- a/libs/gateway/tests/test_streams.py
+++ b/libs/gateway/tests/test_streams.py
@@ -2,7 +2,6 @@
 
 import queue
 import threading
-from unittest import mock
 
 from masticquay_gateway import failures
 from masticquay_gateway import ports
@@ -364,22 +363,6 @@
         self.assertGreater(refusal.retry_after_ms, 4_000)
         self.assertEqual([], self.placer.requests)
 
-    # Guards against BUDGET: prompts that waited for a placement when the first
-    # ones ended engines were sent to further prefill engines.
-    def test_prompt_quarantined_while_it_waits_is_not_prefilled(self):
-        self.prompt_parts = ['bad']
-        decode = self.make_decode_engine(1, self.send_stream)
-        place = streamer_cases.FakePlacer.place
-
-        def place_late(*args):
-            self.quarantine.apply({'bad': 5_000})
-            return place(*args)
-
-        with mock.patch.object(streamer_cases.FakePlacer, 'place', place_late):
-            refusal = self.run_job([(self.prefill.endpoint, decode.endpoint)])
-        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
-        self.assertEqual([], self.prefill.requests)
-
     def test_prompt_quarantined_during_its_prefill_is_not_decoded(self):
         def quarantine(request, reply):
             self.quarantine.apply({'bad': 5_000})
--- a/libs/gateway/tests/test_withheld_endpoints.py
+++ b/libs/gateway/tests/test_withheld_endpoints.py
@@ -1,13 +1,14 @@
-"""Tests of endpoints that want a pause while a request waits to be sent.
+"""Tests of what changes while a request waits to be sent.
 
-They guard against BUDGET: what was checked before the wait for a connection or
-for a thread was not checked again after it.
+They guard against BUDGET: what was checked before the wait for a connection, a
+thread or a placement was not checked again after it.
 """
 
 from unittest import mock
 
 from masticquay_endpoints import connections
 from masticquay_gateway import errors
+from masticquay_gateway import ports
 from tests import fakes
 from tests import peer_cases
 from tests import streamer_cases
@@ -66,6 +67,24 @@
         self.play(self.prefill)
 
 
+class HarmfulPromptTest(streamer_cases.StreamerCase):
+    # Guards against BUDGET: prompts that waited for a placement when the first
+    # ones ended engines were sent to further prefill engines.
+    def test_prompt_quarantined_while_it_waits_is_not_prefilled(self):
+        self.prompt_parts = ['bad']
+        decode = self.make_decode_engine(1, self.send_stream)
+        place = streamer_cases.FakePlacer.place
+
+        def place_late(*args):
+            self.quarantine.apply({'bad': 5_000})
+            return place(*args)
+
+        with mock.patch.object(streamer_cases.FakePlacer, 'place', place_late):
+            refusal = self.run_job([(self.prefill.endpoint, decode.endpoint)])
+        self.assertIs(ports.Reason.NOT_RUN, refusal.reason)
+        self.assertEqual([], self.prefill.requests)
+
+
 class WithheldServiceTest(streamer_cases.StreamerCase):
     def test_endpoint_that_pauses_meanwhile_gets_no_request(self):
         endpoints = [
